--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! `trefoilhall`, the command-line tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! `trefoilhalld`, the daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,24 @@
+//! Every decision the serving layer takes, as plain data in and decisions out.
+//!
+//! Nothing here opens a socket, reads a clock, awaits, or draws from global
+//! randomness: time and a seeded generator are arguments. The daemon and the
+//! tests therefore drive exactly the same code. See `docs/ARCHITECTURE.md`.
+
+pub mod config;
+pub mod ids;
+pub mod report;
+pub mod request;
+pub mod scheduler;
+pub mod units;
+
+pub use ids::{
+    DataCentre, Deployment, EndpointGroup, EndpointId, Fingerprint, Incarnation, InstanceId, Model,
+    RequestId, Workspace,
+};
+pub use report::{CacheEvents, LoadDigest, LoadReport};
+pub use request::{CallKind, RequestSpec};
+pub use scheduler::{
+    Admission, Decision, EndpointChange, Event, FailCause, Failure, Outcome, Priority, Ran,
+    Refusal, RefusalReason, Scheduler, Shard, Start,
+};
+pub use units::{Time, TokenRate, Tokens};
--- /dev/null
+++ b/crates/policy/src/report.rs
@@ -0,0 +1,85 @@
+//! What endpoints and other instances tell about load, always late.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{EndpointId, Incarnation, InstanceId, Time, TokenRate, Tokens, Workspace};
+
+/// An endpoint's own report of its load. It lags: `taken` says which of our sends it can include.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Who reports.
+    pub endpoint: EndpointId,
+    /// The life of the endpoint that reports.
+    pub incarnation: Incarnation,
+    /// When the figures were taken, on the receiver's clock (receipt less the stated age).
+    pub taken: Time,
+    /// Memory for KV cache in all; zero for a plain service.
+    pub kv_total: Tokens,
+    /// Memory held by running requests, reservations, imports and exports.
+    pub kv_used: Tokens,
+    /// Prompt tokens accepted but not yet prefilled, from all instances.
+    pub waiting_prefill: Tokens,
+    /// Requests running or waiting there, from all instances.
+    pub running: u32,
+    /// The endpoint asks for no new work.
+    pub leaving: bool,
+}
+
+/// What an engine says about prefixes in its cache since the event numbered `from`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvents {
+    /// The engine.
+    pub endpoint: EndpointId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Sequence number of the first event here. A number above the one expected is a gap.
+    pub from: u64,
+    /// Block hashes stored (`true`) or evicted (`false`), in order.
+    pub events: Vec<(u64, bool)>,
+}
+
+/// One instance's own part of the load, told to the other instances.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoadDigest {
+    /// Who tells.
+    pub instance: InstanceId,
+    /// The life of the instance that tells.
+    pub incarnation: Incarnation,
+    /// Rises with every digest of one incarnation; an older one that arrives late is ignored.
+    pub sequence: u64,
+    /// What this instance has under way on each endpoint.
+    pub endpoints: Vec<EndpointShare>,
+    /// What each workspace has waiting and what it was served here, for fair shares across
+    /// instances. Only workspaces with recent traffic.
+    pub workspaces: Vec<WorkspaceShare>,
+}
+
+/// One instance's part of one endpoint's load.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndpointShare {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The life it was sent to.
+    pub incarnation: Incarnation,
+    /// Prompt tokens sent whose first token hasn't come.
+    pub waiting_prefill: Tokens,
+    /// Requests under way.
+    pub running: u32,
+    /// Estimated memory that they hold.
+    pub held: Tokens,
+    /// Prefill speed as learned here; zero where nothing was learned.
+    pub prefill_rate: TokenRate,
+    /// Whether this instance has ejected the endpoint.
+    pub ejected: bool,
+}
+
+/// One workspace's traffic on one instance.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceShare {
+    /// The workspace.
+    pub workspace: Workspace,
+    /// Weighted tokens that wait here.
+    pub waiting: Tokens,
+    /// Weighted tokens a second served here of late.
+    pub served: TokenRate,
+}
--- /dev/null
+++ b/crates/policy/tests/ids.rs
@@ -0,0 +1,31 @@
+//! Identifiers read back what they print, and refuse what could break a log line.
+
+use policy::{Fingerprint, Workspace};
+use quickcheck::quickcheck;
+
+macro_rules! refused {
+    ($($case:ident: $text:expr),* $(,)?) => {$(
+        #[test]
+        fn $case() {
+            assert!(Workspace::new($text).is_err());
+        }
+    )*};
+}
+
+refused! {
+    an_empty_id: "",
+    an_id_with_a_space: "name change",
+    an_id_with_a_line_break: "a\nb",
+    an_id_too_long: &"a".repeat(129),
+}
+
+quickcheck! {
+    fn a_fingerprint_reads_back(value: u128) -> bool {
+        let fingerprint = Fingerprint(value);
+        fingerprint.to_string().parse() == Ok(fingerprint)
+    }
+
+    fn any_text_is_an_id_that_reads_back_or_refused(text: String) -> bool {
+        Workspace::new(&text).map_or(true, |id| id.to_string() == text)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the outside systems, for tests, demo and bench.
