Add the baseline schedulers and AnyScheduler

The daemon needs a scheduler to drive, and every measurement needs something to be compared with. Round robin, least outstanding and first come first served share one request table that keeps the contract (one end or failure each, by the deadline) and nothing else: no limits, no admission, retries without a budget up to ten attempts.

--- /dev/null
+++ b/crates/policy/src/baseline/first_come.rs
@@ -0,0 +1,20 @@
+//! One queue in order of arrival before all endpoints.
+
+use super::{Pick, Server};
+
+/// Requests that one endpoint gets at once. Sixteen keeps an engine's batch filled with short
+/// prompts, which is how such queues are set up in the field.
+const SLOTS: u32 = 16;
+
+/// Keeps requests in one queue in order of arrival, and sends the first to the least busy endpoint
+/// once that has a free slot. Whatever stands first blocks the rest.
+#[derive(Debug, Default)]
+pub struct FirstCome;
+
+impl Pick for FirstCome {
+    fn pick(&mut self, servers: &[Server]) -> Option<usize> {
+        (0..servers.len())
+            .filter(|&index| servers[index].running < SLOTS)
+            .min_by_key(|&index| servers[index].running)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/baseline/mod.rs
@@ -0,0 +1,15 @@
+//! Schedulers without any policy, kept to measure the product's own against.
+//!
+//! They keep the contract of [`Scheduler`](crate::Scheduler): each admitted request ends or fails
+//! by its deadline. Beyond that they admit everything, know no shares, no priorities and no retry
+//! budget.
+
+mod first_come;
+mod least_outstanding;
+mod naive;
+mod round_robin;
+
+pub use first_come::FirstCome;
+pub use least_outstanding::LeastOutstanding;
+pub use naive::{Naive, Pick, Server};
+pub use round_robin::RoundRobin;
--- /dev/null
+++ b/crates/policy/src/baseline/naive.rs
@@ -0,0 +1,268 @@
+//! What the baselines share: a table of requests, a queue and retries up to a bound.
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use indexmap::IndexMap;
+
+use crate::{
+    Admission, Decision, EndpointChange, EndpointId, Event, FailCause, Failure, Incarnation,
+    InstanceId, LoadDigest, Priority, Ran, RequestId, RequestSpec, Scheduler, Shard, Start, Time,
+    Tokens, config, scheduler::EndpointState,
+};
+
+/// Attempts for one request. High enough for a retry storm to build up, as it does in the field
+/// where every layer retries a few times; bounded, because every loop is.
+const MAX_ATTEMPTS: u32 = 10;
+
+/// What callers hear as time to come back: the baselines predict nothing.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A rule that picks an endpoint.
+pub trait Pick: Default + Send {
+    /// Picks one of `servers`, or none so that the request waits.
+    fn pick(&mut self, servers: &[Server]) -> Option<usize>;
+}
+
+/// An endpoint that may get work.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Requests of this instance under way there.
+    pub running: u32,
+    /// Its memory, once it reported.
+    pub memory: Tokens,
+}
+
+#[derive(Debug)]
+struct Entry {
+    req: Arc<RequestSpec>,
+    attempt: u32,
+    /// Endpoint of the attempt under way.
+    at: Option<EndpointId>,
+}
+
+/// A scheduler that sends each request where `P` says, and keeps no other rule.
+#[derive(Debug)]
+pub struct Naive<P> {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    sequence: u64,
+    rule: P,
+    servers: Vec<Server>,
+    requests: IndexMap<RequestId, Entry>,
+    deadlines: BTreeSet<DueRequest>,
+    queue: VecDeque<RequestId>,
+    failed: Vec<Decision>,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct DueRequest {
+    at: Time,
+    request: RequestId,
+}
+
+impl<P: Pick> Naive<P> {
+    /// A scheduler of one life of `instance`, without endpoints yet.
+    pub fn new(instance: InstanceId, incarnation: Incarnation) -> Self {
+        Naive {
+            instance,
+            incarnation,
+            sequence: 0,
+            rule: P::default(),
+            servers: Vec::new(),
+            requests: IndexMap::new(),
+            deadlines: BTreeSet::new(),
+            queue: VecDeque::new(),
+            failed: Vec::new(),
+        }
+    }
+
+    fn change(&mut self, change: &EndpointChange) {
+        let known = self.servers.iter().position(|server| server.endpoint == change.endpoint);
+        match (known, change.state) {
+            (Some(index), EndpointState::Live) => {
+                self.servers[index].incarnation = change.incarnation;
+            }
+            (None, EndpointState::Live) => self.servers.push(Server {
+                endpoint: change.endpoint.clone(),
+                incarnation: change.incarnation,
+                running: 0,
+                memory: Tokens::ZERO,
+            }),
+            (Some(index), _) => {
+                self.servers.remove(index);
+            }
+            (None, _) => {}
+        }
+    }
+
+    fn start(&mut self, request: RequestId) -> Option<Decision> {
+        let entry = self.requests.get_mut(&request)?;
+        let index = self.rule.pick(&self.servers)?;
+        entry.attempt += 1;
+        entry.at = Some(self.servers[index].endpoint.clone());
+        self.servers[index].running += 1;
+        Some(Decision::Start(Start {
+            request,
+            attempt: entry.attempt,
+            shards: spread(&self.servers, index, entry.req.footprint()),
+            priority: Priority::default(),
+        }))
+    }
+
+    fn leave_endpoint(&mut self, request: RequestId) {
+        let Some(endpoint) = self.requests.get_mut(&request).and_then(|entry| entry.at.take())
+        else {
+            return;
+        };
+        if let Some(server) = self.servers.iter_mut().find(|server| server.endpoint == endpoint) {
+            server.running = server.running.saturating_sub(1);
+        }
+    }
+
+    fn forget(&mut self, request: RequestId) {
+        self.leave_endpoint(request);
+        if let Some(entry) = self.requests.swap_remove(&request) {
+            self.deadlines.remove(&DueRequest { at: entry.req.deadline, request });
+        }
+    }
+
+    fn fail(&mut self, request: RequestId, cause: FailCause, ran: Ran) {
+        self.forget(request);
+        let failure = Failure { cause, ran, retry_after: RETRY_AFTER };
+        self.failed.push(Decision::Fail { request, failure });
+    }
+
+    fn attempt_failed(&mut self, request: RequestId, attempt: u32, cause: FailCause) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        if entry.at.is_none() || entry.attempt != attempt {
+            return;
+        }
+        let not_run = matches!(cause, FailCause::NotSent | FailCause::Rejected);
+        let again = entry.req.repeatable || not_run;
+        if again && entry.attempt < MAX_ATTEMPTS {
+            self.leave_endpoint(request);
+            self.queue.push_back(request);
+            return;
+        }
+        let ran = if not_run && attempt == 1 { Ran::No } else { Ran::Unknown };
+        self.fail(request, cause, ran);
+    }
+
+    fn expire(&mut self, now: Time) {
+        while let Some(due) = self.deadlines.first() {
+            if due.at > now {
+                return;
+            }
+            let request = due.request;
+            let sent = self.requests.get(&request).is_some_and(|entry| entry.attempt > 0);
+            let ran = if sent { Ran::Unknown } else { Ran::No };
+            self.fail(request, FailCause::Deadline, ran);
+        }
+    }
+}
+
+impl<P: Pick> Scheduler for Naive<P> {
+    fn configure(
+        &mut self,
+        _rules: &config::DeploymentRules,
+        _workspaces: &config::WorkspaceTable,
+        endpoints: &[EndpointChange],
+        _now: Time,
+    ) {
+        self.servers.retain(|server| endpoints.iter().any(|e| e.endpoint == server.endpoint));
+        for change in endpoints {
+            self.change(change);
+        }
+    }
+
+    fn offer(&mut self, req: Arc<RequestSpec>, _now: Time) -> Admission {
+        let request = req.id;
+        self.deadlines.insert(DueRequest { at: req.deadline, request });
+        self.requests.insert(request, Entry { req, attempt: 0, at: None });
+        self.queue.push_back(request);
+        Admission::Admitted
+    }
+
+    fn poll(&mut self, now: Time) -> Vec<Decision> {
+        self.expire(now);
+        let mut decisions = std::mem::take(&mut self.failed);
+        while let Some(request) = self.queue.front().copied() {
+            let gone = !self.requests.contains_key(&request);
+            let start = self.start(request);
+            if start.is_none() && !gone {
+                break;
+            }
+            self.queue.pop_front();
+            decisions.extend(start);
+        }
+        decisions
+    }
+
+    fn next_wakeup(&self, now: Time) -> Option<Time> {
+        if !self.failed.is_empty() {
+            return Some(now);
+        }
+        self.deadlines.first().map(|due| due.at)
+    }
+
+    fn observe(&mut self, event: Event, _now: Time) {
+        match event {
+            Event::Ended { request, .. } => self.forget(request),
+            Event::AttemptFailed { request, attempt, cause, .. } => {
+                self.attempt_failed(request, attempt, cause);
+            }
+            Event::Endpoint(change) => self.change(&change),
+            Event::Load(report) => {
+                let server = self.servers.iter_mut().find(|s| s.endpoint == report.endpoint);
+                if let Some(server) = server {
+                    server.memory = report.kv_total;
+                }
+            }
+            Event::FirstToken { .. }
+            | Event::Progress { .. }
+            | Event::Cache(_)
+            | Event::Peer(_)
+            | Event::PeerGone { .. }
+            | Event::Probe { .. } => {}
+        }
+    }
+
+    fn digest(&mut self, _now: Time) -> LoadDigest {
+        self.sequence += 1;
+        LoadDigest {
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            endpoints: Vec::new(),
+            workspaces: Vec::new(),
+        }
+    }
+}
+
+/// The picked endpoint, and as many of those after it as the footprint needs.
+fn spread(servers: &[Server], first: usize, footprint: Tokens) -> Vec<Shard> {
+    let mut left = footprint;
+    let mut shards = Vec::new();
+    for server in servers.iter().cycle().skip(first).take(servers.len()) {
+        let fits = server.memory == Tokens::ZERO || server.memory >= left;
+        let tokens = if fits { left } else { server.memory };
+        left -= tokens;
+        shards.push(Shard {
+            endpoint: server.endpoint.clone(),
+            incarnation: server.incarnation,
+            tokens,
+        });
+        if left == Tokens::ZERO {
+            break;
+        }
+    }
+    shards
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,8 @@
 //! randomness: time and a seeded generator are arguments. The daemon and the
 //! tests therefore drive exactly the same code. See `docs/ARCHITECTURE.md`.
 
+pub mod any;
+pub mod baseline;
 pub mod config;
 pub mod ids;
 pub mod report;
@@ -11,6 +13,7 @@
 pub mod scheduler;
 pub mod units;
 
+pub use any::AnyScheduler;
 pub use ids::{
     DataCentre, Deployment, EndpointGroup, EndpointId, Fingerprint, Incarnation, InstanceId, Model,
     RequestId, Workspace,
