Contract: digests tell load by prompt band, and prompts that wait for several engines

Engines serve shorter prompts first, so a sum of waiting prefill doesn't say how long a short prompt waits there; instances also have to see each other's wish for several engines' memory, or two of them keep taking each other's room. FailCause gains Shed for requests given up while they wait because the waiting room is full and their workspace is the one furthest over its share. Decision::Fail says that the driver cancels a running attempt.

--- a/crates/policy/src/baseline/naive.rs
+++ b/crates/policy/src/baseline/naive.rs
@@ -243,6 +243,9 @@
             sequence: self.sequence,
             endpoints: Vec::new(),
             workspaces: Vec::new(),
+            queued: Default::default(),
+            demand: Default::default(),
+            wishes: Vec::new(),
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,7 +18,7 @@
     DataCentre, Deployment, EndpointGroup, EndpointId, Fingerprint, Incarnation, InstanceId, Model,
     RequestId, Workspace,
 };
-pub use report::{CacheEvents, LoadDigest, LoadReport};
+pub use report::{BANDS, CacheEvents, LoadDigest, LoadReport, ReservationWish, WishPart};
 pub use request::{CallKind, RequestSpec};
 pub use scheduler::{
     Admission, Decision, EndpointChange, Event, FailCause, Failure, Outcome, Priority, Ran,
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -1,5 +1,7 @@
 //! What endpoints and other instances tell about load, always late.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{EndpointId, Incarnation, InstanceId, Time, TokenRate, Tokens, Workspace};
@@ -52,6 +54,34 @@
     /// What each workspace has waiting and what it was served here, for fair shares across
     /// instances. Only workspaces with recent traffic.
     pub workspaces: Vec<WorkspaceShare>,
+    /// Prompt tokens that wait on this instance and weren't sent yet, by band of prompt length.
+    pub queued: [Tokens; BANDS],
+    /// Prompt tokens a second admitted here of late, by band of prompt length.
+    pub demand: [TokenRate; BANDS],
+    /// Prompts that wait here for the memory of several engines, longest wait first.
+    pub wishes: Vec<ReservationWish>,
+}
+
+/// Bands of prompt length that load is counted in, because an engine serves shorter bands first.
+/// The first band holds the short prompts.
+pub const BANDS: usize = 4;
+
+/// A prompt that waits for the memory of several engines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReservationWish {
+    /// How long it has waited.
+    pub waited: Duration,
+    /// What it needs of which engine, in the order of their ids.
+    pub parts: Vec<WishPart>,
+}
+
+/// Memory wished for on one engine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WishPart {
+    /// The engine.
+    pub endpoint: EndpointId,
+    /// How much.
+    pub tokens: Tokens,
 }
 
 /// One instance's part of one endpoint's load.
@@ -61,8 +91,10 @@
     pub endpoint: EndpointId,
     /// The life it was sent to.
     pub incarnation: Incarnation,
-    /// Prompt tokens sent whose first token hasn't come.
+    /// Prompt tokens sent and, as far as is known, not yet prefilled.
     pub waiting_prefill: Tokens,
+    /// The same by band of prompt length.
+    pub waiting_bands: [Tokens; BANDS],
     /// Requests under way.
     pub running: u32,
     /// Estimated memory that they hold.
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -110,7 +110,8 @@
 pub enum Decision {
     /// Send the request to endpoints.
     Start(Start),
-    /// Tell the caller that the request has failed, at once; the scheduler has forgotten it.
+    /// Tell the caller that the request has failed, at once; the scheduler has forgotten it. An
+    /// attempt that is still under way is cancelled.
     Fail {
         /// The request.
         request: RequestId,
@@ -204,6 +205,8 @@
     EndpointDied,
     /// Endpoints died of the request; it isn't run again.
     Quarantined,
+    /// It waited and was given up so that workspaces below their share find room to wait.
+    Shed,
     /// The retry budget is spent.
     RetryBudget,
     /// No endpoint is left.
