--- a/crates/policy/src/any.rs
+++ b/crates/policy/src/any.rs
@@ -7,12 +7,15 @@
     Scheduler, Time,
     baseline::{FirstCome, LeastOutstanding, Naive, RoundRobin},
     config::{self, PolicyName},
+    trefoilhall::Trefoilhall,
 };
 
 /// One of the schedulers. The daemon and the bench hold this, so that a baseline runs in exactly
 /// the place of the product's own.
 #[derive(Debug)]
 pub enum AnyScheduler {
+    /// The product's own.
+    Trefoilhall(Box<Trefoilhall>),
     /// Endpoints in turn.
     RoundRobin(Naive<RoundRobin>),
     /// The endpoint with the fewest own requests.
@@ -27,11 +30,14 @@
         policy: PolicyName,
         instance: InstanceId,
         incarnation: Incarnation,
-        _seed: u64,
+        seed: u64,
     ) -> Self {
         match policy {
             PolicyName::RoundRobin => AnyScheduler::RoundRobin(Naive::new(instance, incarnation)),
-            PolicyName::Trefoilhall | PolicyName::LeastOutstanding => {
+            PolicyName::Trefoilhall => {
+                AnyScheduler::Trefoilhall(Box::new(Trefoilhall::new(instance, incarnation, seed)))
+            }
+            PolicyName::LeastOutstanding => {
                 AnyScheduler::LeastOutstanding(Naive::new(instance, incarnation))
             }
             PolicyName::FirstComeFirstServed => {
@@ -44,6 +50,7 @@
 macro_rules! each {
     ($self:ident, $scheduler:ident => $call:expr) => {
         match $self {
+            AnyScheduler::Trefoilhall($scheduler) => $call,
             AnyScheduler::RoundRobin($scheduler) => $call,
             AnyScheduler::LeastOutstanding($scheduler) => $call,
             AnyScheduler::FirstCome($scheduler) => $call,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod report;
 pub mod request;
 pub mod scheduler;
+pub mod trefoilhall;
 pub mod units;
 
 pub use any::AnyScheduler;
--- /dev/null
+++ b/crates/policy/src/trefoilhall/admit.rs
@@ -0,0 +1,236 @@
+//! Who is admitted.
+//!
+//! **Load pattern.** Twice as much comes as the engines can do, for minutes.
+//!
+//! **Without it.** Every queue grows until what is served has missed its bound: the engines work at
+//! full speed and nobody is helped. Callers learn of it at their deadline.
+//!
+//! **Rule.** A request is refused at once if its predicted first token, times the learned margin,
+//! is past its bound. The prediction adds what stands before it (in this queue, in the peers'
+//! queues, on the engines, in its band and below), at most as much as its workspace's share makes
+//! it wait, to its own prefill. The refusal says when the prediction would fit. A full waiting room
+//! gives up the latest request of the workspace furthest over its share, or refuses the newcomer
+//! if that is the one.
+//!
+//! **Grounds.** A refusal that costs microseconds and comes at once lets the caller go elsewhere
+//! or come back when told; an admission that fails later costs it the whole wait. Weighing
+//! predictions against measured first tokens ([`super::learn::Margin`]) makes the rule right for
+//! effects that no term names, such as memory held by long answers. Once in [`TRIAL_EVERY`] an
+//! idle deployment runs a request against the prediction: a speed learned wrongly as too low
+//! would otherwise refuse everything for good, and nothing would correct it.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{Admission, FailCause, Ran, Refusal, RefusalReason, RequestSpec, Time};
+
+use super::{
+    Trefoilhall,
+    class::Band,
+    queue::WorkspaceIndex,
+    request::{Due, Entry, State},
+    seconds, span,
+    workspaces::SPREAD,
+};
+
+/// Prefill tokens that one decoded token counts as. Decoding runs in batches, but holds a step of
+/// the whole engine; four is between the two.
+const DECODE_WEIGHT: f64 = 4.0;
+/// The least and the most that a caller is told to stay away.
+const RETRY_AFTER: std::ops::RangeInclusive<f64> = 0.1..=60.0;
+/// Random addition to the time told, so that callers refused together don't come back together.
+const RETRY_SPREAD: f64 = 0.25;
+/// Seconds between two trials against the prediction.
+const TRIAL_EVERY: f64 = 1.0;
+/// The most of an engine that short prompts are taken to use in predictions for long ones.
+const MOST_SHORT_LOAD: f64 = 0.9;
+
+impl Trefoilhall {
+    pub(super) fn admit(&mut self, req: Arc<RequestSpec>, now: Time) -> Admission {
+        match self.check(&req, now) {
+            Ok(entry) => {
+                self.insert(entry, now);
+                Admission::Admitted
+            }
+            Err(refusal) => Admission::Refused(refusal),
+        }
+    }
+
+    fn check(&mut self, req: &Arc<RequestSpec>, now: Time) -> Result<Entry, Refusal> {
+        let workspace = self.workspaces.index(&req.workspace);
+        let instances = self.peers.instances();
+        let state = self.workspaces.get_mut(workspace);
+        if let Some(over) = state.over_limit(instances, seconds(now)) {
+            return Err(self.refusal(RefusalReason::OverLimit, over));
+        }
+        if self.fleet.usable == 0 {
+            return Err(self.refusal(RefusalReason::NoEndpoint, 1.0));
+        }
+        if req.footprint().0 as f64 > self.fleet.total_memory {
+            return Err(self.refusal(RefusalReason::TooLarge, *RETRY_AFTER.end()));
+        }
+        let mut entry = self.entry(req.clone(), workspace);
+        entry.predicted = self.predict(&entry);
+        let promised = entry.predicted * self.margins[entry.lane].factor();
+        let allowed = entry.bound.since(now).as_secs_f64();
+        if promised > allowed {
+            if !self.may_try(now) {
+                return Err(self.refusal(RefusalReason::TooLate, promised - allowed));
+            }
+            entry.is_trial = true;
+            entry.bound = req.deadline;
+        }
+        self.make_room(workspace, &entry, now)?;
+        Ok(entry)
+    }
+
+    fn entry(&self, req: Arc<RequestSpec>, workspace: WorkspaceIndex) -> Entry {
+        let prompt = req.prompt.0 as f64;
+        let band = Band::of(prompt, self.fleet.typical_rate);
+        let spreads = req.footprint().0 as f64 > self.fleet.largest_memory;
+        let output = self.decode.expected(req.max_output.0 as f64);
+        let bound = self.bound(&req);
+        Entry {
+            workspace,
+            band,
+            lane: if spreads { SPREAD } else { band.index() },
+            cost: prompt + DECODE_WEIGHT * output,
+            bound,
+            due: bound,
+            state: State::Waiting,
+            attempts: 0,
+            failures: 0,
+            tried: Vec::new(),
+            may_have_run: false,
+            passed_on: crate::Tokens::ZERO,
+            predicted: 0.0,
+            is_trial: false,
+            req,
+        }
+    }
+
+    /// By when the first token has to be out.
+    fn bound(&self, req: &RequestSpec) -> Time {
+        if let Some(bound) = req.first_token_by {
+            return bound.min(req.deadline);
+        }
+        let whole = req.deadline.since(req.arrived);
+        let decode = span(self.decode.seconds(req.max_output.0 as f64));
+        // Callers rarely state a sensible most output; half of the time is left in any case.
+        req.arrived + whole.saturating_sub(decode).max(whole / 2)
+    }
+
+    fn insert(&mut self, entry: Entry, now: Time) {
+        let at = seconds(now);
+        self.demand[entry.band.index()].add(entry.prompt(), at, super::DEMAND_HALF_LIFE);
+        self.workspaces.get_mut(entry.workspace).admitted(entry.cost, at);
+        let request = entry.req.id;
+        self.requests.insert(request, entry);
+        self.enqueue(request);
+    }
+
+    /// Puts a request into its lane.
+    pub(super) fn enqueue(&mut self, request: crate::RequestId) {
+        let fastest = self.fleet.fastest_rate;
+        let Some(entry) = self.requests.get_mut(&request) else { return };
+        self.due.remove(&Due { at: entry.due, request });
+        entry.state = State::Waiting;
+        // From here on it could not make its bound even on an idle engine.
+        let own = if entry.is_trial { 0.0 } else { entry.prompt() / fastest };
+        let latest = Time(entry.bound.0.saturating_sub((own * 1e6) as u64));
+        entry.due = latest.min(entry.req.deadline);
+        self.due.insert(Due { at: entry.due, request });
+        let share = self.workspaces.share(entry.workspace);
+        let line = &mut self.workspaces.get_mut(entry.workspace).lines[entry.lane];
+        self.lanes[entry.lane].push(share, line, entry.waiting(), entry.prompt());
+        self.waiting += 1;
+    }
+
+    /// Seconds until the first token of `entry`, if it is admitted now.
+    pub(super) fn predict(&self, entry: &Entry) -> f64 {
+        let short_load = self.short_load();
+        let slowed = if entry.band.is_long() { 1.0 - short_load } else { 1.0 };
+        let own = entry.prompt() / (self.fleet.typical_rate * slowed);
+        let ahead = self.queued_ahead(entry);
+        let capacity =
+            if entry.band.is_long() { self.long_rate * slowed } else { self.fleet.total_rate };
+        let band = entry.band.index();
+        let spread = (self.inflight[band] + ahead) / capacity.max(1.0);
+        if ahead > 0.0 || entry.needs_several() {
+            return spread + own;
+        }
+        // Nobody waits: it goes to the engine that is free first.
+        spread.min(self.least_wait[band] / slowed) + own
+    }
+
+    /// Prompt tokens that go before `entry`, in this queue and the peers'.
+    fn queued_ahead(&self, entry: &Entry) -> f64 {
+        let band = entry.band.index();
+        let lower: f64 = (0..band).map(|b| self.lanes[b].tokens() + self.peers.queued[b]).sum();
+        let lane = &self.lanes[entry.lane];
+        let same = lane.tokens() + self.peers.queued[band];
+        let state = self.workspaces.get(entry.workspace);
+        let mine = state.lines[entry.lane].tokens();
+        let newcomer = if mine > 0.0 { 0.0 } else { state.weight };
+        let mine = mine + state.peers_waiting.min(self.peers.queued[band]) + entry.prompt();
+        let by_share = mine * (lane.weights() + newcomer) / state.weight;
+        lower + same.min(by_share)
+    }
+
+    /// The part of the engines' speed that short prompts use.
+    pub(super) fn short_load(&self) -> f64 {
+        (self.total_demand[0] / self.fleet.total_rate.max(1.0)).min(MOST_SHORT_LOAD)
+    }
+
+    /// Whether a request may be run against the prediction: nothing is under way that it could
+    /// delay, and the last such trial is a while ago.
+    fn may_try(&mut self, now: Time) -> bool {
+        let idle = self.requests.is_empty();
+        let due = seconds(now) - self.last_trial >= TRIAL_EVERY;
+        if idle && due {
+            self.last_trial = seconds(now);
+        }
+        idle && due
+    }
+
+    fn make_room(
+        &mut self,
+        workspace: WorkspaceIndex,
+        entry: &Entry,
+        now: Time,
+    ) -> Result<(), Refusal> {
+        if self.waiting < self.rules.limits.waiting {
+            return Ok(());
+        }
+        let over = self.workspaces.furthest_over(entry.prompt(), workspace);
+        let lines = &self.workspaces.get(over).lines;
+        let last = lines.iter().filter_map(|line| line.last()).max();
+        match last.filter(|_| over != workspace) {
+            Some(last) => {
+                self.fail(last.request, FailCause::Shed, now);
+                Ok(())
+            }
+            None => Err(self.refusal(RefusalReason::OverShare, entry.predicted)),
+        }
+    }
+
+    fn refusal(&mut self, reason: RefusalReason, seconds: f64) -> Refusal {
+        Refusal { reason, retry_after: self.retry_after(seconds) }
+    }
+
+    /// What a caller is told for a wait of about `seconds`.
+    pub(super) fn retry_after(&mut self, seconds: f64) -> Duration {
+        let seconds = seconds.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end());
+        span(seconds * (1.0 + RETRY_SPREAD * self.rng.f64()))
+    }
+
+    /// What may be said of a request's run when it is given up now.
+    pub(super) fn ran(entry: &Entry) -> Ran {
+        match &entry.state {
+            _ if entry.passed_on.0 > 0 => Ran::Yes,
+            State::Running(attempt) if attempt.first_token.is_some() => Ran::Yes,
+            State::Running(_) => Ran::Unknown,
+            _ if entry.may_have_run => Ran::Unknown,
+            _ => Ran::No,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/trefoilhall/endpoint.rs
@@ -0,0 +1,342 @@
+//! One endpoint's load as this instance sees it.
+//!
+//! **Load pattern.** Several instances send to the same endpoints; each knows its own sends at
+//! once, the others' by digests some hundred milliseconds old, and the endpoint's reports with a
+//! lag.
+//!
+//! **Without it.** Whoever trusts the last report sends a burst to the engine that looked idle in
+//! it; whoever adds report and own sends counts its work twice and leaves engines idle.
+//!
+//! **Rule.** Own work is counted at once and is taken to shrink at the learned speed, shorter
+//! bands first, as the engine does it; a first token removes what is left of its request. Others'
+//! work is what their digests say, shrinking likewise. Of a report only what neither we had there
+//! when it was taken nor the digests explain is added: a part that counts twice is impossible,
+//! because own work is subtracted as of the report's own time.
+//!
+//! **Grounds.** The modelled rest never falls below a quarter of what is outstanding
+//! ([`LEAST_LEFT`]): an engine that has stopped would otherwise look idle after a while and draw
+//! work. An engine from which nothing came for twice the time its work should take counts as late
+//! by the excess, which is the least its next request would wait if it were merely slow.
+
+use std::collections::VecDeque;
+
+use crate::{
+    BANDS, DataCentre, EndpointChange, EndpointId, Incarnation, InstanceId, LoadReport, Time,
+    report::EndpointShare, scheduler::EndpointState,
+};
+
+use super::{
+    class::{Band, USABLE},
+    learn::Speed,
+    seconds,
+};
+
+/// The least share of outstanding prefill that counts as still to be done.
+const LEAST_LEFT: f64 = 0.25;
+/// Moments of own load that are kept to tell own work from others' in a report. At one a request
+/// they reach back a lag of a second at 60 requests a second and endpoint; older reports subtract
+/// the oldest moment, which errs towards too little work.
+const MOMENTS: usize = 64;
+/// Excess over twice the expected time, in seconds, before an endpoint counts as late.
+const LATE_AFTER: f64 = 0.5;
+
+/// Prompt tokens by band.
+pub(super) type ByBand = [f64; BANDS];
+
+/// What this instance has under way on one endpoint.
+#[derive(Debug, Default)]
+pub(super) struct OwnLoad {
+    /// Prompt tokens whose first token hasn't come.
+    pub(super) sent: ByBand,
+    /// The part of it that is modelled as not prefilled yet.
+    left: ByBand,
+    /// Requests whose first token hasn't come.
+    pub(super) prefilling: [u32; BANDS],
+    /// Requests under way.
+    pub(super) running: u32,
+    /// Memory they need.
+    pub(super) held: f64,
+}
+
+/// What one other instance has under way there.
+#[derive(Debug)]
+struct PeerPart {
+    instance: InstanceId,
+    left: ByBand,
+    held: f64,
+}
+
+#[derive(Debug)]
+struct Moment {
+    at: Time,
+    sent: f64,
+    held: f64,
+}
+
+/// One endpoint in its present life.
+#[derive(Debug)]
+pub(super) struct Endpoint {
+    pub(super) id: EndpointId,
+    pub(super) incarnation: Incarnation,
+    pub(super) state: EndpointState,
+    pub(super) data_centre: DataCentre,
+    /// One-way delay in seconds.
+    pub(super) distance: f64,
+    pub(super) speed: Speed,
+    /// Memory as reported; zero where unknown or without bound.
+    pub(super) memory: f64,
+    pub(super) own: OwnLoad,
+    peers: Vec<PeerPart>,
+    others_left: ByBand,
+    others_held: f64,
+    /// Memory that a report shows and nobody's digest explains.
+    unknown_held: f64,
+    moments: VecDeque<Moment>,
+    advanced: f64,
+    last_progress: f64,
+    /// Short prompt tokens done for this instance, ever.
+    pub(super) short_done: f64,
+    /// Whether long prompts may go there.
+    pub(super) open_to_longs: bool,
+    /// Memory being drained for a prompt that needs several engines.
+    pub(super) draining: f64,
+    /// It refused a request for lack of room; not asked again before this.
+    pub(super) full_until: Time,
+    /// It asked for no new work in a report.
+    pub(super) asks_leave: bool,
+}
+
+impl Endpoint {
+    pub(super) fn new(change: &EndpointChange, now: Time) -> Endpoint {
+        Endpoint {
+            id: change.endpoint.clone(),
+            incarnation: change.incarnation,
+            state: change.state,
+            data_centre: change.data_centre.clone(),
+            distance: change.distance.as_secs_f64(),
+            speed: Speed::unknown(),
+            memory: 0.0,
+            own: OwnLoad::default(),
+            peers: Vec::new(),
+            others_left: ByBand::default(),
+            others_held: 0.0,
+            unknown_held: 0.0,
+            moments: VecDeque::new(),
+            advanced: seconds(now),
+            last_progress: seconds(now),
+            short_done: 0.0,
+            open_to_longs: true,
+            draining: 0.0,
+            full_until: Time::ZERO,
+            asks_leave: false,
+        }
+    }
+
+    /// Takes over a change. A new life starts with nothing known and nothing under way; word of an
+    /// older life is ignored. Incarnation zero stands for a life not heard of yet.
+    pub(super) fn change(&mut self, change: &EndpointChange, now: Time) {
+        let unheard = Incarnation::default();
+        if change.incarnation != unheard && change.incarnation < self.incarnation {
+            return;
+        }
+        if change.incarnation > self.incarnation && self.incarnation != unheard {
+            *self = Endpoint::new(change, now);
+            return;
+        }
+        self.incarnation = self.incarnation.max(change.incarnation);
+        self.state = change.state;
+        self.distance = change.distance.as_secs_f64();
+        self.data_centre = change.data_centre.clone();
+    }
+
+    /// Whether it may get work now.
+    pub(super) fn usable(&self) -> bool {
+        self.state == EndpointState::Live && !self.asks_leave
+    }
+
+    /// Models the prefill done since the last call, at `rate`.
+    pub(super) fn advance(&mut self, now: f64, rate: f64) {
+        let mut capacity = rate * (now - self.advanced).max(0.0);
+        self.advanced = self.advanced.max(now);
+        for band in 0..BANDS {
+            let own = self.own.left[band];
+            let work = own + self.others_left[band];
+            if work <= 0.0 {
+                continue;
+            }
+            let done = work.min(capacity);
+            capacity -= done;
+            self.own.left[band] -= done * own / work;
+            self.others_left[band] -= done * (1.0 - own / work);
+            if capacity <= 0.0 {
+                return;
+            }
+        }
+    }
+
+    /// Prompt tokens to be prefilled before a new prompt of `band`.
+    pub(super) fn ahead(&self, band: Band) -> f64 {
+        (0..=band.served_with()).map(|b| self.left(b)).sum()
+    }
+
+    /// Long prompts' tokens to be prefilled before a new prompt of `band`.
+    pub(super) fn longs_ahead(&self, band: Band) -> f64 {
+        (1..=band.served_with()).map(|b| self.left(b)).sum()
+    }
+
+    /// Tokens of `band` that are still to be prefilled there, from all instances.
+    pub(super) fn left(&self, band: usize) -> f64 {
+        self.own.left[band].max(self.own.sent[band] * LEAST_LEFT) + self.others_left[band]
+    }
+
+    /// Prompts that are being prefilled there, or wait for that, and that a new one of `band`
+    /// would delay. Of others' only whether there are any is known.
+    pub(super) fn delayed_by(&self, band: Band) -> f64 {
+        let later = band.served_with() + 1..BANDS;
+        let own: u32 = later.clone().map(|b| self.own.prefilling[b]).sum();
+        let others = later.filter(|b| self.others_left[*b] > 1.0).count();
+        f64::from(own) + others as f64
+    }
+
+    /// Seconds by which it is late with what it was sent.
+    pub(super) fn lateness(&self, now: f64, rate: f64) -> f64 {
+        let outstanding: f64 = self.own.sent.iter().sum();
+        if outstanding <= 0.0 {
+            return 0.0;
+        }
+        let expected = (outstanding + self.others_left.iter().sum::<f64>()) / rate;
+        (now - self.last_progress - 2.0 * expected - LATE_AFTER).max(0.0)
+    }
+
+    /// Memory for new requests, less what is being drained for another; without bound where the
+    /// endpoint reports none.
+    pub(super) fn free(&self) -> f64 {
+        self.free_for_drain() - self.draining
+    }
+
+    /// Memory for the very prompt that it is being drained for.
+    pub(super) fn free_for_drain(&self) -> f64 {
+        if self.memory <= 0.0 {
+            return f64::INFINITY;
+        }
+        self.memory * USABLE - self.own.held - self.others_held - self.unknown_held
+    }
+
+    pub(super) fn sent(&mut self, band: Band, prompt: f64, now: Time) {
+        if self.own.running == 0 {
+            self.last_progress = seconds(now);
+        }
+        self.own.sent[band.index()] += prompt;
+        self.own.left[band.index()] += prompt;
+        self.own.prefilling[band.index()] += 1;
+    }
+
+    /// A request's prefill is over, whether its first token came or it was given up.
+    pub(super) fn prefilled(&mut self, band: Band, prompt: f64) {
+        let band = band.index();
+        self.own.prefilling[band] = self.own.prefilling[band].saturating_sub(1);
+        self.own.sent[band] = (self.own.sent[band] - prompt).max(0.0);
+        if self.own.prefilling[band] == 0 {
+            self.own.sent[band] = 0.0;
+        }
+        self.own.left[band] = self.own.left[band].min(self.own.sent[band]);
+    }
+
+    pub(super) fn progressed(&mut self, now: Time) {
+        self.last_progress = seconds(now);
+    }
+
+    /// Takes `tokens` of memory for a request that starts there.
+    pub(super) fn hold(&mut self, tokens: f64) {
+        self.own.running += 1;
+        self.own.held += tokens;
+    }
+
+    /// Gives them back.
+    pub(super) fn release(&mut self, tokens: f64) {
+        self.own.running = self.own.running.saturating_sub(1);
+        self.own.held = (self.own.held - tokens).max(0.0);
+        if self.own.running == 0 {
+            self.own.held = 0.0;
+        }
+    }
+
+    /// Remembers the own load of this moment for the next report.
+    pub(super) fn note_moment(&mut self, now: Time) {
+        let moment = Moment { at: now, sent: self.own.sent.iter().sum(), held: self.own.held };
+        if self.moments.len() >= MOMENTS {
+            self.moments.pop_front();
+        }
+        self.moments.push_back(moment);
+    }
+
+    /// Takes note of a report of this life.
+    pub(super) fn report(&mut self, report: &LoadReport, rate: f64) {
+        if report.incarnation != self.incarnation {
+            return;
+        }
+        self.memory = report.kv_total.0 as f64;
+        self.asks_leave = report.leaving;
+        let then = self.moments.iter().rev().find(|moment| moment.at <= report.taken);
+        let (sent, held) = then.map_or((0.0, 0.0), |moment| (moment.sent, moment.held));
+        self.unknown_held = (report.kv_used.0 as f64 - held - self.others_held).max(0.0);
+        let known: f64 = sent + self.others_left.iter().sum::<f64>();
+        let unknown = report.waiting_prefill.0 as f64 - known;
+        if unknown > 0.0 {
+            // The report doesn't say whose prompts these are: a tenth of a second of them counts
+            // as short, which is what an instance keeps there of short ones; the rest as long.
+            let short = unknown.min(rate * 0.1);
+            self.others_left[0] += short;
+            self.others_left[BANDS - 1] += unknown - short;
+        }
+    }
+
+    /// Takes note of another instance's part.
+    pub(super) fn peer(&mut self, instance: &InstanceId, share: &EndpointShare) {
+        if share.incarnation != self.incarnation {
+            return;
+        }
+        self.peers.retain(|part| part.instance != *instance);
+        self.peers.push(PeerPart {
+            instance: instance.clone(),
+            left: share.waiting_bands.map(|tokens| tokens.0 as f64),
+            held: share.held.0 as f64,
+        });
+        self.sum_peers();
+    }
+
+    /// Forgets another instance's part.
+    pub(super) fn peer_gone(&mut self, instance: &InstanceId) {
+        let known = self.peers.len();
+        self.peers.retain(|part| part.instance != *instance);
+        if self.peers.len() < known {
+            self.sum_peers();
+        }
+    }
+
+    /// This instance's part, for the others.
+    pub(super) fn share(&self) -> EndpointShare {
+        let left = self.own.left.map(|tokens| crate::Tokens(tokens as u64));
+        EndpointShare {
+            endpoint: self.id.clone(),
+            incarnation: self.incarnation,
+            waiting_prefill: left.iter().copied().sum(),
+            waiting_bands: left,
+            running: self.own.running,
+            held: crate::Tokens(self.own.held as u64),
+            prefill_rate: crate::TokenRate(self.speed.rate().unwrap_or(0.0)),
+            ejected: false,
+        }
+    }
+
+    fn sum_peers(&mut self) {
+        self.others_left = ByBand::default();
+        self.others_held = 0.0;
+        for part in &self.peers {
+            for (sum, left) in self.others_left.iter_mut().zip(part.left) {
+                *sum += left;
+            }
+            self.others_held += part.held;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/trefoilhall/fleet.rs
@@ -0,0 +1,165 @@
+//! All endpoints of the deployment and what is typical of them.
+
+use indexmap::IndexMap;
+
+use crate::{
+    EndpointChange, EndpointId, InstanceId, LoadDigest, LoadReport, Shard, Time,
+    scheduler::EndpointState,
+};
+
+use super::{class::USABLE, endpoint::Endpoint, learn::FIRST_GUESS, seconds};
+
+/// Seconds between two looks at the whole fleet. Typical speed and memory change slowly, and the
+/// look costs a pass over all endpoints.
+const REFRESH_EVERY: f64 = 0.1;
+
+/// The deployment's endpoints, in the order of their ids: every instance walks them alike.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    pub(super) endpoints: IndexMap<EndpointId, Endpoint>,
+    /// Median prefill speed, for endpoints without samples and for classes.
+    pub(super) typical_rate: f64,
+    /// Speed of the fastest usable endpoint.
+    pub(super) fastest_rate: f64,
+    /// Sum of the prefill speeds of usable endpoints.
+    pub(super) total_rate: f64,
+    /// Usable memory of the largest usable endpoint; without bound where none reports any.
+    pub(super) largest_memory: f64,
+    /// Usable memory of all usable endpoints.
+    pub(super) total_memory: f64,
+    /// How many endpoints are usable.
+    pub(super) usable: usize,
+    /// Whether any endpoint gave a sample of its speed.
+    pub(super) learned: bool,
+    refreshed: f64,
+}
+
+impl Fleet {
+    pub(super) fn new() -> Fleet {
+        Fleet {
+            endpoints: IndexMap::new(),
+            typical_rate: FIRST_GUESS,
+            fastest_rate: FIRST_GUESS,
+            total_rate: 0.0,
+            largest_memory: f64::INFINITY,
+            total_memory: f64::INFINITY,
+            usable: 0,
+            learned: false,
+            refreshed: f64::NEG_INFINITY,
+        }
+    }
+
+    /// Takes over a change, or a new endpoint.
+    pub(super) fn change(&mut self, change: &EndpointChange, now: Time) {
+        match self.endpoints.get_mut(&change.endpoint) {
+            Some(endpoint) => endpoint.change(change, now),
+            None if change.state == EndpointState::Dead => {}
+            None => {
+                self.endpoints.insert(change.endpoint.clone(), Endpoint::new(change, now));
+                self.endpoints.sort_unstable_keys();
+            }
+        }
+        self.refresh(now);
+    }
+
+    /// Takes over the list of endpoints in force. One that isn't listed gets nothing new and is
+    /// dropped once it has nothing of ours.
+    pub(super) fn replace(&mut self, changes: &[EndpointChange], now: Time) {
+        for endpoint in self.endpoints.values_mut() {
+            if !changes.iter().any(|change| change.endpoint == endpoint.id) {
+                endpoint.state = EndpointState::Dead;
+            }
+        }
+        for change in changes {
+            self.change(change, now);
+        }
+        self.endpoints.retain(|_, e| e.state != EndpointState::Dead || e.own.running > 0);
+        self.refresh(now);
+    }
+
+    pub(super) fn get(&self, endpoint: &EndpointId) -> Option<&Endpoint> {
+        self.endpoints.get(endpoint)
+    }
+
+    pub(super) fn get_mut(&mut self, endpoint: &EndpointId) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(endpoint)
+    }
+
+    /// The endpoint of a shard, where its life is still the one that was sent to. What is known of
+    /// a later life has nothing to do with the shard.
+    pub(super) fn of(&mut self, shard: &Shard) -> Option<&mut Endpoint> {
+        self.endpoints
+            .get_mut(&shard.endpoint)
+            .filter(|e| shard.incarnation == e.incarnation || shard.incarnation.0 == 0)
+    }
+
+    /// The endpoint's learned speed, or the typical one.
+    pub(super) fn rate(&self, endpoint: &Endpoint) -> f64 {
+        endpoint.speed.rate().unwrap_or(self.typical_rate)
+    }
+
+    pub(super) fn report(&mut self, report: &LoadReport, now: Time) {
+        let typical = self.typical_rate;
+        if let Some(endpoint) = self.endpoints.get_mut(&report.endpoint) {
+            let rate = endpoint.speed.rate().unwrap_or(typical);
+            let first = endpoint.memory <= 0.0;
+            endpoint.advance(seconds(now), rate);
+            endpoint.report(report, rate);
+            if first {
+                self.refresh(now);
+            }
+        }
+    }
+
+    pub(super) fn peer(&mut self, digest: &LoadDigest) {
+        for share in &digest.endpoints {
+            if let Some(endpoint) = self.endpoints.get_mut(&share.endpoint) {
+                endpoint.peer(&digest.instance, share);
+            }
+        }
+    }
+
+    pub(super) fn peer_gone(&mut self, instance: &InstanceId) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.peer_gone(instance);
+        }
+    }
+
+    /// Whether the last look at the whole fleet is old.
+    pub(super) fn is_due(&self, now: Time) -> bool {
+        seconds(now) - self.refreshed >= REFRESH_EVERY
+    }
+
+    /// Computes what is typical, and models the work done since the last look.
+    pub(super) fn refresh(&mut self, now: Time) {
+        self.refreshed = seconds(now);
+        let usable = || self.endpoints.values().filter(|endpoint| endpoint.usable());
+        let mut rates: Vec<f64> = usable().filter_map(|e| e.speed.rate()).collect();
+        rates.sort_unstable_by(f64::total_cmp);
+        self.learned = !rates.is_empty();
+        if let Some(rate) = rates.get(rates.len() / 2) {
+            self.typical_rate = *rate;
+        }
+        let memories = || usable().map(|e| bounded(e.memory * USABLE));
+        self.largest_memory = memories().fold(0.0, f64::max);
+        self.total_memory = memories().sum();
+        self.usable = usable().count();
+        let fastest = usable().map(|e| self.rate(e)).fold(0.0, f64::max);
+        self.total_rate = usable().map(|endpoint| self.rate(endpoint)).sum();
+        self.fastest_rate = if fastest > 0.0 { fastest } else { self.typical_rate };
+        self.advance(now);
+    }
+
+    /// Models the work done since the last call.
+    pub(super) fn advance(&mut self, now: Time) {
+        let typical = self.typical_rate;
+        for endpoint in self.endpoints.values_mut() {
+            let rate = endpoint.speed.rate().unwrap_or(typical);
+            endpoint.advance(seconds(now), rate);
+        }
+    }
+}
+
+fn bounded(memory: f64) -> f64 {
+    if memory > 0.0 { memory } else { f64::INFINITY }
+}
--- /dev/null
+++ b/crates/policy/src/trefoilhall/mod.rs
@@ -0,0 +1,328 @@
+//! The product's own scheduler.
+//!
+//! Each module here answers one load pattern and says which. A request passes them in this order:
+//! [`workspaces`] and [`admit`] let it in or refuse it, [`queue`] holds it, [`dispatch`] or
+//! [`reserve`] sends it, [`failover`] sends it again, and [`learn`] makes the next prediction
+//! better. See `docs/decisions/scheduling.md` and `docs/decisions/long-beside-short.md`.
+
+mod admit;
+mod class;
+mod dispatch;
+mod endpoint;
+mod failover;
+mod fleet;
+mod learn;
+mod longs;
+mod peers;
+mod queue;
+mod request;
+mod reserve;
+mod window;
+mod workspaces;
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use fastrand::Rng;
+use indexmap::IndexMap;
+
+use crate::{
+    Admission, BANDS, Decision, EndpointChange, Event, FailCause, Incarnation, InstanceId,
+    LoadDigest, RequestId, RequestSpec, Scheduler, Time, TokenRate, Tokens,
+    config::{DeploymentRules, Limits, Weights, WorkspaceTable},
+    report::WorkspaceShare,
+};
+
+use endpoint::ByBand;
+use fleet::Fleet;
+use learn::{BesideLongs, Decode, Margin};
+use longs::{Demand, OpenEngines};
+use peers::Peers;
+use queue::Lane;
+use request::{Due, Entry, State};
+use reserve::Plan;
+use window::Decayed;
+use workspaces::{HALF_LIFE, LANES, Workspaces};
+
+/// How often what waits is looked at even if nothing happens: modelled progress frees budget
+/// without an event, and a lost event must not strand anybody. A hundredth of a second is a tenth
+/// of the shortest budget.
+const TICK: Duration = Duration::from_millis(10);
+/// Half-life in seconds of the measured demand: a few long prompts' worth of time.
+const DEMAND_HALF_LIFE: f64 = 20.0;
+/// Weighted tokens a second below which a workspace isn't told to the other instances.
+const LEAST_TOLD: f64 = 1.0;
+/// The most workspaces told in one digest, busiest first, so that digests stay within the
+/// instances' budget for talk among themselves.
+const MOST_TOLD: usize = 64;
+
+#[derive(Debug, Default)]
+struct Rules {
+    weights: Weights,
+    limits: Limits,
+}
+
+/// The product's scheduler; see the module's documentation.
+#[derive(Debug)]
+pub struct Trefoilhall {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    sequence: u64,
+    seed: u64,
+    rng: Rng,
+    rules: Rules,
+    fleet: Fleet,
+    workspaces: Workspaces,
+    lanes: [Lane; LANES],
+    /// Requests that wait in lanes.
+    waiting: usize,
+    requests: IndexMap<RequestId, Entry>,
+    due: BTreeSet<Due>,
+    later: BTreeSet<Due>,
+    decisions: Vec<Decision>,
+    plan: Option<Plan>,
+    peers: Peers,
+    margins: [Margin; LANES],
+    decode: Decode,
+    beside_longs: BesideLongs,
+    demand: [Decayed; BANDS],
+    open_engines: OpenEngines,
+    retry_units: f64,
+    last_trial: f64,
+    /// Prompt tokens a second of all instances, by band.
+    total_demand: ByBand,
+    /// Prefill speed of the engines open to long prompts.
+    long_rate: f64,
+    /// Prefill on the engines that goes before a prompt of each band, and the least on any one in
+    /// seconds.
+    inflight: ByBand,
+    least_wait: ByBand,
+}
+
+impl Trefoilhall {
+    /// A scheduler for one life of `instance`; `seed` starts its generator.
+    pub fn new(instance: InstanceId, incarnation: Incarnation, seed: u64) -> Self {
+        Trefoilhall {
+            instance,
+            incarnation,
+            sequence: 0,
+            seed,
+            rng: Rng::with_seed(seed),
+            rules: Rules::default(),
+            fleet: Fleet::new(),
+            workspaces: Workspaces::default(),
+            lanes: Default::default(),
+            waiting: 0,
+            requests: IndexMap::new(),
+            due: BTreeSet::new(),
+            later: BTreeSet::new(),
+            decisions: Vec::new(),
+            plan: None,
+            peers: Peers::default(),
+            margins: std::array::from_fn(|_| Margin::new()),
+            decode: Decode::new(),
+            beside_longs: BesideLongs::new(),
+            demand: Default::default(),
+            open_engines: OpenEngines::new(),
+            retry_units: failover::RETRY_UNITS,
+            last_trial: f64::NEG_INFINITY,
+            total_demand: ByBand::default(),
+            long_rate: 0.0,
+            inflight: ByBand::default(),
+            least_wait: ByBand::default(),
+        }
+    }
+
+    /// Fails what is past its bound or deadline.
+    fn expire(&mut self, now: Time) {
+        while let Some(due) = self.due.first().copied().filter(|due| due.at <= now) {
+            self.due.remove(&due);
+            let Some(entry) = self.requests.get_mut(&due.request) else { continue };
+            let past_deadline = entry.req.deadline <= now;
+            if past_deadline || matches!(entry.state, State::Waiting) {
+                self.fail(due.request, FailCause::Deadline, now);
+                continue;
+            }
+            // It backs off; its deadline is what counts until it waits again.
+            entry.due = entry.req.deadline;
+            self.due.insert(Due { at: entry.due, ..due });
+        }
+    }
+
+    /// Looks at the whole fleet: what is typical, what stands on the engines, and which of them
+    /// are open to long prompts.
+    fn look_at_fleet(&mut self, now: Time) {
+        self.fleet.refresh(now);
+        for band in 0..BANDS {
+            let own = self.demand[band].rate(seconds(now), DEMAND_HALF_LIFE);
+            self.total_demand[band] = own + self.peers.demand[band];
+        }
+        self.open_some(now);
+        self.inflight = ByBand::default();
+        self.least_wait = [f64::INFINITY; BANDS];
+        self.long_rate = 0.0;
+        for endpoint in self.fleet.endpoints.values().filter(|endpoint| endpoint.usable()) {
+            let rate = self.fleet.rate(endpoint);
+            if endpoint.open_to_longs {
+                self.long_rate += rate;
+            }
+            for band in class::Band::all() {
+                if band.is_long() && !endpoint.open_to_longs {
+                    continue;
+                }
+                let ahead = endpoint.ahead(band);
+                self.inflight[band.index()] += ahead;
+                let least = &mut self.least_wait[band.index()];
+                *least = least.min(ahead / rate);
+            }
+        }
+    }
+
+    /// Opens as many engines to long prompts as the cost says, the last by id.
+    fn open_some(&mut self, now: Time) {
+        let typical = self.fleet.typical_rate.max(1.0);
+        let longs: f64 = self.total_demand[1..].iter().sum();
+        let demand = Demand { shorts: self.total_demand[0] / typical, longs: longs / typical };
+        let usable = self.fleet.usable;
+        let open = self.open_engines.update(usable, demand, &self.rules.weights, seconds(now));
+        let mut left = open;
+        for endpoint in self.fleet.endpoints.values_mut().rev() {
+            endpoint.open_to_longs = endpoint.usable() && left > 0;
+            left -= usize::from(endpoint.open_to_longs);
+        }
+    }
+
+    fn drop_stale_peers(&mut self, now: Time) {
+        for (instance, incarnation) in self.peers.stale(now) {
+            self.peer_gone(&instance, incarnation);
+        }
+    }
+
+    fn peer_gone(&mut self, instance: &InstanceId, incarnation: Incarnation) {
+        if self.peers.gone(instance, incarnation, &mut self.workspaces) {
+            self.fleet.peer_gone(instance);
+        }
+    }
+
+    fn told_workspaces(&self, now: Time) -> Vec<WorkspaceShare> {
+        let share = |state: &workspaces::WorkspaceState| WorkspaceShare {
+            workspace: state.name.clone(),
+            waiting: Tokens(state.waiting() as u64),
+            served: TokenRate(state.served.rate(seconds(now), HALF_LIFE)),
+        };
+        let mut shares: Vec<WorkspaceShare> = self
+            .workspaces
+            .iter()
+            .map(|(_, state)| share(state))
+            .filter(|share| share.waiting > Tokens::ZERO || share.served.0 >= LEAST_TOLD)
+            .collect();
+        shares.sort_by(|a, b| b.served.0.total_cmp(&a.served.0));
+        shares.truncate(MOST_TOLD);
+        shares
+    }
+}
+
+impl Scheduler for Trefoilhall {
+    fn configure(
+        &mut self,
+        rules: &DeploymentRules,
+        workspaces: &WorkspaceTable,
+        endpoints: &[EndpointChange],
+        now: Time,
+    ) {
+        self.rules = Rules { weights: rules.weights, limits: rules.limits.clone() };
+        self.workspaces.configure(workspaces, seconds(now));
+        for (lane, queue) in self.lanes.iter_mut().enumerate() {
+            let waiting = |state: &workspaces::WorkspaceState| state.lines[lane].first().is_some();
+            let all = self.workspaces.iter().filter(|(_, state)| waiting(state));
+            queue.set_weights(all.map(|(_, state)| state.weight).sum());
+        }
+        self.fleet.replace(endpoints, now);
+        self.look_at_fleet(now);
+    }
+
+    fn offer(&mut self, req: Arc<RequestSpec>, now: Time) -> Admission {
+        if self.fleet.is_due(now) {
+            self.look_at_fleet(now);
+        }
+        self.admit(req, now)
+    }
+
+    fn poll(&mut self, now: Time) -> Vec<Decision> {
+        if self.fleet.is_due(now) {
+            self.drop_stale_peers(now);
+            self.look_at_fleet(now);
+        }
+        self.expire(now);
+        self.end_backoffs(now);
+        self.dispatch_spread(now);
+        self.dispatch(now);
+        std::mem::take(&mut self.decisions)
+    }
+
+    fn next_wakeup(&self, now: Time) -> Option<Time> {
+        if !self.decisions.is_empty() {
+            return Some(now);
+        }
+        let tick = (self.waiting > 0).then(|| now + TICK);
+        let due = self.due.first().map(|due| due.at);
+        let later = self.later.first().map(|due| due.at);
+        [tick, due, later].into_iter().flatten().min()
+    }
+
+    fn observe(&mut self, event: Event, now: Time) {
+        match event {
+            Event::FirstToken { request, attempt, cached } => {
+                self.first_token(request, Some(attempt), cached, now, true);
+            }
+            Event::Progress { .. } => self.progressed(&event, now),
+            Event::Ended { request, outcome } => self.ended(request, &outcome, now),
+            Event::AttemptFailed { request, attempt, cause, passed_on } => {
+                self.attempt_failed(request, attempt, cause, passed_on, now);
+            }
+            Event::Load(report) => self.fleet.report(&report, now),
+            Event::Cache(_) => {}
+            Event::Peer(digest) => {
+                if self.peers.is_new(&digest) && digest.instance != self.instance {
+                    self.fleet.peer(&digest);
+                    self.peers.accept(digest, &mut self.workspaces, now);
+                }
+            }
+            Event::PeerGone { instance, incarnation } => self.peer_gone(&instance, incarnation),
+            Event::Endpoint(change) => {
+                self.fleet.change(&change, now);
+                self.look_at_fleet(now);
+            }
+            Event::Probe { .. } => {}
+        }
+    }
+
+    fn digest(&mut self, now: Time) -> LoadDigest {
+        self.sequence += 1;
+        self.fleet.advance(now);
+        let shares = self.fleet.endpoints.values().filter(|e| e.own.running > 0);
+        let mut queued = std::array::from_fn(|band| Tokens(self.lanes[band].tokens() as u64));
+        queued[BANDS - 1] += Tokens(self.lanes[workspaces::SPREAD].tokens() as u64);
+        LoadDigest {
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            endpoints: shares.map(endpoint::Endpoint::share).collect(),
+            workspaces: self.told_workspaces(now),
+            queued,
+            demand: std::array::from_fn(|band| {
+                TokenRate(self.demand[band].rate(seconds(now), DEMAND_HALF_LIFE))
+            }),
+            wishes: self.wishes(now),
+        }
+    }
+}
+
+/// A point in time in seconds since the origin.
+fn seconds(at: Time) -> f64 {
+    at.0 as f64 / 1e6
+}
+
+/// A span of so many seconds; the longest where the number has no meaning as one.
+fn span(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
+}
--- /dev/null
+++ b/crates/policy/src/trefoilhall/peers.rs
@@ -0,0 +1,132 @@
+//! What the other instances have queued and wish for.
+//!
+//! **Load pattern.** Four instances stand before the same engines; the balancer spreads callers
+//! over them unevenly.
+//!
+//! **Without it.** Each instance promises the whole of the engines' speed to its own callers, and
+//! at full load three of four promises are broken.
+//!
+//! **Rule.** Each instance's last digest counts until the next one or until the instance is gone.
+//! Queued tokens and demand are summed by band. A digest that is older than the one known, or of
+//! an older life, is ignored.
+//!
+//! **Grounds.** A digest replaces, it never adds, so that a repeated or late one can't be counted
+//! twice. [`STALE_AFTER`] bounds the harm of an instance whose loss nobody has told: its queue
+//! would otherwise be waited for until somebody does.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::{Incarnation, InstanceId, LoadDigest, ReservationWish, Time};
+
+use super::{endpoint::ByBand, workspaces::Workspaces};
+
+/// The age at which a digest no longer counts: many digest intervals, and above membership's lag.
+const STALE_AFTER: Duration = Duration::from_secs(10);
+
+/// The other instances' digests.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    views: IndexMap<InstanceId, View>,
+    pub(super) queued: ByBand,
+    pub(super) demand: ByBand,
+}
+
+#[derive(Debug)]
+struct View {
+    received: Time,
+    digest: LoadDigest,
+}
+
+/// Another instance's wish for several engines.
+#[derive(Debug)]
+pub(super) struct PeerWish<'a> {
+    pub(super) instance: &'a InstanceId,
+    pub(super) waited: Duration,
+    pub(super) wish: &'a ReservationWish,
+}
+
+impl Peers {
+    /// Instances in all, this one included.
+    pub(super) fn instances(&self) -> usize {
+        self.views.len() + 1
+    }
+
+    /// Whether `digest` is news.
+    pub(super) fn is_new(&self, digest: &LoadDigest) -> bool {
+        self.views.get(&digest.instance).is_none_or(|view| {
+            (digest.incarnation, digest.sequence) > (view.digest.incarnation, view.digest.sequence)
+        })
+    }
+
+    /// Takes over a digest that is news.
+    pub(super) fn accept(&mut self, digest: LoadDigest, workspaces: &mut Workspaces, now: Time) {
+        let instance = digest.instance.clone();
+        if let Some(old) = self.views.swap_remove(&instance) {
+            count_workspaces(&old.digest, workspaces, -1.0);
+        }
+        count_workspaces(&digest, workspaces, 1.0);
+        self.views.insert(instance, View { received: now, digest });
+        self.sum();
+    }
+
+    /// Forgets an instance's life; true where it was known.
+    pub(super) fn gone(
+        &mut self,
+        instance: &InstanceId,
+        incarnation: Incarnation,
+        workspaces: &mut Workspaces,
+    ) -> bool {
+        if self.views.get(instance).is_none_or(|view| view.digest.incarnation > incarnation) {
+            return false;
+        }
+        if let Some(old) = self.views.swap_remove(instance) {
+            count_workspaces(&old.digest, workspaces, -1.0);
+        }
+        self.sum();
+        true
+    }
+
+    /// Instances whose digest is too old to count.
+    pub(super) fn stale(&self, now: Time) -> Vec<(InstanceId, Incarnation)> {
+        self.views
+            .iter()
+            .filter(|(_, view)| now.since(view.received) > STALE_AFTER)
+            .map(|(instance, view)| (instance.clone(), view.digest.incarnation))
+            .collect()
+    }
+
+    /// The wish that each instance has put first.
+    pub(super) fn wishes(&self, now: Time) -> impl Iterator<Item = PeerWish<'_>> {
+        self.views.iter().filter_map(move |(instance, view)| {
+            let wish = view.digest.wishes.first()?;
+            let waited = wish.waited + now.since(view.received);
+            Some(PeerWish { instance, waited, wish })
+        })
+    }
+
+    fn sum(&mut self) {
+        self.queued = ByBand::default();
+        self.demand = ByBand::default();
+        for view in self.views.values() {
+            for (sum, tokens) in self.queued.iter_mut().zip(view.digest.queued) {
+                *sum += tokens.0 as f64;
+            }
+            for (sum, rate) in self.demand.iter_mut().zip(view.digest.demand) {
+                *sum += rate.0;
+            }
+        }
+    }
+}
+
+/// Adds a digest's part to the workspaces, or takes it away with a `sign` of minus one.
+fn count_workspaces(digest: &LoadDigest, workspaces: &mut Workspaces, sign: f64) {
+    for share in &digest.workspaces {
+        if let Some(index) = workspaces.find(&share.workspace) {
+            let state = workspaces.get_mut(index);
+            state.peers_served = (state.peers_served + sign * share.served.0).max(0.0);
+            state.peers_waiting = (state.peers_waiting + sign * share.waiting.0 as f64).max(0.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/trefoilhall/request.rs
@@ -0,0 +1,105 @@
+//! What is kept of one admitted request.
+
+use std::sync::Arc;
+
+use crate::{EndpointId, Incarnation, RequestId, RequestSpec, Shard, Time, Tokens};
+
+use super::{
+    class::Band,
+    queue::{Waiting, WorkspaceIndex},
+    workspaces::SPREAD,
+};
+
+/// An admitted request that hasn't ended.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) req: Arc<RequestSpec>,
+    pub(super) workspace: WorkspaceIndex,
+    pub(super) band: Band,
+    /// The lane it waits in: its band's, or [`SPREAD`].
+    pub(super) lane: usize,
+    /// Weighted tokens, for shares.
+    pub(super) cost: f64,
+    /// By when the next first token has to be out.
+    pub(super) bound: Time,
+    /// When it has to be looked at even if nothing happens.
+    pub(super) due: Time,
+    pub(super) state: State,
+    /// Attempts so far.
+    pub(super) attempts: u32,
+    /// Attempts that failed in a way that counts against the bound on attempts.
+    pub(super) failures: u32,
+    /// Where it isn't sent again.
+    pub(super) tried: Vec<Tried>,
+    /// Whether an endpoint may have begun to run it.
+    pub(super) may_have_run: bool,
+    /// Tokens that the caller has.
+    pub(super) passed_on: Tokens,
+    /// Seconds from arrival to first token, as predicted on admission.
+    pub(super) predicted: f64,
+    /// Admitted to learn the engines' speed although the prediction said no.
+    pub(super) is_trial: bool,
+}
+
+/// What an admitted request is doing.
+#[derive(Debug)]
+pub(super) enum State {
+    /// It waits in its lane.
+    Waiting,
+    /// It waits out a backoff.
+    BackingOff(Time),
+    /// An attempt is under way.
+    Running(Attempt),
+}
+
+/// A life of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Tried {
+    pub(super) endpoint: EndpointId,
+    pub(super) incarnation: Incarnation,
+}
+
+/// An attempt under way.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) shards: Vec<Shard>,
+    pub(super) sent: Time,
+    /// Work that stood before it there.
+    pub(super) ahead: f64,
+    /// The endpoint's count of short tokens done when it was sent.
+    pub(super) short_done: f64,
+    /// Whether it is a short prompt that was sent to an engine with a long one.
+    pub(super) beside_longs: bool,
+    /// Prompt tokens that have to be prefilled.
+    pub(super) prefill: f64,
+    pub(super) first_token: Option<Time>,
+}
+
+impl Entry {
+    pub(super) fn waiting(&self) -> Waiting {
+        Waiting { bound: self.bound, request: self.req.id }
+    }
+
+    pub(super) fn prompt(&self) -> f64 {
+        self.req.prompt.0 as f64
+    }
+
+    pub(super) fn footprint(&self) -> f64 {
+        self.req.footprint().0 as f64
+    }
+
+    pub(super) fn needs_several(&self) -> bool {
+        self.lane == SPREAD
+    }
+
+    pub(super) fn may_go_to(&self, endpoint: &EndpointId, incarnation: Incarnation) -> bool {
+        !self.tried.iter().any(|t| t.endpoint == *endpoint && t.incarnation == incarnation)
+    }
+}
+
+/// A request and a time at which something is to be done about it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Due {
+    pub(super) at: Time,
+    pub(super) request: RequestId,
+}
--- /dev/null
+++ b/crates/policy/src/trefoilhall/reserve.rs
@@ -0,0 +1,182 @@
+//! Prompts that need the memory of several engines.
+//!
+//! **Load pattern.** A dossier of a million tokens fits no engine; three of four together hold it.
+//! Short traffic takes every bit of memory the moment it is free, and another instance has such a
+//! dossier at the same time.
+//!
+//! **Without it.** The dossier waits for three engines to be free at once by luck, which never
+//! happens under load; two instances that each hold half of what they need wait for each other.
+//!
+//! **Rule.** One such prompt at a time over all instances has the right to room: the one that has
+//! waited longest, as told in the digests. Its engines are chosen once, drained of room (no new
+//! long prompt, and short ones only beside what it needs), and reserved by the driver all or none
+//! in the order of their ids. A failed reservation gives all back and is tried again after a
+//! random time. Another such prompt may go at the same time only where it fits beside.
+//!
+//! **Grounds.** Reserving in one order rules out a circle of waiters; all or none rules out holding
+//! half; the longest wait going first bounds each wait by those before it. Instances whose views
+//! differ for a moment may both try: one of them fails and backs off, no memory is lost. The
+//! engines keep [`SHORT_KEEP`] of their memory for short prompts, which are thousands of times
+//! smaller; so a drained engine goes on serving them.
+
+use std::time::Duration;
+
+use crate::{
+    EndpointId, RequestId, Shard, Time, Tokens,
+    report::{ReservationWish, WishPart},
+};
+
+use super::{Trefoilhall, class::USABLE, dispatch::whole, endpoint::Endpoint, workspaces::SPREAD};
+
+/// The share of an engine's memory that a prompt over several engines leaves to short ones, where
+/// the engines are large enough together.
+const SHORT_KEEP: f64 = 0.05;
+/// How long a choice of engines that isn't free yet is kept. Long enough to drain by long
+/// prompts' answers; short enough to leave an engine that doesn't come free at all.
+const KEEP_PLAN: Duration = Duration::from_secs(30);
+
+/// The engines chosen for a prompt.
+#[derive(Debug)]
+pub(super) struct Plan {
+    pub(super) request: RequestId,
+    made: Time,
+    parts: Vec<WishPart>,
+}
+
+impl Trefoilhall {
+    /// Starts the first prompt that needs several engines if it has its room, else drains room.
+    pub(super) fn dispatch_spread(&mut self, now: Time) {
+        self.clear_drains();
+        self.plan_first(now);
+        let is_first = self.is_first_wish(now);
+        if !is_first {
+            self.drain_for_peer(now);
+        }
+        let Some(plan) = &self.plan else { return };
+        let fits = plan.parts.iter().all(|part| self.has_room(part, is_first, now));
+        if !fits {
+            if is_first {
+                drain(&mut self.fleet, &plan.parts);
+            }
+            return;
+        }
+        let Some(plan) = self.plan.take() else { return };
+        let shards = plan.parts.iter().filter_map(|part| self.shard(part)).collect();
+        self.start(plan.request, shards, now);
+    }
+
+    /// This instance's wish, for the others.
+    pub(super) fn wishes(&self, now: Time) -> Vec<ReservationWish> {
+        let wish = |plan: &Plan| {
+            let entry = self.requests.get(&plan.request)?;
+            let waited = now.since(entry.req.arrived);
+            Some(ReservationWish { waited, parts: plan.parts.clone() })
+        };
+        self.plan.iter().filter_map(wish).collect()
+    }
+
+    fn clear_drains(&mut self) {
+        for endpoint in self.fleet.endpoints.values_mut() {
+            endpoint.draining = 0.0;
+        }
+    }
+
+    /// Chooses engines for the lane's first prompt, unless the present choice still holds.
+    fn plan_first(&mut self, now: Time) {
+        let turn = self.lanes[SPREAD].turns().next();
+        let first = turn.and_then(|turn| self.workspaces.get(turn).lines[SPREAD].first());
+        let Some(first) = first else {
+            self.plan = None;
+            return;
+        };
+        let holds = self.plan.as_ref().is_some_and(|plan| {
+            plan.request == first.request
+                && now.since(plan.made) < KEEP_PLAN
+                && plan.parts.iter().all(|part| self.is_usable(&part.endpoint))
+        });
+        if holds {
+            return;
+        }
+        let parts = self.choose_parts(first.request);
+        self.plan = parts.map(|parts| Plan { request: first.request, made: now, parts });
+    }
+
+    fn is_usable(&self, endpoint: &EndpointId) -> bool {
+        self.fleet.get(endpoint).is_some_and(Endpoint::usable)
+    }
+
+    /// The fewest engines, those with the most room first, whose memory holds the prompt; in the
+    /// order of their ids.
+    fn choose_parts(&self, request: RequestId) -> Option<Vec<WishPart>> {
+        let entry = self.requests.get(&request)?;
+        let mut engines: Vec<&Endpoint> = self
+            .fleet
+            .endpoints
+            .values()
+            .filter(|e| e.usable() && e.memory > 0.0 && entry.may_go_to(&e.id, e.incarnation))
+            .collect();
+        engines.sort_by(|a, b| b.free_for_drain().total_cmp(&a.free_for_drain()));
+        let needed = entry.footprint();
+        let chosen = fewest(&engines, needed, USABLE - SHORT_KEEP)
+            .or_else(|| fewest(&engines, needed, USABLE))?;
+        let memory: f64 = chosen.iter().map(|endpoint| endpoint.memory).sum();
+        let mut parts: Vec<WishPart> = chosen
+            .iter()
+            .map(|endpoint| WishPart {
+                endpoint: endpoint.id.clone(),
+                tokens: whole(needed * endpoint.memory / memory),
+            })
+            .collect();
+        parts.sort_by(|a, b| a.endpoint.cmp(&b.endpoint));
+        Some(parts)
+    }
+
+    /// Whether no other instance's wish has waited longer than this one's.
+    fn is_first_wish(&self, now: Time) -> bool {
+        let Some(own) = self.wishes(now).first().map(|wish| wish.waited) else { return false };
+        self.peers
+            .wishes(now)
+            .all(|peer| own > peer.waited || (own == peer.waited && self.instance < *peer.instance))
+    }
+
+    fn drain_for_peer(&mut self, now: Time) {
+        let first = self.peers.wishes(now).max_by_key(|peer| peer.waited);
+        let Some(parts) = first.map(|peer| peer.wish.parts.clone()) else { return };
+        drain(&mut self.fleet, &parts);
+    }
+
+    fn has_room(&self, part: &WishPart, is_first: bool, now: Time) -> bool {
+        self.fleet.get(&part.endpoint).is_some_and(|endpoint| {
+            let free = if is_first { endpoint.free_for_drain() } else { endpoint.free() };
+            endpoint.usable() && endpoint.full_until <= now && free >= part.tokens.0 as f64
+        })
+    }
+
+    fn shard(&self, part: &WishPart) -> Option<Shard> {
+        let endpoint = self.fleet.get(&part.endpoint)?;
+        Some(Shard {
+            endpoint: part.endpoint.clone(),
+            incarnation: endpoint.incarnation,
+            tokens: part.tokens.max(Tokens(1)),
+        })
+    }
+}
+
+fn drain(fleet: &mut super::fleet::Fleet, parts: &[WishPart]) {
+    for part in parts {
+        if let Some(endpoint) = fleet.get_mut(&part.endpoint) {
+            endpoint.draining = part.tokens.0 as f64;
+        }
+    }
+}
+
+fn fewest<'a>(engines: &[&'a Endpoint], needed: f64, share: f64) -> Option<Vec<&'a Endpoint>> {
+    let mut found = 0.0;
+    for (index, endpoint) in engines.iter().enumerate() {
+        found += endpoint.memory * share;
+        if found >= needed {
+            return Some(engines[..=index].to_vec());
+        }
+    }
+    None
+}
