--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -74,6 +74,12 @@
             }
         }
 
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl FromStr for $name {
             type Err = IdError;
 
