--- /dev/null
+++ b/crates/policy/src/affinity/blocks.rs
@@ -0,0 +1,90 @@
+//! A bounded set of block hashes that forgets what was least recently touched.
+
+use std::{
+    collections::HashMap,
+    hash::{BuildHasherDefault, Hasher},
+};
+
+/// Two halves stand in for a queue of least recent use: what is touched goes into the young half;
+/// once that is full, the old half is dropped and the young one takes its place. Both tables
+/// together never hold more than `limit` blocks, and a touch costs one or two table operations.
+#[derive(Debug)]
+pub(super) struct Blocks {
+    young: Half,
+    old: Half,
+    limit: usize,
+    /// Raised by each doubt; a block entered under an older one is doubtful.
+    epoch: u32,
+}
+
+type Half = HashMap<u64, u32, BuildHasherDefault<BlockHasher>>;
+
+impl Blocks {
+    pub(super) fn new(limit: usize) -> Blocks {
+        Blocks { young: Half::default(), old: Half::default(), limit, epoch: 0 }
+    }
+
+    pub(super) fn insert(&mut self, block: u64) {
+        self.old.remove(&block);
+        self.young.insert(block, self.epoch);
+        if self.young.len() >= (self.limit / 2).max(1) {
+            self.old = std::mem::take(&mut self.young);
+        }
+    }
+
+    pub(super) fn remove(&mut self, block: u64) {
+        self.young.remove(&block);
+        self.old.remove(&block);
+    }
+
+    /// Whether the block is held for certain; none where it isn't held at all.
+    pub(super) fn certain(&self, block: u64) -> Option<bool> {
+        let entered = self.young.get(&block).or_else(|| self.old.get(&block))?;
+        Some(*entered == self.epoch)
+    }
+
+    pub(super) fn doubt_all(&mut self) {
+        self.epoch = self.epoch.wrapping_add(1);
+    }
+
+    /// Lowers the limit, as more engines share the whole.
+    pub(super) fn limit(&mut self, limit: usize) {
+        self.limit = self.limit.min(limit);
+        if self.len() > self.limit {
+            self.old = Half::default();
+        }
+        if self.young.len() > self.limit {
+            self.young = Half::default();
+        }
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.young.clear();
+        self.old.clear();
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+}
+
+/// Passes block hashes through, as they are hashes already.
+#[derive(Debug, Default)]
+pub(super) struct BlockHasher(u64);
+
+impl Hasher for BlockHasher {
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(*byte);
+        }
+    }
+
+    fn write_u64(&mut self, block: u64) {
+        // The upper half is folded in because the table uses the lowest and the highest bits only.
+        self.0 = block ^ (block >> 32);
+    }
+
+    fn finish(&self) -> u64 {
+        self.0
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,11 +4,19 @@
 //! randomness: time and a seeded generator are arguments. The daemon and the
 //! tests therefore drive exactly the same code. See `docs/ARCHITECTURE.md`.
 
+pub mod affinity;
 pub mod config;
+pub mod health;
 pub mod ids;
+pub mod membership;
+pub mod place;
+pub mod quarantine;
+pub mod rendezvous;
 pub mod report;
 pub mod request;
+pub mod retry;
 pub mod scheduler;
+pub mod topology;
 pub mod units;
 
 pub use ids::{
--- /dev/null
+++ b/crates/policy/src/place/mod.rs
@@ -0,0 +1,159 @@
+//! Where a request goes: one cost over all endpoints that could take it, with a draw between
+//! equals.
+//!
+//! **Load pattern.** Prompts of a thousand and of a million tokens share engines; several
+//! instances send at once, each with a view of the others' sends that is some hundred milliseconds
+//! old; some prompts share a long prefix; some endpoints stand in another data centre.
+//!
+//! **Without it.** Round robin puts a short question behind a long dossier while the next engine
+//! idles. Always taking the cheapest endpoint makes all instances pick the same one until their
+//! views catch up: the queue moves from engine to engine and the last in it sees the worst answer.
+//!
+//! **Rule.** The cost of an endpoint is the predicted first token there (wait, prefill of what
+//! isn't cached, the way there and back), weighted for the request's own kind, plus the delay that
+//! its prefill causes to what runs there, weighted for theirs. Endpoints whose cost lies within a
+//! band above the best are equals; two of them are drawn and the cheaper one is taken. An equal
+//! that stands farther away than the best is left out, so that work leaves a data centre only when
+//! this saves more than the way costs. Where some engine holds the prompt's prefix and yet isn't
+//! worth its queue, the next holder is drawn by rendezvous hash, so that all instances warm the
+//! same second engine instead of one each.
+//!
+//! **Grounds.** [`NEAR_SHARE`] and the one prefill that the band spans are measured in
+//! `docs/decisions/placement.md`, against always taking the cheapest and against drawing among
+//! all. [`STEP_SHARE`] is a first guess from continuous batching and isn't measured yet.
+
+mod cost;
+
+use std::time::Duration;
+
+use fastrand::Rng;
+
+pub use cost::{Cost, STEP_SHARE, cost, first_token};
+
+use crate::{EndpointId, TokenRate, Tokens, config::Weights, rendezvous};
+
+/// The band of equals above the lowest cost, as a share of that cost. Learned speeds and reported
+/// queues are off by about this much, so a finer distinction would follow noise.
+pub const NEAR_SHARE: f64 = 0.1;
+
+/// The least width of the band. Below it lie loopback and switch delays, and with idle engines and
+/// tiny prompts the relative band would be empty.
+pub const NEAR_FLOOR: Duration = Duration::from_millis(1);
+
+/// An endpoint that could take the request, as this instance sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Predicted time until this request's prefill could begin there.
+    pub wait: Duration,
+    /// Prefill speed, as learned.
+    pub rate: TokenRate,
+    /// How much of the prompt the engine likely has cached.
+    pub cached: Tokens,
+    /// One-way delay to it.
+    pub distance: Duration,
+    /// Memory that is free there.
+    pub free: Tokens,
+    /// Requests with short prompts under way there.
+    pub shorts_running: u32,
+    /// Requests with long prompts under way there.
+    pub longs_running: u32,
+    /// Whether long prompts may be placed there now.
+    pub long_open: bool,
+    /// 1 for a healthy endpoint, more for a slow or recovering one; see [`crate::health`].
+    pub caution: f64,
+}
+
+/// What is to be placed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ask {
+    /// Size of the prompt.
+    pub prompt: Tokens,
+    /// Memory it needs, prompt and output.
+    pub footprint: Tokens,
+    /// Whether it counts as long.
+    pub long: bool,
+    /// Hash of the prompt's leading blocks, where it has whole blocks: the last hash of
+    /// [`crate::RequestSpec::prefix`] that others are expected to share, usually the first.
+    pub prefix: Option<u64>,
+    /// What the site weighs how much.
+    pub weights: Weights,
+}
+
+impl Ask {
+    /// A request with a bare prompt and the default weights.
+    pub fn new(prompt: Tokens, long: bool) -> Ask {
+        Ask { prompt, footprint: prompt, long, prefix: None, weights: Weights::default() }
+    }
+
+    /// Whether `candidate` can take the request at once: it has the memory, and is open to long
+    /// prompts if this is one. What is cached there needs no second copy.
+    pub fn fits(&self, candidate: &Candidate) -> bool {
+        let needed = self.footprint - candidate.cached.min(self.prompt);
+        needed <= candidate.free && (candidate.long_open || !self.long)
+    }
+}
+
+/// Chooses the endpoint for `ask`, as index into `candidates`; none where none can take it now.
+pub fn choose(candidates: &[Candidate], ask: &Ask, rng: &mut Rng) -> Option<usize> {
+    let costs: Vec<Priced> = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, candidate)| ask.fits(candidate))
+        .map(|(index, candidate)| Priced { index, cost: cost(candidate, ask) })
+        .collect();
+    let best = costs.iter().min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+    let near = near_best(candidates, &costs, best, ask);
+    if let Some(prefix) = ask.prefix
+        && leaves_its_holder(candidates, &near, ask)
+    {
+        return rendezvous::owner(prefix, near.iter().map(|p| &candidates[p.index].endpoint))
+            .map(|winner| near[winner].index);
+    }
+    cheaper_of_two(&near, rng)
+}
+
+/// Chooses always the cheapest: the baseline that herds, kept to measure against.
+pub fn choose_cheapest(candidates: &[Candidate], ask: &Ask) -> Option<usize> {
+    (0..candidates.len())
+        .filter(|index| ask.fits(&candidates[*index]))
+        .min_by(|a, b| cost(&candidates[*a], ask).total_cmp(&cost(&candidates[*b], ask)))
+}
+
+#[derive(Clone, Copy)]
+struct Priced {
+    index: usize,
+    cost: Cost,
+}
+
+/// The equals of `best`: within the band, and no farther away than it.
+///
+/// The band spans one prefill of this very prompt, because that is what one other instance with
+/// the same view has likely added to the best since.
+fn near_best(candidates: &[Candidate], costs: &[Priced], best: &Priced, ask: &Ask) -> Vec<Priced> {
+    let cheapest = &candidates[best.index];
+    let unheard = cost::prefill(cheapest, ask).max(NEAR_FLOOR);
+    let bound = best.cost.widened(NEAR_SHARE, unheard, ask);
+    costs
+        .iter()
+        .filter(|priced| priced.cost <= bound)
+        .filter(|priced| candidates[priced.index].distance <= cheapest.distance)
+        .copied()
+        .collect()
+}
+
+/// Whether some engine holds at least half of the prompt and none of the equals does.
+fn leaves_its_holder(candidates: &[Candidate], near: &[Priced], ask: &Ask) -> bool {
+    let holds = |candidate: &Candidate| candidate.cached.0 * 2 >= ask.prompt.0.max(1);
+    candidates.iter().any(holds) && !near.iter().any(|priced| holds(&candidates[priced.index]))
+}
+
+fn cheaper_of_two(near: &[Priced], rng: &mut Rng) -> Option<usize> {
+    if near.is_empty() {
+        return None;
+    }
+    let first = near[rng.usize(..near.len())];
+    let second = near[rng.usize(..near.len())];
+    Some(if second.cost < first.cost { second.index } else { first.index })
+}
--- /dev/null
+++ b/crates/policy/src/topology.rs
@@ -0,0 +1,80 @@
+//! Which instances keep links to which.
+//!
+//! **Load pattern.** Today 4 instances; within two years 350 in 20 data centres, with at most
+//! 3 KB a second for control each.
+//!
+//! **Without it.** A full mesh of 350 instances has 349 links at each: one heartbeat of 40 bytes a
+//! second each is 14 KB a second before anything useful is said.
+//!
+//! **Rule.** Up to [`FULL_MESH`] instances all keep links to all, as the delay is shortest and no
+//! instance matters more than another. Above, each keeps links to all of its own data centre, and
+//! each pair of data centres is joined by [`GATEWAYS`] links whose ends are chosen by rendezvous
+//! hash over the pair, so that every data centre's gateway work is spread over its instances.
+//! What has to reach all (configuration announcements, quarantine entries) is passed on by
+//! gateways; load digests stay within the data centre, and gateways pass on sums.
+//!
+//! **Grounds.** 350 instances in 20 data centres are 18 in each: 17 links within. The 190 pairs
+//! times 2 links have 760 ends, or 2.2 an instance: 19 links at each instead of 349. Two gateways
+//! for a pair, because the death of one must not cut a data centre off for the time that it takes
+//! to notice. The measured cost of a link is in `docs/decisions/membership.md`.
+
+use crate::{DataCentre, InstanceId, rendezvous};
+
+/// Up to so many instances all keep links to all.
+pub const FULL_MESH: usize = 16;
+
+/// Links between two data centres.
+pub const GATEWAYS: usize = 2;
+
+/// An instance and where it stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placed {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+}
+
+/// The instances among `all` that `me` keeps a link to. The relation is symmetric: both ends
+/// compute the same links from the same members.
+pub fn links(me: &Placed, all: &[Placed]) -> Vec<InstanceId> {
+    let others = all.iter().filter(|other| other.instance != me.instance);
+    if all.len() <= FULL_MESH {
+        return others.map(|other| other.instance.clone()).collect();
+    }
+    others
+        .filter(|other| other.data_centre == me.data_centre || joins_data_centres(me, other, all))
+        .map(|other| other.instance.clone())
+        .collect()
+}
+
+/// Whether `me` and `other` are the ends of one of the links that join their data centres: the
+/// n-th gateway of the one is linked with the n-th of the other.
+fn joins_data_centres(me: &Placed, other: &Placed, all: &[Placed]) -> bool {
+    let key = pair_key(&me.data_centre, &other.data_centre);
+    let here = gateways(key, &me.data_centre, all);
+    let there = gateways(key, &other.data_centre, all);
+    (0..GATEWAYS).any(|n| {
+        let (mine, theirs) = (nth(&here, n), nth(&there, n));
+        mine == Some(&me.instance) && theirs == Some(&other.instance)
+    })
+}
+
+fn gateways<'a>(key: u64, data_centre: &DataCentre, all: &'a [Placed]) -> Vec<&'a InstanceId> {
+    let local: Vec<&InstanceId> = all
+        .iter()
+        .filter(|placed| &placed.data_centre == data_centre)
+        .map(|placed| &placed.instance)
+        .collect();
+    let chosen = rendezvous::owners(key, &local, GATEWAYS);
+    chosen.into_iter().map(|index| local[index]).collect()
+}
+
+/// The n-th gateway; a data centre with a single instance uses it for every link.
+fn nth<'a>(gateways: &[&'a InstanceId], n: usize) -> Option<&'a InstanceId> {
+    gateways.get(n).or(gateways.last()).copied()
+}
+
+fn pair_key(one: &DataCentre, other: &DataCentre) -> u64 {
+    rendezvous::key(one.as_str()) ^ rendezvous::key(other.as_str())
+}
