Draw among endpoints whose waits a late view can't tell apart

Cause: always taking the cheapest makes all instances with the same late view pick the same endpoint. A band as wide as one prefill cured only part of it, because at high load several sends go unheard between two reports, and it put long prompts behind queues of ten seconds. Done: the band is the work that others have likely sent unheard (view age x busy share x others' part), it blurs waits only, never what is cached or how far it is.

--- a/crates/policy/src/place/cost.rs
+++ b/crates/policy/src/place/cost.rs
@@ -2,7 +2,10 @@
 
 use std::{cmp::Ordering, time::Duration};
 
-use crate::place::{Ask, Candidate};
+use crate::{
+    Tokens,
+    place::{Ask, Candidate},
+};
 
 /// The part of an engine's step time that a prefill under way takes from each other request on
 /// the engine. Continuous batching mixes a chunk of prefill into each step; half is a first guess
@@ -10,45 +13,62 @@
 pub const STEP_SHARE: f64 = 0.5;
 
 /// Weighted seconds of delay. Only comparisons between costs of the same request mean anything.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-pub struct Cost(f64);
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Cost {
+    /// What the queue costs.
+    wait: f64,
+    /// What prefill, the way and the delay of others cost.
+    service: f64,
+}
 
 impl Cost {
     /// A total order, so that a sort never meets an undefined comparison.
     pub fn total_cmp(&self, other: &Cost) -> Ordering {
-        self.0.total_cmp(&other.0)
+        (self.wait + self.service).total_cmp(&(other.wait + other.service))
     }
 
-    /// This cost, raised by a share of itself and by `delay` of the asking request.
-    pub(super) fn widened(self, share: f64, delay: Duration, ask: &Ask) -> Cost {
-        Cost(self.0 * (1.0 + share) + own_weight(ask) * delay.as_secs_f64())
+    /// Whether this cost can't be told from `best`: the service costs about as much, and the wait
+    /// is longer by less than `unheard`.
+    pub(super) fn is_near(self, best: Cost, share: f64, unheard: Duration, ask: &Ask) -> bool {
+        let total = (best.wait + best.service) * (1.0 + share);
+        let blurred = total + own_weight(ask) * unheard.as_secs_f64();
+        let as_good = self.service <= best.service * (1.0 + share);
+        self.wait + self.service <= if as_good { blurred } else { total }
     }
 }
 
 /// The cost of placing `ask` on `candidate`: its own weighted first token and the weighted delay
 /// that its prefill causes to what runs there.
 pub fn cost(candidate: &Candidate, ask: &Ask) -> Cost {
-    let own = first_token(candidate, ask).as_secs_f64() * candidate.caution.max(1.0);
+    let own_weight = own_weight(ask) * candidate.caution.max(1.0);
     let delayed = f64::from(candidate.shorts_running) * ask.weights.short_slowdown
         + f64::from(candidate.longs_running) * ask.weights.long_first_token;
     let others = prefill(candidate, ask).as_secs_f64() * STEP_SHARE * delayed;
-    Cost(own_weight(ask) * own + others)
+    Cost {
+        wait: own_weight * candidate.wait.as_secs_f64(),
+        service: own_weight * served(candidate, ask).as_secs_f64() + others,
+    }
 }
 
-/// Predicted time until the caller has the first token of `ask`, if placed on `candidate` now. The
-/// prefill of a short prompt is stretched by the long ones that it shares steps with.
+/// Predicted time until the caller has the first token of `ask`, if placed on `candidate` now.
 pub fn first_token(candidate: &Candidate, ask: &Ask) -> Duration {
+    candidate.wait.saturating_add(served(candidate, ask))
+}
+
+/// The first token without the wait. The prefill of a short prompt is stretched by the long ones
+/// that it shares steps with.
+fn served(candidate: &Candidate, ask: &Ask) -> Duration {
     let beside = if ask.long { 0.0 } else { f64::from(candidate.longs_running) };
     let stretched = prefill(candidate, ask).as_secs_f64() * (1.0 + STEP_SHARE * beside);
     let prefill = Duration::try_from_secs_f64(stretched).unwrap_or(Duration::MAX);
-    candidate.wait.saturating_add(prefill).saturating_add(candidate.distance.saturating_mul(2))
+    prefill.saturating_add(candidate.distance.saturating_mul(2))
 }
 
 /// Time to prefill what isn't cached. At least one token is always prefilled, because engines
 /// compute the last one anew even for a prompt they hold whole.
-pub(super) fn prefill(candidate: &Candidate, ask: &Ask) -> Duration {
+fn prefill(candidate: &Candidate, ask: &Ask) -> Duration {
     let uncached = (ask.prompt - candidate.cached).0.max(1);
-    candidate.rate.span(crate::Tokens(uncached))
+    candidate.rate.span(Tokens(uncached))
 }
 
 fn own_weight(ask: &Ask) -> f64 {
--- a/crates/policy/src/place/mod.rs
+++ b/crates/policy/src/place/mod.rs
@@ -11,16 +11,17 @@
 //!
 //! **Rule.** The cost of an endpoint is the predicted first token there (wait, prefill of what
 //! isn't cached, the way there and back), weighted for the request's own kind, plus the delay that
-//! its prefill causes to what runs there, weighted for theirs. Endpoints whose cost lies within a
-//! band above the best are equals; two of them are drawn and the cheaper one is taken. An equal
-//! that stands farther away than the best is left out, so that work leaves a data centre only when
-//! this saves more than the way costs. Where some engine holds the prompt's prefix and yet isn't
-//! worth its queue, the next holder is drawn by rendezvous hash, so that all instances warm the
-//! same second engine instead of one each.
+//! its prefill causes to what runs there, weighted for theirs. Endpoints whose wait differs from
+//! the best one's by less than what other instances have likely sent unheard are its equals; two
+//! of them are drawn and the cheaper one is taken. One that needs more prefill or stands farther
+//! away is no equal, as no late view blurs that: work leaves a cache or a data centre only when
+//! this saves more than it costs. Where some engine holds the prompt's prefix and yet isn't worth
+//! its queue, the next holder is drawn by rendezvous hash, so that all instances warm the same
+//! second engine instead of one each.
 //!
-//! **Grounds.** [`NEAR_SHARE`] and the one prefill that the band spans are measured in
-//! `docs/decisions/placement.md`, against always taking the cheapest and against drawing among
-//! all. [`STEP_SHARE`] is a first guess from continuous batching and isn't measured yet.
+//! **Grounds.** The width of the band is measured in `docs/decisions/placement.md`, against always
+//! taking the cheapest and against other widths. [`STEP_SHARE`] is a first guess from continuous
+//! batching and isn't measured yet.
 
 mod cost;
 
@@ -32,14 +33,18 @@
 
 use crate::{EndpointId, TokenRate, Tokens, config::Weights, rendezvous};
 
-/// The band of equals above the lowest cost, as a share of that cost. Learned speeds and reported
-/// queues are off by about this much, so a finer distinction would follow noise.
+/// Costs that differ by less than this share are equal. Learned speeds and reported queues are off
+/// by about this much, so a finer distinction would follow noise.
 pub const NEAR_SHARE: f64 = 0.1;
 
-/// The least width of the band. Below it lie loopback and switch delays, and with idle engines and
-/// tiny prompts the relative band would be empty.
+/// Waits that differ by less than this are equal, however fresh the view: below it lie loopback
+/// and switch delays.
 pub const NEAR_FLOOR: Duration = Duration::from_millis(1);
 
+/// No view is taken to be wrong by more than this. Digests come at least twice a second, so an
+/// older view means lost links, and then drawing more widely would only waste what is known.
+pub const MAX_UNHEARD: Duration = Duration::from_secs(1);
+
 /// An endpoint that could take the request, as this instance sees it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate {
@@ -77,14 +82,18 @@
     /// Hash of the prompt's leading blocks, where it has whole blocks: the last hash of
     /// [`crate::RequestSpec::prefix`] that others are expected to share, usually the first.
     pub prefix: Option<u64>,
+    /// Work that the other instances have likely added to an endpoint's queue since this
+    /// instance heard of them; see [`unheard`].
+    pub unheard: Duration,
     /// What the site weighs how much.
     pub weights: Weights,
 }
 
 impl Ask {
-    /// A request with a bare prompt and the default weights.
+    /// A request with a bare prompt, the default weights and a fresh view.
     pub fn new(prompt: Tokens, long: bool) -> Ask {
-        Ask { prompt, footprint: prompt, long, prefix: None, weights: Weights::default() }
+        let weights = Weights::default();
+        Ask { prompt, footprint: prompt, long, prefix: None, unheard: Duration::ZERO, weights }
     }
 
     /// Whether `candidate` can take the request at once: it has the memory, and is open to long
@@ -95,6 +104,14 @@
     }
 }
 
+/// Work that other instances have likely added to an endpoint's queue, when the view of them is
+/// `age` old: an endpoint that is busy for this share of the time gets as much work in the same
+/// time, and all but one's own part of it goes unheard.
+pub fn unheard(age: Duration, busy: f64, instances: usize) -> Duration {
+    let others = 1.0 - 1.0 / instances.max(1) as f64;
+    age.mul_f64(busy.clamp(0.0, 1.0) * others).min(MAX_UNHEARD)
+}
+
 /// Chooses the endpoint for `ask`, as index into `candidates`; none where none can take it now.
 pub fn choose(candidates: &[Candidate], ask: &Ask, rng: &mut Rng) -> Option<usize> {
     let costs: Vec<Priced> = candidates
@@ -127,17 +144,14 @@
     cost: Cost,
 }
 
-/// The equals of `best`: within the band, and no farther away than it.
-///
-/// The band spans one prefill of this very prompt, because that is what one other instance with
-/// the same view has likely added to the best since.
+/// The equals of `best`: as good apart from the wait, no farther away, and with a wait that is
+/// longer by no more than what is unheard of.
 fn near_best(candidates: &[Candidate], costs: &[Priced], best: &Priced, ask: &Ask) -> Vec<Priced> {
     let cheapest = &candidates[best.index];
-    let unheard = cost::prefill(cheapest, ask).max(NEAR_FLOOR);
-    let bound = best.cost.widened(NEAR_SHARE, unheard, ask);
+    let unheard = ask.unheard.clamp(NEAR_FLOOR, MAX_UNHEARD);
     costs
         .iter()
-        .filter(|priced| priced.cost <= bound)
+        .filter(|priced| priced.cost.is_near(best.cost, NEAR_SHARE, unheard, ask))
         .filter(|priced| candidates[priced.index].distance <= cheapest.distance)
         .copied()
         .collect()
@@ -155,5 +169,5 @@
     }
     let first = near[rng.usize(..near.len())];
     let second = near[rng.usize(..near.len())];
-    Some(if second.cost < first.cost { second.index } else { first.index })
+    Some(if second.cost.total_cmp(&first.cost).is_lt() { second.index } else { first.index })
 }
