--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -42,13 +42,20 @@
 /// The positions of the `wanted` members that come first for `key`, best first; all where there
 /// are fewer.
 pub fn owners<M: AsRef<str>>(key: u64, members: &[M], wanted: usize) -> Vec<usize> {
-    let mut order: Vec<usize> = (0..members.len()).collect();
-    order.sort_by_key(|index| {
-        let name = members[*index].as_ref();
-        (Reverse(score(key, name)), name)
-    });
-    order.truncate(wanted);
-    order
+    let mut scored: Vec<Scored<'_>> = members
+        .iter()
+        .enumerate()
+        .map(|(index, member)| {
+            let name = member.as_ref();
+            Scored { score: Reverse(score(key, name)), name, index }
+        })
+        .collect();
+    if wanted < scored.len() {
+        scored.select_nth_unstable(wanted);
+        scored.truncate(wanted);
+    }
+    scored.sort_unstable();
+    scored.into_iter().map(|scored| scored.index).collect()
 }
 
 /// The endpoints that instance `me` sends to. Each endpoint picks the `instances_each` instances
@@ -71,6 +78,14 @@
     (0..endpoints.len()).filter(|index| picked(&endpoints[*index])).collect()
 }
 
+/// Ordered best first; the name decides between equal scores, so that all agree.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Scored<'a> {
+    score: Reverse<u64>,
+    name: &'a str,
+    index: usize,
+}
+
 fn score(key: u64, member: &str) -> u64 {
     xxh3_64_with_seed(member.as_bytes(), key)
 }
--- a/crates/policy/src/topology.rs
+++ b/crates/policy/src/topology.rs
@@ -18,6 +18,8 @@
 //! for a pair, because the death of one must not cut a data centre off for the time that it takes
 //! to notice. The measured cost of a link is in `docs/decisions/membership.md`.
 
+use indexmap::IndexSet;
+
 use crate::{DataCentre, InstanceId, rendezvous};
 
 /// Up to so many instances all keep links to all.
@@ -42,22 +44,29 @@
     if all.len() <= FULL_MESH {
         return others.map(|other| other.instance.clone()).collect();
     }
-    others
-        .filter(|other| other.data_centre == me.data_centre || joins_data_centres(me, other, all))
-        .map(|other| other.instance.clone())
-        .collect()
+    let local = others.filter(|other| other.data_centre == me.data_centre);
+    let mut linked: IndexSet<InstanceId> = local.map(|other| other.instance.clone()).collect();
+    let data_centres: IndexSet<&DataCentre> =
+        all.iter().map(|placed| &placed.data_centre).collect();
+    for remote in data_centres.into_iter().filter(|remote| **remote != me.data_centre) {
+        linked.extend(gateway_links(me, remote, all));
+    }
+    linked.into_iter().collect()
 }
 
-/// Whether `me` and `other` are the ends of one of the links that join their data centres: the
-/// n-th gateway of the one is linked with the n-th of the other.
-fn joins_data_centres(me: &Placed, other: &Placed, all: &[Placed]) -> bool {
-    let key = pair_key(&me.data_centre, &other.data_centre);
+/// The instances of the data centre `remote` that `me` is linked with as a gateway: the n-th
+/// gateway of the one data centre is linked with the n-th of the other. One with a single instance
+/// uses it for every link.
+fn gateway_links(me: &Placed, remote: &DataCentre, all: &[Placed]) -> Vec<InstanceId> {
+    let key = rendezvous::key(me.data_centre.as_str()) ^ rendezvous::key(remote.as_str());
     let here = gateways(key, &me.data_centre, all);
-    let there = gateways(key, &other.data_centre, all);
-    (0..GATEWAYS).any(|n| {
-        let (mine, theirs) = (nth(&here, n), nth(&there, n));
-        mine == Some(&me.instance) && theirs == Some(&other.instance)
-    })
+    let there = gateways(key, remote, all);
+    let nth =
+        |ends: &[&InstanceId], n: usize| ends.get(n).or(ends.last()).map(|end| (*end).clone());
+    (0..GATEWAYS)
+        .filter(|n| nth(&here, *n).as_ref() == Some(&me.instance))
+        .filter_map(|n| nth(&there, n))
+        .collect()
 }
 
 fn gateways<'a>(key: u64, data_centre: &DataCentre, all: &'a [Placed]) -> Vec<&'a InstanceId> {
@@ -69,12 +78,3 @@
     let chosen = rendezvous::owners(key, &local, GATEWAYS);
     chosen.into_iter().map(|index| local[index]).collect()
 }
-
-/// The n-th gateway; a data centre with a single instance uses it for every link.
-fn nth<'a>(gateways: &[&'a InstanceId], n: usize) -> Option<&'a InstanceId> {
-    gateways.get(n).or(gateways.last()).copied()
-}
-
-fn pair_key(one: &DataCentre, other: &DataCentre) -> u64 {
-    rendezvous::key(one.as_str()) ^ rendezvous::key(other.as_str())
-}
--- /dev/null
+++ b/crates/policy/tests/health.rs
@@ -0,0 +1,150 @@
+//! Ejection with a floor, probes, the ramp, and silence told from death.
+
+// Helpers of tests count as tests; the linter's exemption covers only the functions themselves.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use fastrand::Rng;
+use policy::{
+    EndpointId, FailCause, Time,
+    health::{EjectCause, Health, RAMP_CAUTION, Standing, silence},
+};
+
+fn endpoint(n: usize) -> EndpointId {
+    EndpointId::new(&format!("e{n}")).unwrap()
+}
+
+struct Group {
+    health: Health,
+    rng: Rng,
+    now: Time,
+}
+
+impl Group {
+    fn of(count: usize) -> Group {
+        let mut health = Health::new();
+        let endpoints: Vec<EndpointId> = (0..count).map(endpoint).collect();
+        health.configure(&endpoints);
+        Group { health, rng: Rng::with_seed(7), now: Time::from_millis(1000) }
+    }
+
+    fn fail(mut self, n: usize, cause: FailCause, times: u32) -> Group {
+        (0..times).for_each(|_| self.health.failed(&endpoint(n), cause));
+        self
+    }
+
+    /// Ten answers that took `slowness` times the prediction.
+    fn answer(mut self, n: usize, slowness: f64) -> Group {
+        let predicted = Duration::from_millis(100);
+        (0..10).for_each(|_| {
+            self.health.answered(&endpoint(n), predicted.mul_f64(slowness), predicted);
+        });
+        self
+    }
+
+    fn causes(&mut self, needed: usize) -> Vec<EjectCause> {
+        let ejected = self.health.assess(needed, self.now, &mut self.rng);
+        ejected.into_iter().map(|ejected| ejected.cause).collect()
+    }
+}
+
+macro_rules! ejects {
+    ($($case:ident: $group:expr, needed $needed:expr => $causes:expr;)*) => {$(
+        #[test]
+        fn $case() {
+            assert_eq!($group.causes($needed), $causes);
+        }
+    )*};
+}
+
+use EjectCause::{Dead, Failures, Slow};
+use FailCause::{Broken, NotSent, Rejected, Silent};
+
+ejects! {
+    three_failures_eject: Group::of(4).fail(0, Broken, 3), needed 1 => [Failures];
+    two_failures_do_not: Group::of(4).fail(0, Broken, 2), needed 1 => [];
+    an_answer_ends_the_row: Group::of(4).fail(0, Broken, 2).answer(0, 1.0).fail(0, Broken, 2),
+        needed 1 => [];
+    a_busy_endpoint_is_not_at_fault: Group::of(4).fail(0, Rejected, 50), needed 1 => [];
+    silence_alone_ejects_nobody: Group::of(4).fail(0, Silent, 50), needed 1 => [];
+    of_four_only_one_goes: Group::of(4).fail(0, Broken, 3).fail(1, Broken, 3), needed 1 => [Failures];
+    of_two_none_goes: Group::of(2).fail(0, Broken, 9), needed 1 => [];
+    load_needs_them_all: Group::of(4).fail(0, Broken, 9), needed 4 => [];
+    a_dead_one_goes_even_of_two: Group::of(2).fail(0, NotSent, 2), needed 2 => [Dead];
+    a_dead_one_uses_up_the_floor: Group::of(4).fail(0, NotSent, 2).fail(1, Broken, 9),
+        needed 1 => [Dead];
+    far_slower_than_the_others:
+        Group::of(4).answer(0, 1.0).answer(1, 1.1).answer(2, 0.9).answer(3, 8.0), needed 1 => [Slow];
+    all_slow_alike_is_load:
+        Group::of(4).answer(0, 9.0).answer(1, 8.0).answer(2, 9.0).answer(3, 8.0), needed 1 => [];
+}
+
+/// What a user sees without the floor: one shared cause (a slow store, a lost switch) makes every
+/// engine fail now and then, the first to reach the bound are taken out, the rest get their load
+/// and fail as well, and soon nobody is served.
+#[test]
+fn a_shared_cause_does_not_empty_the_group() {
+    let mut group = (0..9).fold(Group::of(9), |group, n| group.fail(n, Broken, 5));
+    assert_eq!(group.causes(1).len(), 3);
+    assert_eq!(group.causes(1).len(), 0);
+}
+
+#[test]
+fn a_slow_endpoint_costs_more_before_it_is_ejected() {
+    let mut group = Group::of(4).answer(0, 1.0).answer(1, 1.0).answer(2, 1.0).answer(3, 3.0);
+    assert!(group.causes(1).is_empty());
+    let caution = |n| group.health.standing(&endpoint(n), group.now);
+    assert_eq!(caution(0), Standing::Usable(1.0));
+    assert!(matches!(caution(3), Standing::Usable(caution) if (caution - 3.0).abs() < 1e-9));
+}
+
+#[test]
+fn a_dead_endpoint_gets_probes_ever_farther_apart_and_returns_on_a_ramp() {
+    let mut group = Group::of(4).fail(0, NotSent, 2);
+    group.causes(1);
+    let mut gaps = Vec::new();
+    for _ in 0..6 {
+        assert_eq!(group.health.standing(&endpoint(0), group.now), Standing::Out);
+        let due = group.health.next_probe().unwrap();
+        gaps.push(due.since(group.now).as_secs());
+        assert!(group.health.due_probes(group.now).is_empty());
+        group.now = due;
+        assert_eq!(group.health.due_probes(group.now), [endpoint(0)]);
+        assert!(group.health.due_probes(group.now).is_empty(), "one probe at a time");
+        group.health.probed(&endpoint(0), false, group.now, &mut group.rng);
+    }
+    assert!(gaps.windows(2).all(|pair| pair[0] <= pair[1] || pair[1] >= 60), "{gaps:?}");
+    assert!(gaps.iter().all(|gap| (5..=75).contains(gap)), "{gaps:?}");
+
+    group.health.probed(&endpoint(0), true, group.now, &mut group.rng);
+    let caution = |seconds| {
+        let at = group.now + Duration::from_secs(seconds);
+        group.health.standing(&endpoint(0), at)
+    };
+    assert_eq!(caution(0), Standing::Usable(RAMP_CAUTION));
+    assert_eq!(caution(10), Standing::Usable(1.0));
+}
+
+#[test]
+fn where_all_are_out_all_may_be_tried() {
+    let mut group = Group::of(2).fail(0, NotSent, 2).fail(1, NotSent, 2);
+    assert_eq!(group.causes(1), [Dead, Dead]);
+    assert!(matches!(group.health.standing(&endpoint(0), group.now), Standing::Usable(_)));
+}
+
+/// What a user sees: answers that hang until the deadline, from an endpoint that serves others
+/// well. A device on the way has forgotten all open connections at once. Each would have to time
+/// out by itself, and an endpoint judged by them would be ejected though it is healthy.
+#[test]
+fn one_probe_settles_all_silent_connections() {
+    let mut judge = silence::Judge::new();
+    let (opened, noticed) = (Time::from_millis(0), Time::from_millis(5_000));
+    assert_eq!(judge.silent(&endpoint(0), opened, noticed), silence::Verdict::Probe);
+    assert_eq!(judge.silent(&endpoint(0), opened, noticed), silence::Verdict::Wait);
+    assert_eq!(judge.probed(&endpoint(0), true), silence::Verdict::DropBefore(noticed));
+    let later = Time::from_millis(5_200);
+    assert_eq!(judge.silent(&endpoint(0), opened, later), silence::Verdict::DropBefore(noticed));
+    assert_eq!(judge.silent(&endpoint(0), later, later), silence::Verdict::Probe);
+    assert_eq!(judge.probed(&endpoint(0), false), silence::Verdict::Dead);
+}
--- a/crates/policy/tests/place.rs
+++ b/crates/policy/tests/place.rs
@@ -1,5 +1,8 @@
 //! Placement: near before far, cached before not, no herding on a late view.
 
+// Helpers of tests count as tests; the linter's exemption covers only the functions themselves.
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use fastrand::Rng;
--- /dev/null
+++ b/crates/policy/tests/quarantine.rs
@@ -0,0 +1,153 @@
+//! Requests that crash endpoints are found within two deaths, and bystanders cleared.
+
+// Helpers of tests count as tests; the linter's exemption covers only the functions themselves.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use fastrand::Rng;
+use policy::{
+    EndpointId, Fingerprint, Time,
+    quarantine::{Entry, MAX_SUSPECTS, Quarantine, REFUSED_FOR, SUSPECT_FOR, Standing},
+};
+use quickcheck::quickcheck;
+
+fn endpoint(n: usize) -> EndpointId {
+    EndpointId::new(&format!("e{n}")).unwrap()
+}
+
+const KILLER: Fingerprint = Fingerprint(0);
+
+fn at(seconds: u64) -> Time {
+    Time::from_millis(seconds * 1000)
+}
+
+/// What a user sees without it: four engines die one after another within a minute, and again
+/// after each restart, because one request is retried from engine to engine. Here 40 requests run
+/// on each of four engines, one of them kills; the suspects run apart, and the second death tells.
+#[test]
+fn the_second_death_finds_the_killer_and_clears_the_rest() {
+    for seed in 0..50 {
+        let mut rng = Rng::with_seed(seed);
+        let mut quarantine = Quarantine::new();
+        let mut waiting: Vec<Fingerprint> = (0..40).map(Fingerprint).collect();
+        quarantine.died(&endpoint(0), &waiting, at(10));
+        rng.shuffle(&mut waiting);
+        let mut deaths = 1;
+        let mut now = at(10);
+        while let Some(fingerprint) = waiting.pop() {
+            now = now + Duration::from_secs(5);
+            let target = (1..4).find(|n| quarantine.may_run(fingerprint, &endpoint(*n), 3, now));
+            let target = endpoint(target.unwrap());
+            quarantine.started(fingerprint, &target, now);
+            if fingerprint == KILLER {
+                deaths += 1;
+                quarantine.died(&target, &[fingerprint, Fingerprint(100)], now);
+            } else {
+                quarantine.completed(fingerprint);
+            }
+        }
+        assert_eq!(deaths, 2);
+        assert!(matches!(quarantine.standing(KILLER, now), Standing::Refused(_)));
+        assert!(!quarantine.may_run(KILLER, &endpoint(3), 3, now));
+        assert!((1..40).all(|n| quarantine.standing(Fingerprint(n), now) == Standing::Clear));
+        assert_eq!(quarantine.standing(Fingerprint(100), now), Standing::Suspect);
+    }
+}
+
+fn suspects(numbers: &[u128]) -> Quarantine {
+    let mut quarantine = Quarantine::new();
+    let present: Vec<Fingerprint> = numbers.iter().copied().map(Fingerprint).collect();
+    quarantine.died(&endpoint(0), &present, at(10));
+    quarantine
+}
+
+#[test]
+fn suspects_run_apart_and_not_on_the_last_endpoint() {
+    let mut quarantine = suspects(&[1, 2]);
+    let now = at(12);
+    quarantine.started(Fingerprint(1), &endpoint(1), now);
+    assert!(!quarantine.may_run(Fingerprint(2), &endpoint(1), 3, now));
+    assert!(quarantine.may_run(Fingerprint(2), &endpoint(2), 3, now));
+    assert!(!quarantine.may_run(Fingerprint(2), &endpoint(2), 1, now));
+    assert!(quarantine.may_run(Fingerprint(3), &endpoint(1), 1, now), "no suspect, no bounds");
+    quarantine.stopped(Fingerprint(1));
+    assert!(quarantine.may_run(Fingerprint(2), &endpoint(1), 3, now));
+}
+
+#[test]
+fn suspects_of_other_instances_are_kept_apart_too() {
+    let mut quarantine = suspects(&[1]);
+    quarantine.heard_running(&endpoint(1), at(12));
+    assert!(!quarantine.may_run(Fingerprint(1), &endpoint(1), 3, at(13)));
+    assert!(quarantine.may_run(Fingerprint(1), &endpoint(1), 3, at(16)));
+}
+
+/// What a user sees without the rule: a popular question is refused everywhere for ten minutes. A
+/// rack failed, and three engines that all ran it died in the same second.
+#[test]
+fn a_rack_that_fails_convicts_nobody() {
+    let mut quarantine = Quarantine::new();
+    for n in 0..3 {
+        quarantine.died(
+            &endpoint(n),
+            &[Fingerprint(1)],
+            at(10) + Duration::from_millis(300 * n as u64),
+        );
+    }
+    assert_eq!(quarantine.standing(Fingerprint(1), at(11)), Standing::Suspect);
+}
+
+#[test]
+fn a_verdict_expires_and_the_next_lasts_twice_as_long() {
+    let mut quarantine = suspects(&[1]);
+    quarantine.died(&endpoint(1), &[Fingerprint(1)], at(20));
+    assert_eq!(quarantine.standing(Fingerprint(1), at(20)), Standing::Refused(REFUSED_FOR));
+    let over = at(20) + REFUSED_FOR;
+    assert_eq!(quarantine.standing(Fingerprint(1), over), Standing::Clear);
+    quarantine.died(&endpoint(1), &[Fingerprint(1)], over);
+    quarantine.died(&endpoint(2), &[Fingerprint(1)], over + Duration::from_secs(10));
+    let again = quarantine.standing(Fingerprint(1), over + Duration::from_secs(10));
+    assert_eq!(again, Standing::Refused(REFUSED_FOR * 2));
+}
+
+#[test]
+fn an_old_suspicion_is_forgotten() {
+    let quarantine = suspects(&[1]);
+    assert_eq!(quarantine.standing(Fingerprint(1), at(10) + SUSPECT_FOR), Standing::Clear);
+}
+
+#[test]
+fn other_instances_refuse_what_one_has_found() {
+    let mut here = suspects(&[1, 2]);
+    here.died(&endpoint(1), &[Fingerprint(1)], at(20));
+    let mut there = Quarantine::new();
+    // Clocks differ between instances: only spans are told.
+    there.import(&here.export(at(30)), at(5_000));
+    let left = REFUSED_FOR - Duration::from_secs(10);
+    assert_eq!(there.standing(Fingerprint(1), at(5_000)), Standing::Refused(left));
+    assert_eq!(there.standing(Fingerprint(2), at(5_000)), Standing::Suspect);
+}
+
+#[test]
+fn a_flood_of_suspects_stays_within_bounds() {
+    let flood: Vec<Fingerprint> = (0..3 * MAX_SUSPECTS as u128).map(Fingerprint).collect();
+    let mut quarantine = Quarantine::new();
+    quarantine.died(&endpoint(0), &flood, at(1));
+    assert_eq!(quarantine.export(at(1)).len(), MAX_SUSPECTS);
+}
+
+quickcheck! {
+    fn any_import_stays_within_bounds(entries: Vec<(u8, u32, u64, u64)>) -> bool {
+        let entries: Vec<Entry> = entries
+            .into_iter()
+            .map(|(f, deaths, death_age_ms, refused_ms)| {
+                Entry { fingerprint: Fingerprint(f.into()), deaths, death_age_ms, refused_ms }
+            })
+            .collect();
+        let mut quarantine = Quarantine::new();
+        quarantine.import(&entries, at(10));
+        quarantine.expire(at(10) + Duration::from_secs(100 * 24 * 3600));
+        quarantine.export(at(10)).is_empty()
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/retry.rs
@@ -0,0 +1,75 @@
+//! Retries stay a share of successes, whatever fails.
+
+// Helpers of tests count as tests; the linter's exemption covers only the functions themselves.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use fastrand::Rng;
+use policy::{
+    EndpointId, Time, Workspace,
+    retry::{ALLOWANCE, Budgets, CAPACITY, Hedge, MAX_BACKOFF, backoff},
+};
+
+fn workspace(name: &str) -> Workspace {
+    Workspace::new(name).unwrap()
+}
+
+fn endpoint(name: &str) -> EndpointId {
+    EndpointId::new(name).unwrap()
+}
+
+/// What a user sees without a budget: one engine of four fails, each of its requests is sent three
+/// times more, and the other three engines, near their limit before, serve nobody in time.
+#[test]
+fn an_outage_gets_the_allowance_and_then_a_tenth_of_successes() {
+    let mut budgets = Budgets::new(0.1);
+    let (caller, failing, good) = (workspace("desk"), endpoint("e0"), endpoint("e1"));
+    let now = Time::ZERO;
+    let burst = (0..1_000).filter(|_| budgets.pay(&caller, &failing, now)).count();
+    assert_eq!(burst, ALLOWANCE as usize);
+    let retried = (0..1_000)
+        .filter(|_| {
+            budgets.succeeded(&caller, &good, now);
+            budgets.succeeded(&caller, &failing, now);
+            budgets.pay(&caller, &failing, now)
+        })
+        .count();
+    assert!((95..=100).contains(&retried), "{retried}");
+}
+
+#[test]
+fn a_hot_workspace_does_not_spend_the_others_budget() {
+    let mut budgets = Budgets::new(0.1);
+    for n in 0..100 {
+        budgets.pay(&workspace("hot"), &endpoint(&format!("e{n}")), Time::ZERO);
+    }
+    assert!(!budgets.pay(&workspace("hot"), &endpoint("e"), Time::ZERO));
+    assert!(budgets.pay(&workspace("quiet"), &endpoint("e"), Time::ZERO));
+}
+
+#[test]
+fn successes_do_not_save_up_for_a_storm() {
+    let mut budgets = Budgets::new(0.1);
+    let (caller, target) = (workspace("desk"), endpoint("e0"));
+    (0..100_000).for_each(|_| budgets.succeeded(&caller, &target, Time::ZERO));
+    let burst = (0..1_000).filter(|_| budgets.pay(&caller, &target, Time::ZERO)).count();
+    assert_eq!(burst, CAPACITY as usize);
+}
+
+#[test]
+fn backoff_spreads_over_a_span_that_doubles_up_to_a_bound() {
+    let mut rng = Rng::with_seed(3);
+    let mut longest = |attempt| (0..1_000).map(|_| backoff(attempt, &mut rng)).max().unwrap();
+    assert!(longest(2) <= Duration::from_millis(20));
+    assert!(longest(4) > Duration::from_millis(60) && longest(4) <= Duration::from_millis(80));
+    assert!(longest(u32::MAX) <= MAX_BACKOFF);
+}
+
+#[test]
+fn nothing_is_hedged_unless_asked_for() {
+    let long = Duration::from_secs(100);
+    assert!(!Hedge::default().wanted(long, true));
+    assert!(!Hedge::IdleAfter(Duration::from_secs(1)).wanted(long, false));
+    assert!(Hedge::IdleAfter(Duration::from_secs(1)).wanted(long, true));
+}
