Add the small HTTP client that adapters share

Cause: log, list, weight and engine adapters all need short calls that tell "nothing was sent" from "may have taken effect".

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! is one new file. `docs/PROTOCOLS.md` describes the messages.
 
 pub mod engine;
+pub mod http;
 pub mod instances;
 pub mod log;
 pub mod service;
