Contract: prompt size, fingerprint and block hashes in one pass

Cause: daemon and stand-in engines must agree on prompt sizes and on the block hashes in cache events. What: policy::prompt with estimate_tokens and PromptHasher, fed in pieces so that a body needs no copy.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod config;
 pub mod ids;
+pub mod prompt;
 pub mod report;
 pub mod request;
 pub mod scheduler;
