--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod baseline;
 pub mod config;
 pub mod ids;
+pub mod prompt;
 pub mod report;
 pub mod request;
 pub mod scheduler;
