--- a/crates/platform/src/engine/wire.rs
+++ b/crates/platform/src/engine/wire.rs
@@ -158,6 +158,10 @@
     pub tokens: Tokens,
     /// Milliseconds until the engine itself releases it; absent while a connection keeps it.
     pub expires_ms: Option<u64>,
+    /// For streams: the offset of the next token it will generate, where the engine says so. An
+    /// offset ahead of what the owner received shows that the connection between them is silent.
+    #[serde(default)]
+    pub offset: Option<u64>,
 }
 
 /// `GET /engine/held`.
