Check configuration folders with places; log and weight adapters; thin command-line tool

Operators need all findings of a folder at once, with file:line:column. Files are parsed with places (jsonc-parser, comments and trailing commas off), merged in name order and read member by member; the same pure function is meant for published content. Nesting is counted before parsing, because the parser recurses and an overflow would end the process.

The command-line tool has check, completions and man; other commands add a file below command/.

Contract: Config gains 'ledger' (streams, window, retention of the log); Settings::read reads the member 'settings' of the same folder.

--- /dev/null
+++ b/crates/cli/src/app.rs
@@ -0,0 +1,36 @@
+//! Dispatches to the commands.
+
+use clap::{CommandFactory, Parser};
+use error_stack::ResultExt;
+
+use crate::{
+    cli::{Cli, Command},
+    command,
+    error::{CliError, CliResult, Exit},
+    output,
+};
+
+/// Reads the command line and carries it out.
+pub fn run() -> CliResult {
+    let cli = Cli::parse();
+    let format = cli.format;
+    match cli.command {
+        Command::Check(args) => command::check::run(&args, format),
+        Command::Completions { shell } => completions(shell),
+        Command::Man => man(),
+    }
+}
+
+fn completions(shell: clap_complete::Shell) -> CliResult {
+    let mut text = Vec::new();
+    clap_complete::generate(shell, &mut Cli::command(), "trefoilhall", &mut text);
+    output::print(String::from_utf8_lossy(&text).trim_end())?;
+    Ok(Exit::Done)
+}
+
+fn man() -> CliResult {
+    let mut text = Vec::new();
+    clap_mangen::Man::new(Cli::command()).render(&mut text).change_context(CliError::Output)?;
+    output::print(String::from_utf8_lossy(&text).trim_end())?;
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/crates/cli/src/command/mod.rs
@@ -0,0 +1,3 @@
+//! The commands, one file each.
+
+pub mod check;
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,8 @@
+//! The command-line tool of operators, as a library so that its parts can be tested.
+
+pub mod app;
+pub mod cli;
+pub mod command;
+pub mod error;
+pub mod options;
+pub mod output;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,12 @@
-//! `trefoilhall`, the command-line tool.
+//! `trefoilhall`, the command-line tool of operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+use cli::{app, error};
+
+fn main() -> ExitCode {
+    match app::run() {
+        Ok(code) => code.into(),
+        Err(report) => error::print(&report),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/folder.rs
@@ -0,0 +1,65 @@
+//! Reads a folder of configuration files. What is in them is checked by [`policy::config`].
+
+use std::{fs, io, path::Path};
+
+use policy::config::{Findings, SourceFile, tree::MAX_FILE};
+
+/// The most files of one folder.
+const MAX_FILES: usize = 1_000;
+
+/// Reads the files of `dir` that end in `.json`.
+///
+/// Hidden files are skipped, because editors and mounts keep their own there. Links are followed,
+/// because a platform that mounts configuration does it through links. Folders within the folder
+/// aren't read.
+///
+/// # Errors
+///
+/// Findings that name each file that can't be read.
+pub fn read_folder(dir: &Path) -> Result<Vec<SourceFile>, Findings> {
+    let mut findings = Findings::default();
+    let mut files = Vec::new();
+    let entries = match fs::read_dir(dir) {
+        Ok(entries) => entries,
+        Err(e) => {
+            findings.push(None, "", format!("the folder {} can't be read: {e}", dir.display()));
+            return Err(findings);
+        }
+    };
+    for entry in entries {
+        if files.len() == MAX_FILES {
+            let message = format!("the folder {} has more than {MAX_FILES} files", dir.display());
+            findings.push(None, "", message);
+            break;
+        }
+        match entry.and_then(|entry| read_entry(&entry)) {
+            Ok(Some(file)) => files.push(file),
+            Ok(None) => {}
+            Err(e) => {
+                let message = format!("a file of {} can't be read: {e}", dir.display());
+                findings.push(None, "", message);
+            }
+        }
+    }
+    files.sort_by(|a, b| a.name.cmp(&b.name));
+    findings.into_result(files)
+}
+
+fn read_entry(entry: &fs::DirEntry) -> io::Result<Option<SourceFile>> {
+    let name = entry.file_name();
+    let Some(name) = name.to_str() else { return Ok(None) };
+    if name.starts_with('.') || !name.ends_with(".json") {
+        return Ok(None);
+    }
+    let describe = |e: io::Error| io::Error::new(e.kind(), format!("{name}: {e}"));
+    let metadata = fs::metadata(entry.path()).map_err(describe)?;
+    if !metadata.is_file() {
+        return Ok(None);
+    }
+    if metadata.len() > MAX_FILE as u64 {
+        let message = format!("{name}: it has more than {MAX_FILE} bytes");
+        return Err(io::Error::new(io::ErrorKind::FileTooLarge, message));
+    }
+    let text = fs::read_to_string(entry.path()).map_err(describe)?;
+    Ok(Some(SourceFile { name: name.to_owned(), text }))
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,4 +1,5 @@
 //! The daemon as a library, so that the demo can run several instances in one process.
 //! `docs/ARCHITECTURE.md` describes the path of a request.
 
+pub mod folder;
 pub mod settings;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -2,6 +2,8 @@
 //! centre, and where the platform's services are. Read from the folder given by `--config`;
 //! `docs/CONFIG.md` is the reference.
 
+mod read;
+
 use std::net::SocketAddr;
 
 use policy::{DataCentre, InstanceId};
--- /dev/null
+++ b/crates/daemon/src/settings/read.rs
@@ -0,0 +1,80 @@
+//! Reads the settings from the member `settings` of a configuration folder, and reports all that
+//! is wrong with them together.
+
+use std::net::SocketAddr;
+
+use policy::config::{Findings, SETTINGS, fields::Fields, tree::Node};
+
+use super::{Settings, balancer_wait_ms, max_body, max_connections};
+
+/// The most threads that may be set.
+const MAX_THREADS: u64 = 1_024;
+/// The longest wait for the balancer, in milliseconds: ten minutes.
+const MAX_BALANCER_WAIT_MS: u64 = 600_000;
+/// The most connections; more don't fit into the ports and file descriptors of one instance.
+const MAX_CONNECTIONS: u64 = 1_000_000;
+/// The largest body that may be set, in bytes: 1 GiB.
+const MAX_BODY: u64 = 1 << 30;
+
+impl Settings {
+    /// Reads the settings from `node`, the merged member `settings`.
+    pub fn read(node: &Node, findings: &mut Findings) -> Option<Settings> {
+        let mut fields = Fields::open(node, SETTINGS, findings)?;
+        let instance = fields.required("instance", "this instance's name", findings);
+        let data_centre = fields.required("data_centre", "a data centre's name", findings);
+        let listen = address(&mut fields, "listen", findings);
+        let peer_listen = address(&mut fields, "peer_listen", findings);
+        let admin_listen = fields.optional("admin_listen", ADDRESS, findings);
+        let log = fields.optional("log", ADDRESS, findings);
+        let instances = fields.optional("instances", ADDRESS, findings);
+        let weights = fields.optional("weights", ADDRESS, findings);
+        let peers = fields.optional("peers", "a list of addresses", findings);
+        let threads = fields.optional_whole("threads", 1..=MAX_THREADS, findings);
+        let balancer_wait_ms = fields.whole(
+            "balancer_wait_ms",
+            0..=MAX_BALANCER_WAIT_MS,
+            balancer_wait_ms(),
+            findings,
+        );
+        let max_connections =
+            size(&mut fields, "max_connections", MAX_CONNECTIONS, max_connections(), findings);
+        let max_body = size(&mut fields, "max_body", MAX_BODY, max_body(), findings);
+        fields.close(findings);
+        Some(Settings {
+            instance: instance?,
+            data_centre: data_centre?,
+            listen: listen?,
+            peer_listen: peer_listen?,
+            admin_listen,
+            log,
+            instances,
+            weights,
+            peers: peers.unwrap_or_default(),
+            threads: threads.and_then(|threads| usize::try_from(threads).ok()),
+            balancer_wait_ms,
+            max_connections,
+            max_body,
+        })
+    }
+}
+
+const ADDRESS: &str = "an address as 10.0.0.7:8080";
+
+fn address(
+    fields: &mut Fields<'_>,
+    name: &'static str,
+    findings: &mut Findings,
+) -> Option<SocketAddr> {
+    fields.required(name, ADDRESS, findings)
+}
+
+fn size(
+    fields: &mut Fields<'_>,
+    name: &'static str,
+    max: u64,
+    default: usize,
+    findings: &mut Findings,
+) -> usize {
+    let number = fields.whole(name, 1..=max, default as u64, findings);
+    usize::try_from(number).unwrap_or(default)
+}
--- a/crates/platform/src/log/mod.rs
+++ b/crates/platform/src/log/mod.rs
@@ -1,6 +1,8 @@
 //! The append-only log service. It takes a few hundred appends a second, keeps records for a
 //! limited time, has outages, and may lose an answer after the append has taken effect.
 
+pub mod http;
+
 use std::{fmt, future::Future, time::Duration};
 
 use bytes::Bytes;
--- a/crates/platform/src/weights/mod.rs
+++ b/crates/platform/src/weights/mod.rs
@@ -1,5 +1,7 @@
 //! The weight store. It is rate-limited, so loads are spaced by whoever orders them.
 
+pub mod http;
+
 use std::{fmt, future::Future, time::Duration};
 
 /// Why weights can't be had now.
--- /dev/null
+++ b/crates/policy/src/config/deployments.rs
@@ -0,0 +1,254 @@
+//! Reads and checks deployments: their weights, limits and routes.
+
+use indexmap::IndexMap;
+
+use super::{
+    DeploymentRules, EndpointKind, Limits, RouteRules, Weights,
+    fields::Fields,
+    finding::Findings,
+    load::section,
+    names::Names,
+    tree::{Node, Value},
+};
+use crate::{Deployment, EndpointGroup, Model, Tokens};
+
+/// The latest deadline that may be configured, in milliseconds: a day.
+const MAX_DEADLINE_MS: u64 = 24 * 60 * 60 * 1_000;
+/// The longest queue that may be configured. A waiting request takes some kilobytes, so that more
+/// would not fit into a small instance.
+const MAX_WAITING: u64 = 1_000_000;
+/// The largest weight. Only ratios count, and a ratio beyond a thousand means to ignore one side,
+/// for which there is zero.
+const MAX_WEIGHT: f64 = 1_000.0;
+/// The longest output in tokens that may be configured, as large as the largest prompts.
+const MAX_OUTPUT: u64 = 1_000_000;
+/// The longest path of a route in bytes.
+const MAX_PATH: usize = 1_024;
+
+/// Reads all deployments.
+pub(super) fn read_deployments(
+    node: Option<&Node>,
+    names: &Names<'_>,
+    findings: &mut Findings,
+) -> IndexMap<Deployment, DeploymentRules> {
+    section(node, "deployments", findings, |node, path, findings| {
+        read_deployment(node, path, names, findings)
+    })
+}
+
+fn read_deployment(
+    node: &Node,
+    path: &str,
+    names: &Names<'_>,
+    findings: &mut Findings,
+) -> Option<DeploymentRules> {
+    let mut fields = Fields::open(node, path, findings)?;
+    let group = fields.required::<EndpointGroup>("group", "an endpoint group's name", findings);
+    let kind = fields.required("kind", "\"engine\" or \"service\"", findings);
+    let models = fields.optional::<Vec<Model>>("models", "a list of models' names", findings);
+    let weights = fields.node("weights");
+    let weights = weights.and_then(|node| read_weights(node, &fields.path("weights"), findings));
+    let limits = fields.node("limits");
+    let limits = limits.and_then(|node| read_limits(node, &fields.path("limits"), findings));
+    let limits = limits.unwrap_or_default();
+    let routes = fields.node("routes");
+    let routes = read_routes(routes, &fields.path("routes"), &limits, findings);
+    let policy = fields.optional("policy", "a scheduler's name", findings).unwrap_or_default();
+    check_group(&fields, group.as_ref(), kind, names, findings);
+    check_models(&fields, models.as_deref().unwrap_or_default(), kind, names, findings);
+    fields.close(findings);
+    Some(DeploymentRules {
+        group: group?,
+        kind: kind?,
+        models: models.unwrap_or_default(),
+        weights: weights.unwrap_or_default(),
+        limits,
+        routes,
+        policy,
+    })
+}
+
+fn check_group(
+    fields: &Fields<'_>,
+    group: Option<&EndpointGroup>,
+    kind: Option<EndpointKind>,
+    names: &Names<'_>,
+    findings: &mut Findings,
+) {
+    let Some(group) = group else { return };
+    let place = fields.place_of("group");
+    let path = fields.path("group");
+    if !names.is_served(group.as_str()) {
+        findings.push(place, &path, format!("no endpoint serves in the group {group}"));
+    }
+    if names.group_uses(group.as_str()) > 1 {
+        let message = format!(
+            "another deployment has the group {group} too; each would fill the endpoints as if \
+             the other weren't there"
+        );
+        findings.push(place, &path, message);
+    }
+    if kind == Some(EndpointKind::Service) && group.as_str().contains('/') {
+        let message = "expected a name without `/`, because it is one segment of callers' paths";
+        findings.push(place, &path, message);
+    }
+}
+
+fn check_models(
+    fields: &Fields<'_>,
+    models: &[Model],
+    kind: Option<EndpointKind>,
+    names: &Names<'_>,
+    findings: &mut Findings,
+) {
+    let place = fields.place_of("models");
+    let path = fields.path("models");
+    match kind {
+        Some(EndpointKind::Engine) if models.is_empty() => {
+            findings.push(place, &path, "expected at least one model for engines");
+        }
+        Some(EndpointKind::Service) if !models.is_empty() => {
+            findings.push(place, &path, "expected no models for a plain service");
+        }
+        _ => {}
+    }
+    for model in models {
+        if names.model_uses(model.as_str()) > 1 {
+            let message = format!("the model {model} is listed more than once");
+            findings.push(place, &path, message);
+        }
+    }
+}
+
+fn read_weights(node: &Node, path: &str, findings: &mut Findings) -> Option<Weights> {
+    let base = Weights::default();
+    let mut fields = Fields::open(node, path, findings)?;
+    let range = 0.0..=MAX_WEIGHT;
+    let weights = Weights {
+        long_first_token: fields.number(
+            "long_first_token",
+            range.clone(),
+            base.long_first_token,
+            findings,
+        ),
+        short_slowdown: fields.number("short_slowdown", range, base.short_slowdown, findings),
+    };
+    fields.close(findings);
+    if weights.long_first_token == 0.0 && weights.short_slowdown == 0.0 {
+        let message = "expected at least one weight above 0, or every placement costs the same";
+        findings.push(Some(&node.place), path, message);
+    }
+    Some(weights)
+}
+
+fn read_limits(node: &Node, path: &str, findings: &mut Findings) -> Option<Limits> {
+    let base = Limits::default();
+    let mut fields = Fields::open(node, path, findings)?;
+    let deadline = 1..=MAX_DEADLINE_MS;
+    let limits = Limits {
+        default_deadline_ms: fields.whole(
+            "default_deadline_ms",
+            deadline.clone(),
+            base.default_deadline_ms,
+            findings,
+        ),
+        max_deadline_ms: fields.whole("max_deadline_ms", deadline, base.max_deadline_ms, findings),
+        waiting: usize::try_from(fields.whole(
+            "waiting",
+            1..=MAX_WAITING,
+            base.waiting as u64,
+            findings,
+        ))
+        .unwrap_or(base.waiting),
+        default_output: Tokens(fields.whole(
+            "default_output",
+            1..=MAX_OUTPUT,
+            base.default_output.0,
+            findings,
+        )),
+        retry_share: fields.number("retry_share", 0.0..=1.0, base.retry_share, findings),
+    };
+    if limits.default_deadline_ms > limits.max_deadline_ms {
+        let message = format!(
+            "the default deadline of {} ms is later than max_deadline_ms, which is {} ms",
+            limits.default_deadline_ms, limits.max_deadline_ms
+        );
+        let place = fields.place_of("default_deadline_ms");
+        findings.push(place, &fields.path("default_deadline_ms"), message);
+    }
+    fields.close(findings);
+    Some(limits)
+}
+
+fn read_routes(
+    node: Option<&Node>,
+    path: &str,
+    limits: &Limits,
+    findings: &mut Findings,
+) -> Vec<RouteRules> {
+    let Some(node) = node else { return Vec::new() };
+    let Value::Array(items) = &node.value else {
+        let message = format!("expected a list of routes, found {}", node.kind());
+        findings.push(Some(&node.place), path, message);
+        return Vec::new();
+    };
+    let mut routes: Vec<RouteRules> = Vec::new();
+    for (i, item) in items.iter().enumerate() {
+        let path = format!("{path}[{i}]");
+        let Some(route) = read_route(item, &path, limits, findings) else { continue };
+        let overlaps = |other: &RouteRules| {
+            other.path.trim_end_matches('/') == route.path.trim_end_matches('/')
+        };
+        if routes.iter().any(overlaps) {
+            let message = format!("another route has the path {} too", route.path);
+            findings.push(Some(&item.place), &path, message);
+        }
+        routes.push(route);
+    }
+    routes
+}
+
+fn read_route(
+    node: &Node,
+    path: &str,
+    limits: &Limits,
+    findings: &mut Findings,
+) -> Option<RouteRules> {
+    let mut fields = Fields::open(node, path, findings)?;
+    let route_path = fields.required::<String>("path", "a path as \"/registrations\"", findings);
+    let repeatable = fields.flag("repeatable", true, findings);
+    let timeout_ms = fields.optional_whole("timeout_ms", 1..=MAX_DEADLINE_MS, findings);
+    let deduplicates = fields.flag("deduplicates", false, findings);
+    if timeout_ms.is_some_and(|timeout| timeout > limits.max_deadline_ms) {
+        let message =
+            format!("expected at most limits.max_deadline_ms, {}", limits.max_deadline_ms);
+        findings.push(fields.place_of("timeout_ms"), &fields.path("timeout_ms"), message);
+    }
+    if repeatable && deduplicates {
+        let message = "deduplicates has a meaning only with \"repeatable\": false";
+        findings.push(fields.place_of("deduplicates"), &fields.path("deduplicates"), message);
+    }
+    if let Some(message) = route_path.as_deref().and_then(path_fault) {
+        findings.push(fields.place_of("path"), &fields.path("path"), message);
+    }
+    fields.close(findings);
+    Some(RouteRules { path: route_path?, repeatable, timeout_ms, deduplicates })
+}
+
+/// What is wrong with a route's path. Paths that callers' requests can never match would leave a
+/// call that must not be repeated without its rule.
+fn path_fault(path: &str) -> Option<&'static str> {
+    if !path.starts_with('/') {
+        return Some("expected a path that starts with `/`");
+    }
+    if path.len() > MAX_PATH {
+        return Some("expected a path of at most 1024 bytes");
+    }
+    if path.contains("//") || path.split('/').any(|segment| segment == "." || segment == "..") {
+        return Some("expected a path without empty, `.` and `..` segments");
+    }
+    if path.contains(|c: char| c.is_control() || c.is_whitespace() || "?#%".contains(c)) {
+        return Some("expected a path without spaces, `?`, `#` and `%`");
+    }
+    None
+}
--- /dev/null
+++ b/crates/policy/src/config/load.rs
@@ -0,0 +1,242 @@
+//! From a folder's files to a checked configuration: one pass that reports everything it finds.
+//! `docs/CONFIG.md` states the same rules for operators.
+//!
+//! The same function checks a folder before it is published and a published change before it is
+//! in force, so that what one instance refuses every instance refuses.
+
+use indexmap::IndexMap;
+
+use super::{
+    Config, DataCentreRules, EndpointRules, LedgerRules, WorkspaceRules,
+    deployments::read_deployments,
+    fields::{Fields, read_name},
+    finding::Findings,
+    names::Names,
+    tree::{Node, SourceFile, merge},
+};
+use crate::DataCentre;
+
+/// The largest distance between data centres in milliseconds: half way round the earth in glass
+/// takes about 100 ms; ten times that is a slip of the pen.
+const MAX_DISTANCE_MS: f64 = 1_000.0;
+/// The largest weight of a workspace. Shares finer than a thousandth can't be kept anyway.
+const MAX_WEIGHT: u64 = 1_000;
+/// The most ledger streams. Each takes its own appends, and the log takes a few hundred a second.
+const MAX_STREAMS: u64 = 64;
+/// The longest window in which keys are kept, in minutes: 30 days.
+const MAX_WINDOW_MINUTES: u64 = 30 * 24 * 60;
+/// The member that holds the settings of one process. It is read by the daemon and never
+/// published.
+pub const SETTINGS: &str = "settings";
+
+/// What a folder holds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Loaded {
+    /// The configuration.
+    pub config: Config,
+    /// The settings of one process, where the folder has them; not yet checked.
+    pub settings: Option<Node>,
+}
+
+/// Merges and checks a folder's files.
+pub fn load(files: &[SourceFile]) -> Result<Loaded, Findings> {
+    let mut findings = Findings::default();
+    let Some(root) = merge(files, &mut findings) else {
+        if findings.is_empty() {
+            findings.push(None, "", "expected at least one file with a configuration");
+        }
+        return Err(findings);
+    };
+    let loaded = read_root(&root, &mut findings);
+    match loaded {
+        Some(loaded) => findings.into_result(loaded),
+        None => Err(findings),
+    }
+}
+
+fn read_root(root: &Node, findings: &mut Findings) -> Option<Loaded> {
+    let names = Names::collect(root);
+    let mut fields = Fields::open(root, "", findings)?;
+    let settings = fields.node(SETTINGS).cloned();
+    let data_centres = fields.node("data_centres");
+    let workspaces = fields.node("workspaces");
+    let endpoints = fields.node("endpoints");
+    let deployments = fields.node("deployments");
+    let ledger = fields.node("ledger");
+    fields.close(findings);
+    let config = Config {
+        data_centres: section(data_centres, "data_centres", findings, |node, path, findings| {
+            read_data_centre(node, path, &names, findings)
+        }),
+        workspaces: section(workspaces, "workspaces", findings, |node, path, findings| {
+            read_workspace(node, path, &names, findings)
+        }),
+        endpoints: section(endpoints, "endpoints", findings, |node, path, findings| {
+            read_endpoint(node, path, &names, findings)
+        }),
+        deployments: read_deployments(deployments, &names, findings),
+        ledger: ledger.and_then(|node| read_ledger(node, findings)).unwrap_or_default(),
+    };
+    Some(Loaded { config, settings })
+}
+
+/// Reads an object whose members are named things of one kind.
+pub(super) fn section<K, T>(
+    node: Option<&Node>,
+    path: &str,
+    findings: &mut Findings,
+    mut read: impl FnMut(&Node, &str, &mut Findings) -> Option<T>,
+) -> IndexMap<K, T>
+where
+    K: std::str::FromStr<Err = crate::ids::IdError> + std::hash::Hash + Eq,
+{
+    let mut map = IndexMap::new();
+    let Some(node) = node else { return map };
+    if Fields::open(node, path, findings).is_none() {
+        return map;
+    }
+    for (name, member) in node.members() {
+        let path = super::tree::join(path, name);
+        let id = read_name(name, member, &path, findings);
+        let rules = read(member, &path, findings);
+        if let (Some(id), Some(rules)) = (id, rules) {
+            map.insert(id, rules);
+        }
+    }
+    map
+}
+
+fn read_data_centre(
+    node: &Node,
+    path: &str,
+    names: &Names<'_>,
+    findings: &mut Findings,
+) -> Option<DataCentreRules> {
+    let mut fields = Fields::open(node, path, findings)?;
+    let region = fields.required::<String>("region", "a region's name", findings);
+    let distances = fields.node("distance_ms");
+    let path = fields.path("distance_ms");
+    fields.close(findings);
+    let distance_ms = section(distances, &path, findings, |node, path, findings| {
+        let other = path.rsplit_once("distance_ms.").map_or(path, |(_, name)| name);
+        names.require_data_centre(other, node, path, findings);
+        let ms: f64 = super::fields::read(node, path, "milliseconds", findings)?;
+        if !(0.0..=MAX_DISTANCE_MS).contains(&ms) {
+            let message = format!("expected milliseconds from 0 to {MAX_DISTANCE_MS}, found {ms}");
+            findings.push(Some(&node.place), path, message);
+        }
+        Some(ms)
+    });
+    Some(DataCentreRules { region: region?, distance_ms })
+}
+
+fn read_workspace(
+    node: &Node,
+    path: &str,
+    names: &Names<'_>,
+    findings: &mut Findings,
+) -> Option<WorkspaceRules> {
+    let mut fields = Fields::open(node, path, findings)?;
+    let keys = fields.required::<Vec<String>>("key_sha256", "a list of SHA-256 hashes", findings);
+    let place = fields.place_of("key_sha256");
+    let keys_path = fields.path("key_sha256");
+    let rules = WorkspaceRules {
+        key_sha256: keys.clone().unwrap_or_default(),
+        weight: u32::try_from(fields.whole("weight", 1..=MAX_WEIGHT, 1, findings)).unwrap_or(1),
+        tokens_per_second: fields.optional_whole("tokens_per_second", 1..=u64::MAX, findings),
+        concurrent: fields
+            .optional_whole("concurrent", 1..=u64::from(u32::MAX), findings)
+            .and_then(|number| u32::try_from(number).ok()),
+    };
+    fields.close(findings);
+    let keys = keys?;
+    if keys.is_empty() {
+        findings.push(place, &keys_path, "expected at least one key, or nobody can call");
+    }
+    for (i, key) in keys.iter().enumerate() {
+        let path = format!("{keys_path}[{i}]");
+        if !is_sha256(key) {
+            let message = "expected the SHA-256 of a key: 64 digits from 0-9 and a-f";
+            findings.push(place, &path, message);
+        } else if names.key_uses(key) > 1 {
+            let message = "this key is given twice, so that its caller couldn't be told";
+            findings.push(place, &path, message);
+        }
+    }
+    Some(rules)
+}
+
+fn is_sha256(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|c| matches!(c, b'0'..=b'9' | b'a'..=b'f'))
+}
+
+fn read_endpoint(
+    node: &Node,
+    path: &str,
+    names: &Names<'_>,
+    findings: &mut Findings,
+) -> Option<EndpointRules> {
+    let mut fields = Fields::open(node, path, findings)?;
+    let group = fields.required("group", "the name of an endpoint group", findings);
+    let address = fields.required("address", "an address as 10.0.0.7:8000", findings);
+    let data_centre = fields.required::<DataCentre>("data_centre", "a data centre", findings);
+    let leaving = fields.flag("leaving", false, findings);
+    let checks_fencing = fields.flag("checks_fencing", false, findings);
+    if let Some(name) = node.member("group").and_then(Node::text)
+        && !names.has_group(name)
+    {
+        let message = format!("no deployment has the group {name}");
+        findings.push(fields.place_of("group"), &fields.path("group"), message);
+    }
+    if let Some(place) = node.member("data_centre")
+        && let Some(name) = place.text()
+    {
+        names.require_data_centre(name, place, &fields.path("data_centre"), findings);
+    }
+    if let Some(address) = &address {
+        check_address(address, &fields, names, findings);
+    }
+    fields.close(findings);
+    Some(EndpointRules {
+        group: group?,
+        address: address?,
+        data_centre: data_centre?,
+        leaving,
+        checks_fencing,
+    })
+}
+
+fn check_address(
+    address: &std::net::SocketAddr,
+    fields: &Fields<'_>,
+    names: &Names<'_>,
+    findings: &mut Findings,
+) {
+    if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+        let message = format!("nobody can connect to {address}");
+        findings.push(fields.place_of("address"), &fields.path("address"), message);
+    }
+    if names.address_uses(address) > 1 {
+        let message = format!("another endpoint has the address {address} too");
+        findings.push(fields.place_of("address"), &fields.path("address"), message);
+    }
+}
+
+fn read_ledger(node: &Node, findings: &mut Findings) -> Option<LedgerRules> {
+    let base = LedgerRules::default();
+    let mut fields = Fields::open(node, "ledger", findings)?;
+    let streams = fields.whole("streams", 1..=MAX_STREAMS, base.streams.into(), findings);
+    let window = 1..=MAX_WINDOW_MINUTES;
+    let rules = LedgerRules {
+        streams: u32::try_from(streams).unwrap_or(base.streams),
+        window_minutes: fields.whole("window_minutes", window, base.window_minutes, findings),
+        log_keeps_minutes: fields.whole(
+            "log_keeps_minutes",
+            1..=u64::from(u32::MAX),
+            base.log_keeps_minutes,
+            findings,
+        ),
+    };
+    fields.close(findings);
+    Some(rules)
+}
--- a/crates/policy/src/config/mod.rs
+++ b/crates/policy/src/config/mod.rs
@@ -3,6 +3,17 @@
 //! Operators write a folder of small JSON files, merged in name order; `docs/CONFIG.md` is the
 //! reference. Whatever is read here has passed every check.
 
+mod deployments;
+pub mod fields;
+pub mod finding;
+mod load;
+mod names;
+pub mod tree;
+
+pub use finding::{Finding, Findings, Place};
+pub use load::{Loaded, SETTINGS, load};
+pub use tree::SourceFile;
+
 use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
 
 use indexmap::IndexMap;
@@ -43,6 +54,31 @@
     pub endpoints: IndexMap<EndpointId, EndpointRules>,
     /// What is served, and how.
     pub deployments: IndexMap<Deployment, DeploymentRules>,
+    /// How calls that may not be repeated are kept.
+    #[serde(default)]
+    pub ledger: LedgerRules,
+}
+
+/// How calls that may not be repeated are kept on the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LedgerRules {
+    /// Streams that keys are spread over. It can't be changed once published, because a key's
+    /// claim would then be looked for in another stream.
+    pub streams: u32,
+    /// How long a key is remembered, in minutes.
+    pub window_minutes: u64,
+    /// How long the log service keeps records, in minutes; checkpoints are written well before.
+    pub log_keeps_minutes: u64,
+}
+
+impl Default for LedgerRules {
+    /// One stream: four instances fold every claim of today's sites without effort. A day's
+    /// window: callers and clerks re-send within minutes, a portal's retry queue within the night.
+    /// A log that keeps an hour is the least that is worth running on.
+    fn default() -> Self {
+        LedgerRules { streams: 1, window_minutes: 24 * 60, log_keeps_minutes: 60 }
+    }
 }
 
 /// All workspaces by name.
