--- a/crates/standin/src/scenario/ast.rs
+++ b/crates/standin/src/scenario/ast.rs
@@ -142,8 +142,11 @@
     Prompt(u64),
     /// A prompt that kills each engine that runs it.
     Poison,
-    /// A registration under this key, which may not be repeated.
+    /// A registration under this key, which may not be repeated. Several are the same call sent
+    /// again.
     Register(String),
+    /// Registrations under this key with a number behind it, each another call.
+    RegisterEach(String),
     /// A status look-up at the plain service.
     Lookup,
 }
--- a/crates/standin/src/scenario/parse.rs
+++ b/crates/standin/src/scenario/parse.rs
@@ -273,6 +273,7 @@
         "long".value(What::Prompt(LONG_TOKENS)),
         "poison".value(What::Poison),
         "lookup".value(What::Lookup),
+        preceded(("register-each", space1), cut_err(name)).map(What::RegisterEach),
         preceded(("register", space1), cut_err(name)).map(What::Register),
         number.map(What::Prompt),
     ))
