--- a/crates/policy/src/health/mod.rs
+++ b/crates/policy/src/health/mod.rs
@@ -153,6 +153,7 @@
             | FailCause::Rejected
             | FailCause::Silent
             | FailCause::Quarantined
+            | FailCause::Shed
             | FailCause::RetryBudget
             | FailCause::NoEndpoint => {}
         }
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -190,6 +190,7 @@
             owner: stream.attempt.owner.clone(),
             tokens: if stream.progress.running { stream.share } else { Tokens::ZERO },
             expires_ms: stream.progress.expires.map(left),
+            offset: Some(stream.next),
         });
         let leases = self.leases.iter().map(|(id, lease)| Held {
             id: id.clone(),
@@ -197,6 +198,7 @@
             owner: lease.owner.clone(),
             tokens: lease.tokens,
             expires_ms: Some(left(lease.expires)),
+            offset: None,
         });
         streams.chain(leases).collect()
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,3 @@
-//! Small stand-ins of the outside systems, for tests, demo and bench.
-
-pub mod scenario;
 //! Small stand-ins of the outside systems, for tests, demo and bench. Each runs inside the calling
 //! process on a loopback port, and each is as faulty as a test asks it to be.
 
@@ -8,6 +5,7 @@
 pub mod engine;
 mod http;
 pub mod log;
+pub mod scenario;
 pub mod weights;
 
 pub use engine::{Engine, EngineConfig, EngineStats, expected_answer};
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -1,5 +1,7 @@
 //! What callers and owners see of the stand-in engine.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{net::SocketAddr, thread::sleep, time::Duration};
 
 use platform::{
