--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -1,5 +1,7 @@
 //! What callers and owners see of the stand-in engine.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{net::SocketAddr, thread::sleep, time::Duration};
 
 use platform::{
@@ -136,7 +138,8 @@
         let mut bad = prompt(1_000, 1);
         bad.body = r#"{"prompt":"some poison"}"#.into();
         let reply = bad.send(engine.address()).await;
-        assert!(!reply.ended && reply.status.is_none(), "{reply:?}");
+        // Whether the head of the answer is out by then is a matter of luck.
+        assert!(!reply.ended && reply.text.is_empty(), "{reply:?}");
         let good = prompt(1_000, 1);
         let mut tries = 0;
         while !good.send(engine.address()).await.whole {
