--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,3 +1,6 @@
+//! Small stand-ins of the outside systems, for tests, demo and bench.
+
+pub mod scenario;
 //! Small stand-ins of the outside systems, for tests, demo and bench. Each runs inside the calling
 //! process on a loopback port, and each is as faulty as a test asks it to be.
 
