--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,11 +5,14 @@
 //! tests therefore drive exactly the same code. See `docs/ARCHITECTURE.md`.
 
 pub mod affinity;
+pub mod any;
+pub mod baseline;
 pub mod config;
 pub mod health;
 pub mod ids;
 pub mod membership;
 pub mod place;
+pub mod prompt;
 pub mod quarantine;
 pub mod rendezvous;
 pub mod report;
@@ -19,11 +22,12 @@
 pub mod topology;
 pub mod units;
 
+pub use any::AnyScheduler;
 pub use ids::{
     DataCentre, Deployment, EndpointGroup, EndpointId, Fingerprint, Incarnation, InstanceId, Model,
     RequestId, Workspace,
 };
-pub use report::{CacheEvents, LoadDigest, LoadReport};
+pub use report::{BANDS, CacheEvents, LoadDigest, LoadReport, ReservationWish, WishPart};
 pub use request::{CallKind, RequestSpec};
 pub use scheduler::{
     Admission, Decision, EndpointChange, Event, FailCause, Failure, Outcome, Priority, Ran,
