Add the stand-in service, list and fault proxy

Cause: at-most-once, lagging membership and silent connections need outside systems that fail in those ways. What: the service counts the effects of every key over all its lives; the proxy refuses, resets, delays, silences open or all connections either way, cuts after n bytes and swallows answers, counted per mode. A cut or a closed listener is closed when the call returns, which tests rely on.

--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -42,6 +42,18 @@
     fn handle(&self, req: Request) -> impl Future<Output = Reply> + Send;
 }
 
+/// What a stand-in does with connections. Whatever answers HTTP calls serves them as HTTP.
+pub(crate) trait ConnectionHandler: Send + Sync + 'static {
+    /// Serves one connection to its end.
+    fn connection(&self, stream: TcpStream) -> impl Future<Output = ()> + Send;
+}
+
+impl<H: Handler> ConnectionHandler for H {
+    async fn connection(&self, stream: TcpStream) {
+        serve_connection(stream, self).await;
+    }
+}
+
 /// A listener and its connections.
 pub(crate) struct Host {
     address: SocketAddr,
@@ -85,15 +97,15 @@
         self.shared.accepted.load(Ordering::Relaxed)
     }
 
-    /// Listens and answers by `handler`.
-    pub(crate) fn serve<H: Handler>(&self, handler: Arc<H>) -> io::Result<()> {
+    /// Listens and serves connections by `handler`.
+    pub(crate) fn serve<H: ConnectionHandler>(&self, handler: Arc<H>) -> io::Result<()> {
         let listener = TcpListener::from(smol::Async::new(bind(self.address)?)?);
         let (ex, shared) = (self.ex.clone(), self.shared.clone());
         let task = self.ex.spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 shared.accepted.fetch_add(1, Ordering::Relaxed);
                 let handler = handler.clone();
-                let task = ex.spawn(async move { serve_connection(stream, handler).await });
+                let task = ex.spawn(async move { handler.connection(stream).await });
                 let mut connections = lock(&shared.connections);
                 connections.retain(|task| !task.is_finished());
                 connections.push(task);
@@ -108,19 +120,29 @@
         lock(&self.shared.connections).push(self.ex.spawn(task));
     }
 
-    /// Closes the listener and every connection, as a process that dies would.
+    /// Closes the listener, and returns once it is closed; connections go on.
+    pub(crate) fn stop_listening(&self) {
+        let listener = lock(&self.shared.listener).take();
+        if let Some(listener) = listener {
+            smol::block_on(listener.cancel());
+        }
+    }
+
+    /// Closes the listener and every connection, as a process that dies would, and returns once
+    /// they are closed. Not to be called by a task of this host, which would wait for itself.
     pub(crate) fn cut(&self) {
-        lock(&self.shared.listener).take();
-        lock(&self.shared.connections).clear();
+        self.stop_listening();
+        let connections = std::mem::take(&mut *lock(&self.shared.connections));
+        for connection in connections {
+            smol::block_on(connection.cancel());
+        }
     }
 
     /// Cuts and ends the thread.
     pub(crate) fn close(&self) {
         self.cut();
         let _ = self.stop.try_send(());
-        if let Some(thread) = lock(&self.thread).take()
-            && thread.thread().id() != std::thread::current().id()
-        {
+        if let Some(thread) = lock(&self.thread).take() {
             let _ = thread.join();
         }
     }
@@ -204,7 +226,7 @@
     Err(io::ErrorKind::AddrInUse.into())
 }
 
-async fn serve_connection<H: Handler>(stream: TcpStream, handler: Arc<H>) {
+async fn serve_connection<H: Handler>(stream: TcpStream, handler: &H) {
     let _ = stream.set_nodelay(true);
     let calls = async {
         let answer = async |req: Request| match handler.handle(req).await {
--- /dev/null
+++ b/crates/standin/src/instances.rs
@@ -0,0 +1,99 @@
+//! The platform's list of instances, which lags.
+
+use std::{
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use http_types::{Request, StatusCode};
+use platform::instances::{ListPage, Listed};
+
+use crate::http::{Handler, Host, Refused, Reply, json, lock};
+
+/// A running stand-in list.
+pub struct ListService {
+    host: Host,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared(Mutex<State>);
+
+#[derive(Default)]
+struct State {
+    /// Every version of the list that may still be shown, oldest first.
+    versions: VecDeque<Published>,
+    lag: Duration,
+    down: bool,
+}
+
+struct Published {
+    at: Instant,
+    instances: Vec<Listed>,
+}
+
+impl ListService {
+    /// Starts an empty list on a free loopback port; it shows changes `lag` late.
+    pub fn start(lag: Duration) -> io::Result<ListService> {
+        let shared = Arc::new(Shared(Mutex::new(State { lag, ..State::default() })));
+        let host = Host::start("instances")?;
+        host.serve(shared.clone())?;
+        Ok(ListService { host, shared })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Adds an instance or replaces the one of the same name.
+    pub fn put(&self, listed: Listed) {
+        self.change(|list| {
+            list.retain(|known| known.name != listed.name);
+            list.push(listed);
+        });
+    }
+
+    /// Takes an instance off the list.
+    pub fn remove(&self, name: &str) {
+        self.change(|list| list.retain(|known| known.name != name));
+    }
+
+    /// Refuses everything with 503, or stops doing so.
+    pub fn set_down(&self, down: bool) {
+        lock(&self.shared.0).down = down;
+    }
+
+    /// Ends it.
+    pub fn close(self) {
+        self.host.close();
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Vec<Listed>)) {
+        let mut state = lock(&self.shared.0);
+        let mut instances = state.versions.back().map_or_else(Vec::new, |v| v.instances.clone());
+        change(&mut instances);
+        state.versions.push_back(Published { at: Instant::now(), instances });
+    }
+}
+
+impl Handler for Shared {
+    async fn handle(&self, req: Request) -> Reply {
+        let mut state = lock(&self.0);
+        if state.down {
+            return Refused::new(StatusCode::ServiceUnavailable, "the list is down").into();
+        }
+        if req.url().path() != "/instances" {
+            return Refused::new(StatusCode::NotFound, "no such call").into();
+        }
+        let now = Instant::now();
+        while state.versions.get(1).is_some_and(|next| next.at + state.lag <= now) {
+            state.versions.pop_front();
+        }
+        let shown = state.versions.front().filter(|version| version.at + state.lag <= now);
+        json(&ListPage { instances: shown.map_or_else(Vec::new, |v| v.instances.clone()) }).into()
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,10 +4,16 @@
 pub mod client;
 pub mod engine;
 mod http;
+pub mod instances;
 pub mod log;
+pub mod proxy;
 pub mod scenario;
+pub mod service;
 pub mod weights;
 
 pub use engine::{Engine, EngineConfig, EngineStats, expected_answer};
+pub use instances::ListService;
 pub use log::{AppendFault, LogConfig, LogService, Outage};
+pub use proxy::{Direction, FaultProxy, Mode};
+pub use service::{Service, ServiceConfig, ServiceFault};
 pub use weights::{WeightConfig, WeightStore};
