--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,8 +19,8 @@
 pub mod request;
 pub mod retry;
 pub mod scheduler;
-pub mod trefoilhall;
 pub mod topology;
+pub mod trefoilhall;
 pub mod units;
 
 pub use any::AnyScheduler;
