--- a/crates/policy/src/baseline/naive.rs
+++ b/crates/policy/src/baseline/naive.rs
@@ -246,6 +246,8 @@
             queued: Default::default(),
             demand: Default::default(),
             wishes: Vec::new(),
+            suspicions: Vec::new(),
+            suspects_at: Vec::new(),
         }
     }
 }
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{EndpointId, Incarnation, InstanceId, Time, TokenRate, Tokens, Workspace};
+use crate::{EndpointId, Incarnation, InstanceId, Time, TokenRate, Tokens, Workspace, quarantine};
 
 /// An endpoint's own report of its load. It lags: `taken` says which of our sends it can include.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -60,6 +60,16 @@
     pub demand: [TokenRate; BANDS],
     /// Prompts that wait here for the memory of several engines, longest wait first.
     pub wishes: Vec<ReservationWish>,
+    /// Fingerprints under suspicion of crashing endpoints, and those refused for it; at most
+    /// [`LoadDigest::MAX_ENTRIES`], so that a digest stays small.
+    pub suspicions: Vec<quarantine::Entry>,
+    /// Where this instance runs a suspect, so that others keep theirs away.
+    pub suspects_at: Vec<EndpointId>,
+}
+
+impl LoadDigest {
+    /// The most entries of each kind that one digest tells.
+    pub const MAX_ENTRIES: usize = 64;
 }
 
 /// Bands of prompt length that load is counted in, because an engine serves shorter bands first.
--- a/crates/policy/src/trefoilhall/mod.rs
+++ b/crates/policy/src/trefoilhall/mod.rs
@@ -313,6 +313,8 @@
                 TokenRate(self.demand[band].rate(seconds(now), DEMAND_HALF_LIFE))
             }),
             wishes: self.wishes(now),
+            suspicions: Vec::new(),
+            suspects_at: Vec::new(),
         }
     }
 }
