Plug placement, cache index, health, retry budgets and quarantine into the scheduler

Candidates are the endpoints with budget, memory and leave to run; place::choose picks. Bands of prompt length now follow the site's median prompt between a tenth and one second of prefill, because fixed seconds called a 100,000-token prompt short on very fast engines. Another instance's part of an endpoint's load is dropped when its digest no longer tells of it: it stayed for good before, and engines looked busy that weren't.

--- a/crates/policy/src/trefoilhall/admit.rs
+++ b/crates/policy/src/trefoilhall/admit.rs
@@ -21,11 +21,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{Admission, FailCause, Ran, Refusal, RefusalReason, RequestSpec, Time};
+use crate::{
+    Admission, FailCause, Ran, Refusal, RefusalReason, RequestSpec, Time, quarantine::Standing,
+};
 
 use super::{
     Trefoilhall,
-    class::Band,
     queue::WorkspaceIndex,
     request::{Due, Entry, State},
     seconds, span,
@@ -62,6 +63,10 @@
         if let Some(over) = state.over_limit(instances, seconds(now)) {
             return Err(self.refusal(RefusalReason::OverLimit, over));
         }
+        if let Standing::Refused(left) = self.quarantine.standing(req.fingerprint, now) {
+            let refusal = Refusal { reason: RefusalReason::Quarantined, retry_after: left };
+            return Err(refusal);
+        }
         if self.fleet.usable == 0 {
             return Err(self.refusal(RefusalReason::NoEndpoint, 1.0));
         }
@@ -85,7 +90,8 @@
 
     fn entry(&self, req: Arc<RequestSpec>, workspace: WorkspaceIndex) -> Entry {
         let prompt = req.prompt.0 as f64;
-        let band = Band::of(prompt, self.fleet.typical_rate);
+        let band = self.bands.of(prompt, self.fleet.typical_rate);
+        let cached = if band.is_long() { self.most_cached(&req.prefix) } else { 0.0 };
         let spreads = req.footprint().0 as f64 > self.fleet.largest_memory;
         let output = self.decode.expected(req.max_output.0 as f64);
         let bound = self.bound(&req);
@@ -93,6 +99,7 @@
             workspace,
             band,
             lane: if spreads { SPREAD } else { band.index() },
+            uncached: (prompt - cached).max(1.0),
             cost: prompt + DECODE_WEIGHT * output,
             bound,
             due: bound,
@@ -108,6 +115,13 @@
         }
     }
 
+    /// The most of a prompt that any engine is expected to have cached. Only looked up for long
+    /// prompts: it costs a look at each engine, and what it saves on a short one is little.
+    fn most_cached(&self, prefix: &[u64]) -> f64 {
+        let ids = self.fleet.endpoints.keys();
+        ids.map(|id| self.cache.expected(id, prefix).0 as f64).fold(0.0, f64::max)
+    }
+
     /// By when the first token has to be out.
     fn bound(&self, req: &RequestSpec) -> Time {
         if let Some(bound) = req.first_token_by {
@@ -121,6 +135,7 @@
 
     fn insert(&mut self, entry: Entry, now: Time) {
         let at = seconds(now);
+        self.bands.observe(entry.prompt());
         self.demand[entry.band.index()].add(entry.prompt(), at, super::DEMAND_HALF_LIFE);
         self.workspaces.get_mut(entry.workspace).admitted(entry.cost, at);
         let request = entry.req.id;
@@ -135,7 +150,7 @@
         self.due.remove(&Due { at: entry.due, request });
         entry.state = State::Waiting;
         // From here on it could not make its bound even on an idle engine.
-        let own = if entry.is_trial { 0.0 } else { entry.prompt() / fastest };
+        let own = if entry.is_trial { 0.0 } else { entry.uncached / fastest };
         let latest = Time(entry.bound.0.saturating_sub((own * 1e6) as u64));
         entry.due = latest.min(entry.req.deadline);
         self.due.insert(Due { at: entry.due, request });
@@ -149,7 +164,7 @@
     pub(super) fn predict(&self, entry: &Entry) -> f64 {
         let short_load = self.short_load();
         let slowed = if entry.band.is_long() { 1.0 - short_load } else { 1.0 };
-        let own = entry.prompt() / (self.fleet.typical_rate * slowed);
+        let own = entry.uncached / (self.fleet.typical_rate * slowed);
         let ahead = self.queued_ahead(entry);
         let capacity =
             if entry.band.is_long() { self.long_rate * slowed } else { self.fleet.total_rate };
--- /dev/null
+++ b/crates/policy/src/trefoilhall/answers.rs
@@ -0,0 +1,130 @@
+//! What answers teach.
+//!
+//! **Load pattern.** Engines change under load, and no report says how.
+//!
+//! **Without it.** Predictions stay as wrong as they were on the first day.
+//!
+//! **Rule.** An attempt's first token gives one sample of the engine's speed, of the error of the
+//! prediction made on admission and of the engine's health; a whole answer gives one of decoding and
+//! pays into the retry budgets. Word of an attempt that is over teaches nothing.
+//!
+//! **Grounds.** A first token after a retry says more of the failure than of the engine, so only
+//! first attempts count for the margin; a prompt over several engines says nothing of the speed of
+//! one.
+
+use crate::{Outcome, RequestId, Time, Tokens};
+
+use super::{
+    Trefoilhall,
+    request::{Attempt, Entry, State},
+    seconds, span,
+    workspaces::SPREAD,
+};
+
+impl Trefoilhall {
+    /// Takes note of an attempt's first token; `cached` as the engine counted it.
+    pub(super) fn first_token(
+        &mut self,
+        request: RequestId,
+        attempt: u32,
+        cached: Option<Tokens>,
+        now: Time,
+    ) {
+        if !self.is_running(request, attempt) {
+            return;
+        }
+        self.end_prefill(request, cached, now);
+    }
+
+    /// Takes note of generated tokens: the endpoint is alive.
+    pub(super) fn progressed(&mut self, request: RequestId, attempt: u32, now: Time) {
+        if !self.is_running(request, attempt) {
+            return;
+        }
+        let shard = self.requests.get(&request).and_then(Entry::runs_on);
+        if let Some(endpoint) = shard.and_then(|shard| self.fleet.of(shard)) {
+            endpoint.progressed(now);
+        }
+    }
+
+    /// Takes note of a request's end and forgets it.
+    pub(super) fn ended(&mut self, request: RequestId, outcome: &Outcome, now: Time) {
+        if let Outcome::Finished { output, .. } = outcome {
+            // A plain service's answer comes whole, so it has no first token of its own.
+            self.end_prefill(request, None, now);
+            self.finished(request, *output, now);
+        }
+        self.forget(request, now);
+    }
+
+    fn finished(&mut self, request: RequestId, output: Tokens, now: Time) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let State::Running(attempt) = &entry.state else { return };
+        self.quarantine.completed(entry.req.fingerprint);
+        if let Some(shard) = attempt.shards.first() {
+            self.budgets.succeeded(&entry.req.workspace, &shard.endpoint, now);
+        }
+        if let Some(first) = attempt.first_token {
+            let generated = (output - entry.passed_on).0 as f64;
+            let allowed = entry.req.max_output.0 as f64;
+            self.decode.observe(generated, allowed, now.since(first).as_secs_f64());
+        }
+    }
+
+    fn end_prefill(&mut self, request: RequestId, cached: Option<Tokens>, now: Time) {
+        let Some(entry) = self.requests.get_mut(&request) else { return };
+        let State::Running(attempt) = &mut entry.state else { return };
+        if attempt.first_token.is_some() {
+            return;
+        }
+        attempt.first_token = Some(now);
+        let is_long = entry.band.is_long();
+        self.learn_of_endpoint(request, cached, now);
+        let Some(entry) = self.requests.get(&request) else { return };
+        if entry.attempts == 1 && !entry.is_trial {
+            let actual = seconds(now) - seconds(entry.req.arrived);
+            self.margins[entry.lane].observe(entry.predicted, actual);
+        }
+        if is_long {
+            self.look_at_fleet(now);
+        }
+    }
+
+    fn learn_of_endpoint(&mut self, request: RequestId, cached: Option<Tokens>, now: Time) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let State::Running(attempt) = &entry.state else { return };
+        let Some(shard) = attempt.shards.first() else { return };
+        let typical = self.fleet.typical_rate;
+        let Some(endpoint) = self.fleet.of(shard) else { return };
+        endpoint.prefilled(entry.band, attempt.prefill);
+        endpoint.progressed(now);
+        endpoint.note_moment(now);
+        let done = prefilled(entry, attempt, cached);
+        let overtaken = endpoint.short_done - attempt.short_done;
+        let is_long = entry.band.is_long();
+        let work = attempt.ahead + done + if is_long { overtaken } else { 0.0 };
+        if !is_long {
+            endpoint.short_done += done;
+        }
+        let taken = now.since(attempt.sent);
+        if entry.lane != SPREAD {
+            let mut elapsed = taken.as_secs_f64() - 2.0 * endpoint.distance;
+            if attempt.beside_longs {
+                let rate = endpoint.speed.rate().unwrap_or(typical);
+                self.beside_longs.observe(work / rate, elapsed);
+                elapsed -= self.beside_longs.seconds().min(elapsed / 2.0);
+            }
+            endpoint.speed.observe(work, elapsed);
+            self.health.answered(&shard.endpoint, taken, span(attempt.predicted));
+        }
+        if let Some(cached) = cached {
+            self.cache.found(&shard.endpoint, attempt.cached, cached);
+        }
+    }
+}
+
+/// The prompt tokens that the engine had to prefill.
+fn prefilled(entry: &Entry, attempt: &Attempt, cached: Option<Tokens>) -> f64 {
+    let cached = cached.unwrap_or(attempt.cached);
+    (entry.req.prompt + entry.passed_on - cached).0.max(1) as f64
+}
--- a/crates/policy/src/trefoilhall/class.rs
+++ b/crates/policy/src/trefoilhall/class.rs
@@ -6,19 +6,32 @@
 //! minute behind a dossier. Fixed limits in tokens are wrong on every other engine.
 //!
 //! **Rule.** A prompt's band follows from how long its prefill takes alone on the deployment's
-//! typical engine, by the limits [`LIMITS`]. Band 0 is short, the others are long; engines and
-//! queues serve lower bands first. A request whose footprint is more than an engine's usable memory
-//! spreads over several engines.
+//! typical engine. What takes up to [`SHORT_SPAN`] times as long as the median prompt is short,
+//! within [`SHORT_LIMITS`]; each further limit is [`STEP`] times the last. Engines and queues serve
+//! lower bands first. A request whose footprint is more than an engine's usable memory spreads over
+//! several engines.
 //!
-//! **Grounds.** One second is the time after which a person notices that an answer is slow to
-//! come, so what prefills in less can be answered without notice. Each further limit is eight
-//! times the last: a prompt that waits for one band below its own to be served is delayed by less
-//! than it takes itself, while more bands would each hold too few prompts to order.
+//! **Grounds.** A second is the time after which a person notices that an answer is slow to come,
+//! so nothing slower is ever short; on very fast engines a tenth of it is the limit, since behind
+//! that nobody notices anything. Between them the site's own median decides, so that on engines of
+//! any speed its ordinary prompts are the short ones. A step of eight: a prompt that lets the band
+//! below go first is delayed by less than it takes itself, while more bands would each hold too few
+//! prompts to order.
 
 use crate::{BANDS, Priority};
 
-/// Seconds of prefill alone above which a prompt belongs to the next band.
-pub(super) const LIMITS: [f64; BANDS - 1] = [1.0, 8.0, 64.0];
+use super::window::Window;
+
+/// How many times the median prompt's prefill is still short.
+const SHORT_SPAN: f64 = 8.0;
+/// The least and the most seconds of prefill that are short.
+const SHORT_LIMITS: std::ops::RangeInclusive<f64> = 0.1..=1.0;
+/// Each band's limit over that of the band below.
+const STEP: f64 = 8.0;
+/// The budget of short prefill on one engine, as a share of the short limit.
+const SHORT_BUDGET: f64 = 0.1;
+/// The budget of a longer band, as a share of its lower limit.
+const LONG_BUDGET: f64 = 0.05;
 
 /// The share of an engine's memory that is planned with. Engines allocate in blocks and round up.
 pub(super) const USABLE: f64 = 0.97;
@@ -36,12 +49,6 @@
         (0..BANDS as u8).map(Band)
     }
 
-    /// The band of `prompt` tokens on an engine that prefills `rate` tokens a second.
-    pub(super) fn of(prompt: f64, rate: f64) -> Band {
-        let seconds = prompt / rate.max(1.0);
-        Band(LIMITS.iter().filter(|limit| seconds > **limit).count() as u8)
-    }
-
     pub(super) fn is_long(self) -> bool {
         self != Band::SHORT
     }
@@ -62,3 +69,47 @@
         Priority(200 - 50 * self.0)
     }
 }
+
+/// The limits between bands, in seconds of prefill alone.
+#[derive(Debug, Clone)]
+pub(super) struct Bands {
+    limits: [f64; BANDS - 1],
+    prompts: Window<MEDIAN_OF>,
+}
+
+/// Prompts over which the median is taken.
+const MEDIAN_OF: usize = 64;
+
+impl Bands {
+    pub(super) fn new() -> Bands {
+        let mut bands = Bands { limits: [0.0; BANDS - 1], prompts: Window::new() };
+        bands.update(f64::INFINITY);
+        bands
+    }
+
+    /// Takes note of a prompt that came in.
+    pub(super) fn observe(&mut self, prompt: f64) {
+        self.prompts.push(prompt);
+    }
+
+    /// Sets the limits by the median prompt on an engine that prefills `rate` tokens a second.
+    pub(super) fn update(&mut self, rate: f64) {
+        let median = self.prompts.quantile(0.5).map_or(f64::INFINITY, |prompt| prompt / rate);
+        let short = (SHORT_SPAN * median).clamp(*SHORT_LIMITS.start(), *SHORT_LIMITS.end());
+        self.limits = std::array::from_fn(|step| short * STEP.powi(step as i32));
+    }
+
+    /// The band of `prompt` tokens on an engine that prefills `rate` tokens a second.
+    pub(super) fn of(&self, prompt: f64, rate: f64) -> Band {
+        let seconds = prompt / rate.max(1.0);
+        Band(self.limits.iter().filter(|limit| seconds > **limit).count() as u8)
+    }
+
+    /// Seconds of prefill that may stand before a newly sent prompt of `band` on its engine.
+    pub(super) fn budget(&self, band: Band) -> f64 {
+        match band.index() {
+            0 => SHORT_BUDGET * self.limits[0],
+            index => LONG_BUDGET * self.limits[index - 1],
+        }
+    }
+}
--- a/crates/policy/src/trefoilhall/dispatch.rs
+++ b/crates/policy/src/trefoilhall/dispatch.rs
@@ -7,50 +7,49 @@
 //! back: the order is fixed when it is sent, by whoever sent most.
 //!
 //! **Rule.** An engine gets only so much prefill ahead that it doesn't run dry before it can get
-//! more: a budget in predicted seconds for each band ([`BUDGET`]), not a number of requests. All
-//! else waits here. Short prompts have the higher engine priority, so their budget counts
+//! more: a budget in predicted seconds for each band (see [`super::class`]), not a number of
+//! requests. All else waits here. Which engine it is, [`crate::place`] chooses among those with
+//! room. Short prompts have the higher engine priority, so their budget counts
 //! short ones only. The cost of an engine is the prompt's own predicted first token, weighted by
 //! its class, and the delay of those that it would overtake there, weighted by theirs; so short
 //! ones avoid engines with long prompts until that costs them as much as they spare.
 //!
-//! **Grounds.** A tenth of a second is several round trips within a region and several chunks of
-//! prefill; what it adds to a short prompt's wait is below what a person notices. For longer bands
-//! the budget is a few percent of their own prefill time.
+//! **Grounds.** A tenth of the longest short prefill is several round trips within a region and
+//! several chunks of prefill; what it adds to a short prompt's wait is below what its caller
+//! notices. For longer bands the budget is a few percent of their own prefill time.
 
-use crate::{BANDS, Decision, EndpointId, FailCause, RequestId, Shard, Start, Time, Tokens};
+use crate::{
+    Decision, EndpointId, FailCause, RequestId, Shard, Start, Time, TokenRate, Tokens,
+    place::{self, Ask, Candidate},
+};
 
 use super::{
     Trefoilhall,
     class::Band,
     endpoint::Endpoint,
     request::{Attempt, Due, Entry, State},
-    seconds,
+    seconds, span,
 };
 
-/// Seconds of prefill that may stand before a newly sent prompt of each band.
-pub(super) const BUDGET: [f64; BANDS] = [0.1, 0.2, 0.5, 2.0];
 /// Workspaces whose first request is looked at before a lane counts as blocked. The first may be
 /// barred from the only engine with room, because it failed there or needs more memory.
 const LOOKAHEAD: usize = 4;
-/// Relative difference of cost below which two endpoints count as equal and chance decides, so
-/// that instances with the same view don't all pick the same one.
-const EQUAL: f64 = 0.1;
-
 /// Where a waiting request can go.
 enum Place {
     /// Here, now.
-    At(EndpointId),
+    At(Chosen),
     /// Nowhere yet.
     Later,
     /// Nowhere in time.
     TooLate,
 }
 
-/// An endpoint that has room for a request.
-struct Choice<'a> {
-    endpoint: &'a Endpoint,
-    first_token: f64,
-    cost: f64,
+/// The endpoint chosen for a request.
+struct Chosen {
+    endpoint: EndpointId,
+    cached: Tokens,
+    /// Seconds until the first token.
+    predicted: f64,
 }
 
 impl Trefoilhall {
@@ -70,10 +69,9 @@
         let turns: Vec<_> = self.lanes[lane].turns().take(LOOKAHEAD).collect();
         for workspace in turns {
             let Some(first) = self.workspaces.get(workspace).lines[lane].first() else { continue };
-            let Some(entry) = self.requests.get(&first.request) else { continue };
-            match self.place(entry, now) {
-                Place::At(endpoint) => {
-                    self.start_on_one(first.request, &endpoint, now);
+            match self.place(first.request, now) {
+                Place::At(chosen) => {
+                    self.start_on_one(first.request, &chosen, now);
                     return true;
                 }
                 Place::TooLate => {
@@ -86,81 +84,98 @@
         false
     }
 
-    fn place(&self, entry: &Entry, now: Time) -> Place {
-        let mut best: Option<Choice<'_>> = None;
-        let mut least = f64::INFINITY;
-        let mut equals = 1u64;
-        for endpoint in self.fleet.endpoints.values() {
-            let Some(choice) = self.choice(entry, endpoint, now) else { continue };
-            least = least.min(choice.first_token);
-            let limit = best.as_ref().map_or(f64::INFINITY, |best| best.cost);
-            if choice.cost < limit * (1.0 - EQUAL) {
-                equals = 1;
-                best = Some(choice);
-            } else if choice.cost < limit * (1.0 + EQUAL) {
-                equals += 1;
-                if self.draw(entry.req.id, equals) {
-                    best = Some(choice);
-                }
-            }
-        }
-        let Some(best) = best else { return Place::Later };
-        if !entry.is_trial && now + super::span(least) > entry.bound {
+    fn place(&mut self, request: RequestId, now: Time) -> Place {
+        let Some(entry) = self.requests.get(&request) else { return Place::Later };
+        let ask = self.ask(entry, now);
+        let endpoints = self.fleet.endpoints.values();
+        let candidates: Vec<Candidate> =
+            endpoints.filter_map(|endpoint| self.candidate(entry, endpoint, now)).collect();
+        let Some(index) = place::choose(&candidates, &ask, &mut self.rng) else {
+            return Place::Later;
+        };
+        let first_token = |candidate| place::first_token(candidate, &ask);
+        let least = candidates.iter().map(first_token).min().unwrap_or_default();
+        if !entry.is_trial && now + least > entry.bound {
             return Place::TooLate;
         }
-        Place::At(best.endpoint.id.clone())
+        let chosen = &candidates[index];
+        Place::At(Chosen {
+            endpoint: chosen.endpoint.clone(),
+            cached: chosen.cached.min(entry.req.prompt),
+            predicted: first_token(chosen).as_secs_f64(),
+        })
     }
 
-    /// One chance in `of`, drawn from the request and this instance's seed.
-    fn draw(&self, request: RequestId, of: u64) -> bool {
-        fastrand::Rng::with_seed(self.seed ^ request.0 ^ (of << 48)).u64(..of) == 0
+    fn ask(&self, entry: &Entry, now: Time) -> Ask {
+        let busy = self.total_demand.iter().sum::<f64>() / self.fleet.total_rate.max(1.0);
+        Ask {
+            prompt: entry.req.prompt,
+            footprint: entry.req.footprint(),
+            long: entry.band.is_long(),
+            prefix: entry.req.prefix.first().copied(),
+            unheard: place::unheard(self.peers.age(now), busy, self.peers.instances()),
+            weights: self.rules.weights,
+        }
     }
 
-    /// The endpoint as a choice for `entry`, where it may get it now.
-    fn choice<'a>(&self, entry: &Entry, endpoint: &'a Endpoint, now: Time) -> Option<Choice<'a>> {
-        if !endpoint.usable() || endpoint.full_until > now {
+    /// The endpoint as a candidate for `entry`, where it may get it now.
+    fn candidate(&self, entry: &Entry, endpoint: &Endpoint, now: Time) -> Option<Candidate> {
+        let band = entry.band;
+        if !endpoint.usable() || endpoint.full_until > now || endpoint.caution.is_infinite() {
             return None;
         }
-        let band = entry.band;
         if band.is_long() && !endpoint.open_to_longs {
             return None;
         }
         let rate = self.fleet.rate(endpoint);
-        if !has_budget(endpoint, band, rate) || endpoint.free() < entry.footprint() {
+        if !has_budget(endpoint, band, self.bands.budget(band) * rate) {
             return None;
         }
-        if !entry.may_go_to(&endpoint.id, endpoint.incarnation) {
+        let free = endpoint.free();
+        if free < entry.footprint() || !entry.may_go_to(&endpoint.id, endpoint.incarnation) {
             return None;
         }
-        let prefill = entry.prompt() / rate;
-        let delayed = endpoint.delayed_by(band);
-        let mut first_token = endpoint.lateness(seconds(now), rate) + 2.0 * endpoint.distance;
-        if band.is_long() {
-            let left = 1.0 - self.short_load();
-            first_token += (endpoint.ahead(band) / rate + prefill) / left;
-        } else {
-            let step = if delayed > 0.0 { self.beside_longs.seconds() } else { 0.0 };
-            first_token += endpoint.ahead(band) / rate + prefill + step;
-        }
-        let weights = &self.rules.weights;
-        let own = if band.is_long() { weights.long_first_token } else { weights.short_slowdown };
-        let cost = own * first_token + weights.long_first_token * prefill * delayed;
-        Some(Choice { endpoint, first_token, cost })
+        let fingerprint = entry.req.fingerprint;
+        if !self.quarantine.may_run(fingerprint, &endpoint.id, self.fleet.usable, now) {
+            return None;
+        }
+        let left = if band.is_long() { 1.0 - self.short_load() } else { 1.0 };
+        let wait = endpoint.ahead(band) / (rate * left) + endpoint.lateness(seconds(now), rate);
+        Some(Candidate {
+            endpoint: endpoint.id.clone(),
+            wait: span(wait),
+            rate: TokenRate(rate * left),
+            cached: self.cache.expected(&endpoint.id, &entry.req.prefix),
+            distance: span(endpoint.distance),
+            free: Tokens(free.min(1e18) as u64),
+            shorts_running: 0,
+            longs_running: endpoint.delayed_by(band),
+            long_open: endpoint.open_to_longs,
+            caution: endpoint.caution,
+        })
     }
 
-    fn start_on_one(&mut self, request: RequestId, endpoint: &EndpointId, now: Time) {
+    fn start_on_one(&mut self, request: RequestId, chosen: &Chosen, now: Time) {
         let Some(entry) = self.requests.get(&request) else { return };
-        let Some(endpoint) = self.fleet.get(endpoint) else { return };
+        let Some(endpoint) = self.fleet.get(&chosen.endpoint) else { return };
         let shard = Shard {
             endpoint: endpoint.id.clone(),
             incarnation: endpoint.incarnation,
             tokens: entry.req.footprint(),
         };
-        self.start(request, vec![shard], now);
+        self.start(request, vec![shard], chosen.cached, chosen.predicted, now);
     }
 
-    /// Starts a waiting request on `shards`, the first of which runs it.
-    pub(super) fn start(&mut self, request: RequestId, shards: Vec<Shard>, now: Time) {
+    /// Starts a waiting request on `shards`, the first of which runs it, has `cached` of its
+    /// prompt, and is predicted to give the first token in `predicted` seconds.
+    pub(super) fn start(
+        &mut self,
+        request: RequestId,
+        shards: Vec<Shard>,
+        cached: Tokens,
+        predicted: f64,
+        now: Time,
+    ) {
         self.leave_lane(request, true);
         let Some(entry) = self.requests.get_mut(&request) else { return };
         self.due.remove(&Due { at: entry.due, request });
@@ -168,7 +183,7 @@
         self.due.insert(Due { at: entry.due, request });
         entry.attempts += 1;
         let band = entry.band;
-        let prefill = (entry.req.prompt + entry.passed_on).0 as f64;
+        let prefill = (entry.req.prompt + entry.passed_on - cached).0.max(1) as f64;
         for shard in &shards {
             if let Some(endpoint) = self.fleet.get_mut(&shard.endpoint) {
                 endpoint.hold(shard.tokens.0 as f64);
@@ -176,11 +191,15 @@
         }
         let first = shards.first().and_then(|shard| self.fleet.get_mut(&shard.endpoint));
         let Some(endpoint) = first else { return };
+        self.cache.sent(&endpoint.id, endpoint.incarnation, &entry.req.prefix);
+        self.quarantine.started(entry.req.fingerprint, &endpoint.id, now);
         let attempt = Attempt {
             sent: now,
+            predicted,
+            cached,
             ahead: endpoint.ahead(band),
             short_done: endpoint.short_done,
-            beside_longs: !band.is_long() && endpoint.delayed_by(band) > 0.0,
+            beside_longs: !band.is_long() && endpoint.delayed_by(band) > 0,
             prefill,
             first_token: None,
             shards: shards.clone(),
@@ -237,10 +256,10 @@
     }
 }
 
-/// Whether an engine may get one more prompt of `band`.
-fn has_budget(endpoint: &Endpoint, band: Band, rate: f64) -> bool {
+/// Whether an engine may get one more prompt of `band` with so many tokens of budget.
+fn has_budget(endpoint: &Endpoint, band: Band, tokens: f64) -> bool {
     let ahead = if band.is_long() { endpoint.longs_ahead(band) } else { endpoint.ahead(band) };
-    ahead <= BUDGET[band.index()] * rate
+    ahead <= tokens
 }
 
 /// Tokens as a whole number, rounded up.
--- a/crates/policy/src/trefoilhall/endpoint.rs
+++ b/crates/policy/src/trefoilhall/endpoint.rs
@@ -102,6 +102,10 @@
     pub(super) draining: f64,
     /// It refused a request for lack of room; not asked again before this.
     pub(super) full_until: Time,
+    /// How cautiously it may be used, as the cost's factor; infinite where it is ejected.
+    pub(super) caution: f64,
+    /// Its requests were put under suspicion for this life's death.
+    pub(super) death_noted: bool,
     /// It asked for no new work in a report.
     pub(super) asks_leave: bool,
 }
@@ -128,6 +132,8 @@
             open_to_longs: true,
             draining: 0.0,
             full_until: Time::ZERO,
+            caution: 1.0,
+            death_noted: false,
             asks_leave: false,
         }
     }
@@ -191,11 +197,11 @@
 
     /// Prompts that are being prefilled there, or wait for that, and that a new one of `band`
     /// would delay. Of others' only whether there are any is known.
-    pub(super) fn delayed_by(&self, band: Band) -> f64 {
+    pub(super) fn delayed_by(&self, band: Band) -> u32 {
         let later = band.served_with() + 1..BANDS;
         let own: u32 = later.clone().map(|b| self.own.prefilling[b]).sum();
         let others = later.filter(|b| self.others_left[*b] > 1.0).count();
-        f64::from(own) + others as f64
+        own + others as u32
     }
 
     /// Seconds by which it is late with what it was sent.
@@ -296,7 +302,6 @@
         if share.incarnation != self.incarnation {
             return;
         }
-        self.peers.retain(|part| part.instance != *instance);
         self.peers.push(PeerPart {
             instance: instance.clone(),
             left: share.waiting_bands.map(|tokens| tokens.0 as f64),
--- a/crates/policy/src/trefoilhall/failover.rs
+++ b/crates/policy/src/trefoilhall/failover.rs
@@ -21,12 +21,15 @@
 
 use std::time::Duration;
 
-use crate::{Decision, Event, FailCause, Failure, Outcome, RequestId, Time, Tokens};
+use crate::{
+    Decision, FailCause, Failure, Fingerprint, RequestId, Time, Tokens, quarantine::Standing,
+    retry::backoff,
+};
 
 use super::{
     Trefoilhall,
+    endpoint::Endpoint,
     request::{Due, Entry, State, Tried},
-    seconds,
 };
 
 /// Failed attempts after which a request is given up.
@@ -39,11 +42,6 @@
 /// How long one that couldn't be reached or died isn't asked again, until something better is
 /// known of it.
 const GONE_FOR: Duration = Duration::from_millis(500);
-/// The span from which the first backoff is drawn.
-const FIRST_BACKOFF: Duration = Duration::from_millis(20);
-/// The longest such span.
-const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
-
 impl Trefoilhall {
     pub(super) fn attempt_failed(
         &mut self,
@@ -56,9 +54,15 @@
         if !self.is_running(request, attempt) {
             return;
         }
+        if cause == FailCause::EndpointDied {
+            self.note_death(request, now);
+        }
         let Some(ended) = self.release(request, now) else { return };
         let not_run = matches!(cause, FailCause::NotSent | FailCause::Rejected);
         self.mark_endpoints(&ended.shards, cause, now);
+        if let Some(shard) = ended.shards.first() {
+            self.health.failed(&shard.endpoint, cause);
+        }
         let Some(entry) = self.requests.get_mut(&request) else { return };
         entry.passed_on = entry.passed_on.max(passed_on);
         entry.may_have_run |= !not_run;
@@ -72,9 +76,13 @@
                 }),
             );
         }
+        let fingerprint = entry.req.fingerprint;
+        if cause != FailCause::EndpointDied {
+            self.quarantine.stopped(fingerprint);
+        }
         match self.give_up_cause(request, cause, now) {
             Some(cause) => self.fail(request, cause, now),
-            None => self.back_off(request, cause, now),
+            None => self.back_off(request, now),
         }
     }
 
@@ -96,7 +104,11 @@
     /// Drops all that is known of a request.
     pub(super) fn forget(&mut self, request: RequestId, now: Time) {
         self.leave_lane(request, false);
-        self.release(request, now);
+        if self.release(request, now).is_some()
+            && let Some(entry) = self.requests.get(&request)
+        {
+            self.quarantine.stopped(entry.req.fingerprint);
+        }
         let Some(entry) = self.requests.swap_remove(&request) else { return };
         self.due.remove(&Due { at: entry.due, request });
         if let State::BackingOff(at) = entry.state {
@@ -114,24 +126,6 @@
         }
     }
 
-    pub(super) fn ended(&mut self, request: RequestId, outcome: &Outcome, now: Time) {
-        self.first_token(request, None, None, now, matches!(outcome, Outcome::Finished { .. }));
-        if let (Outcome::Finished { output, .. }, Some(entry)) =
-            (outcome, self.requests.get(&request))
-        {
-            let allowed = entry.req.max_output.0 as f64;
-            if let State::Running(attempt) = &entry.state
-                && let Some(first) = attempt.first_token
-            {
-                let decoding = now.since(first).as_secs_f64();
-                let output = (*output - entry.passed_on).0 as f64;
-                self.decode.observe(output, allowed, decoding);
-            }
-            self.retry_units = (self.retry_units + self.rules.limits.retry_share).min(RETRY_UNITS);
-        }
-        self.forget(request, now);
-    }
-
     pub(super) fn is_running(&self, request: RequestId, attempt: u32) -> bool {
         self.requests.get(&request).is_some_and(|entry| {
             entry.attempts == attempt && matches!(entry.state, State::Running(_))
@@ -149,6 +143,9 @@
         if entry.may_have_run && !entry.req.repeatable {
             return Some(cause);
         }
+        if matches!(self.quarantine.standing(entry.req.fingerprint, now), Standing::Refused(_)) {
+            return Some(FailCause::Quarantined);
+        }
         if entry.failures >= MAX_FAILURES || entry.attempts >= MAX_ATTEMPTS {
             return Some(cause);
         }
@@ -163,14 +160,12 @@
         if free {
             return None;
         }
-        if self.retry_units < 1.0 {
-            return Some(FailCause::RetryBudget);
-        }
-        self.retry_units -= 1.0;
-        None
+        let endpoint = &entry.tried.last()?.endpoint;
+        let paid = self.budgets.pay(&entry.req.workspace, endpoint, now);
+        (!paid).then_some(FailCause::RetryBudget)
     }
 
-    fn back_off(&mut self, request: RequestId, cause: FailCause, now: Time) {
+    fn back_off(&mut self, request: RequestId, now: Time) {
         let decode = self.decode.clone();
         let Some(entry) = self.requests.get_mut(&request) else { return };
         if entry.passed_on > Tokens::ZERO {
@@ -178,13 +173,31 @@
             let needed = super::span(decode.seconds(left)).as_micros() as u64;
             entry.bound = Time(entry.req.deadline.0.saturating_sub(needed)).max(entry.bound);
         }
-        let doublings = if cause == FailCause::Rejected { entry.attempts - 1 } else { 0 };
-        let longest = FIRST_BACKOFF.saturating_mul(1 << doublings.min(10)).min(LONGEST_BACKOFF);
-        let at = now + longest.mul_f64(self.rng.f64());
+        let at = now + backoff(entry.attempts + 1, &mut self.rng);
         entry.state = State::BackingOff(at);
         self.later.insert(Due { at, request });
     }
 
+    /// Puts all requests of this instance under suspicion that ran on the life that died, once for
+    /// each death, before the first of them is released from it.
+    fn note_death(&mut self, request: RequestId, now: Time) {
+        let Some(life) = self.requests.get(&request).and_then(Entry::runs_on).cloned() else {
+            return;
+        };
+        let Some(endpoint) = self.fleet.of(&life) else { return };
+        if std::mem::replace(&mut endpoint.death_noted, true) {
+            return;
+        }
+        let there = |entry: &&Entry| {
+            entry.runs_on().is_some_and(|shard| {
+                shard.endpoint == life.endpoint && shard.incarnation == life.incarnation
+            })
+        };
+        let entries = self.requests.values().filter(there);
+        let present: Vec<Fingerprint> = entries.map(|entry| entry.req.fingerprint).collect();
+        self.quarantine.died(&life.endpoint, &present, now);
+    }
+
     fn mark_endpoints(&mut self, shards: &[crate::Shard], cause: FailCause, now: Time) {
         let pause = match cause {
             FailCause::Rejected => FULL_FOR,
@@ -197,78 +210,8 @@
             endpoint.full_until = endpoint.full_until.max(now + pause);
         }
     }
-
-    /// Takes note of an attempt's first token. A finished answer without one counts as such.
-    pub(super) fn first_token(
-        &mut self,
-        request: RequestId,
-        attempt: Option<u32>,
-        cached: Option<Tokens>,
-        now: Time,
-        counts: bool,
-    ) {
-        let Some(entry) = self.requests.get_mut(&request) else { return };
-        let is_current = attempt.is_none_or(|attempt| attempt == entry.attempts);
-        let State::Running(running) = &mut entry.state else { return };
-        if !is_current || running.first_token.is_some() {
-            return;
-        }
-        running.first_token = Some(now);
-        let typical = self.fleet.typical_rate;
-        let Some(endpoint) = running.shards.first().and_then(|shard| self.fleet.of(shard)) else {
-            return;
-        };
-        endpoint.prefilled(entry.band, running.prefill);
-        endpoint.progressed(now);
-        endpoint.note_moment(now);
-        if !counts {
-            return;
-        }
-        let done = (running.prefill - cached.unwrap_or(Tokens::ZERO).0 as f64).max(1.0);
-        let overtaken = if entry.band.is_long() {
-            endpoint.short_done - running.short_done
-        } else {
-            endpoint.short_done += done;
-            0.0
-        };
-        if entry.lane != super::workspaces::SPREAD {
-            let mut elapsed = now.since(running.sent).as_secs_f64() - 2.0 * endpoint.distance;
-            let work = running.ahead + overtaken + done;
-            if running.beside_longs {
-                let rate = endpoint.speed.rate().unwrap_or(typical);
-                self.beside_longs.observe(work / rate, elapsed);
-                elapsed -= self.beside_longs.seconds().min(elapsed / 2.0);
-            }
-            endpoint.speed.observe(work, elapsed);
-        }
-        if entry.attempts == 1 && !entry.is_trial {
-            let actual = seconds(now) - seconds(entry.req.arrived);
-            self.margins[entry.lane].observe(entry.predicted, actual);
-        }
-        if entry.band.is_long() {
-            self.look_at_fleet(now);
-        }
-    }
 }
 
-/// Successes' shares that are saved up for retries at most.
-pub(super) const RETRY_UNITS: f64 = 20.0;
-
-fn may_serve(entry: &Entry, endpoint: &super::endpoint::Endpoint) -> bool {
+fn may_serve(entry: &Entry, endpoint: &Endpoint) -> bool {
     endpoint.usable() && entry.may_go_to(&endpoint.id, endpoint.incarnation)
 }
-
-impl Trefoilhall {
-    /// Whether an event may be about an attempt that is long over; such events change nothing.
-    pub(super) fn progressed(&mut self, event: &Event, now: Time) {
-        let Event::Progress { request, attempt, .. } = event else { return };
-        let Some(entry) = self.requests.get(request) else { return };
-        let State::Running(running) = &entry.state else { return };
-        if entry.attempts != *attempt {
-            return;
-        }
-        if let Some(endpoint) = running.shards.first().and_then(|shard| self.fleet.of(shard)) {
-            endpoint.progressed(now);
-        }
-    }
-}
--- a/crates/policy/src/trefoilhall/fleet.rs
+++ b/crates/policy/src/trefoilhall/fleet.rs
@@ -63,8 +63,8 @@
     }
 
     /// Takes over the list of endpoints in force. One that isn't listed gets nothing new and is
-    /// dropped once it has nothing of ours.
-    pub(super) fn replace(&mut self, changes: &[EndpointChange], now: Time) {
+    /// dropped once it has nothing of ours. Returns those dropped.
+    pub(super) fn replace(&mut self, changes: &[EndpointChange], now: Time) -> Vec<EndpointId> {
         for endpoint in self.endpoints.values_mut() {
             if !changes.iter().any(|change| change.endpoint == endpoint.id) {
                 endpoint.state = EndpointState::Dead;
@@ -73,8 +73,10 @@
         for change in changes {
             self.change(change, now);
         }
-        self.endpoints.retain(|_, e| e.state != EndpointState::Dead || e.own.running > 0);
+        let over = |e: &Endpoint| e.state == EndpointState::Dead && e.own.running == 0;
+        let dropped = self.endpoints.extract_if(.., |_, e| over(e)).map(|(id, _)| id).collect();
         self.refresh(now);
+        dropped
     }
 
     pub(super) fn get(&self, endpoint: &EndpointId) -> Option<&Endpoint> {
@@ -111,7 +113,9 @@
         }
     }
 
+    /// Takes over another instance's parts. Where it tells of none any more, it has none.
     pub(super) fn peer(&mut self, digest: &LoadDigest) {
+        self.peer_gone(&digest.instance);
         for share in &digest.endpoints {
             if let Some(endpoint) = self.endpoints.get_mut(&share.endpoint) {
                 endpoint.peer(&digest.instance, share);
--- a/crates/policy/src/trefoilhall/mod.rs
+++ b/crates/policy/src/trefoilhall/mod.rs
@@ -6,6 +6,7 @@
 //! better. See `docs/decisions/scheduling.md` and `docs/decisions/long-beside-short.md`.
 
 mod admit;
+mod answers;
 mod class;
 mod dispatch;
 mod endpoint;
@@ -26,12 +27,17 @@
 use indexmap::IndexMap;
 
 use crate::{
-    Admission, BANDS, Decision, EndpointChange, Event, FailCause, Incarnation, InstanceId,
-    LoadDigest, RequestId, RequestSpec, Scheduler, Time, TokenRate, Tokens,
+    Admission, BANDS, Decision, EndpointChange, EndpointId, Event, FailCause, Incarnation,
+    InstanceId, LoadDigest, RequestId, RequestSpec, Scheduler, Time, TokenRate, Tokens,
+    affinity::CacheIndex,
     config::{DeploymentRules, Limits, Weights, WorkspaceTable},
+    health::{Health, Standing},
+    quarantine::Quarantine,
     report::WorkspaceShare,
+    retry::Budgets,
 };
 
+use class::Bands;
 use endpoint::ByBand;
 use fleet::Fleet;
 use learn::{BesideLongs, Decode, Margin};
@@ -55,6 +61,9 @@
 /// instances' budget for talk among themselves.
 const MOST_TOLD: usize = 64;
 
+/// Seconds between two judgements of the endpoints' health.
+const ASSESS_EVERY: f64 = 1.0;
+
 #[derive(Debug, Default)]
 struct Rules {
     weights: Weights,
@@ -67,7 +76,6 @@
     instance: InstanceId,
     incarnation: Incarnation,
     sequence: u64,
-    seed: u64,
     rng: Rng,
     rules: Rules,
     fleet: Fleet,
@@ -86,7 +94,14 @@
     beside_longs: BesideLongs,
     demand: [Decayed; BANDS],
     open_engines: OpenEngines,
-    retry_units: f64,
+    bands: Bands,
+    health: Health,
+    assessed: f64,
+    /// Ejected endpoints whose probe is due.
+    probes: Vec<EndpointId>,
+    cache: CacheIndex,
+    budgets: Budgets,
+    quarantine: Quarantine,
     last_trial: f64,
     /// Prompt tokens a second of all instances, by band.
     total_demand: ByBand,
@@ -105,7 +120,6 @@
             instance,
             incarnation,
             sequence: 0,
-            seed,
             rng: Rng::with_seed(seed),
             rules: Rules::default(),
             fleet: Fleet::new(),
@@ -123,7 +137,13 @@
             beside_longs: BesideLongs::new(),
             demand: Default::default(),
             open_engines: OpenEngines::new(),
-            retry_units: failover::RETRY_UNITS,
+            bands: Bands::new(),
+            health: Health::new(),
+            assessed: f64::NEG_INFINITY,
+            probes: Vec::new(),
+            cache: CacheIndex::new(),
+            budgets: Budgets::new(Limits::default().retry_share),
+            quarantine: Quarantine::new(),
             last_trial: f64::NEG_INFINITY,
             total_demand: ByBand::default(),
             long_rate: 0.0,
@@ -152,10 +172,12 @@
     /// are open to long prompts.
     fn look_at_fleet(&mut self, now: Time) {
         self.fleet.refresh(now);
+        self.bands.update(self.fleet.typical_rate);
         for band in 0..BANDS {
             let own = self.demand[band].rate(seconds(now), DEMAND_HALF_LIFE);
             self.total_demand[band] = own + self.peers.demand[band];
         }
+        self.assess_health(now);
         self.open_some(now);
         self.inflight = ByBand::default();
         self.least_wait = [f64::INFINITY; BANDS];
@@ -177,6 +199,59 @@
         }
     }
 
+    /// Ejects what has to be ejected, and takes over how cautiously each endpoint may be used.
+    fn assess_health(&mut self, now: Time) {
+        if seconds(now) - self.assessed >= ASSESS_EVERY {
+            self.assessed = seconds(now);
+            let load = self.total_demand.iter().sum::<f64>() / self.fleet.typical_rate.max(1.0);
+            self.health.assess(load.ceil() as usize, now, &mut self.rng);
+            self.quarantine.expire(now);
+        }
+        for endpoint in self.fleet.endpoints.values_mut() {
+            endpoint.caution = match self.health.standing(&endpoint.id, now) {
+                Standing::Usable(caution) => caution,
+                Standing::Out => f64::INFINITY,
+            };
+        }
+    }
+
+    /// Takes note of a probe. Of an ejected endpoint only those count that are due: the driver
+    /// probes all the time, and an endpoint that answers probes may still fail its calls.
+    fn probed(&mut self, endpoint: &EndpointId, healthy: bool, now: Time) {
+        self.probes.extend(self.health.due_probes(now));
+        let is_out = self.health.standing(endpoint, now) == Standing::Out;
+        let due = self.probes.iter().position(|probe| probe == endpoint);
+        if let Some(index) = due {
+            self.probes.swap_remove(index);
+        }
+        if !is_out || due.is_some() {
+            self.health.probed(endpoint, healthy, now, &mut self.rng);
+        }
+    }
+
+    /// Takes over what another instance told.
+    fn peer_told(&mut self, digest: LoadDigest, now: Time) {
+        if digest.instance == self.instance || !self.peers.is_new(&digest) {
+            return;
+        }
+        self.fleet.peer(&digest);
+        self.quarantine.import(&digest.suspicions, now);
+        for endpoint in &digest.suspects_at {
+            self.quarantine.heard_running(endpoint, now);
+        }
+        self.peers.accept(digest, &mut self.workspaces, now);
+    }
+
+    fn endpoint_changed(&mut self, change: &EndpointChange, now: Time) {
+        let known = self.fleet.get(&change.endpoint).map(|endpoint| endpoint.incarnation);
+        if known.is_some_and(|known| change.incarnation > known) {
+            self.health.reset(&change.endpoint);
+        }
+        self.fleet.change(change, now);
+        self.health.configure(self.fleet.endpoints.keys());
+        self.look_at_fleet(now);
+    }
+
     /// Opens as many engines to long prompts as the cost says, the last by id.
     fn open_some(&mut self, now: Time) {
         let typical = self.fleet.typical_rate.max(1.0);
@@ -236,7 +311,11 @@
             let all = self.workspaces.iter().filter(|(_, state)| waiting(state));
             queue.set_weights(all.map(|(_, state)| state.weight).sum());
         }
-        self.fleet.replace(endpoints, now);
+        for gone in self.fleet.replace(endpoints, now) {
+            self.cache.forget(&gone);
+        }
+        self.health.configure(self.fleet.endpoints.keys());
+        self.budgets.configure(rules.limits.retry_share);
         self.look_at_fleet(now);
     }
 
@@ -272,27 +351,19 @@
     fn observe(&mut self, event: Event, now: Time) {
         match event {
             Event::FirstToken { request, attempt, cached } => {
-                self.first_token(request, Some(attempt), cached, now, true);
+                self.first_token(request, attempt, cached, now);
             }
-            Event::Progress { .. } => self.progressed(&event, now),
+            Event::Progress { request, attempt, .. } => self.progressed(request, attempt, now),
             Event::Ended { request, outcome } => self.ended(request, &outcome, now),
             Event::AttemptFailed { request, attempt, cause, passed_on } => {
                 self.attempt_failed(request, attempt, cause, passed_on, now);
             }
             Event::Load(report) => self.fleet.report(&report, now),
-            Event::Cache(_) => {}
-            Event::Peer(digest) => {
-                if self.peers.is_new(&digest) && digest.instance != self.instance {
-                    self.fleet.peer(&digest);
-                    self.peers.accept(digest, &mut self.workspaces, now);
-                }
-            }
+            Event::Cache(events) => self.cache.apply(&events),
+            Event::Peer(digest) => self.peer_told(digest, now),
             Event::PeerGone { instance, incarnation } => self.peer_gone(&instance, incarnation),
-            Event::Endpoint(change) => {
-                self.fleet.change(&change, now);
-                self.look_at_fleet(now);
-            }
-            Event::Probe { .. } => {}
+            Event::Endpoint(change) => self.endpoint_changed(&change, now),
+            Event::Probe { endpoint, healthy } => self.probed(&endpoint, healthy, now),
         }
     }
 
@@ -302,6 +373,8 @@
         let shares = self.fleet.endpoints.values().filter(|e| e.own.running > 0);
         let mut queued = std::array::from_fn(|band| Tokens(self.lanes[band].tokens() as u64));
         queued[BANDS - 1] += Tokens(self.lanes[workspaces::SPREAD].tokens() as u64);
+        let mut suspicions = self.quarantine.export(now);
+        suspicions.truncate(LoadDigest::MAX_ENTRIES);
         LoadDigest {
             instance: self.instance.clone(),
             incarnation: self.incarnation,
@@ -313,8 +386,8 @@
                 TokenRate(self.demand[band].rate(seconds(now), DEMAND_HALF_LIFE))
             }),
             wishes: self.wishes(now),
-            suspicions: Vec::new(),
-            suspects_at: Vec::new(),
+            suspicions,
+            suspects_at: self.quarantine.running().take(LoadDigest::MAX_ENTRIES).cloned().collect(),
         }
     }
 }
--- a/crates/policy/src/trefoilhall/peers.rs
+++ b/crates/policy/src/trefoilhall/peers.rs
@@ -53,6 +53,11 @@
         self.views.len() + 1
     }
 
+    /// How old the oldest view of another instance is.
+    pub(super) fn age(&self, now: Time) -> Duration {
+        self.views.values().map(|view| now.since(view.received)).max().unwrap_or_default()
+    }
+
     /// Whether `digest` is news.
     pub(super) fn is_new(&self, digest: &LoadDigest) -> bool {
         self.views.get(&digest.instance).is_none_or(|view| {
--- a/crates/policy/src/trefoilhall/request.rs
+++ b/crates/policy/src/trefoilhall/request.rs
@@ -18,6 +18,8 @@
     pub(super) band: Band,
     /// The lane it waits in: its band's, or [`SPREAD`].
     pub(super) lane: usize,
+    /// Prompt tokens that no engine is expected to have cached.
+    pub(super) uncached: f64,
     /// Weighted tokens, for shares.
     pub(super) cost: f64,
     /// By when the next first token has to be out.
@@ -64,6 +66,10 @@
 pub(super) struct Attempt {
     pub(super) shards: Vec<Shard>,
     pub(super) sent: Time,
+    /// Seconds from then to the first token, as predicted.
+    pub(super) predicted: f64,
+    /// Prompt tokens that the engine was expected to have cached.
+    pub(super) cached: Tokens,
     /// Work that stood before it there.
     pub(super) ahead: f64,
     /// The endpoint's count of short tokens done when it was sent.
@@ -88,6 +94,14 @@
         self.req.footprint().0 as f64
     }
 
+    /// The shard that runs it, while an attempt is under way.
+    pub(super) fn runs_on(&self) -> Option<&Shard> {
+        match &self.state {
+            State::Running(attempt) => attempt.shards.first(),
+            State::Waiting | State::BackingOff(_) => None,
+        }
+    }
+
     pub(super) fn needs_several(&self) -> bool {
         self.lane == SPREAD
     }
--- a/crates/policy/src/trefoilhall/reserve.rs
+++ b/crates/policy/src/trefoilhall/reserve.rs
@@ -26,7 +26,10 @@
     report::{ReservationWish, WishPart},
 };
 
-use super::{Trefoilhall, class::USABLE, dispatch::whole, endpoint::Endpoint, workspaces::SPREAD};
+use super::{
+    Trefoilhall, class::USABLE, dispatch::whole, endpoint::Endpoint, request::Entry,
+    workspaces::SPREAD,
+};
 
 /// The share of an engine's memory that a prompt over several engines leaves to short ones, where
 /// the engines are large enough together.
@@ -61,8 +64,10 @@
             return;
         }
         let Some(plan) = self.plan.take() else { return };
-        let shards = plan.parts.iter().filter_map(|part| self.shard(part)).collect();
-        self.start(plan.request, shards, now);
+        let shards: Vec<Shard> = plan.parts.iter().filter_map(|part| self.shard(part)).collect();
+        let prompt = self.requests.get(&plan.request).map_or(0.0, Entry::prompt);
+        let predicted = prompt / self.fleet.typical_rate;
+        self.start(plan.request, shards, Tokens::ZERO, predicted, now);
     }
 
     /// This instance's wish, for the others.
@@ -102,7 +107,7 @@
     }
 
     fn is_usable(&self, endpoint: &EndpointId) -> bool {
-        self.fleet.get(endpoint).is_some_and(Endpoint::usable)
+        self.fleet.get(endpoint).is_some_and(|e| e.usable() && e.caution.is_finite())
     }
 
     /// The fewest engines, those with the most room first, whose memory holds the prompt; in the
@@ -113,7 +118,8 @@
             .fleet
             .endpoints
             .values()
-            .filter(|e| e.usable() && e.memory > 0.0 && entry.may_go_to(&e.id, e.incarnation))
+            .filter(|e| e.usable() && e.caution.is_finite() && e.memory > 0.0)
+            .filter(|e| entry.may_go_to(&e.id, e.incarnation))
             .collect();
         engines.sort_by(|a, b| b.free_for_drain().total_cmp(&a.free_for_drain()));
         let needed = entry.footprint();
