--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -109,6 +109,9 @@
     pub running: u32,
     /// Estimated memory that they hold.
     pub held: Tokens,
+    /// Prompt tokens that were prefilled there for this instance in the endpoint's present life,
+    /// ever. Their rise over all instances gives the engine's speed while it is never idle.
+    pub prefilled: Tokens,
     /// Prefill speed as learned here; zero where nothing was learned.
     pub prefill_rate: TokenRate,
     /// Whether this instance has ejected the endpoint.
--- a/crates/policy/src/trefoilhall/admit.rs
+++ b/crates/policy/src/trefoilhall/admit.rs
@@ -6,9 +6,9 @@
 //! full speed and nobody is helped. Callers learn of it at their deadline.
 //!
 //! **Rule.** A request is refused at once if its predicted first token, times the learned margin,
-//! is past its bound. The prediction adds what stands before it (in this queue, in the peers'
-//! queues, on the engines, in its band and below), at most as much as its workspace's share makes
-//! it wait, to its own prefill. The refusal says when the prediction would fit. A full waiting room
+//! is past its bound. The prediction adds three waits to its own prefill: for what stands on the
+//! engines in its band and below, for what waits in lower bands here and on the peers, and for its
+//! own workspace's turns, which come at its share of the lane or at what the others leave. The refusal says when the prediction would fit. A full waiting room
 //! gives up the latest request of the workspace furthest over its share, or refuses the newcomer
 //! if that is the one.
 //!
@@ -30,7 +30,7 @@
     queue::WorkspaceIndex,
     request::{Due, Entry, State},
     seconds, span,
-    workspaces::SPREAD,
+    workspaces::{HALF_LIFE, SPREAD},
 };
 
 /// Prefill tokens that one decoded token counts as. Decoding runs in batches, but holds a step of
@@ -45,6 +45,21 @@
 /// The most of an engine that short prompts are taken to use in predictions for long ones.
 const MOST_SHORT_LOAD: f64 = 0.9;
 
+/// Seconds until a first token.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Prediction {
+    /// The wait for others, and the request's own prefill.
+    others: f64,
+    /// The wait for its own workspace's turn.
+    own_wait: f64,
+}
+
+impl Prediction {
+    pub(super) fn seconds(self) -> f64 {
+        self.others + self.own_wait
+    }
+}
+
 impl Trefoilhall {
     pub(super) fn admit(&mut self, req: Arc<RequestSpec>, now: Time) -> Admission {
         match self.check(&req, now) {
@@ -74,8 +89,12 @@
             return Err(self.refusal(RefusalReason::TooLarge, *RETRY_AFTER.end()));
         }
         let mut entry = self.entry(req.clone(), workspace);
-        entry.predicted = self.predict(&entry);
-        let promised = entry.predicted * self.margins[entry.lane].factor();
+        let prediction = self.predict(&entry, now);
+        entry.predicted = prediction.seconds();
+        entry.own_wait = prediction.own_wait;
+        let turn_margin = self.workspaces.get(workspace).lines[entry.lane].margin.factor();
+        let promised = prediction.others * self.margins[entry.lane].factor()
+            + prediction.own_wait * turn_margin;
         let allowed = entry.bound.since(now).as_secs_f64();
         if promised > allowed {
             if !self.may_try(now) {
@@ -110,6 +129,7 @@
             may_have_run: false,
             passed_on: crate::Tokens::ZERO,
             predicted: 0.0,
+            own_wait: 0.0,
             is_trial: false,
             req,
         }
@@ -137,7 +157,9 @@
         let at = seconds(now);
         self.bands.observe(entry.prompt());
         self.demand[entry.band.index()].add(entry.prompt(), at, super::DEMAND_HALF_LIFE);
-        self.workspaces.get_mut(entry.workspace).admitted(entry.cost, at);
+        let state = self.workspaces.get_mut(entry.workspace);
+        state.admitted(entry.cost, at);
+        state.lines[entry.lane].demand.add(entry.prompt(), at, HALF_LIFE);
         let request = entry.req.id;
         self.requests.insert(request, entry);
         self.enqueue(request);
@@ -161,34 +183,36 @@
     }
 
     /// Seconds until the first token of `entry`, if it is admitted now.
-    pub(super) fn predict(&self, entry: &Entry) -> f64 {
-        let short_load = self.short_load();
-        let slowed = if entry.band.is_long() { 1.0 - short_load } else { 1.0 };
-        let own = entry.uncached / (self.fleet.typical_rate * slowed);
-        let ahead = self.queued_ahead(entry);
-        let capacity =
-            if entry.band.is_long() { self.long_rate * slowed } else { self.fleet.total_rate };
+    pub(super) fn predict(&self, entry: &Entry, now: Time) -> Prediction {
         let band = entry.band.index();
-        let spread = (self.inflight[band] + ahead) / capacity.max(1.0);
-        if ahead > 0.0 || entry.needs_several() {
-            return spread + own;
+        let slowed = if entry.band.is_long() { 1.0 - self.short_load() } else { 1.0 };
+        let own = entry.uncached / (self.fleet.typical_rate * slowed);
+        let capacity = if entry.band.is_long() { self.long_rate * slowed } else { self.short_rate };
+        let capacity = capacity.max(1.0);
+        let lower: f64 = (0..band).map(|b| self.lanes[b].tokens() + self.peers.queued[b]).sum();
+        let queued = lower + self.lanes[entry.lane].tokens() + self.peers.queued[band];
+        let wait = (self.inflight[band] + lower) / capacity;
+        if queued > 0.0 || entry.needs_several() {
+            let own_wait = self.wait_for_share(entry, capacity, now);
+            return Prediction { others: wait + own, own_wait };
         }
         // Nobody waits: it goes to the engine that is free first.
-        spread.min(self.least_wait[band] / slowed) + own
+        Prediction { others: wait.min(self.least_wait[band] / slowed) + own, own_wait: 0.0 }
     }
 
-    /// Prompt tokens that go before `entry`, in this queue and the peers'.
-    fn queued_ahead(&self, entry: &Entry) -> f64 {
-        let band = entry.band.index();
-        let lower: f64 = (0..band).map(|b| self.lanes[b].tokens() + self.peers.queued[b]).sum();
+    /// Seconds until its workspace's turn comes in the lane. The workspace can count on its share
+    /// of the lane, and on what the others of late left of it if that is more.
+    fn wait_for_share(&self, entry: &Entry, capacity: f64, now: Time) -> f64 {
         let lane = &self.lanes[entry.lane];
-        let same = lane.tokens() + self.peers.queued[band];
         let state = self.workspaces.get(entry.workspace);
-        let mine = state.lines[entry.lane].tokens();
-        let newcomer = if mine > 0.0 { 0.0 } else { state.weight };
-        let mine = mine + state.peers_waiting.min(self.peers.queued[band]) + entry.prompt();
-        let by_share = mine * (lane.weights() + newcomer) / state.weight;
-        lower + same.min(by_share)
+        let line = &state.lines[entry.lane];
+        let peers = state.peers_waiting.min(self.peers.queued[entry.band.index()]);
+        let mine = line.tokens() + peers;
+        let newcomer = if line.tokens() > 0.0 { 0.0 } else { state.weight };
+        let share = capacity * state.weight / (lane.weights() + newcomer);
+        let own = line.demand.rate(seconds(now), HALF_LIFE) + state.peers_served;
+        let others = (self.total_demand[entry.band.index()] - own).max(0.0);
+        mine / share.max(capacity - others).min(capacity)
     }
 
     /// The part of the engines' speed that short prompts use.
--- a/crates/policy/src/trefoilhall/answers.rs
+++ b/crates/policy/src/trefoilhall/answers.rs
@@ -83,13 +83,26 @@
         let Some(entry) = self.requests.get(&request) else { return };
         if entry.attempts == 1 && !entry.is_trial {
             let actual = seconds(now) - seconds(entry.req.arrived);
-            self.margins[entry.lane].observe(entry.predicted, actual);
+            self.learn_margin(request, actual);
         }
         if is_long {
             self.look_at_fleet(now);
         }
     }
 
+    /// Takes note of what became of the prediction made on admission. One that consisted mostly of
+    /// the wait for its own workspace's turn says something of that workspace alone.
+    pub(super) fn learn_margin(&mut self, request: RequestId, actual: f64) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let base = entry.predicted - entry.own_wait;
+        if entry.own_wait > base {
+            let line = &mut self.workspaces.get_mut(entry.workspace).lines[entry.lane];
+            line.margin.observe((actual - base) / entry.own_wait);
+        } else {
+            self.margins[entry.lane].observe(entry.predicted, actual);
+        }
+    }
+
     fn learn_of_endpoint(&mut self, request: RequestId, cached: Option<Tokens>, now: Time) {
         let Some(entry) = self.requests.get(&request) else { return };
         let State::Running(attempt) = &entry.state else { return };
@@ -106,6 +119,7 @@
         if !is_long {
             endpoint.short_done += done;
         }
+        endpoint.count_done(done, seconds(now));
         let taken = now.since(attempt.sent);
         if entry.lane != SPREAD {
             let mut elapsed = taken.as_secs_f64() - 2.0 * endpoint.distance;
--- a/crates/policy/src/trefoilhall/class.rs
+++ b/crates/policy/src/trefoilhall/class.rs
@@ -36,6 +36,10 @@
 /// The share of an engine's memory that is planned with. Engines allocate in blocks and round up.
 pub(super) const USABLE: f64 = 0.97;
 
+/// The share of an engine's memory that a prompt over several engines leaves to short ones, where
+/// the engines are large enough together. Short prompts are a hundredth of that or less.
+pub(super) const SHORT_KEEP: f64 = 0.05;
+
 /// A band of prompt lengths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Band(pub(super) u8);
--- a/crates/policy/src/trefoilhall/dispatch.rs
+++ b/crates/policy/src/trefoilhall/dispatch.rs
@@ -66,6 +66,10 @@
 
     /// Starts or gives up one request of a lane; false where the lane is empty or blocked.
     fn start_next(&mut self, lane: usize, now: Time) -> bool {
+        let is_short = lane == Band::SHORT.index();
+        if is_short && !self.pace.allows(seconds(now)) {
+            return false;
+        }
         let turns: Vec<_> = self.lanes[lane].turns().take(LOOKAHEAD).collect();
         for workspace in turns {
             let Some(first) = self.workspaces.get(workspace).lines[lane].first() else { continue };
@@ -131,7 +135,7 @@
         if !has_budget(endpoint, band, self.bands.budget(band) * rate) {
             return None;
         }
-        let free = endpoint.free();
+        let free = endpoint.free(band);
         if free < entry.footprint() || !entry.may_go_to(&endpoint.id, endpoint.incarnation) {
             return None;
         }
@@ -186,7 +190,7 @@
         let prefill = (entry.req.prompt + entry.passed_on - cached).0.max(1) as f64;
         for shard in &shards {
             if let Some(endpoint) = self.fleet.get_mut(&shard.endpoint) {
-                endpoint.hold(shard.tokens.0 as f64);
+                endpoint.hold(band, shard.tokens.0 as f64);
             }
         }
         let first = shards.first().and_then(|shard| self.fleet.get_mut(&shard.endpoint));
@@ -215,6 +219,8 @@
         }));
         if band.is_long() {
             self.look_at_fleet(now);
+        } else {
+            self.pace.started(prefill);
         }
     }
 
@@ -246,7 +252,7 @@
         let band = entry.band;
         for (index, shard) in attempt.shards.iter().enumerate() {
             let Some(endpoint) = self.fleet.of(shard) else { continue };
-            endpoint.release(shard.tokens.0 as f64);
+            endpoint.release(band, shard.tokens.0 as f64);
             if index == 0 && attempt.first_token.is_none() {
                 endpoint.prefilled(band, attempt.prefill);
             }
--- a/crates/policy/src/trefoilhall/endpoint.rs
+++ b/crates/policy/src/trefoilhall/endpoint.rs
@@ -26,7 +26,7 @@
 };
 
 use super::{
-    class::{Band, USABLE},
+    class::{Band, SHORT_KEEP, USABLE},
     learn::Speed,
     seconds,
 };
@@ -40,6 +40,13 @@
 /// Excess over twice the expected time, in seconds, before an endpoint counts as late.
 const LATE_AFTER: f64 = 0.5;
 
+/// Seconds without idling over which throughput counts as the engine's speed. Ten digests: the
+/// last one's lag errs by a tenth.
+const BUSY_FOR: f64 = 1.0;
+
+/// The share of memory held beyond which an engine is the last to be opened to long prompts.
+const MOST_HELD: f64 = 0.6;
+
 /// Prompt tokens by band.
 pub(super) type ByBand = [f64; BANDS];
 
@@ -56,6 +63,8 @@
     pub(super) running: u32,
     /// Memory they need.
     pub(super) held: f64,
+    /// The part of it that short prompts need.
+    short_held: f64,
 }
 
 /// What one other instance has under way there.
@@ -64,6 +73,16 @@
     instance: InstanceId,
     left: ByBand,
     held: f64,
+    /// Prompt tokens prefilled for it, ever.
+    done: f64,
+}
+
+/// A stretch of time in which the engine was never idle.
+#[derive(Debug)]
+struct Busy {
+    since: f64,
+    /// Prompt tokens prefilled for all instances when it began.
+    done: f64,
 }
 
 #[derive(Debug)]
@@ -96,6 +115,10 @@
     last_progress: f64,
     /// Short prompt tokens done for this instance, ever.
     pub(super) short_done: f64,
+    /// All prompt tokens done for this instance, ever, and for the others.
+    done: f64,
+    others_done: f64,
+    busy: Option<Busy>,
     /// Whether long prompts may go there.
     pub(super) open_to_longs: bool,
     /// Memory being drained for a prompt that needs several engines.
@@ -129,6 +152,9 @@
             advanced: seconds(now),
             last_progress: seconds(now),
             short_done: 0.0,
+            done: 0.0,
+            others_done: 0.0,
+            busy: None,
             open_to_longs: true,
             draining: 0.0,
             full_until: Time::ZERO,
@@ -220,10 +246,19 @@
         (now - self.last_progress - 2.0 * expected - LATE_AFTER).max(0.0)
     }
 
-    /// Memory for new requests, less what is being drained for another; without bound where the
-    /// endpoint reports none.
-    pub(super) fn free(&self) -> f64 {
-        self.free_for_drain() - self.draining
+    /// Memory for a new request of `band`; without bound where the endpoint reports none. What is
+    /// being drained is kept free, but for a small part that short prompts always keep.
+    pub(super) fn free(&self, band: Band) -> f64 {
+        let free = self.free_for_drain();
+        let kept =
+            if band.is_long() { 0.0 } else { self.memory * SHORT_KEEP - self.own.short_held };
+        (free - self.draining).max(free.min(kept))
+    }
+
+    /// Whether no prompt over several engines takes most of its memory, or is about to.
+    pub(super) fn has_spare_memory(&self) -> bool {
+        self.memory <= 0.0
+            || self.draining <= 0.0 && self.own.held + self.others_held < self.memory * MOST_HELD
     }
 
     /// Memory for the very prompt that it is being drained for.
@@ -259,17 +294,24 @@
     }
 
     /// Takes `tokens` of memory for a request that starts there.
-    pub(super) fn hold(&mut self, tokens: f64) {
+    pub(super) fn hold(&mut self, band: Band, tokens: f64) {
+        if !band.is_long() {
+            self.own.short_held += tokens;
+        }
         self.own.running += 1;
         self.own.held += tokens;
     }
 
     /// Gives them back.
-    pub(super) fn release(&mut self, tokens: f64) {
+    pub(super) fn release(&mut self, band: Band, tokens: f64) {
+        if !band.is_long() {
+            self.own.short_held = (self.own.short_held - tokens).max(0.0);
+        }
         self.own.running = self.own.running.saturating_sub(1);
         self.own.held = (self.own.held - tokens).max(0.0);
         if self.own.running == 0 {
             self.own.held = 0.0;
+            self.own.short_held = 0.0;
         }
     }
 
@@ -308,14 +350,49 @@
         if share.incarnation != self.incarnation {
             return;
         }
+        let done = share.prefilled.0 as f64;
+        let known = self.peers.iter().find(|part| part.instance == *instance);
+        self.others_done += known.map_or(0.0, |part| (done - part.done).max(0.0));
+        self.peers.retain(|part| part.instance != *instance);
         self.peers.push(PeerPart {
             instance: instance.clone(),
             left: share.waiting_bands.map(|tokens| tokens.0 as f64),
             held: share.held.0 as f64,
+            done,
         });
         self.sum_peers();
     }
 
+    /// Another instance's digest tells of nothing under way here.
+    pub(super) fn peer_has_none(&mut self, instance: &InstanceId) {
+        let Some(part) = self.peers.iter_mut().find(|part| part.instance == *instance) else {
+            return;
+        };
+        part.left = ByBand::default();
+        part.held = 0.0;
+        self.sum_peers();
+    }
+
+    /// Takes note of `tokens` prefilled for this instance. Once the engine has not been idle for
+    /// [`BUSY_FOR`], what was prefilled there for all instances is a sample of its speed.
+    pub(super) fn count_done(&mut self, tokens: f64, now: f64) {
+        self.done += tokens;
+        let done = self.done + self.others_done;
+        let idle = self.own.prefilling.iter().all(|count| *count == 0)
+            && self.others_left.iter().all(|left| *left < 1.0);
+        if idle {
+            self.busy = None;
+            return;
+        }
+        let busy = self.busy.get_or_insert(Busy { since: now, done });
+        let lasted = now - busy.since;
+        if lasted >= BUSY_FOR {
+            let work = done - busy.done;
+            self.busy = Some(Busy { since: now, done });
+            self.speed.observe(work, lasted);
+        }
+    }
+
     /// Forgets another instance's part.
     pub(super) fn peer_gone(&mut self, instance: &InstanceId) {
         let known = self.peers.len();
@@ -325,6 +402,11 @@
         }
     }
 
+    /// Whether the others have to hear of this instance's part.
+    pub(super) fn is_told(&self) -> bool {
+        self.own.running > 0 || self.done > 0.0
+    }
+
     /// This instance's part, for the others.
     pub(super) fn share(&self) -> EndpointShare {
         let left = std::array::from_fn(|band| crate::Tokens(self.own_left(band) as u64));
@@ -335,6 +417,7 @@
             waiting_bands: left,
             running: self.own.running,
             held: crate::Tokens(self.own.held as u64),
+            prefilled: crate::Tokens(self.done as u64),
             prefill_rate: crate::TokenRate(self.speed.rate().unwrap_or(0.0)),
             ejected: false,
         }
--- a/crates/policy/src/trefoilhall/failover.rs
+++ b/crates/policy/src/trefoilhall/failover.rs
@@ -90,10 +90,10 @@
     pub(super) fn fail(&mut self, request: RequestId, cause: FailCause, now: Time) {
         let Some(entry) = self.requests.get(&request) else { return };
         let ran = Self::ran(entry);
-        let predicted = self.predict(entry);
+        let predicted = self.predict(entry, now).seconds();
         if cause == FailCause::Deadline && entry.attempts == 0 && !entry.is_trial {
             let waited = now.since(entry.req.arrived).as_secs_f64();
-            self.margins[entry.lane].observe(entry.predicted, waited);
+            self.learn_margin(request, waited);
         }
         let retry_after = self.retry_after(predicted);
         self.forget(request, now);
--- a/crates/policy/src/trefoilhall/fleet.rs
+++ b/crates/policy/src/trefoilhall/fleet.rs
@@ -115,7 +115,9 @@
 
     /// Takes over another instance's parts. Where it tells of none any more, it has none.
     pub(super) fn peer(&mut self, digest: &LoadDigest) {
-        self.peer_gone(&digest.instance);
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.peer_has_none(&digest.instance);
+        }
         for share in &digest.endpoints {
             if let Some(endpoint) = self.endpoints.get_mut(&share.endpoint) {
                 endpoint.peer(&digest.instance, share);
--- a/crates/policy/src/trefoilhall/learn.rs
+++ b/crates/policy/src/trefoilhall/learn.rs
@@ -101,6 +101,36 @@
     }
 }
 
+/// How far one workspace's waits for its turn are off: a quantile that follows each ratio by a small
+/// step, because a window for each of thousands of workspaces would cost too much memory.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TurnMargin(f32);
+
+/// The step of [`TurnMargin`]: a workspace that starts to overrun its share is met by a doubled
+/// margin after about ten waits.
+const TURN_STEP: f64 = 0.1;
+
+impl Default for TurnMargin {
+    fn default() -> Self {
+        TurnMargin(1.0)
+    }
+}
+
+impl TurnMargin {
+    /// Takes note of a ratio of actual to predicted wait.
+    pub(super) fn observe(&mut self, ratio: f64) {
+        let above = ratio > f64::from(self.0);
+        let step = if above { ERROR_QUANTILE } else { ERROR_QUANTILE - 1.0 };
+        let next = f64::from(self.0) + TURN_STEP * step;
+        self.0 = next.clamp(*MARGIN.start(), *MARGIN.end()) as f32;
+    }
+
+    /// What a wait is multiplied by before it becomes a promise.
+    pub(super) fn factor(self) -> f64 {
+        f64::from(self.0)
+    }
+}
+
 /// What a short prompt loses on an engine that prefills a long one: the chunk under way isn't
 /// interrupted, and its length is the engine's own affair.
 #[derive(Debug, Clone)]
--- a/crates/policy/src/trefoilhall/mod.rs
+++ b/crates/policy/src/trefoilhall/mod.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod learn;
 mod longs;
+mod pace;
 mod peers;
 mod queue;
 mod request;
@@ -42,6 +43,7 @@
 use fleet::Fleet;
 use learn::{BesideLongs, Decode, Margin};
 use longs::{Demand, OpenEngines};
+use pace::{ShortPace, long_claim};
 use peers::Peers;
 use queue::Lane;
 use request::{Due, Entry, State};
@@ -105,11 +107,14 @@
     probes: Vec<EndpointId>,
     cache: CacheIndex,
     budgets: Budgets,
+    pace: ShortPace,
+    /// Prefill speed that short prompts can count on.
+    short_rate: f64,
     quarantine: Quarantine,
     last_trial: f64,
     /// Prompt tokens a second of all instances, by band.
     total_demand: ByBand,
-    /// Prefill speed of the engines open to long prompts.
+    /// Prefill speed of the engines open to long prompts and with memory for them.
     long_rate: f64,
     /// Prefill on the engines that goes before a prompt of each band, and the least on any one in
     /// seconds.
@@ -146,6 +151,8 @@
             assessed: f64::NEG_INFINITY,
             probes: Vec::new(),
             cache: CacheIndex::new(),
+            pace: ShortPace::default(),
+            short_rate: 0.0,
             budgets: Budgets::new(Limits::default().retry_share),
             quarantine: Quarantine::new(),
             last_trial: f64::NEG_INFINITY,
@@ -188,7 +195,7 @@
         self.long_rate = 0.0;
         for endpoint in self.fleet.endpoints.values().filter(|endpoint| endpoint.usable()) {
             let rate = self.fleet.rate(endpoint);
-            if endpoint.open_to_longs {
+            if endpoint.open_to_longs && endpoint.has_spare_memory() {
                 self.long_rate += rate;
             }
             for band in class::Band::all() {
@@ -201,6 +208,23 @@
                 *least = least.min(ahead / rate);
             }
         }
+        self.pace_shorts(now);
+    }
+
+    /// Sets how fast short prompts may start here, by what long ones claim.
+    fn pace_shorts(&mut self, now: Time) {
+        let total = self.fleet.total_rate.max(1.0);
+        let longs: f64 = self.total_demand[1..].iter().sum();
+        let weights = &self.rules.weights;
+        let claim = long_claim(longs / total, weights.long_first_token, weights.short_slowdown);
+        let under_way = self.inflight[BANDS - 1] > self.inflight[0];
+        let waiting = self.lanes[1..].iter().any(|lane| lane.tokens() > 0.0);
+        let held_back = under_way || waiting;
+        self.short_rate = if held_back { total * (1.0 - claim) } else { total };
+        let own = self.demand[0].rate(seconds(now), DEMAND_HALF_LIFE);
+        let by_traffic = if own > 0.0 { own / self.total_demand[0].max(own) } else { 0.0 };
+        let part = 0.5 / self.peers.instances() as f64 + 0.5 * by_traffic;
+        self.pace.set(self.short_rate * part, held_back, seconds(now));
     }
 
     /// Ejects what has to be ejected, and takes over how cautiously each endpoint may be used.
@@ -256,7 +280,8 @@
         self.look_at_fleet(now);
     }
 
-    /// Opens as many engines to long prompts as the cost says, the last by id.
+    /// Opens as many engines to long prompts as the cost says: the last by id, after those whose
+    /// memory a prompt over several engines takes.
     fn open_some(&mut self, now: Time) {
         let typical = self.fleet.typical_rate.max(1.0);
         let longs: f64 = self.total_demand[1..].iter().sum();
@@ -264,9 +289,15 @@
         let usable = self.fleet.usable;
         let open = self.open_engines.update(usable, demand, &self.rules.weights, seconds(now));
         let mut left = open;
-        for endpoint in self.fleet.endpoints.values_mut().rev() {
-            endpoint.open_to_longs = endpoint.usable() && left > 0;
-            left -= usize::from(endpoint.open_to_longs);
+        for endpoint in self.fleet.endpoints.values_mut() {
+            endpoint.open_to_longs = false;
+        }
+        for spare in [true, false] {
+            let endpoints = self.fleet.endpoints.values_mut().rev();
+            for endpoint in endpoints.filter(|e| e.usable() && e.has_spare_memory() == spare) {
+                endpoint.open_to_longs = left > 0;
+                left -= usize::from(endpoint.open_to_longs);
+            }
         }
     }
 
@@ -378,7 +409,7 @@
     fn digest(&mut self, now: Time) -> LoadDigest {
         self.sequence += 1;
         self.fleet.advance(now);
-        let shares = self.fleet.endpoints.values().filter(|e| e.own.running > 0);
+        let shares = self.fleet.endpoints.values().filter(|e| e.is_told());
         let mut queued = std::array::from_fn(|band| Tokens(self.lanes[band].tokens() as u64));
         queued[BANDS - 1] += Tokens(self.lanes[workspaces::SPREAD].tokens() as u64);
         let mut suspicions = self.quarantine.export(now);
--- /dev/null
+++ b/crates/policy/src/trefoilhall/pace.rs
@@ -0,0 +1,65 @@
+//! How fast short prompts may start while long ones are under way.
+//!
+//! **Load pattern.** An engine is lost, or a campaign doubles the short questions, while dossiers
+//! are being reviewed.
+//!
+//! **Without it.** Engines serve short prompts first. Short ones alone can fill them, and a dossier
+//! that was admitted makes no progress until its deadline: its caller has waited for nothing.
+//!
+//! **Rule.** While any long prompt waits or is being prefilled, short ones start at no more than the
+//! part of the fleet's speed that long demand leaves. Long demand counts up to
+//! `long_first_token / (long_first_token + short_slowdown)` of the fleet, so each side keeps its
+//! weight's share. What is over waits, and admission sees the wait. Instances split the speed like
+//! the workspaces' limits: half evenly, half by traffic.
+//!
+//! **Grounds.** [`BURST`] lets the random bunches of ordinary traffic through; only a lasting excess
+//! is held back. Without long prompts nothing is.
+
+/// Seconds of the allowed speed that may start at once.
+const BURST: f64 = 0.5;
+
+/// What short prompts may still start.
+#[derive(Debug, Default)]
+pub(super) struct ShortPace {
+    rate: f64,
+    level: f64,
+    updated: f64,
+    held_back: bool,
+}
+
+impl ShortPace {
+    /// Sets the allowed tokens a second, and whether it is in force.
+    pub(super) fn set(&mut self, rate: f64, held_back: bool, now: f64) {
+        self.refill(now);
+        if self.rate <= 0.0 || !held_back {
+            self.level = rate * BURST;
+        }
+        self.rate = rate;
+        self.held_back = held_back;
+    }
+
+    /// Whether a short prompt may start.
+    pub(super) fn allows(&mut self, now: f64) -> bool {
+        self.refill(now);
+        !self.held_back || self.level > 0.0
+    }
+
+    /// Counts one that started.
+    pub(super) fn started(&mut self, prompt: f64) {
+        if self.held_back {
+            self.level -= prompt;
+        }
+    }
+
+    fn refill(&mut self, now: f64) {
+        let gained = self.rate * (now - self.updated).max(0.0);
+        self.level = (self.level + gained).min(self.rate * BURST);
+        self.updated = now;
+    }
+}
+
+/// The part of the fleet that long prompts can claim, of `demand` (as a part of the fleet).
+pub(super) fn long_claim(demand: f64, long_weight: f64, short_weight: f64) -> f64 {
+    let share = long_weight / (long_weight + short_weight).max(f64::MIN_POSITIVE);
+    demand.min(share)
+}
--- a/crates/policy/src/trefoilhall/queue.rs
+++ b/crates/policy/src/trefoilhall/queue.rs
@@ -20,6 +20,8 @@
 
 use crate::{RequestId, Time};
 
+use super::{learn::TurnMargin, window::Decayed};
+
 /// Tags count in thousandths of a weighted token, so that large weights still tell apart.
 const TAG_UNIT: f64 = 1000.0;
 
@@ -43,6 +45,10 @@
     queue: BTreeSet<Waiting>,
     /// Prompt tokens that wait.
     tokens: f64,
+    /// Prompt tokens admitted of late.
+    pub(super) demand: Decayed,
+    /// How far predictions of its waits are off.
+    pub(super) margin: TurnMargin,
 }
 
 impl Line {
--- a/crates/policy/src/trefoilhall/request.rs
+++ b/crates/policy/src/trefoilhall/request.rs
@@ -39,6 +39,8 @@
     pub(super) passed_on: Tokens,
     /// Seconds from arrival to first token, as predicted on admission.
     pub(super) predicted: f64,
+    /// The part of it that is the wait for its own workspace's turn.
+    pub(super) own_wait: f64,
     /// Admitted to learn the engines' speed although the prediction said no.
     pub(super) is_trial: bool,
 }
--- a/crates/policy/src/trefoilhall/reserve.rs
+++ b/crates/policy/src/trefoilhall/reserve.rs
@@ -22,18 +22,21 @@
 use std::time::Duration;
 
 use crate::{
-    EndpointId, RequestId, Shard, Time, Tokens,
+    BANDS, EndpointId, RequestId, Shard, Time, Tokens,
     report::{ReservationWish, WishPart},
 };
 
 use super::{
-    Trefoilhall, class::USABLE, dispatch::whole, endpoint::Endpoint, request::Entry,
+    Trefoilhall,
+    class::{Band, SHORT_KEEP, USABLE},
+    dispatch::whole,
+    endpoint::Endpoint,
+    request::Entry,
     workspaces::SPREAD,
 };
 
-/// The share of an engine's memory that a prompt over several engines leaves to short ones, where
-/// the engines are large enough together.
-const SHORT_KEEP: f64 = 0.05;
+/// For room beside what is drained for others, a prompt over several engines counts as long.
+const LONGEST: Band = Band(BANDS as u8 - 1);
 /// How long a choice of engines that isn't free yet is kept. Long enough to drain by long
 /// prompts' answers; short enough to leave an engine that doesn't come free at all.
 const KEEP_PLAN: Duration = Duration::from_secs(30);
@@ -153,7 +156,7 @@
 
     fn has_room(&self, part: &WishPart, is_first: bool, now: Time) -> bool {
         self.fleet.get(&part.endpoint).is_some_and(|endpoint| {
-            let free = if is_first { endpoint.free_for_drain() } else { endpoint.free() };
+            let free = if is_first { endpoint.free_for_drain() } else { endpoint.free(LONGEST) };
             endpoint.usable() && endpoint.full_until <= now && free >= part.tokens.0 as f64
         })
     }
