Fold of the ledger and of publications, and an exhaustive search over the ledger's protocol

Policy gains replay (a stream's fold with gaps, checkpoints and stale checkpoints), ledger (claims, the claimant's own state, keys and windows) and publication (changes by base version, conflicts, audit trail, differences). Contract: Offset moves to policy and is re-exported by platform::log.

The search found a fault in the first draft: a caller could hear 'not run' from an attempt that took over after an unknown outcome. Standing::maybe_ran and Claimant::abandon now say 'unknown'. A re-append without bound made the first model infinite; appends are repeated only without answer.

--- a/crates/platform/src/log/mod.rs
+++ b/crates/platform/src/log/mod.rs
@@ -6,29 +6,9 @@
 use std::{fmt, future::Future, time::Duration};
 
 use bytes::Bytes;
+pub use policy::Offset;
 use serde::{Deserialize, Serialize};
 
-/// Position of a record in its stream; only rises.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct Offset(pub u64);
-
-impl fmt::Display for Offset {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-impl std::str::FromStr for Offset {
-    type Err = std::num::ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Offset)
-    }
-}
-
 /// One record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
--- /dev/null
+++ b/crates/policy/src/ledger/fold.rs
@@ -0,0 +1,324 @@
+//! What the records of a ledger stream mean. Every instance folds them to the same standing.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Answer, Batch, CallKey, Claim, ClaimId, Entry, KeyTime, Part, Writer,
+    key::{CLOCK_SKEW, millis},
+    record::hex,
+};
+use crate::{
+    Fingerprint, Offset,
+    replay::{Fold, Stamp},
+};
+
+/// Keys in one part of a checkpoint. With answers of a few hundred bytes a part is about 100 KB.
+const KEYS_PER_PART: usize = 200;
+/// Answers' bytes in one part of a checkpoint, so that large answers don't make a part too large.
+const BYTES_PER_PART: usize = 256 << 10;
+/// How much longer than its own patience a claimant of a call that the endpoint deduplicates is
+/// left alone. It covers the clocks of two machines running apart within one call.
+const TAKEOVER_MARGIN_MS: u64 = 5_000;
+
+/// How often writers that are gone are dropped from memory, in milliseconds of the log's clock.
+const SWEEP_MS: u64 = 60_000;
+
+/// How long keys are remembered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Window(pub Duration);
+
+/// How far a call has come.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// A claimant has the right to run it and may be running it.
+    Claimed,
+    /// The claimant has given it up without running it; the next attempt may be claimed.
+    NotRun,
+    /// It may or may not have run, and nobody can tell.
+    Unknown,
+    /// It ran.
+    Done(Answer),
+}
+
+/// What is known of one key.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Standing {
+    /// The present attempt.
+    pub attempt: u32,
+    /// Who has claimed it.
+    pub writer: Writer,
+    /// By which claim.
+    pub claim: ClaimId,
+    /// Where the claim stands; the fencing number of the call.
+    pub offset: Offset,
+    /// Hash of the call's body.
+    #[serde(with = "hex")]
+    pub fingerprint: Fingerprint,
+    /// Whether the endpoint answers a repeated key with its first answer.
+    pub deduplicates: bool,
+    /// Whether an earlier attempt may have run. Only where the endpoint deduplicates.
+    #[serde(default)]
+    pub maybe_ran: bool,
+    /// When the claimant is through, on the log's clock.
+    pub ends_ms: u64,
+    /// When the key is forgotten, on the log's clock.
+    pub expires_ms: u64,
+    /// How far it has come.
+    pub phase: Phase,
+}
+
+impl Standing {
+    /// Whether the claim is that of `writer`'s batch entry `claim`.
+    pub fn is_held_by(&self, writer: &Writer, claim: ClaimId) -> bool {
+        self.writer == *writer && self.claim == claim
+    }
+
+    /// The attempt that may be claimed next, if one may be at `now_ms`.
+    pub fn next_attempt(&self, deduplicates: bool, now_ms: u64) -> Option<u32> {
+        let claimable = match self.phase {
+            Phase::NotRun => true,
+            Phase::Done(_) => false,
+            // The endpoint itself makes sure that the call takes effect once.
+            Phase::Unknown => self.deduplicates && deduplicates,
+            Phase::Claimed => {
+                let over = now_ms > self.ends_ms.saturating_add(TAKEOVER_MARGIN_MS);
+                self.deduplicates && deduplicates && over
+            }
+        };
+        claimable.then(|| self.attempt.saturating_add(1))
+    }
+}
+
+/// The state of one ledger stream.
+#[derive(Debug, Clone)]
+pub struct Ledger {
+    window: Window,
+    keys: HashMap<CallKey, Standing>,
+    /// Keys by when they are forgotten.
+    expiry: BTreeSet<(u64, CallKey)>,
+    /// Each writer's last batch, and when it came.
+    writers: HashMap<Writer, (u64, u64)>,
+    now_ms: u64,
+    swept_ms: u64,
+}
+
+impl Ledger {
+    /// What is known of `key`.
+    pub fn standing(&self, key: &CallKey) -> Option<&Standing> {
+        self.keys.get(key)
+    }
+
+    /// How many keys are remembered.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// The log's clock as of the last entry.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// The last batch of `writer` that counts.
+    ///
+    /// A writer that was silent for longer than the window counts as new. This is decided here
+    /// and not by when [`Ledger::forget`] last swept, so that all readers decide alike.
+    pub fn sequence(&self, writer: &Writer) -> u64 {
+        let oldest = self.oldest_writer_ms();
+        let known = self.writers.get(writer).filter(|(_, seen_ms)| *seen_ms >= oldest);
+        known.map_or(0, |(sequence, _)| *sequence)
+    }
+
+    fn oldest_writer_ms(&self) -> u64 {
+        let kept = millis(self.window.0).saturating_add(millis(CLOCK_SKEW));
+        self.now_ms.saturating_sub(kept)
+    }
+
+    fn take(
+        &mut self,
+        entry: Entry,
+        writer: &Writer,
+        id: ClaimId,
+        stamp: Stamp,
+    ) -> Option<CallKey> {
+        match entry {
+            Entry::Claim(claim) => self.claim(claim, writer, id, stamp),
+            // This attempt didn't run, which says nothing of an earlier one.
+            Entry::NotRun { key, claim } => {
+                self.advance(key, writer, claim, |standing| match standing.phase {
+                    Phase::Claimed if standing.maybe_ran => Some(Phase::Unknown),
+                    Phase::Claimed => Some(Phase::NotRun),
+                    _ => None,
+                })
+            }
+            Entry::Unknown { key, claim } => {
+                self.advance(key, writer, claim, |standing| match standing.phase {
+                    Phase::Claimed => Some(Phase::Unknown),
+                    _ => None,
+                })
+            }
+            // An answer may still come after the claimant has told its caller that the outcome is
+            // unknown; it is the first one, and every later caller gets it.
+            Entry::Done { key, claim, answer } => {
+                self.advance(key, writer, claim, |standing| match standing.phase {
+                    Phase::Claimed | Phase::Unknown => Some(Phase::Done(answer)),
+                    Phase::NotRun | Phase::Done(_) => None,
+                })
+            }
+        }
+    }
+
+    fn claim(
+        &mut self,
+        claim: Claim,
+        writer: &Writer,
+        id: ClaimId,
+        stamp: Stamp,
+    ) -> Option<CallKey> {
+        // A claim that surfaces after its key was forgotten would be taken for the first.
+        if claim.key.time(self.window.0, stamp.time_ms) != KeyTime::Usable {
+            return None;
+        }
+        let mut maybe_ran = false;
+        if let Some(standing) = self.keys.get(&claim.key) {
+            maybe_ran = standing.maybe_ran || standing.phase != Phase::NotRun;
+            let next = standing.next_attempt(claim.deduplicates, stamp.time_ms);
+            if next != Some(claim.attempt) || standing.fingerprint != claim.fingerprint {
+                return None;
+            }
+            self.expiry.remove(&(standing.expires_ms, claim.key.clone()));
+        } else if claim.attempt != 1 {
+            return None;
+        }
+        let made_ms = claim.key.made_ms().unwrap_or(0);
+        let expires_ms = made_ms.max(stamp.time_ms).saturating_add(millis(self.window.0));
+        let standing = Standing {
+            attempt: claim.attempt,
+            writer: writer.clone(),
+            claim: id,
+            offset: stamp.offset,
+            fingerprint: claim.fingerprint,
+            deduplicates: claim.deduplicates,
+            maybe_ran,
+            ends_ms: stamp.time_ms.saturating_add(claim.patience_ms),
+            expires_ms,
+            phase: Phase::Claimed,
+        };
+        self.expiry.insert((expires_ms, claim.key.clone()));
+        self.keys.insert(claim.key.clone(), standing);
+        Some(claim.key)
+    }
+
+    /// Moves a key on, which only its present claimant may do.
+    fn advance(
+        &mut self,
+        key: CallKey,
+        writer: &Writer,
+        claim: ClaimId,
+        step: impl FnOnce(&Standing) -> Option<Phase>,
+    ) -> Option<CallKey> {
+        let standing = self.keys.get_mut(&key)?;
+        if !standing.is_held_by(writer, claim) {
+            return None;
+        }
+        standing.phase = step(standing)?;
+        Some(key)
+    }
+
+    fn forget(&mut self, now_ms: u64) {
+        self.now_ms = now_ms;
+        while let Some((expires_ms, _)) = self.expiry.first()
+            && *expires_ms < now_ms
+            && let Some((_, key)) = self.expiry.pop_first()
+        {
+            self.keys.remove(&key);
+        }
+        if now_ms >= self.swept_ms.saturating_add(SWEEP_MS) {
+            self.swept_ms = now_ms;
+            let oldest = self.oldest_writer_ms();
+            self.writers.retain(|_, (_, seen_ms)| *seen_ms >= oldest);
+        }
+    }
+}
+
+impl Fold for Ledger {
+    type Entry = Batch;
+    type Part = Part;
+    type Setup = Window;
+    type Change = CallKey;
+
+    fn empty(window: &Window) -> Self {
+        Ledger {
+            window: *window,
+            keys: HashMap::new(),
+            expiry: BTreeSet::new(),
+            writers: HashMap::new(),
+            now_ms: 0,
+            swept_ms: 0,
+        }
+    }
+
+    fn restore(window: &Window, parts: Vec<Part>) -> Self {
+        let mut ledger = Ledger::empty(window);
+        for part in parts {
+            for (writer, sequence, seen_ms) in part.writers {
+                ledger.writers.insert(writer, (sequence, seen_ms));
+            }
+            for (key, standing) in part.keys {
+                ledger.expiry.insert((standing.expires_ms, key.clone()));
+                ledger.keys.insert(key, standing);
+            }
+        }
+        ledger
+    }
+
+    fn parts(&self) -> Vec<Part> {
+        let writers = self.writers.iter();
+        let writers = writers.map(|(writer, (sequence, seen))| (writer.clone(), *sequence, *seen));
+        let mut parts = vec![Part { keys: Vec::new(), writers: writers.collect() }];
+        let mut bytes = 0;
+        for (_, key) in &self.expiry {
+            let Some(standing) = self.keys.get(key) else { continue };
+            if let Some(last) = parts.last()
+                && (last.keys.len() == KEYS_PER_PART || bytes > BYTES_PER_PART)
+            {
+                parts.push(Part { keys: Vec::new(), writers: Vec::new() });
+                bytes = 0;
+            }
+            bytes += match &standing.phase {
+                Phase::Done(answer) => answer.body.as_ref().map_or(0, String::len),
+                _ => 0,
+            };
+            if let Some(last) = parts.last_mut() {
+                last.keys.push((key.clone(), standing.clone()));
+            }
+        }
+        parts
+    }
+
+    fn apply(&mut self, batch: Batch, stamp: Stamp) -> Vec<CallKey> {
+        self.forget(stamp.time_ms);
+        // Guards against an append that was repeated because its answer was lost, and against one
+        // that surfaces after its writer has gone on: both carry a number that is not new.
+        if batch.sequence <= self.sequence(&batch.writer) {
+            return Vec::new();
+        }
+        self.writers.insert(batch.writer.clone(), (batch.sequence, stamp.time_ms));
+        let mut changed = Vec::new();
+        for (index, entry) in (0..).zip(batch.entries) {
+            let id = ClaimId { sequence: batch.sequence, index };
+            changed.extend(self.take(entry, &batch.writer, id, stamp));
+        }
+        changed
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,7 +8,10 @@
 pub mod baseline;
 pub mod config;
 pub mod ids;
+pub mod ledger;
 pub mod prompt;
+pub mod publication;
+pub mod replay;
 pub mod report;
 pub mod request;
 pub mod scheduler;
@@ -19,6 +22,7 @@
     DataCentre, Deployment, EndpointGroup, EndpointId, Fingerprint, Incarnation, InstanceId, Model,
     RequestId, Workspace,
 };
+pub use replay::Offset;
 pub use report::{CacheEvents, LoadDigest, LoadReport};
 pub use request::{CallKind, RequestSpec};
 pub use scheduler::{
--- /dev/null
+++ b/crates/policy/src/publication/diff.rs
@@ -0,0 +1,98 @@
+//! What differs between two folders, member by member.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::{
+    Findings, SourceFile,
+    tree::{Node, Value, join, merge},
+};
+
+/// The most changes that are listed. A larger difference means that a folder was mixed up with
+/// another site's, and the first hundreds show it.
+const MAX_CHANGES: usize = 400;
+
+/// One member that differs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FieldChange {
+    /// The member.
+    pub path: String,
+    /// Its value before; absent where it is new.
+    #[serde(default)]
+    pub before: Option<serde_json::Value>,
+    /// Its value now; absent where it was removed.
+    #[serde(default)]
+    pub after: Option<serde_json::Value>,
+}
+
+/// The longest value, in bytes, that an entry of the audit trail keeps. The trail stands in every
+/// checkpoint, which has to fit into one record.
+const KEPT_VALUE: usize = 300;
+
+impl FieldChange {
+    /// Replaces long values by their size.
+    pub fn shorten(&mut self) {
+        for value in [&mut self.before, &mut self.after].into_iter().flatten() {
+            let len = value.to_string().len();
+            if len > KEPT_VALUE {
+                *value = format!("({len} bytes)").into();
+            }
+        }
+    }
+}
+
+impl fmt::Display for FieldChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => write!(f, "~ {}: {before} -> {after}", self.path),
+            (None, Some(after)) => write!(f, "+ {}: {after}", self.path),
+            (Some(before), None) => write!(f, "- {}: {before}", self.path),
+            (None, None) => write!(f, "  {}", self.path),
+        }
+    }
+}
+
+/// What differs between `before` and `after`, in the order of the members.
+pub fn difference(before: &[SourceFile], after: &[SourceFile]) -> Vec<FieldChange> {
+    let mut findings = Findings::default();
+    let before = merge(before, &mut findings);
+    let after = merge(after, &mut findings);
+    let mut changes = Vec::new();
+    compare(before.as_ref(), after.as_ref(), "", &mut changes);
+    changes.truncate(MAX_CHANGES);
+    changes
+}
+
+fn compare(before: Option<&Node>, after: Option<&Node>, path: &str, out: &mut Vec<FieldChange>) {
+    if out.len() > MAX_CHANGES {
+        return;
+    }
+    let is_object = |node: &&Node| matches!(node.value, Value::Object(_));
+    let before_object = before.filter(is_object);
+    let after_object = after.filter(is_object);
+    let descend = match (before, after) {
+        (Some(_), Some(_)) => before_object.is_some() && after_object.is_some(),
+        // The whole folder being new or gone is shown by its sections.
+        _ => path.is_empty(),
+    };
+    if descend {
+        let old = before_object.into_iter().flat_map(Node::members);
+        for (name, node) in old {
+            let other = after_object.and_then(|after| after.member(name));
+            compare(Some(node), other, &join(path, name), out);
+        }
+        let new = after_object.into_iter().flat_map(Node::members);
+        for (name, node) in new {
+            if before_object.is_none_or(|before| before.member(name).is_none()) {
+                compare(None, Some(node), &join(path, name), out);
+            }
+        }
+        return;
+    }
+    let before = before.map(Node::to_json);
+    let after = after.map(Node::to_json);
+    if before != after {
+        out.push(FieldChange { path: path.to_owned(), before, after });
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/ledger_model/world.rs
@@ -0,0 +1,523 @@
+//! The world of the search: a log that loses answers and lets appends surface late, two instances
+//! that crash and restart, an endpoint, and callers that send one key again.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    fmt,
+    hash::{Hash, Hasher},
+    rc::Rc,
+    time::Duration,
+};
+
+use policy::{
+    EndpointGroup, Fingerprint, Incarnation, InstanceId, Offset, Time, Workspace,
+    ledger::{
+        Answer, Batch, CallKey, Claim, ClaimId, Claimant, Entry, GivenUp, Ledger, Phase, Step,
+        Window, Writer,
+    },
+    replay::{LogRecord, Replay, encode},
+};
+
+/// How calls are kept from running twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Protocol {
+    /// As the daemon does it.
+    Claim,
+    /// A claim lapses after a time. (The fold's rule for endpoints that deduplicate, used on one
+    /// that doesn't.)
+    Lease,
+    /// Look whether it ran, run it, note it.
+    CheckThenRun,
+    /// As the daemon does it, but a call given up before its claim is read back hears "not run".
+    HastyRefusal,
+}
+
+/// How much may happen in one history. Larger numbers give the same verdict in more time: the
+/// search grows about twentyfold with each mishap and each call.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    /// Calls under the one key.
+    pub(crate) calls: u8,
+    /// Crashes, lost answers, late appends and dropped records together.
+    pub(crate) mishaps: u8,
+}
+
+const MAX_CRASHES: u8 = 1;
+const MAX_TRIMS: u8 = 1;
+
+const DEADLINE: Time = Time::from_millis(1_000);
+const IN_TIME: Time = Time::from_millis(500);
+
+/// A call at an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Call {
+    /// Calls are numbered as they arrive.
+    number: u8,
+    claim: Option<Claim>,
+    id: Option<ClaimId>,
+    claimant: Claimant,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Instance {
+    incarnation: u64,
+    /// The first record that it read, and one past the last.
+    from: u8,
+    upto: u8,
+    sequence: u64,
+    queue: Vec<Entry>,
+    in_flight: Option<Batch>,
+    /// Whether the batch under way got no answer and may be appended again.
+    unanswered: bool,
+    call: Option<Call>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct State {
+    /// Records by number; those below `first` are dropped.
+    log: Vec<u16>,
+    first: u8,
+    late: Vec<u16>,
+    instances: [Instance; 2],
+    /// Calls that were sent and haven't reached the endpoint.
+    wire: Vec<u8>,
+    runs: u8,
+    /// How many calls had arrived when one last heard "not run" after its claim was won.
+    not_run_heard_by: u8,
+    sends: u8,
+    stored: Option<Answer>,
+    calls: u8,
+    crashes: u8,
+    faulty_appends: u8,
+    trims: u8,
+    pub(crate) violation: Option<&'static str>,
+}
+
+impl State {
+    fn mishaps(&self) -> u8 {
+        self.trims + self.crashes + self.faulty_appends
+    }
+}
+
+/// A state and the step that led to it, which doesn't tell states apart.
+#[derive(Clone)]
+pub(crate) struct Node {
+    pub(crate) state: Rc<State>,
+    step: &'static str,
+    instance: usize,
+}
+
+impl PartialEq for Node {
+    fn eq(&self, other: &Self) -> bool {
+        self.state == other.state
+    }
+}
+
+impl Eq for Node {}
+
+impl Hash for Node {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.state.hash(hasher);
+    }
+}
+
+impl Node {
+    pub(crate) fn start() -> Self {
+        let instance = Instance {
+            incarnation: 1,
+            from: 0,
+            upto: 0,
+            sequence: 1,
+            queue: Vec::new(),
+            in_flight: None,
+            unanswered: false,
+            call: None,
+        };
+        let state = State {
+            log: Vec::new(),
+            first: 0,
+            late: Vec::new(),
+            instances: [instance.clone(), instance],
+            wire: Vec::new(),
+            runs: 0,
+            not_run_heard_by: 0,
+            sends: 0,
+            stored: None,
+            calls: 0,
+            crashes: 0,
+            faulty_appends: 0,
+            trims: 0,
+            violation: None,
+        };
+        Node { state: Rc::new(state), step: "start", instance: 0 }
+    }
+
+    pub(crate) fn describe(&self) -> String {
+        match self.state.violation {
+            Some(violation) => format!("{self}: {violation}"),
+            None => self.to_string(),
+        }
+    }
+}
+
+impl fmt::Display for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "instance {}: {}", self.instance, self.step)
+    }
+}
+
+type FoldCache = HashMap<(Vec<u16>, u8), Option<Rc<Ledger>>>;
+
+/// Keeps records' contents and folds once, however many states share them.
+pub(crate) struct World {
+    protocol: Protocol,
+    limits: Limits,
+    key: CallKey,
+    records: RefCell<Vec<Vec<u8>>>,
+    folds: RefCell<FoldCache>,
+}
+
+impl World {
+    pub(crate) fn new(protocol: Protocol, limits: Limits) -> Self {
+        let workspace = Workspace::new("desk").unwrap();
+        let key = CallKey::new(workspace, EndpointGroup::new("register").unwrap(), "k").unwrap();
+        World { protocol, limits, key, records: RefCell::default(), folds: RefCell::default() }
+    }
+
+    pub(crate) fn successors(&self, node: &Node) -> Vec<Node> {
+        let mut out = Vec::new();
+        if node.state.violation.is_some() {
+            return out;
+        }
+        self.steps_of_the_log(node, &mut out);
+        self.steps_of_the_endpoint(node, &mut out);
+        for i in 0..2 {
+            self.steps_of_calls(node, i, &mut out);
+            self.steps_of_appends(node, i, &mut out);
+            self.steps_of_reading(node, i, &mut out);
+        }
+        out
+    }
+
+    fn steps_of_the_log(&self, node: &Node, out: &mut Vec<Node>) {
+        let state = &node.state;
+        for at in 0..state.late.len() {
+            push(out, state, 0, "a late append takes effect", |state| {
+                let record = state.late.remove(at);
+                state.log.push(record);
+            });
+        }
+        if state.mishaps() < self.limits.mishaps
+            && state.trims < MAX_TRIMS
+            && usize::from(state.first) < state.log.len()
+        {
+            push(out, state, 0, "the log drops all records but the last", |state| {
+                state.trims += 1;
+                state.first = state.log.len() as u8 - 1;
+            });
+        }
+    }
+
+    fn steps_of_the_endpoint(&self, node: &Node, out: &mut Vec<Node>) {
+        for at in 0..node.state.wire.len() {
+            push(out, &node.state, 0, "the endpoint runs the call", |state| {
+                state.wire.remove(at);
+                state.runs += 1;
+                if state.runs > 1 {
+                    state.violation = Some("the call ran twice");
+                }
+            });
+        }
+    }
+
+    fn steps_of_calls(&self, node: &Node, i: usize, out: &mut Vec<Node>) {
+        let state = &node.state;
+        let Some(call) = &state.instances[i].call else {
+            // The instances are alike, so the first call may as well come to the first one.
+            if state.calls < self.limits.calls && (state.calls > 0 || i == 0) {
+                push(out, state, i, "a call arrives", |state| self.arrive(state, i));
+            }
+            return;
+        };
+        match call.claimant.step() {
+            Step::Waiting | Step::Won => {
+                push(out, state, i, "the call is given up", |state| self.give_up(state, i));
+                if call.claimant.step() == Step::Won {
+                    push(out, state, i, "the call is sent", |state| self.send(state, i));
+                }
+            }
+            Step::Sending => {
+                // Of a lease only a holder that pauses is of interest here.
+                if self.protocol != Protocol::Lease {
+                    push(out, state, i, "the outcome stays unknown", |state| {
+                        self.finish(state, i, None);
+                    });
+                }
+                if state.runs > 0 {
+                    push(out, state, i, "the answer comes", |state| {
+                        let body = Some(format!("answer {}", state.runs));
+                        let answer = Answer { status: 200, content_type: None, body };
+                        self.finish(state, i, Some(answer));
+                    });
+                }
+            }
+            // The caller has heard its answer.
+            Step::Lost | Step::Abandoned => {}
+        }
+    }
+
+    fn steps_of_appends(&self, node: &Node, i: usize, out: &mut Vec<Node>) {
+        let state = &node.state;
+        let instance = &state.instances[i];
+        let new = instance.in_flight.is_none() && !instance.queue.is_empty();
+        if new || instance.unanswered {
+            push(out, state, i, "appends", |state| {
+                let record = self.batch(state, i);
+                state.log.push(record);
+            });
+        }
+        if (new || instance.unanswered) && state.mishaps() < self.limits.mishaps {
+            push(out, state, i, "appends, and the answer is lost", |state| {
+                let record = self.batch(state, i);
+                state.log.push(record);
+                state.faulty_appends += 1;
+                state.instances[i].unanswered = true;
+            });
+            push(out, state, i, "appends, and the append hangs", |state| {
+                let record = self.batch(state, i);
+                state.late.push(record);
+                state.faulty_appends += 1;
+                state.instances[i].unanswered = true;
+            });
+        }
+        if state.mishaps() < self.limits.mishaps
+            && state.trims < MAX_TRIMS
+            && let Some(record) = self.checkpoint(state, i)
+        {
+            let step = "appends a checkpoint, and the log drops what it covers";
+            push(out, state, i, step, |state| {
+                state.trims += 1;
+                state.first = state.instances[i].upto;
+                state.log.push(record);
+            });
+        }
+        let busy = instance.call.is_some() || new || instance.in_flight.is_some();
+        if busy && state.mishaps() < self.limits.mishaps && state.crashes < MAX_CRASHES {
+            push(out, state, i, "crashes and restarts", |state| {
+                state.crashes += 1;
+                let instance = &mut state.instances[i];
+                let (from, incarnation) = (state.first, instance.incarnation + 1);
+                *instance = Instance {
+                    incarnation,
+                    from,
+                    upto: from,
+                    sequence: 1,
+                    queue: Vec::new(),
+                    in_flight: None,
+                    unanswered: false,
+                    call: None,
+                };
+            });
+        }
+    }
+
+    fn steps_of_reading(&self, node: &Node, i: usize, out: &mut Vec<Node>) {
+        let state = &node.state;
+        if usize::from(state.instances[i].upto) == state.log.len() {
+            return;
+        }
+        push(out, state, i, "reads to the end", |state| {
+            let (first, end) = (state.first, state.log.len() as u8);
+            let instance = &mut state.instances[i];
+            if first > instance.upto {
+                instance.from = first;
+            }
+            instance.upto = end;
+            self.observe(state, i);
+        });
+    }
+
+    fn observe(&self, state: &mut State, i: usize) {
+        let Some(ledger) = self.ledger(state, i) else { return };
+        let writer = writer(state, i);
+        let instance = &mut state.instances[i];
+        let seen = ledger.sequence(&writer);
+        if instance.in_flight.as_ref().is_some_and(|batch| batch.sequence <= seen) {
+            instance.in_flight = None;
+            instance.unanswered = false;
+        }
+        if let Some(call) = &mut instance.call
+            && let (Some(claim), Some(id)) = (&call.claim, call.id)
+        {
+            call.claimant.observe(&ledger, &writer, claim, id);
+            if call.claimant.step() == Step::Lost {
+                instance.call = None;
+            }
+        }
+        let Some(standing) = ledger.standing(&self.key) else { return };
+        let Phase::Done(answer) = &standing.phase else { return };
+        match &state.stored {
+            Some(stored) if stored != answer => state.violation = Some("a stored answer changed"),
+            _ => state.stored = Some(answer.clone()),
+        }
+    }
+
+    fn arrive(&self, state: &mut State, i: usize) {
+        let Some(ledger) = self.ledger(state, i) else { return };
+        state.calls += 1;
+        let deduplicates = self.protocol == Protocol::Lease;
+        let attempt = match ledger.standing(&self.key) {
+            None => Some(1),
+            // Enough time has passed for a lease to lapse: the holder may be paused for any time.
+            Some(standing) => standing.next_attempt(deduplicates, u64::MAX),
+        };
+        // Otherwise the caller hears the answer, or "unknown".
+        let Some(attempt) = attempt else { return };
+        let claim = Claim {
+            key: self.key.clone(),
+            attempt,
+            fingerprint: Fingerprint(1),
+            deduplicates,
+            patience_ms: 1_000,
+        };
+        let number = state.calls;
+        let instance = &mut state.instances[i];
+        instance.queue.push(Entry::Claim(claim.clone()));
+        let claimant = Claimant::new(DEADLINE, deduplicates);
+        instance.call = Some(Call { number, claim: Some(claim), id: None, claimant });
+        if self.protocol == Protocol::CheckThenRun {
+            state.wire.push(number);
+            instance.call = None;
+        }
+    }
+
+    fn give_up(&self, state: &mut State, i: usize) {
+        let arrived = state.calls;
+        let sends = state.sends;
+        let Some(call) = &mut state.instances[i].call else { return };
+        let given_up = call.claimant.abandon(IN_TIME);
+        let id = call.id;
+        let hasty = self.protocol == Protocol::HastyRefusal;
+        // Of a lease only the double run is of interest here.
+        let hears_not_run =
+            (given_up == GivenUp::NotRun || hasty) && self.protocol != Protocol::Lease;
+        let instance = &mut state.instances[i];
+        instance.call = None;
+        match id {
+            Some(claim) => instance.queue.push(Entry::NotRun { key: self.key.clone(), claim }),
+            None => instance.queue.retain(|entry| !matches!(entry, Entry::Claim(_))),
+        }
+        if hears_not_run {
+            state.not_run_heard_by = arrived;
+            if sends > 0 {
+                state.violation = Some("a caller heard \"not run\" after the call was sent");
+            }
+        }
+    }
+
+    fn send(&self, state: &mut State, i: usize) {
+        let heard = state.not_run_heard_by;
+        let Some(call) = &mut state.instances[i].call else { return };
+        assert!(call.claimant.begin_sending(IN_TIME));
+        let number = call.number;
+        state.sends += 1;
+        state.wire.push(number);
+        // Only a call that came after it may run once a caller has heard "not run".
+        if number <= heard {
+            state.violation = Some("a call was sent although a later caller heard \"not run\"");
+        }
+    }
+
+    fn finish(&self, state: &mut State, i: usize, answer: Option<Answer>) {
+        let instance = &mut state.instances[i];
+        let Some(claim) = instance.call.take().and_then(|call| call.id) else { return };
+        let key = self.key.clone();
+        instance.queue.push(match answer {
+            Some(answer) => Entry::Done { key, claim, answer },
+            None => Entry::Unknown { key, claim },
+        });
+    }
+
+    /// The batch under way, or a new one from what waits.
+    fn batch(&self, state: &mut State, i: usize) -> u16 {
+        let writer = writer(state, i);
+        let instance = &mut state.instances[i];
+        instance.unanswered = false;
+        if instance.in_flight.is_none() {
+            let entries = std::mem::take(&mut instance.queue);
+            let sequence = instance.sequence;
+            instance.sequence += 1;
+            let claimed = entries.iter().position(|entry| matches!(entry, Entry::Claim(_)));
+            if let (Some(index), Some(call)) = (claimed, &mut instance.call)
+                && call.claimant.step() == Step::Waiting
+            {
+                call.id = Some(ClaimId { sequence, index: index as u32 });
+            }
+            instance.in_flight = Some(Batch { writer, sequence, entries });
+        }
+        let data = encode::<Ledger>(instance.in_flight.as_ref().unwrap()).unwrap();
+        self.intern(data)
+    }
+
+    fn checkpoint(&self, state: &State, i: usize) -> Option<u16> {
+        let id = format!("{i}/{}", state.instances[i].incarnation);
+        let records = self.replay(state, i).checkpoint(&id)?;
+        let [record] = records.try_into().ok()?;
+        Some(self.intern(record))
+    }
+
+    fn ledger(&self, state: &State, i: usize) -> Option<Rc<Ledger>> {
+        let instance = &state.instances[i];
+        let read = state.log[usize::from(instance.from)..usize::from(instance.upto)].to_vec();
+        let key = (read, instance.from);
+        if let Some(fold) = self.folds.borrow().get(&key) {
+            return fold.clone();
+        }
+        let fold = self.replay(state, i).state().cloned().map(Rc::new);
+        self.folds.borrow_mut().insert(key, fold.clone());
+        fold
+    }
+
+    fn replay(&self, state: &State, i: usize) -> Replay<Ledger> {
+        let instance = &state.instances[i];
+        let mut replay = Replay::new(Window(Duration::from_secs(86_400)));
+        let records = self.records.borrow();
+        let read = (instance.from..instance.upto).map(|at| LogRecord {
+            offset: Offset(at.into()),
+            time_ms: u64::from(at) * 10_000,
+            data: &records[usize::from(state.log[usize::from(at)])],
+        });
+        replay.accept(Offset(instance.from.into()), read);
+        replay
+    }
+
+    fn intern(&self, data: Vec<u8>) -> u16 {
+        let mut records = self.records.borrow_mut();
+        let at = records.iter().position(|known| *known == data).unwrap_or_else(|| {
+            records.push(data);
+            records.len() - 1
+        });
+        at.try_into().unwrap()
+    }
+}
+
+fn writer(state: &State, i: usize) -> Writer {
+    let name = ["entry-0", "entry-1"][i];
+    let incarnation = Incarnation(state.instances[i].incarnation);
+    Writer { instance: InstanceId::new(name).unwrap(), incarnation }
+}
+
+fn push(
+    out: &mut Vec<Node>,
+    state: &Rc<State>,
+    instance: usize,
+    step: &'static str,
+    change: impl FnOnce(&mut State),
+) {
+    let mut next = State::clone(state);
+    change(&mut next);
+    if next != **state {
+        out.push(Node { state: Rc::new(next), step, instance });
+    }
+}
