--- a/crates/policy/tests/ledger_model/world.rs
+++ b/crates/policy/tests/ledger_model/world.rs
@@ -180,8 +180,9 @@
 
 impl World {
     pub(crate) fn new(protocol: Protocol, limits: Limits) -> Self {
-        let workspace = Workspace::new("desk").unwrap();
-        let key = CallKey::new(workspace, EndpointGroup::new("register").unwrap(), "k").unwrap();
+        let workspace = Workspace::new("desk").expect("a name");
+        let key = CallKey::new(workspace, EndpointGroup::new("register").expect("a name"), "k")
+            .expect("a key");
         World { protocol, limits, key, records: RefCell::default(), folds: RefCell::default() }
     }
 
@@ -456,7 +457,8 @@
             }
             instance.in_flight = Some(Batch { writer, sequence, entries });
         }
-        let data = encode::<Ledger>(instance.in_flight.as_ref().unwrap()).unwrap();
+        let batch = instance.in_flight.as_ref().expect("a batch");
+        let data = encode::<Ledger>(batch).expect("JSON");
         self.intern(data)
     }
 
@@ -498,14 +500,14 @@
             records.push(data);
             records.len() - 1
         });
-        at.try_into().unwrap()
+        at.try_into().expect("fewer than 65,536 records")
     }
 }
 
 fn writer(state: &State, i: usize) -> Writer {
     let name = ["entry-0", "entry-1"][i];
     let incarnation = Incarnation(state.instances[i].incarnation);
-    Writer { instance: InstanceId::new(name).unwrap(), incarnation }
+    Writer { instance: InstanceId::new(name).expect("a name"), incarnation }
 }
 
 fn push(
