--- /dev/null
+++ b/crates/daemon/src/active.rs
@@ -0,0 +1,189 @@
+//! The configuration in force, in the form that requests look things up in.
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use policy::{
+    DataCentre, Deployment, EndpointGroup, EndpointId, Model, Workspace,
+    any::AnyScheduler,
+    config::{Config, DataCentreRules, DeploymentRules, EndpointKind, EndpointRules, Version},
+};
+use sha2::{Digest, Sha256};
+
+use crate::{
+    clock::Clock,
+    deployment::DeploymentState,
+    endpoint::{Endpoint, Place},
+};
+
+/// The hash of a workspace's key.
+pub type KeyHash = [u8; 32];
+
+/// A deployment with the scheduler that its configuration names.
+pub type AnyDeployment = DeploymentState<AnyScheduler>;
+
+/// The configuration in force. Requests keep the one they began with.
+#[derive(Debug, Default)]
+pub struct Active {
+    /// Its version; zero where none is in force yet.
+    pub version: Version,
+    /// As published.
+    pub config: Config,
+    /// Every endpoint.
+    pub endpoints: IndexMap<EndpointId, Arc<Endpoint>>,
+    /// Every deployment.
+    pub deployments: IndexMap<Deployment, Route>,
+    keys: IndexMap<KeyHash, Workspace>,
+    models: IndexMap<Model, Deployment>,
+    services: IndexMap<EndpointGroup, Deployment>,
+}
+
+/// Where a request belongs.
+#[derive(Debug, Clone)]
+pub struct Route {
+    /// The deployment's scheduler.
+    pub deployment: Arc<AnyDeployment>,
+    /// The deployment's rules.
+    pub rules: Arc<DeploymentRules>,
+}
+
+impl Active {
+    /// Whose key this is.
+    pub fn workspace(&self, key: &[u8]) -> Option<&Workspace> {
+        self.keys.get(&KeyHash::from(Sha256::digest(key)))
+    }
+
+    /// The deployment that serves `model`.
+    pub fn model_route(&self, model: &Model) -> Option<&Route> {
+        self.deployments.get(self.models.get(model)?)
+    }
+
+    /// The deployment of the plain service `group`.
+    pub fn service_route(&self, group: &EndpointGroup) -> Option<&Route> {
+        self.deployments.get(self.services.get(group)?)
+    }
+
+    /// The models served, in the order of the configuration.
+    pub fn models(&self) -> impl Iterator<Item = &Model> {
+        self.models.keys()
+    }
+
+    /// Deployments that `endpoint` serves.
+    pub fn served_by<'a>(
+        &'a self,
+        endpoint: &'a Endpoint,
+    ) -> impl Iterator<Item = &'a Arc<AnyDeployment>> {
+        let group = &endpoint.place.group;
+        let routes = self.deployments.values().filter(move |route| route.rules.group == *group);
+        routes.map(|route| &route.deployment)
+    }
+}
+
+/// What building a new [`Active`] needs to know of the instance.
+pub struct Builder<'a, F> {
+    /// The instance's data centre.
+    pub data_centre: &'a DataCentre,
+    /// The instance's clock.
+    pub clock: Clock,
+    /// Makes the scheduler of a new deployment.
+    pub scheduler: F,
+}
+
+impl<F: Fn(&DeploymentRules) -> AnyScheduler> Builder<'_, F> {
+    /// The state for `config`. Endpoints and schedulers of `old` are kept where they serve on,
+    /// so that requests under way and all that was learned stay.
+    pub fn build(&self, config: Config, version: Version, old: &Active) -> Active {
+        let mut active = Active { version, config, ..Active::default() };
+        self.add_endpoints(&mut active, old);
+        self.add_deployments(&mut active, old);
+        for (workspace, rules) in &active.config.workspaces {
+            for key in rules.key_sha256.iter().filter_map(|key| parse_hash(key)) {
+                active.keys.insert(key, workspace.clone());
+            }
+        }
+        active
+    }
+
+    fn add_endpoints(&self, active: &mut Active, old: &Active) {
+        let here = active.config.data_centres.clone();
+        for (id, rules) in &active.config.endpoints {
+            let Some(kind) = kind_of(&active.config, &rules.group) else { continue };
+            let distance = distance(&here, self.data_centre, &rules.data_centre);
+            let place = place(id, rules, kind, distance);
+            let endpoint = match old.endpoints.get(id) {
+                Some(known) if known.place == place => known.clone(),
+                Some(known) if known.place.address == place.address => {
+                    Arc::new(known.with_place(place))
+                }
+                _ => Arc::new(Endpoint::new(place)),
+            };
+            active.endpoints.insert(id.clone(), endpoint);
+        }
+    }
+
+    fn add_deployments(&self, active: &mut Active, old: &Active) {
+        for (name, rules) in &active.config.deployments {
+            let kept = old.deployments.get(name).filter(|route| {
+                route.rules.policy == rules.policy && route.rules.kind == rules.kind
+            });
+            let state = kept.map(|route| route.deployment.clone()).unwrap_or_else(|| {
+                DeploymentState::new(name.clone(), (self.scheduler)(rules), self.clock)
+            });
+            let group = active.endpoints.values().filter(|e| e.place.group == rules.group);
+            let changes: Vec<_> = group.map(|endpoint| endpoint.change()).collect();
+            state.configure(rules, &active.config.workspaces, &changes);
+            let route = Route { deployment: state, rules: Arc::new(rules.clone()) };
+            active.deployments.insert(name.clone(), route);
+            match rules.kind {
+                EndpointKind::Engine => {
+                    for model in &rules.models {
+                        active.models.entry(model.clone()).or_insert_with(|| name.clone());
+                    }
+                }
+                EndpointKind::Service => {
+                    active.services.entry(rules.group.clone()).or_insert_with(|| name.clone());
+                }
+            }
+        }
+    }
+}
+
+fn place(id: &EndpointId, rules: &EndpointRules, kind: EndpointKind, distance: Duration) -> Place {
+    Place {
+        id: id.clone(),
+        group: rules.group.clone(),
+        kind,
+        address: rules.address,
+        data_centre: rules.data_centre.clone(),
+        distance,
+        leaving: rules.leaving,
+    }
+}
+
+fn kind_of(config: &Config, group: &EndpointGroup) -> Option<EndpointKind> {
+    config.deployments.values().find(|rules| rules.group == *group).map(|rules| rules.kind)
+}
+
+fn distance(
+    table: &IndexMap<DataCentre, DataCentreRules>,
+    from: &DataCentre,
+    to: &DataCentre,
+) -> Duration {
+    if from == to {
+        return Duration::ZERO;
+    }
+    let stated = |a, b| table.get(a).and_then(|rules| rules.distance_ms.get(b)).copied();
+    let millis = stated(from, to).or_else(|| stated(to, from)).unwrap_or(DataCentreRules::FAR_MS);
+    Duration::try_from_secs_f64(millis / 1000.0).unwrap_or_default()
+}
+
+fn parse_hash(text: &str) -> Option<KeyHash> {
+    let mut hash = KeyHash::default();
+    if text.len() != 2 * hash.len() || !text.is_ascii() {
+        return None;
+    }
+    for (index, byte) in hash.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(text.get(2 * index..2 * index + 2)?, 16).ok()?;
+    }
+    Some(hash)
+}
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,139 @@
+//! What operators' tools, probes and metrics collectors ask; `docs/PROTOCOLS.md` describes it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_types::{Method, Request, Response, StatusCode};
+use policy::{
+    DataCentre, EndpointGroup, EndpointId, Incarnation, InstanceId, config::Version,
+    scheduler::EndpointState,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    drain,
+    server::respond,
+    shared::{Shared, Stage},
+};
+
+/// `GET /admin/status`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Version of the configuration in force; zero for none.
+    pub config_version: Version,
+    /// Whether the balancer may send callers here.
+    pub ready: bool,
+    /// `serving`, `leaving` or `refusing`.
+    pub stage: String,
+    /// Admitted requests that haven't ended.
+    pub under_way: usize,
+    /// Every endpoint.
+    pub endpoints: Vec<EndpointStatus>,
+    /// Every known instance.
+    pub peers: Vec<PeerStatus>,
+}
+
+/// One endpoint in [`Status`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndpointStatus {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its group.
+    pub group: EndpointGroup,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its life; zero where nothing was heard of it.
+    pub incarnation: Incarnation,
+    /// Whether it may get work.
+    pub state: EndpointState,
+    /// Requests of this instance under way there.
+    pub running: u32,
+    /// Prefill speed as learned here, in tokens a second; zero where nothing was learned.
+    pub prefill_rate: f64,
+    /// Whether this instance has ejected it.
+    pub ejected: bool,
+}
+
+/// One other instance in [`Status`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its state in words.
+    pub state: String,
+}
+
+/// Answers a request for operators; none where the path isn't one of theirs.
+pub fn answer(shared: &Arc<Shared>, req: &Request) -> Option<Response> {
+    match (req.method(), req.url().path()) {
+        (Method::Get, "/livez") => Some(respond::text(StatusCode::Ok, "ok\n")),
+        (Method::Get, "/readyz") => Some(ready(shared)),
+        (Method::Get, "/metrics") => Some(respond::text(StatusCode::Ok, &shared.metrics.to_text())),
+        (Method::Get, "/admin/status") => Some(json(&status(shared))),
+        (Method::Post, "/admin/drain") => {
+            drain::begin(shared);
+            Some(json(&status(shared)))
+        }
+        _ => None,
+    }
+}
+
+fn ready(shared: &Shared) -> Response {
+    match shared.is_ready() {
+        true => respond::text(StatusCode::Ok, "ready\n"),
+        false => respond::text(StatusCode::ServiceUnavailable, "not ready\n"),
+    }
+}
+
+fn json<T: Serialize>(content: &T) -> Response {
+    let body = serde_json::to_vec(content).unwrap_or_default();
+    respond::bytes(StatusCode::Ok, respond::JSON, Bytes::from(body))
+}
+
+/// The instance as it is now.
+pub fn status(shared: &Shared) -> Status {
+    let active = shared.active();
+    let deployments = active.deployments.values().map(|route| &route.deployment);
+    let shares: Vec<_> =
+        deployments.clone().flat_map(|deployment| deployment.digest().endpoints).collect();
+    let endpoints = active.endpoints.values().map(|endpoint| {
+        let own = shares.iter().filter(|share| share.endpoint == endpoint.place.id);
+        EndpointStatus {
+            endpoint: endpoint.place.id.clone(),
+            group: endpoint.place.group.clone(),
+            data_centre: endpoint.place.data_centre.clone(),
+            incarnation: endpoint.life().incarnation,
+            state: endpoint.change().state,
+            running: own.clone().map(|share| share.running).sum(),
+            prefill_rate: own.clone().map(|share| share.prefill_rate.0).fold(0.0, f64::max),
+            ejected: own.clone().any(|share| share.ejected),
+        }
+    });
+    Status {
+        instance: shared.owner.instance.clone(),
+        incarnation: shared.owner.incarnation,
+        data_centre: shared.settings.data_centre.clone(),
+        config_version: active.version,
+        ready: shared.is_ready(),
+        stage: stage_name(shared.stage()).to_owned(),
+        under_way: deployments.map(|deployment| deployment.under_way()).sum(),
+        endpoints: endpoints.collect(),
+        peers: Vec::new(),
+    }
+}
+
+fn stage_name(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Serving => "serving",
+        Stage::Leaving => "leaving",
+        Stage::Refusing => "refusing",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,50 @@
+//! The daemon's clock: [`Time`] counted from the start of the process, as the decisions want it.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use policy::{Incarnation, Time};
+use smol::Timer;
+
+/// Counts from the start of the instance. Monotonic, so that a step of the wall clock moves no
+/// deadline.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// A clock whose origin is now.
+    pub fn start() -> Clock {
+        Clock { origin: Instant::now() }
+    }
+
+    /// The present.
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.origin.elapsed()
+    }
+
+    /// How long until `time`; zero where it has passed.
+    pub fn until(&self, time: Time) -> Duration {
+        time.since(self.now())
+    }
+
+    /// Waits until `time`.
+    pub async fn sleep_until(&self, time: Time) {
+        if time == Time::MAX {
+            return std::future::pending().await;
+        }
+        Timer::after(self.until(time)).await;
+    }
+}
+
+/// The incarnation of a process that starts now: microseconds of the wall clock.
+///
+/// Instances have no disk to count lives on. A successor starts after its predecessor has ended,
+/// so its number is higher as long as the wall clock isn't set back by more than the time between
+/// the two. Where that happens all the same, others take the new life for an old one and ignore
+/// its load digests until it is restarted; nothing that must happen once depends on the order,
+/// only on two lives never having the same number.
+pub fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/daemon/src/controller/load.rs
@@ -0,0 +1,80 @@
+//! Asks one endpoint for its load, about once a second. The answer is also a probe: it comes over
+//! a new connection, so it tells a dead endpoint from one whose old connections went silent.
+
+use std::{
+    sync::{Arc, Weak},
+    time::Duration,
+};
+
+use platform::{
+    engine::{Engine, wire::Load},
+    service::{Service, http::HttpService},
+};
+use policy::{Event, LoadReport, config::EndpointKind};
+use smol::Timer;
+
+use crate::{
+    endpoint::{Endpoint, Life},
+    shared::Shared,
+};
+
+/// Time between two polls. Reports lag by about as much themselves, so that polling faster tells
+/// little more, and a leaving endpoint has to be noticed within two seconds.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Polls until the endpoint or the instance is gone.
+pub(super) async fn run(shared: Weak<Shared>, endpoint: Weak<Endpoint>) {
+    let mut failing = false;
+    loop {
+        let Some(known) = endpoint.upgrade() else { return };
+        let load = ask(&known).await;
+        let Some(shared) = shared.upgrade() else { return };
+        match load {
+            Some(load) => {
+                report(&shared, &known, &load);
+                if failing {
+                    probe(&shared, &known, true);
+                }
+                failing = false;
+            }
+            None => {
+                probe(&shared, &known, false);
+                failing = true;
+            }
+        }
+        drop((shared, known));
+        // Jitter, so that instances started together don't poll together for ever.
+        Timer::after(PERIOD.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
+    }
+}
+
+async fn ask(endpoint: &Endpoint) -> Option<Load> {
+    match endpoint.place.kind {
+        EndpointKind::Engine => endpoint.engine().load().await.ok(),
+        EndpointKind::Service => HttpService::new(endpoint.place.address).load().await.ok(),
+    }
+}
+
+fn report(shared: &Arc<Shared>, endpoint: &Endpoint, load: &Load) {
+    let life = Life { incarnation: load.incarnation, leaving: load.leaving };
+    shared.heard(endpoint, life);
+    let age = Duration::from_millis(load.age_ms);
+    let now = shared.clock.now();
+    let taken = policy::Time(now.0.saturating_sub(age.as_micros() as u64));
+    let report = LoadReport {
+        endpoint: endpoint.place.id.clone(),
+        incarnation: load.incarnation,
+        taken,
+        kv_total: load.kv_total,
+        kv_used: load.kv_used,
+        waiting_prefill: load.waiting_prefill,
+        running: load.running,
+        leaving: load.leaving,
+    };
+    shared.tell(endpoint, &Event::Load(report));
+}
+
+fn probe(shared: &Arc<Shared>, endpoint: &Endpoint, healthy: bool) {
+    let event = Event::Probe { endpoint: endpoint.place.id.clone(), healthy };
+    shared.tell(endpoint, &event);
+}
--- /dev/null
+++ b/crates/daemon/src/controller/mod.rs
@@ -0,0 +1,22 @@
+//! Controllers: each keeps one piece of state converging, for as long as its endpoint is known.
+
+mod load;
+mod memory;
+
+use std::sync::Arc;
+
+use policy::config::EndpointKind;
+
+pub use memory::LEASE;
+
+use crate::{endpoint::Endpoint, shared::Shared};
+
+/// Starts the controllers of a new endpoint. They end when the endpoint is gone from the
+/// configuration and no request uses it any more.
+pub fn start(shared: &Arc<Shared>, endpoint: &Arc<Endpoint>) {
+    let weak = Arc::downgrade(endpoint);
+    shared.spawn(load::run(Arc::downgrade(shared), weak.clone()));
+    if endpoint.place.kind == EndpointKind::Engine {
+        shared.spawn(memory::run(Arc::downgrade(shared), weak));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/deployment.rs
@@ -0,0 +1,160 @@
+//! One deployment's scheduler under its own lock, driven from sockets and a timer.
+
+use std::{
+    sync::{Arc, Mutex, Weak},
+    time::Duration,
+};
+
+use futures_lite::FutureExt;
+use indexmap::IndexMap;
+use policy::{
+    Admission, Decision, Deployment, EndpointChange, Event, LoadDigest, Refusal, RequestId,
+    RequestSpec, Scheduler, Time,
+    config::{DeploymentRules, WorkspaceTable},
+};
+use smol::{
+    Timer,
+    channel::{Receiver, Sender, bounded},
+};
+
+use crate::{clock::Clock, endpoint::lock};
+
+/// Decisions that may wait for one request's driver. A request has one attempt under way, and
+/// each needs a start, a cancel and perhaps the end; more than this is a fault of the scheduler.
+const DECISIONS: usize = 16;
+
+/// The longest pause between two polls of the scheduler, so that a wake-up it forgot to ask for
+/// costs a caller at most this.
+const MAX_PAUSE: Duration = Duration::from_millis(250);
+
+/// One deployment's scheduler and the requests it decides about.
+#[derive(Debug)]
+pub struct DeploymentState<S> {
+    /// Its name.
+    pub name: Deployment,
+    clock: Clock,
+    inner: Mutex<Inner<S>>,
+    wake: Sender<()>,
+    woken: Receiver<()>,
+}
+
+#[derive(Debug)]
+struct Inner<S> {
+    scheduler: S,
+    calls: IndexMap<RequestId, Sender<Decision>>,
+}
+
+impl<S: Scheduler + 'static> DeploymentState<S> {
+    /// A deployment decided by `scheduler`.
+    pub fn new(name: Deployment, scheduler: S, clock: Clock) -> Arc<Self> {
+        let (wake, woken) = bounded(1);
+        let inner = Mutex::new(Inner { scheduler, calls: IndexMap::new() });
+        Arc::new(DeploymentState { name, clock, inner, wake, woken })
+    }
+
+    /// Takes over new rules.
+    pub fn configure(
+        &self,
+        rules: &DeploymentRules,
+        workspaces: &WorkspaceTable,
+        endpoints: &[EndpointChange],
+    ) {
+        let now = self.clock.now();
+        let mut inner = lock(&self.inner);
+        inner.scheduler.configure(rules, workspaces, endpoints, now);
+        inner.decide(now);
+        self.wake.try_send(()).ok();
+    }
+
+    /// Offers a request. Where it is admitted, decisions about it arrive on the channel.
+    ///
+    /// # Errors
+    ///
+    /// The scheduler's refusal.
+    pub fn offer(&self, spec: Arc<RequestSpec>) -> Result<Receiver<Decision>, Refusal> {
+        let now = self.clock.now();
+        let id = spec.id;
+        let mut inner = lock(&self.inner);
+        if let Admission::Refused(refusal) = inner.scheduler.offer(spec, now) {
+            return Err(refusal);
+        }
+        let (tx, rx) = bounded(DECISIONS);
+        inner.calls.insert(id, tx);
+        inner.decide(now);
+        // The timer has to look at the new request's wake-up.
+        self.wake.try_send(()).ok();
+        Ok(rx)
+    }
+
+    /// Tells the scheduler what happened.
+    pub fn observe(&self, event: Event) {
+        let now = self.clock.now();
+        let mut inner = lock(&self.inner);
+        if let Event::Ended { request, .. } = &event {
+            inner.calls.swap_remove(request);
+        }
+        inner.scheduler.observe(event, now);
+        inner.decide(now);
+        self.wake.try_send(()).ok();
+    }
+
+    /// This instance's part of the load.
+    pub fn digest(&self) -> LoadDigest {
+        lock(&self.inner).scheduler.digest(self.clock.now())
+    }
+
+    /// Requests that the scheduler has admitted and that haven't ended.
+    pub fn under_way(&self) -> usize {
+        lock(&self.inner).calls.len()
+    }
+
+    /// Polls the scheduler whenever it asks for it, until the deployment is dropped.
+    pub async fn run(this: Weak<Self>) {
+        loop {
+            let Some(state) = this.upgrade() else { return };
+            let pause = state.poll();
+            let woken = state.woken.clone();
+            drop(state);
+            let timer = async {
+                Timer::after(pause).await;
+            };
+            let wake = async {
+                woken.recv().await.ok();
+            };
+            timer.or(wake).await;
+        }
+    }
+
+    fn poll(&self) -> Duration {
+        let now = self.clock.now();
+        let mut inner = lock(&self.inner);
+        inner.decide(now);
+        let wakeup = inner.scheduler.next_wakeup(now).unwrap_or(Time::MAX);
+        // At least a millisecond, so that a wake-up in the past can't keep a thread spinning.
+        wakeup.since(now).clamp(Duration::from_millis(1), MAX_PAUSE)
+    }
+}
+
+impl<S: Scheduler> Inner<S> {
+    fn decide(&mut self, now: Time) {
+        for decision in self.scheduler.poll(now) {
+            self.pass_on(decision);
+        }
+    }
+
+    fn pass_on(&mut self, decision: Decision) {
+        let request = match &decision {
+            Decision::Start(start) => start.request,
+            Decision::Fail { request, .. } | Decision::Cancel { request, .. } => *request,
+        };
+        let last = matches!(decision, Decision::Fail { .. });
+        if let Some(tx) = self.calls.get(&request)
+            && tx.try_send(decision).is_err()
+        {
+            log::warn!(request = request.0; "decision_lost");
+        }
+        if last {
+            self.calls.swap_remove(&request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint.rs
@@ -0,0 +1,209 @@
+//! One endpoint as this instance knows it, and what this instance holds there.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexSet;
+use platform::engine::{Engine, EngineError, http::HttpEngine, wire::HeldPage};
+use policy::{
+    DataCentre, EndpointChange, EndpointGroup, EndpointId, Incarnation, config::EndpointKind,
+    scheduler::EndpointState,
+};
+use smol::channel::{Receiver, Sender, bounded};
+
+/// What is known of an endpoint's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Life {
+    /// Its incarnation; zero where nothing was heard yet.
+    pub incarnation: Incarnation,
+    /// It said itself that it wants no new work.
+    pub leaving: bool,
+}
+
+/// Where an endpoint stands and what the configuration says of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Place {
+    /// Its name.
+    pub id: EndpointId,
+    /// The group it serves in.
+    pub group: EndpointGroup,
+    /// Engine or plain service.
+    pub kind: EndpointKind,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// One-way delay from here.
+    pub distance: Duration,
+    /// Operators take it out of service.
+    pub leaving: bool,
+}
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Where it stands.
+    pub place: Place,
+    state: Arc<State>,
+}
+
+/// What outlives a change of the endpoint's place in the configuration: a stream that began under
+/// the old configuration still holds its memory under the new one.
+#[derive(Debug)]
+struct State {
+    life: Mutex<Life>,
+    holdings: Mutex<IndexSet<String>>,
+    nudge: Sender<()>,
+    nudged: Receiver<()>,
+    listing: smol::lock::Mutex<Option<Listing>>,
+}
+
+#[derive(Debug, Clone)]
+struct Listing {
+    taken: Instant,
+    page: Result<Arc<HeldPage>, EngineError>,
+}
+
+impl Endpoint {
+    /// An endpoint of which nothing was heard yet.
+    pub fn new(place: Place) -> Endpoint {
+        let (nudge, nudged) = bounded(1);
+        let state = State {
+            life: Mutex::new(Life { incarnation: Incarnation(0), leaving: false }),
+            holdings: Mutex::default(),
+            nudge,
+            nudged,
+            listing: smol::lock::Mutex::default(),
+        };
+        Endpoint { place, state: Arc::new(state) }
+    }
+
+    /// The same endpoint under a changed configuration.
+    pub fn with_place(&self, place: Place) -> Endpoint {
+        Endpoint { place, state: self.state.clone() }
+    }
+
+    /// Its management interface, where it is an engine.
+    pub fn engine(&self) -> HttpEngine {
+        HttpEngine::new(self.place.address)
+    }
+
+    /// What is known of its life.
+    pub fn life(&self) -> Life {
+        *lock(&self.state.life)
+    }
+
+    /// Notes what an answer said of its life, and tells whether that was new. An answer of an
+    /// older life arrives late and says nothing. Within one life, leaving is never taken back:
+    /// reports lag, and an older one must not bring a leaving endpoint back into service.
+    pub fn heard(&self, mut life: Life) -> bool {
+        let mut known = lock(&self.state.life);
+        life.leaving |= known.leaving && life.incarnation == known.incarnation;
+        if life.incarnation < known.incarnation || life == *known {
+            return false;
+        }
+        *known = life;
+        true
+    }
+
+    /// The endpoint as the scheduler wants to hear of it.
+    pub fn change(&self) -> EndpointChange {
+        let life = self.life();
+        let leaving = self.place.leaving || life.leaving;
+        EndpointChange {
+            endpoint: self.place.id.clone(),
+            address: self.place.address,
+            data_centre: self.place.data_centre.clone(),
+            distance: self.place.distance,
+            incarnation: life.incarnation,
+            state: if leaving { EndpointState::Leaving } else { EndpointState::Live },
+        }
+    }
+
+    /// Notes that this instance is about to hold memory there under `id`, until the result is
+    /// dropped.
+    pub fn hold(self: &Arc<Self>, id: String) -> Holding {
+        lock(&self.state.holdings).insert(id.clone());
+        Holding { endpoint: self.clone(), id, may_remain: true }
+    }
+
+    /// Whether this instance still wants what it holds under `id`.
+    pub fn wants(&self, id: &str) -> bool {
+        lock(&self.state.holdings).contains(id)
+    }
+
+    /// Whether this instance holds anything there.
+    pub fn holds_any(&self) -> bool {
+        !lock(&self.state.holdings).is_empty()
+    }
+
+    /// Waits until something that was held there is no longer wanted.
+    pub async fn nudged(&self) {
+        // The sender lives in `self`, so the channel can't be closed.
+        self.state.nudged.recv().await.ok();
+    }
+
+    /// The engine's listing of held memory, at most `max_age` old. Many silent streams ask at
+    /// once, and one call answers them all.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub async fn listing(&self, max_age: Duration) -> Result<Arc<HeldPage>, EngineError> {
+        let mut listing = self.state.listing.lock().await;
+        if let Some(known) = &*listing
+            && known.taken.elapsed() <= max_age
+        {
+            return known.page.clone();
+        }
+        let taken = Instant::now();
+        let page = self.engine().held().await.map(Arc::new);
+        *listing = Some(Listing { taken, page: page.clone() });
+        page
+    }
+}
+
+/// Memory that this instance holds on an engine, or is about to. Dropping it says that the memory
+/// is no longer wanted; the engine's memory controller then releases it, and again until the
+/// engine's own listing shows that it is gone.
+#[derive(Debug)]
+pub struct Holding {
+    endpoint: Arc<Endpoint>,
+    id: String,
+    may_remain: bool,
+}
+
+impl Holding {
+    /// Ends a holding that the engine has ended as well, so that nothing has to be released.
+    pub fn close(mut self) {
+        self.may_remain = false;
+    }
+
+    /// Its id on the engine.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// The endpoint.
+    pub fn endpoint(&self) -> &Arc<Endpoint> {
+        &self.endpoint
+    }
+}
+
+impl Drop for Holding {
+    fn drop(&mut self) {
+        lock(&self.endpoint.state.holdings).swap_remove(&self.id);
+        if self.may_remain {
+            // A full channel already says it.
+            self.endpoint.state.nudge.try_send(()).ok();
+        }
+    }
+}
+
+/// Locks, also after a panic elsewhere: every change under these locks is a single step.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/filter/admission.rs
@@ -0,0 +1,103 @@
+//! Offers the request to the deployment's scheduler, which admits it or refuses it at once.
+
+use std::sync::Arc;
+
+use policy::{CallKind, Decision, Event, Outcome, RequestSpec};
+use smol::channel::Receiver;
+
+use crate::{
+    active::AnyDeployment,
+    error::CallError,
+    filter::{Answer, Handler, Timed, Work},
+};
+
+/// An admitted request.
+#[derive(Debug)]
+pub struct Admitted {
+    /// The request.
+    pub timed: Timed,
+    /// What the scheduler knows of it.
+    pub spec: Arc<RequestSpec>,
+    /// Its place with the scheduler.
+    pub ticket: Ticket,
+}
+
+/// An admitted request's place with the scheduler. Dropping it without [`Ticket::end`] says that
+/// the caller hung up, so that no request can stay admitted for ever.
+#[derive(Debug)]
+pub struct Ticket {
+    /// The deployment.
+    pub deployment: Arc<AnyDeployment>,
+    /// What the scheduler decides about the request.
+    pub decisions: Receiver<Decision>,
+    spec: Arc<RequestSpec>,
+    ended: bool,
+}
+
+impl Ticket {
+    /// Tells the scheduler how the request ended.
+    pub fn end(mut self, outcome: Outcome) {
+        self.tell(outcome);
+    }
+
+    fn tell(&mut self, outcome: Outcome) {
+        if !std::mem::replace(&mut self.ended, true) {
+            self.deployment.observe(Event::Ended { request: self.spec.id, outcome });
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.tell(Outcome::Cancelled);
+    }
+}
+
+/// Offers requests to their schedulers.
+pub struct Admission<N> {
+    next: N,
+}
+
+impl<N> Admission<N> {
+    /// Passes on to `next`.
+    pub fn new(next: N) -> Self {
+        Admission { next }
+    }
+}
+
+impl<N: Handler<Admitted>> Handler<Timed> for Admission<N> {
+    async fn handle(&self, timed: Timed) -> Result<Answer, CallError> {
+        let spec = Arc::new(spec(&timed));
+        let deployment = timed.received.route.deployment.clone();
+        let decisions = deployment.offer(spec.clone())?;
+        let ticket = Ticket { deployment, decisions, spec: spec.clone(), ended: false };
+        self.next.handle(Admitted { timed, spec, ticket }).await
+    }
+}
+
+fn spec(timed: &Timed) -> RequestSpec {
+    let received = &timed.received;
+    let common = RequestSpec {
+        id: received.record.id,
+        workspace: received.workspace.clone(),
+        kind: CallKind::Service,
+        prompt: RequestSpec::SERVICE_CALL,
+        max_output: policy::Tokens::ZERO,
+        arrived: received.record.arrived,
+        deadline: timed.deadline,
+        first_token_by: None,
+        prefix: Vec::new(),
+        fingerprint: received.fingerprint,
+        repeatable: true,
+    };
+    match &received.work {
+        Work::Service(work) => RequestSpec { repeatable: work.repeatable(), ..common },
+        Work::Model(work) => RequestSpec {
+            kind: CallKind::Model(work.model.clone()),
+            prompt: work.scan.prompt.tokens,
+            max_output: work.scan.max_output.unwrap_or(received.route.rules.limits.default_output),
+            prefix: work.scan.prompt.blocks.clone(),
+            ..common
+        },
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/filter/dispatch/assemble.rs
@@ -0,0 +1,115 @@
+//! The whole answer for callers who didn't ask for events.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use platform::engine::{
+    piece::{Piece, Usage},
+    wire::Resume,
+};
+use serde::Serialize;
+
+use crate::filter::{ModelWork, Whole, parse::CHAT};
+
+/// What was generated so far, over all attempts.
+#[derive(Debug, Default)]
+pub(super) struct Output {
+    /// The text.
+    pub(super) text: String,
+    /// Offset of the next token.
+    pub(super) offset: u64,
+    /// Where the last token's text begins.
+    pub(super) last: usize,
+    /// Why generation ended, once it has.
+    pub(super) finish_reason: Option<String>,
+    /// The engine's counts, once known.
+    pub(super) usage: Option<Usage>,
+}
+
+#[derive(Serialize)]
+struct Completion<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    usage: Counts,
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Message<'a>>,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Message<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+#[derive(Serialize)]
+struct Counts {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    total_tokens: u64,
+}
+
+impl Output {
+    /// Adds a piece.
+    pub(super) fn push(&mut self, piece: Piece) {
+        self.offset += 1;
+        self.last = self.text.len();
+        self.text.push_str(&piece.text);
+        self.usage = piece.usage.or(self.usage);
+        self.finish_reason = piece.finish_reason.or(self.finish_reason.take());
+    }
+
+    /// Where a further attempt goes on; none where nothing has come yet. Where every token has
+    /// come and only the end mark is missing, the last token is asked for again, because an
+    /// engine that has nothing left to generate may refuse.
+    pub(super) fn resume(&self) -> Option<Resume> {
+        match (self.offset, &self.finish_reason) {
+            (0, _) => None,
+            (1, Some(_)) => None,
+            (offset, Some(_)) => {
+                Some(Resume { from: offset - 1, text: self.text[..self.last].to_owned() })
+            }
+            (offset, None) => Some(Resume { from: offset, text: self.text.clone() }),
+        }
+    }
+
+    /// The answer as one JSON document.
+    pub(super) fn assemble(&self, id: &str, work: &ModelWork) -> Whole {
+        let chat = work.path == CHAT;
+        let text = self.text.as_str();
+        let message = chat.then_some(Message { role: "assistant", content: text });
+        let choice = Choice {
+            index: 0,
+            text: (!chat).then_some(text),
+            message,
+            finish_reason: self.finish_reason.as_deref(),
+        };
+        let prompt_tokens =
+            self.usage.map_or(work.scan.prompt.tokens.0, |usage| usage.prompt_tokens);
+        let completion = Completion {
+            id,
+            object: if chat { "chat.completion" } else { "text_completion" },
+            created: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs(),
+            model: work.model.as_str(),
+            choices: [choice],
+            usage: Counts {
+                prompt_tokens,
+                completion_tokens: self.offset,
+                total_tokens: prompt_tokens + self.offset,
+            },
+        };
+        // Plain strings and numbers can always be written.
+        let body = serde_json::to_vec(&completion).unwrap_or_default();
+        Whole { status: 200, content_type: None, headers: Vec::new(), body: Bytes::from(body) }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/filter/dispatch/attempt.rs
@@ -0,0 +1,216 @@
+//! One attempt to run a completion on an engine.
+//!
+//! Guards against pieces of an answer that are late, crossed, repeated or missing: each names the
+//! attempt and its offset. Repeated ones are dropped; a gap or a stranger's piece ends the attempt,
+//! and the next one resumes behind what the caller has. Without the end mark and the reason why
+//! generation ended, nothing counts as whole.
+
+use bytes::Bytes;
+use platform::engine::{
+    piece::Piece,
+    run::{Run, RunError, Running},
+    sse::{SseError, SseEvent},
+    wire::{AttemptId, DONE, EventId, Resume},
+};
+use policy::{Event, FailCause, Start, Tokens};
+use serde::Serialize;
+
+use super::{
+    driver::{AttemptEnd, Driver, End},
+    reserve::{Reservations, is_expected},
+    silence::Watch,
+};
+use crate::{
+    controller::LEASE,
+    endpoint::{Endpoint, Life},
+    filter::relay::Reply,
+};
+
+/// Tokens between two reports of progress to the scheduler.
+const PROGRESS_STEP: u64 = 32;
+
+impl Driver {
+    pub(super) async fn attempt(&mut self, start: &Start) -> AttemptEnd {
+        match self.try_attempt(start).await {
+            Ok(()) => AttemptEnd::Request(End::Finished),
+            Err(end) => end,
+        }
+    }
+
+    async fn try_attempt(&mut self, start: &Start) -> Result<(), AttemptEnd> {
+        let active = self.shared.active();
+        let [head, others @ ..] = &start.shards[..] else { return Err(failed(FailCause::NotSent)) };
+        let endpoint = active.endpoints.get(&head.endpoint).ok_or(failed(FailCause::NotSent))?;
+        let attempt = AttemptId {
+            owner: self.shared.owner.clone(),
+            request: start.request,
+            attempt: start.attempt,
+        };
+        let reservations = Reservations::take(&active, &attempt, others).await.map_err(failed)?;
+        self.attempts += 1;
+        self.timed.received.record.note(|facts| {
+            facts.attempts += 1;
+            facts.endpoint = Some(head.endpoint.clone());
+        });
+        let id = attempt.to_string();
+        let holding = endpoint.hold(id.clone());
+        let run = self.run_call(start, attempt.clone(), endpoint, reservations.header());
+        let watch = Watch { endpoint, attempt: &id, incarnation: None };
+        let running = match watch.wait(self.output.offset, run.send()).await {
+            Ok(Ok(running)) => running,
+            Ok(Err(e)) => {
+                if !matches!(e, RunError::Broken | RunError::BadAnswer) {
+                    holding.close();
+                }
+                return Err(self.not_running(endpoint, &watch, e).await);
+            }
+            Err(cause) => return Err(failed(cause)),
+        };
+        let life = Life { incarnation: running.incarnation, leaving: running.leaving };
+        self.shared.heard(endpoint, life);
+        if !is_expected(head, running.incarnation) {
+            return Err(failed(FailCause::NotSent));
+        }
+        let watch = Watch { incarnation: Some(running.incarnation), ..watch };
+        self.relay(start, &attempt, running, &watch).await.map_err(failed)?;
+        holding.close();
+        Ok(())
+    }
+
+    fn run_call(
+        &self,
+        start: &Start,
+        attempt: AttemptId,
+        endpoint: &Endpoint,
+        kv_shards: String,
+    ) -> Run {
+        Run {
+            address: endpoint.place.address,
+            path: self.work.path,
+            attempt,
+            priority: start.priority,
+            lease: LEASE,
+            kv_shards,
+            traceparent: self.timed.received.head.traceparent.clone(),
+            body: self.body(),
+        }
+    }
+
+    /// The body, with the place to resume at where the caller already has a part of the answer.
+    fn body(&self) -> Vec<Bytes> {
+        let body = &self.timed.received.body;
+        match self.output.resume() {
+            Some(resume) => resumed(body, &resume),
+            None => vec![body.clone()],
+        }
+    }
+
+    async fn not_running(&self, endpoint: &Endpoint, watch: &Watch<'_>, e: RunError) -> AttemptEnd {
+        match e {
+            RunError::NotSent => failed(FailCause::NotSent),
+            RunError::Rejected(rejection) => {
+                let leaving = rejection.leaving;
+                if let Some(incarnation) = rejection.incarnation {
+                    self.shared.heard(endpoint, Life { incarnation, leaving });
+                }
+                failed(FailCause::Rejected)
+            }
+            // In mid-stream such an answer can't be passed on, and another engine may resume.
+            RunError::Final(answer) if self.output.offset == 0 => {
+                AttemptEnd::Request(End::Answered(answer))
+            }
+            RunError::Final(_) | RunError::EndpointError => failed(FailCause::EndpointError),
+            RunError::Broken => failed(watch.why_broken().await),
+            RunError::BadAnswer => failed(FailCause::BadAnswer),
+        }
+    }
+
+    async fn relay(
+        &mut self,
+        start: &Start,
+        attempt: &AttemptId,
+        mut running: Running,
+        watch: &Watch<'_>,
+    ) -> Result<(), FailCause> {
+        let mut reported = self.output.offset;
+        loop {
+            let event = match watch.wait(self.output.offset, running.next()).await? {
+                Ok(Some(event)) => event,
+                Ok(None) | Err(SseError::Broken) => return Err(watch.why_broken().await),
+                Err(SseError::Malformed) => return Err(FailCause::BadAnswer),
+            };
+            if event.data == DONE {
+                let whole = self.output.finish_reason.is_some();
+                return if whole { Ok(()) } else { Err(FailCause::BadAnswer) };
+            }
+            self.take(start, attempt, event).await?;
+            if self.output.offset >= reported + PROGRESS_STEP {
+                self.progress(start, self.output.offset - reported);
+                reported = self.output.offset;
+            }
+        }
+    }
+
+    async fn take(
+        &mut self,
+        start: &Start,
+        attempt: &AttemptId,
+        event: SseEvent,
+    ) -> Result<(), FailCause> {
+        let id: EventId = event.id.parse().map_err(|_| FailCause::BadAnswer)?;
+        if id.attempt != *attempt || id.offset > self.output.offset {
+            return Err(FailCause::BadAnswer);
+        }
+        if id.offset < self.output.offset {
+            return Ok(());
+        }
+        let piece = Piece::read(&event.data).ok_or(FailCause::BadAnswer)?;
+        if self.output.offset == 0 {
+            self.first_token(start, &piece);
+        }
+        self.output.push(piece);
+        self.timed.received.record.note(|facts| {
+            facts.output = Tokens(self.output.offset);
+        });
+        if self.work.scan.stream {
+            // A caller that is gone ends the request elsewhere.
+            self.replies.send(Reply::Event(event.data)).await.ok();
+        }
+        Ok(())
+    }
+
+    fn first_token(&self, start: &Start, piece: &Piece) {
+        let now = self.shared.clock.now();
+        self.timed.received.record.note(|facts| facts.first_token = Some(now));
+        let cached = piece.usage.and_then(|usage| usage.cached_tokens).map(Tokens);
+        let (request, attempt) = (start.request, start.attempt);
+        self.ticket.deployment.observe(Event::FirstToken { request, attempt, cached });
+    }
+
+    fn progress(&self, start: &Start, tokens: u64) {
+        let (request, attempt, tokens) = (start.request, start.attempt, Tokens(tokens));
+        self.ticket.deployment.observe(Event::Progress { request, attempt, tokens });
+    }
+}
+
+fn failed(cause: FailCause) -> AttemptEnd {
+    AttemptEnd::Failed(cause)
+}
+
+#[derive(Serialize)]
+struct Member<'a> {
+    resume: &'a Resume,
+}
+
+/// `body` with the `resume` member added at its end, without a copy of `body`.
+fn resumed(body: &Bytes, resume: &Resume) -> Vec<Bytes> {
+    let end = body.iter().rposition(|byte| *byte == b'}').unwrap_or(body.len());
+    // Plain strings and numbers can always be written.
+    let mut member = serde_json::to_vec(&Member { resume }).unwrap_or_default();
+    // The brace that opens the member's own object becomes the comma behind the body's last one;
+    // the brace that closes it closes the body.
+    if let Some(first) = member.first_mut() {
+        *first = b',';
+    }
+    vec![body.slice(..end), Bytes::from(member)]
+}
--- /dev/null
+++ b/crates/daemon/src/filter/dispatch/service.rs
@@ -0,0 +1,169 @@
+//! One call to a plain service, from its admission to its end.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_lite::FutureExt;
+use platform::service::{Service, ServiceAnswer, ServiceCall, ServiceError, http::HttpService};
+use policy::{Decision, Event, FailCause, Failure, Outcome, Ran, RefusalReason, Start, Tokens};
+
+use crate::{
+    endpoint::Life,
+    error::CallError,
+    filter::{Admitted, Answer, ServiceWork, Ticket, Whole, deadline::expired},
+    shared::Shared,
+};
+
+/// A call that may be repeated waits for one server at most this part of the time it has left, so
+/// that one silent connection leaves time for another server.
+const PART: u32 = 2;
+
+/// Runs one call to its end. The caller's hang-up drops this future, and with it the ticket.
+pub(super) async fn run(
+    shared: &Arc<Shared>,
+    admitted: Admitted,
+    work: ServiceWork,
+) -> Result<Answer, CallError> {
+    let (clock, deadline) = (shared.clock, admitted.timed.deadline);
+    let conn = admitted.timed.received.conn.clone();
+    let ticket = &admitted.ticket;
+    let mut call = Call { shared, admitted: &admitted, work: &work, sent: false };
+    let late = async {
+        clock.sleep_until(deadline).await;
+        End::Expired
+    };
+    let hung_up = async {
+        conn.hung_up().await;
+        End::HungUp
+    };
+    let end = call.follow(ticket).or(hung_up).or(late).await;
+    let ran = if call.sent { Ran::Unknown } else { Ran::No };
+    let record = admitted.timed.received.record.clone();
+    match end {
+        End::Answered(answer) => {
+            record.note(|facts| (facts.outcome, facts.ran) = ("finished", Ran::Yes));
+            admitted.ticket.end(Outcome::Finished { prompt: Tokens::ZERO, output: Tokens::ZERO });
+            Ok(Answer::Whole(whole(answer)))
+        }
+        End::Failed(failure) => Err(failure.into()),
+        End::Expired => {
+            admitted.ticket.end(Outcome::Expired);
+            Err(expired(ran))
+        }
+        // Nobody reads this.
+        End::HungUp => Err(CallError { ran, ..hung_up_error() }),
+    }
+}
+
+enum End {
+    Answered(ServiceAnswer),
+    Failed(Failure),
+    Expired,
+    HungUp,
+}
+
+struct Call<'a> {
+    shared: &'a Arc<Shared>,
+    admitted: &'a Admitted,
+    work: &'a ServiceWork,
+    sent: bool,
+}
+
+impl Call<'_> {
+    async fn follow(&mut self, ticket: &Ticket) -> End {
+        loop {
+            let start = match ticket.decisions.recv().await {
+                Ok(Decision::Start(start)) => start,
+                Ok(Decision::Fail { failure, .. }) => return End::Failed(failure),
+                Ok(Decision::Cancel { .. }) => continue,
+                // The scheduler has forgotten the request, which only its own fault explains.
+                Err(_) => return End::Failed(forgotten()),
+            };
+            match self.attempt(&start).await {
+                Ok(answer) => return End::Answered(answer),
+                Err(cause) => self.failed(ticket, &start, cause),
+            }
+        }
+    }
+
+    fn failed(&self, ticket: &Ticket, start: &Start, cause: FailCause) {
+        self.shared.metrics.attempt_failed(&ticket.deployment.name, cause);
+        self.admitted.timed.received.record.note(|facts| facts.last_failure = Some(cause));
+        let (request, attempt, passed_on) = (start.request, start.attempt, Tokens::ZERO);
+        let event = Event::AttemptFailed { request, attempt, cause, passed_on };
+        ticket.deployment.observe(event);
+    }
+
+    async fn attempt(&mut self, start: &Start) -> Result<ServiceAnswer, FailCause> {
+        let active = self.shared.active();
+        let shard = start.shards.first().ok_or(FailCause::NotSent)?;
+        let endpoint = active.endpoints.get(&shard.endpoint).ok_or(FailCause::NotSent)?;
+        self.admitted.timed.received.record.note(|facts| {
+            facts.attempts += 1;
+            facts.endpoint = Some(shard.endpoint.clone());
+        });
+        let call = self.call();
+        // From here on the call may have run, unless the connection is known to have failed.
+        let before = std::mem::replace(&mut self.sent, true);
+        match HttpService::new(endpoint.place.address).call(call).await {
+            Ok(answer) => {
+                let leaving = answer.leaving;
+                self.shared.heard(endpoint, Life { leaving, ..endpoint.life() });
+                judge(answer, self.work.repeatable())
+            }
+            Err(ServiceError::NotSent) => {
+                self.sent = before;
+                Err(FailCause::NotSent)
+            }
+            Err(ServiceError::Broken) => Err(FailCause::Broken),
+            Err(ServiceError::Silent) => Err(FailCause::Silent),
+            Err(ServiceError::BadAnswer) => Err(FailCause::BadAnswer),
+        }
+    }
+
+    fn call(&self) -> ServiceCall {
+        let target = &self.work.target;
+        let left = self.shared.clock.until(self.admitted.timed.deadline);
+        let timeout = if self.work.repeatable() { left / PART } else { left };
+        let path = match &target.query {
+            Some(query) => format!("{}?{query}", target.path),
+            None => target.path.clone(),
+        };
+        ServiceCall {
+            method: target.method,
+            path,
+            headers: target.headers.clone(),
+            body: self.admitted.timed.received.body.clone(),
+            timeout,
+        }
+    }
+}
+
+/// Whether an answer is the caller's, or a reason to ask another server. Only calls that may be
+/// repeated are asked again: a busy server's refusal is no proof that nothing ran.
+fn judge(answer: ServiceAnswer, repeatable: bool) -> Result<ServiceAnswer, FailCause> {
+    match answer.status {
+        429 | 503 if repeatable => Err(FailCause::Rejected),
+        500..=599 if repeatable => Err(FailCause::EndpointError),
+        _ => Ok(answer),
+    }
+}
+
+fn whole(answer: ServiceAnswer) -> Whole {
+    Whole {
+        status: answer.status,
+        content_type: answer.content_type,
+        headers: Vec::new(),
+        body: answer.body,
+    }
+}
+
+fn forgotten() -> Failure {
+    let retry_after = Duration::from_secs(1);
+    Failure { cause: FailCause::NoEndpoint, ran: Ran::Unknown, retry_after }
+}
+
+fn hung_up_error() -> CallError {
+    let refusal =
+        policy::Refusal { reason: RefusalReason::NoEndpoint, retry_after: Duration::from_secs(1) };
+    CallError { code: "hung_up", ..refusal.into() }
+}
--- /dev/null
+++ b/crates/daemon/src/filter/mod.rs
@@ -0,0 +1,115 @@
+//! The path of a request, one file a filter. `docs/ARCHITECTURE.md` describes the order.
+//!
+//! Each filter takes what the one before it found out, adds to it and calls the next; the types
+//! of the stages keep a request from skipping one. The chain is composed by generics alone.
+
+mod admission;
+mod deadline;
+mod dispatch;
+mod once;
+mod parse;
+mod receive;
+pub mod relay;
+pub mod scan;
+mod text;
+pub mod workspace;
+
+use std::{future::Future, sync::Arc};
+
+use bytes::Bytes;
+use http_types::{Request, Response};
+use platform::service::Header;
+
+pub use admission::{Admitted, Ticket};
+pub use deadline::Timed;
+pub use parse::{Head, Parsed, Target};
+pub use receive::{ModelWork, Received, ServiceWork, Work};
+
+use crate::{
+    error::CallError,
+    record::CallRecord,
+    server::{connection::Connection, respond},
+    shared::Shared,
+};
+
+/// One stage of the path of a request.
+pub trait Handler<In>: Send + Sync {
+    /// Answers, usually by calling the next stage.
+    fn handle(&self, input: In) -> impl Future<Output = Result<Answer, CallError>> + Send;
+}
+
+/// A request as it came in.
+#[derive(Debug)]
+pub struct Inbound {
+    /// Head and body.
+    pub req: Request,
+    /// Its connection.
+    pub conn: Arc<Connection>,
+    /// Its record.
+    pub record: Arc<CallRecord>,
+}
+
+/// What the caller gets.
+#[derive(Debug)]
+pub enum Answer {
+    /// An answer that is whole.
+    Whole(Whole),
+    /// Server-sent events as they come.
+    Stream(relay::EventBody),
+}
+
+/// An answer that is whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Whole {
+    /// HTTP status.
+    pub status: u16,
+    /// Media type; JSON where absent.
+    pub content_type: Option<String>,
+    /// Further headers.
+    pub headers: Vec<Header>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// All filters in order.
+pub type Chain = parse::Parse<
+    workspace::Identify<
+        receive::Receive<deadline::Deadline<admission::Admission<once::Once<dispatch::Dispatch>>>>,
+    >,
+>;
+
+/// The filters of an instance.
+pub fn chain(shared: &Arc<Shared>) -> Chain {
+    let dispatch = dispatch::Dispatch::new(shared.clone());
+    let admission = admission::Admission::new(once::Once::new(dispatch));
+    let deadline = deadline::Deadline::new(shared.clone(), admission);
+    let receive = receive::Receive::new(shared.clone(), deadline);
+    parse::Parse::new(shared.clone(), workspace::Identify::new(shared.clone(), receive))
+}
+
+/// Sends a request through the filters and accounts for it.
+pub async fn answer(
+    chain: &Chain,
+    shared: &Arc<Shared>,
+    conn: Arc<Connection>,
+    req: Request,
+) -> Response {
+    let record = shared.begin(parse::request_id(&req));
+    conn.begin(record.clone());
+    conn.cut_at(
+        shared.clock.now() + receive::BODY_TIMEOUT + crate::server::connection::WRITE_GRACE,
+    );
+    let inbound = Inbound { req, conn: conn.clone(), record: record.clone() };
+    let result = chain.handle(inbound).await;
+    if let Err(e) = &result {
+        record.note(|facts| (facts.outcome, facts.ran) = (e.code, e.ran));
+        // Much of the body may be unread, and the library would read all of it.
+        conn.cut_at(shared.clock.now() + crate::server::connection::WRITE_GRACE);
+    }
+    let mut resp = respond::response(result);
+    record.note(|facts| {
+        facts.status = resp.status().into();
+        resp.insert_header(respond::REQUEST_ID, facts.request_id.as_str());
+    });
+    resp
+}
--- /dev/null
+++ b/crates/daemon/src/filter/parse.rs
@@ -0,0 +1,213 @@
+//! Reads the head of a request: what it asks for, and the headers that govern it.
+
+use std::{sync::Arc, time::Duration};
+
+use http_types::{Body, Method, Request, StatusCode};
+use platform::service::Header;
+use policy::{EndpointGroup, Ran, Refusal, RefusalReason, config::Version};
+
+use crate::{
+    error::CallError,
+    filter::{Answer, Handler, Inbound},
+    record::CallRecord,
+    server::{connection::Connection, respond::REQUEST_ID, router},
+    shared::{Shared, Stage},
+};
+
+/// The longest accepted `Idempotency-Key`, `traceparent` and `x-request-id`. They are kept, logged
+/// and passed on.
+const MAX_TEXT: usize = 256;
+
+/// When to come back after meeting an instance that is stopping or has no configuration yet. The
+/// balancer has others, so this need not outlast the stop.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// Headers that are passed on to plain services.
+const PASSED_ON: [&str; 6] =
+    ["accept", "accept-language", "content-type", "idempotency-key", "traceparent", "tracestate"];
+
+/// A request whose head was read.
+#[derive(Debug)]
+pub struct Parsed {
+    /// What it asks for.
+    pub target: Target,
+    /// The headers that govern it.
+    pub head: Head,
+    /// Its body, unread.
+    pub body: Body,
+    /// Its connection.
+    pub conn: Arc<Connection>,
+    /// Its record.
+    pub record: Arc<CallRecord>,
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Target {
+    /// A completion at this path.
+    Model(&'static str),
+    /// A call to a plain service.
+    Service(ServiceTarget),
+}
+
+/// A call to a plain service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceTarget {
+    /// The endpoint group.
+    pub group: EndpointGroup,
+    /// The method.
+    pub method: Method,
+    /// The path within the service, without query.
+    pub path: String,
+    /// The query, if any.
+    pub query: Option<String>,
+    /// Headers to be passed on.
+    pub headers: Vec<Header>,
+}
+
+/// The headers that govern a request.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Head {
+    /// The key of `Authorization: Bearer`.
+    pub bearer: Option<String>,
+    /// `x-deadline-ms`.
+    pub deadline: Option<Duration>,
+    /// `Idempotency-Key`.
+    pub idempotency_key: Option<String>,
+    /// `traceparent`.
+    pub traceparent: Option<String>,
+}
+
+/// The path for chat.
+pub(super) const CHAT: &str = "/v1/chat/completions";
+/// The path for plain completions.
+pub(super) const COMPLETIONS: &str = "/v1/completions";
+
+/// Reads the head.
+pub struct Parse<N> {
+    shared: Arc<Shared>,
+    next: N,
+}
+
+impl<N> Parse<N> {
+    /// Passes on to `next`.
+    pub fn new(shared: Arc<Shared>, next: N) -> Self {
+        Parse { shared, next }
+    }
+}
+
+impl<N: Handler<Parsed>> Handler<Inbound> for Parse<N> {
+    async fn handle(&self, mut inbound: Inbound) -> Result<Answer, CallError> {
+        check_stage(&self.shared)?;
+        let target = target(&inbound.req)?;
+        let head = head(&inbound.req)?;
+        let body = inbound.req.take_body();
+        let (conn, record) = (inbound.conn, inbound.record);
+        self.next.handle(Parsed { target, head, body, conn, record }).await
+    }
+}
+
+fn check_stage(shared: &Shared) -> Result<(), CallError> {
+    if shared.stage() == Stage::Refusing {
+        let refusal = Refusal { reason: RefusalReason::Stopping, retry_after: COME_BACK };
+        return Err(refusal.into());
+    }
+    if shared.active().version == Version(0) {
+        return Err(CallError {
+            status: StatusCode::ServiceUnavailable,
+            code: "not_ready",
+            message: "this instance has no configuration yet".to_owned(),
+            ran: Ran::No,
+            retry_after: Some(COME_BACK),
+        });
+    }
+    Ok(())
+}
+
+fn target(req: &Request) -> Result<Target, CallError> {
+    let path = req.url().path();
+    if let Some(rest) = path.strip_prefix("/services/") {
+        return service_target(req, rest).map(Target::Service);
+    }
+    let path = match path {
+        CHAT => CHAT,
+        COMPLETIONS => COMPLETIONS,
+        _ => return Err(router::not_found(path)),
+    };
+    match req.method() {
+        Method::Post => Ok(Target::Model(path)),
+        method => Err(bad_method(method, path)),
+    }
+}
+
+fn service_target(req: &Request, rest: &str) -> Result<ServiceTarget, CallError> {
+    let (group, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let group = group
+        .parse()
+        .map_err(|e| CallError::malformed(format!("path, after `/services/`: {e}")))?;
+    let method = req.method();
+    // Others, such as HEAD, have answers without a body of the stated length.
+    let passed = [Method::Get, Method::Post, Method::Put, Method::Patch, Method::Delete];
+    if !passed.contains(&method) {
+        return Err(bad_method(method, req.url().path()));
+    }
+    let headers = PASSED_ON.into_iter().filter_map(|name| {
+        let value = text_header(req, name)?;
+        Some(Header { name: name.to_owned(), value: value.to_owned() })
+    });
+    Ok(ServiceTarget {
+        group,
+        method,
+        path: format!("/{path}"),
+        query: req.url().query().map(str::to_owned),
+        headers: headers.collect(),
+    })
+}
+
+fn bad_method(method: Method, path: &str) -> CallError {
+    let message = format!("`{method}` isn't served at `{path}`");
+    CallError::caller(StatusCode::MethodNotAllowed, "method_not_allowed", message)
+}
+
+fn head(req: &Request) -> Result<Head, CallError> {
+    Ok(Head {
+        bearer: super::workspace::bearer(req),
+        deadline: deadline(req)?,
+        idempotency_key: bounded_header(req, "idempotency-key")?,
+        traceparent: bounded_header(req, "traceparent")?,
+    })
+}
+
+fn deadline(req: &Request) -> Result<Option<Duration>, CallError> {
+    let Some(text) = text_header(req, "x-deadline-ms") else { return Ok(None) };
+    let millis: u64 = text.parse().ok().filter(|millis| *millis > 0).ok_or_else(|| {
+        let text: String = text.chars().take(32).collect();
+        let message = format!(
+            "header `x-deadline-ms`: expected a count of milliseconds above zero, found {text:?}"
+        );
+        CallError::malformed(message)
+    })?;
+    Ok(Some(Duration::from_millis(millis)))
+}
+
+fn bounded_header(req: &Request, name: &'static str) -> Result<Option<String>, CallError> {
+    let Some(text) = text_header(req, name) else { return Ok(None) };
+    if text.is_empty() || text.len() > MAX_TEXT {
+        let message =
+            format!("header `{name}`: expected 1 to {MAX_TEXT} bytes, found {}", text.len());
+        return Err(CallError::malformed(message));
+    }
+    Ok(Some(text.to_owned()))
+}
+
+/// The caller's own id for the request, where it gives a usable one.
+pub(super) fn request_id(req: &Request) -> Option<String> {
+    let text = text_header(req, REQUEST_ID)?;
+    let usable = (1..=MAX_TEXT).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic());
+    usable.then(|| text.to_owned())
+}
+
+/// The last value of a header, as text.
+pub(super) fn text_header<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
+    req.header(name).map(|values| values.last().as_str().trim())
+}
--- /dev/null
+++ b/crates/daemon/src/filter/receive.rs
@@ -0,0 +1,212 @@
+//! Reads the body within its limits and finds out what the request needs.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_lite::{AsyncReadExt, FutureExt, future::yield_now};
+use http_types::{Body, StatusCode};
+use policy::{Fingerprint, Model, Tokens, Workspace, config::RouteRules};
+use smol::Timer;
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::{
+    active::{Active, Route},
+    error::CallError,
+    filter::{
+        Answer, Handler, Head, Parsed, Target,
+        parse::{CHAT, ServiceTarget},
+        scan::{PromptMember, Scan, scan},
+        workspace::Identified,
+    },
+    record::CallRecord,
+    server::connection::Connection,
+    shared::Shared,
+};
+
+/// How long a body may take to come in. A million tokens over a slow office line take seconds;
+/// one that takes longer than this is a broken or hostile upload.
+pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// How much is read before others get their turn on the thread.
+const READ_STEP: usize = 256 << 10;
+
+/// Bodies above this are scanned on a thread of their own: at about a gigabyte a second, this
+/// much holds up the other requests of a thread by a tenth of a millisecond.
+const SCAN_INLINE: usize = 64 << 10;
+
+/// A request that came in whole.
+#[derive(Debug)]
+pub struct Received {
+    /// What it needs.
+    pub work: Work,
+    /// Its deployment.
+    pub route: Route,
+    /// Whose it is.
+    pub workspace: Workspace,
+    /// The headers that govern it.
+    pub head: Head,
+    /// Its body as it came.
+    pub body: Bytes,
+    /// Hash of the prompt, or of path and body for a plain service.
+    pub fingerprint: Fingerprint,
+    /// The configuration it began with.
+    pub active: Arc<Active>,
+    /// Its connection.
+    pub conn: Arc<Connection>,
+    /// Its record.
+    pub record: Arc<CallRecord>,
+}
+
+/// What a request needs.
+#[derive(Debug, Clone)]
+pub enum Work {
+    /// A completion.
+    Model(ModelWork),
+    /// A call to a plain service.
+    Service(ServiceWork),
+}
+
+/// A completion.
+#[derive(Debug, Clone)]
+pub struct ModelWork {
+    /// Its path.
+    pub path: &'static str,
+    /// The model.
+    pub model: Model,
+    /// What else the body says.
+    pub scan: Scan,
+}
+
+/// A call to a plain service.
+#[derive(Debug, Clone)]
+pub struct ServiceWork {
+    /// What is called.
+    pub target: ServiceTarget,
+    /// The rules of its route, if any.
+    pub rules: Option<RouteRules>,
+}
+
+impl ServiceWork {
+    /// Whether the call is idempotent.
+    pub fn repeatable(&self) -> bool {
+        self.rules.as_ref().is_none_or(|rules| rules.repeatable)
+    }
+}
+
+/// Reads the body.
+pub struct Receive<N> {
+    shared: Arc<Shared>,
+    next: N,
+}
+
+impl<N> Receive<N> {
+    /// Passes on to `next`.
+    pub fn new(shared: Arc<Shared>, next: N) -> Self {
+        Receive { shared, next }
+    }
+}
+
+impl<N: Handler<Received>> Handler<Identified> for Receive<N> {
+    async fn handle(&self, identified: Identified) -> Result<Answer, CallError> {
+        let Identified { parsed, workspace, active } = identified;
+        let Parsed { target, head, body, conn, record } = parsed;
+        let body = read(body, self.shared.settings.max_body).await?;
+        let (work, route, fingerprint) = match target {
+            Target::Model(path) => {
+                let scan = scan_body(path, body.clone()).await?;
+                let model = model(&scan)?;
+                let route = active.model_route(&model).cloned().ok_or_else(|| unknown(&model))?;
+                let fingerprint = scan.prompt.fingerprint;
+                (Work::Model(ModelWork { path, model, scan }), route, fingerprint)
+            }
+            Target::Service(target) => {
+                let route = active.service_route(&target.group).cloned();
+                let route = route.ok_or_else(|| unknown_group(&target))?;
+                let rules = route.rules.route(&target.path).cloned();
+                let fingerprint = fingerprint(&target.path, &body);
+                (Work::Service(ServiceWork { target, rules }), route, fingerprint)
+            }
+        };
+        record.note(|facts| {
+            facts.deployment = Some(route.deployment.name.clone());
+            facts.prompt = prompt(&work);
+        });
+        let received =
+            Received { work, route, workspace, head, body, fingerprint, active, conn, record };
+        self.next.handle(received).await
+    }
+}
+
+async fn read(body: Body, max: usize) -> Result<Bytes, CallError> {
+    let too_large = || {
+        let message = format!("the body has more than {max} bytes");
+        CallError::caller(StatusCode::PayloadTooLarge, "body_too_large", message)
+    };
+    if body.len().is_some_and(|len| len > max) {
+        return Err(too_large());
+    }
+    let limit = async {
+        Timer::after(BODY_TIMEOUT).await;
+        let message = "the body didn't come in time";
+        Err(CallError::caller(StatusCode::RequestTimeout, "body_timeout", message))
+    };
+    let bytes = read_all(body, max).or(limit).await?;
+    if bytes.len() > max {
+        return Err(too_large());
+    }
+    Ok(bytes)
+}
+
+/// Reads at most one byte more than `max`.
+async fn read_all(body: Body, max: usize) -> Result<Bytes, CallError> {
+    let broken = |_| CallError::malformed("the body broke off or isn't framed as the head says");
+    let expected = body.len();
+    let mut bytes = Vec::with_capacity(expected.unwrap_or(0).min(max));
+    let mut body = body.take(max as u64 + 1);
+    loop {
+        let before = bytes.len();
+        let mut step = (&mut body).take(READ_STEP as u64);
+        step.read_to_end(&mut bytes).await.map_err(broken)?;
+        if bytes.len() == before {
+            break;
+        }
+        yield_now().await;
+    }
+    if expected.is_some_and(|expected| bytes.len() < expected.min(max)) {
+        return Err(CallError::malformed("the body is shorter than `content-length` says"));
+    }
+    Ok(bytes.into())
+}
+
+async fn scan_body(path: &'static str, body: Bytes) -> Result<Scan, CallError> {
+    let member = if path == CHAT { PromptMember::Messages } else { PromptMember::Prompt };
+    let inline = body.len() <= SCAN_INLINE;
+    let work = move || scan(&body, member);
+    let scanned = if inline { work() } else { smol::unblock(work).await };
+    scanned.map_err(CallError::malformed)
+}
+
+fn fingerprint(path: &str, body: &[u8]) -> Fingerprint {
+    Fingerprint(xxh3_128(body) ^ xxh3_128(path.as_bytes()))
+}
+
+fn model(scan: &Scan) -> Result<Model, CallError> {
+    Model::new(&scan.model).map_err(|e| CallError::malformed(format!("member `model`: {e}")))
+}
+
+fn unknown(model: &Model) -> CallError {
+    let message = format!("member `model`: no deployment serves `{model}`");
+    CallError::caller(StatusCode::NotFound, "unknown_model", message)
+}
+
+fn unknown_group(target: &ServiceTarget) -> CallError {
+    let message = format!("path: no plain service is called `{}`", target.group);
+    CallError::caller(StatusCode::NotFound, "unknown_service", message)
+}
+
+fn prompt(work: &Work) -> Tokens {
+    match work {
+        Work::Model(work) => work.scan.prompt.tokens,
+        Work::Service(_) => Tokens::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/filter/relay.rs
@@ -0,0 +1,119 @@
+//! Passes an answer on to the caller, event by event or whole.
+//!
+//! The channel between the driver and the caller's connection is short, so that a slow caller
+//! slows only its own stream: the driver stops reading, and then the engine stops sending.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+};
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use futures_lite::{AsyncBufRead, AsyncRead, Stream};
+use platform::engine::wire::DONE;
+use smol::channel::Receiver;
+
+use crate::{error::CallError, filter::Whole, record::CallRecord};
+
+/// Events that may wait for a slow caller. About a second of a fast model.
+pub const WAITING_EVENTS: usize = 64;
+
+/// What a driver passes on.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Reply {
+    /// The content of one event.
+    Event(Bytes),
+    /// Every event was passed on.
+    Done,
+    /// The whole answer.
+    Whole(Whole),
+    /// There won't be a whole answer.
+    Failed(CallError),
+}
+
+/// A body of server-sent events. It ends well only after [`Reply::Done`] or [`Reply::Failed`];
+/// where the driver is gone without either, reading fails and the connection is cut, so that an
+/// answer that isn't whole never looks whole.
+#[derive(Debug)]
+pub struct EventBody {
+    replies: Pin<Box<Receiver<Reply>>>,
+    frame: Bytes,
+    ended: bool,
+    // Keeps a stopping instance from closing before the last byte is read.
+    _record: Arc<CallRecord>,
+}
+
+impl EventBody {
+    /// A body that begins with `first` and goes on with `replies`.
+    pub fn new(first: &Reply, replies: Receiver<Reply>, record: Arc<CallRecord>) -> Self {
+        let mut body = EventBody {
+            replies: Box::pin(replies),
+            frame: Bytes::new(),
+            ended: false,
+            _record: record,
+        };
+        body.take(first);
+        body
+    }
+
+    fn take(&mut self, reply: &Reply) {
+        self.frame = match reply {
+            Reply::Event(data) => frame(None, data),
+            Reply::Done => frame(None, DONE.as_bytes()),
+            Reply::Failed(e) => frame(Some("error"), &e.to_json()),
+            Reply::Whole(whole) => frame(None, &whole.body),
+        };
+        self.ended = !matches!(reply, Reply::Event(_));
+    }
+}
+
+/// One server-sent event.
+pub fn frame(event: Option<&str>, data: &[u8]) -> Bytes {
+    let mut buf = BytesMut::with_capacity(data.len() + 32);
+    if let Some(event) = event {
+        buf.put_slice(b"event: ");
+        buf.put_slice(event.as_bytes());
+        buf.put_u8(b'\n');
+    }
+    for line in data.split(|byte| *byte == b'\n') {
+        buf.put_slice(b"data: ");
+        buf.put_slice(line);
+        buf.put_u8(b'\n');
+    }
+    buf.put_u8(b'\n');
+    buf.freeze()
+}
+
+impl AsyncBufRead for EventBody {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        while this.frame.is_empty() && !this.ended {
+            match ready!(this.replies.as_mut().poll_next(cx)) {
+                Some(reply) => this.take(&reply),
+                None => return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
+            }
+        }
+        Poll::Ready(Ok(&this.frame))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amt: usize) {
+        let amt = amt.min(self.frame.len());
+        self.frame.advance(amt);
+    }
+}
+
+impl AsyncRead for EventBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let available = ready!(self.as_mut().poll_fill_buf(cx))?;
+        let len = available.len().min(buf.len());
+        buf[..len].copy_from_slice(&available[..len]);
+        self.consume(len);
+        Poll::Ready(Ok(len))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/filter/scan.rs
@@ -0,0 +1,177 @@
+//! Finds the few members of a completion's body that the daemon needs, without building the whole
+//! tree and without a copy of the prompt: a million tokens are several megabytes.
+
+use std::fmt;
+
+use policy::{
+    Tokens,
+    prompt::{PromptDigest, PromptHasher},
+};
+use serde::{
+    Deserialize, Deserializer,
+    de::{Error as _, IgnoredAny, MapAccess, Visitor},
+};
+use serde_json::value::RawValue;
+
+use crate::filter::text;
+
+/// What a completion asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Scan {
+    /// The `model` member.
+    pub model: String,
+    /// The `stream` member.
+    pub stream: bool,
+    /// The `max_tokens` or `max_completion_tokens` member.
+    pub max_output: Option<Tokens>,
+    /// Size and identity of the prompt.
+    pub prompt: PromptDigest,
+}
+
+/// Scans a body. `prompt_member` is `prompt` or `messages`.
+///
+/// # Errors
+///
+/// A sentence that names member, line and column.
+pub fn scan(body: &[u8], prompt_member: PromptMember) -> Result<Scan, String> {
+    let members: Members<'_> =
+        serde_json::from_slice(body).map_err(|e| format!("the body can't be read: {e}"))?;
+    let missing = |name| format!("the body can't be read: member `{name}` is missing");
+    let mut hasher = PromptHasher::new();
+    match prompt_member {
+        PromptMember::Prompt => {
+            let prompt = members.prompt.ok_or_else(|| missing("prompt"))?;
+            text::feed(prompt.get(), &mut hasher)
+                .map_err(|e| format!("the body can't be read: member `prompt`: {e}"))?;
+        }
+        PromptMember::Messages => {
+            let messages = members.messages.ok_or_else(|| missing("messages"))?;
+            text::feed_messages(messages.get(), &mut hasher)
+                .map_err(|e| format!("the body can't be read: member `messages`: {e}"))?;
+        }
+    }
+    Ok(Scan {
+        model: members.model.ok_or_else(|| missing("model"))?,
+        stream: members.stream.unwrap_or(false),
+        max_output: members.max_output.map(Tokens),
+        prompt: hasher.finish(),
+    })
+}
+
+/// Which member holds the prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PromptMember {
+    /// `prompt`, a string.
+    Prompt,
+    /// `messages`, an array of messages.
+    Messages,
+}
+
+#[derive(Debug, Default)]
+struct Members<'a> {
+    model: Option<String>,
+    stream: Option<bool>,
+    max_output: Option<u64>,
+    prompt: Option<&'a RawValue>,
+    messages: Option<&'a RawValue>,
+}
+
+enum Name {
+    Model,
+    Stream,
+    MaxOutput,
+    Prompt,
+    Messages,
+    Count,
+    Resume,
+    Other,
+}
+
+struct NameVisitor;
+
+impl Visitor<'_> for NameVisitor {
+    type Value = Name;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the name of a member")
+    }
+
+    fn visit_str<E>(self, name: &str) -> Result<Name, E> {
+        Ok(match name {
+            "model" => Name::Model,
+            "stream" => Name::Stream,
+            "max_tokens" | "max_completion_tokens" => Name::MaxOutput,
+            "prompt" => Name::Prompt,
+            "messages" => Name::Messages,
+            "n" => Name::Count,
+            "resume" => Name::Resume,
+            _ => Name::Other,
+        })
+    }
+}
+
+impl<'de> Deserialize<'de> for Name {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Name, D::Error> {
+        deserializer.deserialize_identifier(NameVisitor)
+    }
+}
+
+struct MembersVisitor;
+
+impl<'de> Visitor<'de> for MembersVisitor {
+    type Value = Members<'de>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an object")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Members<'de>, A::Error> {
+        let mut members = Members::default();
+        while let Some(name) = map.next_key()? {
+            match name {
+                Name::Model => set(&mut members.model, "model", &mut map)?,
+                Name::Stream => set(&mut members.stream, "stream", &mut map)?,
+                Name::MaxOutput => set(&mut members.max_output, "max_tokens", &mut map)?,
+                Name::Prompt => set(&mut members.prompt, "prompt", &mut map)?,
+                Name::Messages => set(&mut members.messages, "messages", &mut map)?,
+                Name::Count => check_count(&mut map)?,
+                // The daemon adds this member itself when it resumes a request.
+                Name::Resume => return Err(A::Error::custom("member `resume` is reserved")),
+                Name::Other => {
+                    map.next_value::<IgnoredAny>()?;
+                }
+            }
+        }
+        Ok(members)
+    }
+}
+
+/// Reads a member that may be null and may stand only once: of two, the engine might heed the
+/// other one.
+fn set<'de, T: Deserialize<'de>, A: MapAccess<'de>>(
+    slot: &mut Option<T>,
+    name: &str,
+    map: &mut A,
+) -> Result<(), A::Error> {
+    if slot.is_some() {
+        return Err(A::Error::custom(format!("member `{name}` stands twice")));
+    }
+    let value = map.next_value::<Option<T>>();
+    *slot = value.map_err(|e| A::Error::custom(format!("member `{name}`: {e}")))?;
+    Ok(())
+}
+
+fn check_count<'de, A: MapAccess<'de>>(map: &mut A) -> Result<(), A::Error> {
+    let mut count = None;
+    set(&mut count, "n", map)?;
+    match count {
+        None | Some(1u64) => Ok(()),
+        Some(_) => Err(A::Error::custom("member `n`: only 1 answer a request is served")),
+    }
+}
+
+impl<'de: 'a, 'a> Deserialize<'de> for Members<'a> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_map(MembersVisitor)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/filter/workspace.rs
@@ -0,0 +1,68 @@
+//! Whose request it is, by its bearer key.
+
+use std::sync::Arc;
+
+use http_types::{Request, StatusCode};
+use policy::Workspace;
+
+use crate::{
+    active::Active,
+    error::CallError,
+    filter::{Answer, Handler, Parsed, parse::text_header},
+    shared::Shared,
+};
+
+/// A request whose workspace is known. This comes before the body is read, so that nobody without
+/// a key can make an instance hold megabytes.
+#[derive(Debug)]
+pub struct Identified {
+    /// The request.
+    pub parsed: Parsed,
+    /// Whose it is.
+    pub workspace: Workspace,
+    /// The configuration it began with.
+    pub active: Arc<Active>,
+}
+
+/// Finds the workspace.
+pub struct Identify<N> {
+    shared: Arc<Shared>,
+    next: N,
+}
+
+impl<N> Identify<N> {
+    /// Passes on to `next`.
+    pub fn new(shared: Arc<Shared>, next: N) -> Self {
+        Identify { shared, next }
+    }
+}
+
+impl<N: Handler<Identified>> Handler<Parsed> for Identify<N> {
+    async fn handle(&self, parsed: Parsed) -> Result<Answer, CallError> {
+        let active = self.shared.active();
+        let workspace = identify(&active, parsed.head.bearer.as_deref())?;
+        parsed.record.note(|facts| facts.workspace = Some(workspace.clone()));
+        self.next.handle(Identified { parsed, workspace, active }).await
+    }
+}
+
+/// The key of `Authorization: Bearer`, if any.
+pub fn bearer(req: &Request) -> Option<String> {
+    let (scheme, key) = text_header(req, "authorization")?.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim().to_owned())
+}
+
+/// The workspace that `key` belongs to.
+///
+/// # Errors
+///
+/// 401 for a missing or unknown key.
+pub fn identify(active: &Active, key: Option<&str>) -> Result<Workspace, CallError> {
+    let unauthorized =
+        |message| CallError::caller(StatusCode::Unauthorized, "unauthorized", message);
+    let key = key.ok_or_else(|| {
+        unauthorized("header `authorization`: expected `Bearer` and a workspace's key")
+    })?;
+    let workspace = active.workspace(key.as_bytes());
+    workspace.cloned().ok_or_else(|| unauthorized("header `authorization`: the key is unknown"))
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,62 @@
 //! The daemon as a library, so that the demo can run several instances in one process.
 //! `docs/ARCHITECTURE.md` describes the path of a request.
 
+pub mod active;
+pub mod admin;
+pub mod cli;
+pub mod clock;
+pub mod controller;
+pub mod deployment;
+pub mod drain;
+pub mod endpoint;
+pub mod error;
+pub mod filter;
 pub mod folder;
+pub mod instance;
+pub mod logging;
+pub mod metrics;
+pub mod options;
+pub mod record;
+pub mod server;
 pub mod settings;
+pub mod shared;
+
+use std::fmt;
+
+use async_signal::{Signal, Signals};
+use clap::Parser;
+use error_stack::{Report, ResultExt};
+use futures_lite::StreamExt;
+
+pub use instance::Instance;
+
+use crate::{cli::Args, options::Options};
+
+/// The daemon can't run.
+#[derive(Debug)]
+pub struct RunError;
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "trefoilhalld can't run")
+    }
+}
+
+impl std::error::Error for RunError {}
+
+/// Runs the daemon until it is told to stop, which it does gracefully.
+///
+/// # Errors
+///
+/// [`RunError`] with its causes attached.
+pub fn run() -> Result<(), Report<RunError>> {
+    let args = Args::parse();
+    let _logger = logging::start(args.log_level).change_context(RunError)?;
+    let Options { settings, config } = Options::read(&args).change_context(RunError)?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).change_context(RunError)?;
+    let instance = Instance::start(settings, config).change_context(RunError)?;
+    // The stream ends only with the process.
+    smol::block_on(signals.next());
+    instance.close();
+    Ok(())
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,13 @@
 //! `trefoilhalld`, the daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match daemon::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            log::error!(cause:? = report; "can't_run");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,122 @@
+//! Metrics, collected by opentelemetry and read as Prometheus text at `/metrics`.
+
+use std::time::Duration;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use policy::{Deployment, FailCause, Tokens, Workspace};
+use prometheus::{Registry, TextEncoder};
+
+use crate::record::Facts;
+
+/// Bounds of the time histograms in seconds: from a refusal to the longest review.
+const SECONDS: [f64; 16] = [
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 120.0, 600.0,
+];
+
+/// All instruments of one instance.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Requests under way.
+    pub under_way: UpDownCounter<i64>,
+    /// Connections of callers.
+    pub connections: UpDownCounter<i64>,
+    requests: Counter<u64>,
+    attempt_failures: Counter<u64>,
+    first_token: Histogram<f64>,
+    duration: Histogram<f64>,
+    registry: Registry,
+    // Dropping the provider would end collection.
+    _provider: SdkMeterProvider,
+}
+
+/// Metrics can't be set up.
+#[derive(Debug)]
+pub struct MetricsError;
+
+impl std::fmt::Display for MetricsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "the metrics can't be set up")
+    }
+}
+
+impl std::error::Error for MetricsError {}
+
+impl Metrics {
+    /// Instruments and registry of one instance.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError`] where the exporter refuses its registry.
+    pub fn new() -> Result<Metrics, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone());
+        let exporter = exporter.build().map_err(|_| MetricsError)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("trefoilhall");
+        Ok(Metrics {
+            under_way: gauge(&meter, "trefoilhall_requests_under_way", "requests under way"),
+            connections: gauge(&meter, "trefoilhall_connections", "connections of callers"),
+            requests: counter(&meter, "trefoilhall_requests", "requests that ended"),
+            attempt_failures: counter(&meter, "trefoilhall_attempt_failures", "failed attempts"),
+            first_token: seconds(&meter, "trefoilhall_first_token", "time to first token"),
+            duration: seconds(&meter, "trefoilhall_duration", "time from head to end"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that ended.
+    pub fn request_ended(&self, facts: &Facts, first_token: Option<Duration>, total: Duration) {
+        let deployment = facts.deployment.as_ref().map_or("-", Deployment::as_str).to_owned();
+        let workspace = facts.workspace.as_ref().map_or("-", Workspace::as_str).to_owned();
+        let deployment = KeyValue::new("deployment", deployment);
+        let outcome = KeyValue::new("outcome", facts.outcome);
+        let labels = [deployment.clone(), KeyValue::new("workspace", workspace), outcome.clone()];
+        self.requests.add(1, &labels);
+        self.duration.record(total.as_secs_f64(), &[deployment.clone(), outcome]);
+        if let Some(first_token) = first_token {
+            let band = KeyValue::new("prompt", band(facts.prompt));
+            self.first_token.record(first_token.as_secs_f64(), &[deployment, band]);
+        }
+    }
+
+    /// Counts a failed attempt.
+    pub fn attempt_failed(&self, deployment: &Deployment, cause: FailCause) {
+        let deployment = KeyValue::new("deployment", deployment.as_str().to_owned());
+        let cause = KeyValue::new("cause", format!("{cause:?}"));
+        self.attempt_failures.add(1, &[deployment, cause]);
+    }
+
+    /// Everything as Prometheus text.
+    pub fn to_text(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
+
+/// The band of prompt lengths that figures are broken down by.
+pub fn band(prompt: Tokens) -> &'static str {
+    match prompt.0 {
+        0..=2_000 => "to_2k",
+        2_001..=10_000 => "to_10k",
+        10_001..=50_000 => "to_50k",
+        50_001..=200_000 => "to_200k",
+        _ => "over_200k",
+    }
+}
+
+fn counter(meter: &Meter, name: &'static str, text: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(text).build()
+}
+
+fn gauge(meter: &Meter, name: &'static str, text: &'static str) -> UpDownCounter<i64> {
+    meter.i64_up_down_counter(name).with_description(text).build()
+}
+
+fn seconds(meter: &Meter, name: &'static str, text: &'static str) -> Histogram<f64> {
+    let histogram = meter.f64_histogram(name).with_description(text).with_unit("s");
+    histogram.with_boundaries(SECONDS.to_vec()).build()
+}
--- /dev/null
+++ b/crates/daemon/src/options.rs
@@ -0,0 +1,61 @@
+//! Turns the command line and the folder it names into checked types.
+
+use std::fmt;
+
+use error_stack::{Report, ResultExt};
+use policy::config::{Config, Findings, SETTINGS, load};
+
+use crate::{cli::Args, folder::read_folder, settings::Settings};
+
+/// What the daemon was started with.
+#[derive(Debug)]
+pub struct Options {
+    /// The settings of this process.
+    pub settings: Settings,
+    /// The configuration, where it doesn't come from the log.
+    pub config: Option<Config>,
+}
+
+/// The folder can't be used.
+#[derive(Debug)]
+pub struct BadFolder;
+
+impl fmt::Display for BadFolder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the configuration folder can't be used")
+    }
+}
+
+impl std::error::Error for BadFolder {}
+
+impl Options {
+    /// Reads the folder that `args` name.
+    ///
+    /// # Errors
+    ///
+    /// [`BadFolder`] with every finding attached.
+    pub fn read(args: &Args) -> Result<Options, Report<BadFolder>> {
+        let files = read_folder(&args.config).map_err(report)?;
+        let loaded = load(&files).map_err(report)?;
+        let mut findings = Findings::default();
+        let settings = match &loaded.settings {
+            Some(node) => Settings::read(node, &mut findings),
+            None => {
+                findings.push(None, SETTINGS, "expected the settings of this process");
+                None
+            }
+        };
+        let settings = findings.into_result(settings).map_err(report)?;
+        let settings = settings.ok_or_else(|| Report::new(BadFolder))?;
+        let config = settings.log.is_none().then_some(loaded.config);
+        Ok(Options { settings, config })
+    }
+}
+
+fn report(findings: Findings) -> Report<BadFolder> {
+    let texts: Vec<_> = findings.iter().map(ToString::to_string).collect();
+    Err::<(), _>(Report::new(BadFolder))
+        .attach_with(|| texts.join("\n"))
+        .err()
+        .unwrap_or_else(|| Report::new(BadFolder))
+}
--- /dev/null
+++ b/crates/daemon/src/record.rs
@@ -0,0 +1,110 @@
+//! One request's entry in the log and the metrics, written when the last part of it has ended.
+
+use std::sync::{Arc, Mutex};
+
+use policy::{Deployment, EndpointId, FailCause, Ran, RequestId, Time, Tokens, Workspace};
+
+use crate::{clock::Clock, endpoint::lock, metrics::Metrics};
+
+/// What is known of a request by now.
+#[derive(Debug, Clone)]
+pub struct Facts {
+    /// The request's id as the caller sees it.
+    pub request_id: String,
+    /// Whose it is, once known.
+    pub workspace: Option<Workspace>,
+    /// Where it belongs, once known.
+    pub deployment: Option<Deployment>,
+    /// Its estimated prompt, or the engine's count once that is known.
+    pub prompt: Tokens,
+    /// Tokens passed on.
+    pub output: Tokens,
+    /// Attempts begun.
+    pub attempts: u32,
+    /// Where the last attempt ran.
+    pub endpoint: Option<EndpointId>,
+    /// Why the last failed attempt failed.
+    pub last_failure: Option<FailCause>,
+    /// When the first token came.
+    pub first_token: Option<Time>,
+    /// HTTP status of the answer; zero where the caller hung up before there was one.
+    pub status: u16,
+    /// `finished`, or the error's code.
+    pub outcome: &'static str,
+    /// Whether it was run.
+    pub ran: Ran,
+}
+
+/// Follows one request. It is shared by all that work on the request; the last of them to let go
+/// of it writes the entry.
+#[derive(Debug)]
+pub struct CallRecord {
+    /// The request's number in this instance's life.
+    pub id: RequestId,
+    /// When its head had come in.
+    pub arrived: Time,
+    clock: Clock,
+    metrics: Arc<Metrics>,
+    facts: Mutex<Facts>,
+    _open: Arc<()>,
+}
+
+impl CallRecord {
+    /// The record of a request that came in just now. It holds `open` for as long as the request
+    /// is under way.
+    pub fn new(
+        id: RequestId,
+        request_id: String,
+        clock: Clock,
+        metrics: Arc<Metrics>,
+        open: Arc<()>,
+    ) -> Self {
+        metrics.under_way.add(1, &[]);
+        let facts = Facts {
+            request_id,
+            workspace: None,
+            deployment: None,
+            prompt: Tokens::ZERO,
+            output: Tokens::ZERO,
+            attempts: 0,
+            endpoint: None,
+            last_failure: None,
+            first_token: None,
+            status: 0,
+            outcome: "hung_up",
+            ran: Ran::No,
+        };
+        let arrived = clock.now();
+        CallRecord { id, arrived, clock, metrics, facts: Mutex::new(facts), _open: open }
+    }
+
+    /// Adds to what is known.
+    pub fn note(&self, change: impl FnOnce(&mut Facts)) {
+        change(&mut lock(&self.facts));
+    }
+}
+
+impl Drop for CallRecord {
+    fn drop(&mut self) {
+        let facts = lock(&self.facts).clone();
+        let total = self.clock.now().since(self.arrived);
+        let first = facts.first_token.map(|time| time.since(self.arrived));
+        self.metrics.under_way.add(-1, &[]);
+        self.metrics.request_ended(&facts, first, total);
+        log::info!(
+            id = facts.request_id.as_str(),
+            workspace = facts.workspace.as_ref().map_or("-", Workspace::as_str),
+            deployment = facts.deployment.as_ref().map_or("-", Deployment::as_str),
+            status = facts.status,
+            outcome = facts.outcome,
+            ran:? = facts.ran,
+            prompt = facts.prompt.0,
+            output = facts.output.0,
+            attempts = facts.attempts,
+            endpoint = facts.endpoint.as_ref().map_or("-", EndpointId::as_str),
+            first_token_ms = first.map_or(-1.0, |first| first.as_secs_f64() * 1000.0),
+            total_ms = total.as_secs_f64() * 1000.0;
+            "request"
+        );
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/server/connection.rs
@@ -0,0 +1,144 @@
+//! One caller's connection: its requests one after another, its deadline and its hang-up.
+
+use std::{
+    panic::AssertUnwindSafe,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use async_h1::server::{ConnectionStatus, Server};
+use futures_lite::{AsyncWriteExt, FutureExt};
+use policy::Time;
+use smol::{Timer, net::TcpStream};
+
+use crate::{
+    endpoint::lock,
+    error::CallError,
+    record::CallRecord,
+    server::{Service, respond, router, stream::CallerStream},
+    shared::Stage,
+};
+
+/// How often an open connection is checked against its deadline and the stage of the instance.
+/// Deadlines of answers are kept exactly elsewhere; this only cuts callers that don't read.
+const WATCH_PERIOD: Duration = Duration::from_millis(100);
+
+/// How long after a request's deadline its caller may still be taking the answer's last bytes.
+/// Beyond it a caller that reads nothing would hold the connection for ever.
+pub const WRITE_GRACE: Duration = Duration::from_secs(2);
+
+/// How long a stopping instance leaves a connection open on which no request is under way. The
+/// other side may be sending one at this moment; it then hears that the instance is stopping.
+const IDLE_GRACE: Duration = Duration::from_millis(500);
+
+/// One caller's connection.
+#[derive(Debug)]
+pub struct Connection {
+    socket: TcpStream,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    /// When the request under way is cut, whatever it does.
+    cut_at: Time,
+    /// The request under way; none between requests.
+    record: Option<Arc<CallRecord>>,
+}
+
+impl Connection {
+    /// A connection that was just accepted.
+    pub fn new(socket: TcpStream) -> Arc<Connection> {
+        let state = State { cut_at: Time::MAX, record: None };
+        Arc::new(Connection { socket, state: Mutex::new(state) })
+    }
+
+    /// Notes that a request is under way, which keeps a stopping instance from closing.
+    pub fn begin(&self, record: Arc<CallRecord>) {
+        lock(&self.state).record = Some(record);
+    }
+
+    /// Cuts the connection at `time` if the request under way still is by then.
+    pub fn cut_at(&self, time: Time) {
+        lock(&self.state).cut_at = time;
+    }
+
+    /// Waits until the caller has hung up. The HTTP library notices that only when it writes,
+    /// which for a long prompt is minutes too late for the engine's memory.
+    pub async fn hung_up(&self) {
+        let mut byte = [0];
+        match self.socket.peek(&mut byte).await {
+            Ok(0) | Err(_) => {}
+            // The next request is already here, so an end behind it can't be seen. Writing the
+            // answer will show it.
+            Ok(_) => std::future::pending().await,
+        }
+    }
+
+    /// Serves requests until one side closes.
+    pub(super) async fn run(self: Arc<Self>, service: &Service) {
+        // Tokens are small and must not wait for an acknowledgement of the one before.
+        self.socket.set_nodelay(true).ok();
+        let stream = CallerStream::new(self.socket.clone());
+        let endpoint = |req| router::route(service, self.clone(), req);
+        let mut server = Server::new(stream.clone(), endpoint);
+        loop {
+            lock(stream.guard()).arm();
+            let one = AssertUnwindSafe(server.accept_one()).catch_unwind();
+            let one = async { Some(one.await) };
+            let cut = async {
+                self.watch(service).await;
+                None
+            };
+            let ended = one.or(cut).await;
+            let was_idle = self.finish();
+            match ended {
+                Some(Ok(Ok(ConnectionStatus::KeepAlive))) => continue,
+                Some(Ok(Err(_)) | Err(_)) if was_idle => return self.refuse(&stream).await,
+                _ => return,
+            }
+        }
+    }
+
+    /// Ends the request under way, if any, and tells whether there was none.
+    fn finish(&self) -> bool {
+        let mut state = lock(&self.state);
+        state.cut_at = Time::MAX;
+        state.record.take().is_none()
+    }
+
+    /// Returns when the connection has to be cut.
+    async fn watch(&self, service: &Service) {
+        let mut idle = Duration::ZERO;
+        loop {
+            Timer::after(WATCH_PERIOD).await;
+            let state = lock(&self.state);
+            if service.shared.clock.now() >= state.cut_at {
+                return;
+            }
+            let closing = state.record.is_none() && service.shared.stage() == Stage::Refusing;
+            idle = if closing { idle + WATCH_PERIOD } else { Duration::ZERO };
+            if idle >= IDLE_GRACE {
+                return;
+            }
+        }
+    }
+
+    /// Answers a head that the HTTP library couldn't read. The library itself would only close.
+    async fn refuse(&self, stream: &CallerStream) {
+        let finding = lock(stream.guard()).finding().map(str::to_owned);
+        let text = "the head of the request can't be read: it needs a method, a path, `HTTP/1.1`, \
+                    a `Host` header, and at most 128 headers in 8 KB";
+        let e = CallError::malformed(finding.unwrap_or_else(|| text.to_owned()));
+        let bytes = respond::raw(&e);
+        let mut socket = self.socket.clone();
+        let say = async {
+            // A caller that is gone already needs no answer.
+            socket.write_all(&bytes).await.ok();
+        };
+        let limit = async {
+            Timer::after(WRITE_GRACE).await;
+        };
+        say.or(limit).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/server/respond.rs
@@ -0,0 +1,77 @@
+//! From answers and errors to HTTP responses.
+
+use bytes::Bytes;
+use http_types::{Body, Response, StatusCode};
+
+use crate::{
+    error::CallError,
+    filter::{Answer, relay::EventBody},
+};
+
+/// The header that names a request, on every answer.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// The response to a call.
+pub fn response(result: Result<Answer, CallError>) -> Response {
+    match result {
+        Ok(Answer::Whole(whole)) => {
+            let status = StatusCode::try_from(whole.status).unwrap_or(StatusCode::BadGateway);
+            let mut resp = bytes(status, whole.content_type.as_deref().unwrap_or(JSON), whole.body);
+            for header in whole.headers {
+                resp.insert_header(header.name.as_str(), header.value);
+            }
+            resp
+        }
+        Ok(Answer::Stream(body)) => stream(body),
+        Err(e) => error(&e),
+    }
+}
+
+/// The media type of most answers.
+pub const JSON: &str = "application/json";
+
+/// A response of raw bytes.
+pub fn bytes(status: StatusCode, content_type: &str, content: Bytes) -> Response {
+    let mut resp = Response::new(status);
+    resp.set_body(&content[..]);
+    if content_type.is_ascii() {
+        resp.insert_header("content-type", content_type);
+    }
+    resp
+}
+
+/// A response of text.
+pub fn text(status: StatusCode, content: &str) -> Response {
+    bytes(status, "text/plain; charset=utf-8", Bytes::copy_from_slice(content.as_bytes()))
+}
+
+/// The response that tells an error.
+pub fn error(e: &CallError) -> Response {
+    let mut resp = bytes(e.status, JSON, e.to_json());
+    if let Some(seconds) = e.retry_after_seconds() {
+        resp.insert_header("retry-after", seconds.to_string());
+    }
+    resp
+}
+
+/// The same error as bytes of a whole HTTP answer, for where there is no request to answer.
+pub fn raw(e: &CallError) -> Vec<u8> {
+    let body = e.to_json();
+    let head = format!(
+        "HTTP/1.1 {} {}\r\ncontent-type: {JSON}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        u16::from(e.status),
+        e.status.canonical_reason(),
+        body.len()
+    );
+    [head.as_bytes(), &body].concat()
+}
+
+fn stream(body: EventBody) -> Response {
+    let mut resp = Response::new(StatusCode::Ok);
+    resp.set_body(Body::from_reader(body, None));
+    resp.insert_header("content-type", "text/event-stream");
+    // Asks reverse proxies in between not to collect events before passing them on.
+    resp.insert_header("cache-control", "no-cache");
+    resp.insert_header("x-accel-buffering", "no");
+    resp
+}
--- /dev/null
+++ b/crates/daemon/src/server/router.rs
@@ -0,0 +1,67 @@
+//! Which part of the daemon answers a path.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_types::{Method, Request, Response, StatusCode};
+use serde::Serialize;
+
+use crate::{
+    admin,
+    error::CallError,
+    filter::{self, workspace},
+    server::{Audience, Service, connection::Connection, respond},
+};
+
+/// Answers one request.
+pub(super) async fn route(
+    service: &Service,
+    conn: Arc<Connection>,
+    req: Request,
+) -> http_types::Result<Response> {
+    if service.audience != Audience::Callers
+        && let Some(resp) = admin::answer(&service.shared, &req)
+    {
+        return Ok(resp);
+    }
+    if service.audience == Audience::Operators {
+        return Ok(respond::error(&not_found(req.url().path())));
+    }
+    if req.method() == Method::Get && req.url().path() == "/v1/models" {
+        return Ok(models(service, &req));
+    }
+    Ok(filter::answer(&service.chain, &service.shared, conn, req).await)
+}
+
+/// The error for a path that nothing serves.
+pub fn not_found(path: &str) -> CallError {
+    let message = format!("nothing is served at `{path}`");
+    CallError::caller(StatusCode::NotFound, "not_found", message)
+}
+
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'static str,
+    data: Vec<ModelEntry<'a>>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry<'a> {
+    id: &'a str,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+fn models(service: &Service, req: &Request) -> Response {
+    let active = service.shared.active();
+    let key = workspace::bearer(req);
+    if let Err(e) = workspace::identify(&active, key.as_deref()) {
+        return respond::error(&e);
+    }
+    let data = active
+        .models()
+        .map(|model| ModelEntry { id: model.as_str(), object: "model", owned_by: "trefoilhall" })
+        .collect();
+    let body = serde_json::to_vec(&ModelList { object: "list", data }).unwrap_or_default();
+    respond::bytes(StatusCode::Ok, respond::JSON, Bytes::from(body))
+}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,183 @@
+//! What all parts of an instance share.
+
+use std::{
+    future::Future,
+    sync::{
+        Arc, Mutex, PoisonError, RwLock,
+        atomic::{AtomicU8, AtomicU64, Ordering},
+    },
+};
+
+use platform::engine::wire::Owner;
+use policy::{
+    AnyScheduler, Event, RequestId,
+    config::{Config, DeploymentRules, Version},
+};
+use smol::Executor;
+
+use crate::{
+    active::{Active, AnyDeployment, Builder},
+    clock::Clock,
+    controller,
+    endpoint::{Endpoint, Life, lock},
+    metrics::Metrics,
+    record::CallRecord,
+    settings::Settings,
+};
+
+/// How far the instance is on its way to a stop. It only moves on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub enum Stage {
+    /// In service.
+    Serving = 0,
+    /// Not ready any more, so that the balancer looks elsewhere; still serving.
+    Leaving = 1,
+    /// New requests are refused; those under way are finished.
+    Refusing = 2,
+}
+
+/// What all parts of an instance share.
+pub struct Shared {
+    /// The instance's settings.
+    pub settings: Settings,
+    /// Its name and life.
+    pub owner: Owner,
+    /// Its clock.
+    pub clock: Clock,
+    /// Its metrics.
+    pub metrics: Arc<Metrics>,
+    executor: Arc<Executor<'static>>,
+    active: RwLock<Arc<Active>>,
+    /// Held while a new configuration is built, so that two can't overtake one another.
+    building: Mutex<()>,
+    stage: AtomicU8,
+    next_request: AtomicU64,
+    /// Shared by the records of all requests under way, which are counted by it.
+    open_requests: Arc<()>,
+}
+
+impl Shared {
+    /// The state of an instance that starts now.
+    pub fn new(
+        settings: Settings,
+        owner: Owner,
+        metrics: Metrics,
+        executor: Arc<Executor<'static>>,
+    ) -> Self {
+        Shared {
+            settings,
+            owner,
+            clock: Clock::start(),
+            metrics: Arc::new(metrics),
+            executor,
+            active: RwLock::default(),
+            building: Mutex::default(),
+            stage: AtomicU8::new(Stage::Serving as u8),
+            next_request: AtomicU64::new(1),
+            open_requests: Arc::default(),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn active(&self) -> Arc<Active> {
+        self.active.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Puts a configuration in force. An older one than that in force is ignored: versions only
+    /// rise, and late deliveries by a peer or the log must not revert an accepted change.
+    pub fn set_config(self: &Arc<Self>, config: Config, version: Version) {
+        let _building = lock(&self.building);
+        let old = self.active();
+        if version <= old.version {
+            return;
+        }
+        let seed = self.owner.incarnation.0;
+        let scheduler = |rules: &DeploymentRules| {
+            let owner = self.owner.clone();
+            AnyScheduler::new(rules.policy, owner.instance, owner.incarnation, seed)
+        };
+        let data_centre = &self.settings.data_centre;
+        let builder = Builder { data_centre, clock: self.clock, scheduler };
+        let active = Arc::new(builder.build(config, version, &old));
+        *self.active.write().unwrap_or_else(PoisonError::into_inner) = active.clone();
+        self.start_new(&active, &old);
+        log::info!(version = version.0; "config_in_force");
+    }
+
+    fn start_new(self: &Arc<Self>, active: &Active, old: &Active) {
+        for (name, route) in &active.deployments {
+            let kept = old
+                .deployments
+                .get(name)
+                .is_some_and(|known| Arc::ptr_eq(&known.deployment, &route.deployment));
+            if !kept {
+                self.spawn(AnyDeployment::run(Arc::downgrade(&route.deployment)));
+            }
+        }
+        for (id, endpoint) in &active.endpoints {
+            let kept = old.endpoints.get(id).is_some_and(|known| Arc::ptr_eq(known, endpoint));
+            if !kept {
+                controller::start(self, endpoint);
+            }
+        }
+    }
+
+    /// Runs a future beside all others until it ends or the instance is closed.
+    pub fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
+        self.executor.spawn(future).detach();
+    }
+
+    /// How far the instance is on its way to a stop.
+    pub fn stage(&self) -> Stage {
+        match self.stage.load(Ordering::Acquire) {
+            0 => Stage::Serving,
+            1 => Stage::Leaving,
+            _ => Stage::Refusing,
+        }
+    }
+
+    /// Moves on towards the stop.
+    pub fn enter(&self, stage: Stage) {
+        self.stage.fetch_max(stage as u8, Ordering::AcqRel);
+    }
+
+    /// Whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.stage() == Stage::Serving && self.active().version > Version(0)
+    }
+
+    /// Begins the record of a request.
+    pub fn begin(&self, request_id: Option<String>) -> Arc<CallRecord> {
+        let id = RequestId(self.next_request.fetch_add(1, Ordering::Relaxed));
+        let request_id = request_id.unwrap_or_else(|| format!("{}/{id}", self.owner));
+        let open = self.open_requests.clone();
+        Arc::new(CallRecord::new(id, request_id, self.clock, self.metrics.clone(), open))
+    }
+
+    /// Requests that were begun and haven't ended to the last byte of their answer.
+    pub fn requests_under_way(&self) -> usize {
+        Arc::strong_count(&self.open_requests) - 1
+    }
+
+    /// Notes what an endpoint's answer said of its life, and tells the schedulers if that is new.
+    pub fn heard(&self, endpoint: &Endpoint, life: Life) {
+        if !endpoint.heard(life) {
+            return;
+        }
+        log::info!(
+            endpoint = endpoint.place.id.as_str(),
+            incarnation = life.incarnation.0,
+            leaving = life.leaving;
+            "endpoint_changed"
+        );
+        self.tell(endpoint, &Event::Endpoint(endpoint.change()));
+    }
+
+    /// Tells the schedulers of all deployments that `endpoint` serves.
+    pub fn tell(&self, endpoint: &Endpoint, event: &Event) {
+        for deployment in self.active().served_by(endpoint) {
+            deployment.observe(event.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,224 @@
+//! Starts real daemons on free loopback ports, and folders of configuration for them.
+
+#![allow(dead_code, unreachable_pub)] // Each test file uses a part of this.
+
+use std::{
+    fmt::Write as _,
+    fs,
+    io::{BufRead, BufReader, Read, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use platform::engine::wire::HeldPage;
+use sha2::{Digest, Sha256};
+
+/// The key of the workspace `desk`.
+pub const KEY: &str = "desk-key";
+
+/// How long a test waits for something that has to come. Only a hang reaches it.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A group's servers.
+pub struct Site {
+    pub engines: Vec<SocketAddr>,
+    pub services: Vec<SocketAddr>,
+    pub policy: &'static str,
+}
+
+impl Site {
+    pub fn of_engines(engines: &[SocketAddr]) -> Site {
+        Site { engines: engines.to_vec(), services: Vec::new(), policy: "trefoilhall" }
+    }
+
+    fn config(&self) -> String {
+        let key: String = Sha256::digest(KEY).iter().map(|byte| format!("{byte:02x}")).collect();
+        let mut endpoints = String::new();
+        for (group, addresses) in [("llm", &self.engines), ("desk", &self.services)] {
+            for (index, address) in addresses.iter().enumerate() {
+                let comma = if endpoints.is_empty() { "" } else { "," };
+                write!(
+                    endpoints,
+                    r#"{comma}"{group}-{index}":{{"group":"{group}","address":"{address}","data_centre":"a"}}"#
+                )
+                .unwrap();
+            }
+        }
+        let policy = self.policy;
+        let mut deployments = format!(
+            r#""model":{{"group":"llm","kind":"engine","models":["m"],"policy":"{policy}"}}"#
+        );
+        if !self.services.is_empty() {
+            deployments += r#","register":{"group":"desk","kind":"service","routes":[{"path":"/registrations","repeatable":false}]}"#;
+        }
+        format!(
+            r#"{{"data_centres":{{"a":{{"region":"r"}}}},"workspaces":{{"desk":{{"key_sha256":["{key}"]}}}},"endpoints":{{{endpoints}}},"deployments":{{{deployments}}}}}"#
+        )
+    }
+}
+
+/// A folder that is removed with the test.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Folder {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir();
+        let dir = dir.join(format!("trefoilhall-{}-{name}-{number}", std::process::id()));
+        fs::create_dir_all(&dir).unwrap();
+        Folder(dir)
+    }
+
+    pub fn write(&self, name: &str, text: &str) {
+        fs::write(self.0.join(name), text).unwrap();
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        fs::remove_dir_all(&self.0).ok();
+    }
+}
+
+/// A running `trefoilhalld`. It is killed with the test, by its own process id.
+pub struct Daemon {
+    pub address: SocketAddr,
+    pub child: Child,
+    _folder: Folder,
+}
+
+impl Daemon {
+    /// Starts a daemon and waits until it is ready.
+    pub fn start(name: &str, site: &Site) -> Daemon {
+        Daemon::start_with(name, site, r#""balancer_wait_ms":100"#)
+    }
+
+    /// The same with further settings.
+    pub fn start_with(name: &str, site: &Site, more: &str) -> Daemon {
+        let folder = Folder::new(name);
+        folder.write("20-site.json", &site.config());
+        let settings = format!(
+            r#"{{"settings":{{"instance":"{name}","data_centre":"a","listen":"127.0.0.1:0","peer_listen":"127.0.0.1:0","threads":2,{more}}}}}"#
+        );
+        folder.write("10-settings.json", &settings);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_trefoilhalld"))
+            .arg("--config")
+            .arg(&folder.0)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let address = listening(&mut child);
+        let daemon = Daemon { address, child, _folder: folder };
+        wait_until("the daemon is ready", || daemon.get("/readyz").starts_with("HTTP/1.1 200"));
+        daemon
+    }
+
+    /// Sends a signal by the system's own command.
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// A `GET`, as the whole answer.
+    pub fn get(&self, path: &str) -> String {
+        exchange(
+            self.address,
+            &format!("GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"),
+        )
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+/// Reads the address from the daemon's log, and keeps reading so that the pipe never fills.
+fn listening(child: &mut Child) -> SocketAddr {
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut seen = String::new();
+    let address = loop {
+        let start = seen.len();
+        assert!(log.read_line(&mut seen).unwrap() > 0, "the daemon ended: {seen}");
+        let field = seen[start..].split_whitespace().find_map(|f| f.strip_prefix("listen="));
+        if let Some(address) = field {
+            break address.parse().unwrap();
+        }
+    };
+    let show = std::env::var_os("SHOW_LOG").is_some();
+    thread::spawn(move || {
+        for line in log.lines().map_while(Result::ok) {
+            if show {
+                eprintln!("{line}");
+            }
+        }
+    });
+    address
+}
+
+/// Sends raw bytes and reads until the other side closes.
+pub fn exchange(address: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    // The daemon may answer and close before it has read everything.
+    stream.write_all(text.as_bytes()).ok();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).ok();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// The head and body of a `POST` with the workspace's key.
+pub fn post(path: &str, body: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {KEY}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Opens a stream and reads as far as its first token.
+pub fn open_stream(address: SocketAddr, body: &str) -> BufReader<TcpStream> {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(post("/v1/completions", body).as_bytes()).unwrap();
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    while !line.starts_with("data:") {
+        line.clear();
+        assert!(reader.read_line(&mut line).unwrap() > 0, "the stream ended before a token");
+    }
+    reader
+}
+
+/// A completion's body.
+pub fn prompt(text: &str, tokens: u64, stream: bool) -> String {
+    format!(r#"{{"model":"m","stream":{stream},"max_tokens":{tokens},"prompt":"{text}"}}"#)
+}
+
+/// Waits until `done`, and fails the test where that never comes.
+pub fn wait_until(what: &str, mut done: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !done() {
+        assert!(started.elapsed() < PATIENCE, "waited in vain until {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// What an engine lists as held.
+pub fn held(engine: SocketAddr) -> HeldPage {
+    let text =
+        exchange(engine, "GET /engine/held HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+    let body = text.split_once("\r\n\r\n").unwrap().1;
+    serde_json::from_str(body).unwrap()
+}
+
+/// A loopback address on which nothing listens.
+pub fn unused_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -1,5 +1,9 @@
 //! Model engines: running requests, and the orders and listings that go with them.
 
+pub mod http;
+pub mod piece;
+pub mod run;
+pub mod sse;
 pub mod wire;
 
 use std::{future::Future, net::SocketAddr};
--- /dev/null
+++ b/crates/platform/src/service/http.rs
@@ -0,0 +1,116 @@
+//! Plain services over HTTP.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
+
+use futures_lite::{AsyncReadExt, FutureExt};
+use http_types::{Request, Response, Url};
+use smol::Timer;
+
+use crate::{
+    body::Parts,
+    engine::{
+        run::connect,
+        wire::{LEAVING, Load},
+    },
+    http::{HttpCall, HttpError},
+    service::{Service, ServiceAnswer, ServiceCall, ServiceError},
+};
+
+/// How long a load report may take; see the same bound for engines.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The longest answer that is passed on. It is held whole, because only then it is known to be
+/// whole.
+const MAX_ANSWER: u64 = 16 << 20;
+
+/// One server.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpService {
+    address: SocketAddr,
+}
+
+impl HttpService {
+    /// The server that listens at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        HttpService { address }
+    }
+
+    async fn exchange(
+        &self,
+        call: ServiceCall,
+        sent: &AtomicBool,
+    ) -> Result<ServiceAnswer, ServiceError> {
+        let stream = connect(self.address).await.map_err(|_| ServiceError::NotSent)?;
+        let req = request(self.address, call)?;
+        sent.store(true, Ordering::Relaxed);
+        let resp = async_h1::connect(stream, req).await.map_err(|_| ServiceError::Broken)?;
+        read(resp).await
+    }
+}
+
+impl Service for HttpService {
+    async fn load(&self) -> Result<Load, ServiceError> {
+        let answer = HttpCall::get(self.address, "/service/load", LOAD_TIMEOUT).send().await;
+        let answer = answer.map_err(|e| match e {
+            HttpError::NotSent => ServiceError::NotSent,
+            HttpError::Broken => ServiceError::Broken,
+            HttpError::Silent => ServiceError::Silent,
+            HttpError::TooLong | HttpError::Unreadable => ServiceError::BadAnswer,
+        })?;
+        answer.json().map_err(|_| ServiceError::BadAnswer)
+    }
+
+    async fn call(&self, call: ServiceCall) -> Result<ServiceAnswer, ServiceError> {
+        let sent = AtomicBool::new(false);
+        let timeout = call.timeout;
+        let limit = async {
+            Timer::after(timeout).await;
+            // Nothing left this process before the connection stood.
+            Err(match sent.load(Ordering::Relaxed) {
+                true => ServiceError::Silent,
+                false => ServiceError::NotSent,
+            })
+        };
+        self.exchange(call, &sent).or(limit).await
+    }
+}
+
+fn request(address: SocketAddr, call: ServiceCall) -> Result<Request, ServiceError> {
+    let url = format!("http://{address}{}", call.path);
+    let url = Url::parse(&url).map_err(|_| ServiceError::NotSent)?;
+    let mut req = Request::new(call.method, url);
+    req.set_body(Parts::body(&[call.body]));
+    for header in call.headers {
+        req.insert_header(header.name.as_str(), header.value);
+    }
+    req.insert_header("connection", "close");
+    Ok(req)
+}
+
+async fn read(mut resp: Response) -> Result<ServiceAnswer, ServiceError> {
+    let status = u16::from(resp.status());
+    // An answer without stated length ends where the connection does, so a cut one looks whole;
+    // the HTTP library reads it as empty. Neither may reach a caller as the answer.
+    let stated =
+        resp.header("content-length").is_some() || resp.header("transfer-encoding").is_some();
+    if !stated && !matches!(status, 204 | 304) {
+        return Err(ServiceError::BadAnswer);
+    }
+    let content_type = resp.header("content-type").map(|values| values.last().to_string());
+    let leaving = resp.header(LEAVING).is_some();
+    let expected = resp.len();
+    let mut body = Vec::new();
+    let mut limited = resp.take_body().take(MAX_ANSWER + 1);
+    limited.read_to_end(&mut body).await.map_err(|_| ServiceError::Broken)?;
+    if body.len() as u64 > MAX_ANSWER {
+        return Err(ServiceError::BadAnswer);
+    }
+    if expected.is_some_and(|expected| expected != body.len()) {
+        return Err(ServiceError::Broken);
+    }
+    Ok(ServiceAnswer { status, content_type, leaving, body: body.into() })
+}
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -1,7 +1,6 @@
 //! What the decisions know of one request.
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{Fingerprint, Model, RequestId, Time, Tokens, Workspace};
 
@@ -58,24 +57,3 @@
         self.prompt + self.max_output
     }
 }
-
-/// Bytes of JSON text that one token is taken to have where nothing better is known. English runs
-/// at about 4, Romanian nearer 3.
-pub const BYTES_PER_TOKEN: u64 = 4;
-
-/// Hashes of the leading blocks of a prompt, for [`RequestSpec::prefix`].
-///
-/// `text` is the raw JSON of the `prompt` or `messages` member, without its first character, so
-/// that a conversation's next turn begins with the same bytes as the last one. A block is
-/// [`RequestSpec::PREFIX_BLOCK`] tokens of [`BYTES_PER_TOKEN`] bytes; a last part that fills no
-/// block has no hash. The model starts the chain, because engines that changed their model
-/// share nothing.
-pub fn prefix_hashes(model: &str, text: &[u8]) -> Vec<u64> {
-    let block = (RequestSpec::PREFIX_BLOCK.0 * BYTES_PER_TOKEN) as usize;
-    let mut chain = xxh3_64(model.as_bytes());
-    let mut hash = |bytes| {
-        chain = xxh3_64_with_seed(bytes, chain);
-        chain
-    };
-    text.chunks_exact(block).map(&mut hash).collect()
-}
