--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -1,8 +1,10 @@
 //! Callers' everyday: answers whole and streamed, and errors that name what is wrong.
 
+#![allow(clippy::unwrap_used)]
+
 mod common;
 
-use std::io::{BufRead, Read};
+use std::io::Read;
 
 use common::{Daemon, Site, exchange, open_stream, post, prompt};
 use policy::TokenRate;
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Starts real daemons on free loopback ports, and folders of configuration for them.
 
-#![allow(dead_code, unreachable_pub)] // Each test file uses a part of this.
+#![allow(dead_code, unreachable_pub, clippy::unwrap_used)] // Each test file uses a part of this.
 
 use std::{
     fmt::Write as _,
