--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -17,7 +17,7 @@
 use std::{future::Future, sync::Arc};
 
 use bytes::Bytes;
-use http_types::{Request, Response};
+use http_types::{Request, Response, StatusCode};
 use platform::service::Header;
 
 pub use admission::{Admitted, Ticket};
@@ -106,10 +106,21 @@
         // Much of the body may be unread, and the library would read all of it.
         conn.cut_at(shared.clock.now() + crate::server::connection::WRITE_GRACE);
     }
+    let closing = result.as_ref().is_err_and(leaves_body_in_doubt);
     let mut resp = respond::response(result);
+    if closing {
+        resp.insert_header("connection", "close");
+    }
     record.note(|facts| {
         facts.status = resp.status().into();
         resp.insert_header(respond::REQUEST_ID, facts.request_id.as_str());
     });
     resp
 }
+
+/// Whether what follows on the connection may still belong to the refused request's body.
+fn leaves_body_in_doubt(e: &CallError) -> bool {
+    let status = e.status;
+    [StatusCode::BadRequest, StatusCode::PayloadTooLarge, StatusCode::RequestTimeout]
+        .contains(&status)
+}
--- a/crates/daemon/src/filter/parse.rs
+++ b/crates/daemon/src/filter/parse.rs
@@ -98,6 +98,7 @@
 
 impl<N: Handler<Parsed>> Handler<Inbound> for Parse<N> {
     async fn handle(&self, mut inbound: Inbound) -> Result<Answer, CallError> {
+        check_framing(&inbound.req)?;
         check_stage(&self.shared)?;
         let target = target(&inbound.req)?;
         let head = head(&inbound.req)?;
@@ -107,6 +108,21 @@
     }
 }
 
+/// Refuses heads whose body could end in two places.
+///
+/// The failure: this daemon and a proxy in front of it disagree where a body ends, and what one
+/// takes for body the other takes for the next caller's request. The answer closes the connection.
+fn check_framing(req: &Request) -> Result<(), CallError> {
+    if req.header("content-length").is_some_and(|values| values.iter().count() > 1) {
+        return Err(CallError::malformed("header `content-length` stands twice"));
+    }
+    let encoding = text_header(req, "transfer-encoding");
+    if encoding.is_some_and(|encoding| !encoding.eq_ignore_ascii_case("chunked")) {
+        return Err(CallError::malformed("header `transfer-encoding`: only `chunked` is served"));
+    }
+    Ok(())
+}
+
 fn check_stage(shared: &Shared) -> Result<(), CallError> {
     if shared.stage() == Stage::Refusing {
         let refusal = Refusal { reason: RefusalReason::Stopping, retry_after: COME_BACK };
