--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod retry;
 pub mod scheduler;
 pub mod topology;
+pub mod trefoilhall;
 pub mod units;
 
 pub use any::AnyScheduler;
