Compute the whole answer of a stand-in prompt before it is sent

Cause: hashing a million-token body after its answer would delay other callers that are being timed. What: Prompt::with_body keeps the expected answer; refusals' retry_after is read from the body.

--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 use smol::{Timer, net::TcpStream};
 
-use crate::engine::expected_answer;
+use crate::engine::{expected_answer, prompt_tokens};
 
 /// The longest error body that is read.
 const MAX_ERROR: u64 = 64 << 10;
@@ -25,6 +25,8 @@
     pub body: Bytes,
     /// Its estimated size.
     pub tokens: Tokens,
+    /// The whole answer to it.
+    pub expected: String,
     /// Bearer key of the workspace, if any.
     pub key: Option<String>,
     /// Further headers.
@@ -43,8 +45,15 @@
 }
 
 impl Prompt {
-    /// A prompt of about `tokens` tokens whose text differs from that of every other `seed`. The
-    /// first `shared` tokens depend on `group` alone, so that prompts of a group share a prefix.
+    /// A prompt with this JSON body. The whole answer is computed here and not while others are
+    /// being timed.
+    pub fn with_body(body: Bytes, patience: Duration) -> Prompt {
+        let expected = expected_answer(&body).unwrap_or_default();
+        let tokens = prompt_tokens(&body).unwrap_or_default();
+        Prompt { body, tokens, expected, key: None, headers: Vec::new(), patience }
+    }
+
+    /// A prompt of the given shape.
     pub fn new(shape: PromptShape) -> Prompt {
         let mut text = String::with_capacity(shape.tokens.0 as usize * BYTES_PER_TOKEN);
         let shared = shape.shared.0 as usize * BYTES_PER_TOKEN;
@@ -55,9 +64,7 @@
         let body = format!(
             r#"{{"model":"{model}","stream":true,"max_tokens":{output},"prompt":"{text}"}}"#
         );
-        let patience = shape.patience;
-        let tokens = shape.tokens;
-        Prompt { body: body.into(), tokens, key: None, headers: Vec::new(), patience }
+        Prompt::with_body(body.into(), shape.patience)
     }
 
     /// Adds a header.
@@ -84,9 +91,7 @@
         let error = exchange.or(limit).await;
         reply.error = error;
         reply.total = started.elapsed();
-        reply.whole = reply.ended
-            && reply.status == Some(200)
-            && expected_answer(&self.body).as_deref() == Some(reply.text.as_str());
+        reply.whole = reply.ended && reply.status == Some(200) && self.expected == reply.text;
         reply
     }
 
@@ -190,7 +195,7 @@
     pub ran: Option<String>,
     /// The error's code.
     pub code: Option<String>,
-    /// When to try again.
+    /// When to try again: the body's figure, else the header's whole seconds.
     pub retry_after: Option<Duration>,
     /// What broke, if anything.
     pub error: Option<CallError>,
@@ -207,6 +212,8 @@
     code: Option<String>,
     #[serde(default)]
     ran: Option<String>,
+    #[serde(default)]
+    retry_after: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -262,6 +269,8 @@
     if let Ok(body) = serde_json::from_slice::<ErrorBody>(body) {
         reply.ran = body.error.ran;
         reply.code = body.error.code;
+        let wait = body.error.retry_after.and_then(|wait| Duration::try_from_secs_f64(wait).ok());
+        reply.retry_after = wait.or(reply.retry_after);
     }
 }
 
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -121,7 +121,7 @@
         let resumed = |text: &str| {
             let body = String::from_utf8(prompt.body.to_vec()).unwrap();
             let resume = format!(r#","resume":{{"from":5,"text":"{text}"}}}}"#);
-            Prompt { body: body.replace("\"}", &format!("\"{resume}")).into(), ..prompt.clone() }
+            Prompt::with_body(body.replace("\"}", &format!("\"{resume}")).into(), WAIT)
         };
         let reply = resumed(&whole[..30]).send(engine.address()).await;
         assert!(reply.ended);
@@ -135,8 +135,7 @@
     }) {
         let before = held(&engine).await.incarnation;
         engine.crash_on("poison");
-        let mut bad = prompt(1_000, 1);
-        bad.body = r#"{"prompt":"some poison"}"#.into();
+        let bad = Prompt::with_body(r#"{"prompt":"some poison"}"#.into(), WAIT);
         let reply = bad.send(engine.address()).await;
         // Whether the head of the answer is out by then is a matter of luck.
         assert!(!reply.ended && reply.text.is_empty(), "{reply:?}");
