Let a request return to an engine after one silence

Ruled out: the silence check itself (it reported Silent as it should) and the engine (it listed the stream ahead of the offset received). What: the first silence on a life isn't counted, the second is.

--- a/crates/policy/src/trefoilhall/admit.rs
+++ b/crates/policy/src/trefoilhall/admit.rs
@@ -100,6 +100,7 @@
             attempts: 0,
             failures: 0,
             tried: Vec::new(),
+            silent: Vec::new(),
             may_have_run: false,
             passed_on: crate::Tokens::ZERO,
             predicted: 0.0,
--- a/crates/policy/src/trefoilhall/failover.rs
+++ b/crates/policy/src/trefoilhall/failover.rs
@@ -65,12 +65,10 @@
         if cause != FailCause::Rejected {
             entry.failures += u32::from(!not_run);
             let tried = ended.shards.into_iter().take(1);
-            entry.tried.extend(
-                tried.map(|shard| Tried {
-                    endpoint: shard.endpoint,
-                    incarnation: shard.incarnation,
-                }),
-            );
+            for shard in tried {
+                let tried = Tried { endpoint: shard.endpoint, incarnation: shard.incarnation };
+                entry.note_tried(tried, cause);
+            }
         }
         match self.give_up_cause(request, cause, now) {
             Some(cause) => self.fail(request, cause, now),
--- a/crates/policy/src/trefoilhall/request.rs
+++ b/crates/policy/src/trefoilhall/request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{EndpointId, Incarnation, RequestId, RequestSpec, Shard, Time, Tokens};
+use crate::{EndpointId, FailCause, Incarnation, RequestId, RequestSpec, Shard, Time, Tokens};
 
 use super::{
     class::Band,
@@ -31,6 +31,8 @@
     pub(super) failures: u32,
     /// Where it isn't sent again.
     pub(super) tried: Vec<Tried>,
+    /// Lives that fell silent once on this request; see [`Entry::note_tried`].
+    pub(super) silent: Vec<Tried>,
     /// Whether an endpoint may have begun to run it.
     pub(super) may_have_run: bool,
     /// Tokens that the caller has.
@@ -92,6 +94,20 @@
         self.lane == SPREAD
     }
 
+    /// Takes note of a life that has had this request, so that it doesn't get it again.
+    ///
+    /// The first silence doesn't count: an open connection can go silent for good while the
+    /// endpoint works and new connections reach it. At a site with one engine the caller would
+    /// otherwise lose an answer that the engine still makes. A second silence does count, so a
+    /// request can't go round a silent endpoint.
+    pub(super) fn note_tried(&mut self, tried: Tried, cause: FailCause) {
+        if cause == FailCause::Silent && !self.silent.contains(&tried) {
+            self.silent.push(tried);
+        } else {
+            self.tried.push(tried);
+        }
+    }
+
     pub(super) fn may_go_to(&self, endpoint: &EndpointId, incarnation: Incarnation) -> bool {
         !self.tried.iter().any(|t| t.endpoint == *endpoint && t.incarnation == incarnation)
     }
