Go on over a new connection when a link falls silent; follow prefix caches

The product's scheduler never sends a request twice to one life of an engine, so a firewall that forgot a connection cost a deployment's only engine the answer. The driver now replaces a lost connection itself, at most twice an attempt and only where a fresh listing shows the engine's same life and the old run is released. Runs are numbered by the driver, so that late pieces of the lost one can't pass.

--- a/crates/daemon/src/controller/mod.rs
+++ b/crates/daemon/src/controller/mod.rs
@@ -1,5 +1,6 @@
 //! Controllers: each keeps one piece of state converging, for as long as its endpoint is known.
 
+mod cache;
 mod load;
 mod memory;
 
@@ -17,6 +18,7 @@
     let weak = Arc::downgrade(endpoint);
     shared.spawn(load::run(Arc::downgrade(shared), weak.clone()));
     if endpoint.place.kind == EndpointKind::Engine {
+        shared.spawn(cache::run(Arc::downgrade(shared), weak.clone()));
         shared.spawn(memory::run(Arc::downgrade(shared), weak));
     }
 }
--- a/crates/daemon/src/filter/dispatch/attempt.rs
+++ b/crates/daemon/src/filter/dispatch/attempt.rs
@@ -5,14 +5,17 @@
 //! and the next one resumes behind what the caller has. Without the end mark and the reason why
 //! generation ended, nothing counts as whole.
 
+use std::{sync::Arc, time::Duration};
+
 use bytes::Bytes;
 use platform::engine::{
+    Engine,
     piece::Piece,
     run::{Run, RunError, Running},
     sse::{SseError, SseEvent},
     wire::{AttemptId, DONE, EventId, Resume},
 };
-use policy::{Event, FailCause, Start, Tokens};
+use policy::{Event, FailCause, Incarnation, Shard, Start, Tokens};
 use serde::Serialize;
 
 use super::{
@@ -29,33 +32,61 @@
 /// Tokens between two reports of progress to the scheduler.
 const PROGRESS_STEP: u64 = 32;
 
+/// How often one attempt may go on over a new connection to the same engine. A link that loses
+/// more connections than this within one answer is no better than none.
+const RECONNECTS: u32 = 2;
+
 impl Driver {
+    /// Runs the request where the scheduler wants it. A connection that is lost while the engine
+    /// lives is replaced here: the engine has the prompt in its cache, so going on there costs the
+    /// least, and the scheduler has nothing to decide.
     pub(super) async fn attempt(&mut self, start: &Start) -> AttemptEnd {
-        match self.try_attempt(start).await {
+        let active = self.shared.active();
+        let [head, others @ ..] = &start.shards[..] else { return failed(FailCause::NotSent) };
+        let Some(endpoint) = active.endpoints.get(&head.endpoint) else {
+            return failed(FailCause::NotSent);
+        };
+        let name = self.name(start);
+        let reservations = match Reservations::take(&active, &name, others).await {
+            Ok(reservations) => reservations,
+            Err(cause) => return failed(cause),
+        };
+        let place = Place { start, head, endpoint, kv_shards: reservations.header() };
+        for _ in 0..RECONNECTS {
+            let name = self.name(start).to_string();
+            match self.run_once(&place).await {
+                Ok(()) => return AttemptEnd::Request(End::Finished),
+                Err(AttemptEnd::Failed(FailCause::Silent | FailCause::Broken))
+                    if place.has_let_go(&name).await => {}
+                Err(end) => return end,
+            }
+        }
+        match self.run_once(&place).await {
             Ok(()) => AttemptEnd::Request(End::Finished),
             Err(end) => end,
         }
     }
 
-    async fn try_attempt(&mut self, start: &Start) -> Result<(), AttemptEnd> {
-        let active = self.shared.active();
-        let [head, others @ ..] = &start.shards[..] else { return Err(failed(FailCause::NotSent)) };
-        let endpoint = active.endpoints.get(&head.endpoint).ok_or(failed(FailCause::NotSent))?;
-        let attempt = AttemptId {
-            owner: self.shared.owner.clone(),
-            request: start.request,
-            attempt: start.attempt,
-        };
-        let reservations = Reservations::take(&active, &attempt, others).await.map_err(failed)?;
-        self.attempts += 1;
+    /// The name under which the next run is sent. It counts runs and not the scheduler's attempts,
+    /// because a run over a new connection must not be taken for the one before.
+    fn name(&self, start: &Start) -> AttemptId {
+        let owner = self.shared.owner.clone();
+        AttemptId { owner, request: start.request, attempt: self.runs + 1 }
+    }
+
+    async fn run_once(&mut self, place: &Place<'_>) -> Result<(), AttemptEnd> {
+        let Place { start, head, endpoint, .. } = place;
+        let attempt = self.name(start);
+        self.runs += 1;
         self.timed.received.record.note(|facts| {
             facts.attempts += 1;
             facts.endpoint = Some(head.endpoint.clone());
         });
         let id = attempt.to_string();
         let holding = endpoint.hold(id.clone());
-        let run = self.run_call(start, attempt.clone(), endpoint, reservations.header());
-        let watch = Watch { endpoint, attempt: &id, incarnation: None };
+        let run = self.run_call(place, attempt.clone());
+        let known = (head.incarnation != Incarnation(0)).then_some(head.incarnation);
+        let watch = Watch { endpoint, attempt: &id, incarnation: known };
         let running = match watch.wait(self.output.offset, run.send()).await {
             Ok(Ok(running)) => running,
             Ok(Err(e)) => {
@@ -77,20 +108,14 @@
         Ok(())
     }
 
-    fn run_call(
-        &self,
-        start: &Start,
-        attempt: AttemptId,
-        endpoint: &Endpoint,
-        kv_shards: String,
-    ) -> Run {
+    fn run_call(&self, place: &Place<'_>, attempt: AttemptId) -> Run {
         Run {
-            address: endpoint.place.address,
+            address: place.endpoint.place.address,
             path: self.work.path,
             attempt,
-            priority: start.priority,
+            priority: place.start.priority,
             lease: LEASE,
-            kv_shards,
+            kv_shards: place.kv_shards.clone(),
             traceparent: self.timed.received.head.traceparent.clone(),
             body: self.body(),
         }
@@ -133,6 +158,7 @@
         watch: &Watch<'_>,
     ) -> Result<(), FailCause> {
         let mut reported = self.output.offset;
+        let mut first = true;
         loop {
             let event = match watch.wait(self.output.offset, running.next()).await? {
                 Ok(Some(event)) => event,
@@ -143,7 +169,17 @@
                 let whole = self.output.finish_reason.is_some();
                 return if whole { Ok(()) } else { Err(FailCause::BadAnswer) };
             }
-            self.take(start, attempt, event).await?;
+            let id: EventId = event.id.parse().map_err(|_| FailCause::BadAnswer)?;
+            if id.attempt != *attempt || id.offset > self.output.offset {
+                return Err(FailCause::BadAnswer);
+            }
+            let piece = Piece::read(&event.data).ok_or(FailCause::BadAnswer)?;
+            if std::mem::take(&mut first) {
+                self.first_token(start, &piece);
+            }
+            if id.offset == self.output.offset {
+                self.pass_on(piece, event).await;
+            }
             if self.output.offset >= reported + PROGRESS_STEP {
                 self.progress(start, self.output.offset - reported);
                 reported = self.output.offset;
@@ -151,37 +187,20 @@
         }
     }
 
-    async fn take(
-        &mut self,
-        start: &Start,
-        attempt: &AttemptId,
-        event: SseEvent,
-    ) -> Result<(), FailCause> {
-        let id: EventId = event.id.parse().map_err(|_| FailCause::BadAnswer)?;
-        if id.attempt != *attempt || id.offset > self.output.offset {
-            return Err(FailCause::BadAnswer);
-        }
-        if id.offset < self.output.offset {
-            return Ok(());
-        }
-        let piece = Piece::read(&event.data).ok_or(FailCause::BadAnswer)?;
-        if self.output.offset == 0 {
-            self.first_token(start, &piece);
-        }
+    async fn pass_on(&mut self, piece: Piece, event: SseEvent) {
         self.output.push(piece);
-        self.timed.received.record.note(|facts| {
-            facts.output = Tokens(self.output.offset);
-        });
+        self.timed.received.record.note(|facts| facts.output = Tokens(self.output.offset));
         if self.work.scan.stream {
             // A caller that is gone ends the request elsewhere.
             self.replies.send(Reply::Event(event.data)).await.ok();
         }
-        Ok(())
     }
 
     fn first_token(&self, start: &Start, piece: &Piece) {
         let now = self.shared.clock.now();
-        self.timed.received.record.note(|facts| facts.first_token = Some(now));
+        self.timed.received.record.note(|facts| {
+            facts.first_token.get_or_insert(now);
+        });
         let cached = piece.usage.and_then(|usage| usage.cached_tokens).map(Tokens);
         let (request, attempt) = (start.request, start.attempt);
         self.ticket.deployment.observe(Event::FirstToken { request, attempt, cached });
@@ -193,6 +212,25 @@
     }
 }
 
+/// Where one attempt runs.
+struct Place<'a> {
+    start: &'a Start,
+    head: &'a Shard,
+    endpoint: &'a Arc<Endpoint>,
+    kv_shards: String,
+}
+
+impl Place<'_> {
+    /// Whether the engine still lives the life that was chosen, and has let go of the run `name`,
+    /// whose memory the next run needs.
+    async fn has_let_go(&self, name: &str) -> bool {
+        let Ok(page) = self.endpoint.listing(Duration::ZERO).await else { return false };
+        let ids = [name.to_owned()];
+        is_expected(self.head, page.incarnation)
+            && self.endpoint.engine().release(&ids).await.is_ok()
+    }
+}
+
 fn failed(cause: FailCause) -> AttemptEnd {
     AttemptEnd::Failed(cause)
 }
--- a/crates/daemon/src/filter/dispatch/driver.rs
+++ b/crates/daemon/src/filter/dispatch/driver.rs
@@ -23,7 +23,8 @@
     pub(super) work: ModelWork,
     pub(super) replies: Sender<Reply>,
     pub(super) output: Output,
-    pub(super) attempts: u32,
+    /// Runs sent to engines.
+    pub(super) runs: u32,
 }
 
 /// How a completion ended.
@@ -64,7 +65,7 @@
         replies: Sender<Reply>,
     ) -> Self {
         let Admitted { timed, ticket, .. } = admitted;
-        Driver { shared, timed, ticket, work, replies, output: Output::default(), attempts: 0 }
+        Driver { shared, timed, ticket, work, replies, output: Output::default(), runs: 0 }
     }
 
     /// Follows the request to its end. The deadline and the caller's hang-up end it from outside,
@@ -138,9 +139,9 @@
     /// Tells the scheduler, the record and the caller, in this order: the scheduler may give the
     /// place away while a slow caller still takes the last bytes.
     async fn finish(self, end: End) {
-        let Driver { shared, timed, ticket, work, replies, output, attempts } = self;
+        let Driver { shared, timed, ticket, work, replies, output, runs } = self;
         let record = &timed.received.record;
-        let ran = match (attempts, output.offset) {
+        let ran = match (runs, output.offset) {
             (0, _) => Ran::No,
             (_, 0) => Ran::Unknown,
             _ => Ran::Yes,
