Add trefoilhall bench: open-loop patterns against real instances, with tables and exports

Cause: decisions under load are judged by what callers receive, so they have to be measured that way.

--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -4,8 +4,9 @@
 use error_stack::ResultExt;
 
 use crate::{
+    bench,
     cli::{Cli, Command},
-    command,
+    command, demo,
     error::{CliError, CliResult, Exit},
     output,
 };
@@ -16,6 +17,8 @@
     let format = cli.format;
     match cli.command {
         Command::Check(args) => command::check::run(&args, format),
+        Command::Demo(args) => demo::run(&args.into()),
+        Command::Bench(args) => bench::run(&args.try_into()?),
         Command::Completions { shell } => completions(shell),
         Command::Man => man(),
     }
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -5,6 +5,8 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 
+use crate::{bench::options::BenchArgs, demo::options::DemoArgs};
+
 /// Checks, publishes and watches the configuration of trefoilhall.
 ///
 /// Exit codes: 0 done; 1 something failed; 2 findings, or a wrong command line; 3 another change
@@ -34,6 +36,10 @@
 pub enum Command {
     /// Check a configuration folder and report all findings at once.
     Check(CheckArgs),
+    /// Show the whole path in one process, on loopback only, and check every answer.
+    Demo(DemoArgs),
+    /// Measure the policy and its baselines under several load patterns.
+    Bench(BenchArgs),
     /// Print completions for a shell.
     Completions {
         /// The shell.
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -9,11 +9,11 @@
 use futures_lite::{AsyncBufReadExt, AsyncReadExt, FutureExt};
 use http_types::{Method, Request, Response, Url};
 use platform::engine::wire::DONE;
-use policy::{Tokens, prompt::BYTES_PER_TOKEN};
+use policy::{Fingerprint, Tokens, prompt::BYTES_PER_TOKEN};
 use serde::Deserialize;
 use smol::{Timer, net::TcpStream};
 
-use crate::engine::{expected_answer, prompt_tokens};
+use crate::engine::{Estimate, estimate, expected_answer};
 
 /// The longest error body that is read.
 const MAX_ERROR: u64 = 64 << 10;
@@ -25,6 +25,8 @@
     pub body: Bytes,
     /// Its estimated size.
     pub tokens: Tokens,
+    /// Hash of its text, by which engines count its runs.
+    pub fingerprint: Fingerprint,
     /// The whole answer to it.
     pub expected: String,
     /// Bearer key of the workspace, if any.
@@ -49,8 +51,8 @@
     /// being timed.
     pub fn with_body(body: Bytes, patience: Duration) -> Prompt {
         let expected = expected_answer(&body).unwrap_or_default();
-        let tokens = prompt_tokens(&body).unwrap_or_default();
-        Prompt { body, tokens, expected, key: None, headers: Vec::new(), patience }
+        let Estimate { tokens, fingerprint } = estimate(&body);
+        Prompt { body, tokens, fingerprint, expected, key: None, headers: Vec::new(), patience }
     }
 
     /// A prompt of the given shape.
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -72,7 +72,18 @@
     Some(text(body.digest().fingerprint, body.output()))
 }
 
-/// The estimated size of a body's prompt.
-pub fn prompt_tokens(body: &[u8]) -> Option<Tokens> {
-    Some(RunBody::parse(body).ok()?.digest().tokens)
+/// What can be told of a body before it is sent.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Estimate {
+    /// The size of its prompt.
+    pub tokens: Tokens,
+    /// Hash of its prompt's text.
+    pub fingerprint: Fingerprint,
+}
+
+/// Reads a body; all zero where it can't be read.
+pub fn estimate(body: &[u8]) -> Estimate {
+    let Ok(body) = RunBody::parse(body) else { return Estimate::default() };
+    let digest = body.digest();
+    Estimate { tokens: digest.tokens, fingerprint: digest.fingerprint }
 }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -21,7 +21,7 @@
 
 use policy::{Fingerprint, TokenRate, Tokens};
 
-pub use answer::{expected_answer, prompt_tokens, text, token};
+pub use answer::{Estimate, estimate, expected_answer, text, token};
 
 use crate::{
     engine::{api::Api, state::State},
