--- a/crates/standin/src/engine/run.rs
+++ b/crates/standin/src/engine/run.rs
@@ -21,7 +21,7 @@
 use policy::{Tokens, prompt::PromptDigest};
 use smol::{
     Timer,
-    channel::{Receiver, Sender, bounded},
+    channel::{Receiver, Sender, bounded, unbounded},
 };
 
 use crate::{
@@ -46,8 +46,8 @@
 pub(crate) async fn try_run(shared: &Arc<Shared>, req: &mut Request) -> Result<Response, Refused> {
     let run = Run::read(req).await?;
     let (admitted, admission) = bounded(1);
-    // Room for every event and the end mark, so that a slow caller slows only itself.
-    let (events, pieces) = bounded((run.body.output() + 2) as usize);
+    // A slow caller must slow only itself. MAX_OUTPUT bounds what waits for it.
+    let (events, pieces) = unbounded();
     let (id, shards) = (run.attempt.to_string(), run.shards.clone());
     let share = run.footprint() - reserved_elsewhere(&shards).await?;
     let crashes = lock(&shared.state).crash_on.iter().any(|marker| run.body.holds(marker));
--- a/crates/standin/src/engine/step.rs
+++ b/crates/standin/src/engine/step.rs
@@ -171,8 +171,7 @@
     let event = event(stream);
     stream.next += 1;
     let finished = stream.next >= stream.end;
-    // A full channel can't be: it has room for every event. A closed one means that the connection
-    // broke, which its guard tells the state as well.
+    // A closed channel means that the connection broke, which its guard tells the state as well.
     let _ = stream.events.try_send(event);
     state.counts.generated += Tokens(1);
     if finished {
