--- a/crates/policy/src/baseline/naive.rs
+++ b/crates/policy/src/baseline/naive.rs
@@ -243,6 +243,11 @@
             sequence: self.sequence,
             endpoints: Vec::new(),
             workspaces: Vec::new(),
+            queued: Default::default(),
+            demand: Default::default(),
+            wishes: Vec::new(),
+            suspicions: Vec::new(),
+            suspects_at: Vec::new(),
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,17 +4,27 @@
 //! randomness: time and a seeded generator are arguments. The daemon and the
 //! tests therefore drive exactly the same code. See `docs/ARCHITECTURE.md`.
 
+pub mod affinity;
 pub mod any;
 pub mod baseline;
 pub mod config;
+pub mod health;
 pub mod ids;
 pub mod ledger;
 pub mod prompt;
 pub mod publication;
 pub mod replay;
+pub mod membership;
+pub mod place;
+pub mod prompt;
+pub mod quarantine;
+pub mod rendezvous;
 pub mod report;
 pub mod request;
+pub mod retry;
 pub mod scheduler;
+pub mod topology;
+pub mod trefoilhall;
 pub mod units;
 
 pub use any::AnyScheduler;
@@ -24,6 +34,7 @@
 };
 pub use replay::Offset;
 pub use report::{CacheEvents, LoadDigest, LoadReport};
+pub use report::{BANDS, CacheEvents, LoadDigest, LoadReport, ReservationWish, WishPart};
 pub use request::{CallKind, RequestSpec};
 pub use scheduler::{
     Admission, Decision, EndpointChange, Event, FailCause, Failure, Outcome, Priority, Ran,
--- /dev/null
+++ b/crates/policy/src/trefoilhall/dispatch.rs
@@ -0,0 +1,268 @@
+//! What goes to the engines, and when.
+//!
+//! **Load pattern.** More waits than the engines do at once; what comes next may be more urgent
+//! than what came before.
+//!
+//! **Without it.** A request that stands in an engine's queue can't be overtaken, moved or taken
+//! back: the order is fixed when it is sent, by whoever sent most.
+//!
+//! **Rule.** An engine gets only so much prefill ahead that it doesn't run dry before it can get
+//! more: a budget in predicted seconds for each band (see [`super::class`]), not a number of
+//! requests. All else waits here. Which engine it is, [`crate::place`] chooses among those with
+//! room. Short prompts have the higher engine priority, so their budget counts
+//! short ones only. The cost of an engine is the prompt's own predicted first token, weighted by
+//! its class, and the delay of those that it would overtake there, weighted by theirs; so short
+//! ones avoid engines with long prompts until that costs them as much as they spare.
+//!
+//! **Grounds.** A tenth of the longest short prefill is several round trips within a region and
+//! several chunks of prefill; what it adds to a short prompt's wait is below what its caller
+//! notices. For longer bands the budget is a few percent of their own prefill time.
+
+use crate::{
+    Decision, EndpointId, FailCause, RequestId, Shard, Start, Time, TokenRate, Tokens,
+    place::{self, Ask, Candidate},
+};
+
+use super::{
+    Trefoilhall,
+    class::Band,
+    endpoint::Endpoint,
+    request::{Attempt, Due, Entry, State},
+    seconds, span,
+};
+
+/// Workspaces whose first request is looked at before a lane counts as blocked. The first may be
+/// barred from the only engine with room, because it failed there or needs more memory.
+const LOOKAHEAD: usize = 4;
+/// Where a waiting request can go.
+enum Place {
+    /// Here, now.
+    At(Chosen),
+    /// Nowhere yet.
+    Later,
+    /// Nowhere in time.
+    TooLate,
+}
+
+/// The endpoint chosen for a request.
+struct Chosen {
+    endpoint: EndpointId,
+    cached: Tokens,
+    /// Seconds until the first token.
+    predicted: f64,
+}
+
+impl Trefoilhall {
+    /// Starts what can be started, shortest band first.
+    pub(super) fn dispatch(&mut self, now: Time) {
+        if self.waiting == 0 {
+            return;
+        }
+        self.fleet.advance(now);
+        for band in Band::all() {
+            while self.start_next(band.index(), now) {}
+        }
+    }
+
+    /// Starts or gives up one request of a lane; false where the lane is empty or blocked.
+    fn start_next(&mut self, lane: usize, now: Time) -> bool {
+        let turns: Vec<_> = self.lanes[lane].turns().take(LOOKAHEAD).collect();
+        for workspace in turns {
+            let Some(first) = self.workspaces.get(workspace).lines[lane].first() else { continue };
+            match self.place(first.request, now) {
+                Place::At(chosen) => {
+                    self.start_on_one(first.request, &chosen, now);
+                    return true;
+                }
+                Place::TooLate => {
+                    self.fail(first.request, FailCause::Deadline, now);
+                    return true;
+                }
+                Place::Later => {}
+            }
+        }
+        false
+    }
+
+    fn place(&mut self, request: RequestId, now: Time) -> Place {
+        let Some(entry) = self.requests.get(&request) else { return Place::Later };
+        let ask = self.ask(entry, now);
+        let endpoints = self.fleet.endpoints.values();
+        let candidates: Vec<Candidate> =
+            endpoints.filter_map(|endpoint| self.candidate(entry, endpoint, now)).collect();
+        let Some(index) = place::choose(&candidates, &ask, &mut self.rng) else {
+            return Place::Later;
+        };
+        let first_token = |candidate| place::first_token(candidate, &ask);
+        let least = candidates.iter().map(first_token).min().unwrap_or_default();
+        if !entry.is_trial && now + least > entry.bound {
+            return Place::TooLate;
+        }
+        let chosen = &candidates[index];
+        Place::At(Chosen {
+            endpoint: chosen.endpoint.clone(),
+            cached: chosen.cached.min(entry.req.prompt),
+            predicted: first_token(chosen).as_secs_f64(),
+        })
+    }
+
+    fn ask(&self, entry: &Entry, now: Time) -> Ask {
+        let busy = self.total_demand.iter().sum::<f64>() / self.fleet.total_rate.max(1.0);
+        Ask {
+            prompt: entry.req.prompt,
+            footprint: entry.req.footprint(),
+            long: entry.band.is_long(),
+            prefix: entry.req.prefix.first().copied(),
+            unheard: place::unheard(self.peers.age(now), busy, self.peers.instances()),
+            weights: self.rules.weights,
+        }
+    }
+
+    /// The endpoint as a candidate for `entry`, where it may get it now.
+    fn candidate(&self, entry: &Entry, endpoint: &Endpoint, now: Time) -> Option<Candidate> {
+        let band = entry.band;
+        if !endpoint.usable() || endpoint.full_until > now || endpoint.caution.is_infinite() {
+            return None;
+        }
+        if band.is_long() && !endpoint.open_to_longs {
+            return None;
+        }
+        let rate = self.fleet.rate(endpoint);
+        if !has_budget(endpoint, band, self.bands.budget(band) * rate) {
+            return None;
+        }
+        let free = endpoint.free();
+        if free < entry.footprint() || !entry.may_go_to(&endpoint.id, endpoint.incarnation) {
+            return None;
+        }
+        let fingerprint = entry.req.fingerprint;
+        if !self.quarantine.may_run(fingerprint, &endpoint.id, self.fleet.usable, now) {
+            return None;
+        }
+        let left = if band.is_long() { 1.0 - self.short_load() } else { 1.0 };
+        let wait = endpoint.ahead(band) / (rate * left) + endpoint.lateness(seconds(now), rate);
+        Some(Candidate {
+            endpoint: endpoint.id.clone(),
+            wait: span(wait),
+            rate: TokenRate(rate * left),
+            cached: self.cache.expected(&endpoint.id, &entry.req.prefix),
+            distance: span(endpoint.distance),
+            free: Tokens(free.min(1e18) as u64),
+            shorts_running: 0,
+            longs_running: endpoint.delayed_by(band),
+            long_open: endpoint.open_to_longs,
+            caution: endpoint.caution,
+        })
+    }
+
+    fn start_on_one(&mut self, request: RequestId, chosen: &Chosen, now: Time) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let Some(endpoint) = self.fleet.get(&chosen.endpoint) else { return };
+        let shard = Shard {
+            endpoint: endpoint.id.clone(),
+            incarnation: endpoint.incarnation,
+            tokens: entry.req.footprint(),
+        };
+        self.start(request, vec![shard], chosen.cached, chosen.predicted, now);
+    }
+
+    /// Starts a waiting request on `shards`, the first of which runs it, has `cached` of its
+    /// prompt, and is predicted to give the first token in `predicted` seconds.
+    pub(super) fn start(
+        &mut self,
+        request: RequestId,
+        shards: Vec<Shard>,
+        cached: Tokens,
+        predicted: f64,
+        now: Time,
+    ) {
+        self.leave_lane(request, true);
+        let Some(entry) = self.requests.get_mut(&request) else { return };
+        self.due.remove(&Due { at: entry.due, request });
+        entry.due = entry.req.deadline;
+        self.due.insert(Due { at: entry.due, request });
+        entry.attempts += 1;
+        let band = entry.band;
+        let prefill = (entry.req.prompt + entry.passed_on - cached).0.max(1) as f64;
+        for shard in &shards {
+            if let Some(endpoint) = self.fleet.get_mut(&shard.endpoint) {
+                endpoint.hold(shard.tokens.0 as f64);
+            }
+        }
+        let first = shards.first().and_then(|shard| self.fleet.get_mut(&shard.endpoint));
+        let Some(endpoint) = first else { return };
+        self.cache.sent(&endpoint.id, endpoint.incarnation, &entry.req.prefix);
+        self.quarantine.started(entry.req.fingerprint, &endpoint.id, now);
+        let attempt = Attempt {
+            sent: now,
+            predicted,
+            cached,
+            ahead: endpoint.ahead(band),
+            short_done: endpoint.short_done,
+            beside_longs: !band.is_long() && endpoint.delayed_by(band) > 0,
+            prefill,
+            first_token: None,
+            shards: shards.clone(),
+        };
+        endpoint.sent(band, prefill, now);
+        endpoint.note_moment(now);
+        entry.state = State::Running(attempt);
+        self.decisions.push(Decision::Start(Start {
+            request,
+            attempt: entry.attempts,
+            shards,
+            priority: band.priority(),
+        }));
+        if band.is_long() {
+            self.look_at_fleet(now);
+        }
+    }
+
+    /// Takes a request out of its lane; `served` where that is because it starts.
+    pub(super) fn leave_lane(&mut self, request: RequestId, served: bool) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let share = self.workspaces.share(entry.workspace);
+        let line = &mut self.workspaces.get_mut(entry.workspace).lines[entry.lane];
+        let lane = &mut self.lanes[entry.lane];
+        if !lane.remove(share, line, entry.waiting(), entry.prompt()) {
+            return;
+        }
+        self.waiting -= 1;
+        // A further attempt of a request was paid for with the first.
+        if served && entry.attempts == 0 {
+            lane.charge(share, line, entry.cost);
+        }
+    }
+
+    /// Ends the attempt under way, if any: its memory and prefill are free again.
+    pub(super) fn release(&mut self, request: RequestId, now: Time) -> Option<Attempt> {
+        let entry = self.requests.get_mut(&request)?;
+        if !matches!(entry.state, State::Running(_)) {
+            return None;
+        }
+        let State::Running(attempt) = std::mem::replace(&mut entry.state, State::Waiting) else {
+            return None;
+        };
+        let band = entry.band;
+        for (index, shard) in attempt.shards.iter().enumerate() {
+            let Some(endpoint) = self.fleet.of(shard) else { continue };
+            endpoint.release(shard.tokens.0 as f64);
+            if index == 0 && attempt.first_token.is_none() {
+                endpoint.prefilled(band, attempt.prefill);
+            }
+            endpoint.note_moment(now);
+        }
+        Some(attempt)
+    }
+}
+
+/// Whether an engine may get one more prompt of `band` with so many tokens of budget.
+fn has_budget(endpoint: &Endpoint, band: Band, tokens: f64) -> bool {
+    let ahead = if band.is_long() { endpoint.longs_ahead(band) } else { endpoint.ahead(band) };
+    ahead <= tokens
+}
+
+/// Tokens as a whole number, rounded up.
+pub(super) fn whole(tokens: f64) -> Tokens {
+    Tokens(tokens.ceil().max(0.0) as u64)
+}
