Ledger of calls that may not be repeated: group commit, read-back, refusals while the log is down

Claims wait for one append at a time, are won when read back, and are refused at once while the log fails. A batch without answer is appended again under its number; one that was certainly not taken is taken back. Not yet in the path of requests.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -48,3 +48,9 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Incarnation(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
 }
+
+/// The wall clock in milliseconds, for keys that tell when they were made.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/ledger/claim.rs
@@ -0,0 +1,83 @@
+//! The right to run one call, held by whoever sends it.
+
+use platform::log::Log;
+use policy::{
+    Offset, Ran,
+    ledger::{Answer, CallKey, Entry, GivenUp},
+};
+
+use super::{Ledger, wake};
+use crate::endpoint::lock;
+
+/// The right to run one call. It ends by [`RunClaim::done`], [`RunClaim::unknown`] or
+/// [`RunClaim::not_run`]; dropping it tells the others what can still be told truthfully.
+pub struct RunClaim<L: Log> {
+    ledger: Option<Ledger<L>>,
+    key: CallKey,
+}
+
+impl<L: Log> RunClaim<L> {
+    pub(super) fn new(ledger: Ledger<L>, key: CallKey) -> Self {
+        RunClaim { ledger: Some(ledger), key }
+    }
+
+    /// The claim's place in the stream, for endpoints that check fencing numbers.
+    pub fn fencing(&self) -> Offset {
+        let ledger = self.ledger.as_ref();
+        ledger.map_or(Offset(0), |ledger| lock(&ledger.core.state).fencing(&self.key))
+    }
+
+    /// Asks for the right to send the first byte, right before it is sent. It is
+    /// asked for once a connection stands, because a refused one proves that nothing was sent.
+    pub fn begin_sending(&self) -> bool {
+        let Some(ledger) = &self.ledger else { return false };
+        let now = ledger.core.clock.now();
+        lock(&ledger.core.state).begin_sending(&self.key, now)
+    }
+
+    /// The call ran and was answered.
+    pub fn done(mut self, answer: Answer) {
+        self.end(|key, claim| Entry::Done { key, claim, answer });
+    }
+
+    /// Something was sent and no whole answer came.
+    pub fn unknown(mut self) {
+        self.end(|key, claim| Entry::Unknown { key, claim });
+    }
+
+    /// Gives the call up. What the caller may be told of it.
+    pub fn not_run(mut self) -> Ran {
+        match self.give_up() {
+            Some(GivenUp::NotRun) => Ran::No,
+            _ => Ran::Unknown,
+        }
+    }
+
+    /// The claim has ended without this handle.
+    pub(super) fn forget(mut self) {
+        self.ledger = None;
+    }
+
+    fn give_up(&mut self) -> Option<GivenUp> {
+        let ledger = self.ledger.take()?;
+        let now = ledger.core.clock.now();
+        let (given_up, waiters) = lock(&ledger.core.state).give_up(&self.key, now);
+        wake(&waiters);
+        ledger.core.wake.try_send(()).ok();
+        Some(given_up)
+    }
+
+    fn end(&mut self, entry: impl FnOnce(CallKey, policy::ledger::ClaimId) -> Entry) {
+        let Some(ledger) = self.ledger.take() else { return };
+        lock(&ledger.core.state).end(&self.key, entry);
+        ledger.core.wake.try_send(()).ok();
+    }
+}
+
+impl<L: Log> Drop for RunClaim<L> {
+    /// A caller that hangs up drops its call wherever it stands. Before the first byte the claim
+    /// is given up, so that the call can be sent again; after it the outcome is unknown.
+    fn drop(&mut self) {
+        self.give_up();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ledger/mod.rs
@@ -0,0 +1,217 @@
+//! Calls that may not be repeated: the instance's side of the ledger stream.
+//!
+//! What claims mean is decided by [`policy::ledger`]; here they are appended, read back and waited
+//! for. One append carries every claim that came while the last append was under way, because the
+//! log takes a few hundred appends a second. `docs/decisions/ledger.md` has the measurements.
+
+mod claim;
+mod pace;
+mod reader;
+mod state;
+mod writer;
+
+use std::{
+    future::Future,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use futures_lite::FutureExt;
+use platform::log::Log;
+use policy::{
+    Fingerprint, Time,
+    ledger::{Answer, CallKey, Writer},
+};
+use smol::channel::{Receiver, Sender, bounded};
+
+pub use claim::RunClaim;
+use state::{Next, State};
+
+use crate::{clock::Clock, endpoint::lock};
+
+/// How a ledger is kept.
+#[derive(Debug, Clone)]
+pub struct LedgerConfig {
+    /// The stream.
+    pub stream: String,
+    /// How long keys are remembered.
+    pub window: Duration,
+    /// How long the log keeps records.
+    pub log_keeps: Duration,
+}
+
+/// One ledger stream as this instance sees it.
+pub struct Ledger<L> {
+    core: Arc<Core<L>>,
+}
+
+impl<L> Clone for Ledger<L> {
+    fn clone(&self) -> Self {
+        Ledger { core: self.core.clone() }
+    }
+}
+
+struct Core<L> {
+    log: L,
+    cfg: LedgerConfig,
+    clock: Clock,
+    state: Mutex<State>,
+    /// Tells the writer that there is something to append.
+    wake: Sender<()>,
+    woken: Receiver<()>,
+}
+
+/// A call that wants to run.
+#[derive(Debug, Clone)]
+pub struct ClaimRequest {
+    /// Its key.
+    pub key: CallKey,
+    /// Hash of what it asks for.
+    pub fingerprint: Fingerprint,
+    /// Whether the endpoint answers a repeated key with its first answer.
+    pub deduplicates: bool,
+    /// How long its caller waits.
+    pub deadline: Time,
+}
+
+/// What is to be done with a call.
+pub enum ClaimOutcome<L: Log> {
+    /// It has the right to run, once.
+    Run(RunClaim<L>),
+    /// It ran before; this is its answer.
+    Answer(Answer),
+    /// Its outcome can't be told.
+    Unknown,
+    /// The key was used for another call.
+    BodyDiffers,
+    /// An earlier call with this key was given up before it ran, while this one waited for it.
+    NotRun,
+    /// The log can't be used, and no call with this key is known: it was not run.
+    LogDown,
+    /// The log can't be used, and what it holds isn't known here: it can't be told whether an
+    /// earlier call with this key ran.
+    Behind,
+    /// Too many calls wait for the log; it was not run.
+    Full,
+    /// The key is older than what is remembered.
+    KeyTooOld,
+    /// The key says that it was made in the future.
+    KeyFromTheFuture,
+}
+
+impl<L: Log + 'static> Ledger<L> {
+    /// A ledger that has read nothing yet. [`Ledger::run`] has to be polled for it to do anything.
+    pub fn new(log: L, cfg: LedgerConfig, writer: Writer, clock: Clock) -> Self {
+        let (wake, woken) = bounded(1);
+        let state = Mutex::new(State::new(writer, cfg.window));
+        Ledger { core: Arc::new(Core { log, cfg, clock, state, wake, woken }) }
+    }
+
+    /// Reads, appends and writes checkpoints for as long as it is polled.
+    pub async fn run(self) {
+        let reading = reader::run(&self.core);
+        let writing = writer::run(&self.core);
+        let checkpoints = writer::checkpoints(&self.core);
+        reading.or(writing).or(checkpoints).await;
+    }
+
+    /// Whether the whole stream has been read and the log takes appends.
+    pub fn is_ready(&self) -> bool {
+        let state = lock(&self.core.state);
+        state.is_complete() && !state.is_down(self.core.clock.now())
+    }
+
+    /// The offset that will be read next, which other instances may compare with theirs.
+    pub fn next_offset(&self) -> policy::Offset {
+        lock(&self.core.state).next_offset()
+    }
+
+    /// Takes note of how far another instance has read. An instance that is behind can't say that
+    /// an unknown key has not run.
+    pub fn note_end(&self, next: policy::Offset) {
+        lock(&self.core.state).note_end(next);
+    }
+
+    /// How many keys are remembered.
+    pub fn keys(&self) -> usize {
+        lock(&self.core.state).keys()
+    }
+
+    /// Claims the right to run a call, or finds out what became of it. Ends by the deadline.
+    pub async fn claim(&self, req: ClaimRequest) -> ClaimOutcome<L> {
+        let mut waited = false;
+        loop {
+            let now = self.core.clock.now();
+            let next = lock(&self.core.state).next(&req, waited, now);
+            let (changed, own) = match next {
+                Next::Ended(outcome) => return outcome.into(),
+                Next::Wait(changed) => (changed, false),
+                Next::Claim(changed) => {
+                    self.core.wake.try_send(()).ok();
+                    (changed, true)
+                }
+            };
+            if own {
+                // Dropped with this future when the caller hangs up, which gives the claim up.
+                let claim = RunClaim::new(self.clone(), req.key.clone());
+                match self.wait_for_own(&req, &changed).await {
+                    Own::Won => return ClaimOutcome::Run(claim),
+                    Own::Lost => claim.forget(),
+                    Own::GivenUp => {
+                        claim.forget();
+                        return ClaimOutcome::Unknown;
+                    }
+                    Own::NotAppended => {
+                        claim.forget();
+                        return ClaimOutcome::LogDown;
+                    }
+                }
+            } else if !self.until(req.deadline, changed.recv()).await {
+                return ClaimOutcome::Unknown;
+            }
+            waited = true;
+        }
+    }
+
+    async fn wait_for_own(&self, req: &ClaimRequest, changed: &Receiver<()>) -> Own {
+        loop {
+            let in_time = self.until(req.deadline, changed.recv()).await;
+            let now = self.core.clock.now();
+            let step = lock(&self.core.state).own_step(&req.key, in_time, now);
+            self.core.wake.try_send(()).ok();
+            if let Some(own) = step {
+                return own;
+            }
+        }
+    }
+
+    /// Waits for `event`; whether it came by `deadline`.
+    async fn until<T>(&self, deadline: Time, event: impl Future<Output = T>) -> bool {
+        let event = async {
+            event.await;
+            true
+        };
+        let late = async {
+            self.core.clock.sleep_until(deadline).await;
+            false
+        };
+        event.or(late).await
+    }
+}
+
+fn wake(waiters: &[Sender<()>]) {
+    for waiter in waiters {
+        // A waiter that was woken already needs no second call.
+        waiter.try_send(()).ok();
+    }
+}
+
+/// What became of an own claim.
+enum Own {
+    Won,
+    Lost,
+    /// Given up while it may stand in the log.
+    GivenUp,
+    /// The log took no appends, and this one certainly not.
+    NotAppended,
+}
--- /dev/null
+++ b/crates/daemon/src/ledger/reader.rs
@@ -0,0 +1,35 @@
+//! Follows the ledger stream and folds it.
+
+use std::time::Duration;
+
+use platform::log::Log;
+use smol::Timer;
+
+use super::{Core, wake};
+use crate::endpoint::lock;
+
+/// Records in one read. A page of large answers stays below the client's limit of 16 MB.
+const PAGE: usize = 200;
+/// How long a read waits for a record. A connection that went silent is noticed a second after,
+/// which has to be well within a caller's deadline.
+const WAIT: Duration = Duration::from_millis(500);
+/// Time between reads while the log can't be read.
+const RETRY: Duration = Duration::from_millis(100);
+
+pub(super) async fn run<L: Log>(core: &Core<L>) {
+    loop {
+        let from = lock(&core.state).next_offset();
+        match core.log.read(&core.cfg.stream, from, PAGE, WAIT).await {
+            Ok(page) => {
+                let waiters = lock(&core.state).accept(&page);
+                wake(&waiters);
+            }
+            Err(e) => {
+                let waiters = lock(&core.state).read_failed(core.clock.now());
+                wake(&waiters);
+                log::debug!(stream = core.cfg.stream.as_str(), error:% = e; "ledger_read_failed");
+                Timer::after(RETRY).await;
+            }
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod filter;
 pub mod folder;
 pub mod instance;
+pub mod ledger;
 pub mod logging;
 pub mod metrics;
 pub mod options;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,14 +11,13 @@
 pub mod health;
 pub mod ids;
 pub mod ledger;
-pub mod prompt;
-pub mod publication;
-pub mod replay;
 pub mod membership;
 pub mod place;
 pub mod prompt;
+pub mod publication;
 pub mod quarantine;
 pub mod rendezvous;
+pub mod replay;
 pub mod report;
 pub mod request;
 pub mod retry;
@@ -33,7 +32,6 @@
     RequestId, Workspace,
 };
 pub use replay::Offset;
-pub use report::{CacheEvents, LoadDigest, LoadReport};
 pub use report::{BANDS, CacheEvents, LoadDigest, LoadReport, ReservationWish, WishPart};
 pub use request::{CallKind, RequestSpec};
 pub use scheduler::{
