Link instances over h2 with bincode, heartbeats and told-only-if-it-matters load

Cause: instances need each other's load, membership, configuration announcements and quarantine entries, and open connections may go silent for good while new ones work. Done: daemon::peer (PeerMesh, Message, PeerEvent), policy::digest (which part of the load is told within a byte budget), platform::instances::http. A silent link is dropped after three heartbeats and made anew before membership calls the peer dead; two that dial at once keep one link; a life that was replaced finds no way back; queues are bounded, load that waits is merged.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,4 +2,5 @@
 //! `docs/ARCHITECTURE.md` describes the path of a request.
 
 pub mod folder;
+pub mod peer;
 pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/peer/count.rs
@@ -0,0 +1,73 @@
+//! Counts what a mesh sends and receives.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+    task::{Context, Poll, ready},
+};
+
+use futures_lite::{AsyncRead, AsyncWrite};
+
+use crate::peer::Traffic;
+
+/// The counters of one mesh.
+#[derive(Debug, Default)]
+pub(super) struct Counters {
+    sent: AtomicU64,
+    received: AtomicU64,
+    pub(super) links_made: AtomicU64,
+    pub(super) links_silent: AtomicU64,
+}
+
+impl Counters {
+    pub(super) fn read(&self) -> Traffic {
+        Traffic {
+            sent: self.sent.load(Relaxed),
+            received: self.received.load(Relaxed),
+            links_made: self.links_made.load(Relaxed),
+            links_silent: self.links_silent.load(Relaxed),
+        }
+    }
+}
+
+/// A stream whose bytes are counted.
+pub(super) struct Counted<S> {
+    pub(super) stream: S,
+    pub(super) counters: Arc<Counters>,
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let len = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.counters.received.fetch_add(len as u64, Relaxed);
+        Poll::Ready(Ok(len))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let len = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        self.counters.sent.fetch_add(len as u64, Relaxed);
+        Poll::Ready(Ok(len))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/handle.rs
@@ -0,0 +1,171 @@
+//! What the instance asks of its mesh.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use platform::instances::{ListPage, ListedState, Role};
+use policy::{
+    Deployment, Incarnation, InstanceId, LoadDigest,
+    digest::Teller,
+    membership::{ListLine, owners::OwnerLife},
+};
+
+use crate::peer::{
+    Message, NotLinked, PacketError, PeerStatus,
+    message::{Origin, Packet, encode},
+    shared::Shared,
+    state::{OwnLoad, State},
+};
+
+impl Shared {
+    pub(super) fn broadcast(&self, message: Message) -> Result<(), PacketError> {
+        let mut state = self.lock();
+        let origin = Origin {
+            instance: self.me.instance.clone(),
+            incarnation: self.me.incarnation,
+            number: state.flood.next_number(),
+        };
+        let packet = if message.is_for_all() {
+            Packet::Flood { origin, message }
+        } else {
+            Packet::Direct(message)
+        };
+        let links: Vec<InstanceId> = state.links.keys().cloned().collect();
+        self.push(&mut state, &links, &packet)
+    }
+
+    pub(super) fn send_to(&self, instance: &InstanceId, message: Message) -> Result<(), NotLinked> {
+        let mut state = self.lock();
+        if !state.links.contains_key(instance) {
+            return Err(NotLinked);
+        }
+        let packet = Packet::Direct(message);
+        self.push(&mut state, std::slice::from_ref(instance), &packet).map_err(|_| NotLinked)
+    }
+
+    /// Queues a packet on the links to these instances. A link whose queue is full is ended.
+    pub(super) fn push(
+        &self,
+        state: &mut State,
+        instances: &[InstanceId],
+        packet: &Packet,
+    ) -> Result<(), PacketError> {
+        let bytes = encode(packet)?;
+        let now = self.now();
+        for instance in instances {
+            let Some(link) = state.links.get_mut(instance) else { continue };
+            link.sent = now;
+            if link.outbox.push(bytes.clone()).is_err() {
+                log::warn!(peer = instance.as_str(); "peer_link_overflow");
+                state.links.swap_remove(instance);
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn share_load(&self, deployment: &Deployment, digest: LoadDigest) {
+        let now = self.now();
+        let mut state = self.lock();
+        let load = state.loads.entry(deployment.clone()).or_insert_with(|| OwnLoad {
+            teller: Teller::new(self.load_bytes_per_second, now),
+            digest: digest.clone(),
+        });
+        load.digest = digest;
+        let Some(part) = load.teller.part(&load.digest, now) else {
+            return;
+        };
+        let State { links, .. } = &mut *state;
+        for link in links.values_mut().filter(|link| self.tells_load_to(&link.hello.data_centre)) {
+            link.sent = now;
+            link.outbox.push_load(deployment, &part);
+        }
+    }
+
+    /// In a fleet with gateways, load stays within the data centre: what another one's instances
+    /// have under way here shows in the endpoints' own reports.
+    pub(super) fn tells_load_to(&self, data_centre: &policy::DataCentre) -> bool {
+        self.is_full_mesh() || *data_centre == self.me.data_centre
+    }
+
+    pub(super) fn list_read(&self, page: &ListPage) {
+        let now = self.now();
+        let entries = page.instances.iter().filter(|listed| listed.role == Role::Entry);
+        let mut state = self.lock();
+        let mut lines = Vec::new();
+        for listed in entries {
+            // A name that is no instance id can't be one of ours.
+            let Ok(instance) = InstanceId::new(&listed.name) else { continue };
+            if instance != self.me.instance {
+                state.add_target(listed.address, Some(instance.clone()));
+                state.add_place(&instance, &listed.data_centre);
+                let leaving = listed.state == ListedState::Leaving;
+                let incarnation = listed.incarnation;
+                lines.push(ListLine { member: instance, incarnation, leaving });
+            }
+        }
+        state.members.list_read(&lines, now);
+        state.forget_unlisted(&lines, now);
+        self.choose_links(&mut state);
+    }
+
+    /// Chooses anew which instances to have links with.
+    pub(super) fn choose_links(&self, state: &mut State) {
+        let full_mesh = state.choose_links(&self.me);
+        self.full_mesh.store(full_mesh, Ordering::Relaxed);
+    }
+
+    pub(super) fn set_leaving(&self) {
+        let mut state = self.lock();
+        state.leaving = true;
+        let links: Vec<InstanceId> = state.links.keys().cloned().collect();
+        // A heartbeat is never too long.
+        self.push(&mut state, &links, &Packet::Heartbeat { leaving: true }).ok();
+    }
+
+    pub(super) fn owner(&self, instance: &InstanceId, incarnation: Incarnation) -> OwnerLife {
+        if *instance == self.me.instance && incarnation == self.me.incarnation {
+            return OwnerLife::Alive;
+        }
+        self.lock().members.owner(instance, incarnation, self.now())
+    }
+
+    pub(super) fn status(&self) -> Vec<PeerStatus> {
+        let state = self.lock();
+        state
+            .members
+            .members(self.now())
+            .map(|known| PeerStatus {
+                instance: known.key.clone(),
+                incarnation: known.incarnation,
+                state: known.state,
+                linked: state.links.contains_key(known.key),
+            })
+            .collect()
+    }
+
+    pub(super) fn say_goodbye(&self) {
+        let mut state = self.lock();
+        let links: Vec<InstanceId> = state.links.keys().cloned().collect();
+        // A goodbye is never too long.
+        self.push(&mut state, &links, &Packet::Goodbye).ok();
+        state.links.values().for_each(|link| link.outbox.finish());
+        state.targets.clear();
+    }
+
+    /// Whether any connection is open; each holds the counters.
+    pub(super) fn has_connections(&self) -> bool {
+        Arc::strong_count(&self.traffic) > 1
+    }
+}
+
+impl State {
+    /// Drops what is known of instances that are dead and unlisted.
+    fn forget_unlisted(&mut self, lines: &[ListLine<InstanceId>], now: policy::Time) {
+        let State { members, places, targets, .. } = self;
+        let live = |instance: &InstanceId| {
+            lines.iter().any(|line| &line.member == instance)
+                || members.state(instance, now) != policy::membership::State::Dead
+        };
+        places.retain(|instance, _| live(instance));
+        targets.retain(|_, target| target.seed || target.instance.as_ref().is_some_and(live));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/link.rs
@@ -0,0 +1,276 @@
+//! One link, from its hello to its end.
+
+use std::{fmt, sync::Arc};
+
+use futures_lite::{FutureExt, future::or};
+use policy::{DataCentre, Incarnation, InstanceId, membership::Evidence};
+use smol::channel::{Receiver, bounded};
+
+use crate::peer::{
+    PROTOCOL, PeerEvent,
+    frame::{FrameError, FrameReader, FrameWriter},
+    message::{Hello, Packet, encode},
+    outbox::Outbox,
+    shared::Shared,
+    state::{Link, Rejected, State},
+};
+
+/// Both directions of a new stream between two instances.
+pub(super) struct Streams {
+    pub(super) reader: FrameReader,
+    pub(super) writer: FrameWriter,
+    /// Whether this side dialled.
+    pub(super) dialled: bool,
+}
+
+/// Why a link didn't come about.
+#[derive(Debug)]
+pub(super) enum HelloError {
+    /// The other end closed, or sent what is no packet.
+    Frame(FrameError),
+    /// The other end began with something else than a hello.
+    NoHello,
+    /// The other end speaks another protocol.
+    Protocol(u32),
+    /// The link isn't wanted.
+    Rejected(Rejected),
+}
+
+impl fmt::Display for HelloError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            HelloError::Frame(err) => write!(f, "no hello came: {err}"),
+            HelloError::NoHello => write!(f, "the other end didn't begin with a hello in time"),
+            HelloError::Protocol(theirs) => {
+                write!(f, "the other end speaks protocol {theirs}, not {PROTOCOL}")
+            }
+            HelloError::Rejected(Rejected::Myself) => write!(f, "it leads back to this instance"),
+            HelloError::Rejected(Rejected::OldLife) => {
+                write!(f, "the other end's life is known to have been replaced")
+            }
+            HelloError::Rejected(Rejected::Duplicate) => {
+                write!(f, "the other end's own link is kept instead")
+            }
+        }
+    }
+}
+
+impl From<FrameError> for HelloError {
+    fn from(err: FrameError) -> Self {
+        HelloError::Frame(err)
+    }
+}
+
+/// Says hello and waits for the other end's.
+pub(super) async fn greet(me: &Hello, streams: &mut Streams) -> Result<Hello, HelloError> {
+    let hello = encode(&Packet::Hello(me.clone())).map_err(FrameError::from)?;
+    streams.writer.send(hello).await?;
+    match streams.reader.next().await? {
+        Some(Packet::Hello(hello)) if hello.protocol == PROTOCOL => Ok(hello),
+        Some(Packet::Hello(hello)) => Err(HelloError::Protocol(hello.protocol)),
+        Some(_) | None => Err(HelloError::NoHello),
+    }
+}
+
+/// Runs a greeted link until it ends.
+///
+/// # Errors
+///
+/// [`HelloError::Rejected`] where the link isn't wanted.
+pub(super) async fn run(
+    shared: &Arc<Shared>,
+    hello: Hello,
+    streams: Streams,
+) -> Result<(), HelloError> {
+    let Streams { mut reader, writer, dialled } = streams;
+    let (session, events) = register(shared, hello, dialled).map_err(HelloError::Rejected)?;
+    log::info!(
+        peer = session.hello.instance.as_str(),
+        incarnation = session.hello.incarnation.0,
+        dialled;
+        "peer_linked"
+    );
+    shared.emit(events).await;
+    let reading = read(shared, &session, &mut reader);
+    let writing = write(&session.outbox, writer);
+    let stopped = async {
+        // Nothing is ever sent; this ends when the link is taken out of the table.
+        session.stop.recv().await.ok();
+        End::Replaced
+    };
+    let end = or(stopped, reading.or(writing)).await;
+    shared.lock().unlink(&session.hello.instance, session.id);
+    log::info!(peer = session.hello.instance.as_str(), end:? = end; "peer_unlinked");
+    Ok(())
+}
+
+/// How a link ended.
+#[derive(Debug)]
+enum End {
+    /// The peer closed it, or the connection broke.
+    Closed,
+    /// It was silent, fell behind, or another link took its place.
+    Replaced,
+    /// This side has said all it had to say.
+    Finished,
+    /// The peer sent what makes no sense.
+    Nonsense,
+}
+
+struct Session {
+    id: u64,
+    hello: Hello,
+    outbox: Arc<Outbox>,
+    stop: Receiver<()>,
+}
+
+fn register(
+    shared: &Shared,
+    hello: Hello,
+    dialled: bool,
+) -> Result<(Session, Vec<PeerEvent>), Rejected> {
+    let now = shared.now();
+    let mut state = shared.lock();
+    state.check(&shared.me.instance, &hello, dialled, now)?;
+    let events = state.met(&hello, now);
+    state.add_target(hello.address, Some(hello.instance.clone()));
+    let (stop_tx, stop) = bounded(1);
+    let id = state.next_link;
+    state.next_link += 1;
+    let outbox = Arc::new(Outbox::new());
+    if shared.tells_load_to(&hello.data_centre) {
+        for (deployment, load) in &state.loads {
+            outbox.push_load(deployment, &load.teller.whole(&load.digest));
+        }
+    }
+    let link = Link {
+        id,
+        hello: hello.clone(),
+        dialled,
+        outbox: outbox.clone(),
+        since: now,
+        heard: now,
+        sent: now,
+        listeners: Default::default(),
+        _stop: stop_tx,
+    };
+    state.links.insert(hello.instance.clone(), link);
+    if state.leaving {
+        let packet = Packet::Heartbeat { leaving: true };
+        // A heartbeat is never too long.
+        shared.push(&mut state, std::slice::from_ref(&hello.instance), &packet).ok();
+    }
+    shared.choose_links(&mut state);
+    shared.traffic.links_made.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    Ok((Session { id, hello, outbox, stop }, events))
+}
+
+async fn write(outbox: &Outbox, mut writer: FrameWriter) -> End {
+    loop {
+        match outbox.next().await {
+            Ok(Some(bytes)) => {
+                if writer.send(bytes).await.is_err() {
+                    return End::Closed;
+                }
+            }
+            Ok(None) => {
+                writer.finish();
+                return End::Finished;
+            }
+            Err(err) => log::error!(error:% = err; "peer_load_not_sent"),
+        }
+    }
+}
+
+async fn read(shared: &Shared, session: &Session, reader: &mut FrameReader) -> End {
+    loop {
+        let packet = match reader.next().await {
+            Ok(Some(packet)) => packet,
+            Ok(None) | Err(FrameError::Closed) => return End::Closed,
+            Err(FrameError::Packet(err)) => {
+                log::warn!(peer = session.hello.instance.as_str(), error:% = err; "peer_nonsense");
+                return End::Nonsense;
+            }
+        };
+        let Some(events) = take_in(shared, session, packet) else {
+            return End::Replaced;
+        };
+        shared.emit(events).await;
+    }
+}
+
+/// Takes in a packet and says what the instance has to hear; none where this link has been
+/// replaced, so that what comes late on an old link isn't taken for news.
+fn take_in(shared: &Shared, session: &Session, packet: Packet) -> Option<Vec<PeerEvent>> {
+    let now = shared.now();
+    let mut state = shared.lock();
+    let (instance, incarnation) = (&session.hello.instance, session.hello.incarnation);
+    let link = state.links.get_mut(instance).filter(|link| link.id == session.id)?;
+    link.heard = now;
+    state.members.observe(instance, incarnation, Evidence::Alive, now);
+    Some(match packet {
+        Packet::Hello(_) | Packet::Heartbeat { leaving: false } => Vec::new(),
+        Packet::Heartbeat { leaving: true } => {
+            state.members.observe(instance, incarnation, Evidence::Leaving, now);
+            vec![PeerEvent::Leaving { instance: instance.clone(), incarnation }]
+        }
+        Packet::Load { deployment, part } => {
+            // A peer may speak only of its own load, and of this life's.
+            if part.instance != *instance || part.incarnation != incarnation {
+                return Some(Vec::new());
+            }
+            let link = state.links.get_mut(instance)?;
+            let listener = link.listeners.entry(deployment.clone()).or_default();
+            let digest = listener.merge(part).cloned();
+            digest.map(|digest| PeerEvent::Load { deployment, digest }).into_iter().collect()
+        }
+        Packet::Direct(message) => vec![PeerEvent::Message { from: instance.clone(), message }],
+        Packet::Flood { origin, message } => {
+            if origin.instance == shared.me.instance || !state.flood.take_in(&origin) {
+                return Some(Vec::new());
+            }
+            let from = origin.instance.clone();
+            shared.pass_on(&mut state, session, Packet::Flood { origin, message: message.clone() });
+            vec![PeerEvent::Message { from, message }]
+        }
+        Packet::Goodbye => goodbye(&mut state, instance, incarnation, now),
+    })
+}
+
+fn goodbye(
+    state: &mut State,
+    instance: &InstanceId,
+    incarnation: Incarnation,
+    now: policy::Time,
+) -> Vec<PeerEvent> {
+    state.members.observe(instance, incarnation, Evidence::Stopped, now);
+    state.announced.swap_remove(instance);
+    vec![PeerEvent::Gone { instance: instance.clone(), incarnation }]
+}
+
+impl Shared {
+    /// Whether all instances have links with all.
+    pub(super) fn is_full_mesh(&self) -> bool {
+        self.full_mesh.load(std::sync::atomic::Ordering::Relaxed)
+    }
+
+    /// Passes a message for all on between data centres: what comes from another one goes to all
+    /// here, what comes from here goes to the others that this instance is a gateway to.
+    fn pass_on(&self, state: &mut State, session: &Session, packet: Packet) {
+        if self.is_full_mesh() {
+            return;
+        }
+        let here = |data_centre: &DataCentre| *data_centre == self.me.data_centre;
+        let from_here = here(&session.hello.data_centre);
+        let onward: Vec<InstanceId> = state
+            .links
+            .iter()
+            .filter(|(instance, link)| {
+                **instance != session.hello.instance && here(&link.hello.data_centre) != from_here
+            })
+            .map(|(instance, _)| instance.clone())
+            .collect();
+        // The packet came over a link, so it isn't too long for one.
+        self.push(state, &onward, &packet).ok();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/outbox.rs
@@ -0,0 +1,118 @@
+//! What waits to be sent over one link, bounded.
+
+use std::{
+    collections::VecDeque,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use policy::{Deployment, LoadDigest, digest};
+use smol::channel::{Receiver, Sender, bounded};
+
+use crate::peer::message::{Packet, PacketError, encode};
+
+/// The most packets that wait for one peer. Two seconds of a burst of quarantine and endpoint
+/// news; a peer that is farther behind gets a new link, which begins with the whole state.
+const MAX_WAITING: usize = 256;
+
+/// The most bytes that wait for one peer: a few configurations.
+const MAX_BYTES: usize = 16 << 20;
+
+/// The peer doesn't take what is sent: the link has to be closed and made anew. Dropping single
+/// packets instead would leave the two ends with different views for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Overflow;
+
+/// The queue of one link. Load digests that wait are merged into one for each deployment, so that
+/// a slow link sends the newest load instead of a history of it.
+pub(super) struct Outbox {
+    pending: Mutex<Pending>,
+    closing: AtomicBool,
+    wake_tx: Sender<()>,
+    wake_rx: Receiver<()>,
+}
+
+#[derive(Default)]
+struct Pending {
+    packets: VecDeque<Bytes>,
+    bytes: usize,
+    loads: IndexMap<Deployment, LoadDigest>,
+}
+
+impl Outbox {
+    pub(super) fn new() -> Outbox {
+        let (wake_tx, wake_rx) = bounded(1);
+        let pending = Mutex::default();
+        Outbox { pending, closing: AtomicBool::new(false), wake_tx, wake_rx }
+    }
+
+    /// Queues an encoded packet.
+    pub(super) fn push(&self, packet: Bytes) -> Result<(), Overflow> {
+        let mut pending = self.lock();
+        if pending.packets.len() >= MAX_WAITING || pending.bytes + packet.len() > MAX_BYTES {
+            return Err(Overflow);
+        }
+        pending.bytes += packet.len();
+        pending.packets.push_back(packet);
+        self.wake();
+        Ok(())
+    }
+
+    /// Queues a part of the load, on top of one that still waits.
+    pub(super) fn push_load(&self, deployment: &Deployment, part: &LoadDigest) {
+        let mut pending = self.lock();
+        match pending.loads.get_mut(deployment) {
+            Some(waiting) => digest::merge_parts(waiting, part.clone()),
+            None => {
+                pending.loads.insert(deployment.clone(), part.clone());
+            }
+        }
+        self.wake();
+    }
+
+    /// Lets the writer end once all is sent.
+    pub(super) fn finish(&self) {
+        self.closing.store(true, Ordering::Release);
+        self.wake();
+    }
+
+    /// The next bytes to send; none once all is sent and the link is to end.
+    pub(super) async fn next(&self) -> Result<Option<Bytes>, PacketError> {
+        loop {
+            if let Some(bytes) = self.take()? {
+                return Ok(Some(bytes));
+            }
+            if self.closing.load(Ordering::Acquire) {
+                return Ok(None);
+            }
+            // The sender lives as long as `self`, so this can't fail.
+            self.wake_rx.recv().await.ok();
+        }
+    }
+
+    fn take(&self) -> Result<Option<Bytes>, PacketError> {
+        let mut pending = self.lock();
+        if let Some(packet) = pending.packets.pop_front() {
+            pending.bytes -= packet.len();
+            return Ok(Some(packet));
+        }
+        let Some((deployment, part)) = pending.loads.pop() else {
+            return Ok(None);
+        };
+        drop(pending);
+        encode(&Packet::Load { deployment, part }).map(Some)
+    }
+
+    fn wake(&self) {
+        // A full channel means that the writer is woken already.
+        self.wake_tx.try_send(()).ok();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Pending> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/state.rs
@@ -0,0 +1,175 @@
+//! What one mesh knows of its peers; plain data under one lock.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use indexmap::{IndexMap, IndexSet};
+use policy::{
+    DataCentre, Deployment, Incarnation, InstanceId, LoadDigest, Time,
+    digest::{Listener, Teller},
+    membership::{Evidence, Membership},
+    topology::{self, Placed},
+};
+use smol::channel::Sender;
+
+use crate::peer::{
+    HELLO_WITHIN, PeerEvent, dial::Target, flood::Flood, message::Hello, outbox::Outbox,
+};
+
+/// The most addresses that are dialled.
+pub(super) const MAX_TARGETS: usize = 1_024;
+
+pub(super) struct State {
+    pub(super) members: Membership<InstanceId>,
+    pub(super) links: IndexMap<InstanceId, Link>,
+    pub(super) targets: IndexMap<SocketAddr, Target>,
+    pub(super) loads: IndexMap<Deployment, OwnLoad>,
+    pub(super) flood: Flood,
+    /// Where each known instance stands.
+    pub(super) places: IndexMap<InstanceId, DataCentre>,
+    /// The instances to have links with; none before there is anything to choose from.
+    pub(super) wanted: IndexSet<InstanceId>,
+    /// Lives told as linked and not yet as gone.
+    pub(super) announced: IndexMap<InstanceId, Incarnation>,
+    pub(super) leaving: bool,
+    pub(super) next_link: u64,
+}
+
+/// What this instance told of one deployment.
+pub(super) struct OwnLoad {
+    pub(super) teller: Teller,
+    pub(super) digest: LoadDigest,
+}
+
+/// A link that stands.
+pub(super) struct Link {
+    /// Tells it from an earlier or later link to the same peer.
+    pub(super) id: u64,
+    pub(super) hello: Hello,
+    pub(super) dialled: bool,
+    pub(super) outbox: Arc<Outbox>,
+    pub(super) since: Time,
+    pub(super) heard: Time,
+    pub(super) sent: Time,
+    pub(super) listeners: IndexMap<Deployment, Listener>,
+    /// Dropping it ends the link at once.
+    pub(super) _stop: Sender<()>,
+}
+
+/// Why a new link isn't kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Rejected {
+    /// The other end is this very instance, by one of its addresses.
+    Myself,
+    /// The other end is a life that has been replaced.
+    OldLife,
+    /// Both sides dialled at once, and the other link is the one to keep.
+    Duplicate,
+}
+
+impl State {
+    pub(super) fn new(now: Time) -> State {
+        State {
+            members: Membership::new(now),
+            links: IndexMap::new(),
+            targets: IndexMap::new(),
+            loads: IndexMap::new(),
+            flood: Flood::default(),
+            places: IndexMap::new(),
+            wanted: IndexSet::new(),
+            announced: IndexMap::new(),
+            leaving: false,
+            next_link: 1,
+        }
+    }
+
+    /// Whether a link with `hello` at its other end is to be kept.
+    ///
+    /// When two instances dial each other in the same moment, each end has to keep the same one of
+    /// the two links: that dialled by the smaller name. A link made later replaces an older one,
+    /// because its dialler would not have dialled if the older one worked.
+    pub(super) fn check(
+        &self,
+        me: &InstanceId,
+        hello: &Hello,
+        dialled: bool,
+        now: Time,
+    ) -> Result<(), Rejected> {
+        if &hello.instance == me {
+            return Err(Rejected::Myself);
+        }
+        if self.members.incarnation(&hello.instance).is_some_and(|i| i > hello.incarnation) {
+            return Err(Rejected::OldLife);
+        }
+        let Some(link) = self.links.get(&hello.instance) else {
+            return Ok(());
+        };
+        let same_moment = now.since(link.since) < HELLO_WITHIN * 2;
+        let same_life = link.hello.incarnation == hello.incarnation;
+        let preferred = dialled == (me < &hello.instance);
+        if same_moment && same_life && link.dialled != dialled && !preferred {
+            return Err(Rejected::Duplicate);
+        }
+        Ok(())
+    }
+
+    /// Takes note of a life that was met on a link, and says what the instance has to hear.
+    pub(super) fn met(&mut self, hello: &Hello, now: Time) -> Vec<PeerEvent> {
+        self.members.observe(&hello.instance, hello.incarnation, Evidence::Alive, now);
+        self.add_place(&hello.instance, &hello.data_centre);
+        let mut events = Vec::new();
+        let known = self.announced.insert(hello.instance.clone(), hello.incarnation);
+        if let Some(incarnation) = known.filter(|known| *known < hello.incarnation) {
+            events.push(PeerEvent::Gone { instance: hello.instance.clone(), incarnation });
+        }
+        events.push(PeerEvent::Linked(hello.clone()));
+        events
+    }
+
+    /// Adds an address to dial, where there is room.
+    pub(super) fn add_target(&mut self, address: SocketAddr, instance: Option<InstanceId>) {
+        if self.targets.len() >= MAX_TARGETS && !self.targets.contains_key(&address) {
+            return;
+        }
+        let target = self.targets.entry(address).or_default();
+        if instance.is_some() {
+            target.instance = instance;
+        }
+    }
+
+    /// Adds an address that the settings name.
+    pub(super) fn add_seed(&mut self, address: SocketAddr) {
+        self.add_target(address, None);
+        if let Some(target) = self.targets.get_mut(&address) {
+            target.seed = true;
+        }
+    }
+
+    /// Takes note of where an instance stands. It stays in the choice of links until a list lacks
+    /// it, even if it seems dead: both ends of a link that was cut would else stop dialling.
+    pub(super) fn add_place(&mut self, instance: &InstanceId, data_centre: &DataCentre) {
+        if self.places.len() < MAX_TARGETS || self.places.contains_key(instance) {
+            self.places.insert(instance.clone(), data_centre.clone());
+        }
+    }
+
+    /// Chooses anew which instances to have links with, and says whether these are all.
+    pub(super) fn choose_links(&mut self, me: &Hello) -> bool {
+        let placed = |instance: &InstanceId, data_centre: &DataCentre| Placed {
+            instance: instance.clone(),
+            data_centre: data_centre.clone(),
+        };
+        let myself = placed(&me.instance, &me.data_centre);
+        let mut all: Vec<Placed> =
+            self.places.iter().map(|(instance, place)| placed(instance, place)).collect();
+        all.push(myself.clone());
+        self.wanted = topology::links(&myself, &all).into_iter().collect();
+        all.len() <= topology::FULL_MESH
+    }
+
+    /// Ends a link, unless another one has taken its place.
+    pub(super) fn unlink(&mut self, instance: &InstanceId, id: u64) {
+        if self.links.get(instance).is_some_and(|link| link.id == id) {
+            self.links.swap_remove(instance);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/tick.rs
@@ -0,0 +1,84 @@
+//! What happens by the clock: heartbeats, silent links, dials, and lives that are over.
+
+use std::{
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+};
+
+use policy::{
+    InstanceId,
+    membership::{self, HEARTBEAT},
+};
+use smol::Timer;
+
+use crate::peer::{PeerEvent, SILENT_AFTER, dial, message::Packet, shared::Shared, state::State};
+
+/// A quarter of a heartbeat, so that deadlines are kept within that.
+const TICK: Duration = Duration::from_millis(250);
+
+pub(super) async fn run(shared: Arc<Shared>) {
+    loop {
+        let events = tick(&shared);
+        shared.emit(events).await;
+        Timer::after(TICK).await;
+    }
+}
+
+fn tick(shared: &Arc<Shared>) -> Vec<PeerEvent> {
+    let mut state = shared.lock();
+    drop_silent(shared, &mut state);
+    heartbeats(shared, &mut state);
+    let due = state.take_due(shared.now());
+    let gone = take_gone(shared, &mut state);
+    drop(state);
+    for address in due {
+        shared.spawn(dial::run(shared.clone(), address));
+    }
+    gone
+}
+
+/// Drops links that gave no sign of life. Something between the two ends may have lost track of
+/// the connection: it then stays open and silent for good, while a new one works. Dropping it
+/// makes both ends dial anew within a tick or two, well before the peer counts as dead.
+fn drop_silent(shared: &Shared, state: &mut State) {
+    let now = shared.now();
+    let before = state.links.len();
+    state.links.retain(|instance, link| {
+        let silent = now.since(link.heard) >= SILENT_AFTER;
+        if silent {
+            log::warn!(peer = instance.as_str(); "peer_link_silent");
+        }
+        !silent
+    });
+    let dropped = before - state.links.len();
+    shared.traffic.links_silent.fetch_add(dropped as u64, Relaxed);
+}
+
+/// Sends a heartbeat on each link that had nothing else to say for a while.
+fn heartbeats(shared: &Shared, state: &mut State) {
+    let now = shared.now();
+    let quiet: Vec<InstanceId> = state
+        .links
+        .iter()
+        .filter(|(_, link)| now.since(link.sent) + TICK > HEARTBEAT)
+        .map(|(instance, _)| instance.clone())
+        .collect();
+    let packet = Packet::Heartbeat { leaving: state.leaving };
+    // A heartbeat is never too long.
+    shared.push(state, &quiet, &packet).ok();
+}
+
+fn take_gone(shared: &Shared, state: &mut State) -> Vec<PeerEvent> {
+    let now = shared.now();
+    let State { announced, members, .. } = state;
+    let mut gone = Vec::new();
+    announced.retain(|instance, incarnation| {
+        let live = members.state(instance, now) != membership::State::Dead;
+        if !live {
+            let (instance, incarnation) = (instance.clone(), *incarnation);
+            gone.push(PeerEvent::Gone { instance, incarnation });
+        }
+        live
+    });
+    gone
+}
--- a/crates/platform/src/instances/mod.rs
+++ b/crates/platform/src/instances/mod.rs
@@ -1,5 +1,7 @@
 //! The platform's list of live and leaving instances. It lags, so it is one witness among several.
 
+pub mod http;
+
 use std::{fmt, future::Future, net::SocketAddr};
 
 use policy::{DataCentre, Incarnation};
--- /dev/null
+++ b/crates/policy/src/digest.rs
@@ -0,0 +1,285 @@
+//! Which part of its load an instance tells the others, and when.
+//!
+//! **Load pattern.** Each instance has work under way on up to some hundred endpoints and tells
+//! all its peers twice a second.
+//!
+//! **Without it.** A whole digest of 200 endpoints is about 10 KB; twice a second to 17 peers is
+//! 340 KB a second, where 3 KB are allowed. Telling everything less often would make the view so
+//! old that the instances herd.
+//!
+//! **Rule.** Only entries are told whose change could alter a peer's choice: their effect on the
+//! predicted wait, in seconds, since they were last told. The greatest effects go first, as many
+//! as the byte budget allows; the others keep and grow. Entries whose change stays below
+//! [`SMALLEST`] are told again once they are [`REFRESH`] old. A new link begins with the whole.
+//! The idea to stay silent where the other side's choice can't change is taken from the paper
+//! named in `docs/decisions/pubsub-paper.md`.
+//!
+//! **Grounds.** [`SMALLEST`] is what placement can't tell apart; `docs/decisions/membership.md`
+//! has the bytes measured with and without.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::{
+    EndpointId, LoadDigest, Time, TokenRate, Tokens, Workspace,
+    report::{EndpointShare, WorkspaceShare},
+};
+
+/// Changes of the predicted wait below this aren't worth a message by themselves.
+pub const SMALLEST: Duration = Duration::from_millis(10);
+
+/// An entry that was told and has changed since, however little, is told again after this long.
+pub const REFRESH: Duration = Duration::from_secs(10);
+
+/// What an entry is taken to need on the wire. Measured mean of an entry with a name of 20
+/// characters, see `docs/decisions/membership.md`.
+pub const ENTRY_BYTES: usize = 56;
+
+/// Prefill speed assumed where none was learned, to weigh tokens against time.
+const UNKNOWN_RATE: TokenRate = TokenRate(10_000.0);
+
+/// Budget that may be saved up over a quiet time, so that a burst is told at once.
+const SAVED_SECONDS: f64 = 2.0;
+
+/// Chooses what to tell. One for each deployment, for all peers alike.
+#[derive(Debug)]
+pub struct Teller {
+    bytes_per_second: f64,
+    saved: f64,
+    last: Time,
+    endpoints: IndexMap<EndpointId, Told<EndpointShare>>,
+    workspaces: IndexMap<Workspace, Told<WorkspaceShare>>,
+    /// The last part told, without its entries.
+    totals: Option<LoadDigest>,
+}
+
+#[derive(Debug)]
+struct Told<T> {
+    share: T,
+    at: Time,
+}
+
+impl Teller {
+    /// Tells at most so many bytes a second, averaged over some seconds.
+    pub fn new(bytes_per_second: u32, now: Time) -> Teller {
+        let bytes_per_second = f64::from(bytes_per_second);
+        Teller {
+            bytes_per_second,
+            saved: bytes_per_second * SAVED_SECONDS,
+            last: now,
+            endpoints: IndexMap::new(),
+            workspaces: IndexMap::new(),
+            totals: None,
+        }
+    }
+
+    /// The part of `digest` to tell now; it holds the entries that have changed. An endpoint or a
+    /// workspace that the digest no longer has is told once, as idle. None where nothing is worth
+    /// telling.
+    pub fn part(&mut self, digest: &LoadDigest, now: Time) -> Option<LoadDigest> {
+        self.save_up(now);
+        let mut changes = self.changes(digest, now);
+        changes.sort_by_key(|change| std::cmp::Reverse(change.effect));
+        changes.truncate((self.saved / ENTRY_BYTES as f64) as usize);
+        let mut part = LoadDigest { endpoints: vec![], workspaces: vec![], ..digest.clone() };
+        let news = self.totals.as_ref().is_none_or(|told| totals_differ(told, digest));
+        if changes.is_empty() && (!news || self.saved < ENTRY_BYTES as f64) {
+            return None;
+        }
+        self.saved -= ((changes.len() + 1) * ENTRY_BYTES) as f64;
+        self.totals = Some(part.clone());
+        for change in changes {
+            match change.entry {
+                Entry::Endpoint(share) => {
+                    self.told_endpoint(&share, now);
+                    part.endpoints.push(share);
+                }
+                Entry::Workspace(share) => {
+                    self.told_workspace(&share, now);
+                    part.workspaces.push(share);
+                }
+            }
+        }
+        Some(part)
+    }
+
+    /// All that was told, for a peer whose link is new.
+    pub fn whole(&self, digest: &LoadDigest) -> LoadDigest {
+        LoadDigest {
+            endpoints: self.endpoints.values().map(|told| told.share.clone()).collect(),
+            workspaces: self.workspaces.values().map(|told| told.share.clone()).collect(),
+            ..digest.clone()
+        }
+    }
+
+    fn save_up(&mut self, now: Time) {
+        let earned = now.since(self.last).as_secs_f64() * self.bytes_per_second;
+        self.saved = (self.saved + earned).min(self.bytes_per_second * SAVED_SECONDS);
+        self.last = self.last.max(now);
+    }
+
+    fn changes(&self, digest: &LoadDigest, now: Time) -> Vec<Change> {
+        let listed: IndexMap<&EndpointId, ()> =
+            digest.endpoints.iter().map(|share| (&share.endpoint, ())).collect();
+        let hungry: IndexMap<&Workspace, ()> =
+            digest.workspaces.iter().map(|share| (&share.workspace, ())).collect();
+        let gone =
+            self.endpoints.values().filter(|told| !listed.contains_key(&told.share.endpoint));
+        let sated =
+            self.workspaces.values().filter(|told| !hungry.contains_key(&told.share.workspace));
+        let endpoints = digest.endpoints.iter().cloned().chain(gone.map(|told| idle(&told.share)));
+        let workspaces =
+            digest.workspaces.iter().cloned().chain(sated.map(|told| fed(&told.share)));
+        let endpoints = endpoints.filter_map(|share| self.endpoint_change(share, now));
+        let workspaces = workspaces.filter_map(|share| self.workspace_change(share, now));
+        endpoints.chain(workspaces).collect()
+    }
+
+    fn endpoint_change(&self, share: EndpointShare, now: Time) -> Option<Change> {
+        let told = self.endpoints.get(&share.endpoint);
+        let effect = match told {
+            Some(told) if told.share == share => return None,
+            Some(told) => endpoint_effect(&told.share, &share),
+            None => endpoint_effect(&idle(&share), &share),
+        };
+        let stale = told.is_some_and(|told| now.since(told.at) >= REFRESH);
+        (stale || effect >= SMALLEST).then_some(Change { effect, entry: Entry::Endpoint(share) })
+    }
+
+    fn workspace_change(&self, share: WorkspaceShare, now: Time) -> Option<Change> {
+        let told = self.workspaces.get(&share.workspace);
+        let effect = match told {
+            Some(told) if told.share == share => return None,
+            Some(told) => workspace_effect(&told.share, &share),
+            None => workspace_effect(&fed(&share), &share),
+        };
+        let stale = told.is_some_and(|told| now.since(told.at) >= REFRESH);
+        (stale || effect >= SMALLEST).then_some(Change { effect, entry: Entry::Workspace(share) })
+    }
+
+    /// What is idle isn't remembered, so that endpoints and workspaces of the past take no room.
+    fn told_endpoint(&mut self, share: &EndpointShare, now: Time) {
+        if *share == idle(share) {
+            self.endpoints.swap_remove(&share.endpoint);
+        } else {
+            let told = Told { share: share.clone(), at: now };
+            self.endpoints.insert(share.endpoint.clone(), told);
+        }
+    }
+
+    fn told_workspace(&mut self, share: &WorkspaceShare, now: Time) {
+        if *share == fed(share) {
+            self.workspaces.swap_remove(&share.workspace);
+        } else {
+            let told = Told { share: share.clone(), at: now };
+            self.workspaces.insert(share.workspace.clone(), told);
+        }
+    }
+}
+
+/// Whether a digest's totals would alter a peer's choice: which prompts wait for several engines,
+/// or how much waits in a band.
+fn totals_differ(told: &LoadDigest, digest: &LoadDigest) -> bool {
+    let parts = |digest: &LoadDigest| -> Vec<_> {
+        digest.wishes.iter().map(|wish| wish.parts.clone()).collect()
+    };
+    let waiting = told.queued.iter().zip(&digest.queued);
+    let shifted = waiting.map(|(old, new)| difference(*old, *new)).max().unwrap_or_default();
+    parts(told) != parts(digest) || UNKNOWN_RATE.span(shifted) >= SMALLEST
+}
+
+struct Change {
+    effect: Duration,
+    entry: Entry,
+}
+
+enum Entry {
+    Endpoint(EndpointShare),
+    Workspace(WorkspaceShare),
+}
+
+/// How much later a peer would see the endpoint free. An ejection or a new life is worth a
+/// message at once, since it turns the choice whatever the load.
+fn endpoint_effect(told: &EndpointShare, share: &EndpointShare) -> Duration {
+    if told.incarnation != share.incarnation || told.ejected != share.ejected {
+        return Duration::MAX;
+    }
+    let rate = if share.prefill_rate.0 > 0.0 { share.prefill_rate } else { UNKNOWN_RATE };
+    let queue = rate.span(difference(told.waiting_prefill, share.waiting_prefill));
+    let memory = rate.span(difference(told.held, share.held));
+    queue.max(memory)
+}
+
+fn workspace_effect(told: &WorkspaceShare, share: &WorkspaceShare) -> Duration {
+    let served = Tokens((told.served.0 - share.served.0).abs() as u64);
+    UNKNOWN_RATE.span(difference(told.waiting, share.waiting).max(served))
+}
+
+fn difference(one: Tokens, other: Tokens) -> Tokens {
+    Tokens(one.0.abs_diff(other.0))
+}
+
+fn idle(share: &EndpointShare) -> EndpointShare {
+    EndpointShare {
+        waiting_prefill: Tokens::ZERO,
+        waiting_bands: Default::default(),
+        running: 0,
+        held: Tokens::ZERO,
+        prefill_rate: TokenRate(0.0),
+        ejected: false,
+        ..share.clone()
+    }
+}
+
+fn fed(share: &WorkspaceShare) -> WorkspaceShare {
+    WorkspaceShare { waiting: Tokens::ZERO, served: TokenRate(0.0), ..share.clone() }
+}
+
+/// Puts the parts of another instance's digest together again.
+#[derive(Debug, Default)]
+pub struct Listener {
+    whole: Option<LoadDigest>,
+}
+
+impl Listener {
+    /// Nothing was heard yet.
+    pub fn new() -> Listener {
+        Listener::default()
+    }
+
+    /// Takes in a part and gives the whole as known now; none where the part is older than what is
+    /// known.
+    pub fn merge(&mut self, part: LoadDigest) -> Option<&LoadDigest> {
+        let Some(whole) = &mut self.whole else {
+            return Some(self.whole.insert(part));
+        };
+        let (known, news) =
+            ((whole.incarnation, whole.sequence), (part.incarnation, part.sequence));
+        if news <= known {
+            return None;
+        }
+        if part.incarnation > whole.incarnation {
+            return Some(self.whole.insert(part));
+        }
+        merge_parts(whole, part);
+        whole.endpoints.retain(|share| *share != idle(share));
+        whole.workspaces.retain(|share| *share != fed(share));
+        self.whole.as_ref()
+    }
+}
+
+/// Lays a newer part over an older one of the same life.
+pub fn merge_parts(older: &mut LoadDigest, newer: LoadDigest) {
+    let endpoints = std::mem::take(&mut older.endpoints).into_iter().chain(newer.endpoints);
+    let workspaces = std::mem::take(&mut older.workspaces).into_iter().chain(newer.workspaces);
+    let by_endpoint: IndexMap<EndpointId, EndpointShare> =
+        endpoints.map(|share| (share.endpoint.clone(), share)).collect();
+    let by_workspace: IndexMap<Workspace, WorkspaceShare> =
+        workspaces.map(|share| (share.workspace.clone(), share)).collect();
+    *older = LoadDigest {
+        endpoints: by_endpoint.into_values().collect(),
+        workspaces: by_workspace.into_values().collect(),
+        ..newer
+    };
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod any;
 pub mod baseline;
 pub mod config;
+pub mod digest;
 pub mod health;
 pub mod ids;
 pub mod membership;
