--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -21,6 +21,9 @@
 mod state;
 mod tick;
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     io,
     net::SocketAddr,
--- /dev/null
+++ b/crates/policy/tests/digest.rs
@@ -0,0 +1,132 @@
+//! Which part of the load is told, and what the other side makes of it.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use fastrand::Rng;
+use policy::{
+    EndpointId, Incarnation, InstanceId, LoadDigest, Time, TokenRate, Tokens, Workspace,
+    digest::{ENTRY_BYTES, Listener, REFRESH, Teller},
+    report::{EndpointShare, WorkspaceShare},
+};
+
+fn share(n: usize, waiting: u64) -> EndpointShare {
+    EndpointShare {
+        endpoint: EndpointId::new(&format!("e{n}")).unwrap(),
+        incarnation: Incarnation(1),
+        waiting_prefill: Tokens(waiting),
+        waiting_bands: Default::default(),
+        running: 1,
+        held: Tokens(waiting),
+        prefill_rate: TokenRate(10_000.0),
+        ejected: false,
+    }
+}
+
+fn digest(sequence: u64, endpoints: Vec<EndpointShare>) -> LoadDigest {
+    LoadDigest {
+        instance: InstanceId::new("entry-1").unwrap(),
+        incarnation: Incarnation(1),
+        sequence,
+        endpoints,
+        workspaces: Vec::new(),
+        queued: Default::default(),
+        demand: Default::default(),
+        wishes: Vec::new(),
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+/// What is told of `second` after `first` was told half a second before.
+fn told(
+    first: Vec<EndpointShare>,
+    second: Vec<EndpointShare>,
+    gap: Duration,
+) -> Vec<EndpointShare> {
+    let mut teller = Teller::new(100_000, at(0));
+    teller.part(&digest(1, first), at(0));
+    let part = teller.part(&digest(2, second), at(0) + gap);
+    part.map(|part| part.endpoints).unwrap_or_default()
+}
+
+const SOON: Duration = Duration::from_millis(500);
+
+macro_rules! tells {
+    ($($case:ident: $first:expr, then $second:expr, after $gap:expr => $count:expr;)*) => {$(
+        #[test]
+        fn $case() {
+            assert_eq!(told($first, $second, $gap).len(), $count);
+        }
+    )*};
+}
+
+tells! {
+    nothing_where_nothing_changed: vec![share(1, 9_000)], then vec![share(1, 9_000)], after REFRESH => 0;
+    nothing_where_the_change_is_too_small: vec![share(1, 9_000)], then vec![share(1, 9_050)], after SOON => 0;
+    a_small_change_after_a_while: vec![share(1, 9_000)], then vec![share(1, 9_050)], after REFRESH => 1;
+    a_change_that_matters: vec![share(1, 9_000)], then vec![share(1, 9_200)], after SOON => 1;
+    the_end_of_load: vec![share(1, 9_000)], then vec![], after SOON => 1;
+    an_ejection_at_once: vec![share(1, 9_000)],
+        then vec![EndpointShare { ejected: true, ..share(1, 9_000) }], after SOON => 1;
+    a_new_life_at_once: vec![share(1, 9_000)],
+        then vec![EndpointShare { incarnation: Incarnation(2), ..share(1, 9_000) }], after SOON => 1;
+}
+
+#[test]
+fn the_greatest_changes_go_first_within_the_budget() {
+    let mut teller = Teller::new(ENTRY_BYTES as u32 * 5, at(0));
+    let load: Vec<EndpointShare> = (0..100).map(|n| share(n, 1_000 * n as u64)).collect();
+    let part = teller.part(&digest(1, load), at(0)).unwrap();
+    let told: Vec<String> = part.endpoints.iter().map(|s| s.endpoint.to_string()).collect();
+    assert_eq!(told[..2], ["e99", "e98"]);
+    assert!(told.len() <= 10, "{told:?}");
+}
+
+/// A peer that hears every part ends with the same view, whatever the budget held back meanwhile.
+#[test]
+fn the_parts_add_up_to_the_whole() {
+    for seed in 0..20 {
+        let mut rng = Rng::with_seed(seed);
+        let mut teller = Teller::new(400, at(0));
+        let mut listener = Listener::new();
+        let mut load = BTreeMap::new();
+        let mut heard = Vec::new();
+        for step in 0..400_u64 {
+            // Changes stop in the end, so that the last ones can be told.
+            if step < 200 {
+                let (n, waiting) = (rng.usize(..30), rng.u64(..50_000));
+                if rng.bool() {
+                    load.insert(n, share(n, waiting))
+                } else {
+                    load.remove(&n)
+                };
+            }
+            let mut whole = digest(step + 1, load.values().cloned().collect());
+            whole.workspaces = vec![WorkspaceShare {
+                workspace: Workspace::new("desk").unwrap(),
+                waiting: Tokens(1_000 * (step.min(200) % 7)),
+                served: TokenRate(0.0),
+            }];
+            if let Some(part) = teller.part(&whole, at(500 * step)) {
+                heard = listener.merge(part).unwrap().endpoints.clone();
+            }
+        }
+        heard.sort_by_key(|share| share.endpoint.as_str()[1..].parse::<usize>().unwrap());
+        assert_eq!(heard, load.into_values().collect::<Vec<_>>());
+    }
+}
+
+#[test]
+fn late_parts_and_older_lives_are_ignored() {
+    let mut listener = Listener::new();
+    let life = |life, part: LoadDigest| LoadDigest { incarnation: Incarnation(life), ..part };
+    assert!(listener.merge(life(2, digest(5, vec![share(1, 10)]))).is_some());
+    assert!(listener.merge(life(2, digest(4, vec![share(1, 99)]))).is_none());
+    assert!(listener.merge(life(1, digest(9, vec![share(1, 99)]))).is_none());
+    let fresh = listener.merge(life(3, digest(1, vec![share(2, 7)]))).unwrap();
+    assert_eq!(fresh.endpoints, [share(2, 7)], "a new life starts from nothing");
+}
