--- /dev/null
+++ b/crates/policy/src/trefoilhall/failover.rs
@@ -0,0 +1,215 @@
+//! What happens to a request whose attempt failed.
+//!
+//! **Load pattern.** One of four engines dies with everything on it; or an endpoint fails each
+//! call at once; or the answer to a call that must not be repeated is lost.
+//!
+//! **Without it.** Everything lost is sent again at the same moment and drowns the three engines
+//! left; calls that fail fast are repeated without end; a registration runs twice.
+//!
+//! **Rule.** A request that may have begun to run is sent again only if it is repeatable, only to a
+//! life of an endpoint that it didn't run on before, at most [`MAX_FAILURES`] times, after a random
+//! backoff, and only if the retry budget pays; else its caller hears at once that it failed and
+//! whether it ran. It goes back into its workspace's queue under its old bound, so the nearest
+//! bound goes first, under the same budgets of prefill as all others: no rush. It resumes after
+//! the tokens that the caller has. What was surely not run (nothing sent, or rejected) may always
+//! be tried again until its bound.
+//!
+//! **Grounds.** A retry budget bounds the load that failures add to a share of what succeeds. The
+//! first loss of an endpoint is outside it: a death takes a batch with it at once, which is no
+//! storm as it can't recur without another death. Three failures mean that the request, not the
+//! endpoints, is at fault.
+
+use std::time::Duration;
+
+use crate::{
+    Decision, FailCause, Failure, Fingerprint, RequestId, Time, Tokens, quarantine::Standing,
+    retry::backoff,
+};
+
+use super::{
+    Trefoilhall,
+    endpoint::Endpoint,
+    request::{Due, Entry, State, Tried},
+};
+
+/// Failed attempts after which a request is given up.
+const MAX_FAILURES: u32 = 3;
+/// Rejections after which a request is given up: at backoffs that double up to a second, longer
+/// than most deadlines.
+const MAX_ATTEMPTS: u32 = 200;
+/// How long an endpoint that refused for lack of room isn't asked again: a few decode steps.
+const FULL_FOR: Duration = Duration::from_millis(50);
+/// How long one that couldn't be reached or died isn't asked again, until something better is
+/// known of it.
+const GONE_FOR: Duration = Duration::from_millis(500);
+impl Trefoilhall {
+    pub(super) fn attempt_failed(
+        &mut self,
+        request: RequestId,
+        attempt: u32,
+        cause: FailCause,
+        passed_on: Tokens,
+        now: Time,
+    ) {
+        if !self.is_running(request, attempt) {
+            return;
+        }
+        if cause == FailCause::EndpointDied {
+            self.note_death(request, now);
+        }
+        let Some(ended) = self.release(request, now) else { return };
+        let not_run = matches!(cause, FailCause::NotSent | FailCause::Rejected);
+        self.mark_endpoints(&ended.shards, cause, now);
+        if let Some(shard) = ended.shards.first() {
+            self.health.failed(&shard.endpoint, cause);
+        }
+        let Some(entry) = self.requests.get_mut(&request) else { return };
+        entry.passed_on = entry.passed_on.max(passed_on);
+        entry.may_have_run |= !not_run;
+        if cause != FailCause::Rejected {
+            entry.failures += u32::from(!not_run);
+            let tried = ended.shards.into_iter().take(1);
+            for shard in tried {
+                let tried = Tried { endpoint: shard.endpoint, incarnation: shard.incarnation };
+                entry.note_tried(tried, cause);
+            }
+        }
+        let fingerprint = entry.req.fingerprint;
+        if cause != FailCause::EndpointDied {
+            self.quarantine.stopped(fingerprint);
+        }
+        match self.give_up_cause(request, cause, now) {
+            Some(cause) => self.fail(request, cause, now),
+            None => self.back_off(request, now),
+        }
+    }
+
+    /// Fails an admitted request towards its caller and forgets it.
+    pub(super) fn fail(&mut self, request: RequestId, cause: FailCause, now: Time) {
+        let Some(entry) = self.requests.get(&request) else { return };
+        let ran = Self::ran(entry);
+        let predicted = self.predict(entry);
+        if cause == FailCause::Deadline && entry.attempts == 0 && !entry.is_trial {
+            let waited = now.since(entry.req.arrived).as_secs_f64();
+            self.margins[entry.lane].observe(entry.predicted, waited);
+        }
+        let retry_after = self.retry_after(predicted);
+        self.forget(request, now);
+        let failure = Failure { cause, ran, retry_after };
+        self.decisions.push(Decision::Fail { request, failure });
+    }
+
+    /// Drops all that is known of a request.
+    pub(super) fn forget(&mut self, request: RequestId, now: Time) {
+        self.leave_lane(request, false);
+        if self.release(request, now).is_some()
+            && let Some(entry) = self.requests.get(&request)
+        {
+            self.quarantine.stopped(entry.req.fingerprint);
+        }
+        let Some(entry) = self.requests.swap_remove(&request) else { return };
+        self.due.remove(&Due { at: entry.due, request });
+        if let State::BackingOff(at) = entry.state {
+            self.later.remove(&Due { at, request });
+        }
+        let state = self.workspaces.get_mut(entry.workspace);
+        state.under_way = state.under_way.saturating_sub(1);
+    }
+
+    /// Puts requests whose backoff is over back into their lanes.
+    pub(super) fn end_backoffs(&mut self, now: Time) {
+        while let Some(due) = self.later.first().copied().filter(|due| due.at <= now) {
+            self.later.remove(&due);
+            self.enqueue(due.request);
+        }
+    }
+
+    pub(super) fn is_running(&self, request: RequestId, attempt: u32) -> bool {
+        self.requests.get(&request).is_some_and(|entry| {
+            entry.attempts == attempt && matches!(entry.state, State::Running(_))
+        })
+    }
+
+    /// Why a request isn't tried again; none where it is.
+    fn give_up_cause(
+        &mut self,
+        request: RequestId,
+        cause: FailCause,
+        now: Time,
+    ) -> Option<FailCause> {
+        let entry = self.requests.get(&request)?;
+        if entry.may_have_run && !entry.req.repeatable {
+            return Some(cause);
+        }
+        if matches!(self.quarantine.standing(entry.req.fingerprint, now), Standing::Refused(_)) {
+            return Some(FailCause::Quarantined);
+        }
+        if entry.failures >= MAX_FAILURES || entry.attempts >= MAX_ATTEMPTS {
+            return Some(cause);
+        }
+        if now >= entry.req.deadline {
+            return Some(FailCause::Deadline);
+        }
+        if !self.fleet.endpoints.values().any(|e| may_serve(entry, e)) {
+            return Some(FailCause::NoEndpoint);
+        }
+        let free = cause == FailCause::Rejected
+            || (cause == FailCause::EndpointDied && entry.failures == 1);
+        if free {
+            return None;
+        }
+        let endpoint = &entry.tried.last()?.endpoint;
+        let paid = self.budgets.pay(&entry.req.workspace, endpoint, now);
+        (!paid).then_some(FailCause::RetryBudget)
+    }
+
+    fn back_off(&mut self, request: RequestId, now: Time) {
+        let decode = self.decode.clone();
+        let Some(entry) = self.requests.get_mut(&request) else { return };
+        if entry.passed_on > Tokens::ZERO {
+            let left = (entry.req.max_output - entry.passed_on).0 as f64;
+            let needed = super::span(decode.seconds(left)).as_micros() as u64;
+            entry.bound = Time(entry.req.deadline.0.saturating_sub(needed)).max(entry.bound);
+        }
+        let at = now + backoff(entry.attempts + 1, &mut self.rng);
+        entry.state = State::BackingOff(at);
+        self.later.insert(Due { at, request });
+    }
+
+    /// Puts all requests of this instance under suspicion that ran on the life that died, once for
+    /// each death, before the first of them is released from it.
+    fn note_death(&mut self, request: RequestId, now: Time) {
+        let Some(life) = self.requests.get(&request).and_then(Entry::runs_on).cloned() else {
+            return;
+        };
+        let Some(endpoint) = self.fleet.of(&life) else { return };
+        if std::mem::replace(&mut endpoint.death_noted, true) {
+            return;
+        }
+        let there = |entry: &&Entry| {
+            entry.runs_on().is_some_and(|shard| {
+                shard.endpoint == life.endpoint && shard.incarnation == life.incarnation
+            })
+        };
+        let entries = self.requests.values().filter(there);
+        let present: Vec<Fingerprint> = entries.map(|entry| entry.req.fingerprint).collect();
+        self.quarantine.died(&life.endpoint, &present, now);
+    }
+
+    fn mark_endpoints(&mut self, shards: &[crate::Shard], cause: FailCause, now: Time) {
+        let pause = match cause {
+            FailCause::Rejected => FULL_FOR,
+            FailCause::NotSent | FailCause::EndpointDied | FailCause::Silent => GONE_FOR,
+            _ => return,
+        };
+        // Which of several refused isn't known; the backoff covers that case.
+        let [shard] = shards else { return };
+        if let Some(endpoint) = self.fleet.of(shard) {
+            endpoint.full_until = endpoint.full_until.max(now + pause);
+        }
+    }
+}
+
+fn may_serve(entry: &Entry, endpoint: &Endpoint) -> bool {
+    endpoint.usable() && entry.may_go_to(&endpoint.id, endpoint.incarnation)
+}
--- /dev/null
+++ b/crates/policy/src/trefoilhall/mod.rs
@@ -0,0 +1,403 @@
+//! The product's own scheduler.
+//!
+//! Each module here answers one load pattern and says which. A request passes them in this order:
+//! [`workspaces`] and [`admit`] let it in or refuse it, [`queue`] holds it, [`dispatch`] or
+//! [`reserve`] sends it, [`failover`] sends it again, and [`learn`] makes the next prediction
+//! better. See `docs/decisions/scheduling.md` and `docs/decisions/long-beside-short.md`.
+
+mod admit;
+mod answers;
+mod class;
+mod dispatch;
+mod endpoint;
+mod failover;
+mod fleet;
+mod learn;
+mod longs;
+mod peers;
+mod queue;
+mod request;
+mod reserve;
+mod window;
+mod workspaces;
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use fastrand::Rng;
+use indexmap::IndexMap;
+
+use crate::{
+    Admission, BANDS, Decision, EndpointChange, EndpointId, Event, FailCause, Incarnation,
+    InstanceId, LoadDigest, RequestId, RequestSpec, Scheduler, Time, TokenRate, Tokens,
+    affinity::CacheIndex,
+    config::{DeploymentRules, Limits, Weights, WorkspaceTable},
+    health::{Health, Standing},
+    quarantine::Quarantine,
+    report::WorkspaceShare,
+    retry::Budgets,
+};
+
+use class::Bands;
+use endpoint::ByBand;
+use fleet::Fleet;
+use learn::{BesideLongs, Decode, Margin};
+use longs::{Demand, OpenEngines};
+use peers::Peers;
+use queue::Lane;
+use request::{Due, Entry, State};
+use reserve::Plan;
+use window::Decayed;
+use workspaces::{HALF_LIFE, LANES, Workspaces};
+
+/// How often what waits is looked at even if nothing happens: modelled progress frees budget
+/// without an event, and a lost event must not strand anybody. A hundredth of a second is a tenth
+/// of the shortest budget.
+const TICK: Duration = Duration::from_millis(10);
+/// Half-life in seconds of the measured demand: a few long prompts' worth of time.
+const DEMAND_HALF_LIFE: f64 = 20.0;
+/// Weighted tokens a second below which a workspace isn't told to the other instances.
+const LEAST_TOLD: f64 = 1.0;
+/// The most workspaces told in one digest, busiest first, so that digests stay within the
+/// instances' budget for talk among themselves.
+const MOST_TOLD: usize = 64;
+
+/// Seconds between two judgements of the endpoints' health.
+const ASSESS_EVERY: f64 = 1.0;
+
+#[derive(Debug, Default)]
+struct Rules {
+    weights: Weights,
+    limits: Limits,
+}
+
+/// The product's scheduler; see the module's documentation.
+#[derive(Debug)]
+pub struct Trefoilhall {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    sequence: u64,
+    rng: Rng,
+    rules: Rules,
+    fleet: Fleet,
+    workspaces: Workspaces,
+    lanes: [Lane; LANES],
+    /// Requests that wait in lanes.
+    waiting: usize,
+    requests: IndexMap<RequestId, Entry>,
+    due: BTreeSet<Due>,
+    later: BTreeSet<Due>,
+    decisions: Vec<Decision>,
+    plan: Option<Plan>,
+    peers: Peers,
+    margins: [Margin; LANES],
+    decode: Decode,
+    beside_longs: BesideLongs,
+    demand: [Decayed; BANDS],
+    open_engines: OpenEngines,
+    bands: Bands,
+    health: Health,
+    assessed: f64,
+    /// Ejected endpoints whose probe is due.
+    probes: Vec<EndpointId>,
+    cache: CacheIndex,
+    budgets: Budgets,
+    quarantine: Quarantine,
+    last_trial: f64,
+    /// Prompt tokens a second of all instances, by band.
+    total_demand: ByBand,
+    /// Prefill speed of the engines open to long prompts.
+    long_rate: f64,
+    /// Prefill on the engines that goes before a prompt of each band, and the least on any one in
+    /// seconds.
+    inflight: ByBand,
+    least_wait: ByBand,
+}
+
+impl Trefoilhall {
+    /// A scheduler for one life of `instance`; `seed` starts its generator.
+    pub fn new(instance: InstanceId, incarnation: Incarnation, seed: u64) -> Self {
+        Trefoilhall {
+            instance,
+            incarnation,
+            sequence: 0,
+            rng: Rng::with_seed(seed),
+            rules: Rules::default(),
+            fleet: Fleet::new(),
+            workspaces: Workspaces::default(),
+            lanes: Default::default(),
+            waiting: 0,
+            requests: IndexMap::new(),
+            due: BTreeSet::new(),
+            later: BTreeSet::new(),
+            decisions: Vec::new(),
+            plan: None,
+            peers: Peers::default(),
+            margins: std::array::from_fn(|_| Margin::new()),
+            decode: Decode::new(),
+            beside_longs: BesideLongs::new(),
+            demand: Default::default(),
+            open_engines: OpenEngines::new(),
+            bands: Bands::new(),
+            health: Health::new(),
+            assessed: f64::NEG_INFINITY,
+            probes: Vec::new(),
+            cache: CacheIndex::new(),
+            budgets: Budgets::new(Limits::default().retry_share),
+            quarantine: Quarantine::new(),
+            last_trial: f64::NEG_INFINITY,
+            total_demand: ByBand::default(),
+            long_rate: 0.0,
+            inflight: ByBand::default(),
+            least_wait: ByBand::default(),
+        }
+    }
+
+    /// Fails what is past its bound or deadline.
+    fn expire(&mut self, now: Time) {
+        while let Some(due) = self.due.first().copied().filter(|due| due.at <= now) {
+            self.due.remove(&due);
+            let Some(entry) = self.requests.get_mut(&due.request) else { continue };
+            let past_deadline = entry.req.deadline <= now;
+            if past_deadline || matches!(entry.state, State::Waiting) {
+                self.fail(due.request, FailCause::Deadline, now);
+                continue;
+            }
+            // It backs off; its deadline is what counts until it waits again.
+            entry.due = entry.req.deadline;
+            self.due.insert(Due { at: entry.due, ..due });
+        }
+    }
+
+    /// Looks at the whole fleet: what is typical, what stands on the engines, and which of them
+    /// are open to long prompts.
+    fn look_at_fleet(&mut self, now: Time) {
+        self.fleet.refresh(now);
+        self.bands.update(self.fleet.typical_rate);
+        for band in 0..BANDS {
+            let own = self.demand[band].rate(seconds(now), DEMAND_HALF_LIFE);
+            self.total_demand[band] = own + self.peers.demand[band];
+        }
+        self.assess_health(now);
+        self.open_some(now);
+        self.inflight = ByBand::default();
+        self.least_wait = [f64::INFINITY; BANDS];
+        self.long_rate = 0.0;
+        for endpoint in self.fleet.endpoints.values().filter(|endpoint| endpoint.usable()) {
+            let rate = self.fleet.rate(endpoint);
+            if endpoint.open_to_longs {
+                self.long_rate += rate;
+            }
+            for band in class::Band::all() {
+                if band.is_long() && !endpoint.open_to_longs {
+                    continue;
+                }
+                let ahead = endpoint.ahead(band);
+                self.inflight[band.index()] += ahead;
+                let least = &mut self.least_wait[band.index()];
+                *least = least.min(ahead / rate);
+            }
+        }
+    }
+
+    /// Ejects what has to be ejected, and takes over how cautiously each endpoint may be used.
+    fn assess_health(&mut self, now: Time) {
+        if seconds(now) - self.assessed >= ASSESS_EVERY {
+            self.assessed = seconds(now);
+            let load = self.total_demand.iter().sum::<f64>() / self.fleet.typical_rate.max(1.0);
+            self.health.assess(load.ceil() as usize, now, &mut self.rng);
+            self.quarantine.expire(now);
+        }
+        for endpoint in self.fleet.endpoints.values_mut() {
+            endpoint.caution = match self.health.standing(&endpoint.id, now) {
+                Standing::Usable(caution) => caution,
+                Standing::Out => f64::INFINITY,
+            };
+        }
+    }
+
+    /// Takes note of a probe. Of an ejected endpoint only those count that are due: the driver
+    /// probes all the time, and an endpoint that answers probes may still fail its calls.
+    fn probed(&mut self, endpoint: &EndpointId, healthy: bool, now: Time) {
+        self.probes.extend(self.health.due_probes(now));
+        let is_out = self.health.standing(endpoint, now) == Standing::Out;
+        let due = self.probes.iter().position(|probe| probe == endpoint);
+        if let Some(index) = due {
+            self.probes.swap_remove(index);
+        }
+        if !is_out || due.is_some() {
+            self.health.probed(endpoint, healthy, now, &mut self.rng);
+        }
+    }
+
+    /// Takes over what another instance told.
+    fn peer_told(&mut self, digest: LoadDigest, now: Time) {
+        if digest.instance == self.instance || !self.peers.is_new(&digest) {
+            return;
+        }
+        self.fleet.peer(&digest);
+        self.quarantine.import(&digest.suspicions, now);
+        for endpoint in &digest.suspects_at {
+            self.quarantine.heard_running(endpoint, now);
+        }
+        self.peers.accept(digest, &mut self.workspaces, now);
+    }
+
+    fn endpoint_changed(&mut self, change: &EndpointChange, now: Time) {
+        let known = self.fleet.get(&change.endpoint).map(|endpoint| endpoint.incarnation);
+        if known.is_some_and(|known| change.incarnation > known) {
+            self.health.reset(&change.endpoint);
+        }
+        self.fleet.change(change, now);
+        self.health.configure(self.fleet.endpoints.keys());
+        self.look_at_fleet(now);
+    }
+
+    /// Opens as many engines to long prompts as the cost says, the last by id.
+    fn open_some(&mut self, now: Time) {
+        let typical = self.fleet.typical_rate.max(1.0);
+        let longs: f64 = self.total_demand[1..].iter().sum();
+        let demand = Demand { shorts: self.total_demand[0] / typical, longs: longs / typical };
+        let usable = self.fleet.usable;
+        let open = self.open_engines.update(usable, demand, &self.rules.weights, seconds(now));
+        let mut left = open;
+        for endpoint in self.fleet.endpoints.values_mut().rev() {
+            endpoint.open_to_longs = endpoint.usable() && left > 0;
+            left -= usize::from(endpoint.open_to_longs);
+        }
+    }
+
+    fn drop_stale_peers(&mut self, now: Time) {
+        for (instance, incarnation) in self.peers.stale(now) {
+            self.peer_gone(&instance, incarnation);
+        }
+    }
+
+    fn peer_gone(&mut self, instance: &InstanceId, incarnation: Incarnation) {
+        if self.peers.gone(instance, incarnation, &mut self.workspaces) {
+            self.fleet.peer_gone(instance);
+        }
+    }
+
+    fn told_workspaces(&self, now: Time) -> Vec<WorkspaceShare> {
+        let share = |state: &workspaces::WorkspaceState| WorkspaceShare {
+            workspace: state.name.clone(),
+            waiting: Tokens(state.waiting() as u64),
+            served: TokenRate(state.served.rate(seconds(now), HALF_LIFE)),
+        };
+        let mut shares: Vec<WorkspaceShare> = self
+            .workspaces
+            .iter()
+            .map(|(_, state)| share(state))
+            .filter(|share| share.waiting > Tokens::ZERO || share.served.0 >= LEAST_TOLD)
+            .collect();
+        shares.sort_by(|a, b| b.served.0.total_cmp(&a.served.0));
+        shares.truncate(MOST_TOLD);
+        shares
+    }
+}
+
+impl Scheduler for Trefoilhall {
+    fn configure(
+        &mut self,
+        rules: &DeploymentRules,
+        workspaces: &WorkspaceTable,
+        endpoints: &[EndpointChange],
+        now: Time,
+    ) {
+        self.rules = Rules { weights: rules.weights, limits: rules.limits.clone() };
+        self.workspaces.configure(workspaces, seconds(now));
+        for (lane, queue) in self.lanes.iter_mut().enumerate() {
+            let waiting = |state: &workspaces::WorkspaceState| state.lines[lane].first().is_some();
+            let all = self.workspaces.iter().filter(|(_, state)| waiting(state));
+            queue.set_weights(all.map(|(_, state)| state.weight).sum());
+        }
+        for gone in self.fleet.replace(endpoints, now) {
+            self.cache.forget(&gone);
+        }
+        self.health.configure(self.fleet.endpoints.keys());
+        self.budgets.configure(rules.limits.retry_share);
+        self.look_at_fleet(now);
+    }
+
+    fn offer(&mut self, req: Arc<RequestSpec>, now: Time) -> Admission {
+        if self.fleet.is_due(now) {
+            self.look_at_fleet(now);
+        }
+        self.admit(req, now)
+    }
+
+    fn poll(&mut self, now: Time) -> Vec<Decision> {
+        if self.fleet.is_due(now) {
+            self.drop_stale_peers(now);
+            self.look_at_fleet(now);
+        }
+        self.expire(now);
+        self.end_backoffs(now);
+        self.dispatch_spread(now);
+        self.dispatch(now);
+        std::mem::take(&mut self.decisions)
+    }
+
+    fn next_wakeup(&self, now: Time) -> Option<Time> {
+        if !self.decisions.is_empty() {
+            return Some(now);
+        }
+        let tick = (self.waiting > 0).then(|| now + TICK);
+        let due = self.due.first().map(|due| due.at);
+        let later = self.later.first().map(|due| due.at);
+        [tick, due, later].into_iter().flatten().min()
+    }
+
+    fn observe(&mut self, event: Event, now: Time) {
+        match event {
+            Event::FirstToken { request, attempt, cached } => {
+                self.first_token(request, attempt, cached, now);
+            }
+            Event::Progress { request, attempt, .. } => self.progressed(request, attempt, now),
+            Event::Ended { request, outcome } => self.ended(request, &outcome, now),
+            Event::AttemptFailed { request, attempt, cause, passed_on } => {
+                self.attempt_failed(request, attempt, cause, passed_on, now);
+            }
+            Event::Load(report) => self.fleet.report(&report, now),
+            Event::Cache(events) => self.cache.apply(&events),
+            Event::Peer(digest) => self.peer_told(digest, now),
+            Event::PeerGone { instance, incarnation } => self.peer_gone(&instance, incarnation),
+            Event::Endpoint(change) => self.endpoint_changed(&change, now),
+            Event::Probe { endpoint, healthy } => self.probed(&endpoint, healthy, now),
+        }
+    }
+
+    fn digest(&mut self, now: Time) -> LoadDigest {
+        self.sequence += 1;
+        self.fleet.advance(now);
+        let shares = self.fleet.endpoints.values().filter(|e| e.own.running > 0);
+        let mut queued = std::array::from_fn(|band| Tokens(self.lanes[band].tokens() as u64));
+        queued[BANDS - 1] += Tokens(self.lanes[workspaces::SPREAD].tokens() as u64);
+        let mut suspicions = self.quarantine.export(now);
+        suspicions.truncate(LoadDigest::MAX_ENTRIES);
+        LoadDigest {
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            endpoints: shares.map(endpoint::Endpoint::share).collect(),
+            workspaces: self.told_workspaces(now),
+            queued,
+            demand: std::array::from_fn(|band| {
+                TokenRate(self.demand[band].rate(seconds(now), DEMAND_HALF_LIFE))
+            }),
+            wishes: self.wishes(now),
+            suspicions,
+            suspects_at: self.quarantine.running().take(LoadDigest::MAX_ENTRIES).cloned().collect(),
+        }
+    }
+}
+
+/// A point in time in seconds since the origin.
+fn seconds(at: Time) -> f64 {
+    at.0 as f64 / 1e6
+}
+
+/// A span of so many seconds; the longest where the number has no meaning as one.
+fn span(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
+}
--- /dev/null
+++ b/crates/policy/src/trefoilhall/request.rs
@@ -0,0 +1,135 @@
+//! What is kept of one admitted request.
+
+use std::sync::Arc;
+
+use crate::{EndpointId, FailCause, Incarnation, RequestId, RequestSpec, Shard, Time, Tokens};
+
+use super::{
+    class::Band,
+    queue::{Waiting, WorkspaceIndex},
+    workspaces::SPREAD,
+};
+
+/// An admitted request that hasn't ended.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) req: Arc<RequestSpec>,
+    pub(super) workspace: WorkspaceIndex,
+    pub(super) band: Band,
+    /// The lane it waits in: its band's, or [`SPREAD`].
+    pub(super) lane: usize,
+    /// Prompt tokens that no engine is expected to have cached.
+    pub(super) uncached: f64,
+    /// Weighted tokens, for shares.
+    pub(super) cost: f64,
+    /// By when the next first token has to be out.
+    pub(super) bound: Time,
+    /// When it has to be looked at even if nothing happens.
+    pub(super) due: Time,
+    pub(super) state: State,
+    /// Attempts so far.
+    pub(super) attempts: u32,
+    /// Attempts that failed in a way that counts against the bound on attempts.
+    pub(super) failures: u32,
+    /// Where it isn't sent again.
+    pub(super) tried: Vec<Tried>,
+    /// Lives that fell silent once on this request; see [`Entry::note_tried`].
+    pub(super) silent: Vec<Tried>,
+    /// Whether an endpoint may have begun to run it.
+    pub(super) may_have_run: bool,
+    /// Tokens that the caller has.
+    pub(super) passed_on: Tokens,
+    /// Seconds from arrival to first token, as predicted on admission.
+    pub(super) predicted: f64,
+    /// Admitted to learn the engines' speed although the prediction said no.
+    pub(super) is_trial: bool,
+}
+
+/// What an admitted request is doing.
+#[derive(Debug)]
+pub(super) enum State {
+    /// It waits in its lane.
+    Waiting,
+    /// It waits out a backoff.
+    BackingOff(Time),
+    /// An attempt is under way.
+    Running(Attempt),
+}
+
+/// A life of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Tried {
+    pub(super) endpoint: EndpointId,
+    pub(super) incarnation: Incarnation,
+}
+
+/// An attempt under way.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) shards: Vec<Shard>,
+    pub(super) sent: Time,
+    /// Seconds from then to the first token, as predicted.
+    pub(super) predicted: f64,
+    /// Prompt tokens that the engine was expected to have cached.
+    pub(super) cached: Tokens,
+    /// Work that stood before it there.
+    pub(super) ahead: f64,
+    /// The endpoint's count of short tokens done when it was sent.
+    pub(super) short_done: f64,
+    /// Whether it is a short prompt that was sent to an engine with a long one.
+    pub(super) beside_longs: bool,
+    /// Prompt tokens that have to be prefilled.
+    pub(super) prefill: f64,
+    pub(super) first_token: Option<Time>,
+}
+
+impl Entry {
+    pub(super) fn waiting(&self) -> Waiting {
+        Waiting { bound: self.bound, request: self.req.id }
+    }
+
+    pub(super) fn prompt(&self) -> f64 {
+        self.req.prompt.0 as f64
+    }
+
+    pub(super) fn footprint(&self) -> f64 {
+        self.req.footprint().0 as f64
+    }
+
+    /// The shard that runs it, while an attempt is under way.
+    pub(super) fn runs_on(&self) -> Option<&Shard> {
+        match &self.state {
+            State::Running(attempt) => attempt.shards.first(),
+            State::Waiting | State::BackingOff(_) => None,
+        }
+    }
+
+    pub(super) fn needs_several(&self) -> bool {
+        self.lane == SPREAD
+    }
+
+    /// Takes note of a life that has had this request, so that it doesn't get it again.
+    ///
+    /// The first silence doesn't count: an open connection can go silent for good while the
+    /// endpoint works and new connections reach it. At a site with one engine the caller would
+    /// otherwise lose an answer that the engine still makes. A second silence does count, so a
+    /// request can't go round a silent endpoint.
+    pub(super) fn note_tried(&mut self, tried: Tried, cause: FailCause) {
+        if cause == FailCause::Silent && !self.silent.contains(&tried) {
+            self.silent.push(tried);
+        } else {
+            self.tried.push(tried);
+        }
+    }
+
+    pub(super) fn may_go_to(&self, endpoint: &EndpointId, incarnation: Incarnation) -> bool {
+        !self.tried.iter().any(|t| t.endpoint == *endpoint && t.incarnation == incarnation)
+    }
+}
+
+/// A request and a time at which something is to be done about it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Due {
+    pub(super) at: Time,
+    pub(super) request: RequestId,
+}
