Measure what links cost; tell suspicions once, and where suspects run again and again

Cause: digests now carry suspicions; repeated in each part, 64 of them would outweigh the load. Done: Teller leaves them out while unchanged, repeats the places of running suspects each second.

--- /dev/null
+++ b/crates/daemon/examples/control_cost.rs
@@ -0,0 +1,319 @@
+//! What the links between instances cost: bytes, processor time and memory for each instance, at
+//! several fleet sizes and numbers of endpoints, all meshes in this one process over loopback.
+//!
+//! `cargo run --release -p daemon --example control_cost` prints a table for
+//! `docs/decisions/membership.md`; it ends by itself after about six minutes. The processor time
+//! includes making up the load and comparing views, so it is an upper bound.
+
+#![allow(clippy::print_stdout, clippy::unwrap_used)]
+
+use std::{
+    collections::HashMap,
+    fs,
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use daemon::peer::{LOAD_BYTES_PER_SECOND, PeerConfig, PeerEvent, PeerMesh};
+use fastrand::Rng;
+use platform::instances::{ListPage, Listed, ListedState, Role};
+use policy::{
+    DataCentre, Deployment, EndpointId, Incarnation, InstanceId, LoadDigest, TokenRate, Tokens,
+    report::EndpointShare,
+};
+use smol::{Executor, channel::Receiver};
+
+const THREADS: usize = 4;
+const SETTLE: Duration = Duration::from_secs(4);
+const MEASURE: Duration = Duration::from_secs(6);
+const PERIOD: Duration = Duration::from_millis(500);
+const RATE: f64 = 20_000.0;
+/// Requests that an instance starts in each period: 19,000 a second over 350 daemons.
+const ARRIVALS: usize = 27;
+
+/// The newest digest of each sender, by receiver.
+type Views = Arc<Mutex<HashMap<(usize, InstanceId), LoadDigest>>>;
+
+fn main() {
+    println!(
+        "{:>9} {:>5} {:>9} {:>10} {:>9} {:>9} {:>8} {:>8} {:>10} {:>9}",
+        "instances",
+        "links",
+        "endpoints",
+        "budget B/s",
+        "sent B/s",
+        "recv B/s",
+        "cpu %",
+        "RSS KB",
+        "error ms",
+        "whole B/s"
+    );
+    for instances in [4, 16, 64] {
+        let fleet = Fleet::start(instances, u32::MAX);
+        fleet.measure(0, "-");
+        drop(fleet);
+        for endpoints in [20, 200, 3_600] {
+            for budget in [LOAD_BYTES_PER_SECOND, 4 * LOAD_BYTES_PER_SECOND, u32::MAX] {
+                let fleet = Fleet::start(instances, budget);
+                let name = if budget == u32::MAX { "none".into() } else { budget.to_string() };
+                fleet.measure(endpoints, &name);
+            }
+        }
+    }
+}
+
+struct Fleet {
+    meshes: Vec<PeerMesh>,
+    views: Views,
+    rss_before: u64,
+    executor: Arc<Executor<'static>>,
+}
+
+impl Fleet {
+    fn start(count: usize, budget: u32) -> Fleet {
+        let rss_before = rss_kb();
+        let executor = Arc::new(Executor::new());
+        for _ in 0..THREADS {
+            let runs = Arc::downgrade(&executor);
+            thread::spawn(move || {
+                while let Some(executor) = runs.upgrade() {
+                    let moment = async {
+                        smol::Timer::after(Duration::from_millis(200)).await;
+                    };
+                    smol::block_on(executor.run(moment));
+                }
+            });
+        }
+        let views = Views::default();
+        let meshes: Vec<PeerMesh> =
+            (0..count).map(|n| start_mesh(n, count, budget, &executor, &views)).collect();
+        let page = ListPage {
+            instances: meshes.iter().enumerate().map(|(n, m)| listed(n, count, m)).collect(),
+        };
+        meshes.iter().for_each(|mesh| mesh.list_read(&page));
+        thread::sleep(SETTLE);
+        Fleet { meshes, views, rss_before, executor }
+    }
+
+    fn measure(&self, endpoints: usize, budget: &str) {
+        let mut loads: Vec<Load> =
+            (0..self.meshes.len()).map(|n| Load::new(n, endpoints)).collect();
+        // The first digests are whole ones; they aren't what a running fleet costs.
+        self.share(&mut loads, 4);
+        let (before, cpu, started) = (self.traffic(), cpu_seconds(), Instant::now());
+        let periods = MEASURE.as_millis() / PERIOD.as_millis();
+        let error = self.share(&mut loads, periods as usize);
+        let seconds = started.elapsed().as_secs_f64();
+        let (after, cpu) = (self.traffic(), cpu_seconds() - cpu);
+        let count = self.meshes.len() as f64;
+        let links = self.meshes.iter().map(linked).sum::<usize>() as f64 / count;
+        let whole = bincode::serde::encode_to_vec(&loads[0].digest, bincode::config::standard());
+        println!(
+            "{:>9} {:>5.1} {:>9} {:>10} {:>9.0} {:>9.0} {:>8.3} {:>8.0} {:>10.1} {:>9.0}",
+            self.meshes.len(),
+            links,
+            endpoints,
+            budget,
+            (after.0 - before.0) as f64 / seconds / count,
+            (after.1 - before.1) as f64 / seconds / count,
+            cpu / seconds / count * 100.0,
+            rss_kb().saturating_sub(self.rss_before) as f64 / count,
+            error,
+            whole.unwrap().len() as f64 * links / PERIOD.as_secs_f64(),
+        );
+    }
+
+    /// Shares load for some periods, and gives the mean error of what the peers know of a busy
+    /// endpoint's wait, in milliseconds.
+    fn share(&self, loads: &mut [Load], periods: usize) -> f64 {
+        let deployment = Deployment::new("desk").unwrap();
+        let mut errors = Mean::default();
+        for _ in 0..periods {
+            let started = Instant::now();
+            for (mesh, load) in self.meshes.iter().zip(&mut *loads) {
+                load.step();
+                if !load.endpoints.is_empty() {
+                    mesh.share_load(&deployment, load.digest.clone());
+                }
+            }
+            thread::sleep(PERIOD.saturating_sub(started.elapsed()));
+            self.compare(loads, &mut errors);
+        }
+        errors.value()
+    }
+
+    fn compare(&self, loads: &[Load], errors: &mut Mean) {
+        // All receivers hear the same parts, so a few of them are enough.
+        let views = self.views.lock().unwrap();
+        for ((_, sender), view) in views.iter().filter(|((receiver, _), _)| *receiver < 2) {
+            let Some(load) = loads.iter().find(|load| load.digest.instance == *sender) else {
+                continue;
+            };
+            let known: HashMap<&EndpointId, f64> =
+                view.endpoints.iter().map(|s| (&s.endpoint, s.waiting_prefill.0 as f64)).collect();
+            for (endpoint, waiting) in load.endpoints.iter().zip(&load.waiting) {
+                let seen = known.get(endpoint).copied().unwrap_or(0.0);
+                errors.add((seen - waiting).abs() / RATE * 1e3);
+            }
+        }
+    }
+
+    fn traffic(&self) -> (u64, u64) {
+        let traffic = self.meshes.iter().map(PeerMesh::traffic);
+        traffic.fold((0, 0), |sum, t| (sum.0 + t.sent, sum.1 + t.received))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.meshes.clear();
+        // The tasks end at their next turn; the threads end with the executor.
+        let deadline = Instant::now() + Duration::from_secs(2);
+        while !self.executor.is_empty() && Instant::now() < deadline {
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+fn start_mesh(
+    n: usize,
+    count: usize,
+    budget: u32,
+    executor: &Arc<Executor<'static>>,
+    views: &Views,
+) -> PeerMesh {
+    let (mesh, events) = PeerMesh::start(PeerConfig {
+        instance: instance(n),
+        incarnation: Incarnation(1_764_720_000_000_000 + n as u64),
+        data_centre: data_centre(n, count),
+        listen: ([127, 0, 0, 1], 0).into(),
+        seeds: Vec::new(),
+        load_bytes_per_second: budget,
+        origin: Instant::now(),
+        executor: executor.clone(),
+    })
+    .unwrap();
+    executor.spawn(keep_views(n, events, views.clone())).detach();
+    mesh
+}
+
+async fn keep_views(receiver: usize, events: Receiver<PeerEvent>, views: Views) {
+    while let Ok(event) = events.recv().await {
+        if let PeerEvent::Load { digest, .. } = event {
+            views.lock().unwrap().insert((receiver, digest.instance.clone()), digest);
+        }
+    }
+}
+
+fn instance(n: usize) -> InstanceId {
+    InstanceId::new(&format!("entry-{n}")).unwrap()
+}
+
+/// Three data centres up to 16 instances, then 16 to 18 instances in each, as in the long run.
+fn data_centre(n: usize, count: usize) -> DataCentre {
+    let data_centres = (count / 16).max(3);
+    DataCentre::new(&format!("dc-{}", n % data_centres)).unwrap()
+}
+
+fn listed(n: usize, count: usize, mesh: &PeerMesh) -> Listed {
+    Listed {
+        name: instance(n).to_string(),
+        role: Role::Entry,
+        incarnation: Incarnation(0),
+        address: mesh.address(),
+        data_centre: data_centre(n, count),
+        state: ListedState::Live,
+    }
+}
+
+fn linked(mesh: &PeerMesh) -> usize {
+    mesh.status().iter().filter(|peer| peer.linked).count()
+}
+
+/// Made-up load of one instance: prompts arrive, 2 in 100 of them long, and engines work them off.
+struct Load {
+    rng: Rng,
+    endpoints: Vec<EndpointId>,
+    waiting: Vec<f64>,
+    digest: LoadDigest,
+}
+
+impl Load {
+    fn new(n: usize, endpoints: usize) -> Load {
+        let name = |n| EndpointId::new(&format!("model-redactare-{n:04}")).unwrap();
+        let digest = LoadDigest {
+            instance: instance(n),
+            incarnation: Incarnation(1_764_720_000_000_000 + n as u64),
+            sequence: 0,
+            endpoints: Vec::new(),
+            workspaces: Vec::new(),
+            queued: Default::default(),
+            demand: Default::default(),
+            wishes: Vec::new(),
+            suspicions: Vec::new(),
+            suspects_at: Vec::new(),
+        };
+        let rng = Rng::with_seed(n as u64);
+        let endpoints: Vec<EndpointId> = (0..endpoints).map(name).collect();
+        Load { rng, waiting: vec![0.0; endpoints.len()], endpoints, digest }
+    }
+
+    fn step(&mut self) {
+        let worked = RATE * PERIOD.as_secs_f64();
+        self.waiting.iter_mut().for_each(|waiting| *waiting = (*waiting - worked).max(0.0));
+        for _ in 0..ARRIVALS.min(self.endpoints.len() * 2) {
+            let n = self.rng.usize(..self.endpoints.len());
+            self.waiting[n] += if self.rng.u32(..50) == 0 { 150_000.0 } else { 2_000.0 };
+        }
+        self.digest.sequence += 1;
+        let busy = self.endpoints.iter().zip(&self.waiting);
+        self.digest.endpoints = busy.map(|(endpoint, waiting)| share(endpoint, *waiting)).collect();
+    }
+}
+
+fn share(endpoint: &EndpointId, waiting: f64) -> EndpointShare {
+    let tokens = Tokens(waiting as u64);
+    EndpointShare {
+        endpoint: endpoint.clone(),
+        incarnation: Incarnation(1_764_720_000_000_000),
+        waiting_prefill: tokens,
+        waiting_bands: [tokens, Tokens::ZERO, Tokens::ZERO, Tokens::ZERO],
+        running: 3,
+        held: Tokens(tokens.0 + 8_000),
+        prefill_rate: TokenRate(RATE),
+        ejected: false,
+    }
+}
+
+#[derive(Default)]
+struct Mean {
+    sum: f64,
+    count: f64,
+}
+
+impl Mean {
+    fn add(&mut self, value: f64) {
+        self.sum += value;
+        self.count += 1.0;
+    }
+
+    fn value(&self) -> f64 {
+        self.sum / self.count.max(1.0)
+    }
+}
+
+/// User and system time of this process. The kernel counts them in hundredths of a second.
+fn cpu_seconds() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap();
+    let after_name = stat.rsplit(')').next().unwrap();
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |n: usize| fields[n].parse::<f64>().unwrap();
+    (ticks(11) + ticks(12)) / 100.0
+}
+
+fn rss_kb() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
--- a/crates/policy/src/digest.rs
+++ b/crates/policy/src/digest.rs
@@ -22,7 +22,8 @@
 use indexmap::IndexMap;
 
 use crate::{
-    EndpointId, LoadDigest, Time, TokenRate, Tokens, Workspace,
+    EndpointId, Fingerprint, LoadDigest, Time, TokenRate, Tokens, Workspace,
+    quarantine::HEARD_FOR,
     report::{EndpointShare, WorkspaceShare},
 };
 
@@ -50,8 +51,15 @@
     last: Time,
     endpoints: IndexMap<EndpointId, Told<EndpointShare>>,
     workspaces: IndexMap<Workspace, Told<WorkspaceShare>>,
-    /// The last part told, without its entries.
-    totals: Option<LoadDigest>,
+    totals: Option<Totals>,
+}
+
+/// What was last told besides the entries.
+#[derive(Debug)]
+struct Totals {
+    digest: LoadDigest,
+    at: Time,
+    suspicions_at: Time,
 }
 
 #[derive(Debug)]
@@ -83,12 +91,12 @@
         changes.sort_by_key(|change| std::cmp::Reverse(change.effect));
         changes.truncate((self.saved / ENTRY_BYTES as f64) as usize);
         let mut part = LoadDigest { endpoints: vec![], workspaces: vec![], ..digest.clone() };
-        let news = self.totals.as_ref().is_none_or(|told| totals_differ(told, digest));
+        let news = self.totals.as_ref().is_none_or(|told| told.differ(digest, now));
         if changes.is_empty() && (!news || self.saved < ENTRY_BYTES as f64) {
             return None;
         }
         self.saved -= ((changes.len() + 1) * ENTRY_BYTES) as f64;
-        self.totals = Some(part.clone());
+        self.tell_totals(&mut part, now);
         for change in changes {
             match change.entry {
                 Entry::Endpoint(share) => {
@@ -113,6 +121,21 @@
         }
     }
 
+    /// Takes note of the part's totals. Suspicions are left out of it while they are unchanged:
+    /// their receivers keep them, and up to 64 of them would outweigh the load itself.
+    fn tell_totals(&mut self, part: &mut LoadDigest, now: Time) {
+        let known = self.totals.as_ref().filter(|told| {
+            suspected(&told.digest) == suspected(part) && now.since(told.suspicions_at) < REFRESH
+        });
+        let suspicions_at = known.map(|told| told.suspicions_at);
+        let digest = part.clone();
+        if suspicions_at.is_some() {
+            part.suspicions.clear();
+        }
+        let suspicions_at = suspicions_at.unwrap_or(now);
+        self.totals = Some(Totals { digest, at: now, suspicions_at });
+    }
+
     fn save_up(&mut self, now: Time) {
         let earned = now.since(self.last).as_secs_f64() * self.bytes_per_second;
         self.saved = (self.saved + earned).min(self.bytes_per_second * SAVED_SECONDS);
@@ -178,17 +201,34 @@
     }
 }
 
-/// Whether a digest's totals would alter a peer's choice: which prompts wait for several engines,
-/// or how much waits in a band.
-fn totals_differ(told: &LoadDigest, digest: &LoadDigest) -> bool {
-    let parts = |digest: &LoadDigest| -> Vec<_> {
-        digest.wishes.iter().map(|wish| wish.parts.clone()).collect()
-    };
-    let waiting = told.queued.iter().zip(&digest.queued);
-    let shifted = waiting.map(|(old, new)| difference(*old, *new)).max().unwrap_or_default();
-    parts(told) != parts(digest) || UNKNOWN_RATE.span(shifted) >= SMALLEST
+impl Totals {
+    /// Whether a digest's totals would alter a peer's choice: which prompts wait for several
+    /// engines, how much waits in a band, what is suspected and where suspects run. The last is
+    /// repeated while it lasts, since receivers forget it soon.
+    fn differ(&self, digest: &LoadDigest, now: Time) -> bool {
+        let wishes = |digest: &LoadDigest| -> Vec<_> {
+            digest.wishes.iter().map(|wish| wish.parts.clone()).collect()
+        };
+        let bands = self.digest.queued.iter().zip(&digest.queued);
+        let shifted = bands.map(|(old, new)| difference(*old, *new)).max().unwrap_or_default();
+        let repeat = !digest.suspects_at.is_empty() && now.since(self.at) >= HEARD_FOR / 3;
+        repeat
+            || self.digest.suspects_at != digest.suspects_at
+            || suspected(&self.digest) != suspected(digest)
+            || wishes(&self.digest) != wishes(digest)
+            || UNKNOWN_RATE.span(shifted) >= SMALLEST
+    }
 }
 
+/// What a digest says of suspicions apart from their ages.
+fn suspected(digest: &LoadDigest) -> Vec<Suspected> {
+    let entries = digest.suspicions.iter();
+    entries.map(|entry| Suspected(entry.fingerprint, entry.deaths, entry.refused_ms > 0)).collect()
+}
+
+#[derive(PartialEq)]
+struct Suspected(Fingerprint, u32, bool);
+
 struct Change {
     effect: Duration,
     entry: Entry,
@@ -262,7 +302,10 @@
         if part.incarnation > whole.incarnation {
             return Some(self.whole.insert(part));
         }
+        // Suspicions state ages as of their sending, so old ones mustn't be taken in again.
+        let suspicions = part.suspicions.clone();
         merge_parts(whole, part);
+        whole.suspicions = suspicions;
         whole.endpoints.retain(|share| *share != idle(share));
         whole.workspaces.retain(|share| *share != fed(share));
         self.whole.as_ref()
@@ -277,7 +320,12 @@
         endpoints.map(|share| (share.endpoint.clone(), share)).collect();
     let by_workspace: IndexMap<Workspace, WorkspaceShare> =
         workspaces.map(|share| (share.workspace.clone(), share)).collect();
+    let suspicions = match newer.suspicions.is_empty() {
+        true => std::mem::take(&mut older.suspicions),
+        false => newer.suspicions,
+    };
     *older = LoadDigest {
+        suspicions,
         endpoints: by_endpoint.into_values().collect(),
         workspaces: by_workspace.into_values().collect(),
         ..newer
--- a/crates/policy/tests/digest.rs
+++ b/crates/policy/tests/digest.rs
@@ -6,8 +6,10 @@
 
 use fastrand::Rng;
 use policy::{
-    EndpointId, Incarnation, InstanceId, LoadDigest, Time, TokenRate, Tokens, Workspace,
+    EndpointId, Fingerprint, Incarnation, InstanceId, LoadDigest, Time, TokenRate, Tokens,
+    Workspace,
     digest::{ENTRY_BYTES, Listener, REFRESH, Teller},
+    quarantine::Entry,
     report::{EndpointShare, WorkspaceShare},
 };
 
@@ -34,6 +36,8 @@
         queued: Default::default(),
         demand: Default::default(),
         wishes: Vec::new(),
+        suspicions: Vec::new(),
+        suspects_at: Vec::new(),
     }
 }
 
@@ -130,3 +134,21 @@
     let fresh = listener.merge(life(3, digest(1, vec![share(2, 7)]))).unwrap();
     assert_eq!(fresh.endpoints, [share(2, 7)], "a new life starts from nothing");
 }
+
+#[test]
+fn suspicions_are_told_once_and_where_suspects_run_again_and_again() {
+    let mut teller = Teller::new(100_000, at(0));
+    let mut suspecting = digest(1, vec![share(1, 9_000)]);
+    let entry = Entry { fingerprint: Fingerprint(7), deaths: 1, death_age_ms: 5, refused_ms: 0 };
+    suspecting.suspicions = vec![entry];
+    assert_eq!(teller.part(&suspecting, at(0)).unwrap().suspicions, [entry]);
+    suspecting.suspicions[0].death_age_ms = 505;
+    assert_eq!(teller.part(&suspecting, at(500)), None, "only its age has changed");
+    suspecting.suspects_at = vec![EndpointId::new("e1").unwrap()];
+    for millis in [1_000, 2_000, 3_000] {
+        let part = teller.part(&suspecting, at(millis)).unwrap();
+        assert_eq!((part.suspects_at.len(), part.suspicions.len()), (1, 0));
+    }
+    suspecting.suspicions[0].refused_ms = 600_000;
+    assert_eq!(teller.part(&suspecting, at(3_500)).unwrap().suspicions.len(), 1);
+}
