--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod options;
+pub mod peer;
 pub mod record;
 pub mod server;
 pub mod settings;
