Bound the bytes of bodies held at once; pass service answers' headers; test services

A repeatable call leaves time for a third server when two are silent. A stop waits for idle connections to close. A folder that can't be used is told in one line.

--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -25,10 +25,20 @@
 /// Time between two looks at what is still under way.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
-/// Waits until new requests are refused and every request under way has ended. Each of them has a
-/// deadline, and so has this.
+/// Looks at what is still connected once nothing is under way. Idle connections are closed after
+/// half a second, so this is only reached by operators' own.
+const CONNECTION_LOOKS: u32 = 50;
+
+/// Waits until new requests are refused, every request under way has ended and idle connections
+/// are closed. Each request has a deadline, and so has this.
 pub async fn finished(shared: &Shared) {
     while shared.stage() != Stage::Refusing || shared.requests_under_way() > 0 {
         Timer::after(LOOK_PERIOD).await;
     }
+    for _ in 0..CONNECTION_LOOKS {
+        if shared.connections() == 0 {
+            return;
+        }
+        Timer::after(LOOK_PERIOD).await;
+    }
 }
--- a/crates/daemon/src/filter/dispatch/service.rs
+++ b/crates/daemon/src/filter/dispatch/service.rs
@@ -13,9 +13,10 @@
     shared::Shared,
 };
 
-/// A call that may be repeated waits for one server at most this part of the time it has left, so
-/// that one silent connection leaves time for another server.
-const PART: u32 = 2;
+/// The parts of the time left that a call which may be repeated waits for its first and second
+/// server: a quarter of the whole each, so that two silent connections still leave half of the
+/// time for a third. The scheduler gives up after three.
+const PARTS: [u32; 2] = [4, 3];
 
 /// Runs one call to its end. The caller's hang-up drops this future, and with it the ticket.
 pub(super) async fn run(
@@ -26,7 +27,7 @@
     let (clock, deadline) = (shared.clock, admitted.timed.deadline);
     let conn = admitted.timed.received.conn.clone();
     let ticket = &admitted.ticket;
-    let mut call = Call { shared, admitted: &admitted, work: &work, sent: false };
+    let mut call = Call { shared, admitted: &admitted, work: &work, sent: false, attempts: 0 };
     let late = async {
         clock.sleep_until(deadline).await;
         End::Expired
@@ -66,6 +67,7 @@
     admitted: &'a Admitted,
     work: &'a ServiceWork,
     sent: bool,
+    attempts: usize,
 }
 
 impl Call<'_> {
@@ -104,6 +106,7 @@
         let call = self.call();
         // From here on the call may have run, unless the connection is known to have failed.
         let before = std::mem::replace(&mut self.sent, true);
+        self.attempts += 1;
         match HttpService::new(endpoint.place.address).call(call).await {
             Ok(answer) => {
                 let leaving = answer.leaving;
@@ -123,7 +126,8 @@
     fn call(&self) -> ServiceCall {
         let target = &self.work.target;
         let left = self.shared.clock.until(self.admitted.timed.deadline);
-        let timeout = if self.work.repeatable() { left / PART } else { left };
+        let part = PARTS.get(self.attempts).filter(|_| self.work.repeatable());
+        let timeout = left / part.copied().unwrap_or(1);
         let path = match &target.query {
             Some(query) => format!("{}?{query}", target.path),
             None => target.path.clone(),
@@ -139,11 +143,12 @@
 }
 
 /// Whether an answer is the caller's, or a reason to ask another server. Only calls that may be
-/// repeated are asked again: a busy server's refusal is no proof that nothing ran.
+/// repeated are asked again: a busy server's refusal is no proof that nothing ran. An error of the
+/// service's own, such as 500, is its answer.
 fn judge(answer: ServiceAnswer, repeatable: bool) -> Result<ServiceAnswer, FailCause> {
     match answer.status {
         429 | 503 if repeatable => Err(FailCause::Rejected),
-        500..=599 if repeatable => Err(FailCause::EndpointError),
+        502 | 504 if repeatable => Err(FailCause::EndpointError),
         _ => Ok(answer),
     }
 }
@@ -152,7 +157,7 @@
     Whole {
         status: answer.status,
         content_type: answer.content_type,
-        headers: Vec::new(),
+        headers: answer.headers,
         body: answer.body,
     }
 }
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -7,7 +7,7 @@
 mod deadline;
 mod dispatch;
 mod once;
-mod parse;
+pub mod parse;
 mod receive;
 pub mod relay;
 pub mod scan;
--- a/crates/daemon/src/filter/parse.rs
+++ b/crates/daemon/src/filter/parse.rs
@@ -217,7 +217,7 @@
 }
 
 /// The caller's own id for the request, where it gives a usable one.
-pub(super) fn request_id(req: &Request) -> Option<String> {
+pub(crate) fn request_id(req: &Request) -> Option<String> {
     let text = text_header(req, REQUEST_ID)?;
     let usable = (1..=MAX_TEXT).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic());
     usable.then(|| text.to_owned())
--- a/crates/daemon/src/filter/receive.rs
+++ b/crates/daemon/src/filter/receive.rs
@@ -5,12 +5,13 @@
 use bytes::Bytes;
 use futures_lite::{AsyncReadExt, FutureExt, future::yield_now};
 use http_types::{Body, StatusCode};
-use policy::{Fingerprint, Model, Tokens, Workspace, config::RouteRules};
+use policy::{Fingerprint, Model, Ran, Tokens, Workspace, config::RouteRules};
 use smol::Timer;
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::{
     active::{Active, Route},
+    budget::Share,
     error::CallError,
     filter::{
         Answer, Handler, Head, Parsed, Target,
@@ -47,6 +48,8 @@
     pub head: Head,
     /// Its body as it came.
     pub body: Bytes,
+    /// Its part of the bytes that may be held at once.
+    pub share: Share,
     /// Hash of the prompt, or of path and body for a plain service.
     pub fingerprint: Fingerprint,
     /// The configuration it began with.
@@ -110,7 +113,11 @@
     async fn handle(&self, identified: Identified) -> Result<Answer, CallError> {
         let Identified { parsed, workspace, active } = identified;
         let Parsed { target, head, body, conn, record } = parsed;
-        let body = read(body, self.shared.settings.max_body).await?;
+        let max = self.shared.settings.max_body;
+        check_size(&body, max)?;
+        let mut share = self.shared.bodies.take(body.len().unwrap_or(max)).ok_or_else(full)?;
+        let body = read(body, max).await?;
+        share.shrink(body.len());
         let (work, route, fingerprint) = match target {
             Target::Model(path) => {
                 let scan = scan_body(path, body.clone()).await?;
@@ -131,20 +138,33 @@
             facts.deployment = Some(route.deployment.name.clone());
             facts.prompt = prompt(&work);
         });
-        let received =
-            Received { work, route, workspace, head, body, fingerprint, active, conn, record };
+        let received = Received {
+            work,
+            route,
+            workspace,
+            head,
+            body,
+            share,
+            fingerprint,
+            active,
+            conn,
+            record,
+        };
         self.next.handle(received).await
     }
 }
 
-async fn read(body: Body, max: usize) -> Result<Bytes, CallError> {
-    let too_large = || {
-        let message = format!("the body has more than {max} bytes");
-        CallError::caller(StatusCode::PayloadTooLarge, "body_too_large", message)
-    };
-    if body.len().is_some_and(|len| len > max) {
-        return Err(too_large());
+fn full() -> CallError {
+    CallError {
+        status: StatusCode::ServiceUnavailable,
+        code: "busy",
+        message: "too many large requests are coming in at once".to_owned(),
+        ran: Ran::No,
+        retry_after: Some(Duration::from_secs(2)),
     }
+}
+
+async fn read(body: Body, max: usize) -> Result<Bytes, CallError> {
     let limit = async {
         Timer::after(BODY_TIMEOUT).await;
         let message = "the body didn't come in time";
@@ -152,11 +172,23 @@
     };
     let bytes = read_all(body, max).or(limit).await?;
     if bytes.len() > max {
-        return Err(too_large());
+        return Err(too_large(max));
     }
     Ok(bytes)
 }
 
+fn check_size(body: &Body, max: usize) -> Result<(), CallError> {
+    match body.len().is_some_and(|len| len > max) {
+        true => Err(too_large(max)),
+        false => Ok(()),
+    }
+}
+
+fn too_large(max: usize) -> CallError {
+    let message = format!("the body has more than {max} bytes");
+    CallError::caller(StatusCode::PayloadTooLarge, "body_too_large", message)
+}
+
 /// Reads at most one byte more than `max`.
 async fn read_all(body: Body, max: usize) -> Result<Bytes, CallError> {
     let broken = |_| CallError::malformed("the body broke off or isn't framed as the head says");
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod active;
 pub mod admin;
+pub mod budget;
 pub mod cli;
 pub mod clock;
 pub mod controller;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,7 +6,7 @@
     match daemon::run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            log::error!(cause:? = report; "can't_run");
+            log::error!(cause:% = format!("{report:#}"); "stopped_by_fault");
             ExitCode::FAILURE
         }
     }
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use policy::config::{Config, Findings, SETTINGS, load};
 
 use crate::{cli::Args, folder::read_folder, settings::Settings};
@@ -16,13 +16,14 @@
     pub config: Option<Config>,
 }
 
-/// The folder can't be used.
+/// The folder can't be used, for all these reasons.
 #[derive(Debug)]
-pub struct BadFolder;
+pub struct BadFolder(pub Findings);
 
 impl fmt::Display for BadFolder {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "the configuration folder can't be used")
+        let texts: Vec<_> = self.0.iter().map(ToString::to_string).collect();
+        write!(f, "the configuration folder can't be used: {}", texts.join("; "))
     }
 }
 
@@ -33,10 +34,10 @@
     ///
     /// # Errors
     ///
-    /// [`BadFolder`] with every finding attached.
+    /// [`BadFolder`] with every finding.
     pub fn read(args: &Args) -> Result<Options, Report<BadFolder>> {
-        let files = read_folder(&args.config).map_err(report)?;
-        let loaded = load(&files).map_err(report)?;
+        let files = read_folder(&args.config).map_err(BadFolder)?;
+        let loaded = load(&files).map_err(BadFolder)?;
         let mut findings = Findings::default();
         let settings = match &loaded.settings {
             Some(node) => Settings::read(node, &mut findings),
@@ -45,17 +46,9 @@
                 None
             }
         };
-        let settings = findings.into_result(settings).map_err(report)?;
-        let settings = settings.ok_or_else(|| Report::new(BadFolder))?;
+        let settings = findings.into_result(settings).map_err(BadFolder)?;
+        let settings = settings.ok_or_else(|| Report::new(BadFolder(Findings::default())))?;
         let config = settings.log.is_none().then_some(loaded.config);
         Ok(Options { settings, config })
     }
 }
-
-fn report(findings: Findings) -> Report<BadFolder> {
-    let texts: Vec<_> = findings.iter().map(ToString::to_string).collect();
-    Err::<(), _>(Report::new(BadFolder))
-        .attach_with(|| texts.join("\n"))
-        .err()
-        .unwrap_or_else(|| Report::new(BadFolder))
-}
--- a/crates/daemon/src/record.rs
+++ b/crates/daemon/src/record.rs
@@ -78,6 +78,11 @@
         CallRecord { id, arrived, clock, metrics, facts: Mutex::new(facts), _open: open }
     }
 
+    /// The request's id as the caller sees it.
+    pub fn request_id(&self) -> String {
+        lock(&self.facts).request_id.clone()
+    }
+
     /// Adds to what is known.
     pub fn note(&self, change: impl FnOnce(&mut Facts)) {
         change(&mut lock(&self.facts));
--- a/crates/daemon/src/server/mod.rs
+++ b/crates/daemon/src/server/mod.rs
@@ -57,17 +57,16 @@
 
 /// Accepts connections until it is dropped.
 pub async fn serve(listener: TcpListener, service: Arc<Service>) {
-    let open = Arc::new(());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             Timer::after(ACCEPT_PAUSE).await;
             continue;
         };
-        if Arc::strong_count(&open) > service.shared.settings.max_connections {
+        if service.shared.connections() >= service.shared.settings.max_connections {
             service.shared.spawn(turn_away(stream));
             continue;
         }
-        let (open, service) = (open.clone(), service.clone());
+        let (open, service) = (service.shared.open_connections.clone(), service.clone());
         service.shared.clone().spawn(async move {
             service.shared.metrics.connections.add(1, &[]);
             Connection::new(stream).run(&service).await;
--- a/crates/daemon/src/server/router.rs
+++ b/crates/daemon/src/server/router.rs
@@ -9,7 +9,7 @@
 use crate::{
     admin,
     error::CallError,
-    filter::{self, workspace},
+    filter::{self, parse, workspace},
     server::{Audience, Service, connection::Connection, respond},
 };
 
@@ -28,7 +28,11 @@
         return Ok(respond::error(&not_found(req.url().path())));
     }
     if req.method() == Method::Get && req.url().path() == "/v1/models" {
-        return Ok(models(service, &req));
+        let mut resp = models(service, &req);
+        let record = service.shared.begin(parse::request_id(&req));
+        record.note(|facts| (facts.status, facts.outcome) = (resp.status().into(), "listed"));
+        resp.insert_header(respond::REQUEST_ID, record.request_id());
+        return Ok(resp);
     }
     Ok(filter::answer(&service.chain, &service.shared, conn, req).await)
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     active::{Active, AnyDeployment, Builder},
+    budget::Budget,
     clock::Clock,
     controller,
     endpoint::{Endpoint, Life, lock},
@@ -55,6 +56,10 @@
     next_request: AtomicU64,
     /// Shared by the records of all requests under way, which are counted by it.
     open_requests: Arc<()>,
+    /// Bodies of requests under way.
+    pub bodies: Budget,
+    /// Shared by all open connections, which are counted by it.
+    pub open_connections: Arc<()>,
 }
 
 impl Shared {
@@ -76,6 +81,8 @@
             stage: AtomicU8::new(Stage::Serving as u8),
             next_request: AtomicU64::new(1),
             open_requests: Arc::default(),
+            bodies: Budget::default(),
+            open_connections: Arc::default(),
         }
     }
 
@@ -155,6 +162,11 @@
         Arc::new(CallRecord::new(id, request_id, self.clock, self.metrics.clone(), open))
     }
 
+    /// Connections of callers and operators that are open.
+    pub fn connections(&self) -> usize {
+        Arc::strong_count(&self.open_connections) - 1
+    }
+
     /// Requests that were begun and haven't ended to the last byte of their answer.
     pub fn requests_under_way(&self) -> usize {
         Arc::strong_count(&self.open_requests) - 1
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -49,12 +49,17 @@
             }
         }
         let policy = self.policy;
-        let mut deployments = format!(
-            r#""model":{{"group":"llm","kind":"engine","models":["m"],"policy":"{policy}"}}"#
-        );
+        let mut deployments = Vec::new();
+        if !self.engines.is_empty() {
+            deployments.push(format!(
+                r#""model":{{"group":"llm","kind":"engine","models":["m"],"policy":"{policy}"}}"#
+            ));
+        }
         if !self.services.is_empty() {
-            deployments += r#","register":{"group":"desk","kind":"service","routes":[{"path":"/registrations","repeatable":false}]}"#;
+            let register = r#""register":{"group":"desk","kind":"service","routes":[{"path":"/registrations","repeatable":false}]}"#;
+            deployments.push(register.to_owned());
         }
+        let deployments = deployments.join(",");
         format!(
             r#"{{"data_centres":{{"a":{{"region":"r"}}}},"workspaces":{{"desk":{{"key_sha256":["{key}"]}}}},"endpoints":{{{endpoints}}},"deployments":{{{deployments}}}}}"#
         )
--- a/crates/platform/src/service/http.rs
+++ b/crates/platform/src/service/http.rs
@@ -17,7 +17,7 @@
         wire::{LEAVING, Load},
     },
     http::{HttpCall, HttpError},
-    service::{Service, ServiceAnswer, ServiceCall, ServiceError},
+    service::{Header, Service, ServiceAnswer, ServiceCall, ServiceError},
 };
 
 /// How long a load report may take; see the same bound for engines.
@@ -27,6 +27,10 @@
 /// whole.
 const MAX_ANSWER: u64 = 16 << 20;
 
+/// Headers of answers that callers get, besides the media type. Others belong to the connection.
+pub const PASSED_BACK: [&str; 6] =
+    ["cache-control", "content-language", "etag", "last-modified", "location", "retry-after"];
+
 /// One server.
 #[derive(Debug, Clone, Copy)]
 pub struct HttpService {
@@ -101,6 +105,11 @@
         return Err(ServiceError::BadAnswer);
     }
     let content_type = resp.header("content-type").map(|values| values.last().to_string());
+    let headers = PASSED_BACK.into_iter().filter_map(|name| {
+        let value = resp.header(name)?.last().to_string();
+        Some(Header { name: name.to_owned(), value })
+    });
+    let headers = headers.collect();
     let leaving = resp.header(LEAVING).is_some();
     let expected = resp.len();
     let mut body = Vec::new();
@@ -112,5 +121,5 @@
     if expected.is_some_and(|expected| expected != body.len()) {
         return Err(ServiceError::Broken);
     }
-    Ok(ServiceAnswer { status, content_type, leaving, body: body.into() })
+    Ok(ServiceAnswer { status, content_type, headers, leaving, body: body.into() })
 }
--- a/crates/platform/src/service/mod.rs
+++ b/crates/platform/src/service/mod.rs
@@ -41,6 +41,8 @@
     pub status: u16,
     /// The `content-type`, if any.
     pub content_type: Option<String>,
+    /// Further headers that callers get, see [`http::PASSED_BACK`].
+    pub headers: Vec<Header>,
     /// The server asks for no new work.
     pub leaving: bool,
     /// The body.
