--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -44,3 +44,23 @@
     let lines = rest.lines().filter(|line| line.starts_with("data: {")).count();
     assert_eq!(lines, 39);
 }
+
+/// A spec binder needs more memory than any one engine has. It runs on one, with its cache spread
+/// over others that lent the rest, and everything is free afterwards.
+#[test]
+fn a_prompt_larger_than_one_engine_runs_on_several() {
+    let config = EngineConfig { kv_total: policy::Tokens(10_000), ..EngineConfig::default() };
+    let engines = [0; 4].map(|_| Engine::start(config.clone()).unwrap());
+    let addresses = engines.each_ref().map(Engine::address);
+    let daemon = Daemon::start("shards", &Site::of_engines(&addresses));
+    let body = prompt(&"word ".repeat(20_000), 5, false);
+    let mut answer = String::new();
+    common::wait_until("the engines' memory is known", || {
+        answer = exchange(daemon.address, &post("/v1/completions", &body));
+        answer.starts_with("HTTP/1.1 200")
+    });
+    let document: serde_json::Value =
+        serde_json::from_str(answer.split_once("\r\n\r\n").unwrap().1).unwrap();
+    assert_eq!(document["choices"][0]["text"], expected_answer(body.as_bytes()).unwrap());
+    common::wait_until("all memory is free", || engines.iter().all(|e| e.stats().held.0 == 0));
+}
