--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod error;
 pub mod filter;
 pub mod folder;
+pub mod peer;
 pub mod instance;
 pub mod logging;
 pub mod metrics;
