Wire the peer mesh: load, configuration, leaving endpoints and owners of memory

Instances knew nothing of one another. The executor is held weakly by the state that its tasks share, so that closing or aborting an instance frees its sockets.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -67,8 +67,10 @@
     pub instance: InstanceId,
     /// Its life.
     pub incarnation: Incarnation,
-    /// Its state in words.
+    /// `live`, `leaving`, `suspect` or `dead`, by all witnesses.
     pub state: String,
+    /// Whether a link to it stands.
+    pub linked: bool,
 }
 
 /// Answers a request for operators; none where the path isn't one of theirs.
@@ -126,10 +128,21 @@
         stage: stage_name(shared.stage()).to_owned(),
         under_way: deployments.map(|deployment| deployment.under_way()).sum(),
         endpoints: endpoints.collect(),
-        peers: Vec::new(),
+        peers: peers(shared),
     }
 }
 
+fn peers(shared: &Shared) -> Vec<PeerStatus> {
+    let Some(mesh) = shared.mesh() else { return Vec::new() };
+    let known = mesh.status().into_iter().map(|peer| PeerStatus {
+        instance: peer.instance,
+        incarnation: peer.incarnation,
+        state: format!("{:?}", peer.state).to_lowercase(),
+        linked: peer.linked,
+    });
+    known.collect()
+}
+
 fn stage_name(stage: Stage) -> &'static str {
     match stage {
         Stage::Serving => "serving",
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -18,6 +18,11 @@
         Clock { origin: Instant::now() }
     }
 
+    /// When it started.
+    pub fn origin(&self) -> Instant {
+        self.origin
+    }
+
     /// The present.
     pub fn now(&self) -> Time {
         Time::ZERO + self.origin.elapsed()
--- a/crates/daemon/src/controller/memory.rs
+++ b/crates/daemon/src/controller/memory.rs
@@ -16,6 +16,10 @@
     Engine, EngineError,
     wire::{Held, Owner},
 };
+use policy::{
+    membership::{State, owners::OwnerLife},
+    rendezvous,
+};
 use smol::Timer;
 
 use crate::{endpoint::Endpoint, shared::Shared};
@@ -50,7 +54,7 @@
         };
         let nudged = nudge.or(pause).await;
         let Some(shared) = shared.upgrade() else { return };
-        let found = sweep(&shared.owner, &known).await;
+        let found = sweep(&shared, &known).await;
         quick = match found {
             Ok(0) => 0,
             _ if nudged => QUICK_SWEEPS,
@@ -63,14 +67,21 @@
 }
 
 /// Releases what isn't wanted and tells how much that was.
-async fn sweep(owner: &Owner, endpoint: &Arc<Endpoint>) -> Result<usize, EngineError> {
+async fn sweep(shared: &Shared, endpoint: &Arc<Endpoint>) -> Result<usize, EngineError> {
+    let owner = &shared.owner;
     let engine = endpoint.engine();
+    // What this life wants is noted before it is sent, so that nothing which is about to be wanted
+    // can look like something let go.
     if endpoint.holds_any() {
         // A failure shows in the listing; the next sweep renews again.
         engine.renew(owner, LEASE.as_millis() as u64).await.ok();
     }
     let page = engine.held().await?;
-    let unwanted = |held: &&Held| is_dead(owner, &held.owner) || is_unwanted(owner, endpoint, held);
+    let foreign = chosen(shared, endpoint);
+    let unwanted = |held: &&Held| match held.owner == *owner {
+        true => !endpoint.wants(&held.id),
+        false => is_predecessor(owner, &held.owner) || foreign && is_gone(shared, &held.owner),
+    };
     let ids: Vec<_> = page.held.iter().filter(unwanted).map(|held| held.id.clone()).collect();
     if !ids.is_empty() {
         log::info!(endpoint = endpoint.place.id.as_str(), count = ids.len(); "memory_released");
@@ -79,13 +90,24 @@
     Ok(ids.len())
 }
 
-/// Held by this very life, which has let go of it. Whatever it wants is noted before it is sent,
-/// so nothing that is about to be wanted can look like this.
-fn is_unwanted(owner: &Owner, endpoint: &Endpoint, held: &Held) -> bool {
-    held.owner == *owner && !endpoint.wants(&held.id)
+/// Whether this instance looks after what others left on the engine. Every engine has one such
+/// instance; while views of who lives differ it may have two, and releasing twice does no harm.
+fn chosen(shared: &Shared, endpoint: &Endpoint) -> bool {
+    let Some(mesh) = shared.mesh() else { return false };
+    let live = mesh.status().into_iter().filter(|peer| peer.state == State::Live);
+    let mut members: Vec<_> = live.map(|peer| peer.instance).collect();
+    members.push(shared.owner.instance.clone());
+    let chosen = rendezvous::owner(rendezvous::key(endpoint.place.id.as_str()), &members);
+    chosen.and_then(|index| members.get(index)) == Some(&shared.owner.instance)
 }
 
 /// Held by an earlier life of this instance: two lives never overlap, so that one is over.
-fn is_dead(owner: &Owner, holder: &Owner) -> bool {
+fn is_predecessor(owner: &Owner, holder: &Owner) -> bool {
     holder.instance == owner.instance && holder.incarnation < owner.incarnation
 }
+
+/// Held by an instance that is proved to be gone, see [`policy::membership::owners`].
+fn is_gone(shared: &Shared, holder: &Owner) -> bool {
+    let Some(mesh) = shared.mesh() else { return false };
+    mesh.owner(&holder.instance, holder.incarnation) == OwnerLife::Gone
+}
--- a/crates/daemon/src/controller/mod.rs
+++ b/crates/daemon/src/controller/mod.rs
@@ -3,14 +3,16 @@
 mod cache;
 mod load;
 mod memory;
+mod peers;
 
 use std::sync::Arc;
 
 use policy::config::EndpointKind;
+use smol::channel::Receiver;
 
 pub use memory::LEASE;
 
-use crate::{endpoint::Endpoint, shared::Shared};
+use crate::{endpoint::Endpoint, peer::PeerEvent, shared::Shared};
 
 /// Starts the controllers of a new endpoint. They end when the endpoint is gone from the
 /// configuration and no request uses it any more.
@@ -22,3 +24,8 @@
         shared.spawn(memory::run(Arc::downgrade(shared), weak));
     }
 }
+
+/// Starts the exchanges with the other instances.
+pub fn start_peers(shared: &Arc<Shared>, events: Receiver<PeerEvent>) {
+    peers::start(shared, events);
+}
--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -13,6 +13,9 @@
         return;
     }
     shared.enter(Stage::Leaving);
+    if let Some(mesh) = shared.mesh() {
+        mesh.set_leaving();
+    }
     log::info!(balancer_wait_ms = shared.settings.balancer_wait_ms; "leaving");
     let (state, wait) = (shared.clone(), shared.settings.balancer_wait_ms);
     shared.spawn(async move {
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -17,8 +17,9 @@
 
 use crate::{
     admin::{self, Status},
-    clock, drain, filter,
+    clock, controller, drain, filter,
     metrics::Metrics,
+    peer::{LOAD_BYTES_PER_SECOND, PeerConfig, PeerMesh},
     server::{self, Audience, Service},
     settings::Settings,
     shared::Shared,
@@ -54,15 +55,20 @@
     pub callers: SocketAddr,
     /// For operators' tools, probes and metrics.
     pub admin: SocketAddr,
+    /// For other instances.
+    pub peers: SocketAddr,
 }
 
 /// A running instance.
 pub struct Instance {
     shared: Arc<Shared>,
     addresses: Addresses,
+    mesh: Arc<PeerMesh>,
     threads: Vec<JoinHandle<()>>,
     /// Dropping it ends the threads.
     stop: Sender<()>,
+    // The last to go: dropping it drops all tasks, and with them every socket.
+    _executor: Arc<Executor<'static>>,
 }
 
 impl Instance {
@@ -77,8 +83,9 @@
         let metrics = Metrics::new().map_err(|_| StartError::Metrics)?;
         let incarnation = clock::incarnation();
         let owner = Owner { instance: settings.instance.clone(), incarnation };
-        let shared = Arc::new(Shared::new(settings, owner, metrics, executor.clone()));
-        let addresses = listen(&shared)?;
+        let shared = Arc::new(Shared::new(settings, owner, metrics, &executor));
+        let mesh = link(&shared, &executor)?;
+        let addresses = Addresses { peers: mesh.address(), ..listen(&shared)? };
         if let Some(config) = initial {
             shared.set_config(config, Version(1));
         }
@@ -88,10 +95,11 @@
             instance = shared.owner.instance.as_str(),
             incarnation = shared.owner.incarnation.0,
             listen:% = addresses.callers,
-            admin:% = addresses.admin;
+            admin:% = addresses.admin,
+            peer_listen:% = addresses.peers;
             "started"
         );
-        Ok(Instance { shared, addresses, threads, stop })
+        Ok(Instance { shared, addresses, mesh, threads, stop, _executor: executor })
     }
 
     /// Where it listens. Ports that the settings leave to the system are filled in.
@@ -118,6 +126,7 @@
     pub fn close(self) {
         drain::begin(&self.shared);
         block_on(drain::finished(&self.shared));
+        block_on(self.mesh.say_goodbye());
         log::info!("closed");
         self.abort();
     }
@@ -132,6 +141,29 @@
     }
 }
 
+fn link(
+    shared: &Arc<Shared>,
+    executor: &Arc<Executor<'static>>,
+) -> Result<Arc<PeerMesh>, StartError> {
+    let settings = &shared.settings;
+    let cfg = PeerConfig {
+        instance: shared.owner.instance.clone(),
+        incarnation: shared.owner.incarnation,
+        data_centre: settings.data_centre.clone(),
+        listen: settings.peer_listen,
+        seeds: settings.peers.clone(),
+        load_bytes_per_second: LOAD_BYTES_PER_SECOND,
+        origin: shared.clock.origin(),
+        executor: executor.clone(),
+    };
+    let failed = |e| StartError::Bind(settings.peer_listen, e);
+    let (mesh, events) = PeerMesh::start(cfg).map_err(failed)?;
+    let mesh = Arc::new(mesh);
+    shared.set_mesh(&mesh);
+    controller::start_peers(shared, events);
+    Ok(mesh)
+}
+
 fn listen(shared: &Arc<Shared>) -> Result<Addresses, StartError> {
     let settings = &shared.settings;
     let audience = if settings.admin_listen.is_some() { Audience::Callers } else { Audience::Both };
@@ -140,7 +172,7 @@
         Some(address) => listen_at(shared, address, Audience::Operators)?,
         None => callers,
     };
-    Ok(Addresses { callers, admin })
+    Ok(Addresses { callers, admin, peers: settings.peer_listen })
 }
 
 fn listen_at(
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -236,6 +236,11 @@
     /// Says goodbye and ends all links, once what is queued has been sent or
     /// [`CLOSE_WITHIN`] is over.
     pub async fn close(self) {
+        self.say_goodbye().await;
+    }
+
+    /// The same while others still use the mesh.
+    pub async fn say_goodbye(&self) {
         self.shared.say_goodbye();
         let deadline = Instant::now() + CLOSE_WITHIN;
         while self.shared.has_connections() && Instant::now() < deadline {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     future::Future,
     sync::{
-        Arc, Mutex, PoisonError, RwLock,
+        Arc, Mutex, OnceLock, PoisonError, RwLock, Weak,
         atomic::{AtomicU8, AtomicU64, Ordering},
     },
 };
@@ -22,6 +22,7 @@
     controller,
     endpoint::{Endpoint, Life, lock},
     metrics::Metrics,
+    peer::{EndpointNews, Message, PeerMesh},
     record::CallRecord,
     settings::Settings,
 };
@@ -48,7 +49,10 @@
     pub clock: Clock,
     /// Its metrics.
     pub metrics: Arc<Metrics>,
-    executor: Arc<Executor<'static>>,
+    /// Weak, because tasks hold this state, and the executor holds the tasks.
+    executor: Weak<Executor<'static>>,
+    /// Weak, because the mesh keeps the executor.
+    mesh: OnceLock<Weak<PeerMesh>>,
     active: RwLock<Arc<Active>>,
     /// Held while a new configuration is built, so that two can't overtake one another.
     building: Mutex<()>,
@@ -68,14 +72,15 @@
         settings: Settings,
         owner: Owner,
         metrics: Metrics,
-        executor: Arc<Executor<'static>>,
+        executor: &Arc<Executor<'static>>,
     ) -> Self {
         Shared {
             settings,
             owner,
             clock: Clock::start(),
             metrics: Arc::new(metrics),
-            executor,
+            executor: Arc::downgrade(executor),
+            mesh: OnceLock::new(),
             active: RwLock::default(),
             building: Mutex::default(),
             stage: AtomicU8::new(Stage::Serving as u8),
@@ -110,6 +115,7 @@
         *self.active.write().unwrap_or_else(PoisonError::into_inner) = active.clone();
         self.start_new(&active, &old);
         log::info!(version = version.0; "config_in_force");
+        self.broadcast(Message::ConfigVersion(version));
     }
 
     fn start_new(self: &Arc<Self>, active: &Active, old: &Active) {
@@ -132,7 +138,9 @@
 
     /// Runs a future beside all others until it ends or the instance is closed.
     pub fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
-        self.executor.spawn(future).detach();
+        if let Some(executor) = self.executor.upgrade() {
+            executor.spawn(future).detach();
+        }
     }
 
     /// How far the instance is on its way to a stop.
@@ -183,7 +191,33 @@
             leaving = life.leaving;
             "endpoint_changed"
         );
-        self.tell(endpoint, &Event::Endpoint(endpoint.change()));
+        let change = endpoint.change();
+        if life.leaving {
+            self.broadcast(Message::Endpoint(EndpointNews {
+                endpoint: change.endpoint.clone(),
+                incarnation: change.incarnation,
+                state: change.state,
+            }));
+        }
+        self.tell(endpoint, &Event::Endpoint(change));
+    }
+
+    /// The links to other instances, while they stand.
+    pub fn mesh(&self) -> Option<Arc<PeerMesh>> {
+        self.mesh.get()?.upgrade()
+    }
+
+    /// Notes the links to other instances; a second call changes nothing.
+    pub fn set_mesh(&self, mesh: &Arc<PeerMesh>) {
+        self.mesh.get_or_init(|| Arc::downgrade(mesh));
+    }
+
+    fn broadcast(&self, message: Message) {
+        if let Some(mesh) = self.mesh()
+            && let Err(e) = mesh.broadcast(message)
+        {
+            log::error!(cause:% = e; "broadcast_failed");
+        }
     }
 
     /// Tells the schedulers of all deployments that `endpoint` serves.
--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -206,6 +206,8 @@
         queued: Default::default(),
         demand: Default::default(),
         wishes: Vec::new(),
+        suspicions: Vec::new(),
+        suspects_at: Vec::new(),
     }
 }
 
