--- a/crates/cli/src/bench/load.rs
+++ b/crates/cli/src/bench/load.rs
@@ -69,8 +69,12 @@
     pub sends: u32,
 }
 
-/// Sends all calls in time and waits for all answers, each of which ends by its own limit.
-pub fn drive(fleet: &Fleet, calls: Vec<Call>, faults: Vec<Fault>) -> Vec<Sample> {
+/// Sends all calls in time and waits for all answers, each of which ends by its own limit. Calls
+/// `ended` at the end of each.
+pub fn drive<F>(fleet: &Fleet, calls: Vec<Call>, faults: Vec<Fault>, ended: F) -> Vec<Sample>
+where
+    F: Fn() + Clone + Send + 'static,
+{
     let entries: Arc<[SocketAddr]> = fleet.entries().into();
     let ex = Arc::new(Executor::new());
     let (stop, stopped) = bounded::<()>(1);
@@ -88,7 +92,7 @@
                     fault.action.apply(fleet);
                 }
             };
-            let send = send_all(&ex, &entries, calls, start);
+            let send = send_all(&ex, &entries, calls, start, ended);
             futures_lite::future::zip(send, disturb).await.0
         });
         drop(stop);
@@ -96,16 +100,25 @@
     })
 }
 
-async fn send_all(
+async fn send_all<F>(
     ex: &Executor<'static>,
     entries: &Arc<[SocketAddr]>,
     calls: Vec<Call>,
     start: Instant,
-) -> Vec<Sample> {
+    ended: F,
+) -> Vec<Sample>
+where
+    F: Fn() + Clone + Send + 'static,
+{
     let mut tasks = Vec::with_capacity(calls.len());
     for (number, call) in calls.into_iter().enumerate() {
         Timer::at(start + call.at).await;
-        tasks.push(ex.spawn(send(entries.clone(), number, call, start)));
+        let (entries, ended) = (entries.clone(), ended.clone());
+        tasks.push(ex.spawn(async move {
+            let sample = send(entries, number, call, start).await;
+            ended();
+            sample
+        }));
     }
     let mut samples = Vec::with_capacity(tasks.len());
     for task in tasks {
--- a/crates/cli/src/bench/result.rs
+++ b/crates/cli/src/bench/result.rs
@@ -153,7 +153,7 @@
     }
 
     /// Time to first token, or to the failure where there was none.
-    fn ttft_ms(&self) -> f64 {
+    pub fn ttft_ms(&self) -> f64 {
         self.first_token.unwrap_or(self.total).as_secs_f64() * 1e3
     }
 }
--- a/crates/cli/src/bench/run.rs
+++ b/crates/cli/src/bench/run.rs
@@ -110,9 +110,9 @@
         policy,
         weights,
     })?;
-    drive(&fleet, warm_up(), Vec::new());
+    drive(&fleet, warm_up(), Vec::new(), || ());
     let before = EngineTotals::of(&fleet);
-    let samples = drive(&fleet, plan.calls(), plan.faults.clone());
+    let samples = drive(&fleet, plan.calls(), plan.faults.clone(), || ());
     let after = EngineTotals::of(&fleet);
     let ran_though_refused = samples.iter().filter(|sample| said_not_run_but_ran(sample, &fleet));
     let ran_though_refused = ran_though_refused.count() as u64;
--- a/crates/standin/src/engine/step.rs
+++ b/crates/standin/src/engine/step.rs
@@ -20,6 +20,8 @@
 
 /// How long an idle loop sleeps before it looks at leases and reports again.
 const IDLE: Duration = Duration::from_millis(5);
+/// How much of a late wake-up a busy engine makes up for in its next steps.
+const CATCH_UP: Duration = Duration::from_millis(5);
 
 /// One step, between its start and its end.
 struct Step {
@@ -36,13 +38,15 @@
 
 /// Runs until the engine is closed.
 pub(crate) fn run(shared: &Arc<Shared>) {
-    let mut due = Instant::now();
+    // When the last step should have ended; none after a pause.
+    let mut due: Option<Instant> = None;
     loop {
         let state = lock(&shared.state);
         if state.closed {
             return;
         }
         if state.dead || state.frozen {
+            due = None;
             drop(state);
             std::thread::sleep(IDLE);
             continue;
@@ -58,14 +62,17 @@
         }
         let step = plan(&state, &shared.cfg);
         if step.prefill.is_empty() && step.decode.is_empty() {
+            due = None;
             let waited = shared.work.wait_timeout(state, IDLE);
             drop(waited.unwrap_or_else(PoisonError::into_inner));
             continue;
         }
         drop(state);
         // A late wake-up must not slow the engine down, so steps follow one another by plan.
-        due = due.max(now.checked_sub(IDLE).unwrap_or(now)) + step.cost;
-        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        let begin = due.map_or(now, |due| due.max(now.checked_sub(CATCH_UP).unwrap_or(now)));
+        let end = begin + step.cost;
+        due = Some(end);
+        std::thread::sleep(end.saturating_duration_since(Instant::now()));
         finish(&mut lock(&shared.state), &step, Instant::now());
     }
 }
