--- a/crates/policy/src/trefoilhall/request.rs
+++ b/crates/policy/src/trefoilhall/request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{EndpointId, Incarnation, RequestId, RequestSpec, Shard, Time, Tokens};
+use crate::{EndpointId, FailCause, Incarnation, RequestId, RequestSpec, Shard, Time, Tokens};
 
 use super::{
     class::Band,
@@ -18,6 +18,8 @@
     pub(super) band: Band,
     /// The lane it waits in: its band's, or [`SPREAD`].
     pub(super) lane: usize,
+    /// Prompt tokens that no engine is expected to have cached.
+    pub(super) uncached: f64,
     /// Weighted tokens, for shares.
     pub(super) cost: f64,
     /// By when the next first token has to be out.
@@ -31,6 +33,8 @@
     pub(super) failures: u32,
     /// Where it isn't sent again.
     pub(super) tried: Vec<Tried>,
+    /// Lives that fell silent once on this request; see [`Entry::note_tried`].
+    pub(super) silent: Vec<Tried>,
     /// Whether an endpoint may have begun to run it.
     pub(super) may_have_run: bool,
     /// Tokens that the caller has.
@@ -64,6 +68,10 @@
 pub(super) struct Attempt {
     pub(super) shards: Vec<Shard>,
     pub(super) sent: Time,
+    /// Seconds from then to the first token, as predicted.
+    pub(super) predicted: f64,
+    /// Prompt tokens that the engine was expected to have cached.
+    pub(super) cached: Tokens,
     /// Work that stood before it there.
     pub(super) ahead: f64,
     /// The endpoint's count of short tokens done when it was sent.
@@ -88,10 +96,32 @@
         self.req.footprint().0 as f64
     }
 
+    /// The shard that runs it, while an attempt is under way.
+    pub(super) fn runs_on(&self) -> Option<&Shard> {
+        match &self.state {
+            State::Running(attempt) => attempt.shards.first(),
+            State::Waiting | State::BackingOff(_) => None,
+        }
+    }
+
     pub(super) fn needs_several(&self) -> bool {
         self.lane == SPREAD
     }
 
+    /// Takes note of a life that has had this request, so that it doesn't get it again.
+    ///
+    /// The first silence doesn't count: an open connection can go silent for good while the
+    /// endpoint works and new connections reach it. At a site with one engine the caller would
+    /// otherwise lose an answer that the engine still makes. A second silence does count, so a
+    /// request can't go round a silent endpoint.
+    pub(super) fn note_tried(&mut self, tried: Tried, cause: FailCause) {
+        if cause == FailCause::Silent && !self.silent.contains(&tried) {
+            self.silent.push(tried);
+        } else {
+            self.tried.push(tried);
+        }
+    }
+
     pub(super) fn may_go_to(&self, endpoint: &EndpointId, incarnation: Incarnation) -> bool {
         !self.tried.iter().any(|t| t.endpoint == *endpoint && t.incarnation == incarnation)
     }
