--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::{
+    cell::RefCell,
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -30,6 +31,7 @@
 struct Peer {
     mesh: PeerMesh,
     events: Receiver<PeerEvent>,
+    skipped: RefCell<Vec<PeerEvent>>,
 }
 
 fn id(name: &str) -> InstanceId {
@@ -70,16 +72,25 @@
             executor: executor(),
         })
         .unwrap();
-        Peer { mesh, events }
+        Peer { mesh, events, skipped: RefCell::default() }
     }
 
-    /// Waits for the first event for which `wanted` gives something.
-    fn wait<T>(&self, wanted: impl Fn(PeerEvent) -> Option<T>) -> T {
+    /// Waits for the first event for which `wanted` gives something; events that came before it are
+    /// kept for later waits, because which of several peers links first is a matter of luck.
+    fn wait<T>(&self, wanted: impl Fn(&PeerEvent) -> Option<T>) -> T {
+        let mut skipped = self.skipped.borrow_mut();
+        for i in 0..skipped.len() {
+            if let Some(found) = wanted(&skipped[i]) {
+                skipped.remove(i);
+                return found;
+            }
+        }
         let search = async {
             loop {
                 let event = self.events.recv().await.unwrap();
-                if let Some(found) = wanted(event) {
-                    return Some(found);
+                match wanted(&event) {
+                    Some(found) => return Some(found),
+                    None => skipped.push(event),
                 }
             }
         };
@@ -98,14 +109,16 @@
 
     fn wait_gone(&self, name: &str) -> Incarnation {
         self.wait(|event| match event {
-            PeerEvent::Gone { instance, incarnation } if instance == id(name) => Some(incarnation),
+            PeerEvent::Gone { instance, incarnation } if *instance == id(name) => {
+                Some(*incarnation)
+            }
             _ => None,
         })
     }
 
     fn wait_message(&self) -> (InstanceId, Message) {
         self.wait(|event| match event {
-            PeerEvent::Message { from, message } => Some((from, message)),
+            PeerEvent::Message { from, message } => Some((from.clone(), message.clone())),
             _ => None,
         })
     }
