--- a/crates/daemon/examples/control_cost.rs
+++ b/crates/daemon/examples/control_cost.rs
@@ -109,8 +109,9 @@
         let count = self.meshes.len() as f64;
         let links = self.meshes.iter().map(linked).sum::<usize>() as f64 / count;
         let whole = bincode::serde::encode_to_vec(&loads[0].digest, bincode::config::standard());
+        let entries = loads[0].digest.endpoints.len();
         println!(
-            "{:>9} {:>5.1} {:>9} {:>10} {:>9.0} {:>9.0} {:>8.3} {:>8.0} {:>10.1} {:>9.0}",
+            "{:>9} {:>5.1} {:>9} {:>10} {:>9.0} {:>9.0} {:>8.3} {:>8.0} {:>10.1} {:>7} {:>9.0}",
             self.meshes.len(),
             links,
             endpoints,
@@ -120,6 +121,7 @@
             cpu / seconds / count * 100.0,
             rss_kb().saturating_sub(self.rss_before) as f64 / count,
             error,
+            entries,
             whole.unwrap().len() as f64 * links / PERIOD.as_secs_f64(),
         );
     }
@@ -267,7 +269,7 @@
             self.waiting[n] += if self.rng.u32(..50) == 0 { 150_000.0 } else { 2_000.0 };
         }
         self.digest.sequence += 1;
-        let busy = self.endpoints.iter().zip(&self.waiting);
+        let busy = self.endpoints.iter().zip(&self.waiting).filter(|(_, waiting)| **waiting > 0.0);
         self.digest.endpoints = busy.map(|(endpoint, waiting)| share(endpoint, *waiting)).collect();
     }
 }
@@ -280,7 +282,7 @@
         waiting_prefill: tokens,
         waiting_bands: [tokens, Tokens::ZERO, Tokens::ZERO, Tokens::ZERO],
         running: 3,
-        held: Tokens(tokens.0 + 8_000),
+        held: tokens,
         prefill_rate: TokenRate(RATE),
         ejected: false,
     }
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -133,7 +133,10 @@
     let mut state = shared.lock();
     state.check(&shared.me.instance, &hello, dialled, now)?;
     let events = state.met(&hello, now);
-    state.add_target(hello.address, Some(hello.instance.clone()));
+    // An instance that listens on all its addresses can't say which of them others reach.
+    if !hello.address.ip().is_unspecified() {
+        state.add_target(hello.address, Some(hello.instance.clone()));
+    }
     let (stop_tx, stop) = bounded(1);
     let id = state.next_link;
     state.next_link += 1;
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -164,7 +164,8 @@
 }
 
 impl PeerMesh {
-    /// Listens, dials the seeds, and goes on by itself.
+    /// Listens, dials the seeds, and goes on by itself. The events have to be read: while they
+    /// aren't, links aren't read either, and peers drop them in the end.
     ///
     /// # Errors
     ///
--- a/crates/daemon/src/peer/shared.rs
+++ b/crates/daemon/src/peer/shared.rs
@@ -82,11 +82,16 @@
         self.stop_tx.close();
     }
 
-    /// Hands events to the instance; waits while it is behind.
+    /// Hands events to the instance; waits while it is behind. Load is skipped instead, since each
+    /// such event tells the whole, and a newer one follows.
     pub(super) async fn emit(&self, events: Vec<PeerEvent>) {
         for event in events {
             // An instance that has dropped its receiver wants no events.
-            self.events.send(event).await.ok();
+            if matches!(event, PeerEvent::Load { .. }) {
+                self.events.try_send(event).ok();
+            } else {
+                self.events.send(event).await.ok();
+            }
         }
     }
 }
--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -59,10 +59,21 @@
     }
 
     fn listen(listen: SocketAddr, name: &str, incarnation: u64, seeds: &[SocketAddr]) -> Peer {
+        let place = DataCentre::new("brasov-a").unwrap();
+        Peer::place(place, listen, name, incarnation, seeds)
+    }
+
+    fn place(
+        data_centre: DataCentre,
+        listen: SocketAddr,
+        name: &str,
+        incarnation: u64,
+        seeds: &[SocketAddr],
+    ) -> Peer {
         let (mesh, events) = PeerMesh::start(PeerConfig {
             instance: id(name),
             incarnation: Incarnation(incarnation),
-            data_centre: DataCentre::new("brasov-a").unwrap(),
+            data_centre,
             listen,
             seeds: seeds.to_vec(),
             load_bytes_per_second: 10_000,
@@ -140,15 +151,8 @@
     first.wait_linked("entry-2");
     first.wait_linked("entry-3");
     second.wait_linked("entry-1");
-    let listed = |peer: &Peer, name: &str| Listed {
-        name: name.to_string(),
-        role: Role::Entry,
-        incarnation: Incarnation(1),
-        address: peer.mesh.address(),
-        data_centre: DataCentre::new("brasov-a").unwrap(),
-        state: ListedState::Live,
-    };
-    let instances = vec![listed(&second, "entry-2"), listed(&third, "entry-3")];
+    let place = DataCentre::new("brasov-a").unwrap();
+    let instances = vec![listed(&second, "entry-2", &place), listed(&third, "entry-3", &place)];
     second.mesh.list_read(&ListPage { instances });
     second.wait_linked("entry-3");
     second.mesh.broadcast(news(7)).unwrap();
@@ -157,6 +161,49 @@
     assert_eq!(second.mesh.owner(&id("entry-3"), Incarnation(1)), OwnerLife::Alive);
 }
 
+fn listed(peer: &Peer, name: &str, data_centre: &DataCentre) -> Listed {
+    Listed {
+        name: name.to_string(),
+        role: Role::Entry,
+        incarnation: Incarnation(1),
+        address: peer.mesh.address(),
+        data_centre: data_centre.clone(),
+        state: ListedState::Live,
+    }
+}
+
+/// Above 16 instances there is no full mesh: what one tells all has to pass gateways, two of them
+/// for each pair of data centres, and must reach everyone once.
+#[test]
+fn a_message_for_all_crosses_data_centres_and_arrives_once() {
+    let places: Vec<DataCentre> = ["tx-central-a", "tx-central-b", "tx-central-c"]
+        .map(|dc| DataCentre::new(dc).unwrap())
+        .into();
+    let place = |n: usize| places[n % 3].clone();
+    let name = |n: usize| format!("entry-{n:02}");
+    let any = ([127, 0, 0, 1], 0).into();
+    let peers: Vec<Peer> = (0..18).map(|n| Peer::place(place(n), any, &name(n), 1, &[])).collect();
+    let instances =
+        peers.iter().enumerate().map(|(n, peer)| listed(peer, &name(n), &place(n))).collect();
+    let page = ListPage { instances };
+    peers.iter().for_each(|peer| peer.mesh.list_read(&page));
+    let links = |peer: &Peer| peer.mesh.status().iter().filter(|peer| peer.linked).count();
+    // Five within the data centre, and two links for each of three pairs of data centres.
+    until("all links stand", || peers.iter().map(links).sum::<usize>() == 18 * 5 + 2 * 2 * 3);
+    peers[4].mesh.broadcast(news(1)).unwrap();
+    peers[4].mesh.broadcast(news(2)).unwrap();
+    for (n, peer) in peers.iter().enumerate().filter(|(n, _)| *n != 4) {
+        let heard = [peer.wait_message(), peer.wait_message()];
+        assert!(heard.contains(&(id("entry-04"), news(1))), "{n}: {heard:?}");
+        assert!(heard.contains(&(id("entry-04"), news(2))), "{n}: {heard:?}");
+    }
+    thread::sleep(Duration::from_millis(500));
+    for peer in &peers {
+        let late = std::iter::from_fn(|| peer.events.try_recv().ok());
+        assert!(!late.into_iter().any(|event| matches!(event, PeerEvent::Message { .. })));
+    }
+}
+
 #[test]
 fn two_that_dial_each_other_at_once_keep_one_link() {
     let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
--- a/crates/policy/tests/digest.rs
+++ b/crates/policy/tests/digest.rs
@@ -152,3 +152,65 @@
     suspecting.suspicions[0].refused_ms = 600_000;
     assert_eq!(teller.part(&suspecting, at(3_500)).unwrap().suspicions.len(), 1);
 }
+
+/// The load of an instance that starts 54 requests a second on 200 endpoints, one in fifty long.
+struct Busy {
+    rng: Rng,
+    waiting: Vec<u64>,
+}
+
+impl Busy {
+    const RATE: u64 = 20_000;
+
+    fn step(&mut self) -> Vec<EndpointShare> {
+        self.waiting.iter_mut().for_each(|w| *w = w.saturating_sub(Busy::RATE / 2));
+        for _ in 0..27 {
+            let n = self.rng.usize(..self.waiting.len());
+            self.waiting[n] += if self.rng.u32(..50) == 0 { 150_000 } else { 2_000 };
+        }
+        self.waiting.iter().enumerate().map(|(n, waiting)| share(n, *waiting)).collect()
+    }
+}
+
+/// Mean error, in milliseconds of predicted wait, of a peer's view over 500 periods, where `tell`
+/// chooses the entries to tell of each period's load.
+fn mean_error(mut tell: impl FnMut(u64, Vec<EndpointShare>) -> Vec<EndpointShare>) -> f64 {
+    let mut load = Busy { rng: Rng::with_seed(5), waiting: vec![0; 200] };
+    let mut view = vec![0; 200];
+    let mut sum = 0;
+    for period in 1..=500 {
+        let now = load.step();
+        for share in tell(period, now) {
+            view[share.endpoint.as_str()[1..].parse::<usize>().unwrap()] = share.waiting_prefill.0;
+        }
+        sum += view.iter().zip(&load.waiting).map(|(a, b)| a.abs_diff(*b)).sum::<u64>();
+    }
+    sum as f64 / 500.0 / 200.0 / Busy::RATE as f64 * 1e3
+}
+
+/// The same bytes tell more when they go to what changes a choice: the idea taken from the paper
+/// in docs/decisions/pubsub-paper.md, against telling all entries in turn.
+#[test]
+fn effect_first_beats_taking_turns_with_the_same_bytes() {
+    for budget in [512, 1_024, 2_048] {
+        let mut teller = Teller::new(budget, at(0));
+        let mut told = 0;
+        let by_effect = mean_error(|period, load| {
+            let part = teller.part(&digest(period, load), at(500 * period));
+            let entries = part.map(|part| part.endpoints).unwrap_or_default();
+            told += entries.len();
+            entries
+        });
+        let each = told.div_ceil(500);
+        let mut next = 0;
+        let in_turn = mean_error(|_, load| {
+            let chosen = (0..each).map(|n| load[(next + n) % 200].clone()).collect();
+            next += each;
+            chosen
+        });
+        println!(
+            "{budget} B/s, {each} entries a period: by effect {by_effect:.1} ms, in turn {in_turn:.1} ms"
+        );
+        assert!(by_effect < in_turn, "{by_effect} {in_turn}");
+    }
+}
