Test the ledger over a log that loses, delays, refuses and drops records

Two faults found and mended: calls that waited for the first reading weren't woken when the log was down, and an answer that the log hadn't taken yet wasn't given to a call sent again.

--- a/crates/daemon/src/ledger/mod.rs
+++ b/crates/daemon/src/ledger/mod.rs
@@ -5,6 +5,7 @@
 //! log takes a few hundred appends a second. `docs/decisions/ledger.md` has the measurements.
 
 mod claim;
+mod decide;
 mod pace;
 mod reader;
 mod state;
@@ -25,7 +26,8 @@
 use smol::channel::{Receiver, Sender, bounded};
 
 pub use claim::RunClaim;
-use state::{Next, State};
+use decide::Next;
+use state::State;
 
 use crate::{clock::Clock, endpoint::lock};
 
--- a/crates/daemon/src/ledger/state.rs
+++ b/crates/daemon/src/ledger/state.rs
@@ -4,16 +4,19 @@
 
 use platform::log::Page;
 use policy::{
-    Offset, Time,
+    Fingerprint, Offset, Time,
     ledger::{
         Answer, Batch, CallKey, Claim, ClaimId, Claimant, Entry, GivenUp, KeyTime, Ledger, Phase,
-        Standing, Step, Window, Writer,
+        Step, Window, Writer,
     },
     replay::{LogRecord, Replay},
 };
 use smol::channel::{Receiver, Sender, bounded};
 
-use super::{ClaimOutcome, ClaimRequest, Own};
+use super::{
+    ClaimRequest, Own,
+    decide::{Ended, Judged, Next, judge},
+};
 use crate::clock;
 
 /// The most claims that wait for an append. At 20 appends a second, the slowest pace, a hundred
@@ -45,6 +48,8 @@
     failing_since: Option<Time>,
     unread_since: Option<Time>,
     own: HashMap<CallKey, OwnCall>,
+    /// Answers of own calls that don't stand in the log yet.
+    answers: HashMap<CallKey, (Fingerprint, Answer)>,
     queue: Vec<Entry>,
     sequence: u64,
     in_flight: Option<InFlight>,
@@ -57,44 +62,6 @@
     doubtful: bool,
 }
 
-/// What a call does next.
-pub(super) enum Next {
-    Ended(Ended),
-    /// Another call with its key is under way.
-    Wait(Receiver<()>),
-    /// Its own claim has been put in the queue.
-    Claim(Receiver<()>),
-}
-
-/// How a call ends without running.
-pub(super) enum Ended {
-    Answer(Answer),
-    Unknown,
-    BodyDiffers,
-    NotRun,
-    LogDown,
-    Behind,
-    Full,
-    KeyTooOld,
-    KeyFromTheFuture,
-}
-
-impl<L: platform::log::Log> From<Ended> for ClaimOutcome<L> {
-    fn from(ended: Ended) -> Self {
-        match ended {
-            Ended::Answer(answer) => ClaimOutcome::Answer(answer),
-            Ended::Unknown => ClaimOutcome::Unknown,
-            Ended::BodyDiffers => ClaimOutcome::BodyDiffers,
-            Ended::NotRun => ClaimOutcome::NotRun,
-            Ended::LogDown => ClaimOutcome::LogDown,
-            Ended::Behind => ClaimOutcome::Behind,
-            Ended::Full => ClaimOutcome::Full,
-            Ended::KeyTooOld => ClaimOutcome::KeyTooOld,
-            Ended::KeyFromTheFuture => ClaimOutcome::KeyFromTheFuture,
-        }
-    }
-}
-
 impl State {
     pub(super) fn new(writer: Writer, window: Duration) -> Self {
         State {
@@ -106,6 +73,7 @@
             failing_since: None,
             unread_since: None,
             own: HashMap::new(),
+            answers: HashMap::new(),
             queue: Vec::new(),
             sequence: 0,
             in_flight: None,
@@ -144,6 +112,12 @@
             KeyTime::FromTheFuture => return Next::Ended(Ended::KeyFromTheFuture),
             KeyTime::Usable => {}
         }
+        if let Some((fingerprint, answer)) = self.answers.get(&req.key) {
+            return Next::Ended(match *fingerprint == req.fingerprint {
+                true => Ended::Answer(answer.clone()),
+                false => Ended::BodyDiffers,
+            });
+        }
         let Some(ledger) = self.replay.state().filter(|_| self.reached_end) else {
             return match self.is_down(now) {
                 true => Next::Ended(Ended::Behind),
@@ -261,11 +235,13 @@
     }
 
     pub(super) fn end(&mut self, key: &CallKey, entry: impl FnOnce(CallKey, ClaimId) -> Entry) {
-        if let Some(call) = self.own.remove(key)
-            && let Some(id) = call.id
-        {
-            self.queue.push(entry(key.clone(), id));
+        let Some(call) = self.own.remove(key) else { return };
+        let Some(id) = call.id else { return };
+        let entry = entry(key.clone(), id);
+        if let Entry::Done { answer, .. } = &entry {
+            self.answers.insert(key.clone(), (call.claim.fingerprint, answer.clone()));
         }
+        self.queue.push(entry);
     }
 
     /// Folds a page. Gives those that wait for what it changed.
@@ -284,6 +260,7 @@
                 changed.extend(self.waiters.keys().cloned());
             }
         }
+        self.forget_stored_answers(&changed);
         self.observe_own(&mut changed);
         if self.in_flight.as_ref().is_some_and(|known| known.batch.sequence <= self.folded()) {
             self.in_flight = None;
@@ -292,6 +269,16 @@
         changed.iter().flat_map(|key| self.waiters.remove(key).unwrap_or_default()).collect()
     }
 
+    fn forget_stored_answers(&mut self, changed: &[CallKey]) {
+        let Some(ledger) = self.replay.state() else { return };
+        for key in changed {
+            let stored = ledger.standing(key).map(|standing| &standing.phase);
+            if matches!(stored, Some(Phase::Done(_))) {
+                self.answers.remove(key);
+            }
+        }
+    }
+
     fn observe_own(&mut self, changed: &mut Vec<CallKey>) {
         let Some(ledger) = self.replay.state() else { return };
         for (key, call) in &mut self.own {
@@ -315,7 +302,12 @@
         if !self.is_down(now) {
             return Vec::new();
         }
-        self.refuse_waiting(now)
+        let mut waiters = self.refuse_waiting(now);
+        if !self.is_complete() {
+            // These wait for the first reading, which may not come for minutes.
+            waiters.extend(self.waiters.drain().flat_map(|(_, waiters)| waiters));
+        }
+        waiters
     }
 
     /// The batch to append now: the one under way, or a new one of what waits. While the log
@@ -419,31 +411,6 @@
     }
 }
 
-enum Judged {
-    Claim(u32),
-    Wait,
-    Ended(Ended),
-}
-
-fn judge(standing: &Standing, ledger: &Ledger, req: &ClaimRequest, waited: bool) -> Judged {
-    if standing.fingerprint != req.fingerprint {
-        return Judged::Ended(Ended::BodyDiffers);
-    }
-    if let Phase::Done(answer) = &standing.phase {
-        return Judged::Ended(Ended::Answer(answer.clone()));
-    }
-    if let Some(attempt) = standing.next_attempt(req.deduplicates, ledger.now_ms()) {
-        // A caller of this key has heard "not run", and only a call that came after that may make
-        // it untrue.
-        let spent = waited && standing.phase == Phase::NotRun;
-        return if spent { Judged::Ended(Ended::NotRun) } else { Judged::Claim(attempt) };
-    }
-    match standing.phase {
-        Phase::Unknown => Judged::Ended(Ended::Unknown),
-        _ => Judged::Wait,
-    }
-}
-
 fn is_claim_of(entry: &Entry, key: &CallKey) -> bool {
     matches!(entry, Entry::Claim(claim) if claim.key == *key)
 }
--- /dev/null
+++ b/crates/daemon/tests/ledger.rs
@@ -0,0 +1,261 @@
+//! Calls that may not be repeated, over a log that fails in every way it may.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{sync::Arc, thread, time::Duration};
+
+use daemon::{
+    clock::Clock,
+    ledger::{ClaimOutcome, ClaimRequest, Ledger, LedgerConfig, RunClaim},
+};
+use platform::log::http::HttpLog;
+use policy::{
+    EndpointGroup, Fingerprint, Incarnation, InstanceId, Ran, Workspace,
+    ledger::{Answer, CallKey, Writer},
+};
+use smol::{block_on, channel::bounded};
+use standin::{AppendFault, LogConfig, LogService, Outage};
+
+const STREAM: &str = "ledger-0";
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One instance's ledger on a thread of its own, which ends with it.
+struct Node {
+    ledger: Ledger<HttpLog>,
+    clock: Clock,
+    _stop: smol::channel::Sender<()>,
+}
+
+fn node(log: &LogService, name: &str, life: u64) -> Node {
+    node_with(log, name, life, Duration::from_secs(3_600))
+}
+
+fn node_with(log: &LogService, name: &str, life: u64, log_keeps: Duration) -> Node {
+    let clock = Clock::start();
+    let cfg =
+        LedgerConfig { stream: STREAM.to_owned(), window: Duration::from_secs(86_400), log_keeps };
+    let instance = InstanceId::new(name).unwrap();
+    let writer = Writer { instance, incarnation: Incarnation(life) };
+    let ledger = Ledger::new(HttpLog::new(log.address()), cfg, writer, clock);
+    let (stop, stopped) = bounded::<()>(1);
+    let running = ledger.clone();
+    thread::spawn(move || {
+        block_on(futures_lite::future::or(running.run(), async {
+            stopped.recv().await.ok();
+        }));
+    });
+    Node { ledger, clock, _stop: stop }
+}
+
+impl Node {
+    fn claim_for(&self, key: &str, body: u128, wait: Duration) -> ClaimOutcome<HttpLog> {
+        let workspace = Workspace::new("desk").unwrap();
+        let group = EndpointGroup::new("register").unwrap();
+        block_on(self.ledger.claim(ClaimRequest {
+            key: CallKey::new(workspace, group, key).unwrap(),
+            fingerprint: Fingerprint(body),
+            deduplicates: false,
+            deadline: self.clock.now() + wait,
+        }))
+    }
+
+    fn claim(&self, key: &str) -> ClaimOutcome<HttpLog> {
+        self.claim_for(key, 1, PATIENCE)
+    }
+
+    fn wait_ready(&self) {
+        until(|| self.ledger.is_ready());
+    }
+}
+
+fn until(mut done: impl FnMut() -> bool) {
+    let end = std::time::Instant::now() + PATIENCE;
+    while !done() {
+        assert!(std::time::Instant::now() < end, "it never came");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn answer(text: &str) -> Answer {
+    Answer { status: 201, content_type: None, body: Some(text.to_owned()) }
+}
+
+fn won(outcome: ClaimOutcome<HttpLog>) -> RunClaim<HttpLog> {
+    match outcome {
+        ClaimOutcome::Run(claim) => claim,
+        other => panic!("expected the right to run, got {}", name(&other)),
+    }
+}
+
+fn name(outcome: &ClaimOutcome<HttpLog>) -> String {
+    match outcome {
+        ClaimOutcome::Run(_) => "run".to_owned(),
+        ClaimOutcome::Answer(answer) => format!("answer {}", answer.body.as_deref().unwrap_or("")),
+        ClaimOutcome::Unknown => "unknown".to_owned(),
+        ClaimOutcome::BodyDiffers => "body differs".to_owned(),
+        ClaimOutcome::NotRun => "not run".to_owned(),
+        ClaimOutcome::LogDown => "log down".to_owned(),
+        ClaimOutcome::Behind => "behind".to_owned(),
+        ClaimOutcome::Full => "full".to_owned(),
+        ClaimOutcome::KeyTooOld => "too old".to_owned(),
+        ClaimOutcome::KeyFromTheFuture => "future".to_owned(),
+    }
+}
+
+fn run(node: &Node, key: &str, text: &str) {
+    let claim = won(node.claim(key));
+    assert!(claim.begin_sending());
+    claim.done(answer(text));
+}
+
+/// A clerk's answer is lost, the clerk sends again, and the balancer picks another instance.
+#[test]
+fn a_call_sent_again_gets_the_first_answer_from_any_instance() {
+    let log = LogService::start(LogConfig::default()).unwrap();
+    let (a, b) = (node(&log, "a", 1), node(&log, "b", 1));
+    run(&a, "k", "entered");
+    assert_eq!(name(&a.claim("k")), "answer entered");
+    assert_eq!(name(&b.claim("k")), "answer entered");
+    assert_eq!(name(&b.claim_for("k", 2, PATIENCE)), "body differs");
+}
+
+/// Two instances get the same call at once, twenty times over. One of them runs it, and the other
+/// caller waits for its answer.
+#[test]
+fn of_two_instances_one_runs_the_call() {
+    let log = LogService::start(LogConfig::default()).unwrap();
+    let nodes = Arc::new([node(&log, "a", 1), node(&log, "b", 1)]);
+    for round in 0..20 {
+        let tasks = [0, 1].map(|i| {
+            let nodes = nodes.clone();
+            thread::spawn(move || match nodes[i].claim(&format!("k{round}")) {
+                ClaimOutcome::Run(claim) => {
+                    assert!(claim.begin_sending());
+                    claim.done(answer("x"));
+                    "run".to_owned()
+                }
+                other => name(&other),
+            })
+        });
+        let mut outcomes = tasks.map(|task| task.join().unwrap());
+        outcomes.sort();
+        assert_eq!(outcomes, ["answer x", "run"]);
+    }
+}
+
+/// The log takes the claim and its answer is lost; the claim is appended again.
+macro_rules! append_faults {
+    ($($case:ident: $fault:expr;)*) => {$(
+        #[test]
+        fn $case() {
+            let log = LogService::start(LogConfig::default()).unwrap();
+            let (a, b) = (node(&log, "a", 1), node(&log, "b", 1));
+            a.wait_ready();
+            log.plan_fault(STREAM, $fault);
+            run(&a, "k", "x");
+            assert_eq!(name(&b.claim("k")), "answer x");
+            run(&a, "k2", "y");
+            assert_eq!(name(&b.claim("k2")), "answer y");
+        }
+    )*};
+}
+
+append_faults! {
+    an_append_whose_answer_is_lost: AppendFault::LoseAnswer;
+    an_append_that_hangs: AppendFault::Hang;
+    an_append_that_takes_effect_late: AppendFault::Late(Duration::from_millis(300));
+    an_append_that_is_refused_once: AppendFault::Refuse;
+}
+
+/// The instance that runs a call dies, and comes back under its old name. Nobody can tell whether
+/// the call ran, and it isn't run again.
+#[test]
+fn a_call_whose_claimant_died_stays_unknown() {
+    let log = LogService::start(LogConfig::default()).unwrap();
+    let (a, b) = (node(&log, "a", 1), node(&log, "b", 1));
+    let claim = won(a.claim("k"));
+    assert!(claim.begin_sending());
+    std::mem::forget(claim);
+    drop(a);
+    let a = node(&log, "a", 2);
+    for node in [&a, &b] {
+        let wait = Duration::from_millis(300);
+        assert_eq!(name(&node.claim_for("k", 1, wait)), "unknown");
+    }
+}
+
+/// A caller hangs up before anything was sent, and sends again: the call may run, once.
+#[test]
+fn a_call_given_up_before_it_was_sent_may_run_later() {
+    let log = LogService::start(LogConfig::default()).unwrap();
+    let (a, b) = (node(&log, "a", 1), node(&log, "b", 1));
+    assert_eq!(won(a.claim("k")).not_run(), Ran::No);
+    until(|| match b.claim_for("k", 1, PATIENCE) {
+        ClaimOutcome::Run(claim) => {
+            assert!(claim.begin_sending());
+            claim.done(answer("x"));
+            true
+        }
+        // It had come before the first caller's "not run" stood in the log.
+        ClaimOutcome::NotRun => false,
+        other => panic!("{}", name(&other)),
+    });
+    assert_eq!(name(&a.claim("k")), "answer x");
+}
+
+/// The holder of a claim is paused past its caller's deadline and wakes up.
+#[test]
+fn nothing_is_sent_after_the_deadline() {
+    let log = LogService::start(LogConfig::default()).unwrap();
+    let a = node(&log, "a", 1);
+    a.wait_ready();
+    let claim = won(a.claim_for("k", 1, Duration::from_millis(500)));
+    thread::sleep(Duration::from_millis(600));
+    assert!(!claim.begin_sending());
+}
+
+/// The log is down: calls are refused at once and truthfully, answers already known are given, and
+/// calls run again once it is back.
+#[test]
+fn a_log_outage_refuses_calls_at_once() {
+    let log = LogService::start(LogConfig::default()).unwrap();
+    let a = node(&log, "a", 1);
+    run(&a, "before", "x");
+    for outage in [Outage::Refuses, Outage::Silent] {
+        log.set_outage(outage);
+        let first = a.claim("during");
+        assert!(matches!(first, ClaimOutcome::LogDown | ClaimOutcome::Unknown), "{}", name(&first));
+        until(|| !a.ledger.is_ready());
+        assert_eq!(name(&a.claim("during too")), "log down");
+        assert_eq!(name(&a.claim("before")), "answer x");
+        log.set_outage(Outage::Up);
+        a.wait_ready();
+    }
+    run(&a, "during too", "y");
+}
+
+/// An instance that starts while the log is down knows nothing of earlier calls, and says so.
+#[test]
+fn an_instance_that_has_read_nothing_never_says_not_run() {
+    let log = LogService::start(LogConfig::default()).unwrap();
+    log.set_outage(Outage::Refuses);
+    let a = node(&log, "a", 1);
+    assert_eq!(name(&a.claim("k")), "behind");
+}
+
+/// The log drops all but a few records, a checkpoint among them. An instance that starts now still
+/// gives the first answer.
+#[test]
+fn a_trimmed_log_loses_no_answer() {
+    let cfg = LogConfig { keep: 60, ..LogConfig::default() };
+    let log = LogService::start(cfg).unwrap();
+    let a = node_with(&log, "a", 1, Duration::from_millis(400));
+    run(&a, "first", "x");
+    for i in 0..120 {
+        run(&a, &format!("k{i}"), "y");
+    }
+    let b = node(&log, "b", 1);
+    assert_eq!(name(&b.claim("first")), "answer x");
+    run(&b, "k", "z");
+    assert_eq!(name(&a.claim("k")), "answer z");
+}
