--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod active;
 pub mod admin;
+pub mod budget;
 pub mod cli;
 pub mod clock;
 pub mod controller;
@@ -17,6 +18,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod options;
+pub mod peer;
 pub mod record;
 pub mod server;
 pub mod settings;
