--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -93,6 +93,7 @@
 /// A running `trefoilhalld`. It is killed with the test, by its own process id.
 pub struct Daemon {
     pub address: SocketAddr,
+    pub peer_address: SocketAddr,
     pub child: Child,
     _folder: Folder,
 }
@@ -117,8 +118,8 @@
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        let address = listening(&mut child);
-        let daemon = Daemon { address, child, _folder: folder };
+        let (address, peer_address) = listening(&mut child);
+        let daemon = Daemon { address, peer_address, child, _folder: folder };
         wait_until("the daemon is ready", || daemon.get("/readyz").starts_with("HTTP/1.1 200"));
         daemon
     }
@@ -145,16 +146,18 @@
     }
 }
 
-/// Reads the address from the daemon's log, and keeps reading so that the pipe never fills.
-fn listening(child: &mut Child) -> SocketAddr {
+/// Reads the addresses for callers and peers from the daemon's log, and keeps reading so that the pipe never fills.
+fn listening(child: &mut Child) -> (SocketAddr, SocketAddr) {
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let mut seen = String::new();
-    let address = loop {
+    let addresses = loop {
         let start = seen.len();
         assert!(log.read_line(&mut seen).unwrap() > 0, "the daemon ended: {seen}");
-        let field = seen[start..].split_whitespace().find_map(|f| f.strip_prefix("listen="));
-        if let Some(address) = field {
-            break address.parse().unwrap();
+        let mut fields = seen[start..].split_whitespace();
+        let mut field = |name| fields.find_map(|field| field.strip_prefix(name));
+        if let Some(address) = field("listen=") {
+            let peer_address = field("peer_listen=").unwrap();
+            break (address.parse().unwrap(), peer_address.parse().unwrap());
         }
     };
     let show = std::env::var_os("SHOW_LOG").is_some();
@@ -165,7 +168,7 @@
             }
         }
     });
-    address
+    addresses
 }
 
 /// Sends raw bytes and reads until the other side closes.
