--- /dev/null
+++ b/crates/daemon/src/drain.rs
@@ -0,0 +1,47 @@
+//! The graceful stop: not ready, wait out the balancer, refuse what is new, finish the rest.
+
+use std::{sync::Arc, time::Duration};
+
+use smol::Timer;
+
+use crate::shared::{Shared, Stage};
+
+/// Begins a stop; a second call changes nothing. The instance refuses new requests once the
+/// platform's balancer has had time to notice.
+pub fn begin(shared: &Arc<Shared>) {
+    if shared.stage() != Stage::Serving {
+        return;
+    }
+    shared.enter(Stage::Leaving);
+    if let Some(mesh) = shared.mesh() {
+        mesh.set_leaving();
+    }
+    log::info!(balancer_wait_ms = shared.settings.balancer_wait_ms; "leaving");
+    let (state, wait) = (shared.clone(), shared.settings.balancer_wait_ms);
+    shared.spawn(async move {
+        Timer::after(Duration::from_millis(wait)).await;
+        state.enter(Stage::Refusing);
+        log::info!("refusing");
+    });
+}
+
+/// Time between two looks at what is still under way.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
+/// Looks at what is still connected once nothing is under way. Idle connections are closed after
+/// half a second, so this is only reached by operators' own.
+const CONNECTION_LOOKS: u32 = 50;
+
+/// Waits until new requests are refused, every request under way has ended and idle connections
+/// are closed. Each request has a deadline, and so has this.
+pub async fn finished(shared: &Shared) {
+    while shared.stage() != Stage::Refusing || shared.requests_under_way() > 0 {
+        Timer::after(LOOK_PERIOD).await;
+    }
+    for _ in 0..CONNECTION_LOOKS {
+        if shared.connections() == 0 {
+            return;
+        }
+        Timer::after(LOOK_PERIOD).await;
+    }
+}
