--- a/crates/policy/src/trefoilhall/learn.rs
+++ b/crates/policy/src/trefoilhall/learn.rs
@@ -27,9 +27,9 @@
 use super::window::Window;
 
 /// Samples of speed that are kept for each engine.
-pub(super) const SAMPLES: usize = 16;
+pub(super) const SAMPLES: usize = 24;
 /// Which quantile of the samples counts as the speed.
-const QUANTILE: f64 = 0.85;
+const QUANTILE: f64 = 0.92;
 /// Seconds for which a measured throughput counts: until the next two would have come.
 const THROUGHPUT_FOR: f64 = 15.0;
 /// Prefill speed before anything was seen, in tokens a second.
@@ -43,7 +43,7 @@
 const ERROR_QUANTILE: f64 = 0.9;
 /// The margin's bounds. Below one would promise more than is predicted; above four nearly nothing
 /// would be admitted, and nothing admitted means nothing learned.
-const MARGIN: std::ops::RangeInclusive<f64> = 1.0..=4.0;
+const MARGIN: std::ops::RangeInclusive<f64> = 0.5..=4.0;
 /// Share of the allowed output that is expected before any answer was seen.
 const OUTPUT_GUESS: f64 = 0.5;
 /// Predictions below this many seconds aren't judged: scheduling noise, not a wrong model.
