Look closely only at a short list of endpoints; learn speed from the others too

An instance whose margin and learned speed were both wrong refused all and never learned better: 359 of 1,410 calls beside a hot caller on four instances.

--- a/crates/policy/src/trefoilhall/admit.rs
+++ b/crates/policy/src/trefoilhall/admit.rs
@@ -93,7 +93,7 @@
         entry.predicted = prediction.seconds();
         entry.own_wait = prediction.own_wait;
         let turn_margin = self.workspaces.get(workspace).lines[entry.lane].margin.factor();
-        let promised = prediction.others * self.margins[entry.lane].factor()
+        let promised = prediction.others * self.margins[entry.lane].factor(seconds(now))
             + prediction.own_wait * turn_margin;
         let allowed = entry.bound.since(now).as_secs_f64();
         if promised > allowed {
--- a/crates/policy/src/trefoilhall/answers.rs
+++ b/crates/policy/src/trefoilhall/answers.rs
@@ -84,7 +84,7 @@
         let Some(entry) = self.requests.get(&request) else { return };
         if entry.attempts == 1 && !entry.is_trial {
             let actual = seconds(now) - seconds(entry.req.arrived);
-            self.learn_margin(request, actual);
+            self.learn_margin(request, actual, now);
         }
         if is_long {
             self.look_at_fleet(now);
@@ -93,14 +93,14 @@
 
     /// Takes note of what became of the prediction made on admission. One that consisted mostly of
     /// the wait for its own workspace's turn says something of that workspace alone.
-    pub(super) fn learn_margin(&mut self, request: RequestId, actual: f64) {
+    pub(super) fn learn_margin(&mut self, request: RequestId, actual: f64, now: Time) {
         let Some(entry) = self.requests.get(&request) else { return };
         let base = entry.predicted - entry.own_wait;
         if entry.own_wait > base {
             let line = &mut self.workspaces.get_mut(entry.workspace).lines[entry.lane];
             line.margin.observe((actual - base) / entry.own_wait);
         } else {
-            self.margins[entry.lane].observe(entry.predicted, actual);
+            self.margins[entry.lane].observe(entry.predicted, actual, seconds(now));
         }
     }
 
--- a/crates/policy/src/trefoilhall/dispatch.rs
+++ b/crates/policy/src/trefoilhall/dispatch.rs
@@ -34,12 +34,17 @@
     class::Band,
     endpoint::Endpoint,
     request::{Attempt, Due, Entry, State},
-    seconds, span,
+    seconds,
+    shortlist::Shortlist,
+    span,
 };
 
 /// Workspaces whose first request is looked at before a lane counts as blocked. The first may be
 /// barred from the only engine with room, because it failed there or needs more memory.
 const LOOKAHEAD: usize = 4;
+/// An endpoint at this share of the typical speed or above isn't a slow one.
+const ORDINARY: f64 = 0.5;
+
 /// Where a waiting request can go.
 enum Place {
     /// Here, now.
@@ -64,7 +69,6 @@
         if self.waiting == 0 {
             return;
         }
-        self.fleet.advance(now);
         for band in Band::all() {
             while self.start_next(band.index(), now) {}
         }
@@ -95,27 +99,69 @@
     }
 
     fn place(&mut self, request: RequestId, now: Time) -> Place {
+        let shortlist = self.shortlist(request, now);
         let Some(entry) = self.requests.get(&request) else { return Place::Later };
         let ask = self.ask(entry);
-        let endpoints = self.fleet.endpoints.values();
+        let listed = shortlist.indices().filter_map(|index| self.fleet.endpoints.get_index(index));
         let candidates: Vec<Candidate> =
-            endpoints.filter_map(|endpoint| self.candidate(entry, endpoint, now)).collect();
+            listed.filter_map(|(_, endpoint)| self.candidate(entry, endpoint, now)).collect();
         let Some(index) = place::choose(&candidates, &ask, &mut self.rng) else {
             return Place::Later;
         };
-        let first_token = |candidate| place::first_token(candidate, &ask);
-        let least = candidates.iter().map(first_token).min().unwrap_or_default();
-        if !entry.is_trial && now + least > entry.bound {
-            return Place::TooLate;
-        }
         let chosen = &candidates[index];
+        let first_token = place::first_token(chosen, &ask);
+        if !entry.is_trial && now + first_token > entry.bound {
+            return self.too_late(entry, &candidates, &ask, now);
+        }
         Place::At(Chosen {
             endpoint: chosen.endpoint.clone(),
             cached: chosen.cached.min(entry.req.prompt),
-            predicted: first_token(chosen).as_secs_f64(),
+            predicted: first_token.as_secs_f64(),
         })
     }
 
+    /// What becomes of a request that can't make its bound where it would go. A slow endpoint may
+    /// be the only one with room at this moment; then the request waits for a better one.
+    fn too_late(&self, entry: &Entry, candidates: &[Candidate], ask: &Ask, now: Time) -> Place {
+        let ordinary = self.fleet.typical_rate * ORDINARY;
+        let first_tokens = candidates
+            .iter()
+            .filter(|candidate| candidate.rate.0 >= ordinary)
+            .map(|candidate| place::first_token(candidate, ask));
+        match first_tokens.min() {
+            Some(least) if now + least > entry.bound => Place::TooLate,
+            _ => Place::Later,
+        }
+    }
+
+    /// The endpoints with room for a request and the least wait, and the last one that had a
+    /// prompt with the same beginning.
+    fn shortlist(&mut self, request: RequestId, now: Time) -> Shortlist {
+        let mut list = Shortlist::default();
+        let Some(entry) = self.requests.get(&request) else { return list };
+        let (band, footprint) = (entry.band, entry.footprint());
+        let budget = self.bands.budget(band);
+        let typical = self.fleet.typical_rate;
+        let count = self.fleet.endpoints.len().max(1);
+        let start = self.rng.usize(..count);
+        let holder = entry.req.prefix.first().and_then(|first| self.holders.get(*first));
+        for index in (start..count).chain(0..start) {
+            let Some((id, endpoint)) = self.fleet.endpoints.get_index_mut(index) else { continue };
+            let rate = endpoint.speed.rate().unwrap_or(typical);
+            endpoint.advance(seconds(now), rate);
+            if !endpoint.has_room(band, budget * rate, footprint, now) {
+                continue;
+            }
+            let wait = endpoint.ahead(band) / rate;
+            let away = if endpoint.is_home { 0.0 } else { self.unheard };
+            let longs = endpoint.delayed_by(band).min(1);
+            let held = holder == Some(id);
+            let wait = wait + away + f64::from(longs) * budget + 2.0 * endpoint.distance;
+            list.offer(index, if held { f64::NEG_INFINITY } else { wait * endpoint.caution });
+        }
+        list
+    }
+
     fn ask(&self, entry: &Entry) -> Ask {
         Ask {
             prompt: entry.req.prompt,
@@ -127,21 +173,12 @@
         }
     }
 
-    /// The endpoint as a candidate for `entry`, where it may get it now.
+    /// An endpoint with room as a candidate for `entry`, where it may get it.
     fn candidate(&self, entry: &Entry, endpoint: &Endpoint, now: Time) -> Option<Candidate> {
         let band = entry.band;
-        if !endpoint.usable() || endpoint.full_until > now || endpoint.caution.is_infinite() {
-            return None;
-        }
-        if band.is_long() && !endpoint.open_to_longs {
-            return None;
-        }
         let rate = self.fleet.rate(endpoint);
-        if !has_budget(endpoint, band, self.bands.budget(band) * rate) {
-            return None;
-        }
         let free = endpoint.free(band);
-        if free < entry.footprint() || !entry.may_go_to(&endpoint.id, endpoint.incarnation) {
+        if !entry.may_go_to(&endpoint.id, endpoint.incarnation) {
             return None;
         }
         let fingerprint = entry.req.fingerprint;
@@ -202,6 +239,9 @@
         }
         let first = shards.first().and_then(|shard| self.fleet.get_mut(&shard.endpoint));
         let Some(endpoint) = first else { return };
+        if let Some(first) = entry.req.prefix.first() {
+            self.holders.sent(*first, &endpoint.id);
+        }
         self.cache.sent(&endpoint.id, endpoint.incarnation, &entry.req.prefix);
         self.quarantine.started(entry.req.fingerprint, &endpoint.id, now);
         let attempt = Attempt {
@@ -271,12 +311,6 @@
     }
 }
 
-/// Whether an engine may get one more prompt of `band` with so many tokens of budget.
-fn has_budget(endpoint: &Endpoint, band: Band, tokens: f64) -> bool {
-    let ahead = if band.is_long() { endpoint.longs_ahead(band) } else { endpoint.ahead(band) };
-    ahead <= tokens
-}
-
 /// Tokens as a whole number, rounded up.
 pub(super) fn whole(tokens: f64) -> Tokens {
     Tokens(tokens.ceil().max(0.0) as u64)
--- a/crates/policy/src/trefoilhall/endpoint.rs
+++ b/crates/policy/src/trefoilhall/endpoint.rs
@@ -47,6 +47,9 @@
 /// The share of memory held beyond which an engine is the last to be opened to long prompts.
 const MOST_HELD: f64 = 0.6;
 
+/// Seconds for which another instance's learned speed counts after its last work there.
+const PEER_RATE_FOR: f64 = 5.0;
+
 /// Prompt tokens by band.
 pub(super) type ByBand = [f64; BANDS];
 
@@ -75,6 +78,9 @@
     held: f64,
     /// Prompt tokens prefilled for it, ever.
     done: f64,
+    /// The speed that it learned, and when it last had anything prefilled to learn from.
+    rate: f64,
+    learned: f64,
 }
 
 /// A stretch of time in which the engine was never idle.
@@ -146,6 +152,11 @@
 }
 
 impl Endpoint {
+    /// Bytes kept for one endpoint, its full history included.
+    pub(super) fn bytes() -> usize {
+        size_of::<Endpoint>() + MOMENTS * size_of::<Moment>()
+    }
+
     pub(super) fn new(change: &EndpointChange, now: Time) -> Endpoint {
         Endpoint {
             id: change.endpoint.clone(),
@@ -200,6 +211,17 @@
         self.state == EndpointState::Live && !self.asks_leave
     }
 
+    /// Whether it may get one more prompt of `band` now: it has the memory, and no more than
+    /// `budget` tokens of prefill stand before it.
+    pub(super) fn has_room(&self, band: Band, budget: f64, memory: f64, now: Time) -> bool {
+        let open = !band.is_long() || self.open_to_longs;
+        if !open || !self.usable() || self.full_until > now || self.caution.is_infinite() {
+            return false;
+        }
+        let ahead = if band.is_long() { self.longs_ahead(band) } else { self.ahead(band) };
+        ahead <= budget && self.free(band) >= memory
+    }
+
     /// Models the prefill done since the last call, at `rate`.
     pub(super) fn advance(&mut self, now: f64, rate: f64) {
         let mut capacity = rate * (now - self.advanced).max(0.0);
@@ -362,21 +384,26 @@
     }
 
     /// Takes note of another instance's part.
-    pub(super) fn peer(&mut self, instance: &InstanceId, share: &EndpointShare) {
+    pub(super) fn peer(&mut self, instance: &InstanceId, share: &EndpointShare, now: f64) {
         if share.incarnation != self.incarnation {
             return;
         }
         let done = share.prefilled.0 as f64;
         let known = self.peers.iter().find(|part| part.instance == *instance);
-        self.others_done += known.map_or(0.0, |part| (done - part.done).max(0.0));
+        let more = known.map_or(0.0, |part| (done - part.done).max(0.0));
+        let learned = known.filter(|_| more <= 0.0).map_or(now, |part| part.learned);
+        self.others_done += more;
         self.peers.retain(|part| part.instance != *instance);
         self.peers.push(PeerPart {
             instance: instance.clone(),
             left: share.waiting_bands.map(|tokens| tokens.0 as f64),
             held: share.held.0 as f64,
             done,
+            rate: share.prefill_rate.0,
+            learned,
         });
         self.sum_peers();
+        self.learn_from_peers(now);
     }
 
     /// Another instance's digest tells of nothing under way here.
@@ -434,11 +461,19 @@
             running: self.own.running,
             held: crate::Tokens(self.own.held as u64),
             prefilled: crate::Tokens(self.done as u64),
-            prefill_rate: crate::TokenRate(self.speed.rate().unwrap_or(0.0)),
+            prefill_rate: crate::TokenRate(self.speed.own().unwrap_or(0.0)),
             ejected: false,
         }
     }
 
+    /// Takes over the highest speed that another instance has learned of late. All measures err low,
+    /// and an instance that has little to send there learns little itself.
+    pub(super) fn learn_from_peers(&mut self, now: f64) {
+        let recent = self.peers.iter().filter(|part| now - part.learned <= PEER_RATE_FOR);
+        let rates = recent.map(|part| part.rate).filter(|rate| *rate > 0.0);
+        self.speed.peers = rates.max_by(f64::total_cmp);
+    }
+
     fn own_left(&self, band: usize) -> f64 {
         self.own.left[band].max(self.own.sent[band] * LEAST_LEFT)
     }
--- a/crates/policy/src/trefoilhall/failover.rs
+++ b/crates/policy/src/trefoilhall/failover.rs
@@ -91,7 +91,7 @@
         let predicted = self.predict(entry, now).seconds();
         if cause == FailCause::Deadline && entry.attempts == 0 && !entry.is_trial {
             let waited = now.since(entry.req.arrived).as_secs_f64();
-            self.learn_margin(request, waited);
+            self.learn_margin(request, waited, now);
         }
         let retry_after = self.retry_after(predicted);
         self.forget(request, now);
--- a/crates/policy/src/trefoilhall/fleet.rs
+++ b/crates/policy/src/trefoilhall/fleet.rs
@@ -114,13 +114,13 @@
     }
 
     /// Takes over another instance's parts. Where it tells of none any more, it has none.
-    pub(super) fn peer(&mut self, digest: &LoadDigest) {
+    pub(super) fn peer(&mut self, digest: &LoadDigest, now: Time) {
         for endpoint in self.endpoints.values_mut() {
             endpoint.peer_has_none(&digest.instance);
         }
         for share in &digest.endpoints {
             if let Some(endpoint) = self.endpoints.get_mut(&share.endpoint) {
-                endpoint.peer(&digest.instance, share);
+                endpoint.peer(&digest.instance, share, seconds(now));
             }
         }
     }
@@ -141,6 +141,7 @@
         self.refreshed = seconds(now);
         for endpoint in self.endpoints.values_mut() {
             endpoint.speed.age(seconds(now));
+            endpoint.learn_from_peers(seconds(now));
         }
         let usable = || self.endpoints.values().filter(|endpoint| endpoint.usable());
         let mut rates: Vec<f64> = usable().filter_map(|e| e.speed.rate()).collect();
--- a/crates/policy/src/trefoilhall/learn.rs
+++ b/crates/policy/src/trefoilhall/learn.rs
@@ -44,6 +44,9 @@
 /// The margin's bounds. Below one would promise more than is predicted; above four nearly nothing
 /// would be admitted, and nothing admitted means nothing learned.
 const MARGIN: std::ops::RangeInclusive<f64> = 0.5..=4.0;
+/// Seconds without news after which half of the margin is forgotten: an overload lasts longer, and
+/// so does a caller's patience.
+const MARGIN_HALF_LIFE: f64 = 3.0;
 /// Share of the allowed output that is expected before any answer was seen.
 const OUTPUT_GUESS: f64 = 0.5;
 /// Predictions below this many seconds aren't judged: scheduling noise, not a wrong model.
@@ -55,6 +58,8 @@
     samples: Window<SAMPLES>,
     of_samples: Option<f64>,
     throughput: Option<Throughput>,
+    /// The highest speed that other instances have learned of late.
+    pub(super) peers: Option<f64>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -65,7 +70,7 @@
 
 impl Speed {
     pub(super) fn unknown() -> Speed {
-        Speed { samples: Window::new(), of_samples: None, throughput: None }
+        Speed { samples: Window::new(), of_samples: None, throughput: None, peers: None }
     }
 
     /// Takes note that `tokens` of prefill took `seconds`.
@@ -90,12 +95,16 @@
         }
     }
 
-    /// Tokens a second, once anything was seen. Both measures err low, so the higher one counts.
+    /// Tokens a second, once anything was seen here or by others. All measures err low, so the
+    /// highest one counts.
     pub(super) fn rate(&self) -> Option<f64> {
-        match (self.of_samples, self.throughput) {
-            (Some(rate), Some(throughput)) => Some(rate.max(throughput.rate)),
-            (rate, _) => rate,
-        }
+        self.own().into_iter().chain(self.peers).max_by(f64::total_cmp)
+    }
+
+    /// Tokens a second as seen here; what is told to others, lest they echo one another.
+    pub(super) fn own(&self) -> Option<f64> {
+        let throughput = self.throughput.map(|throughput| throughput.rate);
+        self.of_samples.into_iter().chain(throughput).max_by(f64::total_cmp)
     }
 }
 
@@ -104,26 +113,30 @@
 pub(super) struct Margin {
     ratios: Window<ERRORS>,
     factor: f64,
+    updated: f64,
 }
 
 impl Margin {
     pub(super) fn new() -> Margin {
-        Margin { ratios: Window::new(), factor: 1.0 }
+        Margin { ratios: Window::new(), factor: 1.0, updated: 0.0 }
     }
 
-    /// Takes note of one prediction and what became of it, in seconds.
-    pub(super) fn observe(&mut self, predicted: f64, actual: f64) {
+    /// Takes note at `now` of one prediction and what became of it, in seconds.
+    pub(super) fn observe(&mut self, predicted: f64, actual: f64, now: f64) {
         if actual < SHORTEST_JUDGED {
             return;
         }
+        self.updated = now;
         self.ratios.push(actual / predicted.max(SHORTEST_JUDGED));
         let quantile = self.ratios.quantile(ERROR_QUANTILE).unwrap_or(1.0);
         self.factor = quantile.clamp(*MARGIN.start(), *MARGIN.end());
     }
 
-    /// What a prediction is multiplied by before it becomes a promise.
-    pub(super) fn factor(&self) -> f64 {
-        self.factor
+    /// What a prediction is multiplied by before it becomes a promise. Without news it returns to
+    /// one: a margin that lets nothing in would otherwise never hear that it is wrong.
+    pub(super) fn factor(&self, now: f64) -> f64 {
+        let age = (now - self.updated).max(0.0);
+        1.0 + (self.factor - 1.0) * (-age / MARGIN_HALF_LIFE).exp2()
     }
 }
 
--- a/crates/policy/src/trefoilhall/mod.rs
+++ b/crates/policy/src/trefoilhall/mod.rs
@@ -19,6 +19,7 @@
 mod queue;
 mod request;
 mod reserve;
+mod shortlist;
 mod window;
 mod workspaces;
 
@@ -48,6 +49,7 @@
 use queue::Lane;
 use request::{Due, Entry, State};
 use reserve::Plan;
+use shortlist::Holders;
 use window::Decayed;
 use workspaces::{HALF_LIFE, LANES, Workspaces};
 
@@ -106,6 +108,7 @@
     /// Ejected endpoints whose probe is due.
     probes: Vec<EndpointId>,
     cache: CacheIndex,
+    holders: Holders,
     budgets: Budgets,
     pace: ShortPace,
     /// Long prompts of this instance without a first token.
@@ -126,7 +129,27 @@
     least_wait: ByBand,
 }
 
+/// Bytes that the scheduler keeps for one of each, without names and without what is queued.
+#[derive(Debug, Clone, Copy)]
+pub struct Sizes {
+    /// An endpoint, with its own load's history.
+    pub endpoint: usize,
+    /// A workspace with nothing waiting.
+    pub workspace: usize,
+    /// An admitted request.
+    pub request: usize,
+}
+
 impl Trefoilhall {
+    /// What it keeps, for `decision_cost` and the page of capacities.
+    pub fn sizes() -> Sizes {
+        Sizes {
+            endpoint: endpoint::Endpoint::bytes(),
+            workspace: size_of::<workspaces::WorkspaceState>(),
+            request: size_of::<Entry>(),
+        }
+    }
+
     /// A scheduler for one life of `instance`; `seed` starts its generator.
     pub fn new(instance: InstanceId, incarnation: Incarnation, seed: u64) -> Self {
         Trefoilhall {
@@ -155,6 +178,7 @@
             assessed: f64::NEG_INFINITY,
             probes: Vec::new(),
             cache: CacheIndex::new(),
+            holders: Holders::default(),
             pace: ShortPace::default(),
             long_prefills: IndexSet::new(),
             short_rate: 0.0,
@@ -294,7 +318,7 @@
         if digest.instance == self.instance || !self.peers.is_new(&digest) {
             return;
         }
-        self.fleet.peer(&digest);
+        self.fleet.peer(&digest, now);
         self.quarantine.import(&digest.suspicions, now);
         for endpoint in &digest.suspects_at {
             self.quarantine.heard_running(endpoint, now);
