--- a/crates/policy/src/trefoilhall/admit.rs
+++ b/crates/policy/src/trefoilhall/admit.rs
@@ -42,8 +42,9 @@
 const RETRY_SPREAD: f64 = 0.25;
 /// Seconds between two trials against the prediction.
 const TRIAL_EVERY: f64 = 1.0;
-/// The most of an engine that short prompts are taken to use in predictions for long ones.
-const MOST_SHORT_LOAD: f64 = 0.9;
+/// The most of an engine that short prompts are taken to use in predictions for long ones. Beyond
+/// it long ones are soon overdue, and `pace` holds short ones back.
+const MOST_SHORT_LOAD: f64 = 0.75;
 
 /// Seconds until a first token.
 #[derive(Debug, Clone, Copy)]
--- a/crates/policy/src/trefoilhall/answers.rs
+++ b/crates/policy/src/trefoilhall/answers.rs
@@ -129,7 +129,7 @@
                 self.beside_longs.observe(work / rate, elapsed);
                 elapsed -= self.beside_longs.seconds().min(elapsed / 2.0);
             }
-            endpoint.speed.observe(work, elapsed);
+            endpoint.speed.observe(work, elapsed, seconds(now));
             self.health.answered(&shard.endpoint, taken, span(attempt.predicted));
         }
         if let Some(cached) = cached {
--- a/crates/policy/src/trefoilhall/learn.rs
+++ b/crates/policy/src/trefoilhall/learn.rs
@@ -30,6 +30,8 @@
 pub(super) const SAMPLES: usize = 24;
 /// Which quantile of the samples counts as the speed.
 const QUANTILE: f64 = 0.92;
+/// Seconds after which own samples are old.
+const SAMPLES_FOR: f64 = 10.0;
 /// Seconds for which a measured throughput counts: until the next two would have come.
 const THROUGHPUT_FOR: f64 = 15.0;
 /// Prefill speed before anything was seen, in tokens a second.
@@ -38,15 +40,15 @@
 const DECODE_GUESS: f64 = 30.0;
 /// Ratios of actual to predicted time that are kept.
 const ERRORS: usize = 40;
-/// Which quantile of the ratios the margin covers: one promise in ten may need the slack that
+/// Which quantile of the ratios the margin covers: one promise in twenty may need the slack that
 /// the bound has over the prediction.
-const ERROR_QUANTILE: f64 = 0.9;
+const ERROR_QUANTILE: f64 = 0.95;
 /// The margin's bounds. Below one would promise more than is predicted; above four nearly nothing
 /// would be admitted, and nothing admitted means nothing learned.
 const MARGIN: std::ops::RangeInclusive<f64> = 0.5..=4.0;
 /// Seconds without news after which half of the margin is forgotten: an overload lasts longer, and
 /// so does a caller's patience.
-const MARGIN_HALF_LIFE: f64 = 3.0;
+const MARGIN_HALF_LIFE: f64 = 5.0;
 /// Share of the allowed output that is expected before any answer was seen.
 const OUTPUT_GUESS: f64 = 0.5;
 /// Predictions below this many seconds aren't judged: scheduling noise, not a wrong model.
@@ -60,6 +62,8 @@
     throughput: Option<Throughput>,
     /// The highest speed that other instances have learned of late.
     pub(super) peers: Option<f64>,
+    sampled: f64,
+    is_stale: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -70,14 +74,23 @@
 
 impl Speed {
     pub(super) fn unknown() -> Speed {
-        Speed { samples: Window::new(), of_samples: None, throughput: None, peers: None }
+        Speed {
+            samples: Window::new(),
+            of_samples: None,
+            throughput: None,
+            peers: None,
+            sampled: 0.0,
+            is_stale: true,
+        }
     }
 
-    /// Takes note that `tokens` of prefill took `seconds`.
-    pub(super) fn observe(&mut self, tokens: f64, seconds: f64) {
+    /// Takes note that `tokens` of prefill took `seconds` up to `now`.
+    pub(super) fn observe(&mut self, tokens: f64, seconds: f64, now: f64) {
         if tokens < 1.0 || seconds <= 0.0 {
             return;
         }
+        self.sampled = now;
+        self.is_stale = false;
         self.samples.push(tokens / seconds);
         self.of_samples = self.samples.quantile(QUANTILE);
     }
@@ -88,17 +101,21 @@
         self.throughput = Some(Throughput { rate: tokens / seconds, at: now });
     }
 
-    /// Drops a throughput that is too old to count beside the samples.
+    /// Drops a throughput that is too old to count beside the samples, and notes when the samples
+    /// themselves are old.
     pub(super) fn age(&mut self, now: f64) {
+        self.is_stale = now - self.sampled > SAMPLES_FOR;
         if self.throughput.is_some_and(|throughput| now - throughput.at > THROUGHPUT_FOR) {
             self.throughput = None;
         }
     }
 
-    /// Tokens a second, once anything was seen here or by others. All measures err low, so the
-    /// highest one counts.
+    /// Tokens a second, once anything was seen here or by others. Where own samples are old, the
+    /// highest measure counts, as all err low: an instance that learned a speed far too low admits
+    /// nothing, and so would never learn better by itself.
     pub(super) fn rate(&self) -> Option<f64> {
-        self.own().into_iter().chain(self.peers).max_by(f64::total_cmp)
+        let peers = self.peers.filter(|_| self.is_stale);
+        self.own().into_iter().chain(peers).max_by(f64::total_cmp)
     }
 
     /// Tokens a second as seen here; what is told to others, lest they echo one another.
