--- a/crates/policy/src/trefoilhall/admit.rs
+++ b/crates/policy/src/trefoilhall/admit.rs
@@ -111,7 +111,7 @@
     fn entry(&self, req: Arc<RequestSpec>, workspace: WorkspaceIndex) -> Entry {
         let prompt = req.prompt.0 as f64;
         let band = self.bands.of(prompt, self.fleet.typical_rate);
-        let cached = if band.is_long() { self.most_cached(&req.prefix) } else { 0.0 };
+        let cached = self.cached_at_holder(&req.prefix);
         let spreads = req.footprint().0 as f64 > self.fleet.largest_memory;
         let output = self.decode.expected(req.max_output.0 as f64);
         let bound = self.bound(&req);
@@ -137,11 +137,11 @@
         }
     }
 
-    /// The most of a prompt that any engine is expected to have cached. Only looked up for long
-    /// prompts: it costs a look at each engine, and what it saves on a short one is little.
-    fn most_cached(&self, prefix: &[u64]) -> f64 {
-        let ids = self.fleet.endpoints.keys();
-        ids.map(|id| self.cache.expected(id, prefix).0 as f64).fold(0.0, f64::max)
+    /// What the last engine that had a prompt with this beginning is expected to have cached of it.
+    /// It is on the request's short list, so that the request can go there.
+    fn cached_at_holder(&self, prefix: &[u64]) -> f64 {
+        let holder = prefix.first().and_then(|first| self.holders.get(*first));
+        holder.map_or(0.0, |holder| self.cache.expected(holder, prefix).0 as f64)
     }
 
     /// By when the first token has to be out.
--- a/crates/policy/src/trefoilhall/shortlist.rs
+++ b/crates/policy/src/trefoilhall/shortlist.rs
@@ -10,7 +10,7 @@
 //! The pass begins at a random endpoint, so that among equals not everybody's list is the same.
 //!
 //! **Grounds.** Placement draws among near equals, of which a list of this length holds enough;
-//! today's sites have fewer endpoints than that, or as many. The last holder of a prefix is the one
+//! at today's sites it leaves out a few of some 20. The last holder of a prefix is the one
 //! endpoint that can be worth more than its wait.
 
 use indexmap::IndexMap;
@@ -18,7 +18,7 @@
 use crate::EndpointId;
 
 /// Endpoints on the list.
-const LENGTH: usize = 24;
+const LENGTH: usize = 16;
 /// Prefixes whose last holder is remembered, at some 50 bytes each.
 const MOST_HOLDERS: usize = 4_096;
 
