Count a death at which a suspect ran apart, however soon it comes

Ruled out: the daemon's report (EndpointDied came each time) and the digests. What: a suspect that was started apart began after the death before; its death there counts.

--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -13,7 +13,8 @@
 //!
 //! **Grounds.** Two deaths are the fewest that tell a culprit from its bystanders. Deaths less than
 //! [`SAME_CAUSE`] apart count once for a fingerprint, because a rack that fails takes all copies of
-//! a popular request with it. The entry expires after [`REFUSED_FOR`], since a mended engine may
+//! a popular request with it; but a suspect that was run apart began there after the death before,
+//! so the rack isn't the cause and the death counts however soon it comes. The entry expires after [`REFUSED_FOR`], since a mended engine may
 //! run the request; a request that kills again doubles its time.
 
 mod table;
@@ -101,10 +102,10 @@
         present: &[Fingerprint],
         now: Time,
     ) -> Vec<Entry> {
-        self.running.swap_remove(endpoint);
+        let apart = self.running.swap_remove(endpoint);
         self.heard.swap_remove(endpoint);
         for fingerprint in present {
-            self.suspect(*fingerprint, now);
+            self.suspect(*fingerprint, apart == Some(*fingerprint), now);
         }
         present.iter().filter_map(|fingerprint| self.entry(fingerprint, now)).collect()
     }
@@ -195,10 +196,10 @@
         self.heard.retain(|_, at| now.since(*at) < HEARD_FOR);
     }
 
-    fn suspect(&mut self, fingerprint: Fingerprint, now: Time) {
+    fn suspect(&mut self, fingerprint: Fingerprint, ran_apart: bool, now: Time) {
         make_room(&mut self.suspects, MAX_SUSPECTS, |suspect| suspect.last_death);
         let suspect = self.suspects.entry(fingerprint).or_insert(Suspect::at(now));
-        suspect.add_death(now);
+        suspect.add_death(ran_apart, now);
         if suspect.deaths >= CONFIRMED_AT {
             self.suspects.swap_remove(&fingerprint);
             self.confirm(fingerprint, now);
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -28,11 +28,14 @@
         Suspect { deaths: 0, last_death: now }
     }
 
-    pub(super) fn add_death(&mut self, now: Time) {
+    /// Adds a death at which the suspect was present. One that it `ran_apart` at counts by itself;
+    /// another counts only where it can't have the same cause as the one before.
+    pub(super) fn add_death(&mut self, ran_apart: bool, now: Time) {
         if !self.is_current(now) {
             self.deaths = 0;
         }
-        if self.deaths == 0 || now.since(self.last_death) >= SAME_CAUSE {
+        let is_other_cause = ran_apart || now.since(self.last_death) >= SAME_CAUSE;
+        if self.deaths == 0 || is_other_cause {
             self.deaths += 1;
         }
         self.last_death = self.last_death.max(now);
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -98,6 +98,19 @@
     assert_eq!(quarantine.standing(Fingerprint(1), at(11)), Standing::Suspect);
 }
 
+/// What a user sees without it: all four engines die within a second of one call. The call was run
+/// apart after the first death, killed the next engine at once, and each death counted as one with
+/// the death before, because they came so close together.
+#[test]
+fn a_killer_run_apart_is_found_however_soon_it_kills_again() {
+    let mut quarantine = suspects(&[1, 2]);
+    let now = at(10) + Duration::from_millis(50);
+    quarantine.started(Fingerprint(1), &endpoint(1), now);
+    quarantine.died(&endpoint(1), &[Fingerprint(1)], now);
+    assert_eq!(quarantine.standing(Fingerprint(1), now), Standing::Refused(REFUSED_FOR));
+    assert_eq!(quarantine.standing(Fingerprint(2), now), Standing::Suspect);
+}
+
 #[test]
 fn a_verdict_expires_and_the_next_lasts_twice_as_long() {
     let mut quarantine = suspects(&[1]);
