Number the names on a link, so that the same bytes tell twice as much

Cause: half of an entry's 58 bytes were a name and an incarnation that hardly ever change. Done: names are spelled once on each link and numbered after that; small budgets are saved up to parts of at least four entries; load of another life than one's own isn't told.

--- a/crates/daemon/src/peer/handle.rs
+++ b/crates/daemon/src/peer/handle.rs
@@ -63,6 +63,11 @@
     }
 
     pub(super) fn share_load(&self, deployment: &Deployment, digest: LoadDigest) {
+        // The other end takes load on a link for that of the life at this end.
+        if digest.instance != self.me.instance || digest.incarnation != self.me.incarnation {
+            log::error!(instance = digest.instance.as_str(); "load_of_another_life_not_told");
+            return;
+        }
         let now = self.now();
         let mut state = self.lock();
         let budget = self.load_budget(&state);
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -8,9 +8,10 @@
 
 use crate::peer::{
     PROTOCOL, PeerEvent,
+    compact::{Heard, PartOfLoad, Spoken},
     frame::{FrameError, FrameReader, FrameWriter},
-    message::{Hello, Packet, encode},
-    outbox::Outbox,
+    message::{Hello, Message, Origin, Packet, PacketError, encode},
+    outbox::{Item, Outbox},
     shared::Shared,
     state::{Link, Rejected, State},
 };
@@ -169,75 +170,97 @@
 }
 
 async fn write(outbox: &Outbox, mut writer: FrameWriter) -> End {
-    loop {
-        match outbox.next().await {
-            Ok(Some(bytes)) => {
-                if writer.send(bytes).await.is_err() {
-                    return End::Closed;
-                }
+    let mut names = Spoken::default();
+    while let Some(item) = outbox.next().await {
+        let encoded = match item {
+            Item::Packet(bytes) => Ok(bytes),
+            Item::Load(PartOfLoad { deployment, part }) => {
+                encode(&Packet::Load(names.compact(deployment, part)))
             }
-            Ok(None) => {
-                writer.finish();
-                return End::Finished;
+        };
+        let bytes = match encoded {
+            Ok(bytes) => bytes,
+            Err(err) => {
+                // The names of this part are lost to the other end, so the link has to begin anew.
+                log::error!(error:% = err; "peer_load_not_sent");
+                return End::Nonsense;
             }
-            Err(err) => log::error!(error:% = err; "peer_load_not_sent"),
+        };
+        if writer.send(bytes).await.is_err() {
+            return End::Closed;
         }
     }
+    writer.finish();
+    End::Finished
 }
 
 async fn read(shared: &Shared, session: &Session, reader: &mut FrameReader) -> End {
+    let mut names = Heard::default();
     loop {
-        let packet = match reader.next().await {
-            Ok(Some(packet)) => packet,
+        let taken = match reader.next().await {
+            Ok(Some(packet)) => take_in(shared, session, &mut names, packet),
             Ok(None) | Err(FrameError::Closed) => return End::Closed,
-            Err(FrameError::Packet(err)) => {
+            Err(FrameError::Packet(err)) => Err(err),
+        };
+        match taken {
+            Ok(Some(events)) => shared.emit(events).await,
+            Ok(None) => return End::Replaced,
+            Err(err) => {
                 log::warn!(peer = session.hello.instance.as_str(), error:% = err; "peer_nonsense");
                 return End::Nonsense;
             }
-        };
-        let Some(events) = take_in(shared, session, packet) else {
-            return End::Replaced;
-        };
-        shared.emit(events).await;
+        }
     }
 }
 
 /// Takes in a packet and says what the instance has to hear; none where this link has been
 /// replaced, so that what comes late on an old link isn't taken for news.
-fn take_in(shared: &Shared, session: &Session, packet: Packet) -> Option<Vec<PeerEvent>> {
+fn take_in(
+    shared: &Shared,
+    session: &Session,
+    names: &mut Heard,
+    packet: Packet,
+) -> Result<Option<Vec<PeerEvent>>, PacketError> {
     let now = shared.now();
     let mut state = shared.lock();
     let (instance, incarnation) = (&session.hello.instance, session.hello.incarnation);
-    let link = state.links.get_mut(instance).filter(|link| link.id == session.id)?;
+    let Some(link) = state.links.get_mut(instance).filter(|link| link.id == session.id) else {
+        return Ok(None);
+    };
     link.heard = now;
-    state.members.observe(instance, incarnation, Evidence::Alive, now);
-    Some(match packet {
+    let events = match packet {
         Packet::Hello(_) | Packet::Heartbeat { leaving: false } => Vec::new(),
         Packet::Heartbeat { leaving: true } => {
             state.members.observe(instance, incarnation, Evidence::Leaving, now);
             vec![PeerEvent::Leaving { instance: instance.clone(), incarnation }]
         }
-        Packet::Load { deployment, part } => {
-            // A peer may speak only of its own load, and of this life's.
-            if part.instance != *instance || part.incarnation != incarnation {
-                return Some(Vec::new());
-            }
-            let link = state.links.get_mut(instance)?;
+        Packet::Load(load) => {
+            let PartOfLoad { deployment, part } = names.expand(&session.hello, load)?;
             let listener = link.listeners.entry(deployment.clone()).or_default();
             let digest = listener.merge(part).cloned();
             digest.map(|digest| PeerEvent::Load { deployment, digest }).into_iter().collect()
         }
         Packet::Direct(message) => vec![PeerEvent::Message { from: instance.clone(), message }],
-        Packet::Flood { origin, message } => {
-            if origin.instance == shared.me.instance || !state.flood.take_in(&origin) {
-                return Some(Vec::new());
-            }
-            let from = origin.instance.clone();
-            shared.pass_on(&mut state, session, Packet::Flood { origin, message: message.clone() });
-            vec![PeerEvent::Message { from, message }]
-        }
+        Packet::Flood { origin, message } => flooded(shared, &mut state, session, origin, message),
         Packet::Goodbye => goodbye(&mut state, instance, incarnation, now),
-    })
+    };
+    state.members.observe(instance, incarnation, Evidence::Alive, now);
+    Ok(Some(events))
+}
+
+fn flooded(
+    shared: &Shared,
+    state: &mut State,
+    session: &Session,
+    origin: Origin,
+    message: Message,
+) -> Vec<PeerEvent> {
+    if origin.instance == shared.me.instance || !state.flood.take_in(&origin) {
+        return Vec::new();
+    }
+    let from = origin.instance.clone();
+    shared.pass_on(state, session, &Packet::Flood { origin, message: message.clone() });
+    vec![PeerEvent::Message { from, message }]
 }
 
 fn goodbye(
@@ -259,7 +282,7 @@
 
     /// Passes a message for all on between data centres: what comes from another one goes to all
     /// here, what comes from here goes to the others that this instance is a gateway to.
-    fn pass_on(&self, state: &mut State, session: &Session, packet: Packet) {
+    fn pass_on(&self, state: &mut State, session: &Session, packet: &Packet) {
         if self.is_full_mesh() {
             return;
         }
@@ -274,6 +297,6 @@
             .map(|(instance, _)| instance.clone())
             .collect();
         // The packet came over a link, so it isn't too long for one.
-        self.push(state, &onward, &packet).ok();
+        self.push(state, &onward, packet).ok();
     }
 }
--- a/crates/daemon/src/peer/message.rs
+++ b/crates/daemon/src/peer/message.rs
@@ -1,12 +1,15 @@
 //! What instances say to each other, and how it stands on the wire.
 
+use std::{fmt, net::SocketAddr};
+
 use bytes::Bytes;
 use policy::{
-    DataCentre, Deployment, EndpointId, Incarnation, InstanceId, LoadDigest, config::Version,
-    quarantine::Entry, scheduler::EndpointState,
+    DataCentre, EndpointId, Incarnation, InstanceId, config::Version, quarantine::Entry,
+    scheduler::EndpointState,
 };
 use serde::{Deserialize, Serialize};
-use std::{fmt, net::SocketAddr};
+
+use crate::peer::compact::CompactLoad;
 
 /// The longest packet, in bytes. The largest content is a whole configuration: 3,600 endpoints and
 /// 2,300 workspaces are about 1 MB of JSON. A peer that claims more is broken or no peer at all,
@@ -114,10 +117,7 @@
         leaving: bool,
     },
     /// A part of the sender's load, see [`policy::digest`].
-    Load {
-        deployment: Deployment,
-        part: LoadDigest,
-    },
+    Load(CompactLoad),
     /// A message for the receiver alone.
     Direct(Message),
     /// A message for all.
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -8,6 +8,7 @@
 //! new link, which begins with the whole state. `docs/decisions/membership.md` has the ways that
 //! were weighed and the measured costs.
 
+mod compact;
 mod count;
 mod dial;
 mod flood;
--- a/crates/daemon/src/peer/outbox.rs
+++ b/crates/daemon/src/peer/outbox.rs
@@ -13,7 +13,7 @@
 use policy::{Deployment, LoadDigest, digest};
 use smol::channel::{Receiver, Sender, bounded};
 
-use crate::peer::message::{Packet, PacketError, encode};
+use crate::peer::compact::PartOfLoad;
 
 /// The most packets that wait for one peer. Two seconds of a burst of quarantine and endpoint
 /// news; a peer that is farther behind gets a new link, which begins with the whole state.
@@ -27,6 +27,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Overflow;
 
+/// What the writer of a link gets to send.
+pub(super) enum Item {
+    /// An encoded packet.
+    Packet(Bytes),
+    /// A part of the load, to be encoded with the link's names.
+    Load(PartOfLoad),
+}
+
 /// The queue of one link. Load digests that wait are merged into one for each deployment, so that
 /// a slow link sends the newest load instead of a history of it.
 pub(super) struct Outbox {
@@ -80,31 +88,28 @@
         self.wake();
     }
 
-    /// The next bytes to send; none once all is sent and the link is to end.
-    pub(super) async fn next(&self) -> Result<Option<Bytes>, PacketError> {
+    /// What to send next; none once all is sent and the link is to end.
+    pub(super) async fn next(&self) -> Option<Item> {
         loop {
-            if let Some(bytes) = self.take()? {
-                return Ok(Some(bytes));
+            if let Some(item) = self.take() {
+                return Some(item);
             }
             if self.closing.load(Ordering::Acquire) {
-                return Ok(None);
+                return None;
             }
             // The sender lives as long as `self`, so this can't fail.
             self.wake_rx.recv().await.ok();
         }
     }
 
-    fn take(&self) -> Result<Option<Bytes>, PacketError> {
+    fn take(&self) -> Option<Item> {
         let mut pending = self.lock();
         if let Some(packet) = pending.packets.pop_front() {
             pending.bytes -= packet.len();
-            return Ok(Some(packet));
+            return Some(Item::Packet(packet));
         }
-        let Some((deployment, part)) = pending.loads.pop() else {
-            return Ok(None);
-        };
-        drop(pending);
-        encode(&Packet::Load { deployment, part }).map(Some)
+        let (deployment, part) = pending.loads.pop()?;
+        Some(Item::Load(PartOfLoad { deployment, part }))
     }
 
     fn wake(&self) {
--- a/crates/daemon/src/peer/tests.rs
+++ b/crates/daemon/src/peer/tests.rs
@@ -1,11 +1,17 @@
 //! Packets from strangers, and messages for all that come twice or late.
 
-use policy::{Incarnation, InstanceId, config::Version};
+use policy::{
+    DataCentre, Deployment, EndpointId, Incarnation, InstanceId, LoadDigest, TokenRate, Tokens,
+    Workspace,
+    config::Version,
+    report::{EndpointShare, WorkspaceShare},
+};
 use quickcheck::quickcheck;
 
 use super::{
+    compact::{Heard, PartOfLoad, Spoken},
     flood::Flood,
-    message::{LENGTH, Message, Origin, Packet, decode, encode},
+    message::{Hello, LENGTH, Message, Origin, PROTOCOL, Packet, decode, encode},
 };
 
 fn origin(incarnation: u64, number: u64) -> Origin {
@@ -42,6 +48,58 @@
     a_jump_forgets_nothing_new: [(1, 1), (1, u64::MAX), (1, u64::MAX - 1)] => [true, true, true];
 }
 
+fn load(waiting: u64) -> LoadDigest {
+    LoadDigest {
+        instance: origin(1, 1).instance,
+        incarnation: Incarnation(1),
+        sequence: waiting,
+        endpoints: vec![EndpointShare {
+            endpoint: EndpointId::new("model-redactare-0001").unwrap(),
+            incarnation: Incarnation(1_764_720_000_000_000),
+            waiting_prefill: Tokens(waiting),
+            waiting_bands: [Tokens(waiting), Tokens(0), Tokens(0), Tokens(0)],
+            running: 3,
+            held: Tokens(waiting),
+            prefill_rate: TokenRate(20_000.0),
+            ejected: false,
+        }],
+        workspaces: vec![WorkspaceShare {
+            workspace: Workspace::new("desk").unwrap(),
+            waiting: Tokens(waiting),
+            served: TokenRate(512.0),
+        }],
+        queued: Default::default(),
+        demand: Default::default(),
+        wishes: Vec::new(),
+        suspicions: Vec::new(),
+        suspects_at: Vec::new(),
+    }
+}
+
+#[test]
+fn load_reads_back_and_names_are_spelled_once() {
+    let deployment = Deployment::new("model-redactare").unwrap();
+    let hello = Hello {
+        protocol: PROTOCOL,
+        instance: origin(1, 1).instance,
+        incarnation: Incarnation(1),
+        data_centre: DataCentre::new("brasov-a").unwrap(),
+        address: ([127, 0, 0, 1], 1).into(),
+    };
+    let (mut spoken, mut heard) = (Spoken::default(), Heard::default());
+    let mut lengths = Vec::new();
+    for waiting in [1_000, 2_000, 3_000] {
+        let compact = spoken.compact(deployment.clone(), load(waiting));
+        lengths.push(encode(&Packet::Load(compact.clone())).unwrap().len());
+        let part = heard.expand(&hello, compact).unwrap();
+        assert_eq!(part, PartOfLoad { deployment: deployment.clone(), part: load(waiting) });
+    }
+    println!("bytes of a part with one endpoint and one workspace: {lengths:?}");
+    assert!(lengths[1] + 40 < lengths[0] && lengths[1] == lengths[2], "{lengths:?}");
+    let stranger = spoken.compact(deployment, load(1));
+    assert!(Heard::default().expand(&hello, stranger).is_err(), "numbers without names");
+}
+
 quickcheck! {
     fn any_bytes_are_a_packet_or_refused(bytes: Vec<u8>) -> bool {
         match decode(&bytes) {
--- a/crates/policy/src/digest.rs
+++ b/crates/policy/src/digest.rs
@@ -38,9 +38,16 @@
 /// holds, without which receivers would have to drop the load of a quiet instance as outdated.
 pub const CONFIRM: Duration = Duration::from_secs(2);
 
-/// What an entry is taken to need on the wire, and what a part needs besides its entries. Measured
-/// with a name of 20 characters, see `docs/decisions/membership.md`.
-pub const ENTRY_BYTES: usize = 58;
+/// What an entry is taken to need on the wire: measured with queues of some thousand tokens, see
+/// `docs/decisions/membership.md`.
+pub const ENTRY_BYTES: usize = 22;
+
+/// What a part needs besides its entries.
+pub const PART_BYTES: usize = 44;
+
+/// Entries that have to be affordable before a part is told, unless one can't wait: with a small
+/// budget, parts of a single entry would spend two thirds of it on themselves.
+const MIN_ENTRIES: usize = 4;
 
 /// Prefill speed assumed where none was learned, to weigh tokens against time.
 const UNKNOWN_RATE: TokenRate = TokenRate(10_000.0);
@@ -99,13 +106,15 @@
         self.save_up(now);
         let mut changes = self.changes(digest, now);
         changes.sort_by_key(|change| std::cmp::Reverse(change.effect));
-        changes.truncate((self.saved / ENTRY_BYTES as f64) as usize);
-        let mut part = LoadDigest { endpoints: vec![], workspaces: vec![], ..digest.clone() };
         let news = self.totals.as_ref().is_none_or(|told| told.differ(digest, now));
-        if changes.is_empty() && (!news || self.saved < ENTRY_BYTES as f64) {
+        let urgent = changes.first().is_some_and(|change| change.effect == Duration::MAX);
+        let affordable = self.affordable_entries();
+        if (changes.is_empty() && !news) || (affordable < MIN_ENTRIES && !urgent) {
             return None;
         }
-        self.saved -= ((changes.len() + 1) * ENTRY_BYTES) as f64;
+        changes.truncate(affordable.max(1));
+        self.saved -= (PART_BYTES + changes.len() * ENTRY_BYTES) as f64;
+        let mut part = LoadDigest { endpoints: vec![], workspaces: vec![], ..digest.clone() };
         self.tell_totals(&mut part, now);
         for change in changes {
             match change.entry {
@@ -146,9 +155,15 @@
         self.totals = Some(Totals { digest, at: now, suspicions_at });
     }
 
+    fn affordable_entries(&self) -> usize {
+        // A negative share of bytes becomes zero.
+        ((self.saved - PART_BYTES as f64) / ENTRY_BYTES as f64) as usize
+    }
+
     fn save_up(&mut self, now: Time) {
         let earned = now.since(self.last).as_secs_f64() * self.bytes_per_second;
-        let most = (self.bytes_per_second * SAVED_SECONDS).max(ENTRY_BYTES as f64 * 2.0);
+        let least = (PART_BYTES + MIN_ENTRIES * ENTRY_BYTES) as f64;
+        let most = (self.bytes_per_second * SAVED_SECONDS).max(least);
         self.saved = (self.saved + earned).min(most);
         self.last = self.last.max(now);
     }
--- a/crates/policy/tests/digest.rs
+++ b/crates/policy/tests/digest.rs
@@ -8,7 +8,7 @@
 use policy::{
     EndpointId, Fingerprint, Incarnation, InstanceId, LoadDigest, Time, TokenRate, Tokens,
     Workspace,
-    digest::{ENTRY_BYTES, Listener, REFRESH, Teller},
+    digest::{ENTRY_BYTES, Listener, PART_BYTES, REFRESH, Teller},
     quarantine::Entry,
     report::{EndpointShare, WorkspaceShare},
 };
@@ -100,7 +100,7 @@
 
 #[test]
 fn the_greatest_changes_go_first_within_the_budget() {
-    let mut teller = Teller::new(ENTRY_BYTES as u32 * 5, at(0));
+    let mut teller = Teller::new((PART_BYTES + ENTRY_BYTES * 4) as u32, at(0));
     let load: Vec<EndpointShare> = (0..100).map(|n| share(n, 1_000 * n as u64)).collect();
     let part = teller.part(&digest(1, load), at(0)).unwrap();
     let told: Vec<String> = part.endpoints.iter().map(|s| s.endpoint.to_string()).collect();
@@ -210,7 +210,7 @@
 /// in docs/decisions/pubsub-paper.md, against telling all entries in turn.
 #[test]
 fn effect_first_beats_taking_turns_with_the_same_bytes() {
-    for budget in [512, 1_024, 2_048] {
+    for budget in [128, 256, 512, 1_024] {
         let mut teller = Teller::new(budget, at(0));
         let mut told = 0;
         let by_effect = mean_error(|period, load| {
