--- /dev/null
+++ b/crates/policy/examples/place_cost.rs
@@ -0,0 +1,107 @@
+//! What placing one request costs, at several numbers of endpoints, and what the cache index holds.
+//!
+//! `cargo run --release -p policy --example place_cost` prints a table for
+//! `docs/decisions/placement.md`; it ends within seconds.
+
+#![allow(clippy::print_stdout, clippy::unwrap_used)]
+
+use std::{
+    fs,
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use fastrand::Rng;
+use policy::{
+    EndpointId, Incarnation, Time, TokenRate, Tokens,
+    affinity::CacheIndex,
+    health::Health,
+    place::{Ask, Candidate, choose},
+};
+
+const ROUNDS: u32 = 20_000;
+
+fn main() {
+    println!("{:>9} {:>9} {:>11} {:>10}", "endpoints", "choose", "expected 16", "standing");
+    for count in [4, 20, 200] {
+        let endpoints: Vec<EndpointId> =
+            (0..count).map(|n| EndpointId::new(&format!("model-{n:04}")).unwrap()).collect();
+        println!(
+            "{count:>9} {:>6.2} us {:>8.2} us {:>7.2} us",
+            time_choose(&endpoints),
+            time_expected(&endpoints),
+            time_standing(&endpoints),
+        );
+    }
+    memory();
+}
+
+fn time(mut step: impl FnMut()) -> f64 {
+    let started = Instant::now();
+    (0..ROUNDS).for_each(|_| step());
+    started.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+}
+
+fn time_choose(endpoints: &[EndpointId]) -> f64 {
+    let mut rng = Rng::with_seed(1);
+    let candidates: Vec<Candidate> = endpoints
+        .iter()
+        .map(|endpoint| Candidate {
+            endpoint: endpoint.clone(),
+            wait: Duration::from_millis(rng.u64(..500)),
+            rate: TokenRate(20_000.0),
+            cached: Tokens::ZERO,
+            distance: Duration::from_millis(1),
+            free: Tokens(400_000),
+            shorts_running: rng.u32(..20),
+            longs_running: rng.u32(..2),
+            long_open: true,
+            caution: 1.0,
+        })
+        .collect();
+    let ask = Ask { unheard: Duration::from_millis(200), ..Ask::new(Tokens(2_000), false) };
+    time(|| {
+        black_box(choose(black_box(&candidates), &ask, &mut rng));
+    })
+}
+
+/// A prompt of 4,096 tokens, 16 blocks, that every engine holds: the most lookups.
+fn time_expected(endpoints: &[EndpointId]) -> f64 {
+    let mut index = CacheIndex::new();
+    let prefix: Vec<u64> = (0..16).collect();
+    endpoints.iter().for_each(|endpoint| index.sent(endpoint, Incarnation(1), &prefix));
+    time(|| {
+        for endpoint in endpoints {
+            black_box(index.expected(endpoint, black_box(&prefix)));
+        }
+    })
+}
+
+fn time_standing(endpoints: &[EndpointId]) -> f64 {
+    let mut health = Health::new();
+    health.configure(endpoints);
+    time(|| {
+        for endpoint in endpoints {
+            black_box(health.standing(endpoint, Time::ZERO));
+        }
+    })
+}
+
+fn memory() {
+    let before = resident_kb();
+    let mut index = CacheIndex::new();
+    let mut rng = Rng::with_seed(1);
+    for n in 0..200 {
+        let endpoint = EndpointId::new(&format!("model-{n:04}")).unwrap();
+        let prefix: Vec<u64> = (0..8_192).map(|_| rng.u64(..)).collect();
+        index.sent(&endpoint, Incarnation(1), &prefix);
+    }
+    let (held, blocks) = (resident_kb() - before, index.len());
+    println!("cache index of 200 engines: {blocks} blocks, {held} KB resident");
+}
+
+fn resident_kb() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
--- a/crates/policy/src/place/cost.rs
+++ b/crates/policy/src/place/cost.rs
@@ -41,34 +41,34 @@
 /// that its prefill causes to what runs there.
 pub fn cost(candidate: &Candidate, ask: &Ask) -> Cost {
     let own_weight = own_weight(ask) * candidate.caution.max(1.0);
+    let prefill = prefill(candidate, ask);
     let delayed = f64::from(candidate.shorts_running) * ask.weights.short_slowdown
         + f64::from(candidate.longs_running) * ask.weights.long_first_token;
-    let others = prefill(candidate, ask).as_secs_f64() * STEP_SHARE * delayed;
     Cost {
         wait: own_weight * candidate.wait.as_secs_f64(),
-        service: own_weight * served(candidate, ask).as_secs_f64() + others,
+        service: own_weight * served(candidate, ask, prefill) + prefill * STEP_SHARE * delayed,
     }
 }
 
 /// Predicted time until the caller has the first token of `ask`, if placed on `candidate` now.
 pub fn first_token(candidate: &Candidate, ask: &Ask) -> Duration {
-    candidate.wait.saturating_add(served(candidate, ask))
+    let served = served(candidate, ask, prefill(candidate, ask));
+    let served = Duration::try_from_secs_f64(served).unwrap_or(Duration::MAX);
+    candidate.wait.saturating_add(served)
 }
 
-/// The first token without the wait. The prefill of a short prompt is stretched by the long ones
-/// that it shares steps with.
-fn served(candidate: &Candidate, ask: &Ask) -> Duration {
+/// Seconds from the start of the prefill to the first token at the caller. The prefill of a short
+/// prompt is stretched by the long ones that it shares steps with.
+fn served(candidate: &Candidate, ask: &Ask, prefill: f64) -> f64 {
     let beside = if ask.long { 0.0 } else { f64::from(candidate.longs_running) };
-    let stretched = prefill(candidate, ask).as_secs_f64() * (1.0 + STEP_SHARE * beside);
-    let prefill = Duration::try_from_secs_f64(stretched).unwrap_or(Duration::MAX);
-    prefill.saturating_add(candidate.distance.saturating_mul(2))
+    prefill * (1.0 + STEP_SHARE * beside) + 2.0 * candidate.distance.as_secs_f64()
 }
 
-/// Time to prefill what isn't cached. At least one token is always prefilled, because engines
+/// Seconds to prefill what isn't cached. At least one token is always prefilled, because engines
 /// compute the last one anew even for a prompt they hold whole.
-fn prefill(candidate: &Candidate, ask: &Ask) -> Duration {
+fn prefill(candidate: &Candidate, ask: &Ask) -> f64 {
     let uncached = (ask.prompt - candidate.cached).0.max(1);
-    candidate.rate.span(Tokens(uncached))
+    candidate.rate.seconds(Tokens(uncached))
 }
 
 fn own_weight(ask: &Ask) -> f64 {
--- a/crates/policy/src/units.rs
+++ b/crates/policy/src/units.rs
@@ -137,8 +137,12 @@
 
     /// How long `tokens` take at this rate.
     pub fn span(self, tokens: Tokens) -> Duration {
-        Duration::try_from_secs_f64(tokens.0 as f64 / self.0.max(Self::MIN))
-            .unwrap_or(Duration::MAX)
+        Duration::try_from_secs_f64(self.seconds(tokens)).unwrap_or(Duration::MAX)
+    }
+
+    /// The same in seconds, for sums over many endpoints.
+    pub fn seconds(self, tokens: Tokens) -> f64 {
+        tokens.0 as f64 / self.0.max(Self::MIN)
     }
 
     /// How many tokens this rate gives in `span`.
