Calls that may not be repeated run once; published configuration comes from the log

filter/once.rs claims a call, hands the right to send to the service filter (fresh connection, the deadline looked at once it stands, the claim's offset as x-fencing), goes on when the caller hangs up and keeps the answer. controller/configuration.rs follows the stream; peers push as before.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,5 +1,8 @@
 //! What operators' tools, probes and metrics collectors ask; `docs/PROTOCOLS.md` describes it.
 
+pub mod fleet;
+pub mod publish;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -11,7 +14,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    drain,
     server::respond,
     shared::{Shared, Stage},
 };
@@ -74,17 +76,14 @@
 }
 
 /// Answers a request for operators; none where the path isn't one of theirs.
-pub fn answer(shared: &Arc<Shared>, req: &Request) -> Option<Response> {
+pub async fn answer(shared: &Arc<Shared>, req: &mut Request) -> Option<Response> {
     match (req.method(), req.url().path()) {
         (Method::Get, "/livez") => Some(respond::text(StatusCode::Ok, "ok\n")),
         (Method::Get, "/readyz") => Some(ready(shared)),
         (Method::Get, "/metrics") => Some(respond::text(StatusCode::Ok, &shared.metrics.to_text())),
         (Method::Get, "/admin/status") => Some(json(&status(shared))),
-        (Method::Post, "/admin/drain") => {
-            drain::begin(shared);
-            Some(json(&status(shared)))
-        }
-        _ => None,
+        (Method::Get, "/admin/fleet") => Some(json(&fleet::ask(shared).await)),
+        _ => publish::answer(shared, req).await,
     }
 }
 
@@ -96,8 +95,12 @@
 }
 
 fn json<T: Serialize>(content: &T) -> Response {
+    json_with(StatusCode::Ok, content)
+}
+
+fn json_with<T: Serialize>(status: StatusCode, content: &T) -> Response {
     let body = serde_json::to_vec(content).unwrap_or_default();
-    respond::bytes(StatusCode::Ok, respond::JSON, Bytes::from(body))
+    respond::bytes(status, respond::JSON, Bytes::from(body))
 }
 
 /// The instance as it is now.
--- /dev/null
+++ b/crates/daemon/src/checkpoint.rs
@@ -0,0 +1,72 @@
+//! Writes checkpoints of a stream before the log drops what the last one doesn't cover.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use platform::log::Log;
+use policy::Offset;
+use smol::Timer;
+
+use crate::clock::Clock;
+
+/// Time between the parts of a checkpoint, so that other appends aren't held up behind them.
+const PART_GAP: Duration = Duration::from_millis(50);
+/// How often it is looked whether a checkpoint is due, as a part of the log's retention.
+const LOOKS: u32 = 40;
+/// After which part of the log's retention the next checkpoint is due. Three quarters are left for
+/// an outage and for instances that follow late.
+const DUE: u32 = 4;
+
+/// A state that is kept by checkpoints.
+pub trait Source {
+    /// Up to where the last checkpoint seen in the stream goes.
+    fn covered(&self) -> Option<Offset>;
+
+    /// The records of a checkpoint of the present state; none while it isn't whole.
+    fn records(&self, id: &str) -> Option<Vec<Vec<u8>>>;
+}
+
+/// Where and how often checkpoints are written.
+pub struct Schedule<'a> {
+    /// The stream.
+    pub stream: &'a str,
+    /// How long the log keeps records.
+    pub log_keeps: Duration,
+    /// Names the writer, so that no two checkpoints have the same name.
+    pub writer: String,
+}
+
+/// Writes checkpoints for as long as it is polled. Each instance would write one, and the first to
+/// do it spares the others theirs.
+pub async fn run<L: Log>(log: &L, clock: Clock, schedule: Schedule<'_>, source: &impl Source) {
+    let keeps = schedule.log_keeps;
+    // Without this all instances would write theirs at once.
+    let due = (keeps / DUE).mul_f64(0.75 + 0.5 * fastrand::f64());
+    let (mut seen, mut since) = (None, clock.now());
+    loop {
+        Timer::after(keeps / LOOKS).await;
+        let covered = source.covered();
+        if covered != seen {
+            (seen, since) = (covered, clock.now());
+        }
+        if clock.now().since(since) < due {
+            continue;
+        }
+        let id = format!("{}/{}", schedule.writer, clock.now().0);
+        let Some(records) = source.records(&id) else { continue };
+        if write(log, schedule.stream, records).await {
+            since = clock.now();
+        }
+    }
+}
+
+async fn write<L: Log>(log: &L, stream: &str, records: Vec<Vec<u8>>) -> bool {
+    for record in records {
+        if log.append(stream, Bytes::from(record)).await.is_err() {
+            // Parts are of no use without the others; the next look writes a new one.
+            return false;
+        }
+        Timer::after(PART_GAP).await;
+    }
+    true
+}
--- a/crates/daemon/src/controller/mod.rs
+++ b/crates/daemon/src/controller/mod.rs
@@ -1,6 +1,7 @@
 //! Controllers: each keeps one piece of state converging, for as long as its endpoint is known.
 
 mod cache;
+pub mod configuration;
 mod load;
 mod memory;
 mod peers;
--- a/crates/daemon/src/controller/peers.rs
+++ b/crates/daemon/src/controller/peers.rs
@@ -131,8 +131,9 @@
             let content = Bytes::from(serde_json::to_vec(&status).unwrap_or_default());
             tell(shared, from, Message::Status { query, content });
         }
-        // Suspects travel with the load digests; nobody here asks for a status.
-        Message::ConfigVersion(_) | Message::Quarantine { .. } | Message::Status { .. } => {}
+        Message::Status { query, content } => shared.questions.answered(query, content),
+        // Suspects travel with the load digests.
+        Message::ConfigVersion(_) | Message::Quarantine { .. } => {}
     }
 }
 
--- a/crates/daemon/src/filter/admission.rs
+++ b/crates/daemon/src/filter/admission.rs
@@ -8,7 +8,7 @@
 use crate::{
     active::AnyDeployment,
     error::CallError,
-    filter::{Answer, Handler, Timed, Work},
+    filter::{Answer, Claim, Handler, Timed, Work},
 };
 
 /// An admitted request.
@@ -20,6 +20,8 @@
     pub spec: Arc<RequestSpec>,
     /// Its place with the scheduler.
     pub ticket: Ticket,
+    /// The right to run it, where it may not be repeated.
+    pub claim: Option<Claim>,
 }
 
 /// An admitted request's place with the scheduler. Dropping it without [`Ticket::end`] says that
@@ -71,7 +73,7 @@
         let deployment = timed.received.route.deployment.clone();
         let decisions = deployment.offer(spec.clone())?;
         let ticket = Ticket { deployment, decisions, spec: spec.clone(), ended: false };
-        self.next.handle(Admitted { timed, spec, ticket }).await
+        self.next.handle(Admitted { timed, spec, ticket, claim: None }).await
     }
 }
 
--- a/crates/daemon/src/filter/dispatch/service.rs
+++ b/crates/daemon/src/filter/dispatch/service.rs
@@ -3,13 +3,17 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_lite::FutureExt;
-use platform::service::{Service, ServiceAnswer, ServiceCall, ServiceError, http::HttpService};
+use platform::{
+    engine::wire::FENCING,
+    service::{Header, ServiceAnswer, ServiceCall, ServiceError, http::HttpService},
+};
 use policy::{Decision, Event, FailCause, Failure, Outcome, Ran, RefusalReason, Start, Tokens};
 
 use crate::{
     endpoint::Life,
     error::CallError,
     filter::{Admitted, Answer, ServiceWork, Ticket, Whole, deadline::expired},
+    ledger::RunClaim,
     shared::Shared,
 };
 
@@ -32,8 +36,14 @@
         clock.sleep_until(deadline).await;
         End::Expired
     };
+    let once = admitted.claim.is_some();
     let hung_up = async {
-        conn.hung_up().await;
+        // A call that may not be repeated goes on without its caller, so that its answer is there
+        // when it is sent again.
+        match once {
+            true => std::future::pending().await,
+            false => conn.hung_up().await,
+        }
         End::HungUp
     };
     let end = call.follow(ticket).or(hung_up).or(late).await;
@@ -107,7 +117,9 @@
         // From here on the call may have run, unless the connection is known to have failed.
         let before = std::mem::replace(&mut self.sent, true);
         self.attempts += 1;
-        match HttpService::new(endpoint.place.address).call(call).await {
+        let claim = self.admitted.claim.as_deref();
+        let may_send = || claim.is_none_or(RunClaim::begin_sending);
+        match HttpService::new(endpoint.place.address).call_if(call, may_send).await {
             Ok(answer) => {
                 let leaving = answer.leaving;
                 self.shared.heard(endpoint, Life { leaving, ..endpoint.life() });
@@ -132,10 +144,14 @@
             Some(query) => format!("{}?{query}", target.path),
             None => target.path.clone(),
         };
+        let mut headers = target.headers.clone();
+        if let Some(claim) = &self.admitted.claim {
+            headers.push(Header { name: FENCING.to_owned(), value: claim.fencing().to_string() });
+        }
         ServiceCall {
             method: target.method,
             path,
-            headers: target.headers.clone(),
+            headers,
             body: self.admitted.timed.received.body.clone(),
             timeout,
         }
--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -22,6 +22,7 @@
 
 pub use admission::{Admitted, Ticket};
 pub use deadline::Timed;
+pub use once::Claim;
 pub use parse::{Head, Parsed, Target};
 pub use receive::{ModelWork, Received, ServiceWork, Work};
 
@@ -81,7 +82,7 @@
 /// The filters of an instance.
 pub fn chain(shared: &Arc<Shared>) -> Chain {
     let dispatch = dispatch::Dispatch::new(shared.clone());
-    let admission = admission::Admission::new(once::Once::new(dispatch));
+    let admission = admission::Admission::new(once::Once::new(shared.clone(), dispatch));
     let deadline = deadline::Deadline::new(shared.clone(), admission);
     let receive = receive::Receive::new(shared.clone(), deadline);
     parse::Parse::new(shared.clone(), workspace::Identify::new(shared.clone(), receive))
--- a/crates/daemon/src/filter/once.rs
+++ b/crates/daemon/src/filter/once.rs
@@ -1,31 +1,45 @@
-//! Calls that may not be repeated. They are refused here, truthfully as not run, until the ledger
-//! stands in this place.
+//! Calls that may not be repeated run at most once. `docs/decisions/ledger.md` says how.
 
-use std::time::Duration;
+use std::{panic::AssertUnwindSafe, sync::Arc, time::Duration};
 
-use policy::{Outcome, Refusal, RefusalReason};
+use futures_lite::FutureExt;
+use http_types::StatusCode;
+use platform::log::http::HttpLog;
+use policy::{
+    Outcome, Ran, Refusal, RefusalReason,
+    ledger::{Answer as KeptAnswer, CallKey, MAX_KEPT_BODY},
+};
+use smol::channel::bounded;
 
 use crate::{
     error::CallError,
-    filter::{Admitted, Answer, Handler, Work},
+    filter::{Admitted, Answer, Handler, Whole, Work},
+    ledger::{ClaimOutcome, ClaimRequest, RunClaim},
+    shared::Shared,
 };
 
-/// When to come back.
+/// When to come back after the log was down. Its outages last minutes, but clerks try again soon.
 const COME_BACK: Duration = Duration::from_secs(5);
+/// When to ask again for an outcome that isn't known yet.
+const ASK_AGAIN: Duration = Duration::from_secs(2);
+
+/// A claim that is shared between this filter and the one that sends.
+pub type Claim = Arc<RunClaim<HttpLog>>;
 
 /// Guards calls that may not be repeated.
 pub struct Once<N> {
-    next: N,
+    shared: Arc<Shared>,
+    next: Arc<N>,
 }
 
 impl<N> Once<N> {
     /// Passes on to `next`.
-    pub fn new(next: N) -> Self {
-        Once { next }
+    pub fn new(shared: Arc<Shared>, next: N) -> Self {
+        Once { shared, next: Arc::new(next) }
     }
 }
 
-impl<N: Handler<Admitted>> Handler<Admitted> for Once<N> {
+impl<N: Handler<Admitted> + 'static> Handler<Admitted> for Once<N> {
     async fn handle(&self, admitted: Admitted) -> Result<Answer, CallError> {
         let Work::Service(work) = &admitted.timed.received.work else {
             return self.next.handle(admitted).await;
@@ -33,8 +47,170 @@
         if work.repeatable() {
             return self.next.handle(admitted).await;
         }
-        admitted.ticket.end(Outcome::Cancelled);
-        let refusal = Refusal { reason: RefusalReason::LogUnavailable, retry_after: COME_BACK };
-        Err(refusal.into())
+        let key = call_key(&admitted)?;
+        let Some(ledgers) = self.shared.ledgers() else {
+            admitted.ticket.end(Outcome::Cancelled);
+            return Err(log_down());
+        };
+        let req = ClaimRequest {
+            key: key.clone(),
+            fingerprint: admitted.timed.received.fingerprint,
+            deduplicates: work.rules.as_ref().is_some_and(|rules| rules.deduplicates),
+            deadline: admitted.timed.deadline,
+        };
+        match ledgers.of(&key).claim(req).await {
+            ClaimOutcome::Run(claim) => self.run(admitted, claim).await,
+            other => {
+                admitted.ticket.end(Outcome::Answered);
+                without_run(other)
+            }
+        }
+    }
+}
+
+impl<N: Handler<Admitted> + 'static> Once<N> {
+    /// Runs the call beside the connection.
+    ///
+    /// Guards against a caller that hangs up while its call runs and sends it again: the call goes
+    /// on, and the answer is kept for the second time.
+    async fn run(
+        &self,
+        mut admitted: Admitted,
+        claim: RunClaim<HttpLog>,
+    ) -> Result<Answer, CallError> {
+        let claim = Arc::new(claim);
+        admitted.claim = Some(claim.clone());
+        let (tx, rx) = bounded(1);
+        let next = self.next.clone();
+        self.shared.spawn(async move {
+            let result = AssertUnwindSafe(next.handle(admitted)).catch_unwind().await;
+            // Where it panicked, dropping the claim marks the outcome.
+            let Ok(result) = result else { return };
+            tx.send(settle(claim, result)).await.ok();
+        });
+        rx.recv().await.unwrap_or_else(|_| Err(unknown()))
+    }
+}
+
+/// Tells the ledger how a call ended, and the caller what the ledger makes true.
+fn settle(claim: Claim, result: Result<Answer, CallError>) -> Result<Answer, CallError> {
+    // The sending filter has dropped its share by now.
+    let claim = Arc::into_inner(claim).ok_or_else(unknown)?;
+    match result {
+        // Such an answer is no proof that nothing ran, and none that it did.
+        Ok(Answer::Whole(whole)) if whole.status == 429 || whole.status >= 500 => {
+            claim.unknown();
+            Ok(Answer::Whole(whole))
+        }
+        Ok(Answer::Whole(whole)) => {
+            claim.done(kept(&whole));
+            Ok(Answer::Whole(whole))
+        }
+        Ok(stream) => {
+            claim.unknown();
+            Ok(stream)
+        }
+        Err(e) if e.ran == Ran::No => {
+            let ran = claim.not_run();
+            Err(CallError { ran, ..e })
+        }
+        Err(e) => {
+            claim.unknown();
+            Err(CallError { ran: Ran::Unknown, ..e })
+        }
+    }
+}
+
+fn kept(whole: &Whole) -> KeptAnswer {
+    let body = std::str::from_utf8(&whole.body).ok();
+    KeptAnswer {
+        status: whole.status,
+        content_type: whole.content_type.clone(),
+        body: body.filter(|body| body.len() <= MAX_KEPT_BODY).map(str::to_owned),
     }
 }
+
+fn call_key(admitted: &Admitted) -> Result<CallKey, CallError> {
+    let received = &admitted.timed.received;
+    let Some(text) = &received.head.idempotency_key else {
+        return Err(CallError::malformed(
+            "header `Idempotency-Key` is missing; this call may not be repeated and needs one",
+        ));
+    };
+    let group = received.route.rules.group.clone();
+    CallKey::new(received.workspace.clone(), group, text)
+        .map_err(|e| CallError::malformed(e.to_string()))
+}
+
+fn without_run(outcome: ClaimOutcome<HttpLog>) -> Result<Answer, CallError> {
+    Err(match outcome {
+        ClaimOutcome::Answer(answer) => return first_answer(answer),
+        ClaimOutcome::Run(_) | ClaimOutcome::Unknown => unknown(),
+        ClaimOutcome::BodyDiffers => CallError::caller(
+            StatusCode::UnprocessableEntity,
+            "key_reused",
+            "the Idempotency-Key was used for another call; this one was not run",
+        ),
+        ClaimOutcome::NotRun => CallError {
+            code: "not_run",
+            message: "the call was given up before it was sent, and was not run".to_owned(),
+            retry_after: Some(Duration::from_secs(1)),
+            ..log_down()
+        },
+        ClaimOutcome::LogDown | ClaimOutcome::Full => log_down(),
+        ClaimOutcome::Behind => CallError {
+            message: "the call was not run now, and whether one with its key ran before can't be \
+                      looked up"
+                .to_owned(),
+            ran: Ran::Unknown,
+            ..log_down()
+        },
+        ClaimOutcome::KeyTooOld => CallError {
+            status: StatusCode::UnprocessableEntity,
+            code: "key_too_old",
+            message: "the Idempotency-Key is older than what is remembered; the call was not run \
+                      now, and may have run before"
+                .to_owned(),
+            ran: Ran::Unknown,
+            retry_after: None,
+        },
+        ClaimOutcome::KeyFromTheFuture => CallError::malformed(
+            "the Idempotency-Key says that it was made in the future; check the clock",
+        ),
+    })
+}
+
+fn first_answer(answer: KeptAnswer) -> Result<Answer, CallError> {
+    let Some(body) = answer.body else {
+        return Err(CallError {
+            status: StatusCode::Conflict,
+            code: "answer_not_kept",
+            message: format!(
+                "the call ran and was answered with status {}; the answer was too large to be kept",
+                answer.status
+            ),
+            ran: Ran::Yes,
+            retry_after: None,
+        });
+    };
+    Ok(Answer::Whole(Whole {
+        status: answer.status,
+        content_type: answer.content_type,
+        headers: Vec::new(),
+        body: body.into(),
+    }))
+}
+
+fn unknown() -> CallError {
+    CallError {
+        status: StatusCode::GatewayTimeout,
+        code: "outcome_unknown",
+        message: "whether the call ran can't be told; it isn't run again".to_owned(),
+        ran: Ran::Unknown,
+        retry_after: Some(ASK_AGAIN),
+    }
+}
+
+fn log_down() -> CallError {
+    Refusal { reason: RefusalReason::LogUnavailable, retry_after: COME_BACK }.into()
+}
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -89,6 +89,7 @@
         if let Some(config) = initial {
             shared.set_config(config, Version(1));
         }
+        shared.follow_log();
         let (stop, stopped) = bounded(1);
         let threads = start_threads(&shared, &executor, &stopped)?;
         log::info!(
--- a/crates/daemon/src/ledger/claim.rs
+++ b/crates/daemon/src/ledger/claim.rs
@@ -1,5 +1,7 @@
 //! The right to run one call, held by whoever sends it.
 
+use std::fmt;
+
 use platform::log::Log;
 use policy::{
     Offset, Ran,
@@ -16,6 +18,12 @@
     key: CallKey,
 }
 
+impl<L: Log> fmt::Debug for RunClaim<L> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "RunClaim({})", self.key)
+    }
+}
+
 impl<L: Log> RunClaim<L> {
     pub(super) fn new(ledger: Ledger<L>, key: CallKey) -> Self {
         RunClaim { ledger: Some(ledger), key }
--- a/crates/daemon/src/ledger/mod.rs
+++ b/crates/daemon/src/ledger/mod.rs
@@ -21,9 +21,11 @@
 use platform::log::Log;
 use policy::{
     Fingerprint, Time,
+    config::LedgerRules,
     ledger::{Answer, CallKey, Writer},
 };
 use smol::channel::{Receiver, Sender, bounded};
+use xxhash_rust::xxh3::xxh3_64;
 
 pub use claim::RunClaim;
 use decide::Next;
@@ -53,6 +55,39 @@
     }
 }
 
+/// All ledger streams. A key's stream follows from its hash and never changes, because the count
+/// of streams is fixed once a configuration was published.
+pub struct Ledgers<L> {
+    streams: Vec<Ledger<L>>,
+}
+
+impl<L: Log + Clone + 'static> Ledgers<L> {
+    /// Ledgers that have read nothing yet.
+    pub fn new(log: &L, rules: LedgerRules, writer: &Writer, clock: Clock) -> Self {
+        let streams = (0..rules.streams.max(1)).map(|index| {
+            let cfg = LedgerConfig {
+                stream: format!("ledger-{index}"),
+                window: Duration::from_secs(60 * rules.window_minutes),
+                log_keeps: Duration::from_secs(60 * rules.log_keeps_minutes),
+            };
+            Ledger::new(log.clone(), cfg, writer.clone(), clock)
+        });
+        Ledgers { streams: streams.collect() }
+    }
+
+    /// The ledger of a key.
+    pub fn of(&self, key: &CallKey) -> &Ledger<L> {
+        let hash = xxh3_64(key.to_string().as_bytes());
+        let index = usize::try_from(hash % self.streams.len() as u64).unwrap_or(0);
+        &self.streams[index]
+    }
+
+    /// All ledgers, each of which has to be run.
+    pub fn iter(&self) -> impl Iterator<Item = &Ledger<L>> {
+        self.streams.iter()
+    }
+}
+
 struct Core<L> {
     log: L,
     cfg: LedgerConfig,
--- a/crates/daemon/src/ledger/writer.rs
+++ b/crates/daemon/src/ledger/writer.rs
@@ -2,14 +2,16 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_lite::FutureExt;
 use platform::log::{Log, LogError};
-use policy::{ledger::Batch, replay::encode};
+use policy::{Offset, ledger::Batch, replay::encode};
 use smol::Timer;
 
 use super::{Core, pace::Pace, wake};
-use crate::endpoint::lock;
+use crate::{
+    checkpoint::{self, Schedule, Source},
+    endpoint::lock,
+};
 
 /// Time between probes of a log that is down.
 const PROBE: Duration = Duration::from_millis(250);
@@ -52,52 +54,22 @@
     wake(&waiters);
 }
 
-/// Time between the parts of a checkpoint, so that claims aren't held up behind them.
-const PART_GAP: Duration = Duration::from_millis(50);
-/// How often it is looked whether a checkpoint is due, as a part of the log's retention.
-const LOOKS: u32 = 40;
-/// After which part of the log's retention the next checkpoint is due. Three quarters are left for
-/// an outage and for instances that follow late.
-const DUE: u32 = 4;
-
-/// Writes a checkpoint before the log drops what the last one doesn't cover. Each instance would,
-/// and the first to do it spares the others theirs.
+/// Writes checkpoints.
 pub(super) async fn checkpoints<L: Log>(core: &Core<L>) {
-    let keeps = core.cfg.log_keeps;
-    let mut seen = None;
-    let mut since = core.clock.now();
-    // Without this all instances would write theirs at once.
-    let due = (keeps / DUE).mul_f64(0.75 + 0.5 * fastrand::f64());
-    loop {
-        sleep(keeps / LOOKS).await;
-        let covered = lock(&core.state).checkpointed();
-        if covered != seen {
-            (seen, since) = (covered, core.clock.now());
-        }
-        if core.clock.now().since(since) < due {
-            continue;
-        }
-        let records = {
-            let state = lock(&core.state);
-            let id = format!("{}/{}", state.writer(), core.clock.now().0);
-            state.checkpoint(&id)
-        };
-        let Some(records) = records else { continue };
-        if write(core, records).await {
-            since = core.clock.now();
-        }
-    }
+    let writer = lock(&core.state).writer().to_string();
+    let stream = core.cfg.stream.as_str();
+    let schedule = Schedule { stream, log_keeps: core.cfg.log_keeps, writer };
+    checkpoint::run(&core.log, core.clock, schedule, core).await;
 }
 
-async fn write<L: Log>(core: &Core<L>, records: Vec<Vec<u8>>) -> bool {
-    for record in records {
-        if core.log.append(&core.cfg.stream, Bytes::from(record)).await.is_err() {
-            // Parts are of no use without the others; the next look writes a new one.
-            return false;
-        }
-        sleep(PART_GAP).await;
+impl<L> Source for Core<L> {
+    fn covered(&self) -> Option<Offset> {
+        lock(&self.state).checkpointed()
+    }
+
+    fn records(&self, id: &str) -> Option<Vec<Vec<u8>>> {
+        lock(&self.state).checkpoint(id)
     }
-    true
 }
 
 async fn sleep(span: Duration) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod active;
 pub mod admin;
 pub mod budget;
+pub mod checkpoint;
 pub mod cli;
 pub mod clock;
 pub mod controller;
--- a/crates/daemon/src/server/router.rs
+++ b/crates/daemon/src/server/router.rs
@@ -17,10 +17,10 @@
 pub(super) async fn route(
     service: &Service,
     conn: Arc<Connection>,
-    req: Request,
+    mut req: Request,
 ) -> http_types::Result<Response> {
     if service.audience != Audience::Callers
-        && let Some(resp) = admin::answer(&service.shared, &req)
+        && let Some(resp) = admin::answer(&service.shared, &mut req).await
     {
         return Ok(resp);
     }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -8,19 +8,25 @@
     },
 };
 
-use platform::engine::wire::Owner;
+use platform::{engine::wire::Owner, log::http::HttpLog};
 use policy::{
     AnyScheduler, Event, RequestId,
     config::{Config, DeploymentRules, Version},
+    ledger::Writer,
 };
 use smol::Executor;
 
 use crate::{
     active::{Active, AnyDeployment, Builder},
+    admin::fleet::Questions,
     budget::Budget,
     clock::Clock,
-    controller,
+    controller::{
+        self,
+        configuration::{self, Publications},
+    },
     endpoint::{Endpoint, Life, lock},
+    ledger::Ledgers,
     metrics::Metrics,
     peer::{EndpointNews, Message, PeerMesh},
     record::CallRecord,
@@ -54,12 +60,16 @@
     /// Weak, because the mesh keeps the executor.
     mesh: OnceLock<Weak<PeerMesh>>,
     active: RwLock<Arc<Active>>,
+    publications: OnceLock<Arc<Publications<HttpLog>>>,
+    ledgers: OnceLock<Ledgers<HttpLog>>,
     /// Held while a new configuration is built, so that two can't overtake one another.
     building: Mutex<()>,
     stage: AtomicU8,
     next_request: AtomicU64,
     /// Shared by the records of all requests under way, which are counted by it.
     open_requests: Arc<()>,
+    /// Questions to other instances that are under way.
+    pub questions: Questions,
     /// Bodies of requests under way.
     pub bodies: Budget,
     /// Shared by all open connections, which are counted by it.
@@ -82,10 +92,13 @@
             executor: Arc::downgrade(executor),
             mesh: OnceLock::new(),
             active: RwLock::default(),
+            publications: OnceLock::new(),
+            ledgers: OnceLock::new(),
             building: Mutex::default(),
             stage: AtomicU8::new(Stage::Serving as u8),
             next_request: AtomicU64::new(1),
             open_requests: Arc::default(),
+            questions: Questions::default(),
             bodies: Budget::default(),
             open_connections: Arc::default(),
         }
@@ -114,10 +127,46 @@
         let active = Arc::new(builder.build(config, version, &old));
         *self.active.write().unwrap_or_else(PoisonError::into_inner) = active.clone();
         self.start_new(&active, &old);
+        self.start_ledgers(&active);
         log::info!(version = version.0; "config_in_force");
         self.broadcast(Message::ConfigVersion(version));
     }
 
+    /// Follows the stream on which operators publish, where the settings name a log service.
+    pub fn follow_log(self: &Arc<Self>) {
+        let Some(address) = self.settings.log else { return };
+        let publications = Publications::new(HttpLog::new(address), self.clock);
+        let publications = self.publications.get_or_init(|| Arc::new(publications));
+        self.spawn(configuration::run(publications.clone(), Arc::downgrade(self)));
+        self.spawn(configuration::keep(publications.clone(), Arc::downgrade(self)));
+    }
+
+    /// The configuration stream, where the settings name a log service.
+    pub fn publications(&self) -> Option<&Arc<Publications<HttpLog>>> {
+        self.publications.get()
+    }
+
+    /// The ledgers of calls that may not be repeated, once a configuration is in force.
+    pub fn ledgers(&self) -> Option<&Ledgers<HttpLog>> {
+        self.ledgers.get()
+    }
+
+    /// The first configuration in force says how the ledgers are kept, and no later one changes
+    /// what matters to them.
+    fn start_ledgers(&self, active: &Active) {
+        let Some(address) = self.settings.log else { return };
+        if self.ledgers.get().is_some() {
+            return;
+        }
+        let instance = self.owner.instance.clone();
+        let writer = Writer { instance, incarnation: self.owner.incarnation };
+        let log = HttpLog::new(address);
+        let ledgers = Ledgers::new(&log, active.config.ledger, &writer, self.clock);
+        for ledger in self.ledgers.get_or_init(|| ledgers).iter() {
+            self.spawn(ledger.clone().run());
+        }
+    }
+
     fn start_new(self: &Arc<Self>, active: &Active, old: &Active) {
         for (name, route) in &active.deployments {
             let kept = old
--- /dev/null
+++ b/crates/daemon/tests/common/log.rs
@@ -0,0 +1,77 @@
+//! Daemons that have their configuration from a log.
+
+use std::{
+    net::SocketAddr,
+    process::{Command, Stdio},
+    time::Duration,
+};
+
+use daemon::admin::{
+    Status,
+    publish::{PublishAnswer, PublishRequest},
+};
+use platform::http::{HttpAnswer, HttpCall};
+use policy::config::{SourceFile, Version};
+use smol::block_on;
+
+use super::{Daemon, Folder, Listening, PATIENCE, Site, listening};
+
+impl Site {
+    /// The site as one published file.
+    pub fn files(&self) -> Vec<SourceFile> {
+        vec![SourceFile { name: "10-site.json".to_owned(), text: self.config() }]
+    }
+}
+
+impl Daemon {
+    /// Starts a daemon that follows a log, without waiting until it is ready.
+    pub fn follow(name: &str, log: SocketAddr, peers: &[SocketAddr]) -> Daemon {
+        let folder = Folder::new(name);
+        let peers: Vec<_> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
+        let settings = format!(
+            r#"{{"settings":{{"instance":"{name}","data_centre":"a","listen":"127.0.0.1:0","peer_listen":"127.0.0.1:0","threads":2,"balancer_wait_ms":100,"log":"{log}","peers":[{}]}}}}"#,
+            peers.join(",")
+        );
+        folder.write("10-settings.json", &settings);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_trefoilhalld"))
+            .arg("--config")
+            .arg(&folder.0)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let Listening { address, peer } = listening(&mut child);
+        Daemon { address, peer, child, _folder: folder }
+    }
+
+    /// A `GET` of the admin API.
+    pub fn ask(&self, path: &str) -> HttpAnswer {
+        block_on(HttpCall::get(self.address, path, PATIENCE).send()).unwrap()
+    }
+
+    /// The daemon's own status.
+    pub fn status(&self) -> Status {
+        self.ask("/admin/status").json().unwrap()
+    }
+
+    /// Publishes files.
+    pub fn publish(&self, id: &str, base: u64, files: Vec<SourceFile>) -> PublishAnswer {
+        let (id, by) = (id.to_owned(), "tester".to_owned());
+        let content = PublishRequest { id, base: Version(base), by, files };
+        let call = HttpCall::post_json(self.address, "/admin/publish", &content, PATIENCE);
+        block_on(call.unwrap().send()).unwrap().json().unwrap()
+    }
+
+    /// A call that may not be repeated: its status and the JSON of its body.
+    pub fn register(&self, key: &str, body: &str, deadline: Duration) -> (u16, serde_json::Value) {
+        let path = "/services/desk/registrations";
+        let mut call = HttpCall::post(self.address, path, body.to_owned().into(), PATIENCE);
+        call.headers = vec![
+            ("authorization", format!("Bearer {}", super::KEY)),
+            ("idempotency-key", key.to_owned()),
+            ("x-deadline-ms", deadline.as_millis().to_string()),
+        ];
+        let answer = block_on(call.send()).unwrap();
+        let body = serde_json::from_slice(&answer.body).unwrap_or_default();
+        (answer.status, body)
+    }
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub, clippy::unwrap_used)] // Each test file uses a part of this.
 
+pub mod log;
+
 use std::{
     fmt::Write as _,
     fs,
@@ -93,6 +95,8 @@
 /// A running `trefoilhalld`. It is killed with the test, by its own process id.
 pub struct Daemon {
     pub address: SocketAddr,
+    /// Where other instances connect.
+    pub peer: SocketAddr,
     pub child: Child,
     _folder: Folder,
 }
@@ -117,8 +121,8 @@
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        let address = listening(&mut child);
-        let daemon = Daemon { address, child, _folder: folder };
+        let Listening { address, peer } = listening(&mut child);
+        let daemon = Daemon { address, peer, child, _folder: folder };
         wait_until("the daemon is ready", || daemon.get("/readyz").starts_with("HTTP/1.1 200"));
         daemon
     }
@@ -145,16 +149,24 @@
     }
 }
 
-/// Reads the address from the daemon's log, and keeps reading so that the pipe never fills.
-fn listening(child: &mut Child) -> SocketAddr {
+struct Listening {
+    address: SocketAddr,
+    peer: SocketAddr,
+}
+
+/// Reads the addresses from the daemon's log, and keeps reading so that the pipe never fills.
+fn listening(child: &mut Child) -> Listening {
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let mut seen = String::new();
     let address = loop {
         let start = seen.len();
         assert!(log.read_line(&mut seen).unwrap() > 0, "the daemon ended: {seen}");
-        let field = seen[start..].split_whitespace().find_map(|f| f.strip_prefix("listen="));
-        if let Some(address) = field {
-            break address.parse().unwrap();
+        let field = |name: &str| {
+            let field = seen[start..].split_whitespace().find_map(|f| f.strip_prefix(name));
+            field.map(|address| address.parse().unwrap())
+        };
+        if let (Some(address), Some(peer)) = (field("listen="), field("peer_listen=")) {
+            break Listening { address, peer };
         }
     };
     let show = std::env::var_os("SHOW_LOG").is_some();
--- /dev/null
+++ b/crates/daemon/tests/published.rs
@@ -0,0 +1,244 @@
+//! Configuration and once-only calls with real processes that follow a log.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{
+    io::Write,
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use common::{Daemon, PATIENCE, Site, wait_until};
+use daemon::admin::{Status, publish::PublishAnswer};
+use policy::{
+    config::{SourceFile, Version},
+    publication::{AuditEntry, Verdict},
+};
+use standin::{AppendFault, LogConfig, LogService, Outage, Service, ServiceConfig, ServiceFault};
+
+const SHORT: Duration = Duration::from_millis(700);
+
+struct Setup {
+    log: LogService,
+    service: Service,
+    site: Site,
+    a: Daemon,
+    b: Daemon,
+}
+
+impl Setup {
+    /// Two daemons without a configuration.
+    fn bare(service: ServiceConfig) -> Setup {
+        let log = LogService::start(LogConfig::default()).unwrap();
+        let service = Service::start(service).unwrap();
+        let unused: SocketAddr = "127.0.0.1:9".parse().unwrap();
+        let site = Site {
+            engines: vec![unused],
+            services: vec![service.address()],
+            policy: "trefoilhall",
+        };
+        let a = Daemon::follow("entry-a", log.address(), &[]);
+        let b = Daemon::follow("entry-b", log.address(), &[a.peer]);
+        wait_until("the stream is read", || a.ask("/admin/configuration").status == 200);
+        wait_until("the stream is read", || b.ask("/admin/configuration").status == 200);
+        Setup { log, service, site, a, b }
+    }
+
+    /// Two daemons in service.
+    fn start() -> Setup {
+        let setup = Setup::bare(ServiceConfig::default());
+        let answer = setup.a.publish("first", 0, setup.site.files());
+        assert_eq!(answer, PublishAnswer::Accepted(Version(1)));
+        setup.wait_version(1);
+        setup
+    }
+
+    fn wait_version(&self, version: u64) {
+        for daemon in [&self.a, &self.b] {
+            wait_until("the version is in force", || {
+                daemon.status().config_version == Version(version)
+            });
+        }
+    }
+
+    /// The site with another weight, which is a valid change.
+    fn changed(&self, weight: u32) -> Vec<SourceFile> {
+        let text = format!(r#"{{"workspaces":{{"desk":{{"weight":{weight}}}}}}}"#);
+        let mut files = self.site.files();
+        files.push(SourceFile { name: "20-weight.json".to_owned(), text });
+        files
+    }
+}
+
+/// A registration as bytes, for callers that hang up.
+fn registration(key: &str, deadline: Duration) -> String {
+    format!(
+        "POST /services/desk/registrations HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {}\r\n\
+         idempotency-key: {key}\r\nx-deadline-ms: {}\r\ncontent-length: 2\r\n\
+         connection: close\r\n\r\n{{}}",
+        common::KEY,
+        deadline.as_millis()
+    )
+}
+
+/// Two operators publish from the same version; the second hears what the first changed.
+#[test]
+fn the_loser_of_a_race_sees_the_others_change() {
+    let setup = Setup::start();
+    assert_eq!(setup.a.publish("x", 1, setup.changed(2)), PublishAnswer::Accepted(Version(2)));
+    setup.wait_version(2);
+    let PublishAnswer::Conflict { version, since } = setup.b.publish("y", 1, setup.changed(3))
+    else {
+        panic!("expected a conflict");
+    };
+    assert_eq!(version, Version(2));
+    assert_eq!(since[0].changes[0].path, "workspaces.desk.weight");
+    let audit: Vec<AuditEntry> = setup.b.ask("/admin/audit?last=3").json().unwrap();
+    let verdicts: Vec<_> = audit.iter().map(|entry| entry.verdict.clone()).collect();
+    let (first, second) = (Verdict::Accepted(Version(1)), Verdict::Accepted(Version(2)));
+    assert_eq!(verdicts, [first, second, Verdict::Conflict(Version(2))]);
+}
+
+/// The answer to an operator's append is lost. The change is accepted once.
+#[test]
+fn a_change_whose_append_is_not_answered_is_accepted_once() {
+    let setup = Setup::start();
+    for (number, fault) in
+        [AppendFault::LoseAnswer, AppendFault::Late(SHORT)].into_iter().enumerate()
+    {
+        setup.log.plan_fault("configuration", fault);
+        let base = number as u64 + 1;
+        let answer = setup.a.publish(&format!("x{base}"), base, setup.changed(base as u32 + 1));
+        assert_eq!(answer, PublishAnswer::Accepted(Version(base + 1)));
+    }
+    thread::sleep(SHORT);
+    setup.wait_version(3);
+}
+
+/// Someone appends a broken configuration past all tools.
+#[test]
+fn a_configuration_that_fails_its_checks_is_never_in_force() {
+    let setup = Setup::start();
+    let broken =
+        r#"{"entry":{"change":{"id":"z","base":1,"by":"x","files":[{"name":"a","text":"{}x"}]}}}"#;
+    setup.log.append("configuration", broken.into());
+    setup.log.append("configuration", "no JSON at all".into());
+    let files = vec![SourceFile { name: "a.json".to_owned(), text: "{\"x\": 1}".to_owned() }];
+    assert!(matches!(setup.a.publish("y", 1, files), PublishAnswer::Rejected(_)));
+    assert_eq!(setup.b.publish("ok", 1, setup.changed(2)), PublishAnswer::Accepted(Version(2)));
+    setup.wait_version(2);
+}
+
+/// An instance starts while the log is down, and takes the version in force from a peer.
+#[test]
+fn a_start_without_the_log_takes_the_configuration_from_a_peer() {
+    let setup = Setup::start();
+    setup.log.set_outage(Outage::Refuses);
+    let c = Daemon::follow("entry-c", setup.log.address(), &[setup.a.peer]);
+    wait_until("the peer's version", || c.status().config_version == Version(1));
+    setup.log.set_outage(Outage::Up);
+    let all = || setup.a.ask("/admin/fleet").json::<Vec<Status>>().unwrap();
+    wait_until("all instances answer", || all().len() == 3);
+}
+
+/// The service runs a registration and its answer is lost; the caller sends it again to both
+/// instances.
+#[test]
+fn a_lost_answer_is_unknown_and_never_run_again() {
+    let setup = Setup::start();
+    setup.service.plan_fault(ServiceFault::LoseAnswer);
+    let (status, body) = setup.a.register("k", "{}", PATIENCE);
+    assert_eq!((status, &body["error"]["ran"]), (502, &"unknown".into()), "{body}");
+    for daemon in [&setup.a, &setup.b] {
+        let (status, body) = daemon.register("k", "{}", SHORT);
+        assert_eq!((status, &body["error"]["code"]), (504, &"outcome_unknown".into()), "{body}");
+    }
+    assert_eq!(setup.service.runs("k"), 1);
+}
+
+/// A clerk sends a registration twice, to two instances, and then another one under its key.
+#[test]
+fn a_registration_sent_again_gets_the_first_answer() {
+    let setup = Setup::start();
+    let first = setup.a.register("k", "{}", PATIENCE);
+    assert_eq!(first.0, 200, "{}", first.1);
+    assert_eq!(setup.b.register("k", "{}", PATIENCE), first);
+    let (status, body) = setup.b.register("k", "{\"other\":1}", PATIENCE);
+    assert_eq!((status, &body["error"]["ran"]), (422, &"no".into()), "{body}");
+    assert_eq!(setup.service.runs("k"), 1);
+}
+
+/// A caller hangs up while its registration runs, and sends it again.
+#[test]
+fn a_call_goes_on_without_its_caller() {
+    let work = Duration::from_millis(600);
+    let setup = Setup::bare(ServiceConfig { work, ..ServiceConfig::default() });
+    setup.a.publish("first", 0, setup.site.files());
+    setup.wait_version(1);
+    let mut stream = TcpStream::connect(setup.a.address).unwrap();
+    stream.write_all(registration("k", PATIENCE).as_bytes()).unwrap();
+    wait_until("the service has it", || setup.service.calls() > 0);
+    drop(stream);
+    let (status, body) = setup.b.register("k", "{}", PATIENCE);
+    assert_eq!((status, &body["run"]), (200, &1.into()), "{body}");
+    assert_eq!(setup.service.runs("k"), 1);
+}
+
+/// The log is down: registrations are refused at once as not run, and lookups go on.
+#[test]
+fn a_log_outage_stops_only_calls_that_may_not_be_repeated() {
+    let setup = Setup::start();
+    setup.a.register("before", "{}", PATIENCE);
+    wait_until("the answer is kept", || setup.b.register("before", "{}", PATIENCE).0 == 200);
+    setup.log.set_outage(Outage::Refuses);
+    wait_until("the outage is noticed", || setup.a.register("x", "{}", SHORT).0 == 503);
+    let (status, body) = setup.a.register("k", "{}", PATIENCE);
+    assert_eq!((status, &body["error"]["ran"]), (503, &"no".into()), "{body}");
+    assert!(body["error"]["retry_after"].as_f64().unwrap() > 0.0);
+    assert_eq!(setup.service.runs("k"), 0);
+    assert_eq!(setup.b.register("before", "{}", PATIENCE).0, 200);
+    setup.log.set_outage(Outage::Up);
+    wait_until("registrations go on", || setup.a.register("k", "{}", PATIENCE).0 == 200);
+    assert_eq!(setup.service.runs("k"), 1);
+}
+
+/// The instance that runs a registration is killed in mid-call. The caller sends again elsewhere.
+#[test]
+fn a_killed_instance_leaves_an_unknown_outcome_and_no_second_run() {
+    let work = Duration::from_millis(300);
+    let mut setup = Setup::bare(ServiceConfig { work, ..ServiceConfig::default() });
+    setup.a.publish("first", 0, setup.site.files());
+    setup.wait_version(1);
+    let mut stream = TcpStream::connect(setup.a.address).unwrap();
+    stream.write_all(registration("k", PATIENCE).as_bytes()).unwrap();
+    wait_until("the service has it", || setup.service.calls() > 0);
+    setup.a.child.kill().unwrap();
+    let (status, body) = setup.b.register("k", "{}", SHORT);
+    assert_eq!((status, &body["error"]["ran"]), (504, &"unknown".into()), "{body}");
+    // The service may or may not have noticed that its caller is gone.
+    assert!(setup.service.runs("k") <= 1);
+}
+
+/// The holder of a claim is stopped before it sends and goes on after its caller's deadline. The
+/// call was not run, and it isn't run later.
+#[test]
+fn a_paused_instance_that_wakes_runs_nothing_twice() {
+    let setup = Setup::start();
+    setup.log.set_delay(Duration::from_millis(300));
+    let address = setup.a.address;
+    let head = registration("k", Duration::from_millis(900));
+    let caller = thread::spawn(move || common::exchange(address, &head));
+    thread::sleep(Duration::from_millis(150));
+    setup.a.signal("-STOP");
+    thread::sleep(Duration::from_millis(1_500));
+    setup.a.signal("-CONT");
+    let paused = caller.join().unwrap();
+    setup.log.set_delay(Duration::ZERO);
+    let (status, _) = setup.b.register("k", "{}", Duration::from_secs(3));
+    // Whatever the callers heard, it agrees with what ran.
+    let runs = setup.service.runs("k");
+    assert_eq!(runs, u32::from(status == 200), "{paused}");
+}
--- a/crates/platform/src/service/http.rs
+++ b/crates/platform/src/service/http.rs
@@ -43,13 +43,39 @@
         HttpService { address }
     }
 
+    /// Makes a call if `may_send` still allows it once the connection stands, right before the
+    /// first byte; [`ServiceError::NotSent`] if it doesn't. The connection is always a fresh one:
+    /// an idle one may have gone silent, and a call on it would be of unknown outcome although it
+    /// never arrived.
+    pub async fn call_if(
+        &self,
+        call: ServiceCall,
+        may_send: impl Fn() -> bool + Send + Sync,
+    ) -> Result<ServiceAnswer, ServiceError> {
+        let sent = AtomicBool::new(false);
+        let timeout = call.timeout;
+        let limit = async {
+            Timer::after(timeout).await;
+            // Nothing left this process before the connection stood.
+            Err(match sent.load(Ordering::Relaxed) {
+                true => ServiceError::Silent,
+                false => ServiceError::NotSent,
+            })
+        };
+        self.exchange(call, &sent, may_send).or(limit).await
+    }
+
     async fn exchange(
         &self,
         call: ServiceCall,
         sent: &AtomicBool,
+        may_send: impl Fn() -> bool + Send + Sync,
     ) -> Result<ServiceAnswer, ServiceError> {
         let stream = connect(self.address).await.map_err(|_| ServiceError::NotSent)?;
         let req = request(self.address, call)?;
+        if !may_send() {
+            return Err(ServiceError::NotSent);
+        }
         sent.store(true, Ordering::Relaxed);
         let resp = async_h1::connect(stream, req).await.map_err(|_| ServiceError::Broken)?;
         read(resp).await
@@ -69,17 +95,7 @@
     }
 
     async fn call(&self, call: ServiceCall) -> Result<ServiceAnswer, ServiceError> {
-        let sent = AtomicBool::new(false);
-        let timeout = call.timeout;
-        let limit = async {
-            Timer::after(timeout).await;
-            // Nothing left this process before the connection stood.
-            Err(match sent.load(Ordering::Relaxed) {
-                true => ServiceError::Silent,
-                false => ServiceError::NotSent,
-            })
-        };
-        self.exchange(call, &sent).or(limit).await
+        self.call_if(call, || true).await
     }
 }
 
