--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -17,6 +17,10 @@
     let format = cli.format;
     match cli.command {
         Command::Check(args) => command::check::run(&args, format),
+        Command::Publish(args) => command::publish::run(&args, format),
+        Command::Status(args) => command::status::run(&args, format),
+        Command::Audit(args) => command::audit::run(&args, format),
+        Command::Drain(args) => command::drain::run(&args, format),
         Command::Demo(args) => demo::run(&args.into()),
         Command::Bench(args) => bench::run(&args.try_into()?),
         Command::Completions { shell } => completions(shell),
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -133,16 +133,14 @@
     let mut state = shared.lock();
     state.check(&shared.me.instance, &hello, dialled, now)?;
     let events = state.met(&hello, now);
-    state.add_target(hello.address, Some(hello.instance.clone()));
+    // An instance that listens on all its addresses can't say which of them others reach.
+    if !hello.address.ip().is_unspecified() {
+        state.add_target(hello.address, Some(hello.instance.clone()));
+    }
     let (stop_tx, stop) = bounded(1);
     let id = state.next_link;
     state.next_link += 1;
     let outbox = Arc::new(Outbox::new());
-    if shared.tells_load_to(&hello.data_centre) {
-        for (deployment, load) in &state.loads {
-            outbox.push_load(deployment, &load.teller.whole(&load.digest));
-        }
-    }
     let link = Link {
         id,
         hello: hello.clone(),
@@ -154,6 +152,11 @@
         listeners: Default::default(),
         _stop: stop_tx,
     };
+    if shared.tells_load_to(&link) {
+        for (deployment, load) in &state.loads {
+            outbox.push_load(deployment, &load.teller.whole(&load.digest));
+        }
+    }
     state.links.insert(hello.instance.clone(), link);
     if state.leaving {
         let packet = Packet::Heartbeat { leaving: true };
--- a/crates/daemon/tests/common/log.rs
+++ b/crates/daemon/tests/common/log.rs
@@ -14,7 +14,7 @@
 use policy::config::{SourceFile, Version};
 use smol::block_on;
 
-use super::{Daemon, Folder, Listening, PATIENCE, Site, listening};
+use super::{Daemon, Folder, PATIENCE, Site, listening};
 
 impl Site {
     /// The site as one published file.
@@ -39,8 +39,8 @@
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        let Listening { address, peer } = listening(&mut child);
-        Daemon { address, peer, child, _folder: folder }
+        let (address, peer_address) = listening(&mut child);
+        Daemon { address, peer_address, child, _folder: folder }
     }
 
     /// A `GET` of the admin API.
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -95,8 +95,7 @@
 /// A running `trefoilhalld`. It is killed with the test, by its own process id.
 pub struct Daemon {
     pub address: SocketAddr,
-    /// Where other instances connect.
-    pub peer: SocketAddr,
+    pub peer_address: SocketAddr,
     pub child: Child,
     _folder: Folder,
 }
@@ -121,8 +120,8 @@
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        let Listening { address, peer } = listening(&mut child);
-        let daemon = Daemon { address, peer, child, _folder: folder };
+        let (address, peer_address) = listening(&mut child);
+        let daemon = Daemon { address, peer_address, child, _folder: folder };
         wait_until("the daemon is ready", || daemon.get("/readyz").starts_with("HTTP/1.1 200"));
         daemon
     }
@@ -149,24 +148,18 @@
     }
 }
 
-struct Listening {
-    address: SocketAddr,
-    peer: SocketAddr,
-}
-
-/// Reads the addresses from the daemon's log, and keeps reading so that the pipe never fills.
-fn listening(child: &mut Child) -> Listening {
+/// Reads the addresses for callers and peers from the daemon's log, and keeps reading so that the pipe never fills.
+fn listening(child: &mut Child) -> (SocketAddr, SocketAddr) {
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let mut seen = String::new();
-    let address = loop {
+    let addresses = loop {
         let start = seen.len();
         assert!(log.read_line(&mut seen).unwrap() > 0, "the daemon ended: {seen}");
-        let field = |name: &str| {
-            let field = seen[start..].split_whitespace().find_map(|f| f.strip_prefix(name));
-            field.map(|address| address.parse().unwrap())
-        };
-        if let (Some(address), Some(peer)) = (field("listen="), field("peer_listen=")) {
-            break Listening { address, peer };
+        let mut fields = seen[start..].split_whitespace();
+        let mut field = |name| fields.find_map(|field| field.strip_prefix(name));
+        if let Some(address) = field("listen=") {
+            let peer_address = field("peer_listen=").unwrap();
+            break (address.parse().unwrap(), peer_address.parse().unwrap());
         }
     };
     let show = std::env::var_os("SHOW_LOG").is_some();
@@ -177,7 +170,7 @@
             }
         }
     });
-    address
+    addresses
 }
 
 /// Sends raw bytes and reads until the other side closes.
--- a/crates/daemon/tests/published.rs
+++ b/crates/daemon/tests/published.rs
@@ -41,7 +41,7 @@
             policy: "trefoilhall",
         };
         let a = Daemon::follow("entry-a", log.address(), &[]);
-        let b = Daemon::follow("entry-b", log.address(), &[a.peer]);
+        let b = Daemon::follow("entry-b", log.address(), &[a.peer_address]);
         wait_until("the stream is read", || a.ask("/admin/configuration").status == 200);
         wait_until("the stream is read", || b.ask("/admin/configuration").status == 200);
         Setup { log, service, site, a, b }
@@ -137,7 +137,7 @@
 fn a_start_without_the_log_takes_the_configuration_from_a_peer() {
     let setup = Setup::start();
     setup.log.set_outage(Outage::Refuses);
-    let c = Daemon::follow("entry-c", setup.log.address(), &[setup.a.peer]);
+    let c = Daemon::follow("entry-c", setup.log.address(), &[setup.a.peer_address]);
     wait_until("the peer's version", || c.status().config_version == Version(1));
     setup.log.set_outage(Outage::Up);
     let all = || setup.a.ask("/admin/fleet").json::<Vec<Status>>().unwrap();
