--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -24,7 +24,7 @@
         Command::Demo(args) => demo::run(&args.into()),
         Command::Bench(args) => bench::run(&args.try_into()?),
         Command::Completions { shell } => completions(shell),
-        Command::Man => man(),
+        Command::Man { command } => man(command.as_deref()),
     }
 }
 
@@ -35,9 +35,18 @@
     Ok(Exit::Done)
 }
 
-fn man() -> CliResult {
+fn man(command: Option<&str>) -> CliResult {
+    let mut root = Cli::command();
+    root.build();
+    let page = match command {
+        None => root,
+        Some(name) => match root.find_subcommand(name) {
+            Some(found) => found.clone(),
+            None => return Err(CliError::Other(format!("there is no command {name}")).into()),
+        },
+    };
     let mut text = Vec::new();
-    clap_mangen::Man::new(Cli::command()).render(&mut text).change_context(CliError::Output)?;
+    clap_mangen::Man::new(page).render(&mut text).change_context(CliError::Output)?;
     output::print(String::from_utf8_lossy(&text).trim_end())?;
     Ok(Exit::Done)
 }
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -53,8 +53,11 @@
         /// The shell.
         shell: Shell,
     },
-    /// Print the manual page.
-    Man,
+    /// Print the manual page, or that of a command.
+    Man {
+        /// The command.
+        command: Option<String>,
+    },
 }
 
 /// Arguments of `check`.
--- a/crates/cli/src/instance.rs
+++ b/crates/cli/src/instance.rs
@@ -1,6 +1,9 @@
 //! The admin API of an instance, as the commands use it.
 
-use std::time::{Duration, Instant};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use daemon::admin::{
     Status,
@@ -17,6 +20,9 @@
     options::Target,
 };
 
+/// Time between two tries where an instance isn't ready to answer.
+const RETRY: Duration = Duration::from_millis(200);
+
 /// One instance, asked until its time is over.
 #[derive(Debug, Clone, Copy)]
 pub struct Instance {
@@ -78,7 +84,14 @@
     }
 
     fn get<T: DeserializeOwned>(&self, path: &str) -> CliResult<T> {
-        read(&self.send(HttpCall::get(self.target.address, path, self.left()))?)
+        loop {
+            let answer = self.send(HttpCall::get(self.target.address, path, self.left()))?;
+            // An instance that has just started may not have read the log yet.
+            if answer.status != 503 || self.left() <= RETRY {
+                return read(&answer);
+            }
+            thread::sleep(RETRY);
+        }
     }
 
     fn send(&self, call: HttpCall<'_>) -> CliResult<HttpAnswer> {
--- a/crates/daemon/src/controller/configuration.rs
+++ b/crates/daemon/src/controller/configuration.rs
@@ -138,8 +138,13 @@
 
     /// Reads what is new. Gives what is in force by it.
     async fn follow(&self) -> Result<Option<InForce>, LogError> {
-        let from = lock(&self.state).replay.next();
-        let page = self.log.read(STREAM, from, PAGE, WAIT).await?;
+        let (from, wait) = {
+            let state = lock(&self.state);
+            // At the start it has to be known at once where the stream ends.
+            let wait = if state.reached_end { WAIT } else { Duration::ZERO };
+            (state.replay.next(), wait)
+        };
+        let page = self.log.read(STREAM, from, PAGE, wait).await?;
         let mut state = lock(&self.state);
         let records = page.records.iter().map(|record| LogRecord {
             offset: record.offset,
--- a/crates/daemon/src/ledger/reader.rs
+++ b/crates/daemon/src/ledger/reader.rs
@@ -18,8 +18,13 @@
 
 pub(super) async fn run<L: Log>(core: &Core<L>) {
     loop {
-        let from = lock(&core.state).next_offset();
-        match core.log.read(&core.cfg.stream, from, PAGE, WAIT).await {
+        let (from, at_end) = {
+            let state = lock(&core.state);
+            (state.next_offset(), state.reached_end())
+        };
+        // At the start it has to be known at once where the stream ends.
+        let wait = if at_end { WAIT } else { Duration::ZERO };
+        match core.log.read(&core.cfg.stream, from, PAGE, wait).await {
             Ok(page) => {
                 let waiters = lock(&core.state).accept(&page);
                 wake(&waiters);
--- a/crates/daemon/src/ledger/state.rs
+++ b/crates/daemon/src/ledger/state.rs
@@ -93,6 +93,11 @@
         self.replay.state().map_or(0, Ledger::len)
     }
 
+    /// Whether the end of the stream was reached once.
+    pub(super) fn reached_end(&self) -> bool {
+        self.reached_end
+    }
+
     /// Whether the whole stream has been folded.
     pub(super) fn is_complete(&self) -> bool {
         self.reached_end && self.replay.state().is_some()
