--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod demo;
 pub mod error;
 pub mod fleet;
+pub mod instance;
 pub mod options;
 pub mod output;
