Spare timers and thread changes on the way to the first token

A timer for every awaited event and every connection woke the thread that waits for sockets each time. One timer a run now watches for silence, one look at all connections cuts late ones, and the driver runs with its connection's task until the first reply.

--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -39,7 +39,7 @@
         Timer::after(LOOK_PERIOD).await;
     }
     for _ in 0..CONNECTION_LOOKS {
-        if shared.connections() == 0 {
+        if shared.connections.is_empty() {
             return;
         }
         Timer::after(LOOK_PERIOD).await;
--- a/crates/daemon/src/filter/dispatch/attempt.rs
+++ b/crates/daemon/src/filter/dispatch/attempt.rs
@@ -86,7 +86,7 @@
         let holding = endpoint.hold(id.clone());
         let run = self.run_call(place, attempt.clone());
         let known = (head.incarnation != Incarnation(0)).then_some(head.incarnation);
-        let watch = Watch { endpoint, attempt: &id, incarnation: known };
+        let mut watch = Watch::new(endpoint, &id, known);
         let running = match watch.wait(self.output.offset, run.send()).await {
             Ok(Ok(running)) => running,
             Ok(Err(e)) => {
@@ -102,8 +102,8 @@
         if !is_expected(head, running.incarnation) {
             return Err(failed(FailCause::NotSent));
         }
-        let watch = Watch { incarnation: Some(running.incarnation), ..watch };
-        self.relay(start, &attempt, running, &watch).await.map_err(failed)?;
+        watch.incarnation = Some(running.incarnation);
+        self.relay(start, &attempt, running, &mut watch).await.map_err(failed)?;
         holding.close();
         Ok(())
     }
@@ -155,7 +155,7 @@
         start: &Start,
         attempt: &AttemptId,
         mut running: Running,
-        watch: &Watch<'_>,
+        watch: &mut Watch<'_>,
     ) -> Result<(), FailCause> {
         let mut reported = self.output.offset;
         let mut first = true;
--- a/crates/daemon/src/filter/dispatch/mod.rs
+++ b/crates/daemon/src/filter/dispatch/mod.rs
@@ -7,7 +7,12 @@
 mod service;
 mod silence;
 
-use std::{panic::AssertUnwindSafe, sync::Arc};
+use std::{
+    future::Future,
+    panic::AssertUnwindSafe,
+    pin::{Pin, pin},
+    sync::Arc,
+};
 
 use futures_lite::FutureExt;
 use policy::{FailCause, Failure, Ran};
@@ -43,17 +48,41 @@
                 let (tx, rx) = bounded(WAITING_EVENTS);
                 let record = admitted.timed.received.record.clone();
                 let driver = driver::Driver::new(self.shared.clone(), admitted, work, tx);
-                // A driver runs beside the connection, which may be busy writing. A panic in it
-                // must not end a thread of the daemon; the caller then hears that the driver is
-                // gone.
-                let driver = AssertUnwindSafe(driver.run()).catch_unwind();
-                self.shared.spawn(async { drop(driver.await) });
-                first_reply(rx, record).await
+                // A panic in a driver must not end a thread of the daemon; the caller then hears
+                // that the driver is gone.
+                let driver = Box::pin(AssertUnwindSafe(driver.run()).catch_unwind());
+                self.relay(driver, rx, record).await
             }
         }
     }
 }
 
+impl Dispatch {
+    /// Runs the driver here until the first reply, which spares a change of threads before the
+    /// first token, and beside the connection from then on, which is busy writing.
+    async fn relay<D>(
+        &self,
+        mut driver: Pin<Box<D>>,
+        replies: Receiver<Reply>,
+        record: Arc<CallRecord>,
+    ) -> Result<Answer, CallError>
+    where
+        D: Future<Output: Send> + Send + 'static,
+    {
+        let first = async { Some(first_reply(replies, record).await) };
+        let ended = async {
+            driver.as_mut().await;
+            None
+        };
+        let mut first = pin!(first);
+        if let Some(answer) = first.as_mut().or(ended).await {
+            self.shared.spawn(async { drop(driver.await) });
+            return answer;
+        }
+        first.await.unwrap_or_else(|| Err(driver_gone()))
+    }
+}
+
 /// Waits for the first reply, which decides between an answer and an error status.
 async fn first_reply(
     replies: Receiver<Reply>,
--- a/crates/daemon/src/filter/dispatch/silence.rs
+++ b/crates/daemon/src/filter/dispatch/silence.rs
@@ -8,7 +8,7 @@
 
 use std::{future::Future, pin::pin, time::Duration};
 
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, StreamExt};
 use platform::engine::{EngineError, wire::HeldPage};
 use policy::{FailCause, Incarnation};
 use smol::Timer;
@@ -29,7 +29,8 @@
 /// How long a broken connection may wait for word whether the engine's process died.
 const DEATH_CHECK: Duration = Duration::from_millis(300);
 
-/// Watches one attempt's stream.
+/// Watches one run's stream. It has one timer for the whole run, because each new one wakes the
+/// thread that waits for sockets, which for every token would cost more than the token.
 pub(super) struct Watch<'a> {
     /// Where it runs.
     pub(super) endpoint: &'a Endpoint,
@@ -37,6 +38,9 @@
     pub(super) attempt: &'a str,
     /// The life it was sent to, where known.
     pub(super) incarnation: Option<Incarnation>,
+    ticks: Timer,
+    /// Whether something came since the last tick.
+    progress: bool,
 }
 
 enum Step<T> {
@@ -50,11 +54,21 @@
     Died,
 }
 
-impl Watch<'_> {
+impl<'a> Watch<'a> {
+    /// Begins to watch.
+    pub(super) fn new(
+        endpoint: &'a Endpoint,
+        attempt: &'a str,
+        incarnation: Option<Incarnation>,
+    ) -> Self {
+        let ticks = Timer::interval(SILENCE);
+        Watch { endpoint, attempt, incarnation, ticks, progress: true }
+    }
+
     /// Waits for `next`, as long as the engine can be seen to work on it. `offset` is that of the
     /// next token to come.
     pub(super) async fn wait<T>(
-        &self,
+        &mut self,
         offset: u64,
         next: impl Future<Output = T>,
     ) -> Result<T, FailCause> {
@@ -63,11 +77,17 @@
         loop {
             let done = async { Step::Done((&mut next).await) };
             let look = async {
-                Timer::after(SILENCE).await;
+                self.ticks.next().await;
+                if std::mem::take(&mut self.progress) {
+                    return Step::Looked(Sign::Working);
+                }
                 Step::Looked(self.look(offset).await)
             };
             match done.or(look).await {
-                Step::Done(result) => return Ok(result),
+                Step::Done(result) => {
+                    self.progress = true;
+                    return Ok(result);
+                }
                 Step::Looked(Sign::Working) => strikes = 0,
                 Step::Looked(Sign::Lost) => strikes += 1,
                 Step::Looked(Sign::Died) => return Err(FailCause::EndpointDied),
--- a/crates/daemon/src/filter/receive.rs
+++ b/crates/daemon/src/filter/receive.rs
@@ -199,7 +199,7 @@
         let before = bytes.len();
         let mut step = (&mut body).take(READ_STEP as u64);
         step.read_to_end(&mut bytes).await.map_err(broken)?;
-        if bytes.len() == before {
+        if bytes.len() - before < READ_STEP {
             break;
         }
         yield_now().await;
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -84,6 +84,7 @@
         let incarnation = clock::incarnation();
         let owner = Owner { instance: settings.instance.clone(), incarnation };
         let shared = Arc::new(Shared::new(settings, owner, metrics, &executor));
+        shared.spawn(server::registry::watch(Arc::downgrade(&shared)));
         let mesh = link(&shared, &executor)?;
         let addresses = Addresses { peers: mesh.address(), ..listen(&shared)? };
         if let Some(config) = initial {
--- a/crates/daemon/src/server/connection.rs
+++ b/crates/daemon/src/server/connection.rs
@@ -9,33 +9,31 @@
 use async_h1::server::{ConnectionStatus, Server};
 use futures_lite::{AsyncWriteExt, FutureExt};
 use policy::Time;
-use smol::{Timer, net::TcpStream};
+use smol::{
+    Timer,
+    channel::{Receiver, Sender, bounded},
+    net::TcpStream,
+};
 
 use crate::{
     endpoint::lock,
     error::CallError,
     record::CallRecord,
     server::{Service, respond, router, stream::CallerStream},
-    shared::Stage,
 };
 
-/// How often an open connection is checked against its deadline and the stage of the instance.
-/// Deadlines of answers are kept exactly elsewhere; this only cuts callers that don't read.
-const WATCH_PERIOD: Duration = Duration::from_millis(100);
-
 /// How long after a request's deadline its caller may still be taking the answer's last bytes.
 /// Beyond it a caller that reads nothing would hold the connection for ever.
 pub const WRITE_GRACE: Duration = Duration::from_secs(2);
 
-/// How long a stopping instance leaves a connection open on which no request is under way. The
-/// other side may be sending one at this moment; it then hears that the instance is stopping.
-const IDLE_GRACE: Duration = Duration::from_millis(500);
-
 /// One caller's connection.
 #[derive(Debug)]
 pub struct Connection {
     socket: TcpStream,
     state: Mutex<State>,
+    /// Closing it cuts the connection.
+    cut: Sender<()>,
+    was_cut: Receiver<()>,
 }
 
 #[derive(Debug)]
@@ -44,13 +42,16 @@
     cut_at: Time,
     /// The request under way; none between requests.
     record: Option<Arc<CallRecord>>,
+    /// When the last request ended.
+    idle_since: Time,
 }
 
 impl Connection {
     /// A connection that was just accepted.
-    pub fn new(socket: TcpStream) -> Arc<Connection> {
-        let state = State { cut_at: Time::MAX, record: None };
-        Arc::new(Connection { socket, state: Mutex::new(state) })
+    pub fn new(socket: TcpStream, now: Time) -> Arc<Connection> {
+        let state = State { cut_at: Time::MAX, record: None, idle_since: now };
+        let (cut, was_cut) = bounded(1);
+        Arc::new(Connection { socket, state: Mutex::new(state), cut, was_cut })
     }
 
     /// Notes that a request is under way, which keeps a stopping instance from closing.
@@ -87,11 +88,12 @@
             let one = AssertUnwindSafe(server.accept_one()).catch_unwind();
             let one = async { Some(one.await) };
             let cut = async {
-                self.watch(service).await;
+                // Nothing is ever sent; this ends when the channel is closed.
+                self.was_cut.recv().await.ok();
                 None
             };
             let ended = one.or(cut).await;
-            let was_idle = self.finish();
+            let was_idle = self.finish(service.shared.clock.now());
             match ended {
                 Some(Ok(Ok(ConnectionStatus::KeepAlive))) => continue,
                 Some(Ok(Err(_)) | Err(_)) if was_idle => return self.refuse(&stream).await,
@@ -101,26 +103,20 @@
     }
 
     /// Ends the request under way, if any, and tells whether there was none.
-    fn finish(&self) -> bool {
+    fn finish(&self, now: Time) -> bool {
         let mut state = lock(&self.state);
         state.cut_at = Time::MAX;
+        state.idle_since = now;
         state.record.take().is_none()
     }
 
-    /// Returns when the connection has to be cut.
-    async fn watch(&self, service: &Service) {
-        let mut idle = Duration::ZERO;
-        loop {
-            Timer::after(WATCH_PERIOD).await;
-            let state = lock(&self.state);
-            if service.shared.clock.now() >= state.cut_at {
-                return;
-            }
-            let closing = state.record.is_none() && service.shared.stage() == Stage::Refusing;
-            idle = if closing { idle + WATCH_PERIOD } else { Duration::ZERO };
-            if idle >= IDLE_GRACE {
-                return;
-            }
+    /// Cuts the connection where the request under way is past its time, or where none is under
+    /// way since `idle_since`.
+    pub(super) fn cut_if_late(&self, now: Time, idle_since: Option<Time>) {
+        let state = lock(&self.state);
+        let is_idle = state.record.is_none() && idle_since.is_some_and(|t| state.idle_since <= t);
+        if now >= state.cut_at || is_idle {
+            self.cut.close();
         }
     }
 
--- a/crates/daemon/src/server/mod.rs
+++ b/crates/daemon/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! Listening for callers and operators.
 
 pub mod connection;
+pub mod registry;
 pub mod respond;
 pub mod router;
 pub mod stream;
@@ -62,16 +63,16 @@
             Timer::after(ACCEPT_PAUSE).await;
             continue;
         };
-        if service.shared.connections() >= service.shared.settings.max_connections {
+        if service.shared.connections.len() >= service.shared.settings.max_connections {
             service.shared.spawn(turn_away(stream));
             continue;
         }
-        let (open, service) = (service.shared.open_connections.clone(), service.clone());
+        let conn = Connection::new(stream, service.shared.clock.now());
+        let registered = registry::register(&service.shared, conn.clone());
+        let service = service.clone();
         service.shared.clone().spawn(async move {
-            service.shared.metrics.connections.add(1, &[]);
-            Connection::new(stream).run(&service).await;
-            service.shared.metrics.connections.add(-1, &[]);
-            drop(open);
+            conn.run(&service).await;
+            drop(registered);
         });
     }
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -24,6 +24,7 @@
     metrics::Metrics,
     peer::{EndpointNews, Message, PeerMesh},
     record::CallRecord,
+    server::registry::Registry,
     settings::Settings,
 };
 
@@ -62,8 +63,8 @@
     open_requests: Arc<()>,
     /// Bodies of requests under way.
     pub bodies: Budget,
-    /// Shared by all open connections, which are counted by it.
-    pub open_connections: Arc<()>,
+    /// Open connections of callers and operators.
+    pub connections: Registry,
 }
 
 impl Shared {
@@ -87,7 +88,7 @@
             next_request: AtomicU64::new(1),
             open_requests: Arc::default(),
             bodies: Budget::default(),
-            open_connections: Arc::default(),
+            connections: Registry::default(),
         }
     }
 
@@ -170,11 +171,6 @@
         Arc::new(CallRecord::new(id, request_id, self.clock, self.metrics.clone(), open))
     }
 
-    /// Connections of callers and operators that are open.
-    pub fn connections(&self) -> usize {
-        Arc::strong_count(&self.open_connections) - 1
-    }
-
     /// Requests that were begun and haven't ended to the last byte of their answer.
     pub fn requests_under_way(&self) -> usize {
         Arc::strong_count(&self.open_requests) - 1
