--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -20,9 +20,13 @@
     Executor, Task, Timer,
     net::{TcpListener, TcpStream},
 };
+use socket2::{Domain, Socket, Type};
 
 /// How often a port is tried again while something else still holds it.
 const BIND_TRIES: u32 = 200;
+/// Connections that may wait to be accepted. The standard library asks for 128, which a burst of two
+/// thousand callers overflows; those left out are reset after a second.
+const BACKLOG: i32 = 4_096;
 /// How long between two tries to bind, and between two looks for a hang-up while data is pending.
 const PAUSE: Duration = Duration::from_millis(5);
 
@@ -218,7 +222,7 @@
 
 fn bind(address: SocketAddr) -> io::Result<StdListener> {
     for _ in 0..BIND_TRIES {
-        match StdListener::bind(address) {
+        match listen(address) {
             Err(error) if error.kind() == io::ErrorKind::AddrInUse => std::thread::sleep(PAUSE),
             other => return other,
         }
@@ -226,6 +230,14 @@
     Err(io::ErrorKind::AddrInUse.into())
 }
 
+fn listen(address: SocketAddr) -> io::Result<StdListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
 async fn serve_connection<H: Handler>(stream: TcpStream, handler: &H) {
     let _ = stream.set_nodelay(true);
     let calls = async {
