--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod active;
 pub mod admin;
+pub mod budget;
 pub mod cli;
 pub mod clock;
 pub mod controller;
@@ -13,9 +14,11 @@
 pub mod filter;
 pub mod folder;
 pub mod instance;
+pub mod ledger;
 pub mod logging;
 pub mod metrics;
 pub mod options;
+pub mod peer;
 pub mod record;
 pub mod server;
 pub mod settings;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,13 +8,17 @@
 pub mod any;
 pub mod baseline;
 pub mod config;
+pub mod digest;
 pub mod health;
 pub mod ids;
+pub mod ledger;
 pub mod membership;
 pub mod place;
 pub mod prompt;
+pub mod publication;
 pub mod quarantine;
 pub mod rendezvous;
+pub mod replay;
 pub mod report;
 pub mod request;
 pub mod retry;
@@ -28,6 +32,7 @@
     DataCentre, Deployment, EndpointGroup, EndpointId, Fingerprint, Incarnation, InstanceId, Model,
     RequestId, Workspace,
 };
+pub use replay::Offset;
 pub use report::{BANDS, CacheEvents, LoadDigest, LoadReport, ReservationWish, WishPart};
 pub use request::{CallKind, RequestSpec};
 pub use scheduler::{
