--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -36,6 +36,14 @@
 pub enum Command {
     /// Check a configuration folder and report all findings at once.
     Check(CheckArgs),
+    /// Publish a configuration folder and wait until every instance has it in force.
+    Publish(PublishArgs),
+    /// Show each instance with its state and the version that it has in force.
+    Status(TargetArgs),
+    /// Show who changed what, when, and from which version.
+    Audit(AuditArgs),
+    /// Take an instance out of service; it finishes what it has.
+    Drain(DrainArgs),
     /// Show the whole path in one process, on loopback only, and check every answer.
     Demo(DemoArgs),
     /// Measure the policy and its baselines under several load patterns.
@@ -66,3 +74,46 @@
     #[arg(long, value_name = "SECONDS", default_value_t = 10.0)]
     pub timeout: f64,
 }
+
+/// Arguments of `publish`.
+#[derive(Debug, Args)]
+pub struct PublishArgs {
+    /// The folder.
+    pub dir: PathBuf,
+    /// Which instance is asked.
+    #[command(flatten)]
+    pub target: TargetArgs,
+    /// The version that the folder was made from; the one in force where absent.
+    #[arg(long, value_name = "VERSION")]
+    pub base: Option<u64>,
+    /// Who publishes, for the audit trail; the user's name where absent.
+    #[arg(long, value_name = "NAME", env = "USER", default_value = "unknown")]
+    pub by: String,
+    /// Show the difference and stop.
+    #[arg(long)]
+    pub dry_run: bool,
+}
+
+/// Arguments of `audit`.
+#[derive(Debug, Args)]
+pub struct AuditArgs {
+    /// Which instance is asked.
+    #[command(flatten)]
+    pub target: TargetArgs,
+    /// How many of the latest entries to show.
+    #[arg(long, value_name = "N", default_value_t = 20)]
+    pub last: usize,
+}
+
+/// Arguments of `drain`.
+#[derive(Debug, Args)]
+pub struct DrainArgs {
+    /// The instance's name; it has to be the one that is asked, as a guard against slips.
+    pub instance: String,
+    /// Which instance is asked.
+    #[command(flatten)]
+    pub target: TargetArgs,
+    /// Who drains, for the audit trail; the user's name where absent.
+    #[arg(long, value_name = "NAME", env = "USER", default_value = "unknown")]
+    pub by: String,
+}
