--- a/crates/daemon/examples/control_cost.rs
+++ b/crates/daemon/examples/control_cost.rs
@@ -285,6 +285,7 @@
         held: tokens,
         prefill_rate: TokenRate(RATE),
         ejected: false,
+        prefilled: Tokens::ZERO,
     }
 }
 
--- a/crates/daemon/src/peer/compact.rs
+++ b/crates/daemon/src/peer/compact.rs
@@ -62,6 +62,7 @@
     held: Tokens,
     prefill_rate: f32,
     ejected: bool,
+    prefilled: Tokens,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -113,6 +114,7 @@
         held: share.held,
         prefill_rate: share.prefill_rate.0 as f32,
         ejected: share.ejected,
+        prefilled: share.prefilled,
     }
 }
 
@@ -193,6 +195,7 @@
         held: share.held,
         prefill_rate: TokenRate(share.prefill_rate.into()),
         ejected: share.ejected,
+        prefilled: share.prefilled,
     })
 }
 
--- a/crates/daemon/src/peer/tests.rs
+++ b/crates/daemon/src/peer/tests.rs
@@ -62,6 +62,7 @@
             held: Tokens(waiting),
             prefill_rate: TokenRate(20_000.0),
             ejected: false,
+            prefilled: Tokens(9 * waiting),
         }],
         workspaces: vec![WorkspaceShare {
             workspace: Workspace::new("desk").unwrap(),
--- a/crates/policy/tests/digest.rs
+++ b/crates/policy/tests/digest.rs
@@ -23,6 +23,7 @@
         held: Tokens(waiting),
         prefill_rate: TokenRate(10_000.0),
         ejected: false,
+        prefilled: Tokens::ZERO,
     }
 }
 
