--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -182,7 +182,7 @@
     audience: Audience,
 ) -> Result<SocketAddr, StartError> {
     let failed = |e| StartError::Bind(address, e);
-    let listener = block_on(server::bind(address)).map_err(failed)?;
+    let listener = server::bind(address).map_err(failed)?;
     let bound = listener.local_addr().map_err(failed)?;
     let chain = filter::chain(shared);
     let service = Arc::new(Service { shared: shared.clone(), chain, audience });
--- a/crates/daemon/src/server/mod.rs
+++ b/crates/daemon/src/server/mod.rs
@@ -10,9 +10,10 @@
 
 use futures_lite::AsyncWriteExt;
 use smol::{
-    Timer,
+    Async, Timer,
     net::{TcpListener, TcpStream},
 };
+use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::{filter::Chain, server::connection::Connection, shared::Shared};
 
@@ -27,6 +28,10 @@
     Both,
 }
 
+/// Connections that may wait to be accepted. The customary 128 overflows when a thousand callers
+/// come at once, and each of those left over tries again only after a full second.
+const BACKLOG: i32 = 4096;
+
 /// Pause after a failed accept. The usual cause is that file descriptors have run out, and without
 /// a pause the loop would keep a thread busy until one is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -52,8 +57,14 @@
 /// # Errors
 ///
 /// Where the address can't be bound.
-pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address).await
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    // A successor on the same instance must not wait for connections in their last state.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(Async::new(std::net::TcpListener::from(socket))?.into())
 }
 
 /// Accepts connections until it is dropped.
