--- /dev/null
+++ b/crates/daemon/examples/ledger_rate.rs
@@ -0,0 +1,161 @@
+//! Measures claims per second and the delay that a claim adds, over a log that takes 300 appends a
+//! second, with 1, 4 and 16 ledgers in this process.
+//!
+//! `cargo run --release -p daemon --example ledger_rate`
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use daemon::{
+    clock::Clock,
+    ledger::{ClaimOutcome, ClaimRequest, Ledger, LedgerConfig},
+};
+use platform::log::http::HttpLog;
+use policy::{
+    EndpointGroup, Fingerprint, Incarnation, InstanceId, Workspace,
+    ledger::{Answer, CallKey, Writer},
+};
+use smol::{LocalExecutor, Timer, block_on};
+use standin::{LogConfig, LogService};
+
+/// Appends that the log takes in a second.
+const APPENDS: usize = 300;
+/// How long each measurement runs.
+const SPAN: Duration = Duration::from_secs(6);
+/// The first part of a measurement, which isn't counted: the paces find their balance.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// One measurement.
+struct Measured {
+    claims: usize,
+    refused: usize,
+    delays: Vec<Duration>,
+}
+
+fn main() -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "ledgers  callers  claims/s  median ms  p99 ms  worst ms  refused  appends/s")?;
+    for (ledgers, callers) in [(1, 1), (1, 64), (4, 16), (16, 4), (1, 512), (4, 128), (16, 32)] {
+        let log =
+            LogService::start(LogConfig { appends_per_second: APPENDS, ..LogConfig::default() })?;
+        let mut measured = measure(&log, ledgers, callers);
+        measured.delays.sort();
+        let at = |share: f64| {
+            let index = (measured.delays.len() as f64 * share) as usize;
+            let delay = measured.delays.get(index.min(measured.delays.len().saturating_sub(1)));
+            delay.copied().unwrap_or_default().as_secs_f64() * 1e3
+        };
+        let seconds = (SPAN - WARM_UP).as_secs_f64();
+        writeln!(
+            out,
+            "{ledgers:>7}  {:>7}  {:>8.0}  {:>9.1}  {:>6.1}  {:>8.1}  {:>7}  {:>9.0}",
+            ledgers * callers,
+            measured.claims as f64 / seconds,
+            at(0.5),
+            at(0.99),
+            at(1.0),
+            measured.refused,
+            log.appends() as f64 / SPAN.as_secs_f64(),
+        )?;
+        log.close();
+    }
+    Ok(())
+}
+
+fn measure(log: &LogService, ledgers: usize, callers: usize) -> Measured {
+    let stop = Arc::new(AtomicBool::new(false));
+    let threads = (0..ledgers).map(|index| {
+        let (address, stop) = (log.address(), stop.clone());
+        thread::spawn(move || drive(HttpLog::new(address), index, callers, &stop))
+    });
+    let threads: Vec<_> = threads.collect();
+    thread::sleep(SPAN);
+    stop.store(true, Ordering::Relaxed);
+    let mut all = Measured { claims: 0, refused: 0, delays: Vec::new() };
+    for thread in threads {
+        let Ok(part) = thread.join() else { continue };
+        all.claims += part.claims;
+        all.refused += part.refused;
+        all.delays.extend(part.delays);
+    }
+    all
+}
+
+/// One ledger with its callers, each of which claims, ends the call at once, and claims again.
+fn drive(log: HttpLog, index: usize, callers: usize, stop: &AtomicBool) -> Measured {
+    let clock = Clock::start();
+    let Ok(instance) = InstanceId::new(&format!("entry-{index}")) else {
+        return Measured { claims: 0, refused: 0, delays: Vec::new() };
+    };
+    let cfg = LedgerConfig {
+        stream: "ledger-0".to_owned(),
+        window: Duration::from_secs(86_400),
+        log_keeps: Duration::from_secs(3_600),
+    };
+    let ledger = Ledger::new(log, cfg, Writer { instance, incarnation: Incarnation(1) }, clock);
+    let executor = LocalExecutor::new();
+    executor.spawn(ledger.clone().run()).detach();
+    let start = Instant::now();
+    let tasks: Vec<_> = (0..callers)
+        .map(|caller| executor.spawn(call(&ledger, clock, index, caller, start, stop)))
+        .collect();
+    let mut all = Measured { claims: 0, refused: 0, delays: Vec::new() };
+    block_on(executor.run(async {
+        for task in tasks {
+            let part = task.await;
+            all.claims += part.claims;
+            all.refused += part.refused;
+            all.delays.extend(part.delays);
+        }
+    }));
+    all
+}
+
+async fn call(
+    ledger: &Ledger<HttpLog>,
+    clock: Clock,
+    index: usize,
+    caller: usize,
+    start: Instant,
+    stop: &AtomicBool,
+) -> Measured {
+    let mut part = Measured { claims: 0, refused: 0, delays: Vec::new() };
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let Some(req) = request(clock, &format!("{index}-{caller}-{number}")) else { return part };
+        let began = Instant::now();
+        let outcome = ledger.claim(req).await;
+        let counts = start.elapsed() > WARM_UP;
+        if let ClaimOutcome::Run(claim) = outcome {
+            if counts {
+                part.claims += 1;
+                part.delays.push(began.elapsed());
+            }
+            claim.begin_sending();
+            claim.done(Answer { status: 200, content_type: None, body: Some("{}".to_owned()) });
+        } else {
+            part.refused += usize::from(counts);
+            Timer::after(Duration::from_millis(10)).await;
+        }
+    }
+    part
+}
+
+fn request(clock: Clock, text: &str) -> Option<ClaimRequest> {
+    let workspace = Workspace::new("bench").ok()?;
+    let group = EndpointGroup::new("register").ok()?;
+    Some(ClaimRequest {
+        key: CallKey::new(workspace, group, text).ok()?,
+        fingerprint: Fingerprint(1),
+        deduplicates: false,
+        deadline: clock.now() + Duration::from_secs(10),
+    })
+}
