Let the demo publish its configuration and list its instances, as operators and platform do

What: instances start without a configuration, one takes the published change, all read it from the log.

--- a/crates/cli/src/bench/export/svg.rs
+++ b/crates/cli/src/bench/export/svg.rs
@@ -72,6 +72,8 @@
         .change_context_lazy(failed)?;
     chart
         .configure_mesh()
+        .disable_x_mesh()
+        .max_light_lines(0)
         .x_labels(Band::ALL.len())
         .x_label_formatter(&|x| band_label(*x))
         .draw()
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -11,13 +11,16 @@
     time::{Duration, Instant},
 };
 
+use daemon::admin::publish::{PublishAnswer, PublishRequest};
 use error_stack::ResultExt;
 use indicatif::{ProgressBar, ProgressStyle};
+use platform::instances::Role;
 use policy::{
     TokenRate, Tokens,
-    config::{PolicyName, Weights},
+    config::{Config, PolicyName, SourceFile, Version, Weights},
 };
 use standin::{Engine, EngineConfig, ListService, LogConfig, LogService, Service, ServiceConfig};
+use uuid::Uuid;
 
 use crate::{
     bench::{
@@ -28,6 +31,8 @@
     demo::{options::DemoOptions, report::Outcome},
     error::{CliError, CliResult, Exit},
     fleet::{self, Fleet, FleetPlan, Platform},
+    instance::Instance,
+    options::Target,
     output,
 };
 
@@ -45,6 +50,9 @@
 const ENGINES: usize = 4;
 const INSTANCES: usize = 2;
 const WORKSPACES: usize = 3;
+/// How long publishing may take.
+const PUBLISH: Duration = Duration::from_secs(10);
+const PUBLISH_PAUSE: Duration = Duration::from_millis(100);
 /// How late the list shows changes.
 const LIST_LAG: Duration = Duration::from_secs(1);
 /// How long the plain service works on a call.
@@ -120,7 +128,10 @@
         let engines = fleet::start_engines(&plan)?;
         let config = fleet::config(&plan, &engines, Some(&desk))?;
         let platform = Platform { log: log.address(), instances: list.address() };
-        let fleet = Fleet::join(&plan, engines, Some(config), Some(platform))?;
+        let fleet = Fleet::join(&plan, engines, None, Some(platform))?;
+        list_all(&fleet, &list, &desk)?;
+        publish(&fleet, &config)?;
+        fleet.wait_until_ready()?;
         Ok(Site { fleet, log, list, desk })
     }
 
@@ -141,6 +152,45 @@
     }
 }
 
+/// Puts everything on the platform's list, as the platform would.
+fn list_all(fleet: &Fleet, list: &ListService, desk: &Service) -> CliResult<()> {
+    let engines = fleet.engines.iter().map(Engine::address);
+    for (index, address) in engines.enumerate() {
+        list.put(fleet::listed(&format!("engine-{index}"), Role::Endpoint, address)?);
+    }
+    list.put(fleet::listed("desk-0", Role::Endpoint, desk.address())?);
+    for (index, address) in fleet.peers().enumerate() {
+        list.put(fleet::listed(&format!("entry-{index}"), Role::Entry, address)?);
+    }
+    Ok(())
+}
+
+/// Publishes the configuration through one instance; the others read it from the log.
+fn publish(fleet: &Fleet, config: &Config) -> CliResult<()> {
+    let text = serde_json::to_string_pretty(config).change_context(CliError::Output)?;
+    let target = Target { address: fleet.admin()[0], timeout: PUBLISH };
+    let req = PublishRequest {
+        id: Uuid::now_v7().to_string(),
+        base: Version(0),
+        by: "demo".to_owned(),
+        files: vec![SourceFile { name: "10-demo.json".to_owned(), text }],
+    };
+    let limit = Instant::now() + PUBLISH;
+    loop {
+        match Instance::new(target).publish(&req) {
+            Ok(PublishAnswer::Accepted(_)) => return Ok(()),
+            Ok(other) => {
+                let message = format!("the configuration wasn't accepted: {other:?}");
+                return Err(CliError::Other(message).into());
+            }
+            // An instance takes no change before it has read the stream to its end. The same id
+            // keeps a change from being taken twice.
+            Err(report) if Instant::now() > limit => return Err(report),
+            Err(_) => std::thread::sleep(PUBLISH_PAUSE),
+        }
+    }
+}
+
 /// A million tokens take 2.8 s and the memory of three engines.
 fn engine() -> EngineConfig {
     EngineConfig {
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -9,9 +9,12 @@
 use daemon::{Instance, settings::Settings};
 use error_stack::{Report, ResultExt};
 use indexmap::IndexMap;
-use platform::http::HttpCall;
+use platform::{
+    http::HttpCall,
+    instances::{Listed, ListedState, Role},
+};
 use policy::{
-    DataCentre, Deployment, EndpointGroup, EndpointId, InstanceId, Model, Workspace,
+    DataCentre, Deployment, EndpointGroup, EndpointId, Incarnation, InstanceId, Model, Workspace,
     config::{
         Config, DataCentreRules, DeploymentRules, EndpointKind, EndpointRules, Limits, PolicyName,
         RouteRules, Weights, WorkspaceRules,
@@ -72,6 +75,7 @@
     pub engines: Vec<Engine>,
     /// The instances.
     pub instances: Vec<Instance>,
+    peers: Vec<SocketAddr>,
 }
 
 impl Fleet {
@@ -91,9 +95,9 @@
         platform: Option<Platform>,
     ) -> CliResult<Fleet> {
         let peers = free_addresses(plan.instances)?;
-        let mut fleet = Fleet { engines, instances: Vec::new() };
+        let mut fleet = Fleet { engines, instances: Vec::new(), peers };
         for index in 0..plan.instances {
-            let settings = settings(index, &peers, plan.threads, platform)?;
+            let settings = settings(index, &fleet.peers, plan.threads, platform)?;
             let instance = Instance::start(settings, config.clone()).change_context(failed())?;
             fleet.instances.push(instance);
         }
@@ -113,6 +117,11 @@
         self.instances.iter().map(|instance| instance.addresses().admin).collect()
     }
 
+    /// Where instances hear each other.
+    pub fn peers(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.iter().copied()
+    }
+
     /// Waits until every instance says that it is ready.
     pub fn wait_until_ready(&self) -> CliResult<()> {
         let limit = Instant::now() + READY;
@@ -146,6 +155,18 @@
     format!("key-of-w{index}")
 }
 
+/// A line of the platform's list.
+pub fn listed(name: &str, role: Role, address: SocketAddr) -> CliResult<Listed> {
+    Ok(Listed {
+        name: name.to_owned(),
+        role,
+        incarnation: Incarnation(0),
+        address,
+        data_centre: id(DATA_CENTRE)?,
+        state: ListedState::Live,
+    })
+}
+
 /// The configuration for running engines and, where there is one, the plain service.
 pub fn config(plan: &FleetPlan, engines: &[Engine], desk: Option<&Service>) -> CliResult<Config> {
     let mut config = Config::default();
