Spread a prompt over engines also when their memory is learned after its admission

The lane (one engine or several) was chosen once, at admission; before the first load reports every prompt seems to fit one engine. The engine refused it, and afterwards no engine was large enough, until its deadline. Ruled out: refusals by prediction (the caller got no answer at all, not a refusal). What: a waiting prompt larger than any engine's memory moves to the lane of spread prompts. Other facts fixed at admission (band, bound) only steer order, not possibility.

--- a/crates/daemon/examples/control_cost.rs
+++ b/crates/daemon/examples/control_cost.rs
@@ -287,7 +287,6 @@
         prefilled: Tokens::ZERO,
         prefill_rate: TokenRate(RATE),
         ejected: false,
-        prefilled: Tokens::ZERO,
     }
 }
 
--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -262,7 +262,6 @@
             prefilled: Tokens::ZERO,
             prefill_rate: TokenRate(10_000.0),
             ejected: false,
-            prefilled: Tokens::ZERO,
         }],
         workspaces: Vec::new(),
         queued: Default::default(),
--- a/crates/policy/src/digest.rs
+++ b/crates/policy/src/digest.rs
@@ -241,6 +241,7 @@
         let repeat = !digest.suspects_at.is_empty() && now.since(self.at) >= HEARD_FOR / 3;
         repeat
             || now.since(self.at) >= CONFIRM
+            || self.digest.longs_late != digest.longs_late
             || self.digest.suspects_at != digest.suspects_at
             || suspected(&self.digest) != suspected(digest)
             || wishes(&self.digest) != wishes(digest)
--- a/crates/policy/src/trefoilhall/dispatch.rs
+++ b/crates/policy/src/trefoilhall/dispatch.rs
@@ -29,6 +29,7 @@
     endpoint::Endpoint,
     request::{Attempt, Due, Entry, State},
     seconds, span,
+    workspaces::SPREAD,
 };
 
 /// Workspaces whose first request is looked at before a lane counts as blocked. The first may be
@@ -42,6 +43,8 @@
     Later,
     /// Nowhere in time.
     TooLate,
+    /// On several engines only: it is larger than any engine's memory.
+    Spread,
 }
 
 /// The endpoint chosen for a request.
@@ -82,14 +85,34 @@
                     self.fail(first.request, FailCause::Deadline, now);
                     return true;
                 }
+                Place::Spread => {
+                    self.spread(first.request);
+                    return true;
+                }
                 Place::Later => {}
             }
         }
         false
     }
 
+    /// Moves a request to the lane of prompts that need several engines.
+    ///
+    /// It was admitted before the engines had told their memory, or engines with more have left
+    /// since. In the lane of its band it would fit nowhere, and would hold up its workspace's
+    /// other requests until its deadline.
+    fn spread(&mut self, request: RequestId) {
+        self.leave_lane(request, false);
+        if let Some(entry) = self.requests.get_mut(&request) {
+            entry.lane = SPREAD;
+        }
+        self.enqueue(request);
+    }
+
     fn place(&mut self, request: RequestId, now: Time) -> Place {
         let Some(entry) = self.requests.get(&request) else { return Place::Later };
+        if self.fleet.usable > 0 && entry.footprint() > self.fleet.largest_memory {
+            return Place::Spread;
+        }
         let ask = self.ask(entry, now);
         let endpoints = self.fleet.endpoints.values();
         let candidates: Vec<Candidate> =
--- a/crates/policy/src/trefoilhall/mod.rs
+++ b/crates/policy/src/trefoilhall/mod.rs
@@ -387,7 +387,11 @@
         self.expire(now);
         self.end_backoffs(now);
         self.dispatch_spread(now);
+        let spread = self.lanes[workspaces::SPREAD].tokens();
         self.dispatch(now);
+        if self.lanes[workspaces::SPREAD].tokens() > spread {
+            self.dispatch_spread(now);
+        }
         std::mem::take(&mut self.decisions)
     }
 
--- a/crates/policy/tests/digest.rs
+++ b/crates/policy/tests/digest.rs
@@ -24,7 +24,6 @@
         prefilled: Tokens::ZERO,
         prefill_rate: TokenRate(10_000.0),
         ejected: false,
-        prefilled: Tokens::ZERO,
     }
 }
 
