--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -84,11 +84,13 @@
         let incarnation = clock::incarnation();
         let owner = Owner { instance: settings.instance.clone(), incarnation };
         let shared = Arc::new(Shared::new(settings, owner, metrics, &executor));
+        shared.spawn(server::registry::watch(Arc::downgrade(&shared)));
         let mesh = link(&shared, &executor)?;
         let addresses = Addresses { peers: mesh.address(), ..listen(&shared)? };
         if let Some(config) = initial {
             shared.set_config(config, Version(1));
         }
+        shared.follow_log();
         let (stop, stopped) = bounded(1);
         let threads = start_threads(&shared, &executor, &stopped)?;
         log::info!(
@@ -181,7 +183,7 @@
     audience: Audience,
 ) -> Result<SocketAddr, StartError> {
     let failed = |e| StartError::Bind(address, e);
-    let listener = block_on(server::bind(address)).map_err(failed)?;
+    let listener = server::bind(address).map_err(failed)?;
     let bound = listener.local_addr().map_err(failed)?;
     let chain = filter::chain(shared);
     let service = Arc::new(Service { shared: shared.clone(), chain, audience });
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -60,6 +60,8 @@
     pub demand: [TokenRate; BANDS],
     /// Prompts that wait here for the memory of several engines, longest wait first.
     pub wishes: Vec<ReservationWish>,
+    /// Whether a long prompt of this instance is starved by short ones.
+    pub longs_late: bool,
     /// Fingerprints under suspicion of crashing endpoints, and those refused for it; at most
     /// [`LoadDigest::MAX_ENTRIES`], so that a digest stays small.
     pub suspicions: Vec<quarantine::Entry>,
@@ -109,6 +111,9 @@
     pub running: u32,
     /// Estimated memory that they hold.
     pub held: Tokens,
+    /// Prompt tokens that were prefilled there for this instance in the endpoint's present life,
+    /// ever. Their rise over all instances gives the engine's speed while it is never idle.
+    pub prefilled: Tokens,
     /// Prefill speed as learned here; zero where nothing was learned.
     pub prefill_rate: TokenRate,
     /// Whether this instance has ejected the endpoint.
