Pace ledger appends by rate; a busy log is no outage

Contract: LogError::Busy (429), apart from Refused (503). Counting each refusal of a full second brought the paces to their floor.

--- a/crates/daemon/src/controller/configuration.rs
+++ b/crates/daemon/src/controller/configuration.rs
@@ -102,7 +102,7 @@
         while self.clock.now() < end {
             match self.log.append(STREAM, data.clone().into()).await {
                 Ok(_) | Err(LogError::Unknown | LogError::BadAnswer) => doubtful = true,
-                Err(LogError::NotSent | LogError::Refused) => {
+                Err(LogError::NotSent | LogError::Refused | LogError::Busy) => {
                     Timer::after(RETRY).await;
                 }
             }
--- a/crates/daemon/src/ledger/state.rs
+++ b/crates/daemon/src/ledger/state.rs
@@ -24,9 +24,23 @@
 const MAX_WAITING: usize = 10_000;
 /// The most entries of one append. A claim takes about 300 bytes.
 const MAX_BATCH: usize = 1_000;
-/// How long appends may fail before new claims are refused at once. Long enough for a refusal by
-/// rate to pass, short enough that callers hear of an outage at once.
+/// How long appends may fail before new claims are refused at once. Long enough for a single lost
+/// connection, short enough that callers hear of an outage at once.
 const PATIENCE: Duration = Duration::from_millis(400);
+/// How long the log may be busy before new claims are refused. Its limit is over a second, so that
+/// a full one passes within that, and the paces settle within the next.
+const BUSY_PATIENCE: Duration = Duration::from_millis(2_500);
+
+/// How an append failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AppendFailure {
+    /// The log's rate is used up; nothing was appended.
+    Busy,
+    /// Nothing was appended.
+    Refused,
+    /// It may have been appended.
+    Doubtful,
+}
 
 /// One own call between its claim and its end.
 struct OwnCall {
@@ -46,6 +60,7 @@
     /// One past the last record that any witness knows of.
     known_end: Offset,
     failing_since: Option<Time>,
+    busy_since: Option<Time>,
     unread_since: Option<Time>,
     own: HashMap<CallKey, OwnCall>,
     /// Answers of own calls that don't stand in the log yet.
@@ -71,6 +86,7 @@
             reached_end: false,
             known_end: Offset(0),
             failing_since: None,
+            busy_since: None,
             unread_since: None,
             own: HashMap::new(),
             answers: HashMap::new(),
@@ -107,7 +123,8 @@
     /// reads no claim can be known as won.
     pub(super) fn is_down(&self, now: Time) -> bool {
         let failing = [self.failing_since, self.unread_since];
-        failing.into_iter().flatten().any(|since| now.since(since) > PATIENCE)
+        let busy = self.busy_since.is_some_and(|since| now.since(since) > BUSY_PATIENCE);
+        busy || failing.into_iter().flatten().any(|since| now.since(since) > PATIENCE)
     }
 
     /// Decides what a call does next. `waited` says that it came before what it finds now.
@@ -269,7 +286,7 @@
         self.observe_own(&mut changed);
         if self.in_flight.as_ref().is_some_and(|known| known.batch.sequence <= self.folded()) {
             self.in_flight = None;
-            self.failing_since = None;
+            (self.failing_since, self.busy_since) = (None, None);
         }
         changed.iter().flat_map(|key| self.waiters.remove(key).unwrap_or_default()).collect()
     }
@@ -321,7 +338,8 @@
         if let Some(in_flight) = &self.in_flight {
             return Some(in_flight.batch.clone());
         }
-        if self.queue.is_empty() && self.failing_since.is_none() {
+        let failing = self.failing_since.is_some() || self.busy_since.is_some();
+        if self.queue.is_empty() && !failing {
             return None;
         }
         let rest = self.queue.split_off(self.queue.len().min(MAX_BATCH));
@@ -345,15 +363,18 @@
             self.in_flight = None;
         }
         self.note_end(Offset(offset.0 + 1));
-        self.failing_since = None;
+        (self.failing_since, self.busy_since) = (None, None);
     }
 
-    /// An append failed. `doubtful` says that it may have taken effect all the same. Gives those
-    /// whose calls are refused because the log has failed for too long.
-    pub(super) fn append_failed(&mut self, doubtful: bool, now: Time) -> Vec<Sender<()>> {
-        self.failing_since.get_or_insert(now);
+    /// An append failed. Gives those whose calls are refused because the log has failed for too
+    /// long.
+    pub(super) fn append_failed(&mut self, failure: AppendFailure, now: Time) -> Vec<Sender<()>> {
+        match failure {
+            AppendFailure::Busy => self.busy_since.get_or_insert(now),
+            _ => self.failing_since.get_or_insert(now),
+        };
         if let Some(in_flight) = &mut self.in_flight {
-            in_flight.doubtful |= doubtful;
+            in_flight.doubtful |= failure == AppendFailure::Doubtful;
         }
         if !self.is_down(now) {
             return Vec::new();
--- a/crates/daemon/src/ledger/writer.rs
+++ b/crates/daemon/src/ledger/writer.rs
@@ -7,7 +7,7 @@
 use policy::{Offset, ledger::Batch, replay::encode};
 use smol::Timer;
 
-use super::{Core, pace::Pace, wake};
+use super::{Core, pace::Pace, state::AppendFailure, wake};
 use crate::{
     checkpoint::{self, Schedule, Source},
     endpoint::lock,
@@ -38,19 +38,20 @@
     let Ok(data) = encode::<policy::ledger::Ledger>(batch) else { return };
     let result = core.log.append(&core.cfg.stream, data.into()).await;
     let now = core.clock.now();
-    let doubtful = match result {
+    let failure = match result {
         Ok(offset) => {
             pace.taken();
             lock(&core.state).appended(batch.sequence, offset);
             return;
         }
-        Err(LogError::Refused | LogError::NotSent) => {
-            pace.refused();
-            false
+        Err(LogError::Busy) => {
+            pace.refused(now);
+            AppendFailure::Busy
         }
-        Err(LogError::Unknown | LogError::BadAnswer) => true,
+        Err(LogError::Refused | LogError::NotSent) => AppendFailure::Refused,
+        Err(LogError::Unknown | LogError::BadAnswer) => AppendFailure::Doubtful,
     };
-    let waiters = lock(&core.state).append_failed(doubtful, now);
+    let waiters = lock(&core.state).append_failed(failure, now);
     wake(&waiters);
 }
 
--- a/crates/platform/src/log/http.rs
+++ b/crates/platform/src/log/http.rs
@@ -65,7 +65,8 @@
         Err(HttpError::TooLong | HttpError::Unreadable) => return Err(LogError::BadAnswer),
     };
     match answer.status {
-        503 | 429 => Err(LogError::Refused),
+        503 => Err(LogError::Refused),
+        429 => Err(LogError::Busy),
         _ if answer.is_success() => Ok(answer),
         _ => Err(LogError::BadAnswer),
     }
--- a/crates/platform/src/log/mod.rs
+++ b/crates/platform/src/log/mod.rs
@@ -55,8 +55,10 @@
 pub enum LogError {
     /// Nothing reached the log.
     NotSent,
-    /// The log refused the call (outage, too many appends); it had no effect.
+    /// The log refused the call (an outage); it had no effect.
     Refused,
+    /// The log takes no more appends for the moment; this one had no effect.
+    Busy,
     /// No answer: an append may have taken effect, or may still do so.
     Unknown,
     /// The answer made no sense; an append may have taken effect.
@@ -68,6 +70,7 @@
         f.write_str(match self {
             LogError::NotSent => "the log service can't be reached",
             LogError::Refused => "the log service refused the call",
+            LogError::Busy => "the log service takes no more appends for the moment",
             LogError::Unknown => {
                 "the log service gave no answer, so an append may have taken effect"
             }
