--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -84,6 +84,7 @@
         let incarnation = clock::incarnation();
         let owner = Owner { instance: settings.instance.clone(), incarnation };
         let shared = Arc::new(Shared::new(settings, owner, metrics, &executor));
+        shared.spawn(server::registry::watch(Arc::downgrade(&shared)));
         let mesh = link(&shared, &executor)?;
         let addresses = Addresses { peers: mesh.address(), ..listen(&shared)? };
         if let Some(config) = initial {
@@ -182,7 +183,7 @@
     audience: Audience,
 ) -> Result<SocketAddr, StartError> {
     let failed = |e| StartError::Bind(address, e);
-    let listener = block_on(server::bind(address)).map_err(failed)?;
+    let listener = server::bind(address).map_err(failed)?;
     let bound = listener.local_addr().map_err(failed)?;
     let chain = filter::chain(shared);
     let service = Arc::new(Service { shared: shared.clone(), chain, audience });
--- a/crates/policy/src/trefoilhall/endpoint.rs
+++ b/crates/policy/src/trefoilhall/endpoint.rs
@@ -26,7 +26,7 @@
 };
 
 use super::{
-    class::{Band, USABLE},
+    class::{Band, SHORT_KEEP, USABLE},
     learn::Speed,
     seconds,
 };
@@ -40,6 +40,13 @@
 /// Excess over twice the expected time, in seconds, before an endpoint counts as late.
 const LATE_AFTER: f64 = 0.5;
 
+/// Seconds without idling over which throughput counts as the engine's speed. Ten digests at two
+/// a second: the last one's lag errs by a tenth.
+const BUSY_FOR: f64 = 5.0;
+
+/// The share of memory held beyond which an engine is the last to be opened to long prompts.
+const MOST_HELD: f64 = 0.6;
+
 /// Prompt tokens by band.
 pub(super) type ByBand = [f64; BANDS];
 
@@ -56,6 +63,8 @@
     pub(super) running: u32,
     /// Memory they need.
     pub(super) held: f64,
+    /// The part of it that short prompts need.
+    short_held: f64,
 }
 
 /// What one other instance has under way there.
@@ -64,12 +73,31 @@
     instance: InstanceId,
     left: ByBand,
     held: f64,
+    /// Prompt tokens prefilled for it, ever.
+    done: f64,
+}
+
+/// A stretch of time in which the engine was never idle.
+#[derive(Debug)]
+struct Busy {
+    since: f64,
+    /// Prompt tokens prefilled for all instances when it began.
+    done: f64,
+}
+
+/// What a report shows beyond what was known at its time.
+#[derive(Debug, Default)]
+struct Unknown {
+    left: f64,
+    held: f64,
 }
 
 #[derive(Debug)]
 struct Moment {
     at: Time,
-    sent: f64,
+    /// Prefill that was known of then, own and others'.
+    left: f64,
+    /// Memory, likewise.
     held: f64,
 }
 
@@ -91,11 +119,16 @@
     others_held: f64,
     /// Memory that a report shows and nobody's digest explains.
     unknown_held: f64,
+    last_unknown: Unknown,
     moments: VecDeque<Moment>,
     advanced: f64,
     last_progress: f64,
     /// Short prompt tokens done for this instance, ever.
     pub(super) short_done: f64,
+    /// All prompt tokens done for this instance, ever, and for the others.
+    done: f64,
+    others_done: f64,
+    busy: Option<Busy>,
     /// Whether long prompts may go there.
     pub(super) open_to_longs: bool,
     /// Memory being drained for a prompt that needs several engines.
@@ -125,10 +158,14 @@
             others_left: ByBand::default(),
             others_held: 0.0,
             unknown_held: 0.0,
+            last_unknown: Unknown::default(),
             moments: VecDeque::new(),
             advanced: seconds(now),
             last_progress: seconds(now),
             short_done: 0.0,
+            done: 0.0,
+            others_done: 0.0,
+            busy: None,
             open_to_longs: true,
             draining: 0.0,
             full_until: Time::ZERO,
@@ -220,10 +257,19 @@
         (now - self.last_progress - 2.0 * expected - LATE_AFTER).max(0.0)
     }
 
-    /// Memory for new requests, less what is being drained for another; without bound where the
-    /// endpoint reports none.
-    pub(super) fn free(&self) -> f64 {
-        self.free_for_drain() - self.draining
+    /// Memory for a new request of `band`; without bound where the endpoint reports none. What is
+    /// being drained is kept free, but for a small part that short prompts always keep.
+    pub(super) fn free(&self, band: Band) -> f64 {
+        let free = self.free_for_drain();
+        let kept =
+            if band.is_long() { 0.0 } else { self.memory * SHORT_KEEP - self.own.short_held };
+        (free - self.draining).max(free.min(kept))
+    }
+
+    /// Whether no prompt over several engines takes most of its memory, or is about to.
+    pub(super) fn has_spare_memory(&self) -> bool {
+        self.memory <= 0.0
+            || self.draining <= 0.0 && self.own.held + self.others_held < self.memory * MOST_HELD
     }
 
     /// Memory for the very prompt that it is being drained for.
@@ -259,23 +305,31 @@
     }
 
     /// Takes `tokens` of memory for a request that starts there.
-    pub(super) fn hold(&mut self, tokens: f64) {
+    pub(super) fn hold(&mut self, band: Band, tokens: f64) {
+        if !band.is_long() {
+            self.own.short_held += tokens;
+        }
         self.own.running += 1;
         self.own.held += tokens;
     }
 
     /// Gives them back.
-    pub(super) fn release(&mut self, tokens: f64) {
+    pub(super) fn release(&mut self, band: Band, tokens: f64) {
+        if !band.is_long() {
+            self.own.short_held = (self.own.short_held - tokens).max(0.0);
+        }
         self.own.running = self.own.running.saturating_sub(1);
         self.own.held = (self.own.held - tokens).max(0.0);
         if self.own.running == 0 {
             self.own.held = 0.0;
+            self.own.short_held = 0.0;
         }
     }
 
     /// Remembers the own load of this moment for the next report.
     pub(super) fn note_moment(&mut self, now: Time) {
-        let moment = Moment { at: now, sent: self.own.sent.iter().sum(), held: self.own.held };
+        let left: f64 = self.own.sent.iter().chain(&self.others_left).sum();
+        let moment = Moment { at: now, left, held: self.own.held + self.others_held };
         if self.moments.len() >= MOMENTS {
             self.moments.pop_front();
         }
@@ -290,17 +344,18 @@
         self.memory = report.kv_total.0 as f64;
         self.asks_leave = report.leaving;
         let then = self.moments.iter().rev().find(|moment| moment.at <= report.taken);
-        let (sent, held) = then.map_or((0.0, 0.0), |moment| (moment.sent, moment.held));
-        self.unknown_held = (report.kv_used.0 as f64 - held - self.others_held).max(0.0);
-        let known: f64 = sent + self.others_left.iter().sum::<f64>();
-        let unknown = report.waiting_prefill.0 as f64 - known;
-        if unknown > 0.0 {
-            // The report doesn't say whose prompts these are: a tenth of a second of them counts
-            // as short, which is what an instance keeps there of short ones; the rest as long.
-            let short = unknown.min(rate * 0.1);
-            self.others_left[0] += short;
-            self.others_left[BANDS - 1] += unknown - short;
-        }
+        let Some(then) = then.or(self.moments.front()) else { return };
+        let held = (report.kv_used.0 as f64 - then.held).max(0.0);
+        let left = (report.waiting_prefill.0 as f64 - then.left).max(0.0);
+        // What one report shows may have come and gone between two digests; what two show stays.
+        self.unknown_held = held.min(self.last_unknown.held);
+        let unknown = left.min(self.last_unknown.left);
+        self.last_unknown = Unknown { left, held };
+        // The report doesn't say whose prompts these are: a tenth of a second of them counts as
+        // short, which is what an instance keeps there of short ones; the rest as long.
+        let short = unknown.min(rate * 0.1);
+        self.others_left[0] += short;
+        self.others_left[BANDS - 1] += unknown - short;
     }
 
     /// Takes note of another instance's part.
@@ -308,14 +363,49 @@
         if share.incarnation != self.incarnation {
             return;
         }
+        let done = share.prefilled.0 as f64;
+        let known = self.peers.iter().find(|part| part.instance == *instance);
+        self.others_done += known.map_or(0.0, |part| (done - part.done).max(0.0));
+        self.peers.retain(|part| part.instance != *instance);
         self.peers.push(PeerPart {
             instance: instance.clone(),
             left: share.waiting_bands.map(|tokens| tokens.0 as f64),
             held: share.held.0 as f64,
+            done,
         });
         self.sum_peers();
     }
 
+    /// Another instance's digest tells of nothing under way here.
+    pub(super) fn peer_has_none(&mut self, instance: &InstanceId) {
+        let Some(part) = self.peers.iter_mut().find(|part| part.instance == *instance) else {
+            return;
+        };
+        part.left = ByBand::default();
+        part.held = 0.0;
+        self.sum_peers();
+    }
+
+    /// Takes note of `tokens` prefilled for this instance. Once the engine has not been idle for
+    /// [`BUSY_FOR`], what was prefilled there for all instances is a sample of its speed.
+    pub(super) fn count_done(&mut self, tokens: f64, now: f64) {
+        self.done += tokens;
+        let done = self.done + self.others_done;
+        let idle = self.own.prefilling.iter().all(|count| *count == 0)
+            && self.others_left.iter().all(|left| *left < 1.0);
+        if idle {
+            self.busy = None;
+            return;
+        }
+        let busy = self.busy.get_or_insert(Busy { since: now, done });
+        let lasted = now - busy.since;
+        if lasted >= BUSY_FOR {
+            let work = done - busy.done;
+            self.busy = Some(Busy { since: now, done });
+            self.speed.observe_throughput(work, lasted, now);
+        }
+    }
+
     /// Forgets another instance's part.
     pub(super) fn peer_gone(&mut self, instance: &InstanceId) {
         let known = self.peers.len();
@@ -325,6 +415,11 @@
         }
     }
 
+    /// Whether the others have to hear of this instance's part.
+    pub(super) fn is_told(&self) -> bool {
+        self.own.running > 0 || self.done > 0.0
+    }
+
     /// This instance's part, for the others.
     pub(super) fn share(&self) -> EndpointShare {
         let left = std::array::from_fn(|band| crate::Tokens(self.own_left(band) as u64));
@@ -335,6 +430,7 @@
             waiting_bands: left,
             running: self.own.running,
             held: crate::Tokens(self.own.held as u64),
+            prefilled: crate::Tokens(self.done as u64),
             prefill_rate: crate::TokenRate(self.speed.rate().unwrap_or(0.0)),
             ejected: false,
         }
