--- /dev/null
+++ b/crates/daemon/examples/publish_time.rs
@@ -0,0 +1,99 @@
+//! Measures the time from publishing a change until four instances have it in force: with the log
+//! reachable for all, and with one instance that has only its peers.
+//!
+//! `cargo run --release -p daemon --example publish_time`
+
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use daemon::{
+    Instance,
+    admin::publish::{PublishAnswer, PublishRequest},
+    settings::Settings,
+};
+use platform::http::HttpCall;
+use policy::config::{SourceFile, Version};
+use smol::block_on;
+use standin::{LogConfig, LogService};
+
+/// Changes that are published in each measurement.
+const CHANGES: u64 = 30;
+/// When a change counts as lost.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn main() -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "log reaches   changes  median ms  worst ms")?;
+    let log = LogService::start(LogConfig::default())?;
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+    for (name, last) in [("all four", log.address()), ("three", nowhere)] {
+        let Some(mut times) = measure(log.address(), last) else {
+            writeln!(out, "{name}: failed")?;
+            continue;
+        };
+        times.sort();
+        let millis = |index: usize| times.get(index).map_or(0.0, |t| t.as_secs_f64() * 1e3);
+        let (median, worst) = (millis(times.len() / 2), millis(times.len().saturating_sub(1)));
+        writeln!(out, "{name:<12} {:>8}  {median:>9.1}  {worst:>8.1}", times.len())?;
+    }
+    log.close();
+    Ok(())
+}
+
+fn measure(log: SocketAddr, last_log: SocketAddr) -> Option<Vec<Duration>> {
+    let mut instances: Vec<Instance> = Vec::new();
+    for number in 0..4 {
+        let log = if number == 3 { last_log } else { log };
+        let peers: Vec<_> = instances.iter().map(|known| known.addresses().peers).collect();
+        instances.push(start(number, log, &peers)?);
+    }
+    // The second measurement goes on with the versions of the first.
+    let admin = instances.first()?.addresses().admin;
+    thread::sleep(Duration::from_secs(2));
+    let mut base = instances.first()?.status().config_version;
+    let mut times = Vec::new();
+    for round in 0..CHANGES {
+        let began = Instant::now();
+        base = publish(admin, base, base.0 + 1)?;
+        while instances.iter().any(|known| known.status().config_version < base) {
+            if began.elapsed() > PATIENCE {
+                return None;
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+        if round > 0 {
+            // The first builds everything anew.
+            times.push(began.elapsed());
+        }
+    }
+    instances.into_iter().for_each(Instance::abort);
+    Some(times)
+}
+
+fn start(number: usize, log: SocketAddr, peers: &[SocketAddr]) -> Option<Instance> {
+    let settings = serde_json::json!({
+        "instance": format!("entry-{number}"), "data_centre": "a", "listen": "127.0.0.1:0",
+        "peer_listen": "127.0.0.1:0", "threads": 2, "log": log, "peers": peers,
+    });
+    let settings: Settings = serde_json::from_value(settings).ok()?;
+    Instance::start(settings, None).ok()
+}
+
+fn publish(admin: SocketAddr, base: Version, mark: u64) -> Option<Version> {
+    let key = format!("{mark:064x}");
+    let text = format!(
+        r#"{{"data_centres":{{"a":{{"region":"r"}}}},"workspaces":{{"w":{{"key_sha256":["{key}"]}}}}}}"#
+    );
+    let files = vec![SourceFile { name: "a.json".to_owned(), text }];
+    let (id, by) = (format!("change-{mark}"), "bench".to_owned());
+    let req = PublishRequest { id, base, by, files };
+    let call = HttpCall::post_json(admin, "/admin/publish", &req, PATIENCE).ok()?;
+    match block_on(call.send()).ok()?.json().ok()? {
+        PublishAnswer::Accepted(version) => Some(version),
+        _ => None,
+    }
+}
