--- a/crates/daemon/src/peer/compact.rs
+++ b/crates/daemon/src/peer/compact.rs
@@ -51,6 +51,7 @@
     wishes: Vec<ReservationWish>,
     suspicions: Vec<Entry>,
     suspects_at: Vec<EndpointId>,
+    longs_late: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -100,6 +101,7 @@
             wishes: part.wishes,
             suspicions: part.suspicions,
             suspects_at: part.suspects_at,
+            longs_late: part.longs_late,
         }
     }
 }
@@ -176,6 +178,7 @@
             wishes: load.wishes,
             suspicions: load.suspicions,
             suspects_at: load.suspects_at,
+            longs_late: load.longs_late,
         };
         Ok(PartOfLoad { deployment, part })
     }
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -174,7 +174,8 @@
     while let Some(item) = outbox.next().await {
         let encoded = match item {
             Item::Packet(bytes) => Ok(bytes),
-            Item::Load(PartOfLoad { deployment, part }) => {
+            Item::Load(load) => {
+                let PartOfLoad { deployment, part } = *load;
                 encode(&Packet::Load(names.compact(deployment, part)))
             }
         };
--- a/crates/daemon/src/peer/outbox.rs
+++ b/crates/daemon/src/peer/outbox.rs
@@ -32,7 +32,7 @@
     /// An encoded packet.
     Packet(Bytes),
     /// A part of the load, to be encoded with the link's names.
-    Load(PartOfLoad),
+    Load(Box<PartOfLoad>),
 }
 
 /// The queue of one link. Load digests that wait are merged into one for each deployment, so that
@@ -109,7 +109,7 @@
             return Some(Item::Packet(packet));
         }
         let (deployment, part) = pending.loads.pop()?;
-        Some(Item::Load(PartOfLoad { deployment, part }))
+        Some(Item::Load(Box::new(PartOfLoad { deployment, part })))
     }
 
     fn wake(&self) {
--- a/crates/daemon/src/peer/tests.rs
+++ b/crates/daemon/src/peer/tests.rs
@@ -74,6 +74,7 @@
         wishes: Vec::new(),
         suspicions: Vec::new(),
         suspects_at: Vec::new(),
+        longs_late: false,
     }
 }
 
