--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -259,7 +259,6 @@
             waiting_bands: Default::default(),
             running: 1,
             held: Tokens(tokens),
-            prefilled: Tokens::ZERO,
             prefill_rate: TokenRate(10_000.0),
             ejected: false,
             prefilled: Tokens::ZERO,
