--- a/crates/daemon/src/controller/load.rs
+++ b/crates/daemon/src/controller/load.rs
@@ -42,6 +42,7 @@
                 failing = true;
             }
         }
+        known.set_asked();
         drop((shared, known));
         // Jitter, so that instances started together don't poll together for ever.
         Timer::after(PERIOD.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
--- a/crates/daemon/src/endpoint.rs
+++ b/crates/daemon/src/endpoint.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -54,6 +57,8 @@
 /// the old configuration still holds its memory under the new one.
 #[derive(Debug)]
 struct State {
+    /// Its load was asked for, whatever came of it.
+    asked: AtomicBool,
     life: Mutex<Life>,
     holdings: Mutex<IndexSet<String>>,
     nudge: Sender<()>,
@@ -72,6 +77,7 @@
     pub fn new(place: Place) -> Endpoint {
         let (nudge, nudged) = bounded(1);
         let state = State {
+            asked: AtomicBool::new(false),
             life: Mutex::new(Life { incarnation: Incarnation(0), leaving: false }),
             holdings: Mutex::default(),
             nudge,
@@ -109,6 +115,16 @@
         true
     }
 
+    /// Whether its load was asked for, whatever came of it.
+    pub fn was_asked(&self) -> bool {
+        self.state.asked.load(Ordering::Relaxed)
+    }
+
+    /// Notes that its load was asked for.
+    pub fn set_asked(&self) {
+        self.state.asked.store(true, Ordering::Relaxed);
+    }
+
     /// The endpoint as the scheduler wants to hear of it.
     pub fn change(&self) -> EndpointChange {
         let life = self.life();
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -4,7 +4,7 @@
     future::Future,
     sync::{
         Arc, Mutex, OnceLock, PoisonError, RwLock, Weak,
-        atomic::{AtomicU8, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
     },
 };
 
@@ -66,6 +66,8 @@
     /// Held while a new configuration is built, so that two can't overtake one another.
     building: Mutex<()>,
     stage: AtomicU8,
+    /// Every endpoint of some configuration has once been asked for its load.
+    warm: AtomicBool,
     next_request: AtomicU64,
     /// Shared by the records of all requests under way, which are counted by it.
     open_requests: Arc<()>,
@@ -97,6 +99,7 @@
             ledgers: OnceLock::new(),
             building: Mutex::default(),
             stage: AtomicU8::new(Stage::Serving as u8),
+            warm: AtomicBool::new(false),
             next_request: AtomicU64::new(1),
             open_requests: Arc::default(),
             questions: Questions::default(),
@@ -207,9 +210,19 @@
         self.stage.fetch_max(stage as u8, Ordering::AcqRel);
     }
 
-    /// Whether the balancer may send callers here.
+    /// Whether the balancer may send callers here: there is a configuration, and every endpoint has
+    /// once been asked for its load. Before that the scheduler knows no engine's memory, and would
+    /// send prompts where they don't fit. Endpoints that come later change nothing.
     pub fn is_ready(&self) -> bool {
-        self.stage() == Stage::Serving && self.active().version > Version(0)
+        if self.stage() != Stage::Serving {
+            return false;
+        }
+        let active = self.active();
+        let known = active.version > Version(0)
+            && (self.warm.load(Ordering::Relaxed)
+                || active.endpoints.values().all(|endpoint| endpoint.was_asked()));
+        self.warm.fetch_or(known, Ordering::Relaxed);
+        known
     }
 
     /// Begins the record of a request.
--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -54,11 +54,8 @@
     let addresses = engines.each_ref().map(Engine::address);
     let daemon = Daemon::start("shards", &Site::of_engines(&addresses));
     let body = prompt(&"word ".repeat(20_000), 5, false);
-    let mut answer = String::new();
-    common::wait_until("the engines' memory is known", || {
-        answer = exchange(daemon.address, &post("/v1/completions", &body));
-        answer.starts_with("HTTP/1.1 200")
-    });
+    let answer = exchange(daemon.address, &post("/v1/completions", &body));
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     let document: serde_json::Value =
         serde_json::from_str(answer.split_once("\r\n\r\n").unwrap().1).unwrap();
     assert_eq!(document["choices"][0]["text"], expected_answer(body.as_bytes()).unwrap());
