Say the last word before a connection closes; raise the limit of open files

A socket closed with bytes unread is reset, and the reset overtakes the answer that says what was wrong. The sending side is now closed first. The customary limit of 1,024 open files ended service at some five hundred streams; the daemon raises it as far as the system allows (rustix, already in the tree) and says where that isn't enough.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod folder;
 pub mod instance;
 pub mod ledger;
+pub mod limits;
 pub mod logging;
 pub mod metrics;
 pub mod options;
@@ -58,6 +59,7 @@
     let _logger = logging::start(args.log_level).change_context(RunError)?;
     let Options { settings, config } = Options::read(&args).change_context(RunError)?;
     let mut signals = Signals::new([Signal::Term, Signal::Int]).change_context(RunError)?;
+    limits::raise_open_files(settings.max_connections);
     let instance = Instance::start(settings, config).change_context(RunError)?;
     // The stream ends only with the process.
     smol::block_on(signals.next());
--- a/crates/daemon/src/server/connection.rs
+++ b/crates/daemon/src/server/connection.rs
@@ -7,10 +7,9 @@
 };
 
 use async_h1::server::{ConnectionStatus, Server};
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::FutureExt;
 use policy::Time;
 use smol::{
-    Timer,
     channel::{Receiver, Sender, bounded},
     net::TcpStream,
 };
@@ -19,7 +18,7 @@
     endpoint::lock,
     error::CallError,
     record::CallRecord,
-    server::{Service, respond, router, stream::CallerStream},
+    server::{Service, last_words, respond, router, stream::CallerStream},
 };
 
 /// How long after a request's deadline its caller may still be taking the answer's last bytes.
@@ -42,6 +41,8 @@
     cut_at: Time,
     /// The request under way; none between requests.
     record: Option<Arc<CallRecord>>,
+    /// The head of the present request was read.
+    was_read: bool,
     /// When the last request ended.
     idle_since: Time,
 }
@@ -49,7 +50,7 @@
 impl Connection {
     /// A connection that was just accepted.
     pub fn new(socket: TcpStream, now: Time) -> Arc<Connection> {
-        let state = State { cut_at: Time::MAX, record: None, idle_since: now };
+        let state = State { cut_at: Time::MAX, record: None, was_read: false, idle_since: now };
         let (cut, was_cut) = bounded(1);
         Arc::new(Connection { socket, state: Mutex::new(state), cut, was_cut })
     }
@@ -81,7 +82,10 @@
         // Tokens are small and must not wait for an acknowledgement of the one before.
         self.socket.set_nodelay(true).ok();
         let stream = CallerStream::new(self.socket.clone());
-        let endpoint = |req| router::route(service, self.clone(), req);
+        let endpoint = |req| {
+            lock(&self.state).was_read = true;
+            router::route(service, self.clone(), req)
+        };
         let mut server = Server::new(stream.clone(), endpoint);
         loop {
             lock(stream.guard()).arm();
@@ -93,21 +97,25 @@
                 None
             };
             let ended = one.or(cut).await;
-            let was_idle = self.finish(service.shared.clock.now());
+            let was_read = self.finish(service.shared.clock.now());
+            let began = lock(stream.guard()).began();
             match ended {
                 Some(Ok(Ok(ConnectionStatus::KeepAlive))) => continue,
-                Some(Ok(Err(_)) | Err(_)) if was_idle => return self.refuse(&stream).await,
+                Some(Ok(Err(_)) | Err(_)) if began && !was_read => {
+                    return self.refuse(service, &stream).await;
+                }
                 _ => return,
             }
         }
     }
 
-    /// Ends the request under way, if any, and tells whether there was none.
+    /// Ends the request under way, if any, and tells whether its head was read.
     fn finish(&self, now: Time) -> bool {
         let mut state = lock(&self.state);
         state.cut_at = Time::MAX;
         state.idle_since = now;
-        state.record.take().is_none()
+        state.record = None;
+        std::mem::take(&mut state.was_read)
     }
 
     /// Cuts the connection where the request under way is past its time, or where none is under
@@ -121,20 +129,14 @@
     }
 
     /// Answers a head that the HTTP library couldn't read. The library itself would only close.
-    async fn refuse(&self, stream: &CallerStream) {
+    async fn refuse(&self, service: &Service, stream: &CallerStream) {
         let finding = lock(stream.guard()).finding().map(str::to_owned);
         let text = "the head of the request can't be read: it needs a method, a path, `HTTP/1.1`, \
                     a `Host` header, and at most 128 headers in 8 KB";
         let e = CallError::malformed(finding.unwrap_or_else(|| text.to_owned()));
-        let bytes = respond::raw(&e);
-        let mut socket = self.socket.clone();
-        let say = async {
-            // A caller that is gone already needs no answer.
-            socket.write_all(&bytes).await.ok();
-        };
-        let limit = async {
-            Timer::after(WRITE_GRACE).await;
-        };
-        say.or(limit).await;
+        let record = service.shared.begin(None);
+        record.note(|facts| (facts.status, facts.outcome) = (e.status.into(), e.code));
+        let bytes = respond::raw(&e, Some(&record.request_id()));
+        last_words::say(self.socket.clone(), &bytes).await;
     }
 }
--- a/crates/daemon/src/server/mod.rs
+++ b/crates/daemon/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! Listening for callers and operators.
 
 pub mod connection;
+mod last_words;
 pub mod registry;
 pub mod respond;
 pub mod router;
@@ -8,14 +9,12 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use futures_lite::AsyncWriteExt;
-use smol::{
-    Async, Timer,
-    net::{TcpListener, TcpStream},
-};
+use http_types::StatusCode;
+use policy::Ran;
+use smol::{Async, Timer, net::TcpListener};
 use socket2::{Domain, Protocol, Socket, Type};
 
-use crate::{filter::Chain, server::connection::Connection, shared::Shared};
+use crate::{error::CallError, filter::Chain, server::connection::Connection, shared::Shared};
 
 /// Which paths a listener serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,12 +35,6 @@
 /// a pause the loop would keep a thread busy until one is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// The answer to a connection over the limit. It is sent as it stands, because a caller over the
-/// limit must cost next to nothing.
-const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\n\
-    retry-after: 1\r\nconnection: close\r\ncontent-length: 112\r\n\r\n\
-    {\"error\":{\"code\":\"connections\",\"message\":\"too many connections are open here\",\"ran\":\"no\",\"retry_after\":1.0}}    ";
-
 /// What a connection needs to serve requests.
 pub struct Service {
     /// The instance.
@@ -75,7 +68,8 @@
             continue;
         };
         if service.shared.connections.len() >= service.shared.settings.max_connections {
-            service.shared.spawn(turn_away(stream));
+            let bytes = respond::raw(&too_many(), None);
+            service.shared.spawn(async move { last_words::say(stream, &bytes).await });
             continue;
         }
         let conn = Connection::new(stream, service.shared.clock.now());
@@ -88,13 +82,12 @@
     }
 }
 
-async fn turn_away(mut stream: TcpStream) {
-    let say = async {
-        // A caller that is gone already needs no answer.
-        stream.write_all(TOO_MANY).await.ok();
-    };
-    let limit = async {
-        Timer::after(Duration::from_secs(1)).await;
-    };
-    futures_lite::future::or(say, limit).await;
+fn too_many() -> CallError {
+    CallError {
+        status: StatusCode::ServiceUnavailable,
+        code: "connections",
+        message: "too many connections are open here".to_owned(),
+        ran: Ran::No,
+        retry_after: Some(Duration::from_secs(1)),
+    }
 }
--- a/crates/daemon/src/server/respond.rs
+++ b/crates/daemon/src/server/respond.rs
@@ -55,10 +55,13 @@
 }
 
 /// The same error as bytes of a whole HTTP answer, for where there is no request to answer.
-pub fn raw(e: &CallError) -> Vec<u8> {
+pub fn raw(e: &CallError, request_id: Option<&str>) -> Vec<u8> {
     let body = e.to_json();
+    let retry_after =
+        e.retry_after_seconds().map_or(String::new(), |wait| format!("retry-after: {wait}\r\n"));
+    let request_id = request_id.map_or(String::new(), |id| format!("{REQUEST_ID}: {id}\r\n"));
     let head = format!(
-        "HTTP/1.1 {} {}\r\ncontent-type: {JSON}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        "HTTP/1.1 {} {}\r\ncontent-type: {JSON}\r\nconnection: close\r\n{request_id}{retry_after}content-length: {}\r\n\r\n",
         u16::from(e.status),
         e.status.canonical_reason(),
         body.len()
--- a/crates/daemon/src/server/stream.rs
+++ b/crates/daemon/src/server/stream.rs
@@ -22,6 +22,7 @@
 #[derive(Debug, Default)]
 pub struct HeadGuard {
     armed: bool,
+    began: bool,
     line: usize,
     name: Vec<u8>,
     in_name: bool,
@@ -36,6 +37,11 @@
         *self = HeadGuard { armed: true, line: 1, in_name: true, ..HeadGuard::default() };
     }
 
+    /// Whether anything of the head has come.
+    pub fn began(&self) -> bool {
+        self.began
+    }
+
     /// What was wrong with the head, if anything.
     pub fn finding(&self) -> Option<&str> {
         self.finding.as_deref()
@@ -55,6 +61,7 @@
     }
 
     fn check_byte(&mut self, byte: u8) -> bool {
+        self.began = true;
         if !byte.is_ascii() || byte == 0 {
             self.finding = Some(self.describe());
             return false;
--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -28,6 +28,7 @@
             let expected = concat!("HTTP/1.1 ", $status);
             assert!(answer.starts_with(expected), "{answer}");
             assert!(answer.contains(r#""ran":"no""#), "{answer}");
+            assert!(answer.contains("\r\nx-request-id: "), "{answer}");
             $(assert!(answer.contains($part), "{answer}");)+
         }
     )*};
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -223,3 +223,57 @@
         }
     }
 }
+
+/// Everything between daemon and engine goes silent, new connections too, and then the caller
+/// hangs up. No release can arrive. Once the link is back, the engine's memory must be free.
+#[test]
+fn a_release_is_repeated_until_it_arrives() {
+    let engine = engine();
+    let proxy = FaultProxy::start(engine.address()).unwrap();
+    let daemon = Daemon::start("releases", &Site::of_engines(&[proxy.address()]));
+    engine.set_speed(0.02);
+    let stream = open_stream(daemon.address, &prompt("long answer", 50_000, true));
+    proxy.set_mode(Mode::SilenceAll(Direction::Both)).unwrap();
+    stream.get_ref().shutdown(Shutdown::Both).unwrap();
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(held(engine.address()).held.len(), 1);
+    proxy.set_mode(Mode::Pass).unwrap();
+    wait_until("the engine holds nothing", || held(engine.address()).held.is_empty());
+}
+
+/// An instance dies while its link to an engine is silent, so that the engine never sees the
+/// connection break. Its successor under the same name releases what it left.
+#[test]
+fn a_successor_releases_what_its_predecessor_left() {
+    let engine = engine();
+    let proxy = FaultProxy::start(engine.address()).unwrap();
+    let mut first = Daemon::start("reborn", &Site::of_engines(&[proxy.address()]));
+    engine.set_speed(0.02);
+    let _stream = open_stream(first.address, &prompt("long answer", 50_000, true));
+    proxy.set_mode(Mode::SilenceAll(Direction::Both)).unwrap();
+    first.child.kill().unwrap();
+    first.child.wait().unwrap();
+    assert_eq!(held(engine.address()).held.len(), 1);
+    let _second = Daemon::start("reborn", &Site::of_engines(&[engine.address()]));
+    wait_until("the engine holds nothing", || held(engine.address()).held.is_empty());
+    assert_eq!(engine.stats().finished, 0);
+}
+
+/// More callers than an instance may have connections. Those over the limit hear at once that
+/// nothing was run and when to come back.
+#[test]
+fn a_connection_over_the_limit_is_told_so() {
+    let engine = engine();
+    let site = Site::of_engines(&[engine.address()]);
+    let more = r#""balancer_wait_ms":100,"max_connections":2"#;
+    let daemon = Daemon::start_with("full", &site, more);
+    let open: Vec<_> = (0..2).map(|_| TcpStream::connect(daemon.address).unwrap()).collect();
+    wait_until("the connections count", || {
+        let answer = daemon.get("/livez");
+        answer.contains(r#""code":"connections""#)
+            && answer.contains(r#""ran":"no""#)
+            && answer.contains("retry-after: 1")
+    });
+    drop(open);
+    wait_until("there is room again", || daemon.get("/livez").starts_with("HTTP/1.1 200"));
+}
