--- a/crates/daemon/examples/control_cost.rs
+++ b/crates/daemon/examples/control_cost.rs
@@ -286,7 +286,6 @@
         held: tokens,
         prefill_rate: TokenRate(RATE),
         ejected: false,
-        prefilled: Tokens::ZERO,
     }
 }
 
