--- a/crates/daemon/examples/control_cost.rs
+++ b/crates/daemon/examples/control_cost.rs
@@ -284,6 +284,7 @@
         waiting_bands: [tokens, Tokens::ZERO, Tokens::ZERO, Tokens::ZERO],
         running: 3,
         held: tokens,
+        prefilled: Tokens::ZERO,
         prefill_rate: TokenRate(RATE),
         ejected: false,
     }
--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -259,6 +259,7 @@
             waiting_bands: Default::default(),
             running: 1,
             held: Tokens(tokens),
+            prefilled: Tokens::ZERO,
             prefill_rate: TokenRate(10_000.0),
             ejected: false,
         }],
