--- a/crates/cli/src/bench/export/markdown.rs
+++ b/crates/cli/src/bench/export/markdown.rs
@@ -4,7 +4,10 @@
 
 use super::{Export, figure};
 use crate::{
-    bench::result::{BenchReport, BenchResult},
+    bench::{
+        goals::goals,
+        result::{BenchReport, BenchResult},
+    },
     error::CliResult,
 };
 
@@ -16,12 +19,20 @@
 const BAND_HEAD: &str = "\n| policy | band | admitted | refused | failed | p50 ms | p95 ms | p99 ms \
     | worst ms |\n|---|---|--:|--:|--:|--:|--:|--:|--:|\n";
 
+const GOALS_HEAD: &str = "| measured | goal |\n|---|---|\n";
+
 /// Markdown.
 pub(crate) struct Markdown;
 
 impl Export for Markdown {
     fn export(&self, report: &BenchReport) -> CliResult<String> {
-        let mut text = String::new();
+        let mut text = String::from(GOALS_HEAD);
+        for goal in goals(report) {
+            let verdict = if goal.met { "met" } else { "missed" };
+            // Writing to a string can't fail.
+            let _ = writeln!(text, "| {:.2} {} | {verdict} |", goal.measured, goal.wanted);
+        }
+        text.push('\n');
         let mut pattern = None;
         for result in &report.results {
             if pattern == Some(result.pattern) {
--- a/crates/cli/src/bench/mod.rs
+++ b/crates/cli/src/bench/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod band;
 mod export;
+pub mod goals;
 pub mod load;
 pub mod options;
 mod overhead;
@@ -33,6 +34,10 @@
     output::print(&export::table::head())?;
     let report = measure(opts, |result| output::print(&export::table::line(result)))?;
     write_files(&opts.files, &report)?;
+    output::print("")?;
+    for goal in goals::goals(&report) {
+        output::print(&goal.to_string())?;
+    }
     Ok(Exit::Done)
 }
 
--- a/crates/cli/tests/bench.rs
+++ b/crates/cli/tests/bench.rs
@@ -7,6 +7,7 @@
 use cli::bench::{
     self,
     band::Band,
+    goals::goals,
     options::{BenchOptions, Files},
     pattern::{Pattern, Scale},
     result::{BenchReport, quantile},
@@ -72,6 +73,13 @@
         }
     }
 
+    only_goals_with_figures_are_judged {
+        let wanted = goals(report).len();
+        assert_eq!(wanted, 3, "two of a lost engine, one of all patterns");
+        let nothing = BenchReport { results: Vec::new(), ..report.clone() };
+        assert_eq!(goals(&nothing), []);
+    }
+
     the_exports_hold_what_was_measured {
         let dir = std::env::temp_dir().join(format!("trefoilhall-bench-{}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
