Compare each band of long prompts with itself alone

Cause: over 100k and 1M together, p95 of a few samples is the million-token prompt's, whatever becomes of the dossiers. What: the slowdown of long prompts is the larger one of the two bands'.

--- a/crates/cli/src/bench/result.rs
+++ b/crates/cli/src/bench/result.rs
@@ -65,7 +65,8 @@
     pub short_slowdown: Option<f64>,
     /// Time to first token of prompts of 100k tokens and more.
     pub long_ttft_p95_ms: Option<f64>,
-    /// That, over the same of the same long calls without the shorter ones, where measured.
+    /// The same of each band of long calls, over that band without the shorter ones; the larger
+    /// one, where measured.
     pub long_slowdown: Option<f64>,
     /// The longest time that an admitted call waited for its first token or its failure.
     pub worst_ttft_ms: Option<f64>,
--- a/crates/cli/src/bench/run.rs
+++ b/crates/cli/src/bench/run.rs
@@ -88,15 +88,15 @@
         let short_alone = short_p99(&short_alone.samples);
         let long_alone = match pattern {
             Pattern::LongAmongShort | Pattern::WeightsCurve => {
-                long_p95(&run(&plan.only(Band::is_long), policy, weights)?.samples)
+                run(&plan.only(Band::is_long), policy, weights)?.samples
             }
-            _ => None,
+            _ => Vec::new(),
         };
         let run = run(&plan, policy, weights)?;
         let mut result = summarise(&run, &plan, opts.span);
         (result.pattern, result.policy, result.setting) = (pattern, policy, name);
         result.short_slowdown = ratio(result.short_ttft_p99_ms, short_alone);
-        result.long_slowdown = ratio(result.long_ttft_p95_ms, long_alone);
+        result.long_slowdown = long_slowdown(&run.samples, &long_alone);
         results.push(result);
     }
     Ok(results)
@@ -200,6 +200,18 @@
     (stats.admitted > 0).then_some(stats.p95_ms)
 }
 
+/// The largest slowdown at p95 of the bands of long prompts, each over the same band alone. Taken
+/// together, the few longest would hide what happens to the others.
+fn long_slowdown(samples: &[Sample], alone: &[Sample]) -> Option<f64> {
+    let slowdown = |band: Band| {
+        let beside = BandStats::of(of_band(samples, band)).filter(|stats| stats.admitted > 0)?;
+        let alone = BandStats::of(of_band(alone, band)).filter(|stats| stats.admitted > 0)?;
+        ratio(Some(beside.p95_ms), Some(alone.p95_ms))
+    };
+    let long = Band::ALL.into_iter().filter(|band| band.is_long());
+    long.filter_map(slowdown).max_by(f64::total_cmp)
+}
+
 fn ratio(value: Option<f64>, of: Option<f64>) -> Option<f64> {
     Some(value? / of.filter(|of| *of > 0.0)?)
 }
