Let suspects run on a single endpoint after half a minute

Cause: a suspect never ran on the last healthy endpoint. At a group of one endpoint that meant that after one death every request that had been present was refused its run for an hour, though all but one are bystanders. Done: the last endpoint is spared for 30 s after the suspect's last death, half of the default deadline; after that it may run there, still apart from other suspects.

--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -47,6 +47,10 @@
 /// starts anew.
 pub const SUSPECT_FOR: Duration = Duration::from_secs(3600);
 
+/// How long the last healthy endpoint is spared from a suspect: half of the default deadline, so
+/// that the others may come back first and a bystander still gets its answer in time.
+pub const SPARED_FOR: Duration = Duration::from_secs(30);
+
 /// How long another instance's word that it runs a suspect on an endpoint counts without being
 /// repeated: three heartbeats. Two instances may still start one each in the same moment; a death
 /// then confirms both, and the bystander is refused for one term.
@@ -130,7 +134,9 @@
     }
 
     /// Whether a fingerprint may start on an endpoint now. A suspect must not run beside another
-    /// one, nor on the last healthy endpoint: if it is the culprit, nothing would be left.
+    /// one, nor for some time on the last healthy endpoint: if it is the culprit, nothing would be
+    /// left. After [`SPARED_FOR`] it may, because most suspects are bystanders, and a site with a
+    /// single endpoint would else never run them again.
     pub fn may_run(
         &self,
         fingerprint: Fingerprint,
@@ -144,7 +150,8 @@
             Standing::Suspect => {
                 let beside = self.running.get(endpoint).is_some_and(|other| *other != fingerprint);
                 let heard = self.heard.get(endpoint).is_some_and(|at| now.since(*at) < HEARD_FOR);
-                healthy > 1 && !beside && !heard
+                let spared = healthy > 1 || self.has_waited(fingerprint, now);
+                spared && !beside && !heard
             }
         }
     }
@@ -196,6 +203,11 @@
         self.heard.retain(|_, at| now.since(*at) < HEARD_FOR);
     }
 
+    fn has_waited(&self, fingerprint: Fingerprint, now: Time) -> bool {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.is_none_or(|suspect| now.since(suspect.last_death) >= SPARED_FOR)
+    }
+
     fn suspect(&mut self, fingerprint: Fingerprint, ran_apart: bool, now: Time) {
         make_room(&mut self.suspects, MAX_SUSPECTS, |suspect| suspect.last_death);
         let suspect = self.suspects.entry(fingerprint).or_insert(Suspect::at(now));
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -8,7 +8,7 @@
 use fastrand::Rng;
 use policy::{
     EndpointId, Fingerprint, Time,
-    quarantine::{Entry, MAX_SUSPECTS, Quarantine, REFUSED_FOR, SUSPECT_FOR, Standing},
+    quarantine::{Entry, MAX_SUSPECTS, Quarantine, REFUSED_FOR, SPARED_FOR, SUSPECT_FOR, Standing},
 };
 use quickcheck::quickcheck;
 
@@ -70,6 +70,9 @@
     assert!(!quarantine.may_run(Fingerprint(2), &endpoint(1), 3, now));
     assert!(quarantine.may_run(Fingerprint(2), &endpoint(2), 3, now));
     assert!(!quarantine.may_run(Fingerprint(2), &endpoint(2), 1, now));
+    let later = at(10) + SPARED_FOR;
+    assert!(quarantine.may_run(Fingerprint(2), &endpoint(2), 1, later), "a single endpoint");
+    assert!(!quarantine.may_run(Fingerprint(2), &endpoint(1), 1, later), "still apart");
     assert!(quarantine.may_run(Fingerprint(3), &endpoint(1), 1, now), "no suspect, no bounds");
     quarantine.stopped(Fingerprint(1));
     assert!(quarantine.may_run(Fingerprint(2), &endpoint(1), 3, now));
