--- a/crates/daemon/examples/control_cost.rs
+++ b/crates/daemon/examples/control_cost.rs
@@ -2,7 +2,7 @@
 //! several fleet sizes and numbers of endpoints, all meshes in this one process over loopback.
 //!
 //! `cargo run --release -p daemon --example control_cost` prints a table for
-//! `docs/decisions/membership.md`; it ends by itself after about four minutes. The processor time
+//! `docs/decisions/membership.md`; it ends by itself after about five minutes. The processor time
 //! includes making up the load and comparing views, so it is an upper bound.
 
 #![allow(clippy::print_stdout, clippy::unwrap_used)]
@@ -280,7 +280,7 @@
         self.digest.sequence += 1;
         let load = self.endpoints.iter().zip(self.waiting.iter().zip(&self.prefilled));
         self.digest.endpoints = load
-            .filter(|(_, (_, prefilled))| **prefilled > 0.0)
+            .filter(|(_, (waiting, prefilled))| **waiting + **prefilled > 0.0)
             .map(|(endpoint, (waiting, prefilled))| share(endpoint, *waiting, *prefilled))
             .collect();
     }
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -85,12 +85,7 @@
 ) -> Result<(), HelloError> {
     let Streams { mut reader, writer, dialled } = streams;
     let (session, events) = register(shared, hello, dialled).map_err(HelloError::Rejected)?;
-    log::info!(
-        peer = session.hello.instance.as_str(),
-        incarnation = session.hello.incarnation.0,
-        dialled;
-        "peer_linked"
-    );
+    log::debug!(peer = session.hello.instance.as_str(), dialled; "peer_link_up");
     shared.emit(events).await;
     let reading = read(shared, &session, &mut reader);
     let writing = write(&session.outbox, writer);
@@ -101,7 +96,7 @@
     };
     let end = or(stopped, reading.or(writing)).await;
     shared.lock().unlink(&session.hello.instance, session.id);
-    log::info!(peer = session.hello.instance.as_str(), end:? = end; "peer_unlinked");
+    log::info!(peer = session.hello.instance.as_str(), end:? = end; "peer_link_down");
     Ok(())
 }
 
@@ -150,6 +145,7 @@
         since: now,
         heard: now,
         sent: now,
+        leaving: false,
         listeners: Default::default(),
         _stop: stop_tx,
     };
@@ -232,8 +228,10 @@
     let events = match packet {
         Packet::Hello(_) | Packet::Heartbeat { leaving: false } => Vec::new(),
         Packet::Heartbeat { leaving: true } => {
+            let known = std::mem::replace(&mut link.leaving, true);
             state.members.observe(instance, incarnation, Evidence::Leaving, now);
-            vec![PeerEvent::Leaving { instance: instance.clone(), incarnation }]
+            let leaving = PeerEvent::Leaving { instance: instance.clone(), incarnation };
+            if known { Vec::new() } else { vec![leaving] }
         }
         Packet::Load(load) => {
             let PartOfLoad { deployment, part } = names.expand(&session.hello, load)?;
--- a/crates/daemon/src/peer/state.rs
+++ b/crates/daemon/src/peer/state.rs
@@ -50,6 +50,8 @@
     pub(super) since: Time,
     pub(super) heard: Time,
     pub(super) sent: Time,
+    /// Whether the peer has said on this link that it is leaving.
+    pub(super) leaving: bool,
     pub(super) listeners: IndexMap<Deployment, Listener>,
     /// Dropping it ends the link at once.
     pub(super) _stop: Sender<()>,
--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -323,6 +323,9 @@
     second.mesh.set_leaving();
     first.wait(|event| matches!(event, PeerEvent::Leaving { .. }).then_some(()));
     assert_eq!(first.state("entry-2"), Some(State::Leaving));
+    // Its heartbeats go on saying so; the instance hears it once.
+    thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(first.events.try_recv().ok(), None);
     smol::block_on(second.mesh.close());
     assert_eq!(first.wait_gone("entry-2"), Incarnation(1));
     assert_eq!(first.state("entry-2"), None);
