Say unknown where another instance has read further in the ledger

One instance that alone lost the log said 'not run' of calls that the others had run. Instances now tell how far they have read (Contract: Message::LedgerRead, last in the enum). A call that waited for the first reading doesn't count as having waited for an earlier attempt.

--- a/crates/daemon/src/controller/mod.rs
+++ b/crates/daemon/src/controller/mod.rs
@@ -2,6 +2,7 @@
 
 mod cache;
 pub mod configuration;
+mod ledgers;
 mod load;
 mod memory;
 mod peers;
--- a/crates/daemon/src/controller/peers.rs
+++ b/crates/daemon/src/controller/peers.rs
@@ -16,6 +16,7 @@
 use smol::{Timer, channel::Receiver};
 
 use crate::{
+    controller::ledgers,
     endpoint::Life,
     peer::{EndpointNews, Message, PeerEvent},
     shared::Shared,
@@ -33,6 +34,7 @@
     shared.spawn(listen(Arc::downgrade(shared), events));
     shared.spawn(share_load(Arc::downgrade(shared)));
     shared.spawn(read_list(Arc::downgrade(shared)));
+    shared.spawn(ledgers::run(Arc::downgrade(shared)));
 }
 
 async fn share_load(shared: Weak<Shared>) {
@@ -131,6 +133,7 @@
             let content = Bytes::from(serde_json::to_vec(&status).unwrap_or_default());
             tell(shared, from, Message::Status { query, content });
         }
+        Message::LedgerRead(ends) => ledgers::heard(shared, &ends),
         Message::Status { query, content } => shared.questions.answered(query, content),
         // Suspects travel with the load digests.
         Message::ConfigVersion(_) | Message::Quarantine { .. } => {}
--- a/crates/daemon/src/ledger/decide.rs
+++ b/crates/daemon/src/ledger/decide.rs
@@ -10,6 +10,8 @@
     Ended(Ended),
     /// Another call with its key is under way.
     Wait(Receiver<()>),
+    /// The stream hasn't been read to its end yet.
+    Read(Receiver<()>),
     /// Its own claim has been put in the queue.
     Claim(Receiver<()>),
 }
--- a/crates/daemon/src/ledger/mod.rs
+++ b/crates/daemon/src/ledger/mod.rs
@@ -181,31 +181,37 @@
         loop {
             let now = self.core.clock.now();
             let next = lock(&self.core.state).next(&req, waited, now);
-            let (changed, own) = match next {
+            let changed = match next {
                 Next::Ended(outcome) => return outcome.into(),
-                Next::Wait(changed) => (changed, false),
-                Next::Claim(changed) => {
-                    self.core.wake.try_send(()).ok();
-                    (changed, true)
-                }
-            };
-            if own {
-                // Dropped with this future when the caller hangs up, which gives the claim up.
-                let claim = RunClaim::new(self.clone(), req.key.clone());
-                match self.wait_for_own(&req, &changed).await {
-                    Own::Won => return ClaimOutcome::Run(claim),
-                    Own::Lost => claim.forget(),
-                    Own::GivenUp => {
-                        claim.forget();
+                Next::Read(changed) => {
+                    if !self.until(req.deadline, changed.recv()).await {
                         return ClaimOutcome::Unknown;
                     }
-                    Own::NotAppended => {
-                        claim.forget();
-                        return ClaimOutcome::LogDown;
+                    continue;
+                }
+                Next::Wait(changed) => {
+                    if !self.until(req.deadline, changed.recv()).await {
+                        return ClaimOutcome::Unknown;
                     }
+                    waited = true;
+                    continue;
+                }
+                Next::Claim(changed) => changed,
+            };
+            self.core.wake.try_send(()).ok();
+            // Dropped with this future when the caller hangs up, which gives the claim up.
+            let claim = RunClaim::new(self.clone(), req.key.clone());
+            match self.wait_for_own(&req, &changed).await {
+                Own::Won => return ClaimOutcome::Run(claim),
+                Own::Lost => claim.forget(),
+                Own::GivenUp => {
+                    claim.forget();
+                    return ClaimOutcome::Unknown;
+                }
+                Own::NotAppended => {
+                    claim.forget();
+                    return ClaimOutcome::LogDown;
                 }
-            } else if !self.until(req.deadline, changed.recv()).await {
-                return ClaimOutcome::Unknown;
             }
             waited = true;
         }
--- a/crates/daemon/src/ledger/state.rs
+++ b/crates/daemon/src/ledger/state.rs
@@ -125,7 +125,7 @@
         let Some(ledger) = self.replay.state().filter(|_| self.reached_end) else {
             return match self.is_down(now) {
                 true => Next::Ended(Ended::Behind),
-                false => Next::Wait(self.wait(&req.key)),
+                false => Next::Read(self.wait(&req.key)),
             };
         };
         let attempt = match ledger.standing(&req.key) {
--- a/crates/daemon/src/peer/message.rs
+++ b/crates/daemon/src/peer/message.rs
@@ -72,6 +72,8 @@
         /// The status as JSON, as it stands on the admin port.
         content: Bytes,
     },
+    /// The offset up to which the sender has read each ledger stream. Told to those with a link.
+    LedgerRead(Vec<u64>),
 }
 
 impl Message {
@@ -83,7 +85,8 @@
             | Message::ConfigWanted(_)
             | Message::Config { .. }
             | Message::StatusWanted { .. }
-            | Message::Status { .. } => false,
+            | Message::Status { .. }
+            | Message::LedgerRead(_) => false,
         }
     }
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -257,7 +257,8 @@
         self.mesh.get_or_init(|| Arc::downgrade(mesh));
     }
 
-    fn broadcast(&self, message: Message) {
+    /// Tells those with a link.
+    pub fn broadcast(&self, message: Message) {
         if let Some(mesh) = self.mesh()
             && let Err(e) = mesh.broadcast(message)
         {
--- a/crates/daemon/tests/published.rs
+++ b/crates/daemon/tests/published.rs
@@ -17,7 +17,10 @@
     config::{SourceFile, Version},
     publication::{AuditEntry, Verdict},
 };
-use standin::{AppendFault, LogConfig, LogService, Outage, Service, ServiceConfig, ServiceFault};
+use standin::{
+    AppendFault, FaultProxy, LogConfig, LogService, Mode, Outage, Service, ServiceConfig,
+    ServiceFault,
+};
 
 const SHORT: Duration = Duration::from_millis(700);
 
@@ -205,6 +208,43 @@
     assert_eq!(setup.service.runs("k"), 1);
 }
 
+/// One instance alone loses the log while the others go on. A call that it doesn't know may have
+/// run elsewhere, so it doesn't say "not run".
+#[test]
+fn an_instance_that_alone_lost_the_log_says_unknown() {
+    let setup = Setup::start();
+    let proxy = FaultProxy::start(setup.log.address()).unwrap();
+    let c = Daemon::follow("entry-c", proxy.address(), &[setup.a.peer_address]);
+    wait_until("the configuration", || c.status().config_version == Version(1));
+    wait_until("the ledger", || c.register("first", "{}", PATIENCE).0 == 200);
+    // Resets what is open too, or a waiting read would still tell it of the next record.
+    proxy.set_mode(Mode::Reset).unwrap();
+    wait_until("the loss is noticed", || c.register("x", "{}", SHORT).0 == 503);
+    setup.a.register("k", "{}", PATIENCE);
+    wait_until("it hears of the others", || {
+        let (status, body) = c.register("k", "{}", SHORT);
+        (status, &body["error"]["ran"]) == (503, &"unknown".into())
+    });
+    assert_eq!(setup.service.runs("k"), 1);
+}
+
+/// The endpoint answers a repeated key with its first answer, and the route says so: a call of
+/// unknown outcome is asked again.
+#[test]
+fn an_endpoint_that_deduplicates_is_asked_again() {
+    let setup = Setup::bare(ServiceConfig { deduplicates: true, ..ServiceConfig::default() });
+    let route = r#"{"deployments":{"register":{"routes":[
+        {"path":"/registrations","repeatable":false,"deduplicates":true}]}}}"#;
+    let mut files = setup.site.files();
+    files.push(SourceFile { name: "20-route.json".to_owned(), text: route.to_owned() });
+    assert_eq!(setup.a.publish("first", 0, files), PublishAnswer::Accepted(Version(1)));
+    setup.wait_version(1);
+    setup.service.plan_fault(ServiceFault::LoseAnswer);
+    assert_eq!(setup.a.register("k", "{}", PATIENCE).0, 502);
+    wait_until("the first answer", || setup.b.register("k", "{}", PATIENCE).0 == 200);
+    assert_eq!(setup.service.runs("k"), 1);
+}
+
 /// The instance that runs a registration is killed in mid-call. The caller sends again elsewhere.
 #[test]
 fn a_killed_instance_leaves_an_unknown_outcome_and_no_second_run() {
