--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -75,6 +75,11 @@
     pub linked: bool,
 }
 
+/// Whether a request is one that only operators may make, unlike probes and metrics.
+pub fn is_privileged(req: &Request) -> bool {
+    req.url().path().starts_with("/admin/")
+}
+
 /// Answers a request for operators; none where the path isn't one of theirs.
 pub async fn answer(shared: &Arc<Shared>, req: &mut Request) -> Option<Response> {
     match (req.method(), req.url().path()) {
--- a/crates/daemon/src/server/connection.rs
+++ b/crates/daemon/src/server/connection.rs
@@ -55,6 +55,11 @@
         Arc::new(Connection { socket, state: Mutex::new(state), cut, was_cut })
     }
 
+    /// Whether the other end is on this machine.
+    pub fn is_local(&self) -> bool {
+        self.socket.peer_addr().is_ok_and(|address| address.ip().is_loopback())
+    }
+
     /// Notes that a request is under way, which keeps a stopping instance from closing.
     pub fn begin(&self, record: Arc<CallRecord>) {
         lock(&self.state).record = Some(record);
--- a/crates/daemon/src/server/router.rs
+++ b/crates/daemon/src/server/router.rs
@@ -19,6 +19,11 @@
     conn: Arc<Connection>,
     mut req: Request,
 ) -> http_types::Result<Response> {
+    // Where callers and operators share an address, anyone who can call could publish a
+    // configuration or drain the instance; only this machine's own users may.
+    if service.audience == Audience::Both && admin::is_privileged(&req) && !conn.is_local() {
+        return Ok(respond::error(&not_for_callers()));
+    }
     if service.audience != Audience::Callers
         && let Some(resp) = admin::answer(&service.shared, &mut req).await
     {
@@ -37,6 +42,11 @@
     Ok(filter::answer(&service.chain, &service.shared, conn, req).await)
 }
 
+fn not_for_callers() -> CallError {
+    let message = "this is served to other machines only where the settings name `admin_listen`";
+    CallError::caller(StatusCode::Forbidden, "not_for_callers", message)
+}
+
 /// The error for a path that nothing serves.
 pub fn not_found(path: &str) -> CallError {
     let message = format!("nothing is served at `{path}`");
