--- a/crates/daemon/src/ledger/state.rs
+++ b/crates/daemon/src/ledger/state.rs
@@ -125,7 +125,7 @@
         let Some(ledger) = self.replay.state().filter(|_| self.reached_end) else {
             return match self.is_down(now) {
                 true => Next::Ended(Ended::Behind),
-                false => Next::Wait(self.wait(&req.key)),
+                false => Next::Read(self.wait(&req.key)),
             };
         };
         let attempt = match ledger.standing(&req.key) {
@@ -319,6 +319,11 @@
         self.replay.checkpoint(id).filter(|_| self.is_complete() && self.replay.next() > Offset(0))
     }
 
+    /// Whether the log has dropped what no checkpoint covers.
+    pub(super) fn needs_checkpoint(&self) -> bool {
+        self.replay.needs_checkpoint()
+    }
+
     /// Up to where the last checkpoint seen in the stream goes.
     pub(super) fn checkpointed(&self) -> Option<Offset> {
         self.replay.checkpointed().map(|stamp| stamp.offset)
