Order engines to the version that the configuration wants, one at a time

Contract: deployments may name what their engines load (serve). policy::orders decides by what engines report; a controller on one instance a deployment carries it out, with the configuration's version as fencing number. It asks the weight store first, never takes the last ready replica, and repairs engines that took an old order. Config reader and two constructors elsewhere got the new field.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -215,6 +215,7 @@
         limits: Limits::default(),
         routes: Vec::new(),
         policy: plan.policy,
+        serve: None,
     })
 }
 
@@ -233,6 +234,7 @@
         limits: Limits::default(),
         routes: vec![route],
         policy: PolicyName::Trefoilhall,
+        serve: None,
     })
 }
 
--- a/crates/daemon/src/controller/memory.rs
+++ b/crates/daemon/src/controller/memory.rs
@@ -16,10 +16,7 @@
     Engine, EngineError,
     wire::{Held, Owner},
 };
-use policy::{
-    membership::{State, owners::OwnerLife},
-    rendezvous,
-};
+use policy::membership::owners::OwnerLife;
 use smol::Timer;
 
 use crate::{endpoint::Endpoint, shared::Shared};
@@ -77,7 +74,7 @@
         engine.renew(owner, LEASE.as_millis() as u64).await.ok();
     }
     let page = engine.held().await?;
-    let foreign = chosen(shared, endpoint);
+    let foreign = super::chosen(shared, endpoint.place.id.as_str());
     let unwanted = |held: &&Held| match held.owner == *owner {
         true => !endpoint.wants(&held.id),
         false => is_predecessor(owner, &held.owner) || foreign && is_gone(shared, &held.owner),
@@ -90,17 +87,6 @@
     Ok(ids.len())
 }
 
-/// Whether this instance looks after what others left on the engine. Every engine has one such
-/// instance; while views of who lives differ it may have two, and releasing twice does no harm.
-fn chosen(shared: &Shared, endpoint: &Endpoint) -> bool {
-    let Some(mesh) = shared.mesh() else { return false };
-    let live = mesh.status().into_iter().filter(|peer| peer.state == State::Live);
-    let mut members: Vec<_> = live.map(|peer| peer.instance).collect();
-    members.push(shared.owner.instance.clone());
-    let chosen = rendezvous::owner(rendezvous::key(endpoint.place.id.as_str()), &members);
-    chosen.and_then(|index| members.get(index)) == Some(&shared.owner.instance)
-}
-
 /// Held by an earlier life of this instance: two lives never overlap, so that one is over.
 fn is_predecessor(owner: &Owner, holder: &Owner) -> bool {
     holder.instance == owner.instance && holder.incarnation < owner.incarnation
--- a/crates/daemon/src/controller/mod.rs
+++ b/crates/daemon/src/controller/mod.rs
@@ -4,11 +4,12 @@
 pub mod configuration;
 mod load;
 mod memory;
+mod orders;
 mod peers;
 
 use std::sync::Arc;
 
-use policy::config::EndpointKind;
+use policy::{config::EndpointKind, membership::State, rendezvous};
 use smol::channel::Receiver;
 
 pub use memory::LEASE;
@@ -26,7 +27,19 @@
     }
 }
 
-/// Starts the exchanges with the other instances.
+/// Starts the exchanges with the other instances, and what is shared out among them.
 pub fn start_peers(shared: &Arc<Shared>, events: Receiver<PeerEvent>) {
     peers::start(shared, events);
+    shared.spawn(orders::run(Arc::downgrade(shared)));
+}
+
+/// Whether this instance looks after what is called `name`. Everything has one such instance;
+/// while views of who lives differ it may have two, so whatever they do must do no harm twice.
+fn chosen(shared: &Shared, name: &str) -> bool {
+    let Some(mesh) = shared.mesh() else { return false };
+    let live = mesh.status().into_iter().filter(|peer| peer.state == State::Live);
+    let mut members: Vec<_> = live.map(|peer| peer.instance).collect();
+    members.push(shared.owner.instance.clone());
+    let chosen = rendezvous::owner(rendezvous::key(name), &members);
+    chosen.and_then(|index| members.get(index)) == Some(&shared.owner.instance)
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -30,11 +30,13 @@
     pub engines: Vec<SocketAddr>,
     pub services: Vec<SocketAddr>,
     pub policy: &'static str,
+    /// Further members of the engines' deployment, each after a comma.
+    pub more: &'static str,
 }
 
 impl Site {
     pub fn of_engines(engines: &[SocketAddr]) -> Site {
-        Site { engines: engines.to_vec(), services: Vec::new(), policy: "trefoilhall" }
+        Site { engines: engines.to_vec(), services: Vec::new(), policy: "trefoilhall", more: "" }
     }
 
     fn config(&self) -> String {
@@ -50,11 +52,11 @@
                 .unwrap();
             }
         }
-        let policy = self.policy;
+        let (policy, more) = (self.policy, self.more);
         let mut deployments = Vec::new();
         if !self.engines.is_empty() {
             deployments.push(format!(
-                r#""model":{{"group":"llm","kind":"engine","models":["m"],"policy":"{policy}"}}"#
+                r#""model":{{"group":"llm","kind":"engine","models":["m"],"policy":"{policy}"{more}}}"#
             ));
         }
         if !self.services.is_empty() {
--- /dev/null
+++ b/crates/daemon/tests/orders.rs
@@ -0,0 +1,109 @@
+//! Engines are loaded with what the configuration wants, while callers are served.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{net::SocketAddr, time::Duration};
+
+use common::{Daemon, KEY, Site, wait_until};
+use platform::engine::{
+    Engine as _,
+    http::HttpEngine,
+    wire::{Order, OrderState},
+};
+use standin::{
+    Engine, EngineConfig, WeightConfig, WeightStore,
+    client::{Prompt, PromptShape},
+};
+
+const SERVE: &str = r#","serve":{"model":"llm","version":"7"}"#;
+
+fn state(engine: SocketAddr) -> OrderState {
+    smol::block_on(HttpEngine::new(engine).order_state()).unwrap()
+}
+
+fn is_current(engine: SocketAddr) -> bool {
+    let state = state(engine);
+    state.ready && state.order.is_some_and(|order| order.version == "7")
+}
+
+fn store(models: &[&str]) -> WeightStore {
+    let sizes = models.iter().map(|name| ((*name).to_owned(), 100_000_000)).collect();
+    let config = WeightConfig { sizes, per_window: 2, window: Duration::from_millis(100) };
+    WeightStore::start(config).unwrap()
+}
+
+/// Three engines that take a fifth of a second to load.
+fn engines(store: &WeightStore, checks_fencing: bool) -> [Engine; 3] {
+    let config = EngineConfig {
+        weights: Some(store.address()),
+        weight_rate: 5e8,
+        checks_fencing,
+        ..EngineConfig::default()
+    };
+    [0; 3].map(|_| Engine::start(config.clone()).unwrap())
+}
+
+fn start(name: &str, engines: &[Engine; 3], store: &WeightStore) -> Daemon {
+    let addresses = engines.each_ref().map(Engine::address);
+    let site = Site { more: SERVE, ..Site::of_engines(&addresses) };
+    let more = format!(r#""balancer_wait_ms":100,"weights":"{}""#, store.address());
+    Daemon::start_with(name, &site, &more)
+}
+
+/// Operators publish a new version. The engines load it one after another; at no moment do two of
+/// them load, and callers get their answers all the while.
+#[test]
+fn a_new_version_is_loaded_one_engine_at_a_time() {
+    let store = store(&["llm/7"]);
+    let engines = engines(&store, true);
+    let daemon = start("rollout", &engines, &store);
+    let addresses = engines.each_ref().map(Engine::address);
+    let mut seed = 0;
+    wait_until("every engine has the new version", || {
+        let loading = addresses.iter().filter(|engine| !state(**engine).ready).count();
+        assert!(loading <= 1, "{loading} engines load at once");
+        seed += 1;
+        let prompt = Prompt::new(PromptShape::unique(100, seed)).key(KEY);
+        let reply = smol::block_on(prompt.send(daemon.address));
+        assert!(reply.whole, "{reply:?}");
+        addresses.iter().all(|engine| is_current(*engine))
+    });
+}
+
+/// An instance was paused, wakes, and sends an engine its old order. The engine doesn't check who
+/// gives it orders. What is wanted is seen to differ, and ordered again.
+#[test]
+fn an_old_order_at_an_engine_that_checks_nothing_is_repaired() {
+    let store = store(&["llm/6", "llm/7"]);
+    let engines = engines(&store, false);
+    let _daemon = start("repair", &engines, &store);
+    let addresses = engines.each_ref().map(Engine::address);
+    wait_until("every engine is loaded", || addresses.iter().all(|engine| is_current(*engine)));
+    let old = Order {
+        model: "llm".to_owned(),
+        version: "6".to_owned(),
+        adapter: None,
+        role: "mixed".to_owned(),
+        fencing: 0,
+    };
+    smol::block_on(HttpEngine::new(addresses[1]).order(&old)).unwrap();
+    assert!(!is_current(addresses[1]));
+    wait_until("the engine is repaired", || is_current(addresses[1]));
+}
+
+/// The version that operators name isn't in the weight store. No engine may give up what it serves.
+#[test]
+fn a_version_that_the_store_lacks_is_never_ordered() {
+    let store = store(&["llm/6"]);
+    let engines = engines(&store, true);
+    let daemon = start("missing", &engines, &store);
+    let served = || daemon.get("/admin/status").contains(r#""state":"live""#);
+    wait_until("the engines are known", served);
+    std::thread::sleep(Duration::from_secs(3));
+    for engine in &engines {
+        assert_eq!(engine.stats().orders, 0);
+        assert!(state(engine.address()).ready);
+    }
+}
--- a/crates/daemon/tests/published.rs
+++ b/crates/daemon/tests/published.rs
@@ -39,6 +39,7 @@
             engines: vec![unused],
             services: vec![service.address()],
             policy: "trefoilhall",
+            more: "",
         };
         let a = Daemon::follow("entry-a", log.address(), &[]);
         let b = Daemon::follow("entry-b", log.address(), &[a.peer_address]);
--- a/crates/daemon/tests/services.rs
+++ b/crates/daemon/tests/services.rs
@@ -16,7 +16,7 @@
 }
 
 fn site(services: &[std::net::SocketAddr]) -> Site {
-    Site { engines: Vec::new(), services: services.to_vec(), policy: "trefoilhall" }
+    Site { engines: Vec::new(), services: services.to_vec(), policy: "trefoilhall", more: "" }
 }
 
 fn get(path: &str, more: &str) -> String {
--- a/crates/policy/src/config/deployments.rs
+++ b/crates/policy/src/config/deployments.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use super::{
-    DeploymentRules, EndpointKind, Limits, RouteRules, Weights,
+    DeploymentRules, EndpointKind, Limits, RouteRules, ServeRules, Weights,
     fields::Fields,
     finding::Findings,
     load::section,
@@ -54,6 +54,8 @@
     let routes = fields.node("routes");
     let routes = read_routes(routes, &fields.path("routes"), &limits, findings);
     let policy = fields.optional("policy", "a scheduler's name", findings).unwrap_or_default();
+    let serve = fields.optional("serve", "a model and a version to load", findings);
+    check_serve(&fields, serve.as_ref(), kind, findings);
     check_group(&fields, group.as_ref(), kind, names, findings);
     check_models(&fields, models.as_deref().unwrap_or_default(), kind, names, findings);
     fields.close(findings);
@@ -65,6 +67,7 @@
         limits,
         routes,
         policy,
+        serve,
     })
 }
 
@@ -94,6 +97,34 @@
     }
 }
 
+/// The roles that engines know.
+const ROLES: [&str; 3] = ["mixed", "prefill", "decode"];
+
+fn check_serve(
+    fields: &Fields<'_>,
+    serve: Option<&ServeRules>,
+    kind: Option<EndpointKind>,
+    findings: &mut Findings,
+) {
+    let Some(serve) = serve else { return };
+    let (place, path) = (fields.place_of("serve"), fields.path("serve"));
+    if kind == Some(EndpointKind::Service) {
+        findings.push(place, &path, "expected nothing to load for a plain service");
+    }
+    if !ROLES.contains(&serve.role.as_str()) {
+        let message = format!("expected the role mixed, prefill or decode, found {}", serve.role);
+        findings.push(place, &path, message);
+    }
+    // Both become segments of a path at the weight store.
+    let is_segment = |text: &str| {
+        !text.is_empty() && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"._-".contains(&b))
+    };
+    if !is_segment(&serve.model) || !is_segment(&serve.version) {
+        let message = "expected model and version of letters, digits, `.`, `_` and `-`";
+        findings.push(place, &path, message);
+    }
+}
+
 fn check_models(
     fields: &Fields<'_>,
     models: &[Model],
--- a/crates/policy/src/config/mod.rs
+++ b/crates/policy/src/config/mod.rs
@@ -200,6 +200,29 @@
     /// Which scheduler decides.
     #[serde(default)]
     pub policy: PolicyName,
+    /// What the engines have to load; where absent, they are left as they are.
+    #[serde(default)]
+    pub serve: Option<ServeRules>,
+}
+
+/// What a deployment's engines have to load.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServeRules {
+    /// The model by the weight store's name.
+    pub model: String,
+    /// Its version there.
+    pub version: String,
+    /// An adapter on top, if any.
+    #[serde(default)]
+    pub adapter: Option<String>,
+    /// `mixed`, `prefill` or `decode`.
+    #[serde(default = "mixed")]
+    pub role: String,
+}
+
+fn mixed() -> String {
+    "mixed".to_owned()
 }
 
 /// What the site weighs how much, relative to one another. Both enter one cost.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ids;
 pub mod ledger;
 pub mod membership;
+pub mod orders;
 pub mod place;
 pub mod prompt;
 pub mod publication;
--- a/crates/policy/tests/late_memory.rs
+++ b/crates/policy/tests/late_memory.rs
@@ -65,6 +65,7 @@
         limits: Limits::default(),
         routes: Vec::new(),
         policy: PolicyName::Trefoilhall,
+        serve: None,
     };
     let engines: Vec<_> = (1..=ENGINES).map(engine).collect();
     scheduler.configure(&rules, &WorkspaceTable::default(), &engines, Time::ZERO);
--- /dev/null
+++ b/crates/policy/tests/orders.rs
@@ -0,0 +1,81 @@
+//! Which engine is ordered next, told as what callers would notice.
+
+#![allow(clippy::unwrap_used)]
+
+use policy::{
+    EndpointId,
+    config::Version,
+    orders::{Replica, Step, next},
+};
+use quickcheck::quickcheck;
+
+/// An engine by name; the letters say whether it is current (`c`) and ready (`r`).
+fn replica(name: &str, state: &str) -> Replica {
+    Replica {
+        endpoint: EndpointId::new(name).unwrap(),
+        is_current: state.contains('c'),
+        ready: state.contains('r'),
+        fencing: Version(3),
+    }
+}
+
+macro_rules! steps {
+    ($($name:ident: [$($engine:literal $state:literal),*] => $step:ident $($chosen:literal)?;)*) => {$(
+        #[test]
+        fn $name() {
+            let replicas = [$(replica($engine, $state)),*];
+            let expected = Step::$step $((EndpointId::new($chosen).unwrap()))?;
+            assert_eq!(next(&replicas, Version(4)), expected);
+        }
+    )*};
+}
+
+steps! {
+    all_as_wanted: ["a" "cr", "b" "cr"] => Done;
+    first_by_name: ["b" "r", "a" "r"] => Order "a";
+    what_is_not_ready_goes_first: ["a" "r", "b" ""] => Order "b";
+    one_at_a_time: ["a" "c", "b" "r", "c" "r"] => Loading "a";
+    the_last_ready_one_stays: ["a" "r"] => LastReady "a";
+    the_last_old_one_goes_when_others_are_ready: ["a" "cr", "b" "r"] => Order "b";
+    none_ready: ["a" "", "b" ""] => Order "a";
+    none_at_all: [] => Done;
+}
+
+#[test]
+fn an_instance_that_is_behind_keeps_still() {
+    let replicas = [replica("a", "r"), replica("b", "r")];
+    assert_eq!(next(&replicas, Version(2)), Step::Behind(EndpointId::new("a").unwrap()));
+}
+
+quickcheck! {
+    /// Whatever the engines' states: following the steps until nothing is left to do never leaves
+    /// callers without a ready engine where there was one, and never has two engines loading.
+    fn a_rollout_never_takes_the_last_ready_engine(states: Vec<(bool, bool)>) -> bool {
+        let mut replicas: Vec<_> = states
+            .iter()
+            .take(20)
+            .enumerate()
+            .map(|(i, (current, ready))| Replica {
+                endpoint: EndpointId::new(&format!("e{i}")).unwrap(),
+                is_current: *current,
+                ready: *ready,
+                fencing: Version(0),
+            })
+            .collect();
+        let served = replicas.iter().any(|r| r.ready);
+        for _ in 0..100 {
+            let (name, ready) = match next(&replicas, Version(1)) {
+                Step::Order(name) => (name, false),
+                Step::Loading(name) => (name, true),
+                Step::Done | Step::LastReady(_) => break,
+                Step::Behind(_) => return false,
+            };
+            let replica = replicas.iter_mut().find(|r| r.endpoint == name).unwrap();
+            (replica.is_current, replica.ready) = (true, ready);
+            if served && !replicas.iter().any(|r| r.ready) {
+                return false;
+            }
+        }
+        replicas.iter().all(|r| r.is_current) || replicas.iter().filter(|r| r.ready).count() == 1
+    }
+}
