--- a/crates/cli/src/bench/load.rs
+++ b/crates/cli/src/bench/load.rs
@@ -63,7 +63,7 @@
     pub first_token: Option<Duration>,
     /// From the plan to the end of the last reply.
     pub total: Duration,
-    /// Replies that said the call wasn't run, and all replies.
+    /// How many of its replies said that it wasn't run.
     pub not_run: u32,
     /// How often it was sent.
     pub sends: u32,
--- a/crates/cli/src/bench/result.rs
+++ b/crates/cli/src/bench/result.rs
@@ -92,7 +92,7 @@
     pub prefilled_tokens: u64,
     /// Of these, for runs that didn't finish there.
     pub wasted_prefill_tokens: u64,
-    /// Prompt tokens of calls finished in time, for each second that calls came in.
+    /// Prompt tokens of calls finished in time, while calls came in, for each second of that.
     pub goodput_tokens_per_s: f64,
     /// Largest over smallest share of offered tokens that was served, over the workspaces with
     /// equal demand.
--- a/crates/cli/src/bench/run.rs
+++ b/crates/cli/src/bench/run.rs
@@ -146,13 +146,9 @@
     let samples = &run.samples;
     let count = |fate| samples.iter().filter(|sample| sample.fate() == fate).count() as u64;
     let (finished_in_time, failed) = (count(Fate::InTime), count(Fate::Failed));
-    let (mut all, mut others) = (Served::default(), Served::default());
-    for sample in samples {
-        all.add(sample);
-        if Some(sample.call.workspace) != plan.hot {
-            others.add(sample);
-        }
-    }
+    let mut others = Served::default();
+    let without_hot = samples.iter().filter(|sample| Some(sample.call.workspace) != plan.hot);
+    without_hot.for_each(|sample| others.add(sample));
     let bands: IndexMap<Band, BandStats> = Band::ALL
         .into_iter()
         .filter_map(|band| Some((band, BandStats::of(of_band(samples, band))?)))
@@ -178,13 +174,23 @@
         sends: samples.iter().map(|sample| u64::from(sample.sends)).sum(),
         prefilled_tokens: run.engines.prefilled.0,
         wasted_prefill_tokens: run.engines.wasted.0,
-        goodput_tokens_per_s: all.served.0 as f64 / span.as_secs_f64(),
+        goodput_tokens_per_s: goodput(samples, span),
         fairness: fairness(samples, plan.hot),
         others_served: others.share(),
         bands,
     }
 }
 
+/// Prompt tokens of calls that finished in time, for each second that calls came in. Those that
+/// finished after that don't count: at twice capacity the engines work on for seconds, and counting
+/// that work would show more goodput than the engines can give.
+fn goodput(samples: &[Sample], span: Duration) -> f64 {
+    let in_time = samples.iter().filter(|sample| sample.fate() == Fate::InTime);
+    let by_then = in_time.filter(|sample| sample.call.at + sample.total <= span);
+    let tokens: Tokens = by_then.map(|sample| sample.call.prompt.tokens).sum();
+    tokens.0 as f64 / span.as_secs_f64()
+}
+
 fn of_band(samples: &[Sample], band: Band) -> impl Iterator<Item = &Sample> + Clone {
     samples.iter().filter(move |sample| sample.call.band == band)
 }
