--- a/crates/policy/src/trefoilhall/dispatch.rs
+++ b/crates/policy/src/trefoilhall/dispatch.rs
@@ -14,9 +14,15 @@
 //! its class, and the delay of those that it would overtake there, weighted by theirs; so short
 //! ones avoid engines with long prompts until that costs them as much as they spare.
 //!
+//! Each instance goes first to its own part of the endpoints: on the others' it expects the work
+//! that they have likely sent since they were last heard.
+//!
 //! **Grounds.** A tenth of the longest short prefill is several round trips within a region and
 //! several chunks of prefill; what it adds to a short prompt's wait is below what its caller
-//! notices. For longer bands the budget is a few percent of their own prefill time.
+//! notices. For longer bands the budget is a few percent of their own prefill time. Going to one's
+//! own part first is measured in `docs/decisions/scheduling.md`.
+
+use std::time::Duration;
 
 use crate::{
     Decision, EndpointId, FailCause, RequestId, Shard, Start, Time, TokenRate, Tokens,
@@ -29,6 +35,7 @@
     endpoint::Endpoint,
     request::{Attempt, Due, Entry, State},
     seconds, span,
+    workspaces::SPREAD,
 };
 
 /// Workspaces whose first request is looked at before a lane counts as blocked. The first may be
@@ -42,6 +49,8 @@
     Later,
     /// Nowhere in time.
     TooLate,
+    /// On several engines only: it is larger than any engine's memory.
+    Spread,
 }
 
 /// The endpoint chosen for a request.
@@ -82,15 +91,35 @@
                     self.fail(first.request, FailCause::Deadline, now);
                     return true;
                 }
+                Place::Spread => {
+                    self.spread(first.request);
+                    return true;
+                }
                 Place::Later => {}
             }
         }
         false
     }
 
+    /// Moves a request to the lane of prompts that need several engines.
+    ///
+    /// It was admitted before the engines had told their memory, or engines with more have left
+    /// since. In the lane of its band it would fit nowhere, and would hold up its workspace's
+    /// other requests until its deadline.
+    fn spread(&mut self, request: RequestId) {
+        self.leave_lane(request, false);
+        if let Some(entry) = self.requests.get_mut(&request) {
+            entry.lane = SPREAD;
+        }
+        self.enqueue(request);
+    }
+
     fn place(&mut self, request: RequestId, now: Time) -> Place {
         let Some(entry) = self.requests.get(&request) else { return Place::Later };
-        let ask = self.ask(entry, now);
+        if self.fleet.usable > 0 && entry.footprint() > self.fleet.largest_memory {
+            return Place::Spread;
+        }
+        let ask = self.ask(entry);
         let endpoints = self.fleet.endpoints.values();
         let candidates: Vec<Candidate> =
             endpoints.filter_map(|endpoint| self.candidate(entry, endpoint, now)).collect();
@@ -110,14 +139,13 @@
         })
     }
 
-    fn ask(&self, entry: &Entry, now: Time) -> Ask {
-        let busy = self.total_demand.iter().sum::<f64>() / self.fleet.total_rate.max(1.0);
+    fn ask(&self, entry: &Entry) -> Ask {
         Ask {
             prompt: entry.req.prompt,
             footprint: entry.req.footprint(),
             long: entry.band.is_long(),
             prefix: entry.req.prefix.first().copied(),
-            unheard: place::unheard(self.peers.age(now), busy, self.peers.instances()),
+            unheard: Duration::ZERO,
             weights: self.rules.weights,
         }
     }
@@ -144,7 +172,9 @@
             return None;
         }
         let left = if band.is_long() { 1.0 - self.short_load() } else { 1.0 };
-        let wait = endpoint.ahead(band) / (rate * left) + endpoint.lateness(seconds(now), rate);
+        let wait = endpoint.ahead(band) / (rate * left)
+            + endpoint.lateness(seconds(now), rate)
+            + if endpoint.is_home { 0.0 } else { self.unheard };
         Some(Candidate {
             endpoint: endpoint.id.clone(),
             wait: span(wait),
