Play scenarios against real daemon processes

Cause: the promises are to be judged by what callers received, what endpoints ran and what engines still hold, with every connection behind a fault proxy. What: the runner starts stand-ins in its own process and daemons as child processes, kills, pauses and stops those by id, and checks the expectations. Calls to a process that was dead or frozen meanwhile are excused from the time bound, since it can't answer.

--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -160,6 +160,13 @@
         }
     }
 
+    /// Forgets every record kept so far.
+    pub fn trim_all(&self) {
+        for stream in lock(&self.shared.state).streams.values_mut() {
+            stream.records.clear();
+        }
+    }
+
     /// How many appends took effect.
     pub fn appends(&self) -> u64 {
         lock(&self.shared.state).appends
--- a/crates/standin/src/scenario/mod.rs
+++ b/crates/standin/src/scenario/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod ast;
 pub mod parse;
+pub mod run;
 
 pub use ast::{Action, Actor, ActorKind, Expectation, Link, Scenario, Send, Step};
 pub use parse::{Finding, parse};
+pub use run::{Report, RunError, run};
