--- a/crates/standin/src/scenario/run/judge.rs
+++ b/crates/standin/src/scenario/run/judge.rs
@@ -1,9 +1,6 @@
 //! Whether what callers received, endpoints ran and engines hold is what the scenario expects.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, time::Duration};
 
 use super::{
     calls::{Call, Ending},
@@ -179,8 +176,3 @@
         Counted::Published => site.published().saturating_sub(1),
     }
 }
-
-/// When the last call ended.
-pub(super) fn last_end(calls: &[Call]) -> Option<Instant> {
-    calls.iter().map(|call| call.ended).max()
-}
