--- a/crates/standin/src/scenario/run/site.rs
+++ b/crates/standin/src/scenario/run/site.rs
@@ -132,7 +132,8 @@
                 "balancer_wait_ms": BALANCER_WAIT.as_millis() as u64,
             });
             let folder = self.folder.join(&actor.name);
-            let process = Process::new(daemon, folder, &settings.to_string())?;
+            let process =
+                Process::new(daemon, folder, &json!({ "settings": settings }).to_string())?;
             let instance = Instance {
                 name: actor.name.clone(),
                 data_centre,
@@ -277,12 +278,11 @@
             Some(Member::Instance(instance)) => &instance.peer_proxy,
             None => &self.log_proxy,
         };
-        proxy.set_mode(mode_of(link))?;
         if link == Link::Refuse {
-            // An endpoint that can't be reached any more has lost its open connections as well.
+            // What can't be reached any more has lost its open connections as well.
             proxy.set_mode(Mode::Reset)?;
-            proxy.set_mode(Mode::Refuse)?;
         }
+        proxy.set_mode(mode_of(link))?;
         Ok(())
     }
 
