--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub, clippy::unwrap_used)] // Each test file uses a part of this.
 
+pub mod log;
+
 use std::{
     fmt::Write as _,
     fs,
--- a/crates/policy/src/trefoilhall/dispatch.rs
+++ b/crates/policy/src/trefoilhall/dispatch.rs
@@ -29,6 +29,7 @@
     endpoint::Endpoint,
     request::{Attempt, Due, Entry, State},
     seconds, span,
+    workspaces::SPREAD,
 };
 
 /// Workspaces whose first request is looked at before a lane counts as blocked. The first may be
@@ -42,6 +43,8 @@
     Later,
     /// Nowhere in time.
     TooLate,
+    /// On several engines only: it is larger than any engine's memory.
+    Spread,
 }
 
 /// The endpoint chosen for a request.
@@ -66,6 +69,10 @@
 
     /// Starts or gives up one request of a lane; false where the lane is empty or blocked.
     fn start_next(&mut self, lane: usize, now: Time) -> bool {
+        let is_short = lane == Band::SHORT.index();
+        if is_short && !self.pace.allows(seconds(now)) {
+            return false;
+        }
         let turns: Vec<_> = self.lanes[lane].turns().take(LOOKAHEAD).collect();
         for workspace in turns {
             let Some(first) = self.workspaces.get(workspace).lines[lane].first() else { continue };
@@ -78,14 +85,34 @@
                     self.fail(first.request, FailCause::Deadline, now);
                     return true;
                 }
+                Place::Spread => {
+                    self.spread(first.request);
+                    return true;
+                }
                 Place::Later => {}
             }
         }
         false
     }
 
+    /// Moves a request to the lane of prompts that need several engines.
+    ///
+    /// It was admitted before the engines had told their memory, or engines with more have left
+    /// since. In the lane of its band it would fit nowhere, and would hold up its workspace's
+    /// other requests until its deadline.
+    fn spread(&mut self, request: RequestId) {
+        self.leave_lane(request, false);
+        if let Some(entry) = self.requests.get_mut(&request) {
+            entry.lane = SPREAD;
+        }
+        self.enqueue(request);
+    }
+
     fn place(&mut self, request: RequestId, now: Time) -> Place {
         let Some(entry) = self.requests.get(&request) else { return Place::Later };
+        if self.fleet.usable > 0 && entry.footprint() > self.fleet.largest_memory {
+            return Place::Spread;
+        }
         let ask = self.ask(entry, now);
         let endpoints = self.fleet.endpoints.values();
         let candidates: Vec<Candidate> =
@@ -131,7 +158,7 @@
         if !has_budget(endpoint, band, self.bands.budget(band) * rate) {
             return None;
         }
-        let free = endpoint.free();
+        let free = endpoint.free(band);
         if free < entry.footprint() || !entry.may_go_to(&endpoint.id, endpoint.incarnation) {
             return None;
         }
@@ -186,7 +213,7 @@
         let prefill = (entry.req.prompt + entry.passed_on - cached).0.max(1) as f64;
         for shard in &shards {
             if let Some(endpoint) = self.fleet.get_mut(&shard.endpoint) {
-                endpoint.hold(shard.tokens.0 as f64);
+                endpoint.hold(band, shard.tokens.0 as f64);
             }
         }
         let first = shards.first().and_then(|shard| self.fleet.get_mut(&shard.endpoint));
@@ -214,7 +241,10 @@
             priority: band.priority(),
         }));
         if band.is_long() {
+            self.long_prefills.insert(request);
             self.look_at_fleet(now);
+        } else {
+            self.pace.started(prefill);
         }
     }
 
@@ -244,9 +274,10 @@
             return None;
         };
         let band = entry.band;
+        self.long_prefills.swap_remove(&request);
         for (index, shard) in attempt.shards.iter().enumerate() {
             let Some(endpoint) = self.fleet.of(shard) else { continue };
-            endpoint.release(shard.tokens.0 as f64);
+            endpoint.release(band, shard.tokens.0 as f64);
             if index == 0 && attempt.first_token.is_none() {
                 endpoint.prefilled(band, attempt.prefill);
             }
--- a/crates/policy/src/trefoilhall/fleet.rs
+++ b/crates/policy/src/trefoilhall/fleet.rs
@@ -115,7 +115,9 @@
 
     /// Takes over another instance's parts. Where it tells of none any more, it has none.
     pub(super) fn peer(&mut self, digest: &LoadDigest) {
-        self.peer_gone(&digest.instance);
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.peer_has_none(&digest.instance);
+        }
         for share in &digest.endpoints {
             if let Some(endpoint) = self.endpoints.get_mut(&share.endpoint) {
                 endpoint.peer(&digest.instance, share);
@@ -137,6 +139,9 @@
     /// Computes what is typical, and models the work done since the last look.
     pub(super) fn refresh(&mut self, now: Time) {
         self.refreshed = seconds(now);
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.speed.age(seconds(now));
+        }
         let usable = || self.endpoints.values().filter(|endpoint| endpoint.usable());
         let mut rates: Vec<f64> = usable().filter_map(|e| e.speed.rate()).collect();
         rates.sort_unstable_by(f64::total_cmp);
