--- a/crates/standin/src/scenario/run/judge.rs
+++ b/crates/standin/src/scenario/run/judge.rs
@@ -78,11 +78,16 @@
 }
 
 fn repeated_runs(site: &Site, calls: &[Call]) -> Vec<String> {
+    let repeated =
+        keys(calls).into_iter().map(|key| (key, runs(site, key))).filter(|(_, runs)| *runs > 1);
+    repeated.map(|(key, runs)| format!("{key} ran {runs} times")).collect()
+}
+
+fn keys(calls: &[Call]) -> Vec<&String> {
     let mut keys: Vec<&String> = calls.iter().filter_map(|call| call.key.as_ref()).collect();
     keys.sort();
     keys.dedup();
-    let repeated = keys.into_iter().map(|key| (key, runs(site, key))).filter(|(_, runs)| *runs > 1);
-    repeated.map(|(key, runs)| format!("{key} ran {runs} times")).collect()
+    keys
 }
 
 /// Over all calls of a key or body: runs beyond the number of calls that weren't told "not run"
@@ -170,7 +175,7 @@
         Counted::Refused => ended(&[Ending::NotRun]),
         Counted::Failed => ended(&[Ending::Ran, Ending::Broken, Ending::Silent, Ending::Wrong]),
         Counted::Unknown => ended(&[Ending::Unknown]),
-        Counted::Runs => site.services().map(|(_, service)| service.effects()).sum(),
+        Counted::Runs => keys(calls).into_iter().map(|key| u64::from(runs(site, key))).sum(),
         Counted::Deaths => site.engines().map(|(_, engine)| engine.stats().deaths).sum(),
         // The first publication sets the site up and isn't part of the story.
         Counted::Published => site.published().saturating_sub(1),
