Take a connection that breaks with nobody behind it for the endpoint's death

The log shows cause=Broken for engines that had died: the check asks over a new connection, whatever stands between (here the fault proxy) takes it and breaks it, and only a refused one counted as death. So no suspicion arose. What: a new connection that fails at once, refused or broken, is a death; silence stays a break. The stand-in engine ignores a start while it lives.

--- a/crates/daemon/src/filter/dispatch/silence.rs
+++ b/crates/daemon/src/filter/dispatch/silence.rs
@@ -99,12 +99,17 @@
     }
 
     /// Whether a broken connection means that the engine's process died.
+    ///
+    /// It does where the engine has another life, and where a new connection fails at once like
+    /// the old one. The second need not be refused: whatever stands between may take it, and break
+    /// it when it finds nobody behind. Taken for a mere break, the death of four engines in a row
+    /// raised no suspicion against the prompt that killed them.
     pub(super) async fn why_broken(&self) -> FailCause {
         let ask = async {
             match self.endpoint.listing(Duration::ZERO).await {
                 Ok(page) if self.is_other_life(&page) => FailCause::EndpointDied,
-                Err(EngineError::NotSent) => FailCause::EndpointDied,
-                _ => FailCause::Broken,
+                Ok(_) | Err(EngineError::Refused | EngineError::BadAnswer) => FailCause::Broken,
+                Err(EngineError::NotSent | EngineError::Unknown) => FailCause::EndpointDied,
             }
         };
         let limit = async {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -153,7 +153,7 @@
         self.shared.kill();
     }
 
-    /// Begins a new life on the same address.
+    /// Begins a new life on the same address; does nothing while it lives.
     pub fn revive(&self) -> io::Result<()> {
         self.shared.revive()
     }
@@ -228,7 +228,13 @@
     }
 
     fn revive(self: &Arc<Self>) -> io::Result<()> {
-        lock(&self.state).revive();
+        {
+            let mut state = lock(&self.state);
+            if !state.dead {
+                return Ok(());
+            }
+            state.revive();
+        }
         self.host.serve(Arc::new(Api(self.clone())))
     }
 }
