--- a/crates/cli/src/bench/result.rs
+++ b/crates/cli/src/bench/result.rs
@@ -65,7 +65,8 @@
     pub short_slowdown: Option<f64>,
     /// Time to first token of prompts of 100k tokens and more.
     pub long_ttft_p95_ms: Option<f64>,
-    /// That, over the same of the same long calls without the shorter ones, where measured.
+    /// The same of each band of long calls, over that band without the shorter ones; the larger
+    /// one, where measured.
     pub long_slowdown: Option<f64>,
     /// The longest time that an admitted call waited for its first token or its failure.
     pub worst_ttft_ms: Option<f64>,
@@ -91,7 +92,7 @@
     pub prefilled_tokens: u64,
     /// Of these, for runs that didn't finish there.
     pub wasted_prefill_tokens: u64,
-    /// Prompt tokens of calls finished in time, for each second that calls came in.
+    /// Prompt tokens of calls finished in time, while calls came in, for each second of that.
     pub goodput_tokens_per_s: f64,
     /// Largest over smallest share of offered tokens that was served, over the workspaces with
     /// equal demand.
--- a/crates/daemon/src/ledger/mod.rs
+++ b/crates/daemon/src/ledger/mod.rs
@@ -6,6 +6,7 @@
 
 mod claim;
 mod decide;
+mod outbox;
 mod pace;
 mod reader;
 mod state;
@@ -21,9 +22,11 @@
 use platform::log::Log;
 use policy::{
     Fingerprint, Time,
+    config::LedgerRules,
     ledger::{Answer, CallKey, Writer},
 };
 use smol::channel::{Receiver, Sender, bounded};
+use xxhash_rust::xxh3::xxh3_64;
 
 pub use claim::RunClaim;
 use decide::Next;
@@ -53,6 +56,39 @@
     }
 }
 
+/// All ledger streams. A key's stream follows from its hash and never changes, because the count
+/// of streams is fixed once a configuration was published.
+pub struct Ledgers<L> {
+    streams: Vec<Ledger<L>>,
+}
+
+impl<L: Log + Clone + 'static> Ledgers<L> {
+    /// Ledgers that have read nothing yet.
+    pub fn new(log: &L, rules: LedgerRules, writer: &Writer, clock: Clock) -> Self {
+        let streams = (0..rules.streams.max(1)).map(|index| {
+            let cfg = LedgerConfig {
+                stream: format!("ledger-{index}"),
+                window: Duration::from_secs(60 * rules.window_minutes),
+                log_keeps: Duration::from_secs(60 * rules.log_keeps_minutes),
+            };
+            Ledger::new(log.clone(), cfg, writer.clone(), clock)
+        });
+        Ledgers { streams: streams.collect() }
+    }
+
+    /// The ledger of a key.
+    pub fn of(&self, key: &CallKey) -> &Ledger<L> {
+        let hash = xxh3_64(key.to_string().as_bytes());
+        let index = usize::try_from(hash % self.streams.len() as u64).unwrap_or(0);
+        &self.streams[index]
+    }
+
+    /// All ledgers, each of which has to be run.
+    pub fn iter(&self) -> impl Iterator<Item = &Ledger<L>> {
+        self.streams.iter()
+    }
+}
+
 struct Core<L> {
     log: L,
     cfg: LedgerConfig,
@@ -145,31 +181,37 @@
         loop {
             let now = self.core.clock.now();
             let next = lock(&self.core.state).next(&req, waited, now);
-            let (changed, own) = match next {
+            let changed = match next {
                 Next::Ended(outcome) => return outcome.into(),
-                Next::Wait(changed) => (changed, false),
-                Next::Claim(changed) => {
-                    self.core.wake.try_send(()).ok();
-                    (changed, true)
-                }
-            };
-            if own {
-                // Dropped with this future when the caller hangs up, which gives the claim up.
-                let claim = RunClaim::new(self.clone(), req.key.clone());
-                match self.wait_for_own(&req, &changed).await {
-                    Own::Won => return ClaimOutcome::Run(claim),
-                    Own::Lost => claim.forget(),
-                    Own::GivenUp => {
-                        claim.forget();
+                Next::Read(changed) => {
+                    if !self.until(req.deadline, changed.recv()).await {
                         return ClaimOutcome::Unknown;
                     }
-                    Own::NotAppended => {
-                        claim.forget();
-                        return ClaimOutcome::LogDown;
+                    continue;
+                }
+                Next::Wait(changed) => {
+                    if !self.until(req.deadline, changed.recv()).await {
+                        return ClaimOutcome::Unknown;
                     }
+                    waited = true;
+                    continue;
+                }
+                Next::Claim(changed) => changed,
+            };
+            self.core.wake.try_send(()).ok();
+            // Dropped with this future when the caller hangs up, which gives the claim up.
+            let claim = RunClaim::new(self.clone(), req.key.clone());
+            match self.wait_for_own(&req, &changed).await {
+                Own::Won => return ClaimOutcome::Run(claim),
+                Own::Lost => claim.forget(),
+                Own::GivenUp => {
+                    claim.forget();
+                    return ClaimOutcome::Unknown;
+                }
+                Own::NotAppended => {
+                    claim.forget();
+                    return ClaimOutcome::LogDown;
                 }
-            } else if !self.until(req.deadline, changed.recv()).await {
-                return ClaimOutcome::Unknown;
             }
             waited = true;
         }
--- a/crates/daemon/src/peer/message.rs
+++ b/crates/daemon/src/peer/message.rs
@@ -1,12 +1,15 @@
 //! What instances say to each other, and how it stands on the wire.
 
+use std::{fmt, net::SocketAddr};
+
 use bytes::Bytes;
 use policy::{
-    DataCentre, Deployment, EndpointId, Incarnation, InstanceId, LoadDigest, config::Version,
-    quarantine::Entry, scheduler::EndpointState,
+    DataCentre, EndpointId, Incarnation, InstanceId, config::Version, quarantine::Entry,
+    scheduler::EndpointState,
 };
 use serde::{Deserialize, Serialize};
-use std::{fmt, net::SocketAddr};
+
+use crate::peer::compact::CompactLoad;
 
 /// The longest packet, in bytes. The largest content is a whole configuration: 3,600 endpoints and
 /// 2,300 workspaces are about 1 MB of JSON. A peer that claims more is broken or no peer at all,
@@ -69,6 +72,8 @@
         /// The status as JSON, as it stands on the admin port.
         content: Bytes,
     },
+    /// The offset up to which the sender has read each ledger stream. Told to those with a link.
+    LedgerRead(Vec<u64>),
 }
 
 impl Message {
@@ -80,7 +85,8 @@
             | Message::ConfigWanted(_)
             | Message::Config { .. }
             | Message::StatusWanted { .. }
-            | Message::Status { .. } => false,
+            | Message::Status { .. }
+            | Message::LedgerRead(_) => false,
         }
     }
 }
@@ -114,10 +120,7 @@
         leaving: bool,
     },
     /// A part of the sender's load, see [`policy::digest`].
-    Load {
-        deployment: Deployment,
-        part: LoadDigest,
-    },
+    Load(CompactLoad),
     /// A message for the receiver alone.
     Direct(Message),
     /// A message for all.
--- a/crates/daemon/src/server/connection.rs
+++ b/crates/daemon/src/server/connection.rs
@@ -7,35 +7,32 @@
 };
 
 use async_h1::server::{ConnectionStatus, Server};
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::FutureExt;
 use policy::Time;
-use smol::{Timer, net::TcpStream};
+use smol::{
+    channel::{Receiver, Sender, bounded},
+    net::TcpStream,
+};
 
 use crate::{
     endpoint::lock,
     error::CallError,
     record::CallRecord,
-    server::{Service, respond, router, stream::CallerStream},
-    shared::Stage,
+    server::{Service, last_words, respond, router, stream::CallerStream},
 };
 
-/// How often an open connection is checked against its deadline and the stage of the instance.
-/// Deadlines of answers are kept exactly elsewhere; this only cuts callers that don't read.
-const WATCH_PERIOD: Duration = Duration::from_millis(100);
-
 /// How long after a request's deadline its caller may still be taking the answer's last bytes.
 /// Beyond it a caller that reads nothing would hold the connection for ever.
 pub const WRITE_GRACE: Duration = Duration::from_secs(2);
 
-/// How long a stopping instance leaves a connection open on which no request is under way. The
-/// other side may be sending one at this moment; it then hears that the instance is stopping.
-const IDLE_GRACE: Duration = Duration::from_millis(500);
-
 /// One caller's connection.
 #[derive(Debug)]
 pub struct Connection {
     socket: TcpStream,
     state: Mutex<State>,
+    /// Closing it cuts the connection.
+    cut: Sender<()>,
+    was_cut: Receiver<()>,
 }
 
 #[derive(Debug)]
@@ -44,13 +41,23 @@
     cut_at: Time,
     /// The request under way; none between requests.
     record: Option<Arc<CallRecord>>,
+    /// The head of the present request was read.
+    was_read: bool,
+    /// When the last request ended.
+    idle_since: Time,
 }
 
 impl Connection {
     /// A connection that was just accepted.
-    pub fn new(socket: TcpStream) -> Arc<Connection> {
-        let state = State { cut_at: Time::MAX, record: None };
-        Arc::new(Connection { socket, state: Mutex::new(state) })
+    pub fn new(socket: TcpStream, now: Time) -> Arc<Connection> {
+        let state = State { cut_at: Time::MAX, record: None, was_read: false, idle_since: now };
+        let (cut, was_cut) = bounded(1);
+        Arc::new(Connection { socket, state: Mutex::new(state), cut, was_cut })
+    }
+
+    /// Whether the other end is on this machine.
+    pub fn is_local(&self) -> bool {
+        self.socket.peer_addr().is_ok_and(|address| address.ip().is_loopback())
     }
 
     /// Notes that a request is under way, which keeps a stopping instance from closing.
@@ -80,65 +87,61 @@
         // Tokens are small and must not wait for an acknowledgement of the one before.
         self.socket.set_nodelay(true).ok();
         let stream = CallerStream::new(self.socket.clone());
-        let endpoint = |req| router::route(service, self.clone(), req);
+        let endpoint = |req| {
+            lock(&self.state).was_read = true;
+            router::route(service, self.clone(), req)
+        };
         let mut server = Server::new(stream.clone(), endpoint);
         loop {
             lock(stream.guard()).arm();
             let one = AssertUnwindSafe(server.accept_one()).catch_unwind();
             let one = async { Some(one.await) };
             let cut = async {
-                self.watch(service).await;
+                // Nothing is ever sent; this ends when the channel is closed.
+                self.was_cut.recv().await.ok();
                 None
             };
             let ended = one.or(cut).await;
-            let was_idle = self.finish();
+            let was_read = self.finish(service.shared.clock.now());
+            let began = lock(stream.guard()).began();
             match ended {
                 Some(Ok(Ok(ConnectionStatus::KeepAlive))) => continue,
-                Some(Ok(Err(_)) | Err(_)) if was_idle => return self.refuse(&stream).await,
+                Some(Ok(Err(_)) | Err(_)) if began && !was_read => {
+                    return self.refuse(service, &stream).await;
+                }
                 _ => return,
             }
         }
     }
 
-    /// Ends the request under way, if any, and tells whether there was none.
-    fn finish(&self) -> bool {
+    /// Ends the request under way, if any, and tells whether its head was read.
+    fn finish(&self, now: Time) -> bool {
         let mut state = lock(&self.state);
         state.cut_at = Time::MAX;
-        state.record.take().is_none()
+        state.idle_since = now;
+        state.record = None;
+        std::mem::take(&mut state.was_read)
     }
 
-    /// Returns when the connection has to be cut.
-    async fn watch(&self, service: &Service) {
-        let mut idle = Duration::ZERO;
-        loop {
-            Timer::after(WATCH_PERIOD).await;
-            let state = lock(&self.state);
-            if service.shared.clock.now() >= state.cut_at {
-                return;
-            }
-            let closing = state.record.is_none() && service.shared.stage() == Stage::Refusing;
-            idle = if closing { idle + WATCH_PERIOD } else { Duration::ZERO };
-            if idle >= IDLE_GRACE {
-                return;
-            }
+    /// Cuts the connection where the request under way is past its time, or where none is under
+    /// way since `idle_since`.
+    pub(super) fn cut_if_late(&self, now: Time, idle_since: Option<Time>) {
+        let state = lock(&self.state);
+        let is_idle = state.record.is_none() && idle_since.is_some_and(|t| state.idle_since <= t);
+        if now >= state.cut_at || is_idle {
+            self.cut.close();
         }
     }
 
     /// Answers a head that the HTTP library couldn't read. The library itself would only close.
-    async fn refuse(&self, stream: &CallerStream) {
+    async fn refuse(&self, service: &Service, stream: &CallerStream) {
         let finding = lock(stream.guard()).finding().map(str::to_owned);
         let text = "the head of the request can't be read: it needs a method, a path, `HTTP/1.1`, \
                     a `Host` header, and at most 128 headers in 8 KB";
         let e = CallError::malformed(finding.unwrap_or_else(|| text.to_owned()));
-        let bytes = respond::raw(&e);
-        let mut socket = self.socket.clone();
-        let say = async {
-            // A caller that is gone already needs no answer.
-            socket.write_all(&bytes).await.ok();
-        };
-        let limit = async {
-            Timer::after(WRITE_GRACE).await;
-        };
-        say.or(limit).await;
+        let record = service.shared.begin(None);
+        record.note(|facts| (facts.status, facts.outcome) = (e.status.into(), e.code));
+        let bytes = respond::raw(&e, Some(&record.request_id()));
+        last_words::say(self.socket.clone(), &bytes).await;
     }
 }
--- a/crates/policy/src/digest.rs
+++ b/crates/policy/src/digest.rs
@@ -3,17 +3,16 @@
 //! **Load pattern.** Each instance has work under way on up to some hundred endpoints and tells
 //! all its peers twice a second.
 //!
-//! **Without it.** A whole digest of 200 endpoints is about 10 KB; twice a second to 17 peers is
-//! 340 KB a second, where 3 KB are allowed. Telling everything less often would make the view so
-//! old that the instances herd.
+//! **Without it.** Whole digests twice a second, of an instance with 35 busy endpoints and 15
+//! peers, are 57 KB a second, where 3 KB are allowed. Telling everything less often would make the
+//! view so old that the instances herd.
 //!
 //! **Rule.** Only entries are told whose change could alter a peer's choice: their effect on the
 //! predicted wait, in seconds, since they were last told. The greatest effects go first, as many
 //! as the byte budget allows; the others keep and grow. Entries whose change stays below
 //! [`SMALLEST`] are told again once they are [`REFRESH`] old. A new link begins with the whole, and
-//! at least an empty part goes out each [`CONFIRM`].
-//! The idea to stay silent where the other side's choice can't change is taken from the paper
-//! named in `docs/decisions/pubsub-paper.md`.
+//! at least an empty part goes out each [`CONFIRM`]. The idea to stay silent where the other side's
+//! choice can't change is taken from the paper named in `docs/decisions/pubsub-paper.md`.
 //!
 //! **Grounds.** [`SMALLEST`] is what placement can't tell apart; `docs/decisions/membership.md`
 //! has the bytes measured with and without.
@@ -38,13 +37,24 @@
 /// holds, without which receivers would have to drop the load of a quiet instance as outdated.
 pub const CONFIRM: Duration = Duration::from_secs(2);
 
-/// What an entry is taken to need on the wire, and what a part needs besides its entries. Measured
-/// with a name of 20 characters, see `docs/decisions/membership.md`.
-pub const ENTRY_BYTES: usize = 58;
+/// What an entry is taken to need on the wire: measured with queues of some thousand tokens, see
+/// `docs/decisions/membership.md`.
+pub const ENTRY_BYTES: usize = 22;
+
+/// What a part needs besides its entries.
+pub const PART_BYTES: usize = 44;
+
+/// Entries that have to be affordable before a part is told, unless one can't wait: with a small
+/// budget, parts of a single entry would spend two thirds of it on themselves.
+const MIN_ENTRIES: usize = 4;
 
 /// Prefill speed assumed where none was learned, to weigh tokens against time.
 const UNKNOWN_RATE: TokenRate = TokenRate(10_000.0);
 
+/// Work done weighs this much less than work that waits. Peers learn an engine's speed from it over
+/// 5 s, so what may stay untold, 40 ms of work of each of three peers, errs by 2.4%.
+const PROGRESS_WEIGHS: u32 = 4;
+
 /// Budget that may be saved up over a quiet time, so that a burst is told at once.
 const SAVED_SECONDS: f64 = 2.0;
 
@@ -99,13 +109,15 @@
         self.save_up(now);
         let mut changes = self.changes(digest, now);
         changes.sort_by_key(|change| std::cmp::Reverse(change.effect));
-        changes.truncate((self.saved / ENTRY_BYTES as f64) as usize);
-        let mut part = LoadDigest { endpoints: vec![], workspaces: vec![], ..digest.clone() };
         let news = self.totals.as_ref().is_none_or(|told| told.differ(digest, now));
-        if changes.is_empty() && (!news || self.saved < ENTRY_BYTES as f64) {
+        let urgent = changes.first().is_some_and(|change| change.effect == Duration::MAX);
+        let affordable = self.affordable_entries();
+        if (changes.is_empty() && !news) || (affordable < MIN_ENTRIES && !urgent) {
             return None;
         }
-        self.saved -= ((changes.len() + 1) * ENTRY_BYTES) as f64;
+        changes.truncate(affordable.max(1));
+        self.saved -= (PART_BYTES + changes.len() * ENTRY_BYTES) as f64;
+        let mut part = LoadDigest { endpoints: vec![], workspaces: vec![], ..digest.clone() };
         self.tell_totals(&mut part, now);
         for change in changes {
             match change.entry {
@@ -146,9 +158,15 @@
         self.totals = Some(Totals { digest, at: now, suspicions_at });
     }
 
+    fn affordable_entries(&self) -> usize {
+        // A negative share of bytes becomes zero.
+        ((self.saved - PART_BYTES as f64) / ENTRY_BYTES as f64) as usize
+    }
+
     fn save_up(&mut self, now: Time) {
         let earned = now.since(self.last).as_secs_f64() * self.bytes_per_second;
-        let most = (self.bytes_per_second * SAVED_SECONDS).max(ENTRY_BYTES as f64 * 2.0);
+        let least = (PART_BYTES + MIN_ENTRIES * ENTRY_BYTES) as f64;
+        let most = (self.bytes_per_second * SAVED_SECONDS).max(least);
         self.saved = (self.saved + earned).min(most);
         self.last = self.last.max(now);
     }
@@ -226,6 +244,7 @@
         let repeat = !digest.suspects_at.is_empty() && now.since(self.at) >= HEARD_FOR / 3;
         repeat
             || now.since(self.at) >= CONFIRM
+            || self.digest.longs_late != digest.longs_late
             || self.digest.suspects_at != digest.suspects_at
             || suspected(&self.digest) != suspected(digest)
             || wishes(&self.digest) != wishes(digest)
@@ -261,7 +280,8 @@
     let rate = if share.prefill_rate.0 > 0.0 { share.prefill_rate } else { UNKNOWN_RATE };
     let queue = rate.span(difference(told.waiting_prefill, share.waiting_prefill));
     let memory = rate.span(difference(told.held, share.held));
-    queue.max(memory)
+    let progress = rate.span(difference(told.prefilled, share.prefilled)) / PROGRESS_WEIGHS;
+    queue.max(memory).max(progress)
 }
 
 fn workspace_effect(told: &WorkspaceShare, share: &WorkspaceShare) -> Duration {
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -13,7 +13,8 @@
 //!
 //! **Grounds.** Two deaths are the fewest that tell a culprit from its bystanders. Deaths less than
 //! [`SAME_CAUSE`] apart count once for a fingerprint, because a rack that fails takes all copies of
-//! a popular request with it. The entry expires after [`REFUSED_FOR`], since a mended engine may
+//! a popular request with it; but a suspect that was run apart began there after the death before,
+//! so the rack isn't the cause and the death counts however soon it comes. The entry expires after [`REFUSED_FOR`], since a mended engine may
 //! run the request; a request that kills again doubles its time.
 
 mod table;
@@ -46,6 +47,10 @@
 /// starts anew.
 pub const SUSPECT_FOR: Duration = Duration::from_secs(3600);
 
+/// How long the last healthy endpoint is spared from a suspect: half of the default deadline, so
+/// that the others may come back first and a bystander still gets its answer in time.
+pub const SPARED_FOR: Duration = Duration::from_secs(30);
+
 /// How long another instance's word that it runs a suspect on an endpoint counts without being
 /// repeated: three heartbeats. Two instances may still start one each in the same moment; a death
 /// then confirms both, and the bystander is refused for one term.
@@ -101,10 +106,10 @@
         present: &[Fingerprint],
         now: Time,
     ) -> Vec<Entry> {
-        self.running.swap_remove(endpoint);
+        let apart = self.running.swap_remove(endpoint);
         self.heard.swap_remove(endpoint);
         for fingerprint in present {
-            self.suspect(*fingerprint, now);
+            self.suspect(*fingerprint, apart == Some(*fingerprint), now);
         }
         present.iter().filter_map(|fingerprint| self.entry(fingerprint, now)).collect()
     }
@@ -129,7 +134,9 @@
     }
 
     /// Whether a fingerprint may start on an endpoint now. A suspect must not run beside another
-    /// one, nor on the last healthy endpoint: if it is the culprit, nothing would be left.
+    /// one, nor for some time on the last healthy endpoint: if it is the culprit, nothing would be
+    /// left. After [`SPARED_FOR`] it may, because most suspects are bystanders, and a site with a
+    /// single endpoint would else never run them again.
     pub fn may_run(
         &self,
         fingerprint: Fingerprint,
@@ -143,7 +150,8 @@
             Standing::Suspect => {
                 let beside = self.running.get(endpoint).is_some_and(|other| *other != fingerprint);
                 let heard = self.heard.get(endpoint).is_some_and(|at| now.since(*at) < HEARD_FOR);
-                healthy > 1 && !beside && !heard
+                let spared = healthy > 1 || self.has_waited(fingerprint, now);
+                spared && !beside && !heard
             }
         }
     }
@@ -195,10 +203,15 @@
         self.heard.retain(|_, at| now.since(*at) < HEARD_FOR);
     }
 
-    fn suspect(&mut self, fingerprint: Fingerprint, now: Time) {
+    fn has_waited(&self, fingerprint: Fingerprint, now: Time) -> bool {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.is_none_or(|suspect| now.since(suspect.last_death) >= SPARED_FOR)
+    }
+
+    fn suspect(&mut self, fingerprint: Fingerprint, ran_apart: bool, now: Time) {
         make_room(&mut self.suspects, MAX_SUSPECTS, |suspect| suspect.last_death);
         let suspect = self.suspects.entry(fingerprint).or_insert(Suspect::at(now));
-        suspect.add_death(now);
+        suspect.add_death(ran_apart, now);
         if suspect.deaths >= CONFIRMED_AT {
             self.suspects.swap_remove(&fingerprint);
             self.confirm(fingerprint, now);
--- a/crates/policy/tests/digest.rs
+++ b/crates/policy/tests/digest.rs
@@ -8,7 +8,7 @@
 use policy::{
     EndpointId, Fingerprint, Incarnation, InstanceId, LoadDigest, Time, TokenRate, Tokens,
     Workspace,
-    digest::{ENTRY_BYTES, Listener, REFRESH, Teller},
+    digest::{ENTRY_BYTES, Listener, PART_BYTES, REFRESH, Teller},
     quarantine::Entry,
     report::{EndpointShare, WorkspaceShare},
 };
@@ -78,6 +78,10 @@
     the_end_of_load: vec![share(1, 9_000)], then vec![], after SOON => 1;
     an_ejection_at_once: vec![share(1, 9_000)],
         then vec![EndpointShare { ejected: true, ..share(1, 9_000) }], after SOON => 1;
+    work_done_since: vec![share(1, 9_000)],
+        then vec![EndpointShare { prefilled: Tokens(900), ..share(1, 9_000) }], after SOON => 1;
+    nothing_of_little_work_done_since: vec![share(1, 9_000)],
+        then vec![EndpointShare { prefilled: Tokens(300), ..share(1, 9_000) }], after SOON => 0;
     a_new_life_at_once: vec![share(1, 9_000)],
         then vec![EndpointShare { incarnation: Incarnation(2), ..share(1, 9_000) }], after SOON => 1;
 }
@@ -102,7 +106,7 @@
 
 #[test]
 fn the_greatest_changes_go_first_within_the_budget() {
-    let mut teller = Teller::new(ENTRY_BYTES as u32 * 5, at(0));
+    let mut teller = Teller::new((PART_BYTES + ENTRY_BYTES * 4) as u32, at(0));
     let load: Vec<EndpointShare> = (0..100).map(|n| share(n, 1_000 * n as u64)).collect();
     let part = teller.part(&digest(1, load), at(0)).unwrap();
     let told: Vec<String> = part.endpoints.iter().map(|s| s.endpoint.to_string()).collect();
@@ -177,25 +181,35 @@
 struct Busy {
     rng: Rng,
     waiting: Vec<u64>,
+    prefilled: Vec<u64>,
 }
 
 impl Busy {
     const RATE: u64 = 20_000;
 
     fn step(&mut self) -> Vec<EndpointShare> {
-        self.waiting.iter_mut().for_each(|w| *w = w.saturating_sub(Busy::RATE / 2));
+        for (waiting, prefilled) in self.waiting.iter_mut().zip(&mut self.prefilled) {
+            let worked = (*waiting).min(Busy::RATE / 2);
+            *waiting -= worked;
+            *prefilled += worked;
+        }
         for _ in 0..27 {
             let n = self.rng.usize(..self.waiting.len());
             self.waiting[n] += if self.rng.u32(..50) == 0 { 150_000 } else { 2_000 };
         }
-        self.waiting.iter().enumerate().map(|(n, waiting)| share(n, *waiting)).collect()
+        let load = self.waiting.iter().zip(&self.prefilled).enumerate();
+        load.map(|(n, (waiting, prefilled))| EndpointShare {
+            prefilled: Tokens(*prefilled),
+            ..share(n, *waiting)
+        })
+        .collect()
     }
 }
 
 /// Mean error, in milliseconds of predicted wait, of a peer's view over 500 periods, where `tell`
 /// chooses the entries to tell of each period's load.
 fn mean_error(mut tell: impl FnMut(u64, Vec<EndpointShare>) -> Vec<EndpointShare>) -> f64 {
-    let mut load = Busy { rng: Rng::with_seed(5), waiting: vec![0; 200] };
+    let mut load = Busy { rng: Rng::with_seed(5), waiting: vec![0; 200], prefilled: vec![0; 200] };
     let mut view = vec![0; 200];
     let mut sum = 0;
     for period in 1..=500 {
@@ -212,7 +226,7 @@
 /// in docs/decisions/pubsub-paper.md, against telling all entries in turn.
 #[test]
 fn effect_first_beats_taking_turns_with_the_same_bytes() {
-    for budget in [512, 1_024, 2_048] {
+    for budget in [128, 256, 512, 1_024] {
         let mut teller = Teller::new(budget, at(0));
         let mut told = 0;
         let by_effect = mean_error(|period, load| {
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -8,7 +8,7 @@
 use fastrand::Rng;
 use policy::{
     EndpointId, Fingerprint, Time,
-    quarantine::{Entry, MAX_SUSPECTS, Quarantine, REFUSED_FOR, SUSPECT_FOR, Standing},
+    quarantine::{Entry, MAX_SUSPECTS, Quarantine, REFUSED_FOR, SPARED_FOR, SUSPECT_FOR, Standing},
 };
 use quickcheck::quickcheck;
 
@@ -70,6 +70,9 @@
     assert!(!quarantine.may_run(Fingerprint(2), &endpoint(1), 3, now));
     assert!(quarantine.may_run(Fingerprint(2), &endpoint(2), 3, now));
     assert!(!quarantine.may_run(Fingerprint(2), &endpoint(2), 1, now));
+    let later = at(10) + SPARED_FOR;
+    assert!(quarantine.may_run(Fingerprint(2), &endpoint(2), 1, later), "a single endpoint");
+    assert!(!quarantine.may_run(Fingerprint(2), &endpoint(1), 1, later), "still apart");
     assert!(quarantine.may_run(Fingerprint(3), &endpoint(1), 1, now), "no suspect, no bounds");
     quarantine.stopped(Fingerprint(1));
     assert!(quarantine.may_run(Fingerprint(2), &endpoint(1), 3, now));
@@ -98,6 +101,19 @@
     assert_eq!(quarantine.standing(Fingerprint(1), at(11)), Standing::Suspect);
 }
 
+/// What a user sees without it: all four engines die within a second of one call. The call was run
+/// apart after the first death, killed the next engine at once, and each death counted as one with
+/// the death before, because they came so close together.
+#[test]
+fn a_killer_run_apart_is_found_however_soon_it_kills_again() {
+    let mut quarantine = suspects(&[1, 2]);
+    let now = at(10) + Duration::from_millis(50);
+    quarantine.started(Fingerprint(1), &endpoint(1), now);
+    quarantine.died(&endpoint(1), &[Fingerprint(1)], now);
+    assert_eq!(quarantine.standing(Fingerprint(1), now), Standing::Refused(REFUSED_FOR));
+    assert_eq!(quarantine.standing(Fingerprint(2), now), Standing::Suspect);
+}
+
 #[test]
 fn a_verdict_expires_and_the_next_lasts_twice_as_long() {
     let mut quarantine = suspects(&[1]);
