--- a/crates/policy/src/trefoilhall/mod.rs
+++ b/crates/policy/src/trefoilhall/mod.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod learn;
 mod longs;
+mod overview;
 mod pace;
 mod peers;
 mod queue;
@@ -33,7 +34,7 @@
     InstanceId, LoadDigest, RequestId, RequestSpec, Scheduler, Time, TokenRate, Tokens,
     affinity::CacheIndex,
     config::{DeploymentRules, Limits, Weights, WorkspaceTable},
-    health::{Health, Standing},
+    health::Health,
     quarantine::Quarantine,
     report::WorkspaceShare,
     retry::Budgets,
@@ -43,8 +44,8 @@
 use endpoint::ByBand;
 use fleet::Fleet;
 use learn::{BesideLongs, Decode, Margin};
-use longs::{Demand, OpenEngines};
-use pace::{ShortPace, long_claim};
+use longs::OpenEngines;
+use pace::ShortPace;
 use peers::Peers;
 use queue::Lane;
 use request::{Due, Entry, State};
@@ -209,110 +210,6 @@
         }
     }
 
-    /// Looks at the whole fleet: what is typical, what stands on the engines, and which of them
-    /// are open to long prompts.
-    fn look_at_fleet(&mut self, now: Time) {
-        self.fleet.refresh(now);
-        self.bands.update(self.fleet.typical_rate);
-        for band in 0..BANDS {
-            let own = self.demand[band].rate(seconds(now), DEMAND_HALF_LIFE);
-            self.total_demand[band] = own + self.peers.demand[band];
-        }
-        self.assess_health(now);
-        self.open_some(now);
-        self.inflight = ByBand::default();
-        self.least_wait = [f64::INFINITY; BANDS];
-        self.long_rate = 0.0;
-        for endpoint in self.fleet.endpoints.values().filter(|endpoint| endpoint.usable()) {
-            let rate = self.fleet.rate(endpoint);
-            let takes_longs = endpoint.open_to_longs && endpoint.has_spare_memory();
-            if takes_longs {
-                self.long_rate += rate;
-            }
-            for band in class::Band::all() {
-                if band.is_long() && !takes_longs {
-                    continue;
-                }
-                let ahead = endpoint.ahead(band);
-                self.inflight[band.index()] += ahead;
-                let least = &mut self.least_wait[band.index()];
-                *least = least.min(ahead / rate);
-            }
-        }
-        self.pace_shorts(now);
-        self.choose_homes(now);
-    }
-
-    /// Shares the endpoints out among the instances, so that each goes first where the others
-    /// don't: what is unheard of the others' sends is then expected elsewhere.
-    fn choose_homes(&mut self, now: Time) {
-        let instances = self.peers.instances();
-        let rank = self.peers.rank(&self.instance);
-        let usable = self.fleet.endpoints.values_mut().filter(|endpoint| endpoint.usable());
-        for (index, endpoint) in usable.enumerate() {
-            endpoint.is_home = index % instances == rank;
-        }
-        let others: f64 = self.peers.demand.iter().sum();
-        let busy = others / self.fleet.total_rate.max(1.0);
-        self.unheard = self.peers.age(now).as_secs_f64().min(1.0) * busy.min(1.0);
-    }
-
-    /// Sets how fast short prompts may start here, by what long ones claim.
-    fn pace_shorts(&mut self, now: Time) {
-        let total = self.fleet.total_rate.max(1.0);
-        let longs: f64 = self.total_demand[1..].iter().sum();
-        let weights = &self.rules.weights;
-        let claim = long_claim(longs / total, weights.long_first_token, weights.short_slowdown);
-        let held_back = self.longs_late(now) || self.peers.longs_late;
-        self.short_rate = if held_back { total * (1.0 - claim) } else { total };
-        let own = self.demand[0].rate(seconds(now), DEMAND_HALF_LIFE);
-        let by_traffic = if own > 0.0 { own / self.total_demand[0].max(own) } else { 0.0 };
-        let part = 0.5 / self.peers.instances() as f64 + 0.5 * by_traffic;
-        self.pace.set(self.short_rate * part, held_back, seconds(now));
-    }
-
-    /// Whether a long prompt of this instance is starved: its first token is far overdue.
-    fn longs_late(&self, now: Time) -> bool {
-        self.long_prefills.iter().any(|request| {
-            let entry = self.requests.get(request);
-            let attempt = entry.and_then(Entry::attempt);
-            attempt.is_some_and(|attempt| {
-                let taken = now.since(attempt.sent).as_secs_f64();
-                taken > attempt.predicted * pace::LATE_TIMES + pace::LATE_AFTER
-            })
-        })
-    }
-
-    /// Ejects what has to be ejected, and takes over how cautiously each endpoint may be used.
-    fn assess_health(&mut self, now: Time) {
-        if seconds(now) - self.assessed >= ASSESS_EVERY {
-            self.assessed = seconds(now);
-            let load = self.total_demand.iter().sum::<f64>() / self.fleet.typical_rate.max(1.0);
-            self.health.assess(load.ceil() as usize, now, &mut self.rng);
-            self.quarantine.expire(now);
-        }
-        for endpoint in self.fleet.endpoints.values_mut() {
-            endpoint.caution = match self.health.standing(&endpoint.id, now) {
-                Standing::Usable(caution) => caution,
-                Standing::Out => f64::INFINITY,
-            };
-        }
-    }
-
-    /// Takes note of a probe. Of an ejected endpoint only those count that are due: the driver
-    /// probes all the time, and an endpoint that answers probes may still fail its calls.
-    fn probed(&mut self, endpoint: &EndpointId, healthy: bool, now: Time) {
-        self.probes.extend(self.health.due_probes(now));
-        let is_out = self.health.standing(endpoint, now) == Standing::Out;
-        let due = self.probes.iter().position(|probe| probe == endpoint);
-        if let Some(index) = due {
-            self.probes.swap_remove(index);
-        }
-        if !is_out || due.is_some() {
-            self.health.probed(endpoint, healthy, now, &mut self.rng);
-        }
-    }
-
     /// Takes over what another instance told.
     fn peer_told(&mut self, digest: LoadDigest, now: Time) {
         if digest.instance == self.instance || !self.peers.is_new(&digest) {
@@ -336,27 +233,6 @@
         self.look_at_fleet(now);
     }
 
-    /// Opens as many engines to long prompts as the cost says: the last by id, after those whose
-    /// memory a prompt over several engines takes.
-    fn open_some(&mut self, now: Time) {
-        let typical = self.fleet.typical_rate.max(1.0);
-        let longs: f64 = self.total_demand[1..].iter().sum();
-        let demand = Demand { shorts: self.total_demand[0] / typical, longs: longs / typical };
-        let usable = self.fleet.usable;
-        let open = self.open_engines.update(usable, demand, &self.rules.weights, seconds(now));
-        let mut left = open;
-        for endpoint in self.fleet.endpoints.values_mut() {
-            endpoint.open_to_longs = false;
-        }
-        for spare in [true, false] {
-            let endpoints = self.fleet.endpoints.values_mut().rev();
-            for endpoint in endpoints.filter(|e| e.usable() && e.has_spare_memory() == spare) {
-                endpoint.open_to_longs = left > 0;
-                left -= usize::from(endpoint.open_to_longs);
-            }
-        }
-    }
-
     fn drop_stale_peers(&mut self, now: Time) {
         for (instance, incarnation) in self.peers.stale(now) {
             self.peer_gone(&instance, incarnation);
--- /dev/null
+++ b/crates/policy/src/trefoilhall/overview.rs
@@ -0,0 +1,151 @@
+//! What follows from a look at the whole fleet.
+//!
+//! **Load pattern.** Typical speed, demand and health change over seconds, requests come by the
+//! thousand a second.
+//!
+//! **Without it.** Each decision would sum over all endpoints anew.
+//!
+//! **Rule.** Every tenth of a second, and after each event that matters, one pass computes what the
+//! decisions in between take as given: limits of the bands, demand, which engines are open to long
+//! prompts, what stands on the engines, how fast short prompts may start, this instance's own part
+//! of the engines, and each endpoint's caution.
+//!
+//! **Grounds.** A tenth of a second is about the budget of short prefill on an engine: what changes
+//! in between is bounded by it.
+
+use super::{
+    ASSESS_EVERY, DEMAND_HALF_LIFE, Trefoilhall, class,
+    endpoint::ByBand,
+    longs::Demand,
+    pace::{self, long_claim},
+    request::Entry,
+    seconds,
+};
+use crate::{BANDS, EndpointId, Time, health::Standing};
+
+impl Trefoilhall {
+    /// Looks at the whole fleet: what is typical, what stands on the engines, and which of them
+    /// are open to long prompts.
+    pub(super) fn look_at_fleet(&mut self, now: Time) {
+        self.fleet.refresh(now);
+        self.bands.update(self.fleet.typical_rate);
+        for band in 0..BANDS {
+            let own = self.demand[band].rate(seconds(now), DEMAND_HALF_LIFE);
+            self.total_demand[band] = own + self.peers.demand[band];
+        }
+        self.assess_health(now);
+        self.open_some(now);
+        self.inflight = ByBand::default();
+        self.least_wait = [f64::INFINITY; BANDS];
+        self.long_rate = 0.0;
+        for endpoint in self.fleet.endpoints.values().filter(|endpoint| endpoint.usable()) {
+            let rate = self.fleet.rate(endpoint);
+            let takes_longs = endpoint.open_to_longs && endpoint.has_spare_memory();
+            if takes_longs {
+                self.long_rate += rate;
+            }
+            for band in class::Band::all() {
+                if band.is_long() && !takes_longs {
+                    continue;
+                }
+                let ahead = endpoint.ahead(band);
+                self.inflight[band.index()] += ahead;
+                let least = &mut self.least_wait[band.index()];
+                *least = least.min(ahead / rate);
+            }
+        }
+        self.pace_shorts(now);
+        self.choose_homes(now);
+    }
+
+    /// Shares the endpoints out among the instances, so that each goes first where the others
+    /// don't: what is unheard of the others' sends is then expected elsewhere.
+    pub(super) fn choose_homes(&mut self, now: Time) {
+        let instances = self.peers.instances();
+        let rank = self.peers.rank(&self.instance);
+        let usable = self.fleet.endpoints.values_mut().filter(|endpoint| endpoint.usable());
+        for (index, endpoint) in usable.enumerate() {
+            endpoint.is_home = index % instances == rank;
+        }
+        let others: f64 = self.peers.demand.iter().sum();
+        let busy = others / self.fleet.total_rate.max(1.0);
+        self.unheard = self.peers.age(now).as_secs_f64().min(1.0) * busy.min(1.0);
+    }
+
+    /// Sets how fast short prompts may start here, by what long ones claim.
+    pub(super) fn pace_shorts(&mut self, now: Time) {
+        let total = self.fleet.total_rate.max(1.0);
+        let longs: f64 = self.total_demand[1..].iter().sum();
+        let weights = &self.rules.weights;
+        let claim = long_claim(longs / total, weights.long_first_token, weights.short_slowdown);
+        let held_back = self.longs_late(now) || self.peers.longs_late;
+        self.short_rate = if held_back { total * (1.0 - claim) } else { total };
+        let own = self.demand[0].rate(seconds(now), DEMAND_HALF_LIFE);
+        let by_traffic = if own > 0.0 { own / self.total_demand[0].max(own) } else { 0.0 };
+        let part = 0.5 / self.peers.instances() as f64 + 0.5 * by_traffic;
+        self.pace.set(self.short_rate * part, held_back, seconds(now));
+    }
+
+    /// Whether a long prompt of this instance is starved: its first token is far overdue.
+    pub(super) fn longs_late(&self, now: Time) -> bool {
+        self.long_prefills.iter().any(|request| {
+            let entry = self.requests.get(request);
+            let attempt = entry.and_then(Entry::attempt);
+            attempt.is_some_and(|attempt| {
+                let taken = now.since(attempt.sent).as_secs_f64();
+                taken > attempt.predicted * pace::LATE_TIMES + pace::LATE_AFTER
+            })
+        })
+    }
+
+    /// Ejects what has to be ejected, and takes over how cautiously each endpoint may be used.
+    pub(super) fn assess_health(&mut self, now: Time) {
+        if seconds(now) - self.assessed >= ASSESS_EVERY {
+            self.assessed = seconds(now);
+            let load = self.total_demand.iter().sum::<f64>() / self.fleet.typical_rate.max(1.0);
+            self.health.assess(load.ceil() as usize, now, &mut self.rng);
+            self.quarantine.expire(now);
+        }
+        for endpoint in self.fleet.endpoints.values_mut() {
+            endpoint.caution = match self.health.standing(&endpoint.id, now) {
+                Standing::Usable(caution) => caution,
+                Standing::Out => f64::INFINITY,
+            };
+        }
+    }
+
+    /// Takes note of a probe. Of an ejected endpoint only those count that are due: the driver
+    /// probes all the time, and an endpoint that answers probes may still fail its calls.
+    pub(super) fn probed(&mut self, endpoint: &EndpointId, healthy: bool, now: Time) {
+        self.probes.extend(self.health.due_probes(now));
+        let is_out = self.health.standing(endpoint, now) == Standing::Out;
+        let due = self.probes.iter().position(|probe| probe == endpoint);
+        if let Some(index) = due {
+            self.probes.swap_remove(index);
+        }
+        if !is_out || due.is_some() {
+            self.health.probed(endpoint, healthy, now, &mut self.rng);
+        }
+    }
+
+    /// Opens as many engines to long prompts as the cost says: the last by id, after those whose
+    /// memory a prompt over several engines takes.
+    pub(super) fn open_some(&mut self, now: Time) {
+        let typical = self.fleet.typical_rate.max(1.0);
+        let longs: f64 = self.total_demand[1..].iter().sum();
+        let demand = Demand { shorts: self.total_demand[0] / typical, longs: longs / typical };
+        let usable = self.fleet.usable;
+        let open = self.open_engines.update(usable, demand, &self.rules.weights, seconds(now));
+        let mut left = open;
+        for endpoint in self.fleet.endpoints.values_mut() {
+            endpoint.open_to_longs = false;
+        }
+        for spare in [true, false] {
+            let endpoints = self.fleet.endpoints.values_mut().rev();
+            for endpoint in endpoints.filter(|e| e.usable() && e.has_spare_memory() == spare) {
+                endpoint.open_to_longs = left > 0;
+                left -= usize::from(endpoint.open_to_longs);
+            }
+        }
+    }
+}
