Charge entries what they take, and cap what work done weighs

Cause: entries with long queues take 33 bytes, not 22, so 15 links took 3.1 KB/s of a budget of 1.8. Done: the size is corrected; work done weighs at most 20 ms.

--- a/crates/policy/src/digest.rs
+++ b/crates/policy/src/digest.rs
@@ -37,12 +37,12 @@
 /// holds, without which receivers would have to drop the load of a quiet instance as outdated.
 pub const CONFIRM: Duration = Duration::from_secs(2);
 
-/// What an entry is taken to need on the wire: measured with queues of some thousand tokens, see
-/// `docs/decisions/membership.md`.
-pub const ENTRY_BYTES: usize = 22;
+/// What an entry is taken to need on the wire. Numbers take 3 bytes up to 65,535 and 5 above, so it
+/// is 27 bytes for a short queue and 33 for a long one; the long ones are told most.
+pub const ENTRY_BYTES: usize = 32;
 
-/// What a part needs besides its entries.
-pub const PART_BYTES: usize = 44;
+/// What a part needs besides its entries, with the frame that carries it.
+pub const PART_BYTES: usize = 48;
 
 /// Entries that have to be affordable before a part is told, unless one can't wait: with a small
 /// budget, parts of a single entry would spend two thirds of it on themselves.
@@ -55,6 +55,10 @@
 /// 5 s, so what may stay untold, 40 ms of work of each of three peers, errs by 2.4%.
 const PROGRESS_WEIGHS: u32 = 4;
 
+/// Work done never weighs more than this, however long it stays untold: with a small budget it
+/// would outgrow the queues in the end and take their place.
+const PROGRESS_MOST: Duration = Duration::from_millis(20);
+
 /// Budget that may be saved up over a quiet time, so that a burst is told at once.
 const SAVED_SECONDS: f64 = 2.0;
 
@@ -281,7 +285,7 @@
     let queue = rate.span(difference(told.waiting_prefill, share.waiting_prefill));
     let memory = rate.span(difference(told.held, share.held));
     let progress = rate.span(difference(told.prefilled, share.prefilled)) / PROGRESS_WEIGHS;
-    queue.max(memory).max(progress)
+    queue.max(memory).max(progress.min(PROGRESS_MOST))
 }
 
 fn workspace_effect(told: &WorkspaceShare, share: &WorkspaceShare) -> Duration {
