--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_types::{Method, Request, Response, StatusCode};
 use policy::{
-    DataCentre, EndpointGroup, EndpointId, Incarnation, InstanceId, config::Version,
+    DataCentre, EndpointGroup, EndpointId, Incarnation, InstanceId, Offset, config::Version,
     scheduler::EndpointState,
 };
 use serde::{Deserialize, Serialize};
@@ -39,6 +39,20 @@
     pub endpoints: Vec<EndpointStatus>,
     /// Every known instance.
     pub peers: Vec<PeerStatus>,
+    /// The ledgers of calls that may not be repeated; none without a log.
+    #[serde(default)]
+    pub ledgers: Vec<LedgerStatus>,
+}
+
+/// One ledger stream in [`Status`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerStatus {
+    /// Whether the whole stream was read and the log takes appends.
+    pub ready: bool,
+    /// Keys remembered.
+    pub keys: usize,
+    /// The offset that will be read next.
+    pub next: Offset,
 }
 
 /// One endpoint in [`Status`].
@@ -137,6 +151,7 @@
         under_way: deployments.map(|deployment| deployment.under_way()).sum(),
         endpoints: endpoints.collect(),
         peers: peers(shared),
+        ledgers: ledgers(shared),
     }
 }
 
@@ -151,6 +166,16 @@
     known.collect()
 }
 
+fn ledgers(shared: &Shared) -> Vec<LedgerStatus> {
+    let streams = shared.ledgers().into_iter().flat_map(|ledgers| ledgers.iter());
+    let status = streams.map(|ledger| LedgerStatus {
+        ready: ledger.is_ready(),
+        keys: ledger.keys(),
+        next: ledger.next_offset(),
+    });
+    status.collect()
+}
+
 fn stage_name(stage: Stage) -> &'static str {
     match stage {
         Stage::Serving => "serving",
--- a/crates/daemon/src/filter/once.rs
+++ b/crates/daemon/src/filter/once.rs
@@ -58,7 +58,10 @@
             deduplicates: work.rules.as_ref().is_some_and(|rules| rules.deduplicates),
             deadline: admitted.timed.deadline,
         };
-        match ledgers.of(&key).claim(req).await {
+        let outcome = ledgers.of(&key).claim(req).await;
+        let deployment = &admitted.ticket.deployment.name;
+        self.shared.metrics.once_call(deployment, outcome.name());
+        match outcome {
             ClaimOutcome::Run(claim) => self.run(admitted, claim).await,
             other => {
                 admitted.ticket.end(Outcome::Answered);
--- a/crates/daemon/src/ledger/mod.rs
+++ b/crates/daemon/src/ledger/mod.rs
@@ -137,6 +137,24 @@
     KeyFromTheFuture,
 }
 
+impl<L: Log> ClaimOutcome<L> {
+    /// The outcome as it stands in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            ClaimOutcome::Run(_) => "run",
+            ClaimOutcome::Answer(_) => "answered_before",
+            ClaimOutcome::Unknown => "unknown",
+            ClaimOutcome::BodyDiffers => "key_reused",
+            ClaimOutcome::NotRun => "not_run",
+            ClaimOutcome::LogDown => "log_down",
+            ClaimOutcome::Behind => "behind",
+            ClaimOutcome::Full => "full",
+            ClaimOutcome::KeyTooOld => "key_too_old",
+            ClaimOutcome::KeyFromTheFuture => "key_from_the_future",
+        }
+    }
+}
+
 impl<L: Log + 'static> Ledger<L> {
     /// A ledger that has read nothing yet. [`Ledger::run`] has to be polled for it to do anything.
     pub fn new(log: L, cfg: LedgerConfig, writer: Writer, clock: Clock) -> Self {
--- a/crates/daemon/src/ledger/state.rs
+++ b/crates/daemon/src/ledger/state.rs
@@ -23,6 +23,9 @@
 /// The most claims that wait for an append. At 20 appends a second, the slowest pace, a hundred
 /// thousand would wait for longer than any caller does.
 const MAX_WAITING: usize = 10_000;
+/// The most keys of one stream. A key takes about 400 bytes besides its answer; a caller that makes
+/// up keys without end would otherwise fill the memory of every instance for a whole window.
+const MAX_KEYS: usize = 1_000_000;
 /// How long appends may fail before new claims are refused at once. Long enough for a single lost
 /// connection, short enough that callers hear of an outage at once.
 const PATIENCE: Duration = Duration::from_millis(400);
@@ -148,7 +151,7 @@
         if self.is_down(now) {
             return Next::Ended(self.refusal());
         }
-        if self.own.len() >= MAX_WAITING {
+        if self.own.len() >= MAX_WAITING || self.keys() >= MAX_KEYS {
             return Next::Ended(Ended::Full);
         }
         self.put(req, attempt, now);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -26,6 +26,7 @@
     pub connections: UpDownCounter<i64>,
     requests: Counter<u64>,
     attempt_failures: Counter<u64>,
+    once_calls: Counter<u64>,
     first_token: Histogram<f64>,
     duration: Histogram<f64>,
     registry: Registry,
@@ -62,6 +63,11 @@
             connections: gauge(&meter, "trefoilhall_connections", "connections of callers"),
             requests: counter(&meter, "trefoilhall_requests", "requests that ended"),
             attempt_failures: counter(&meter, "trefoilhall_attempt_failures", "failed attempts"),
+            once_calls: counter(
+                &meter,
+                "trefoilhall_once_calls",
+                "calls that may not be repeated, by what the ledger said",
+            ),
             first_token: seconds(&meter, "trefoilhall_first_token", "time to first token"),
             duration: seconds(&meter, "trefoilhall_duration", "time from head to end"),
             registry,
@@ -91,6 +97,12 @@
         self.attempt_failures.add(1, &[deployment, cause]);
     }
 
+    /// Counts a call that may not be repeated.
+    pub fn once_call(&self, deployment: &Deployment, outcome: &'static str) {
+        let deployment = KeyValue::new("deployment", deployment.as_str().to_owned());
+        self.once_calls.add(1, &[deployment, KeyValue::new("outcome", outcome)]);
+    }
+
     /// Everything as Prometheus text.
     pub fn to_text(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/crates/policy/src/ledger/fold.rs
+++ b/crates/policy/src/ledger/fold.rs
@@ -28,6 +28,10 @@
 /// How often writers that are gone are dropped from memory, in milliseconds of the log's clock.
 const SWEEP_MS: u64 = 60_000;
 
+/// The bytes of answers that are kept in all. Small instances have a few gigabytes; beyond this
+/// the oldest answers' bodies are dropped, and callers that send again hear only that the call ran.
+pub const MAX_KEPT_BYTES: usize = 256 << 20;
+
 /// How long keys are remembered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Window(pub Duration);
@@ -74,6 +78,14 @@
 }
 
 impl Standing {
+    /// The bytes that the answer's body takes.
+    fn body_bytes(&self) -> usize {
+        match &self.phase {
+            Phase::Done(answer) => answer.body.as_ref().map_or(0, String::len),
+            _ => 0,
+        }
+    }
+
     /// Whether the claim is that of `writer`'s batch entry `claim`.
     pub fn is_held_by(&self, writer: &Writer, claim: ClaimId) -> bool {
         self.writer == *writer && self.claim == claim
@@ -102,6 +114,9 @@
     keys: HashMap<CallKey, Standing>,
     /// Keys by when they are forgotten.
     expiry: BTreeSet<(u64, CallKey)>,
+    /// Keys whose answer has a body, by when they are forgotten.
+    bodies: BTreeSet<(u64, CallKey)>,
+    kept_bytes: usize,
     /// Each writer's last batch, and when it came.
     writers: HashMap<Writer, (u64, u64)>,
     now_ms: u64,
@@ -232,16 +247,39 @@
             return None;
         }
         standing.phase = step(standing)?;
+        let (expires_ms, bytes) = (standing.expires_ms, standing.body_bytes());
+        self.keep_body(expires_ms, &key, bytes);
         Some(key)
     }
 
+    /// Counts a body, and drops the oldest ones where there are too many. All readers drop the
+    /// same, because the order follows from the stream.
+    fn keep_body(&mut self, expires_ms: u64, key: &CallKey, bytes: usize) {
+        if bytes == 0 {
+            return;
+        }
+        self.bodies.insert((expires_ms, key.clone()));
+        self.kept_bytes += bytes;
+        while self.kept_bytes > MAX_KEPT_BYTES
+            && let Some((_, oldest)) = self.bodies.pop_first()
+        {
+            let Some(standing) = self.keys.get_mut(&oldest) else { continue };
+            self.kept_bytes = self.kept_bytes.saturating_sub(standing.body_bytes());
+            if let Phase::Done(answer) = &mut standing.phase {
+                answer.body = None;
+            }
+        }
+    }
+
     fn forget(&mut self, now_ms: u64) {
         self.now_ms = now_ms;
         while let Some((expires_ms, _)) = self.expiry.first()
             && *expires_ms < now_ms
-            && let Some((_, key)) = self.expiry.pop_first()
+            && let Some(expired) = self.expiry.pop_first()
         {
-            self.keys.remove(&key);
+            let bytes = self.keys.remove(&expired.1).map_or(0, |standing| standing.body_bytes());
+            self.kept_bytes = self.kept_bytes.saturating_sub(bytes);
+            self.bodies.remove(&expired);
         }
         if now_ms >= self.swept_ms.saturating_add(SWEEP_MS) {
             self.swept_ms = now_ms;
@@ -262,6 +300,8 @@
             window: *window,
             keys: HashMap::new(),
             expiry: BTreeSet::new(),
+            bodies: BTreeSet::new(),
+            kept_bytes: 0,
             writers: HashMap::new(),
             now_ms: 0,
             swept_ms: 0,
@@ -275,8 +315,10 @@
                 ledger.writers.insert(writer, (sequence, seen_ms));
             }
             for (key, standing) in part.keys {
-                ledger.expiry.insert((standing.expires_ms, key.clone()));
-                ledger.keys.insert(key, standing);
+                let (expires_ms, bytes) = (standing.expires_ms, standing.body_bytes());
+                ledger.expiry.insert((expires_ms, key.clone()));
+                ledger.keys.insert(key.clone(), standing);
+                ledger.keep_body(expires_ms, &key, bytes);
             }
         }
         ledger
@@ -298,10 +340,7 @@
                 parts.push(Part { keys: Vec::new(), writers: Vec::new() });
                 bytes = 0;
             }
-            bytes += match &standing.phase {
-                Phase::Done(answer) => answer.body.as_ref().map_or(0, String::len),
-                _ => 0,
-            };
+            bytes += standing.body_bytes();
             if let Some(last) = parts.last_mut() {
                 last.keys.push((key.clone(), standing.clone()));
             }
--- a/crates/policy/tests/replay.rs
+++ b/crates/policy/tests/replay.rs
@@ -8,7 +8,8 @@
     EndpointGroup, Fingerprint, Incarnation, InstanceId, Offset, Workspace,
     config::{SourceFile, Version},
     ledger::{
-        Answer, Batch, CallKey, Claim, ClaimId, Entry, KeyTime, Ledger, Phase, Window, Writer,
+        Answer, Batch, CallKey, Claim, ClaimId, Entry, KeyTime, Ledger, MAX_KEPT_BODY,
+        MAX_KEPT_BYTES, Phase, Window, Writer,
     },
     publication::{Change, Publication, PublicationEntry, Verdict, check_change, difference},
     replay::{Fold, LogRecord, Replay, encode},
@@ -108,6 +109,30 @@
     assert_eq!((standing.attempt, &standing.phase), (1, &Phase::Done(answer)));
 }
 
+/// Callers get large answers all day; instances must not run out of memory over them.
+#[test]
+fn the_oldest_answers_lose_their_bodies_first() {
+    let (mut log, mut replay) = (Log::default(), ledger());
+    let count = MAX_KEPT_BYTES / MAX_KEPT_BODY + 1;
+    let claims = (0..count).map(|i| claim(&format!("k{i:06}"), 1)).collect();
+    log.append(0, batch("a", 1, claims));
+    log.feed(&mut replay, 0);
+    for (index, sequence) in (0..count).zip(2..) {
+        let claim = ClaimId { sequence: 1, index: u32::try_from(index).unwrap() };
+        let body = Some("x".repeat(MAX_KEPT_BODY));
+        let answer = Answer { status: 200, content_type: None, body };
+        let done = Entry::Done { key: key(&format!("k{index:06}")), claim, answer };
+        let data = batch("a", sequence, vec![done]);
+        let offset = Offset(sequence - 1);
+        replay.accept(Offset(0), [LogRecord { offset, time_ms: 1, data: &data }]);
+    }
+    let has_body = |index: usize| {
+        let standing = replay.state().unwrap().standing(&key(&format!("k{index:06}"))).unwrap();
+        matches!(&standing.phase, Phase::Done(answer) if answer.body.is_some())
+    };
+    assert_eq!([has_body(0), has_body(1), has_body(count - 1)], [false, true, true]);
+}
+
 #[test]
 fn a_key_is_forgotten_after_its_window_and_not_before() {
     let (mut log, mut replay) = (Log::default(), ledger());
