--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -32,6 +32,23 @@
 /// half a second, so this is only reached by operators' own.
 const CONNECTION_LOOKS: u32 = 50;
 
+/// How long a stop waits for the log to take the last answers of calls that may not be repeated.
+/// Longer than the slowest pace of appends, and no longer, because the log may be down.
+const LEDGER_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Waits until the log has the answers of all calls that may not be repeated.
+///
+/// Guards against a planned stop that forgets them: a call whose answer its caller missed would
+/// be of unknown outcome for ever when it is sent again.
+pub async fn ledgers_written(shared: &Shared) {
+    let end = shared.clock.now() + LEDGER_PATIENCE;
+    let written =
+        || shared.ledgers().is_none_or(|ledgers| ledgers.iter().all(|ledger| ledger.is_written()));
+    while !written() && shared.clock.now() < end {
+        Timer::after(LOOK_PERIOD).await;
+    }
+}
+
 /// Waits until new requests are refused, every request under way has ended and idle connections
 /// are closed. Each request has a deadline, and so has this.
 pub async fn finished(shared: &Shared) {
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -128,6 +128,7 @@
     pub fn close(self) {
         drain::begin(&self.shared);
         block_on(drain::finished(&self.shared));
+        block_on(drain::ledgers_written(&self.shared));
         block_on(self.mesh.say_goodbye());
         log::info!("closed");
         self.abort();
--- a/crates/daemon/src/ledger/mod.rs
+++ b/crates/daemon/src/ledger/mod.rs
@@ -177,6 +177,11 @@
         state.is_complete() && !state.is_down(self.core.clock.now())
     }
 
+    /// Whether the log has taken all that this instance had to say.
+    pub fn is_written(&self) -> bool {
+        lock(&self.core.state).is_written()
+    }
+
     /// The offset that will be read next, which other instances may compare with theirs.
     pub fn next_offset(&self) -> policy::Offset {
         lock(&self.core.state).next_offset()
--- a/crates/daemon/src/ledger/outbox.rs
+++ b/crates/daemon/src/ledger/outbox.rs
@@ -57,6 +57,11 @@
         Some(batch)
     }
 
+    /// Whether there is nothing to append.
+    pub(super) fn is_written(&self) -> bool {
+        self.queue.is_empty() && self.in_flight.is_none()
+    }
+
     /// The log took the batch under way.
     pub(super) fn appended(&mut self, sequence: u64, offset: Offset) {
         if self.in_flight.as_ref().is_some_and(|known| known.batch.sequence == sequence) {
--- a/crates/daemon/tests/published.rs
+++ b/crates/daemon/tests/published.rs
@@ -232,6 +232,19 @@
     assert_eq!(service.runs("k"), 1);
 }
 
+/// A planned stop while appends are slow: the answer of the last registration is in the log before
+/// the process ends.
+#[test]
+fn a_graceful_stop_leaves_no_answer_behind() {
+    let mut setup = Setup::start();
+    setup.log.set_delay(Duration::from_millis(300));
+    let first = setup.a.register("k", "{}", PATIENCE);
+    assert_eq!(first.0, 200, "{}", first.1);
+    setup.a.signal("-TERM");
+    setup.a.child.wait().unwrap();
+    assert_eq!(setup.b.register("k", "{}", PATIENCE), first);
+}
+
 fn contains(data: &[u8], text: &str) -> bool {
     String::from_utf8_lossy(data).contains(text)
 }
