--- a/crates/daemon/src/ledger/mod.rs
+++ b/crates/daemon/src/ledger/mod.rs
@@ -177,6 +177,11 @@
         state.is_complete() && !state.is_down(self.core.clock.now())
     }
 
+    /// How many calls wait for the log or for another call with their key.
+    pub fn waiting(&self) -> usize {
+        lock(&self.core.state).waiting()
+    }
+
     /// Whether the log has taken all that this instance had to say.
     pub fn is_written(&self) -> bool {
         lock(&self.core.state).is_written()
--- a/crates/daemon/src/ledger/state.rs
+++ b/crates/daemon/src/ledger/state.rs
@@ -94,6 +94,11 @@
         self.replay.state().map_or(0, Ledger::len)
     }
 
+    pub(super) fn waiting(&self) -> usize {
+        let open = |waiters: &Vec<Sender<()>>| waiters.iter().filter(|tx| !tx.is_closed()).count();
+        self.waiters.values().map(open).sum()
+    }
+
     /// Whether the end of the stream was reached once.
     pub(super) fn reached_end(&self) -> bool {
         self.reached_end
--- a/crates/daemon/tests/ledger.rs
+++ b/crates/daemon/tests/ledger.rs
@@ -203,6 +203,24 @@
     assert_eq!(name(&a.claim("k")), "answer x");
 }
 
+/// Two callers send one registration at once; the one that runs it gives up before it has sent
+/// anything and says so. The other one, which had waited, must not run it now.
+#[test]
+fn a_call_that_waited_hears_not_run_as_well() {
+    let log = LogService::start(LogConfig::default()).unwrap();
+    let (a, b) = (node(&log, "a", 1), node(&log, "b", 1));
+    let claim = won(a.claim("k"));
+    // The second one knows of the first before it comes.
+    until(|| b.ledger.keys() == 1);
+    let b = Arc::new(b);
+    let second = b.clone();
+    let waiting = thread::spawn(move || name(&second.claim("k")));
+    until(|| b.ledger.waiting() == 1);
+    assert_eq!(claim.not_run(), Ran::No);
+    assert_eq!(waiting.join().unwrap(), "not run");
+    run(&b, "k", "x");
+}
+
 /// The holder of a claim is paused past its caller's deadline and wakes up.
 #[test]
 fn nothing_is_sent_after_the_deadline() {
--- a/crates/daemon/tests/published.rs
+++ b/crates/daemon/tests/published.rs
@@ -18,8 +18,8 @@
     publication::{AuditEntry, Verdict},
 };
 use standin::{
-    AppendFault, FaultProxy, LogConfig, LogService, Mode, Outage, Service, ServiceConfig,
-    ServiceFault,
+    AppendFault, Direction, FaultProxy, LogConfig, LogService, Mode, Outage, Service,
+    ServiceConfig, ServiceFault,
 };
 
 const SHORT: Duration = Duration::from_millis(700);
@@ -269,6 +269,22 @@
     assert_eq!(setup.service.runs("k"), 1);
 }
 
+/// Something between an instance and the log loses track of its open connections. Calls and
+/// changes go on over new ones.
+#[test]
+fn connections_to_the_log_that_go_silent_hold_nothing_up() {
+    let setup = Setup::start();
+    let proxy = FaultProxy::start(setup.log.address()).unwrap();
+    let c = Daemon::follow("entry-c", proxy.address(), &[]);
+    wait_until("the ledger", || c.register("first", "{}", PATIENCE).0 == 200);
+    for version in [2, 3] {
+        proxy.set_mode(Mode::SilenceOpen(Direction::Both)).unwrap();
+        assert_eq!(c.register(&format!("k{version}"), "{}", PATIENCE).0, 200);
+        setup.a.publish(&version.to_string(), version - 1, setup.changed(version as u32));
+        wait_until("the change", || c.status().config_version == Version(version));
+    }
+}
+
 /// The endpoint answers a repeated key with its first answer, and the route says so: a call of
 /// unknown outcome is asked again.
 #[test]
