--- a/crates/daemon/src/admin/publish.rs
+++ b/crates/daemon/src/admin/publish.rs
@@ -97,7 +97,13 @@
     let publications = shared.publications().ok_or_else(no_log)?;
     let asked: PublishRequest = read(req).await?;
     // Checked before it goes to the log, so that findings cost no record. The fold checks again.
-    let current = publications.look(|fold| fold.config().cloned()).ok_or_else(behind)?;
+    let (version, current) =
+        publications.look(|fold| (fold.version(), fold.config().cloned())).ok_or_else(behind)?;
+    // A log that was emptied would number its versions anew, below the one in force, and none of
+    // them would ever be put in force. A reader that lags behind its peers has caught up soon.
+    if version < shared.active().version {
+        return Err(behind());
+    }
     if let Err(findings) = check_change(current.as_deref(), &asked.files) {
         let lines = findings.iter().map(ToString::to_string).collect();
         return Ok(json_with(StatusCode::UnprocessableEntity, &PublishAnswer::Rejected(lines)));
