Ask the system for a caller's hang-up only when its socket has something to tell

Two system calls for each token of each stream are gone (seen with strace: a peek and a re-arming each time that the request's task ran).

--- a/crates/daemon/src/server/connection.rs
+++ b/crates/daemon/src/server/connection.rs
@@ -1,6 +1,7 @@
 //! One caller's connection: its requests one after another, its deadline and its hang-up.
 
 use std::{
+    io,
     panic::AssertUnwindSafe,
     sync::{Arc, Mutex},
     time::Duration,
@@ -10,6 +11,7 @@
 use futures_lite::FutureExt;
 use policy::Time;
 use smol::{
+    Async,
     channel::{Receiver, Sender, bounded},
     net::TcpStream,
 };
@@ -68,12 +70,18 @@
     /// Waits until the caller has hung up. The HTTP library notices that only when it writes,
     /// which for a long prompt is minutes too late for the engine's memory.
     pub async fn hung_up(&self) {
+        let socket: Arc<Async<std::net::TcpStream>> = self.socket.clone().into();
         let mut byte = [0];
-        match self.socket.peek(&mut byte).await {
-            Ok(0) | Err(_) => {}
-            // The next request is already here, so an end behind it can't be seen. Writing the
-            // answer will show it.
-            Ok(_) => std::future::pending().await,
+        // The system is asked only when the socket has something to tell. `peek` of the
+        // asynchronous socket would ask it each time that the request's task runs, for every token.
+        while socket.readable().await.is_ok() {
+            match socket.get_ref().peek(&mut byte) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(0) | Err(_) => return,
+                // The next request is already here, so an end behind it can't be seen. Writing
+                // the answer will show it.
+                Ok(_) => return std::future::pending().await,
+            }
         }
     }
 
