--- a/crates/daemon/tests/together.rs
+++ b/crates/daemon/tests/together.rs
@@ -57,6 +57,7 @@
         engines: vec!["127.0.0.1:9".parse().unwrap()],
         services: vec![service.address()],
         policy: "trefoilhall",
+        more: "",
     };
     let mut daemons: Vec<Daemon> = Vec::new();
     for number in 0..3 {
