--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -8,7 +8,11 @@
 
 use common::{Daemon, Site, exchange, open_stream, post, prompt};
 use policy::TokenRate;
-use standin::{Engine, EngineConfig, expected_answer};
+use standin::{
+    Engine, EngineConfig,
+    client::{Prompt, PromptShape},
+    expected_answer,
+};
 
 fn engine() -> Engine {
     Engine::start(EngineConfig::default()).unwrap()
@@ -61,3 +65,76 @@
     assert_eq!(document["choices"][0]["text"], expected_answer(body.as_bytes()).unwrap());
     common::wait_until("all memory is free", || engines.iter().all(|e| e.stats().held.0 == 0));
 }
+
+#[test]
+fn a_chat_is_answered_with_a_message() {
+    let engine = engine();
+    let daemon = Daemon::start("chat", &Site::of_engines(&[engine.address()]));
+    let body = r#"{"model":"m","max_tokens":6,"messages":[{"role":"system","content":"Be brief \u0219i clar."},{"role":"user","content":"Name change?\n"}]}"#;
+    let answer = exchange(daemon.address, &post("/v1/chat/completions", body));
+    let document: serde_json::Value =
+        serde_json::from_str(answer.split_once("\r\n\r\n").unwrap().1).unwrap();
+    let message = &document["choices"][0]["message"];
+    assert_eq!(message["content"], expected_answer(body.as_bytes()).unwrap());
+    assert_eq!(message["role"], "assistant");
+    assert_eq!(document["object"], "chat.completion");
+}
+
+#[test]
+fn a_chat_is_streamed_as_deltas() {
+    let engine = engine();
+    let daemon = Daemon::start("chat-stream", &Site::of_engines(&[engine.address()]));
+    let body = r#"{"model":"m","stream":true,"max_tokens":6,"messages":[{"role":"user","content":"Lumber for a deck"}]}"#;
+    let answer = exchange(daemon.address, &post("/v1/chat/completions", body));
+    let events = answer.lines().filter_map(|line| line.strip_prefix("data: {"));
+    let texts = events.map(|rest| {
+        let event: serde_json::Value = serde_json::from_str(&format!("{{{rest}")).unwrap();
+        event["choices"][0]["delta"]["content"].as_str().unwrap().to_owned()
+    });
+    assert_eq!(texts.collect::<String>(), expected_answer(body.as_bytes()).unwrap());
+    assert!(answer.contains("data: [DONE]"), "{answer}");
+}
+
+#[test]
+fn models_are_listed_to_those_with_a_key() {
+    let engine = engine();
+    let daemon = Daemon::start("models", &Site::of_engines(&[engine.address()]));
+    assert!(daemon.get("/v1/models").starts_with("HTTP/1.1 401"));
+    let call = format!(
+        "GET /v1/models HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {}\r\nconnection: close\r\n\r\n",
+        common::KEY
+    );
+    let answer = exchange(daemon.address, &call);
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains(r#""id":"m""#), "{answer}");
+    assert!(answer.contains("x-request-id: "), "{answer}");
+}
+
+/// A spec binder of a million tokens comes in, several megabytes of it, while callers in the aisle
+/// ask short questions. All get their whole answers.
+#[test]
+fn a_million_tokens_and_short_questions_are_served_together() {
+    let config = EngineConfig {
+        kv_total: policy::Tokens(3_000_000),
+        prefill_rate: TokenRate(1e6),
+        ..EngineConfig::default()
+    };
+    let engine = Engine::start(config).unwrap();
+    let daemon = Daemon::start("million", &Site::of_engines(&[engine.address()]));
+    let address = daemon.address;
+    let ask = move |tokens: u64, seed: u64| {
+        let shape = PromptShape { patience: common::PATIENCE, ..PromptShape::unique(tokens, seed) };
+        let prompt = Prompt::new(shape).key(common::KEY);
+        smol::spawn(async move { prompt.send(address).await })
+    };
+    let long = ask(1_000_000, 1);
+    // Whether so long a prompt is admitted behind short ones depends on what was learned of the
+    // engine from them, which is the scheduler's and not looked at here.
+    common::wait_until("the engine has the long prompt", || engine.stats().held.0 > 1_000_000);
+    let short: Vec<_> = (2..22).map(|seed| ask(500, seed)).collect();
+    for reply in short {
+        let reply = smol::block_on(reply);
+        assert!(reply.whole, "{reply:?}");
+    }
+    let reply = smol::block_on(long);
+    assert!(reply.whole, "{:?} {:?} {:?}", reply.status, reply.code, reply.error);
+}
