Give stand-ins and test processes ports that outgoing connections don't take

The address had been free a moment before, and an outgoing connection of another test took the port, which lies in the system's range for those. Ruled out: a daemon left over from an earlier test (each is killed and waited for). What: one function gives ports below that range, spread by process; stand-ins, which must keep their port over a restart, scenarios and the tests of restarts use it.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -8,7 +8,7 @@
     fmt::Write as _,
     fs,
     io::{BufRead, BufReader, Read, Write as _},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
@@ -232,5 +232,5 @@
 
 /// A loopback address on which nothing listens.
 pub fn unused_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    standin::free_address().unwrap()
 }
--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -219,7 +219,7 @@
 
 #[test]
 fn two_that_dial_each_other_at_once_keep_one_link() {
-    let free = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let free = || standin::free_address().unwrap();
     let (here, there) = (free(), free());
     let first = Peer::listen(here, "entry-1", 1, &[there, here]);
     let second = Peer::listen(there, "entry-2", 1, &[here, there]);
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -22,6 +22,8 @@
 };
 use socket2::{Domain, Socket, Type};
 
+use crate::free_address;
+
 /// How often a port is tried again while something else still holds it.
 const BIND_TRIES: u32 = 200;
 /// Connections that may wait to be accepted. The standard library asks for 128, which a burst of two
@@ -77,7 +79,7 @@
     /// Takes a free loopback port and starts the thread; nothing is served before
     /// [`Host::serve`].
     pub(crate) fn start(name: &str) -> io::Result<Host> {
-        let address = StdListener::bind(("127.0.0.1", 0))?.local_addr()?;
+        let address = free_address()?;
         let ex = Arc::new(Executor::new());
         let (stop, stopped) = smol::channel::bounded(1);
         let runner = ex.clone();
--- a/crates/standin/src/scenario/run/site.rs
+++ b/crates/standin/src/scenario/run/site.rs
@@ -3,7 +3,7 @@
 
 use std::{
     fs, io,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     sync::{
         Mutex, PoisonError,
@@ -26,7 +26,7 @@
 use super::{RunError, calls::POISON, process::Process};
 use crate::{
     Direction, Engine, EngineConfig, FaultProxy, ListService, LogConfig, LogService, Mode, Service,
-    ServiceConfig,
+    ServiceConfig, free_address,
     scenario::ast::{Actor, ActorKind, Link, Scenario},
 };
 
@@ -506,12 +506,6 @@
     None
 }
 
-/// An address that was free a moment ago. Daemons must know theirs before they start, so another
-/// process can take it in between; the scenario then fails to become ready and says so.
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
-}
-
 fn new_folder() -> io::Result<PathBuf> {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
