--- a/crates/daemon/tests/published.rs
+++ b/crates/daemon/tests/published.rs
@@ -17,7 +17,10 @@
     config::{SourceFile, Version},
     publication::{AuditEntry, Verdict},
 };
-use standin::{AppendFault, LogConfig, LogService, Outage, Service, ServiceConfig, ServiceFault};
+use standin::{
+    AppendFault, Direction, FaultProxy, LogConfig, LogService, Mode, Outage, Service,
+    ServiceConfig, ServiceFault,
+};
 
 const SHORT: Duration = Duration::from_millis(700);
 
@@ -39,6 +42,7 @@
             engines: vec![unused],
             services: vec![service.address()],
             policy: "trefoilhall",
+            more: "",
         };
         let a = Daemon::follow("entry-a", log.address(), &[]);
         let b = Daemon::follow("entry-b", log.address(), &[a.peer_address]);
@@ -205,6 +209,101 @@
     assert_eq!(setup.service.runs("k"), 1);
 }
 
+/// The log drops everything it holds, and then all instances are replaced at once. The new one
+/// has the configuration and the first answer, because checkpoints were written in between.
+#[test]
+fn a_log_that_drops_its_records_loses_neither_configuration_nor_answers() {
+    let setup = Setup::start();
+    let first = setup.a.register("k", "{}", PATIENCE);
+    wait_until("the answer is in the log", || {
+        setup.log.records("ledger-0").iter().any(|record| contains(&record.data, "done"))
+    });
+    for stream in ["configuration", "ledger-0"] {
+        setup.log.trim(stream, 0);
+        wait_until("a checkpoint", || {
+            setup.log.records(stream).iter().any(|record| contains(&record.data, "checkpoint"))
+        });
+    }
+    let Setup { log, service, a, b, .. } = setup;
+    drop((a, b));
+    let c = Daemon::follow("entry-c", log.address(), &[]);
+    wait_until("the configuration", || c.status().config_version == Version(1));
+    assert_eq!(c.register("k", "{}", PATIENCE), first);
+    assert_eq!(service.runs("k"), 1);
+}
+
+/// A planned stop while appends are slow: the answer of the last registration is in the log before
+/// the process ends.
+#[test]
+fn a_graceful_stop_leaves_no_answer_behind() {
+    let mut setup = Setup::start();
+    setup.log.set_delay(Duration::from_millis(300));
+    let first = setup.a.register("k", "{}", PATIENCE);
+    assert_eq!(first.0, 200, "{}", first.1);
+    setup.a.signal("-TERM");
+    setup.a.child.wait().unwrap();
+    assert_eq!(setup.b.register("k", "{}", PATIENCE), first);
+}
+
+fn contains(data: &[u8], text: &str) -> bool {
+    String::from_utf8_lossy(data).contains(text)
+}
+
+/// One instance alone loses the log while the others go on. A call that it doesn't know may have
+/// run elsewhere, so it doesn't say "not run".
+#[test]
+fn an_instance_that_alone_lost_the_log_says_unknown() {
+    let setup = Setup::start();
+    let proxy = FaultProxy::start(setup.log.address()).unwrap();
+    let c = Daemon::follow("entry-c", proxy.address(), &[setup.a.peer_address]);
+    wait_until("the configuration", || c.status().config_version == Version(1));
+    wait_until("the ledger", || c.register("first", "{}", PATIENCE).0 == 200);
+    // Resets what is open too, or a waiting read would still tell it of the next record.
+    proxy.set_mode(Mode::Reset).unwrap();
+    wait_until("the loss is noticed", || c.register("x", "{}", SHORT).0 == 503);
+    setup.a.register("k", "{}", PATIENCE);
+    wait_until("it hears of the others", || {
+        // 503 by what its peers have read, or 504 where a read that was under way when the
+        // connections were reset still brought the other's claim.
+        let (status, body) = c.register("k", "{}", SHORT);
+        [503, 504].contains(&status) && body["error"]["ran"] == "unknown"
+    });
+    assert_eq!(setup.service.runs("k"), 1);
+}
+
+/// Something between an instance and the log loses track of its open connections. Calls and
+/// changes go on over new ones.
+#[test]
+fn connections_to_the_log_that_go_silent_hold_nothing_up() {
+    let setup = Setup::start();
+    let proxy = FaultProxy::start(setup.log.address()).unwrap();
+    let c = Daemon::follow("entry-c", proxy.address(), &[]);
+    wait_until("the ledger", || c.register("first", "{}", PATIENCE).0 == 200);
+    for version in [2, 3] {
+        proxy.set_mode(Mode::SilenceOpen(Direction::Both)).unwrap();
+        assert_eq!(c.register(&format!("k{version}"), "{}", PATIENCE).0, 200);
+        setup.a.publish(&version.to_string(), version - 1, setup.changed(version as u32));
+        wait_until("the change", || c.status().config_version == Version(version));
+    }
+}
+
+/// The endpoint answers a repeated key with its first answer, and the route says so: a call of
+/// unknown outcome is asked again.
+#[test]
+fn an_endpoint_that_deduplicates_is_asked_again() {
+    let setup = Setup::bare(ServiceConfig { deduplicates: true, ..ServiceConfig::default() });
+    let route = r#"{"deployments":{"register":{"routes":[
+        {"path":"/registrations","repeatable":false,"deduplicates":true}]}}}"#;
+    let mut files = setup.site.files();
+    files.push(SourceFile { name: "20-route.json".to_owned(), text: route.to_owned() });
+    assert_eq!(setup.a.publish("first", 0, files), PublishAnswer::Accepted(Version(1)));
+    setup.wait_version(1);
+    setup.service.plan_fault(ServiceFault::LoseAnswer);
+    assert_eq!(setup.a.register("k", "{}", PATIENCE).0, 502);
+    wait_until("the first answer", || setup.b.register("k", "{}", PATIENCE).0 == 200);
+    assert_eq!(setup.service.runs("k"), 1);
+}
+
 /// The instance that runs a registration is killed in mid-call. The caller sends again elsewhere.
 #[test]
 fn a_killed_instance_leaves_an_unknown_outcome_and_no_second_run() {
--- a/crates/policy/src/trefoilhall/learn.rs
+++ b/crates/policy/src/trefoilhall/learn.rs
@@ -30,6 +30,8 @@
 pub(super) const SAMPLES: usize = 24;
 /// Which quantile of the samples counts as the speed.
 const QUANTILE: f64 = 0.92;
+/// Seconds after which own samples are old.
+const SAMPLES_FOR: f64 = 10.0;
 /// Seconds for which a measured throughput counts: until the next two would have come.
 const THROUGHPUT_FOR: f64 = 15.0;
 /// Prefill speed before anything was seen, in tokens a second.
@@ -38,12 +40,15 @@
 const DECODE_GUESS: f64 = 30.0;
 /// Ratios of actual to predicted time that are kept.
 const ERRORS: usize = 40;
-/// Which quantile of the ratios the margin covers: one promise in ten may need the slack that
+/// Which quantile of the ratios the margin covers: one promise in twenty may need the slack that
 /// the bound has over the prediction.
-const ERROR_QUANTILE: f64 = 0.9;
+const ERROR_QUANTILE: f64 = 0.95;
 /// The margin's bounds. Below one would promise more than is predicted; above four nearly nothing
 /// would be admitted, and nothing admitted means nothing learned.
 const MARGIN: std::ops::RangeInclusive<f64> = 0.5..=4.0;
+/// Seconds without news after which half of the margin is forgotten: an overload lasts longer, and
+/// so does a caller's patience.
+const MARGIN_HALF_LIFE: f64 = 5.0;
 /// Share of the allowed output that is expected before any answer was seen.
 const OUTPUT_GUESS: f64 = 0.5;
 /// Predictions below this many seconds aren't judged: scheduling noise, not a wrong model.
@@ -55,6 +60,10 @@
     samples: Window<SAMPLES>,
     of_samples: Option<f64>,
     throughput: Option<Throughput>,
+    /// The highest speed that other instances have learned of late.
+    pub(super) peers: Option<f64>,
+    sampled: f64,
+    is_stale: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -65,14 +74,23 @@
 
 impl Speed {
     pub(super) fn unknown() -> Speed {
-        Speed { samples: Window::new(), of_samples: None, throughput: None }
+        Speed {
+            samples: Window::new(),
+            of_samples: None,
+            throughput: None,
+            peers: None,
+            sampled: 0.0,
+            is_stale: true,
+        }
     }
 
-    /// Takes note that `tokens` of prefill took `seconds`.
-    pub(super) fn observe(&mut self, tokens: f64, seconds: f64) {
+    /// Takes note that `tokens` of prefill took `seconds` up to `now`.
+    pub(super) fn observe(&mut self, tokens: f64, seconds: f64, now: f64) {
         if tokens < 1.0 || seconds <= 0.0 {
             return;
         }
+        self.sampled = now;
+        self.is_stale = false;
         self.samples.push(tokens / seconds);
         self.of_samples = self.samples.quantile(QUANTILE);
     }
@@ -83,19 +101,27 @@
         self.throughput = Some(Throughput { rate: tokens / seconds, at: now });
     }
 
-    /// Drops a throughput that is too old to count beside the samples.
+    /// Drops a throughput that is too old to count beside the samples, and notes when the samples
+    /// themselves are old.
     pub(super) fn age(&mut self, now: f64) {
+        self.is_stale = now - self.sampled > SAMPLES_FOR;
         if self.throughput.is_some_and(|throughput| now - throughput.at > THROUGHPUT_FOR) {
             self.throughput = None;
         }
     }
 
-    /// Tokens a second, once anything was seen. Both measures err low, so the higher one counts.
+    /// Tokens a second, once anything was seen here or by others. Where own samples are old, the
+    /// highest measure counts, as all err low: an instance that learned a speed far too low admits
+    /// nothing, and so would never learn better by itself.
     pub(super) fn rate(&self) -> Option<f64> {
-        match (self.of_samples, self.throughput) {
-            (Some(rate), Some(throughput)) => Some(rate.max(throughput.rate)),
-            (rate, _) => rate,
-        }
+        let peers = self.peers.filter(|_| self.is_stale);
+        self.own().into_iter().chain(peers).max_by(f64::total_cmp)
+    }
+
+    /// Tokens a second as seen here; what is told to others, lest they echo one another.
+    pub(super) fn own(&self) -> Option<f64> {
+        let throughput = self.throughput.map(|throughput| throughput.rate);
+        self.of_samples.into_iter().chain(throughput).max_by(f64::total_cmp)
     }
 }
 
@@ -104,26 +130,30 @@
 pub(super) struct Margin {
     ratios: Window<ERRORS>,
     factor: f64,
+    updated: f64,
 }
 
 impl Margin {
     pub(super) fn new() -> Margin {
-        Margin { ratios: Window::new(), factor: 1.0 }
+        Margin { ratios: Window::new(), factor: 1.0, updated: 0.0 }
     }
 
-    /// Takes note of one prediction and what became of it, in seconds.
-    pub(super) fn observe(&mut self, predicted: f64, actual: f64) {
+    /// Takes note at `now` of one prediction and what became of it, in seconds.
+    pub(super) fn observe(&mut self, predicted: f64, actual: f64, now: f64) {
         if actual < SHORTEST_JUDGED {
             return;
         }
+        self.updated = now;
         self.ratios.push(actual / predicted.max(SHORTEST_JUDGED));
         let quantile = self.ratios.quantile(ERROR_QUANTILE).unwrap_or(1.0);
         self.factor = quantile.clamp(*MARGIN.start(), *MARGIN.end());
     }
 
-    /// What a prediction is multiplied by before it becomes a promise.
-    pub(super) fn factor(&self) -> f64 {
-        self.factor
+    /// What a prediction is multiplied by before it becomes a promise. Without news it returns to
+    /// one: a margin that lets nothing in would otherwise never hear that it is wrong.
+    pub(super) fn factor(&self, now: f64) -> f64 {
+        let age = (now - self.updated).max(0.0);
+        1.0 + (self.factor - 1.0) * (-age / MARGIN_HALF_LIFE).exp2()
     }
 }
 
