Keep the room of finished steps out of open streams

A connection's future was 62 KB, because each wrapper around the HTTP library's holds a copy of its room, and the filters' room stayed for as long as a stream lasts.

--- a/crates/daemon/src/filter/dispatch/attempt.rs
+++ b/crates/daemon/src/filter/dispatch/attempt.rs
@@ -47,7 +47,7 @@
             return failed(FailCause::NotSent);
         };
         let name = self.name(start);
-        let reservations = match Reservations::take(&active, &name, others).await {
+        let reservations = match Box::pin(Reservations::take(&active, &name, others)).await {
             Ok(reservations) => reservations,
             Err(cause) => return failed(cause),
         };
@@ -87,7 +87,9 @@
         let run = self.run_call(place, attempt.clone());
         let known = (head.incarnation != Incarnation(0)).then_some(head.incarnation);
         let mut watch = Watch::new(endpoint, &id, known);
-        let running = match watch.wait(self.output.offset, run.send()).await {
+        // On the heap, so that a stream under way doesn't carry the room that sending took.
+        let sent = Box::pin(run.send());
+        let running = match watch.wait(self.output.offset, sent).await {
             Ok(Ok(running)) => running,
             Ok(Err(e)) => {
                 if !matches!(e, RunError::Broken | RunError::BadAnswer) {
--- a/crates/daemon/src/filter/dispatch/mod.rs
+++ b/crates/daemon/src/filter/dispatch/mod.rs
@@ -43,7 +43,10 @@
 impl Handler<Admitted> for Dispatch {
     async fn handle(&self, admitted: Admitted) -> Result<Answer, CallError> {
         match admitted.timed.received.work.clone() {
-            Work::Service(work) => service::run(&self.shared, admitted, work).await,
+            Work::Service(work) => {
+                // The larger kind of call must not make the other's future as large.
+                Box::pin(service::run(&self.shared, admitted, work)).await
+            }
             Work::Model(work) => {
                 let (tx, rx) = bounded(WAITING_EVENTS);
                 let record = admitted.timed.received.record.clone();
--- a/crates/daemon/src/server/connection.rs
+++ b/crates/daemon/src/server/connection.rs
@@ -102,7 +102,8 @@
         let mut server = Server::new(stream.clone(), endpoint);
         loop {
             lock(stream.guard()).arm();
-            let one = AssertUnwindSafe(server.accept_one()).catch_unwind();
+            // On the heap once; wrapped as it is, each wrapper would hold a copy of its room.
+            let one = AssertUnwindSafe(Box::pin(server.accept_one())).catch_unwind();
             let one = async { Some(one.await) };
             let cut = async {
                 // Nothing is ever sent; this ends when the channel is closed.
--- a/crates/daemon/src/server/last_words.rs
+++ b/crates/daemon/src/server/last_words.rs
@@ -22,7 +22,7 @@
         if socket.write_all(bytes).await.is_err() || socket.shutdown(Shutdown::Write).is_err() {
             return;
         }
-        let mut dropped = [0; STEP];
+        let mut dropped = vec![0; STEP];
         while socket.read(&mut dropped).await.is_ok_and(|len| len > 0) {}
     };
     let limit = async {
--- a/crates/daemon/src/server/router.rs
+++ b/crates/daemon/src/server/router.rs
@@ -25,7 +25,7 @@
         return Ok(respond::error(&not_for_callers()));
     }
     if service.audience != Audience::Callers
-        && let Some(resp) = admin::answer(&service.shared, &mut req).await
+        && let Some(resp) = Box::pin(admin::answer(&service.shared, &mut req)).await
     {
         return Ok(resp);
     }
@@ -39,7 +39,9 @@
         resp.insert_header(respond::REQUEST_ID, record.request_id());
         return Ok(resp);
     }
-    Ok(filter::answer(&service.chain, &service.shared, conn, req).await)
+    // On the heap, so that a connection that is idle or passes on a stream doesn't carry the room
+    // that the filters take.
+    Ok(Box::pin(filter::answer(&service.chain, &service.shared, conn, req)).await)
 }
 
 fn not_for_callers() -> CallError {
