--- a/crates/daemon/src/ledger/mod.rs
+++ b/crates/daemon/src/ledger/mod.rs
@@ -137,6 +137,24 @@
     KeyFromTheFuture,
 }
 
+impl<L: Log> ClaimOutcome<L> {
+    /// The outcome as it stands in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            ClaimOutcome::Run(_) => "run",
+            ClaimOutcome::Answer(_) => "answered_before",
+            ClaimOutcome::Unknown => "unknown",
+            ClaimOutcome::BodyDiffers => "key_reused",
+            ClaimOutcome::NotRun => "not_run",
+            ClaimOutcome::LogDown => "log_down",
+            ClaimOutcome::Behind => "behind",
+            ClaimOutcome::Full => "full",
+            ClaimOutcome::KeyTooOld => "key_too_old",
+            ClaimOutcome::KeyFromTheFuture => "key_from_the_future",
+        }
+    }
+}
+
 impl<L: Log + 'static> Ledger<L> {
     /// A ledger that has read nothing yet. [`Ledger::run`] has to be polled for it to do anything.
     pub fn new(log: L, cfg: LedgerConfig, writer: Writer, clock: Clock) -> Self {
@@ -159,6 +177,16 @@
         state.is_complete() && !state.is_down(self.core.clock.now())
     }
 
+    /// How many calls wait for the log or for another call with their key.
+    pub fn waiting(&self) -> usize {
+        lock(&self.core.state).waiting()
+    }
+
+    /// Whether the log has taken all that this instance had to say.
+    pub fn is_written(&self) -> bool {
+        lock(&self.core.state).is_written()
+    }
+
     /// The offset that will be read next, which other instances may compare with theirs.
     pub fn next_offset(&self) -> policy::Offset {
         lock(&self.core.state).next_offset()
@@ -181,31 +209,37 @@
         loop {
             let now = self.core.clock.now();
             let next = lock(&self.core.state).next(&req, waited, now);
-            let (changed, own) = match next {
+            let changed = match next {
                 Next::Ended(outcome) => return outcome.into(),
-                Next::Wait(changed) => (changed, false),
-                Next::Claim(changed) => {
-                    self.core.wake.try_send(()).ok();
-                    (changed, true)
-                }
-            };
-            if own {
-                // Dropped with this future when the caller hangs up, which gives the claim up.
-                let claim = RunClaim::new(self.clone(), req.key.clone());
-                match self.wait_for_own(&req, &changed).await {
-                    Own::Won => return ClaimOutcome::Run(claim),
-                    Own::Lost => claim.forget(),
-                    Own::GivenUp => {
-                        claim.forget();
+                Next::Read(changed) => {
+                    if !self.until(req.deadline, changed.recv()).await {
                         return ClaimOutcome::Unknown;
                     }
-                    Own::NotAppended => {
-                        claim.forget();
-                        return ClaimOutcome::LogDown;
+                    continue;
+                }
+                Next::Wait(changed) => {
+                    if !self.until(req.deadline, changed.recv()).await {
+                        return ClaimOutcome::Unknown;
                     }
+                    waited = true;
+                    continue;
+                }
+                Next::Claim(changed) => changed,
+            };
+            self.core.wake.try_send(()).ok();
+            // Dropped with this future when the caller hangs up, which gives the claim up.
+            let claim = RunClaim::new(self.clone(), req.key.clone());
+            match self.wait_for_own(&req, &changed).await {
+                Own::Won => return ClaimOutcome::Run(claim),
+                Own::Lost => claim.forget(),
+                Own::GivenUp => {
+                    claim.forget();
+                    return ClaimOutcome::Unknown;
+                }
+                Own::NotAppended => {
+                    claim.forget();
+                    return ClaimOutcome::LogDown;
                 }
-            } else if !self.until(req.deadline, changed.recv()).await {
-                return ClaimOutcome::Unknown;
             }
             waited = true;
         }
