--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -4,7 +4,7 @@
 
 use error_stack::Report;
 
-/// The exit codes, as documented in the man page and `docs/OPERATING.md`.
+/// The exit codes, as documented in the man page and `docs/OPERATIONS.md`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Exit {
     /// All done.
--- a/crates/policy/src/config/fields.rs
+++ b/crates/policy/src/config/fields.rs
@@ -33,7 +33,9 @@
 
     /// The node of a member; `null` counts as absent, so that a later file can take a member back.
     pub fn node(&mut self, name: &'static str) -> Option<&'a Node> {
-        self.known.push(name);
+        if !self.known.contains(&name) {
+            self.known.push(name);
+        }
         self.node.member(name).filter(|node| node.value != Value::Null)
     }
 
