--- a/crates/standin/src/scenario/run/mod.rs
+++ b/crates/standin/src/scenario/run/mod.rs
@@ -1,6 +1,7 @@
 //! Plays a scenario against real daemon processes and says what didn't hold.
 
 mod calls;
+mod configuration;
 mod judge;
 mod process;
 mod site;
@@ -184,7 +185,7 @@
                     send: send.clone(),
                     index,
                     seed: seed * 1_000_000 + u64::from(index) + 1,
-                    bearer: Site::bearer(workspace),
+                    bearer: configuration::bearer(workspace),
                 };
                 let stage = self.clone();
                 tasks.push(smol::spawn(async move { stage.call(planned).await }));
--- a/crates/standin/src/scenario/run/site.rs
+++ b/crates/standin/src/scenario/run/site.rs
@@ -21,9 +21,8 @@
 use rustix::process::Signal;
 use serde::Deserialize;
 use serde_json::json;
-use sha2::{Digest, Sha256};
 
-use super::{RunError, calls::POISON, process::Process};
+use super::{RunError, calls::POISON, configuration::configuration, process::Process};
 use crate::{
     Direction, Engine, EngineConfig, FaultProxy, ListService, LogConfig, LogService, Mode, Service,
     ServiceConfig, free_address,
@@ -32,8 +31,6 @@
 
 /// The data centre of participants that name none.
 const FIRST_DATA_CENTRE: &str = "brasov-a";
-/// All data centres of the site.
-const DATA_CENTRES: [&str; 3] = ["brasov-a", "brasov-b", "sacele-c"];
 /// How late the list of instances is.
 const LIST_LAG: Duration = Duration::from_millis(500);
 /// How long an instance stays unready before it closes its listener.
@@ -55,11 +52,17 @@
 
 /// A stand-in or process with the proxy before it.
 pub(super) enum Member {
-    Engine(Engine, FaultProxy),
-    Service(Service, FaultProxy),
+    Engine(Engine, Front),
+    Service(Service, Front),
     Instance(Instance),
 }
 
+/// What callers of an endpoint see of it.
+pub(super) struct Front {
+    pub(super) proxy: FaultProxy,
+    pub(super) data_centre: String,
+}
+
 /// A daemon of the site.
 pub(super) struct Instance {
     pub(super) name: String,
@@ -277,7 +280,7 @@
     /// Changes how connections to a member behave.
     pub(super) fn link(&self, name: &str, link: Link) -> Result<(), RunError> {
         let proxy = match self.members.get(name) {
-            Some(Member::Engine(_, proxy) | Member::Service(_, proxy)) => proxy,
+            Some(Member::Engine(_, front) | Member::Service(_, front)) => &front.proxy,
             Some(Member::Instance(instance)) => &instance.peer_proxy,
             None => &self.log_proxy,
         };
@@ -316,7 +319,7 @@
 
     /// Publishes the site's configuration from `base`; whether it was accepted.
     pub(super) fn publish(&self, through: &Instance, base: u64, by: &str) -> bool {
-        let text = self.configuration(base).to_string();
+        let text = configuration(&self.members, base).to_string();
         let files = json!([{ "name": "10-site.json", "text": text }]);
         let change =
             json!({ "id": format!("{by}-{base}"), "base": base, "by": by, "files": files });
@@ -342,65 +345,6 @@
         smol::block_on(call.send()).ok()?.json().ok()
     }
 
-    /// The bearer key of a workspace of the site.
-    pub(super) fn bearer(workspace: &str) -> String {
-        format!("key-of-{workspace}")
-    }
-
-    /// The site's configuration. `variant` changes a limit, so that each version differs.
-    fn configuration(&self, variant: u64) -> serde_json::Value {
-        let mut endpoints = serde_json::Map::new();
-        for (name, member) in &self.members {
-            let (group, address) = match member {
-                Member::Engine(_, proxy) => ("model", proxy.address()),
-                Member::Service(_, proxy) => ("registru", proxy.address()),
-                Member::Instance(_) => continue,
-            };
-            let place = self.place(name);
-            endpoints.insert(
-                name.clone(),
-                json!({ "group": group, "address": address, "data_centre": place }),
-            );
-        }
-        let mut data_centres = serde_json::Map::new();
-        for name in DATA_CENTRES {
-            data_centres.insert(name.to_owned(), json!({ "region": "ro-centru" }));
-        }
-        let mut workspaces = serde_json::Map::new();
-        for name in ["counter", "portal", "archive"] {
-            let key = hex(&Sha256::digest(Site::bearer(name)));
-            workspaces.insert(name.to_owned(), json!({ "key_sha256": [key] }));
-        }
-        let limits = json!({ "default_deadline_ms": 20_000 + variant });
-        let mut deployments = serde_json::Map::new();
-        let groups: Vec<&str> = self.members.values().filter_map(Member::group).collect();
-        if groups.contains(&"model") {
-            let model =
-                json!({ "group": "model", "kind": "engine", "models": ["m"], "limits": limits });
-            deployments.insert("model-redactare".to_owned(), model);
-        }
-        if groups.contains(&"registru") {
-            let routes = json!([
-                { "path": "/registrations", "repeatable": false, "deduplicates": false },
-                { "path": "/status" },
-            ]);
-            let registru = json!({ "group": "registru", "kind": "service", "routes": routes });
-            deployments.insert("registru-aplicatie".to_owned(), registru);
-        }
-        json!({
-            "data_centres": data_centres,
-            "workspaces": workspaces,
-            "endpoints": endpoints,
-            "deployments": deployments,
-        })
-    }
-
-    fn place(&self, name: &str) -> &'static str {
-        // Endpoints are spread by name, so that every data centre has some.
-        let sum: usize = name.bytes().map(usize::from).sum();
-        DATA_CENTRES[sum % DATA_CENTRES.len()]
-    }
-
     fn list_instance(&self, instance: &Instance, state: ListedState) -> Result<(), RunError> {
         let data_centre: DataCentre =
             instance.data_centre.parse().map_err(|_| RunError::BadName)?;
@@ -422,16 +366,6 @@
     }
 }
 
-impl Member {
-    fn group(&self) -> Option<&'static str> {
-        match self {
-            Member::Engine(..) => Some("model"),
-            Member::Service(..) => Some("registru"),
-            Member::Instance(_) => None,
-        }
-    }
-}
-
 impl Instance {
     fn disturb(&self) {
         self.disturbed.lock().unwrap_or_else(PoisonError::into_inner).push(Instant::now());
@@ -457,7 +391,7 @@
             checks_fencing: actor.fencing,
         })?;
         let proxy = FaultProxy::start(service.address())?;
-        return Ok(Member::Service(service, proxy));
+        return Ok(Member::Service(service, Front { proxy, data_centre: data_centre(actor) }));
     }
     let usual = EngineConfig::default();
     let engine = Engine::start(EngineConfig {
@@ -469,7 +403,7 @@
     })?;
     engine.crash_on(POISON);
     let proxy = FaultProxy::start(engine.address())?;
-    Ok(Member::Engine(engine, proxy))
+    Ok(Member::Engine(engine, Front { proxy, data_centre: data_centre(actor) }))
 }
 
 fn mode_of(link: Link) -> Mode {
@@ -514,7 +448,3 @@
     fs::create_dir_all(&folder)?;
     Ok(folder)
 }
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
