--- a/crates/daemon/examples/control_cost.rs
+++ b/crates/daemon/examples/control_cost.rs
@@ -250,19 +250,8 @@
 impl Load {
     fn new(n: usize, endpoints: usize) -> Load {
         let name = |n| EndpointId::new(&format!("model-redactare-{n:04}")).unwrap();
-        let digest = LoadDigest {
-            instance: instance(n),
-            incarnation: Incarnation(1_764_720_000_000_000 + n as u64),
-            sequence: 0,
-            endpoints: Vec::new(),
-            workspaces: Vec::new(),
-            queued: Default::default(),
-            demand: Default::default(),
-            wishes: Vec::new(),
-            longs_late: false,
-            suspicions: Vec::new(),
-            suspects_at: Vec::new(),
-        };
+        let incarnation = Incarnation(1_764_720_000_000_000 + n as u64);
+        let digest = LoadDigest::idle(instance(n), incarnation, 0);
         let rng = Rng::with_seed(n as u64);
         let endpoints: Vec<EndpointId> = (0..endpoints).map(name).collect();
         let (waiting, prefilled) = (vec![0.0; endpoints.len()], vec![0.0; endpoints.len()]);
--- a/crates/daemon/tests/peer.rs
+++ b/crates/daemon/tests/peer.rs
@@ -249,9 +249,6 @@
 
 fn digest(incarnation: u64, sequence: u64, tokens: u64) -> LoadDigest {
     LoadDigest {
-        instance: id("entry-2"),
-        incarnation: Incarnation(incarnation),
-        sequence,
         endpoints: vec![EndpointShare {
             endpoint: EndpointId::new("e1").unwrap(),
             incarnation: Incarnation(1),
@@ -263,13 +260,7 @@
             prefill_rate: TokenRate(10_000.0),
             ejected: false,
         }],
-        workspaces: Vec::new(),
-        queued: Default::default(),
-        demand: Default::default(),
-        wishes: Vec::new(),
-        longs_late: false,
-        suspicions: Vec::new(),
-        suspects_at: Vec::new(),
+        ..LoadDigest::idle(id("entry-2"), Incarnation(incarnation), sequence)
     }
 }
 
--- a/crates/policy/src/baseline/naive.rs
+++ b/crates/policy/src/baseline/naive.rs
@@ -237,19 +237,7 @@
 
     fn digest(&mut self, _now: Time) -> LoadDigest {
         self.sequence += 1;
-        LoadDigest {
-            instance: self.instance.clone(),
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            endpoints: Vec::new(),
-            workspaces: Vec::new(),
-            queued: Default::default(),
-            demand: Default::default(),
-            wishes: Vec::new(),
-            longs_late: false,
-            suspicions: Vec::new(),
-            suspects_at: Vec::new(),
-        }
+        LoadDigest::idle(self.instance.clone(), self.incarnation, self.sequence)
     }
 }
 
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -72,6 +72,23 @@
 impl LoadDigest {
     /// The most entries of each kind that one digest tells.
     pub const MAX_ENTRIES: usize = 64;
+
+    /// A digest that tells of no load.
+    pub fn idle(instance: InstanceId, incarnation: Incarnation, sequence: u64) -> LoadDigest {
+        LoadDigest {
+            instance,
+            incarnation,
+            sequence,
+            endpoints: Vec::new(),
+            workspaces: Vec::new(),
+            queued: Default::default(),
+            demand: Default::default(),
+            wishes: Vec::new(),
+            longs_late: false,
+            suspicions: Vec::new(),
+            suspects_at: Vec::new(),
+        }
+    }
 }
 
 /// Bands of prompt length that load is counted in, because an engine serves shorter bands first.
--- a/crates/policy/tests/digest.rs
+++ b/crates/policy/tests/digest.rs
@@ -28,19 +28,8 @@
 }
 
 fn digest(sequence: u64, endpoints: Vec<EndpointShare>) -> LoadDigest {
-    LoadDigest {
-        instance: InstanceId::new("entry-1").unwrap(),
-        incarnation: Incarnation(1),
-        sequence,
-        endpoints,
-        workspaces: Vec::new(),
-        queued: Default::default(),
-        demand: Default::default(),
-        wishes: Vec::new(),
-        longs_late: false,
-        suspicions: Vec::new(),
-        suspects_at: Vec::new(),
-    }
+    let instance = InstanceId::new("entry-1").unwrap();
+    LoadDigest { endpoints, ..LoadDigest::idle(instance, Incarnation(1), sequence) }
 }
 
 fn at(millis: u64) -> Time {
