Drop a message nobody sends, and start test daemons and count waste in one place each

Cause: a read of the whole change. Message::Quarantine was made dead when suspicions moved into the load digests: nothing sent it, and its receiver ignored it. What: the message is gone; Daemon::spawn and BenchResult::wasted_share serve both places. Behaviour and assertions are the same.

--- a/crates/cli/src/bench/export/markdown.rs
+++ b/crates/cli/src/bench/export/markdown.rs
@@ -52,7 +52,6 @@
 }
 
 fn summary(text: &mut String, result: &BenchResult) {
-    let wasted = result.wasted_prefill_tokens as f64 / result.prefilled_tokens.max(1) as f64;
     // Writing to a string can't fail.
     let _ = writeln!(
         text,
@@ -70,7 +69,7 @@
         result.failed,
         result.ended_late,
         result.goodput_tokens_per_s,
-        wasted * 100.0,
+        result.wasted_share() * 100.0,
         figure(result.fairness, 2),
         result.others_served
     );
--- a/crates/cli/src/bench/export/table.rs
+++ b/crates/cli/src/bench/export/table.rs
@@ -26,7 +26,6 @@
 
 /// One result.
 pub(crate) fn line(result: &BenchResult) -> String {
-    let wasted = result.wasted_prefill_tokens as f64 / result.prefilled_tokens.max(1) as f64;
     let wrong = result.wrong_answers + result.refused_not_run_but_ran;
     let mut line = format!(
         "{:<17} {:<24} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>8} {:>7} {:>7} {:>6.1}% {:>7}",
@@ -42,7 +41,7 @@
         result.finished_in_time,
         result.refused,
         result.failed,
-        wasted * 100.0,
+        result.wasted_share() * 100.0,
         wrong
     );
     if result.pattern == crate::bench::pattern::Pattern::WeightsCurve {
--- a/crates/cli/src/bench/result.rs
+++ b/crates/cli/src/bench/result.rs
@@ -103,6 +103,13 @@
     pub bands: IndexMap<Band, BandStats>,
 }
 
+impl BenchResult {
+    /// The share of all prefilled tokens whose runs didn't finish.
+    pub fn wasted_share(&self) -> f64 {
+        self.wasted_prefill_tokens as f64 / self.prefilled_tokens.max(1) as f64
+    }
+}
+
 /// Time to first token of one band. An admitted call that got none counts with the time to its
 /// failure.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/crates/daemon/src/controller/peers.rs
+++ b/crates/daemon/src/controller/peers.rs
@@ -135,8 +135,7 @@
         }
         Message::LedgerRead(ends) => ledgers::heard(shared, &ends),
         Message::Status { query, content } => shared.questions.answered(query, content),
-        // Suspects travel with the load digests.
-        Message::ConfigVersion(_) | Message::Quarantine { .. } => {}
+        Message::ConfigVersion(_) => {}
     }
 }
 
--- a/crates/daemon/src/peer/message.rs
+++ b/crates/daemon/src/peer/message.rs
@@ -4,8 +4,7 @@
 
 use bytes::Bytes;
 use policy::{
-    DataCentre, EndpointId, Incarnation, InstanceId, config::Version, quarantine::Entry,
-    scheduler::EndpointState,
+    DataCentre, EndpointId, Incarnation, InstanceId, config::Version, scheduler::EndpointState,
 };
 use serde::{Deserialize, Serialize};
 
@@ -53,13 +52,6 @@
         /// Its content.
         content: Bytes,
     },
-    /// Suspects and verdicts of the quarantine. Told to all.
-    Quarantine {
-        /// The entries.
-        entries: Vec<Entry>,
-        /// Endpoints on which the sender runs suspects now.
-        running: Vec<EndpointId>,
-    },
     /// Asks for the sender's status; answered by [`Message::Status`].
     StatusWanted {
         /// Names the question.
@@ -80,7 +72,7 @@
     /// Whether gateways pass the message on to data centres that the sender has no link to.
     pub fn is_for_all(&self) -> bool {
         match self {
-            Message::Endpoint(_) | Message::Quarantine { .. } => true,
+            Message::Endpoint(_) => true,
             Message::ConfigVersion(_)
             | Message::ConfigWanted(_)
             | Message::Config { .. }
--- a/crates/daemon/tests/common/log.rs
+++ b/crates/daemon/tests/common/log.rs
@@ -1,10 +1,6 @@
 //! Daemons that have their configuration from a log.
 
-use std::{
-    net::SocketAddr,
-    process::{Command, Stdio},
-    time::Duration,
-};
+use std::{net::SocketAddr, time::Duration};
 
 use daemon::admin::{
     Status,
@@ -14,7 +10,7 @@
 use policy::config::{SourceFile, Version};
 use smol::block_on;
 
-use super::{Daemon, Folder, PATIENCE, Site, listening};
+use super::{Daemon, Folder, PATIENCE, Site};
 
 impl Site {
     /// The site as one published file.
@@ -33,14 +29,7 @@
             peers.join(",")
         );
         folder.write("10-settings.json", &settings);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_trefoilhalld"))
-            .arg("--config")
-            .arg(&folder.0)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let (address, peer_address) = listening(&mut child);
-        Daemon { address, peer_address, child, _folder: folder }
+        Daemon::spawn(folder)
     }
 
     /// A `GET` of the admin API.
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -116,6 +116,13 @@
             r#"{{"settings":{{"instance":"{name}","data_centre":"a","listen":"127.0.0.1:0","peer_listen":"127.0.0.1:0","threads":2,{more}}}}}"#
         );
         folder.write("10-settings.json", &settings);
+        let daemon = Daemon::spawn(folder);
+        wait_until("the daemon is ready", || daemon.get("/readyz").starts_with("HTTP/1.1 200"));
+        daemon
+    }
+
+    /// Starts the daemon on a folder, and waits until it listens.
+    fn spawn(folder: Folder) -> Daemon {
         let mut child = Command::new(env!("CARGO_BIN_EXE_trefoilhalld"))
             .arg("--config")
             .arg(&folder.0)
@@ -123,9 +130,7 @@
             .spawn()
             .unwrap();
         let (address, peer_address) = listening(&mut child);
-        let daemon = Daemon { address, peer_address, child, _folder: folder };
-        wait_until("the daemon is ready", || daemon.get("/readyz").starts_with("HTTP/1.1 200"));
-        daemon
+        Daemon { address, peer_address, child, _folder: folder }
     }
 
     /// Sends a signal by the system's own command.
