Ask a second endpoint beside a silent one instead of cutting the first

Change: silence makes a second attempt beside the first; the first event of either decides. Plain idempotent calls are hedged after half of their goal.

--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -181,7 +181,7 @@
             }
             Some(cause) => {
                 self.quarantine.stopped(known.fingerprint);
-                self.health.failed(&known.endpoint, cause);
+                self.health.failed(&known.endpoint, as_seen(cause));
             }
         }
     }
@@ -246,3 +246,13 @@
         }
     }
 }
+
+/// A silence that ends a run here was longer than another endpoint took to answer, so it counts
+/// like a failure. Health alone would not count it, because connections may fall silent while
+/// their endpoint lives; here each run has a fresh one.
+fn as_seen(cause: FailCause) -> FailCause {
+    match cause {
+        FailCause::Silent => FailCause::Broken,
+        other => other,
+    }
+}
--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -44,14 +44,14 @@
     Unknown(FailCause),
 }
 
-/// Sends a request and waits for the head of its answer. `sending` is asked right before the first
-/// byte goes out, and may still call it off.
+/// Sends a request and waits for the head of its answer. `sending` is told right before the first
+/// byte goes out.
 pub(super) async fn send(
     executor: &Executor<'static>,
     address: SocketAddr,
     req: Request<Full<Bytes>>,
     patience: Duration,
-    sending: impl FnOnce() -> bool,
+    sending: impl FnOnce(),
 ) -> Result<Upstream, AttemptError> {
     let stream = net::connect(address, patience.min(CONNECT)).await.map_err(|e| {
         let is_refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
@@ -65,9 +65,7 @@
             log::debug!(cause:% = e; "endpoint_connection_ended");
         }
     });
-    if !sending() {
-        return Err(AttemptError::NotSent { is_refused: false });
-    }
+    sending();
     let answer = async {
         sender.send_request(req).await.map_err(|e| match e.is_canceled() {
             true => AttemptError::NotSent { is_refused: false },
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -6,7 +6,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -22,6 +22,7 @@
 use super::{
     AnswerBody, Handler, Received, Refusal,
     attempt::{self, AttemptError, Spawner, Upstream},
+    hedge,
     refusal::Reason,
     relay,
 };
@@ -43,11 +44,12 @@
 /// caller up to a third of a second.
 const MAX_NOT_SENT: u32 = 3;
 
-/// The part of the time left that an idempotent call waits for its first endpoint, so that a
-/// second one still has as much.
-const FIRST_PART: f64 = 0.45;
+/// The part of a plain call's goal after which another endpoint is asked beside the first. Two in a
+/// hundred ordinary calls take that long, and the second answer is still on time.
+const HEDGE_AFTER: f64 = 0.5;
 
-/// How long the first event may take beyond three times its prediction.
+/// How long the first event may take beyond three times its prediction before another endpoint is
+/// asked beside the first.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(900);
 
 /// What dispatching needs of its instance.
@@ -94,20 +96,27 @@
     }
 }
 
-/// One request on its way to an answer.
+/// One request on its way to an answer. Two attempts of what is idempotent may be under way at
+/// once, so what they change stands under a lock.
 pub(super) struct Call<D> {
     pub(super) parts: Arc<Parts<D>>,
     pub(super) received: Received,
     group: Arc<Group>,
+    progress: Mutex<Progress>,
+}
+
+/// How far a request is.
+#[derive(Default)]
+struct Progress {
     tried: Vec<(EndpointId, Incarnation)>,
     /// Endpoints that got it.
     sent: u32,
     /// Attempts at which nothing was sent, or another server was met.
     not_sent: u32,
-    /// It may have run somewhere.
-    pub(super) may_have_run: bool,
+    /// Attempts of which it is unknown whether they ran.
+    doubtful: u32,
     /// The last event that the caller has.
-    pub(super) last_event: Option<u64>,
+    last_event: Option<u64>,
     /// The last answer of an endpoint that was a failure of its own.
     failure: Option<Response<AnswerBody>>,
 }
@@ -116,7 +125,6 @@
 pub(super) struct Live {
     pub(super) upstream: Upstream,
     pub(super) run: Run,
-    pub(super) predicted: Duration,
 }
 
 /// A request's place. Dropping it gives the place back.
@@ -162,17 +170,8 @@
     fn new(parts: Arc<Parts<D>>, received: Received, group: Arc<Group>) -> Self {
         let last_event = received.caller.last_event;
         group.first_attempt(parts.clock.now());
-        Call {
-            parts,
-            received,
-            group,
-            tried: Vec::new(),
-            sent: 0,
-            not_sent: 0,
-            may_have_run: false,
-            last_event,
-            failure: None,
-        }
+        let progress = Mutex::new(Progress { last_event, ..Progress::default() });
+        Call { parts, received, group, progress }
     }
 
     pub(super) fn id(&self) -> &str {
@@ -183,22 +182,37 @@
         self.parts.clock.until(self.received.deadline)
     }
 
+    /// The last event that the caller has.
+    pub(super) fn last_event(&self) -> Option<u64> {
+        lock(&self.progress).last_event
+    }
+
+    /// Notes that the caller has an event.
+    pub(super) fn set_last_event(&self, id: u64) {
+        lock(&self.progress).last_event = Some(id);
+    }
+
     /// An answer that is passed on once it is whole, so that what breaks off can be asked again.
-    async fn whole(mut self) -> Result<Response<AnswerBody>, Refusal> {
-        loop {
-            let live = match self.next().await {
-                Ok(live) => live,
-                Err(refusal) => return self.take_failure().ok_or(refusal),
-            };
+    async fn whole(self) -> Result<Response<AnswerBody>, Refusal> {
+        let answered = hedge::first(&self, async |call, live: Live| {
             let head = live.upstream.head.clone();
-            match live.upstream.collect(self.left()).await {
+            match live.upstream.collect(call.left()).await {
                 Ok(body) => {
                     live.run.end(None);
-                    self.note_end("finished", head.status);
-                    return Ok(self.answer(&head, body));
+                    Ok((head, body))
+                }
+                Err(cause) => {
+                    call.failed(live.run, cause);
+                    Err(cause)
                 }
-                Err(cause) => self.failed(live.run, cause),
             }
+        });
+        match answered.await {
+            Ok((head, body)) => {
+                self.note_end("finished", head.status);
+                Ok(self.answer(&head, body))
+            }
+            Err(refusal) => self.take_failure().ok_or(refusal),
         }
     }
 
@@ -223,45 +237,51 @@
     }
 
     /// A run failed after it began.
-    pub(super) fn failed(&mut self, run: Run, cause: FailCause) {
+    pub(super) fn failed(&self, run: Run, cause: FailCause) {
         log::info!(id = self.id(), endpoint = run.endpoint.as_str(), cause:? = cause,
-            last_event:? = self.last_event; "attempt_failed");
+            last_event:? = self.last_event(); "attempt_failed");
         run.end(Some(cause));
     }
 
-    /// Tries endpoints until one gives an answer that may be the caller's.
-    pub(super) async fn next(&mut self) -> Result<Live, Refusal> {
-        loop {
-            if self.left().is_zero() {
-                return Err(self.give_up(Reason::Expired));
-            }
-            if !self.may_send() {
-                let reason = if self.may_have_run { Reason::Unknown } else { Reason::Rejected };
-                return Err(self.give_up(reason));
-            }
-            let placement = self.place()?;
-            if let Some(live) = self.attempt(placement).await {
-                return Ok(live);
-            }
+    /// Another endpoint answered first although it was asked later.
+    pub(super) fn outrun(&self, job: JobId) {
+        let now = self.parts.clock.now();
+        lock(&self.group.arranger).ended(job, Some(FailCause::Silent), now);
+    }
+
+    /// The next place for it, if one more attempt is allowed.
+    pub(super) fn next_place(&self) -> Result<Placement, Refusal> {
+        if self.left().is_zero() {
+            return Err(self.give_up(Reason::Expired));
         }
+        if !self.may_send() {
+            let reason = if self.may_have_run() { Reason::Unknown } else { Reason::Rejected };
+            return Err(self.give_up(reason));
+        }
+        self.place()
+    }
+
+    fn may_have_run(&self) -> bool {
+        lock(&self.progress).doubtful > 0
     }
 
     /// Whether one more endpoint may get it.
     fn may_send(&self) -> bool {
         let route = &self.received.route;
-        if self.not_sent > MAX_NOT_SENT || self.sent >= route.max_attempts {
+        let progress = lock(&self.progress);
+        if progress.not_sent > MAX_NOT_SENT || progress.sent >= route.max_attempts {
             return false;
         }
-        if self.may_have_run && !route.repeat.is_idempotent() {
+        if progress.doubtful > 0 && !route.repeat.is_idempotent() {
             return false;
         }
         let instances = self.parts.instances.load(Ordering::Relaxed);
         let now = self.parts.clock.now();
-        self.sent + self.not_sent == 0
+        progress.sent + progress.not_sent == 0
             || self.group.may_repeat(&self.parts.retry_rules, instances, now)
     }
 
-    fn place(&mut self) -> Result<Placement, Refusal> {
+    fn place(&self) -> Result<Placement, Refusal> {
         let now = self.parts.clock.now();
         let ask = self.ask(now);
         let placed = lock(&self.group.arranger).place(&ask, now);
@@ -274,7 +294,7 @@
                     endpoint = placement.endpoint.as_str(),
                     helpers = placement.helpers.len(),
                     predicted_ms = placement.predicted_ms as u64,
-                    attempt = self.sent + 1;
+                    attempt = ask.tried.len() + 1;
                     "placed"
                 );
                 if !placement.helpers.is_empty() {
@@ -299,11 +319,12 @@
             pause_ms: received.route.pause_goal.as_secs_f64() * 1000.0,
             priority: rank.unwrap_or(received.route.priority),
             fingerprint: received.fingerprint,
-            tried: self.tried.clone(),
+            tried: lock(&self.progress).tried.clone(),
         }
     }
 
-    async fn attempt(&mut self, placement: Placement) -> Option<Live> {
+    /// Sends it to a place; none where that gave no answer that may be the caller's.
+    pub(super) async fn attempt(&self, placement: Placement) -> Option<Live> {
         let run = Run {
             group: self.group.clone(),
             clock: self.parts.clock,
@@ -311,40 +332,24 @@
             endpoint: placement.endpoint.clone(),
             ended: false,
         };
-        self.tried.push((placement.endpoint.clone(), placement.incarnation));
+        lock(&self.progress).tried.push((placement.endpoint.clone(), placement.incarnation));
         let Some(address) = self.group.address(&placement.endpoint) else {
-            self.not_sent += 1;
+            lock(&self.progress).not_sent += 1;
             return None;
         };
-        let helpers: Vec<_> =
-            placement.helpers.iter().filter_map(|helper| self.group.address(helper)).collect();
-        let received = &self.received;
-        let facts = AttemptFacts {
-            left: self.left(),
-            endpoint: &placement.endpoint,
-            workspace: received.owner.as_ref().map(|owner| &owner.workspace),
-            priority: received.caller.tokens.map(|_| placement.priority),
-            helpers: &helpers,
-            resume_after: self.last_event,
-        };
-        let headers = self.parts.dialect.write_attempt(&received.head.headers, &facts);
-        let req = attempt::request(&received.head, headers, &received.body);
-        let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1000.0);
-        let patience = self.patience(predicted);
-        let before = std::mem::replace(&mut self.may_have_run, true);
+        let req = self.request(&placement);
+        {
+            // Until the attempt proves otherwise it may have run.
+            let mut progress = lock(&self.progress);
+            progress.sent += 1;
+            progress.doubtful += 1;
+        }
         let group = self.group.clone();
-        let sending = || {
-            lock(&group.arranger).sent(placement.job);
-            true
-        };
-        match attempt::send(&self.parts.executor, address, req, patience, sending).await {
-            Ok(upstream) => {
-                self.sent += 1;
-                self.judge(Live { upstream, run, predicted }, before).await
-            }
+        let sending = || lock(&group.arranger).sent(placement.job);
+        match attempt::send(&self.parts.executor, address, req, self.left(), sending).await {
+            Ok(upstream) => self.judge(Live { upstream, run }).await,
             Err(AttemptError::NotSent { is_refused }) => {
-                self.may_have_run = before;
-                self.not_sent += 1;
+                self.take_back();
                 log::info!(id = self.id(), endpoint = run.endpoint.as_str(), is_refused;
                     "not_sent");
                 if is_refused {
@@ -354,29 +359,51 @@
                 None
             }
             Err(AttemptError::Unknown(cause)) => {
-                self.sent += 1;
                 self.failed(run, cause);
                 None
             }
         }
     }
 
-    /// How long the head of an answer, or a stream's first event, is waited for.
-    pub(super) fn patience(&self, predicted: Duration) -> Duration {
-        let left = self.left();
+    fn request(&self, placement: &Placement) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+        let helpers: Vec<_> =
+            placement.helpers.iter().filter_map(|helper| self.group.address(helper)).collect();
+        let received = &self.received;
+        let facts = AttemptFacts {
+            left: self.left(),
+            endpoint: &placement.endpoint,
+            workspace: received.owner.as_ref().map(|owner| &owner.workspace),
+            priority: received.caller.tokens.map(|_| placement.priority),
+            helpers: &helpers,
+            resume_after: self.last_event(),
+        };
+        let headers = self.parts.dialect.write_attempt(&received.head.headers, &facts);
+        attempt::request(&received.head, headers, &received.body)
+    }
+
+    /// An attempt turned out not to have been sent.
+    fn take_back(&self) {
+        let mut progress = lock(&self.progress);
+        progress.sent -= 1;
+        progress.doubtful -= 1;
+        progress.not_sent += 1;
+    }
+
+    /// How long an attempt is waited for before another one is made beside it.
+    pub(super) fn patience(&self, placement: &Placement) -> Duration {
         let route = &self.received.route;
         if !route.repeat.is_idempotent() {
-            return left;
+            return Duration::MAX;
         }
         if route.streams {
-            return left.min(3 * predicted + FIRST_EVENT_SLACK);
+            let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1000.0);
+            return 3 * predicted + FIRST_EVENT_SLACK;
         }
-        if self.sent + 1 >= route.max_attempts { left } else { left.mul_f64(FIRST_PART) }
+        route.goal.mul_f64(HEDGE_AFTER)
     }
 
-    /// Whether an answer may be the caller's. `before` tells whether the request may have run
-    /// before this attempt.
-    async fn judge(&mut self, live: Live, before: bool) -> Option<Live> {
+    /// Whether an answer may be the caller's.
+    async fn judge(&self, live: Live) -> Option<Live> {
         let facts = self.parts.dialect.read_answer(&live.upstream.head);
         let status = live.upstream.head.status;
         if !self.is_ours(&facts) {
@@ -384,7 +411,6 @@
             return None;
         }
         if facts.not_run {
-            self.may_have_run = before;
             self.not_run(live.run, &facts, status);
             return None;
         }
@@ -393,7 +419,8 @@
             return None;
         }
         if status.is_server_error() || is_promise(status) {
-            return self.server_error(live).await;
+            self.server_error(live).await;
+            return None;
         }
         Some(live)
     }
@@ -405,15 +432,15 @@
         }
     }
 
-    fn not_run(&mut self, run: Run, facts: &AnswerFacts, status: StatusCode) {
+    fn not_run(&self, run: Run, facts: &AnswerFacts, status: StatusCode) {
         log::info!(id = self.id(), endpoint = run.endpoint.as_str(), status = status.as_u16(),
             at_fault:? = facts.at_fault; "not_run");
         if status == StatusCode::MISDIRECTED_REQUEST {
             // Another server has the address: nobody was asked.
-            self.sent -= 1;
-            self.not_sent += 1;
+            self.take_back();
             return run.end(Some(FailCause::NotSent));
         }
+        lock(&self.progress).doubtful -= 1;
         let fault = facts.at_fault.and_then(|address| self.group.at(address));
         if let Some(fault) = fault.filter(|fault| *fault != run.endpoint) {
             lock(&self.group.arranger).at_fault(&fault);
@@ -423,7 +450,7 @@
 
     /// An endpoint's own failure. It ran; another endpoint may do better where that is allowed,
     /// and else this is the answer.
-    async fn server_error(&mut self, live: Live) -> Option<Live> {
+    async fn server_error(&self, live: Live) {
         let head = live.upstream.head.clone();
         log::info!(id = self.id(), endpoint = live.run.endpoint.as_str(),
             status = head.status.as_u16(); "endpoint_error");
@@ -432,14 +459,13 @@
         if let Ok(body) = body
             && !is_promise(head.status)
         {
-            self.failure = Some(self.answer(&head, body));
+            lock(&self.progress).failure = Some(self.answer(&head, body));
         }
-        None
     }
 
     /// The end of the request without an answer to pass on.
-    pub(super) fn give_up(&mut self, reason: Reason) -> Refusal {
-        if self.may_have_run {
+    pub(super) fn give_up(&self, reason: Reason) -> Refusal {
+        if self.may_have_run() {
             return Refusal::unknown(reason);
         }
         let after = match reason {
@@ -450,8 +476,8 @@
     }
 
     /// An endpoint's own failure, where there was one.
-    pub(super) fn take_failure(&mut self) -> Option<Response<AnswerBody>> {
-        self.failure.take()
+    pub(super) fn take_failure(&self) -> Option<Response<AnswerBody>> {
+        lock(&self.progress).failure.take()
     }
 
     pub(super) fn note_end(&self, outcome: &'static str, status: StatusCode) {
@@ -461,7 +487,7 @@
             route = self.received.route.name.as_str(),
             outcome,
             status = status.as_u16(),
-            sent = self.sent,
+            attempts = lock(&self.progress).tried.len(),
             total_ms = total.as_millis() as u64;
             "request"
         );
--- a/crates/router/src/filter/mod.rs
+++ b/crates/router/src/filter/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod body;
 mod dispatch;
+mod hedge;
 mod identify;
 mod receive;
 mod refusal;
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -3,13 +3,17 @@
 //! Guards against a stream that breaks in the middle: only whole events are passed on, the next
 //! endpoint is asked to go on behind the last one, and what it repeats is dropped. Where nothing
 //! may go on, the caller's connection is cut, so that half an answer never looks whole.
+//!
+//! An endpoint that merely falls silent isn't given up: another one is asked to go on beside it,
+//! and the first event of either decides. An engine that reads a long prompt is silent too, and
+//! cutting it would lose an answer that was about to go on.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
-use futures_lite::FutureExt;
-use http::Response;
+use bytes::Bytes;
+use http::{Response, response};
 use http_body_util::BodyExt;
-use policy::FailCause;
+use policy::{FailCause, routes::Repeat};
 use smol::{
     Timer,
     channel::{Sender, bounded},
@@ -19,7 +23,7 @@
     AnswerBody, Refusal,
     body::{BrokenOff, EventBody},
     dispatch::{Call, Live},
-    refusal::Reason,
+    hedge::{self, First, race},
 };
 use crate::{
     dialect::Dialect,
@@ -30,11 +34,11 @@
 /// caller's own doing.
 const WAITING_EVENTS: usize = 16;
 
-/// The least pause after which an endpoint that writes counts as silent. Callers give a stream up
-/// after two seconds at the earliest, and going on elsewhere takes a tenth of that.
+/// The least pause after which another endpoint is asked to go on. Callers give a stream up after
+/// two seconds at the earliest, and going on elsewhere takes a tenth of that.
 const LEAST_SILENCE: Duration = Duration::from_millis(900);
 
-/// Pauses within the route's goal after which an endpoint counts as silent.
+/// Pauses within the route's goal after which another endpoint is asked to go on.
 const SILENT_PAUSES: u32 = 4;
 
 /// What comes next on a stream.
@@ -45,155 +49,206 @@
     Failed(FailCause),
 }
 
+/// A stream whose first event has come.
+struct Flow {
+    live: Live,
+    events: Events,
+    next: Next,
+}
+
+/// The beginning of an answer.
+enum Opened {
+    Flow(Flow),
+    /// A final answer that is no stream.
+    Whole(response::Parts, Bytes),
+}
+
+/// Why a stream ends.
+enum Ended {
+    Finished,
+    Expired,
+    Broken,
+    CallerLeft,
+}
+
+type EventSender = Sender<Result<Bytes, BrokenOff>>;
+
 /// Answers with a stream of events.
-pub(super) async fn stream<D: Dialect>(mut call: Call<D>) -> Result<Response<AnswerBody>, Refusal> {
-    loop {
-        let live = match call.next().await {
-            Ok(live) => live,
-            Err(refusal) => return call.take_failure().ok_or(refusal),
-        };
-        let head = live.upstream.head.clone();
-        if !head.status.is_success() {
-            // A final answer that is no stream.
-            match live.upstream.collect(call.left()).await {
-                Ok(body) => {
-                    live.run.end(None);
-                    call.note_end("answered", head.status);
-                    return Ok(call.answer(&head, body));
-                }
-                Err(cause) => {
-                    call.failed(live.run, cause);
-                    continue;
-                }
-            }
-        }
-        let mut events = Events::default();
-        let mut live = live;
-        let patience = call.patience(live.predicted);
-        let first = next_event(&mut live, &mut events, patience).await;
-        if let Next::Failed(cause) = first {
-            call.failed(live.run, cause);
-            continue;
+pub(super) async fn stream<D: Dialect>(call: Call<D>) -> Result<Response<AnswerBody>, Refusal> {
+    let flow = match hedge::first(&call, open).await {
+        Ok(Opened::Flow(flow)) => flow,
+        Ok(Opened::Whole(head, body)) => {
+            call.note_end("answered", head.status);
+            return Ok(call.answer(&head, body));
         }
-        live.run.began();
-        let (tx, rx) = bounded(WAITING_EVENTS);
-        let executor = call.parts.executor.clone();
-        let resp = call.answer_with(&head, AnswerBody::whole(bytes::Bytes::new()));
-        let feeder = executor.spawn(feed(call, live, events, first, tx));
-        let body = EventBody { events: Box::pin(rx), _feeder: feeder, _open: None };
-        return Ok(resp.map(|_| AnswerBody::Events(body)));
+        Err(refusal) => return call.take_failure().ok_or(refusal),
+    };
+    let (tx, rx) = bounded(WAITING_EVENTS);
+    let executor = call.parts.executor.clone();
+    let resp = call.answer_with(&flow.live.upstream.head, AnswerBody::whole(Bytes::new()));
+    let feeder = executor.spawn(feed(call, flow, tx));
+    let body = EventBody { events: Box::pin(rx), _feeder: feeder, _open: None };
+    Ok(resp.map(|_| AnswerBody::Events(body)))
+}
+
+/// Waits for the first event of an answer.
+async fn open<D: Dialect>(call: &Call<D>, mut live: Live) -> Result<Opened, FailCause> {
+    let head = live.upstream.head.clone();
+    if !head.status.is_success() {
+        return match live.upstream.collect(call.left()).await {
+            Ok(body) => {
+                live.run.end(None);
+                Ok(Opened::Whole(head, body))
+            }
+            Err(cause) => {
+                call.failed(live.run, cause);
+                Err(cause)
+            }
+        };
     }
+    let mut events = Events::default();
+    let late = async {
+        Timer::after(call.left()).await;
+        Next::Failed(FailCause::Deadline)
+    };
+    let next = match race(next_event(&mut live, &mut events), late).await {
+        First::Left(next) | First::Right(next) => next,
+    };
+    if let Next::Failed(cause) = next {
+        call.failed(live.run, cause);
+        return Err(cause);
+    }
+    live.run.began();
+    Ok(Opened::Flow(Flow { live, events, next }))
 }
 
-async fn feed<D: Dialect>(
-    mut call: Call<D>,
-    mut live: Live,
-    mut events: Events,
-    mut next: Next,
-    tx: Sender<Result<bytes::Bytes, BrokenOff>>,
-) {
+async fn feed<D: Dialect>(call: Call<D>, flow: Flow, tx: EventSender) {
+    let (outcome, broken) = match follow(&call, flow, &tx).await {
+        Ended::Finished => ("finished", false),
+        Ended::Expired => ("expired", true),
+        Ended::Broken => ("broken_off", true),
+        Ended::CallerLeft => ("caller_left", false),
+    };
+    call.note_end(outcome, http::StatusCode::OK);
+    if broken {
+        // Whoever doesn't read any more needs no word.
+        tx.send(Err(BrokenOff)).await.ok();
+    }
+}
+
+/// Passes events on until the answer is whole or can't go on.
+async fn follow<D: Dialect>(call: &Call<D>, mut flow: Flow, tx: &EventSender) -> Ended {
     let silence = LEAST_SILENCE.max(call.received.route.pause_goal * SILENT_PAUSES);
     loop {
+        let Flow { live, events, next } = flow;
         match next {
             Next::Event(event) => {
-                if !pass_on(&mut call, event, &tx).await {
-                    return;
+                if !pass_on(call, event, tx).await {
+                    return Ended::CallerLeft;
                 }
             }
             Next::End => {
                 live.run.end(None);
-                call.note_end("finished", live.upstream.head.status);
-                return;
+                return Ended::Finished;
             }
             Next::Failed(cause) => {
                 call.failed(live.run, cause);
-                match resume(&mut call).await {
-                    Ok((resumed, collected, first)) => {
-                        (live, events, next) = (resumed, collected, first);
+                match resume(call).await {
+                    Some(resumed) => {
+                        flow = resumed;
                         continue;
                     }
-                    Err(refusal) => {
-                        call.note_end("broken_off", refusal.status);
-                        tx.send(Err(BrokenOff)).await.ok();
-                        return;
-                    }
+                    None if call.left().is_zero() => return Ended::Expired,
+                    None => return Ended::Broken,
                 }
             }
         }
         let asked = call.parts.clock.now();
-        let patience = silence.min(call.left());
-        next = next_event(&mut live, &mut events, patience).await;
-        live.run.paused(call.parts.clock.now().since(asked));
-        if call.left().is_zero() && !matches!(next, Next::End) {
-            live.run.end(Some(FailCause::Deadline));
-            call.note_end("expired", http::StatusCode::GATEWAY_TIMEOUT);
-            tx.send(Err(BrokenOff)).await.ok();
-            return;
+        flow = match wait(call, live, events, silence).await {
+            Some(flow) => flow,
+            None => return Ended::Expired,
+        };
+        if matches!(flow.next, Next::Event(_)) {
+            flow.live.run.paused(call.parts.clock.now().since(asked));
         }
     }
 }
 
+/// Waits for what comes next, from another endpoint too where this one is silent; none where the
+/// time is over.
+async fn wait<D: Dialect>(
+    call: &Call<D>,
+    mut live: Live,
+    mut events: Events,
+    silence: Duration,
+) -> Option<Flow> {
+    let late = async {
+        Timer::after(call.left()).await;
+    };
+    let waited = {
+        let mut read = pin!(next_event(&mut live, &mut events));
+        let waited = async {
+            let resumed = async {
+                Timer::after(silence).await;
+                match resume(call).await {
+                    Some(flow) => flow,
+                    // Nobody else goes on, so this one gets all the time there is.
+                    None => std::future::pending().await,
+                }
+            };
+            race(read.as_mut(), resumed).await
+        };
+        race(waited, late).await
+    };
+    match waited {
+        First::Left(First::Left(next)) => Some(Flow { live, events, next }),
+        First::Left(First::Right(resumed)) => {
+            call.failed(live.run, FailCause::Silent);
+            Some(resumed)
+        }
+        First::Right(()) => None,
+    }
+}
+
 /// Passes an event on, unless the caller has it; false where the caller is gone.
-async fn pass_on<D: Dialect>(
-    call: &mut Call<D>,
-    event: Event,
-    tx: &Sender<Result<bytes::Bytes, BrokenOff>>,
-) -> bool {
+async fn pass_on<D: Dialect>(call: &Call<D>, event: Event, tx: &EventSender) -> bool {
     if let Some(id) = event.id {
-        if call.last_event.is_some_and(|last| id <= last) {
+        if call.last_event().is_some_and(|last| id <= last) {
             return true;
         }
-        call.last_event = Some(id);
+        call.set_last_event(id);
     }
     tx.send(Ok(event.bytes)).await.is_ok()
 }
 
-/// Goes on at another endpoint.
-async fn resume<D: Dialect>(call: &mut Call<D>) -> Result<(Live, Events, Next), Refusal> {
-    if call.received.route.repeat != policy::routes::Repeat::Resumable {
-        return Err(call.give_up(Reason::Unknown));
-    }
-    loop {
-        let mut live = call.next().await?;
-        if !live.upstream.head.status.is_success() {
-            call.failed(live.run, FailCause::BadAnswer);
-            continue;
-        }
-        let mut events = Events::default();
-        let patience = call.patience(live.predicted);
-        match next_event(&mut live, &mut events, patience).await {
-            Next::Failed(cause) => call.failed(live.run, cause),
-            next => {
-                live.run.began();
-                return Ok((live, events, next));
-            }
-        }
+/// Goes on at another endpoint; none where that isn't allowed or nobody does.
+async fn resume<D: Dialect>(call: &Call<D>) -> Option<Flow> {
+    if call.received.route.repeat != Repeat::Resumable {
+        return None;
     }
+    let opened = hedge::first(call, async |call, live| match open(call, live).await? {
+        Opened::Flow(flow) => Ok(flow),
+        Opened::Whole(..) => Err(FailCause::BadAnswer),
+    });
+    opened.await.ok()
 }
 
 /// The next whole event, or the end.
-async fn next_event(live: &mut Live, events: &mut Events, patience: Duration) -> Next {
-    let read = async {
-        loop {
-            if let Some(event) = events.next_event() {
-                return Next::Event(event);
-            }
-            match live.upstream.body.frame().await {
-                Some(Ok(frame)) => {
-                    let Ok(bytes) = frame.into_data() else { continue };
-                    if events.push(&bytes).is_err() {
-                        return Next::Failed(FailCause::BadAnswer);
-                    }
+async fn next_event(live: &mut Live, events: &mut Events) -> Next {
+    loop {
+        if let Some(event) = events.next_event() {
+            return Next::Event(event);
+        }
+        match live.upstream.body.frame().await {
+            Some(Ok(frame)) => {
+                let Ok(bytes) = frame.into_data() else { continue };
+                if events.push(&bytes).is_err() {
+                    return Next::Failed(FailCause::BadAnswer);
                 }
-                Some(Err(_)) => return Next::Failed(FailCause::Broken),
-                None if events.remaining() > 0 => return Next::Failed(FailCause::Broken),
-                None => return Next::End,
             }
+            Some(Err(_)) => return Next::Failed(FailCause::Broken),
+            None if events.remaining() > 0 => return Next::Failed(FailCause::Broken),
+            None => return Next::End,
         }
-    };
-    let late = async {
-        Timer::after(patience).await;
-        Next::Failed(FailCause::Silent)
-    };
-    read.or(late).await
+    }
 }
