Test the path, beliefs and decisions of the router against stand-ins

Found by them: questions were gathered beyond an engine's slots (17 on 16); a slot is now left and waiting for one weighs what it takes.

--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -8,8 +8,11 @@
 const MEMORY_SLACK: u64 = 2_000;
 
 /// What waiting for a slot costs, in milliseconds for each request that stands before: a question
-/// is written in about two seconds, on sixteen slots.
-const SLOT_WAIT_MS: f64 = 150.0;
+/// is written in about two seconds on sixteen slots, and those that fill them began together.
+const SLOT_WAIT_MS: f64 = 300.0;
+
+/// Slots that are left to what other instances have just placed and not told yet.
+const SLOTS_LEFT: u32 = 1;
 
 /// Parts of a pass that a new request waits for on average, where somebody writes.
 const RESIDUAL: f64 = 0.5;
@@ -233,7 +236,7 @@
     fn wait_ms(&self, rules: &EngineRules, server: &Server, now: Time) -> f64 {
         let running = server.running();
         let pass = if running > 0 { rules.pass_ms(running, rules.usual_output) } else { 0.0 };
-        let over = (running + 1).saturating_sub(rules.slots);
+        let over = (running + 1).saturating_sub(rules.slots.saturating_sub(SLOTS_LEFT).max(1));
         server.backlog_ms(now)
             + RESIDUAL * pass * server.pace()
             + f64::from(over) * SLOT_WAIT_MS
--- /dev/null
+++ b/crates/policy/tests/arrange.rs
@@ -0,0 +1,222 @@
+//! Where requests go, by what their callers would lose.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use policy::{
+    EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
+    arrange::{Arranger, Ask, JobId, Member, Placement, Refused},
+    routes::EngineRules,
+};
+
+fn engine() -> EngineRules {
+    EngineRules {
+        slots: 16,
+        memory_tokens: 450_000,
+        stride: 46,
+        step_ms: 0.925,
+        step_ms_per_request: 0.00483,
+        step_ms_per_1k_context: 0.00254,
+        read_tokens_per_ms: 256.0,
+        read_ms_per_1m_pairs: 0.0917,
+        max_helpers: 16,
+        usual_output: 1540,
+    }
+}
+
+fn id(index: usize) -> EndpointId {
+    EndpointId::new(&format!("i-{index}")).unwrap()
+}
+
+fn member(index: usize, leaving: bool) -> Member {
+    Member {
+        endpoint: id(index),
+        incarnation: Incarnation(1),
+        slots: 16,
+        distance: Duration::from_micros(200),
+        leaving,
+    }
+}
+
+fn arranger(engines: usize) -> Arranger {
+    let mut arranger = Arranger::new(7);
+    arranger.set_rules(Some(engine()));
+    arranger.set_members((0..engines).map(|i| member(i, false)).collect(), Time::ZERO);
+    arranger
+}
+
+fn ask(prompt: u64) -> Ask {
+    let (goal_ms, pause_ms) = match prompt {
+        0..=30_000 => (300.0, 200.0),
+        30_001..=120_000 => (1_500.0, 500.0),
+        _ => (3_000.0, 800.0),
+    };
+    Ask {
+        prompt,
+        output: 1_500,
+        goal_ms,
+        pause_ms,
+        priority: 1,
+        fingerprint: Fingerprint(u128::from(prompt)),
+        tried: Vec::new(),
+    }
+}
+
+const QUESTION: u64 = 5_000;
+const DOSSIER: u64 = 210_000;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn place(arranger: &mut Arranger, prompt: u64, now: Time) -> Placement {
+    arranger.place(&ask(prompt), now).unwrap()
+}
+
+/// A burst of questions alone: writing together costs next to nothing, so they gather on few
+/// engines and leave the others free, but never beyond what an engine runs at once.
+#[test]
+fn questions_gather_without_queueing() {
+    let mut arranger = arranger(16);
+    let mut counts: BTreeMap<EndpointId, u32> = BTreeMap::new();
+    // A dossier a second keeps long prompts in mind.
+    for second in 0..4 {
+        place(&mut arranger, DOSSIER, at(second * 1_000));
+    }
+    for i in 0..60 {
+        let now = at(4_000 + i * 25);
+        let placement = place(&mut arranger, QUESTION, now);
+        arranger.began(placement.job, now + Duration::from_millis(50));
+        *counts.entry(placement.endpoint).or_default() += 1;
+    }
+    assert!(counts.len() <= 12, "{counts:?}");
+    assert!(counts.values().all(|count| *count <= 16), "{counts:?}");
+}
+
+/// A dossier comes while questions are written on half of the engines. It is read in parts on the
+/// others, and nobody's pause grows.
+#[test]
+fn a_dossier_keeps_off_those_who_write() {
+    let mut arranger = arranger(16);
+    let mut writing = Vec::new();
+    for i in 0..40 {
+        let now = at(i * 25);
+        let placement = place(&mut arranger, QUESTION, now);
+        arranger.began(placement.job, now + Duration::from_millis(40));
+        writing.push(placement.endpoint);
+    }
+    let placement = place(&mut arranger, DOSSIER, at(1_100));
+    let free = (0..16).map(id).filter(|engine| !writing.contains(engine)).count();
+    assert!(placement.helpers.len() + 1 >= free.min(3), "{placement:?}");
+    let disturbed = std::iter::once(&placement.endpoint)
+        .chain(&placement.helpers)
+        .filter(|engine| writing.contains(engine))
+        .count();
+    assert!(disturbed == 0 || free < 3, "{disturbed} of {} disturbed", placement.helpers.len() + 1);
+    assert!(placement.predicted_ms < 3_000.0);
+}
+
+/// On an idle site a dossier meets its goal with room to spare, because many engines read it.
+#[test]
+fn an_idle_site_reads_a_dossier_together() {
+    let placement = place(&mut arranger(16), DOSSIER, Time::ZERO);
+    assert!(placement.helpers.len() >= 3, "{placement:?}");
+    assert!(placement.predicted_ms < 1_000.0, "{placement:?}");
+}
+
+/// Two instances place dossiers in the same moment. Word of the first keeps the second off the
+/// engines that are about to read it, as long as others are idle.
+#[test]
+fn word_of_others_keeps_dossiers_apart() {
+    let (mut one, mut two) = (arranger(16), arranger(16));
+    let first = place(&mut one, DOSSIER, Time::ZERO);
+    let peer = InstanceId::new("entry-1").unwrap();
+    two.hear(&peer, &one.tell(false), Time::ZERO);
+    let second = place(&mut two, DOSSIER, Time::ZERO);
+    let taken: Vec<_> = std::iter::once(&first.endpoint).chain(&first.helpers).collect();
+    let shared = std::iter::once(&second.endpoint)
+        .chain(&second.helpers)
+        .filter(|engine| taken.contains(engine))
+        .count();
+    let idle = 16 - taken.len();
+    assert!(shared <= (second.helpers.len() + 1).saturating_sub(idle), "{first:?} {second:?}");
+}
+
+/// A slow engine: every pause there is five times as long. It gets less than its share.
+#[test]
+fn a_slow_engine_gets_less() {
+    let mut arranger = arranger(4);
+    let mut counts: BTreeMap<EndpointId, u32> = BTreeMap::new();
+    for i in 0..200 {
+        let now = at(i * 40);
+        let placement = place(&mut arranger, QUESTION, now);
+        let is_slow = placement.endpoint == id(0);
+        let pause = Duration::from_millis(if is_slow { 250 } else { 50 });
+        arranger.began(placement.job, now + pause);
+        for _ in 0..8 {
+            arranger.paused(placement.job, pause);
+        }
+        *counts.entry(placement.endpoint).or_default() += 1;
+        arranger.ended(placement.job, None, now + 3 * pause);
+    }
+    let slow = counts.get(&id(0)).copied().unwrap_or(0);
+    assert!(slow < 25, "{counts:?}");
+}
+
+/// An engine fails whatever it gets, at once, and so is always the idlest. It is taken out, and
+/// the others serve.
+#[test]
+fn a_failing_engine_is_taken_out() {
+    let mut arranger = arranger(4);
+    let mut failures = 0;
+    for i in 0..200 {
+        let now = at(i * 20);
+        let placement = place(&mut arranger, QUESTION, now);
+        if placement.endpoint == id(0) {
+            failures += 1;
+            arranger.ended(placement.job, Some(FailCause::Broken), now);
+        } else {
+            arranger.began(placement.job, now);
+            arranger.ended(placement.job, None, now + Duration::from_millis(200));
+        }
+    }
+    assert!(failures <= 40, "{failures}");
+}
+
+#[test]
+fn what_left_or_was_tried_gets_nothing() {
+    let mut arranger = arranger(3);
+    arranger.set_members(vec![member(0, true), member(1, false), member(2, false)], at(1));
+    let tried = vec![(id(1), Incarnation(1))];
+    for _ in 0..5 {
+        let ask = Ask { tried: tried.clone(), ..ask(QUESTION) };
+        assert_eq!(arranger.place(&ask, at(2)).unwrap().endpoint, id(2));
+    }
+    let ask =
+        Ask { tried: vec![(id(1), Incarnation(1)), (id(2), Incarnation(1))], ..ask(QUESTION) };
+    assert_eq!(arranger.place(&ask, at(2)), Err(Refused::NoEndpoint));
+}
+
+/// Whatever is placed is given back: after all has ended nothing is left to tell, and an idle site
+/// predicts as it did in the beginning.
+#[test]
+fn ended_requests_leave_nothing() {
+    let mut arranger = arranger(8);
+    let fresh = place(&mut arranger, DOSSIER, Time::ZERO);
+    let mut jobs: Vec<JobId> = vec![fresh.job];
+    for i in 0..100 {
+        let prompt = [QUESTION, 45_000, DOSSIER][i % 3];
+        jobs.push(place(&mut arranger, prompt, at(i as u64)).job);
+    }
+    arranger.tell(true);
+    for (i, job) in jobs.into_iter().enumerate() {
+        let failed = (i % 2 == 0).then_some(FailCause::Deadline);
+        arranger.ended(job, failed, at(200));
+        arranger.ended(job, failed, at(200));
+    }
+    let told = arranger.tell(true);
+    assert!(told.iter().all(|word| word.level.running == 0 && word.level.memory == 0), "{told:?}");
+    let again = place(&mut arranger, DOSSIER, at(60_000));
+    assert!((again.predicted_ms - fresh.predicted_ms).abs() < 1.0, "{again:?} {fresh:?}");
+}
--- /dev/null
+++ b/crates/policy/tests/retry_window.rs
@@ -0,0 +1,54 @@
+//! How many repeats one instance adds.
+
+use policy::{
+    Time,
+    retry::{RetryRules, RetryWindow},
+};
+
+const RULES: RetryRules = RetryRules { share: 0.2, slack: 100.0, window_s: 10 };
+
+fn allowed(window: &mut RetryWindow, instances: usize, at: Time) -> usize {
+    (0..1_000).take_while(|_| window.repeat(&RULES, instances, at)).count()
+}
+
+/// An engine dies under every request of four instances at once, and each repeats what it can. All
+/// together stay within what the operators allow.
+#[test]
+fn four_instances_stay_within_the_budget_of_all() {
+    let now = Time::from_millis(5_000);
+    let mut sum = 0;
+    for _ in 0..4 {
+        let mut window = RetryWindow::default();
+        (0..50).for_each(|_| window.first(now));
+        sum += allowed(&mut window, 4, now);
+    }
+    assert!(sum as f64 <= 0.2 * 200.0 + 100.0, "{sum}");
+    assert!(sum >= 70, "{sum}");
+}
+
+#[test]
+fn repeats_come_back_when_the_window_has_passed() {
+    let mut window = RetryWindow::default();
+    let first = allowed(&mut window, 4, Time::from_millis(1_000));
+    assert!(first > 0);
+    assert_eq!(allowed(&mut window, 4, Time::from_millis(10_000)), 0);
+    assert_eq!(allowed(&mut window, 4, Time::from_millis(13_000)), first);
+}
+
+/// Any second counts for a whole window, so a window that slides over two bursts sees no more than
+/// is allowed.
+#[test]
+fn no_span_of_a_window_holds_more() {
+    let mut window = RetryWindow::default();
+    let mut times = Vec::new();
+    for ms in (0..40_000).step_by(50) {
+        window.first(Time::from_millis(ms));
+        if window.repeat(&RULES, 4, Time::from_millis(ms)) {
+            times.push(ms);
+        }
+    }
+    for start in &times {
+        let within = times.iter().filter(|ms| (*start..start + 10_000).contains(*ms)).count();
+        assert!(within as f64 <= 0.2 * 200.0 + 25.0, "{within}");
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/roster.rs
@@ -0,0 +1,72 @@
+//! Which registrations count while their store fails.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use policy::{
+    Time,
+    roster::{RETURN, Roster},
+};
+
+fn found(keys: &[u32]) -> IndexMap<u32, &'static str> {
+    keys.iter().map(|key| (*key, "life")).collect()
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn keys(roster: &Roster<u32, &'static str>) -> Vec<u32> {
+    let mut keys: Vec<_> = roster.entries().keys().copied().collect();
+    keys.sort_unstable();
+    keys
+}
+
+#[test]
+fn what_is_missing_is_gone() {
+    let mut roster = Roster::default();
+    assert!(roster.read(&found(&[1, 2]), at(0)));
+    assert!(!roster.read(&found(&[1, 2]), at(500)));
+    assert!(roster.read(&found(&[2]), at(1_000)));
+    assert_eq!(keys(&roster), [2]);
+}
+
+/// The store was away, and every registration lapsed meanwhile. The servers live; two seconds
+/// after the store's return they are back. A caller in between must not be refused.
+#[test]
+fn an_outage_takes_nobody_away() {
+    let mut roster = Roster::default();
+    roster.read(&found(&[1, 2]), at(0));
+    roster.failed();
+    assert!(!roster.read(&found(&[]), at(5_000)));
+    assert_eq!(keys(&roster), [1, 2]);
+    roster.read(&found(&[1]), at(6_500));
+    assert_eq!(keys(&roster), [1, 2]);
+    roster.read(&found(&[1]), at(5_000) + RETURN);
+    assert_eq!(keys(&roster), [1]);
+}
+
+/// The store is away twice in a row. What was kept for the first outage is kept for the second,
+/// and only as long.
+#[test]
+fn a_second_outage_begins_anew() {
+    let mut roster = Roster::default();
+    roster.read(&found(&[1]), at(0));
+    roster.failed();
+    roster.read(&found(&[]), at(1_000));
+    roster.failed();
+    roster.read(&found(&[]), at(3_000));
+    assert_eq!(keys(&roster), [1]);
+    roster.read(&found(&[]), at(3_000) + RETURN + Duration::from_millis(1));
+    assert_eq!(keys(&roster), [0; 0]);
+}
+
+#[test]
+fn a_change_within_an_outage_counts() {
+    let mut roster = Roster::default();
+    roster.read(&found(&[1]), at(0));
+    roster.failed();
+    let draining: IndexMap<u32, &str> = [(1, "leaving")].into_iter().collect();
+    assert!(roster.read(&draining, at(1_000)));
+    assert_eq!(roster.entries()[&1], "leaving");
+}
--- /dev/null
+++ b/crates/policy/tests/routes.rs
@@ -0,0 +1,114 @@
+//! Which route a request takes, whose key is whose, and what engines take.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{sync::Arc, time::Duration};
+
+use policy::{
+    EndpointGroup, Workspace,
+    routes::{EngineRules, KeyTable, Owner, Repeat, Route, RouteTable, Share},
+};
+
+fn group(name: &str) -> EndpointGroup {
+    EndpointGroup::new(name).unwrap()
+}
+
+fn route(name: &str, shares: &[(&str, u32)]) -> Arc<Route> {
+    Arc::new(Route {
+        name: name.to_owned(),
+        repeat: Repeat::Once,
+        streams: false,
+        timeout: Duration::from_secs(1),
+        goal: Duration::from_secs(1),
+        pause_goal: Duration::from_secs(1),
+        priority: 0,
+        max_attempts: 1,
+        is_public: false,
+        split: shares
+            .iter()
+            .map(|(name, weight)| Share { group: group(name), weight: *weight })
+            .collect(),
+    })
+}
+
+fn table() -> RouteTable {
+    let mut table = RouteTable::default();
+    let host = table.hosts.entry("desk.example".to_owned()).or_default();
+    for prefix in ["/", "/a/", "/a/b/", "/ab/"] {
+        host.insert(prefix.to_owned(), route(prefix, &[("g", 1)]));
+    }
+    table
+}
+
+macro_rules! finds {
+    ($($name:ident: $path:literal => $prefix:expr;)*) => {
+        $(#[test] fn $name() {
+            let table = table();
+            let found = table.find("desk.example", $path).map(|route| route.name.as_str());
+            assert_eq!(found, $prefix);
+        })*
+    };
+}
+
+finds! {
+    the_longest_prefix: "/a/b/c" => Some("/a/b/");
+    a_prefix_itself: "/a/" => Some("/a/");
+    whole_segments_only: "/abc/d" => Some("/");
+    a_sibling: "/ab/c" => Some("/ab/");
+    nothing_below_a_slash: "relative" => None;
+}
+
+#[test]
+fn other_hosts_have_other_routes() {
+    assert!(table().find("other.example", "/a/").is_none());
+}
+
+#[test]
+fn shares_are_kept() {
+    let route = route("split", &[("new", 10), ("old", 90), ("off", 0)]);
+    let drawn = |i: u32| route.group((f64::from(i) + 0.5) / 1000.0).unwrap().as_str().to_owned();
+    let news = (0..1000).filter(|i| drawn(*i) == "new").count();
+    assert_eq!(news, 100);
+    assert!((0..1000).all(|i| drawn(i) != "off"));
+}
+
+#[test]
+fn keys_name_their_owner() {
+    let mut keys = KeyTable::required();
+    let owner = Owner { workspace: Workspace::new("counter").unwrap(), priority: Some(2) };
+    keys.insert("k".to_owned(), owner.clone());
+    assert_eq!(keys.owner("k"), Some(&owner));
+    assert_eq!(keys.owner("K"), None);
+    assert!(keys.is_required() && !KeyTable::default().is_required());
+}
+
+pub fn engine() -> EngineRules {
+    EngineRules {
+        slots: 16,
+        memory_tokens: 450_000,
+        stride: 46,
+        step_ms: 0.925,
+        step_ms_per_request: 0.00483,
+        step_ms_per_1k_context: 0.00254,
+        read_tokens_per_ms: 256.0,
+        read_ms_per_1m_pairs: 0.0917,
+        max_helpers: 16,
+        usual_output: 1540,
+    }
+}
+
+#[test]
+fn reading_grows_faster_than_the_prompt() {
+    let near = |ms: f64, expected: f64| (ms / expected - 1.0).abs() < 0.03;
+    assert!(near(engine().read_ms(5_000), 20.7), "{}", engine().read_ms(5_000));
+    assert!(near(engine().read_ms(45_000), 268.6), "{}", engine().read_ms(45_000));
+    assert!(near(engine().read_ms(210_000), 2_842.0), "{}", engine().read_ms(210_000));
+}
+
+#[test]
+fn a_pass_hardly_grows_with_its_writers() {
+    let one = engine().pass_ms(1, 6_000);
+    let twelve = engine().pass_ms(12, 6_000);
+    assert!((43.0..46.0).contains(&one), "{one}");
+    assert!(twelve < 1.3 * one, "{twelve}");
+}
