--- a/crates/policy/src/arrange/ask.rs
+++ b/crates/policy/src/arrange/ask.rs
@@ -15,6 +15,8 @@
     pub goal_ms: f64,
     /// Milliseconds that a pause within the answer may take.
     pub pause_ms: f64,
+    /// Milliseconds after which nobody waits for it any more.
+    pub left_ms: f64,
     /// Rank; zero is the most urgent.
     pub priority: u8,
     /// Names the same request when it is sent again.
@@ -43,13 +45,22 @@
     /// The life of the endpoint that was chosen.
     pub incarnation: Incarnation,
     /// Further engines that read a part of its prompt.
-    pub helpers: Vec<EndpointId>,
+    pub helpers: Vec<Helper>,
     /// Its rank on the engine; zero goes first.
     pub priority: u8,
     /// When its first byte is expected, in milliseconds from now.
     pub predicted_ms: f64,
 }
 
+/// An engine that reads a part of another one's prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Helper {
+    /// The engine.
+    pub endpoint: EndpointId,
+    /// Tokens of its memory that the prompt needs, to be reserved before it is sent.
+    pub reserve: Option<u64>,
+}
+
 /// Why a request finds no place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refused {
@@ -57,6 +68,8 @@
     NoEndpoint,
     /// Endpoints died of it; it isn't run for this long.
     Quarantined(Duration),
+    /// Its first event would come too late; this much sooner it might not.
+    TooLate(Duration),
 }
 
 /// A request that was placed and hasn't ended.
@@ -65,7 +78,7 @@
     /// Where it runs.
     pub endpoint: EndpointId,
     /// Engines that read a part of its prompt.
-    pub helpers: Vec<EndpointId>,
+    pub helpers: Vec<Helper>,
     /// Milliseconds of reading on each of them.
     pub part_ms: f64,
     /// Tokens of memory that it takes where it runs.
@@ -89,6 +102,11 @@
 impl Job {
     /// All endpoints that work on it.
     pub fn endpoints(&self) -> impl Iterator<Item = &EndpointId> {
-        std::iter::once(&self.endpoint).chain(&self.helpers)
+        std::iter::once(&self.endpoint).chain(self.helpers.iter().map(|h| &h.endpoint))
+    }
+
+    /// Tokens of memory that it reserves on a helper.
+    pub(super) fn reserved_at(&self, endpoint: &EndpointId) -> Option<u64> {
+        self.helpers.iter().find(|helper| helper.endpoint == *endpoint)?.reserve
     }
 }
--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -2,7 +2,12 @@
 
 use crate::{Time, health, quarantine::Standing, routes::EngineRules};
 
-use super::{Arranger, Ask, JobId, Placement, ask::Job, cost, server::Server};
+use super::{
+    Arranger, Ask, Helper, JobId, Placement,
+    ask::Job,
+    cost,
+    server::{Outlook, Server},
+};
 
 /// Tokens by which an engine's memory is planned too small: engines allocate in blocks.
 const MEMORY_SLACK: u64 = 2_000;
@@ -14,9 +19,6 @@
 /// Slots that are left to what other instances have just placed and not told yet.
 const SLOTS_LEFT: u32 = 1;
 
-/// Parts of a pass that a new request waits for on average, where somebody writes.
-const RESIDUAL: f64 = 0.5;
-
 /// What an engine that nobody writes on costs a short prompt, times the share of engines that long
 /// prompts take: it will soon be wanted for a part that the short one's pause can't bear.
 const APART: f64 = 1.5;
@@ -28,8 +30,16 @@
 /// writers get a longer pause. Keeps prompts whole where splitting gains next to nothing.
 const PER_HELPER: f64 = 0.004;
 
+/// The least share of engines that long prompts are taken to need. A burst of them begins within a
+/// second, and questions that are then written everywhere can't be moved.
+const LEAST_LONG_SHARE: f64 = 0.2;
+
+/// How far a prediction has to be past the caller's time before a request is refused at once. The
+/// worst predictions err by half.
+const HOPELESS: f64 = 1.3;
+
 /// Milliseconds of reading up to which a prompt goes beside writers whole.
-const SHORT_MS: f64 = 45.0;
+pub(super) const SHORT_MS: f64 = 45.0;
 
 /// What is chosen for a request.
 pub(super) struct Chosen {
@@ -38,15 +48,35 @@
     part_ms: f64,
     predicted_ms: f64,
     weight: f64,
+    /// Tokens of memory where it runs, less what is reserved on others.
     memory: u64,
+    /// Tokens to be reserved on each of the others, in their order.
+    reserve: Vec<Option<u64>>,
     rank: u8,
 }
 
+impl Chosen {
+    /// Milliseconds by which its first event would come too late for anybody to wait.
+    pub(super) fn late_ms(&self, ask: &Ask) -> f64 {
+        self.predicted_ms - HOPELESS * ask.left_ms
+    }
+}
+
+/// How a prompt's memory is spread over the engines that read it.
+struct MemoryShares {
+    /// Which of them runs it.
+    head: usize,
+    /// Tokens there.
+    at_head: u64,
+    /// Tokens on each of the others, in the order in which they stand once the head is first.
+    reserve: Vec<Option<u64>>,
+}
+
 /// An engine that may read a part, in the order in which they are taken.
 struct Candidate {
     index: usize,
-    /// Milliseconds until it can begin to read.
-    wait_ms: f64,
+    /// Milliseconds until it has read its part.
+    first_ms: f64,
     key: f64,
 }
 
@@ -66,6 +96,7 @@
             predicted_ms: 0.0,
             weight,
             memory,
+            reserve: Vec::new(),
             rank: rank(read_ms),
         };
         if read_ms <= SHORT_MS {
@@ -85,18 +116,18 @@
         now: Time,
     ) -> Option<(usize, f64)> {
         let engines = self.usable().max(1) as f64;
-        let long_share = self.long_share.rate(now) / 1000.0 / engines;
+        let long_share = (self.long_share.rate(now) / 1000.0 / engines).max(LEAST_LONG_SHARE);
         let mut best = None;
         for (index, server) in self.candidates(ask, now) {
-            let pass = rules.pass_ms(server.running(), rules.usual_output) * server.pace();
-            let backlog = server.backlog_ms(now);
+            let outlook = server.outlook(rules, now);
             let part = read_ms * server.pace();
-            let predicted = self.wait_ms(rules, server, now) + part;
-            let harm = server.harm(pass + backlog + part) - server.harm(pass + backlog);
+            let predicted = self.first_ms(rules, server, &outlook, part);
+            let longest = outlook.longest_pass(part);
+            let harm = server.harm(longest) - server.harm(outlook.longest_pass(0.0));
             let company = 1.0 + server.writers()[0];
             let alone = APART * long_share.min(1.0) / company;
-            let own =
-                cost::lateness(predicted, ask.goal_ms) + cost::miss(pass + part, ask.pause_ms);
+            let own = cost::lateness(predicted, ask.goal_ms)
+                + cost::miss(outlook.writing_ms, ask.pause_ms);
             let total = self.caution(server, now) * (weight * (own + alone) + harm.max(0.0));
             if best.is_none_or(|(least, _, _)| total < least) {
                 best = Some((total, index, predicted));
@@ -128,18 +159,19 @@
                 .collect();
             sorted.sort_by(|a, b| a.key.total_cmp(&b.key));
             sorted.truncate(parts);
-            let Some(head) = self.head(rules, &sorted, base.memory) else { continue };
-            let slowest = sorted.iter().map(|c| c.wait_ms).fold(0.0, f64::max);
-            let pace = sorted.iter().map(|c| self.servers[c.index].pace()).fold(1.0, f64::max);
-            let predicted_ms = slowest + part_ms * pace;
+            let Some(shares) = self.memory(rules, &sorted, base.memory) else { continue };
+            let predicted_ms = sorted.iter().map(|c| c.first_ms).fold(0.0, f64::max);
             let harm: f64 =
                 sorted.iter().map(|c| self.part_harm(rules, c.index, part_ms, now)).sum();
             let own = cost::lateness(predicted_ms, ask.goal_ms);
             let total = base.weight * (own + PER_HELPER * parts as f64) + harm;
             if best.as_ref().is_none_or(|(least, _)| total < *least) {
                 let mut servers: Vec<usize> = sorted.iter().map(|c| c.index).collect();
-                servers.swap(0, head);
-                best = Some((total, Chosen { servers, part_ms, predicted_ms, ..base }));
+                servers.swap(0, shares.head);
+                let MemoryShares { at_head, reserve, .. } = shares;
+                let chosen =
+                    Chosen { servers, part_ms, predicted_ms, memory: at_head, reserve, ..base };
+                best = Some((total, chosen));
             }
         }
         best.map(|(_, chosen)| chosen)
@@ -156,30 +188,55 @@
         ask: &Ask,
         now: Time,
     ) -> Candidate {
-        let wait_ms = self.wait_ms(rules, server, now);
-        let predicted = wait_ms + part_ms * server.pace();
-        let own = base.weight * cost::lateness(predicted, ask.goal_ms);
+        let outlook = server.outlook(rules, now);
+        let part = part_ms * server.pace();
+        let first_ms = self.first_ms(rules, server, &outlook, part);
+        let own = base.weight * cost::lateness(first_ms, ask.goal_ms);
         let harm = self.part_harm(rules, index, part_ms, now);
-        Candidate { index, wait_ms, key: self.caution(server, now) * (own + harm) }
+        Candidate { index, first_ms, key: self.caution(server, now) * (own + harm) }
     }
 
     fn part_harm(&self, rules: &EngineRules, index: usize, part_ms: f64, now: Time) -> f64 {
         let server = &self.servers[index];
-        let pass = rules.pass_ms(server.running(), rules.usual_output) * server.pace();
-        let before = pass + server.backlog_ms(now);
-        (server.harm(before + part_ms * server.pace()) - server.harm(before)).max(0.0)
+        let outlook = server.outlook(rules, now);
+        let longest = outlook.longest_pass(part_ms * server.pace());
+        (server.harm(longest) - server.harm(outlook.longest_pass(0.0))).max(0.0)
     }
 
-    /// Which of the engines runs the request: the one with the most memory left, if it is enough.
-    /// A prompt larger than any engine's memory has to be split by memory, not by time.
-    fn head(&self, rules: &EngineRules, sorted: &[Candidate], memory: u64) -> Option<usize> {
+    /// Which of the engines runs the request: the one with the most memory left. What doesn't fit
+    /// there is reserved on the others, those with the most memory first, so that few have to be
+    /// asked; none where all together have too little.
+    fn memory(
+        &self,
+        rules: &EngineRules,
+        sorted: &[Candidate],
+        needed: u64,
+    ) -> Option<MemoryShares> {
         let free = |c: &Candidate| {
             rules.memory_tokens.saturating_sub(self.servers[c.index].memory() + MEMORY_SLACK)
         };
-        let slots = |c: &Candidate| self.servers[c.index].running() < rules.slots;
-        let best = (0..sorted.len()).max_by_key(|i| (slots(&sorted[*i]), free(&sorted[*i])))?;
-        let fits = free(&sorted[best]) >= memory || memory >= rules.memory_tokens;
-        (fits || sorted.len() == self.servers.len()).then_some(best)
+        let has_slot = |c: &Candidate| self.servers[c.index].running() < rules.slots;
+        let head = (0..sorted.len()).max_by_key(|i| (has_slot(&sorted[*i]), free(&sorted[*i])))?;
+        let mut rest: Vec<u64> = sorted.iter().map(free).collect();
+        rest.swap(0, head);
+        let at_head = needed.min(rest[0]);
+        let mut missing = needed - at_head;
+        let mut reserve = vec![None; rest.len() - 1];
+        if needed < rules.memory_tokens && rest.iter().sum::<u64>() < needed {
+            // It fits an engine, but none has the room now: it waits where it runs.
+            return Some(MemoryShares { head, at_head: needed, reserve });
+        }
+        let mut by_room: Vec<usize> = (0..reserve.len()).collect();
+        by_room.sort_by_key(|i| std::cmp::Reverse(rest[i + 1]));
+        for index in by_room {
+            let part = missing.min(rest[index + 1]);
+            if part == 0 {
+                break;
+            }
+            reserve[index] = Some(part);
+            missing -= part;
+        }
+        (missing == 0).then_some(MemoryShares { head, at_head, reserve })
     }
 
     pub(super) fn choose_plain(&self, ask: &Ask, now: Time) -> Option<Chosen> {
@@ -198,6 +255,7 @@
             predicted_ms: 0.0,
             weight: 1.0,
             memory: 0,
+            reserve: Vec::new(),
             rank: ask.priority.min(LOWEST_RANK),
         })
     }
@@ -232,13 +290,20 @@
         }
     }
 
-    /// Milliseconds until an engine begins to read something new.
-    fn wait_ms(&self, rules: &EngineRules, server: &Server, now: Time) -> f64 {
-        let running = server.running();
-        let pass = if running > 0 { rules.pass_ms(running, rules.usual_output) } else { 0.0 };
-        let over = (running + 1).saturating_sub(rules.slots.saturating_sub(SLOTS_LEFT).max(1));
-        server.backlog_ms(now)
-            + RESIDUAL * pass * server.pace()
+    /// Milliseconds until a first event comes, if `part_ms` are read there.
+    fn first_ms(
+        &self,
+        rules: &EngineRules,
+        server: &Server,
+        outlook: &Outlook,
+        part_ms: f64,
+    ) -> f64 {
+        let places = rules.slots.saturating_sub(SLOTS_LEFT).max(1);
+        let over = (server.running() + 1).saturating_sub(places);
+        let writing = rules.pass_ms(1, rules.usual_context) * server.pace();
+        let own_pass = if outlook.writing_ms > 0.0 { 0.0 } else { writing };
+        outlook.read_by(part_ms)
+            + own_pass
             + f64::from(over) * SLOT_WAIT_MS
             + 2.0 * server.member.distance.as_secs_f64() * 1000.0
     }
@@ -252,7 +317,13 @@
             .iter()
             .map(|index| self.servers[*index].member.endpoint.clone())
             .collect();
-        let (endpoint, helpers) = (ids[0].clone(), ids[1..].to_vec());
+        let endpoint = ids[0].clone();
+        let reserve = chosen.reserve.iter().copied().chain(std::iter::repeat(None));
+        let helpers: Vec<Helper> = ids[1..]
+            .iter()
+            .zip(reserve)
+            .map(|(endpoint, reserve)| Helper { endpoint: endpoint.clone(), reserve })
+            .collect();
         let job = Job {
             endpoint: endpoint.clone(),
             helpers: helpers.clone(),
@@ -267,7 +338,7 @@
             is_writing: false,
         };
         for (place, index) in chosen.servers.iter().enumerate() {
-            self.servers[*index].take(&job, place == 0, now);
+            self.servers[*index].take(self.rules.as_ref(), &job, place == 0, now);
         }
         let head = &mut self.servers[chosen.servers[0]];
         head.is_on_trial = false;
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -27,7 +27,7 @@
 use fastrand::Rng;
 use indexmap::IndexMap;
 
-pub use ask::{Ask, Job, JobId, Placement, Refused};
+pub use ask::{Ask, Helper, Job, JobId, Placement, Refused};
 pub use told::{EVERY, Told, Word};
 
 use crate::{
@@ -135,6 +135,10 @@
             None => self.choose_plain(ask, now),
         };
         let chosen = chosen.ok_or(Refused::NoEndpoint)?;
+        let late_ms = chosen.late_ms(ask);
+        if late_ms > 0.0 {
+            return Err(Refused::TooLate(Duration::from_secs_f64(late_ms / 1000.0)));
+        }
         Ok(self.commit(chosen, ask, now))
     }
 
@@ -149,17 +153,18 @@
         let predicted = Duration::from_secs_f64(known.predicted_ms.max(0.0) / 1000.0);
         let endpoint = known.endpoint.clone();
         self.health.answered(&endpoint, taken, predicted);
-        if let Some(server) = self.servers.get_mut(&endpoint) {
-            server.read_until_now(now);
+        if let (Some(server), Some(rules)) = (self.servers.get_mut(&endpoint), &self.rules) {
+            server.pass_began(rules, now);
         }
     }
 
     /// A pause between two events of an answer.
-    pub fn paused(&mut self, job: JobId, pause: Duration) {
+    pub fn paused(&mut self, job: JobId, pause: Duration, now: Time) {
         let Some(known) = self.jobs.get(&job) else { return };
         let Some(rules) = &self.rules else { return };
         if let Some(server) = self.servers.get_mut(&known.endpoint) {
-            server.saw_pause(pause.as_secs_f64() * 1000.0, rules);
+            server.saw_pause(pause.as_secs_f64() * 1000.0, rules, now);
+            server.pass_began(rules, now);
         }
     }
 
@@ -214,7 +219,9 @@
 
     /// What another instance has under way.
     pub fn hear(&mut self, peer: &InstanceId, words: &[Word], now: Time) {
-        told::hear(&mut self.servers, peer, words, now);
+        let rules = self.rules.as_ref();
+        let long_ms = told::hear(&mut self.servers, rules, peer, words, now);
+        self.long_share.add(long_ms, now);
     }
 
     /// Another instance is gone, and what it had under way with it.
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -6,11 +6,17 @@
 //! **Without it.** Instances that look at the same report of a moment ago all choose the engine
 //! that was idle in it.
 //!
-//! **Rule.** Reading is a queue that empties by itself: each part that anybody places makes it
-//! longer by its own time. Writing, memory and slots are levels that each instance tells of its
-//! own work. A lost word therefore errs for no longer than the part takes or until the next level.
+//! **Rule.** The engine's passes are followed one by one. A part that anybody places is read in the
+//! pass that begins after its arrival, and makes that pass longer for all who write there; each
+//! event that arrives from the engine tells when a pass began. Writing, memory and slots are
+//! levels that each instance tells of its own work. A lost word therefore errs for no longer than
+//! a pass or until the next level.
 //!
-//! **Grounds.** Parts take 20 to 400 ms, levels come every [`super::told::EVERY`].
+//! **Grounds.** A question's answer has 35 pauses, and one that is too long makes it late: with one
+//! pass in a hundred too long, a third of all answers are late. Reading that is merely taken to
+//! drain with time looks done before its pass has begun.
+
+use std::collections::VecDeque;
 
 use indexmap::IndexMap;
 
@@ -25,8 +31,9 @@
 /// What each of these bears, where none of this instance's own has said it.
 const BEARS_MS: [f64; 3] = [200.0, 500.0, 800.0];
 
-/// Pauses of which the shortest shows how fast an engine is: some of them are free of reading.
-const PAUSES_KEPT: usize = 8;
+/// Milliseconds over which the shortest pause shows how fast an engine is: a second holds fifteen
+/// passes, and some of them are free of reading.
+const PAUSES_OVER_MS: f64 = 1_000.0;
 
 /// Paces below this count as ordinary: servers of one service differ somewhat.
 const ORDINARY_PACE: f64 = 1.3;
@@ -38,8 +45,10 @@
 #[derive(Debug)]
 pub(super) struct Server {
     pub(super) member: Member,
-    /// All that was placed will have been read by then, in milliseconds.
-    busy_until: f64,
+    /// When the present pass ends, in milliseconds; in the past where the engine idles.
+    pass_ends: f64,
+    /// Parts of which the present pass reads nothing, in the order of their arrival.
+    pending: VecDeque<Part>,
     pub(super) own: Level,
     pub(super) peers: IndexMap<InstanceId, Level>,
     /// Milliseconds of reading placed by this instance and not told yet.
@@ -47,11 +56,47 @@
     pub(super) told: Level,
     /// It is out, and the next request shows whether it is back.
     pub(super) is_on_trial: bool,
-    pauses: [f64; PAUSES_KEPT],
-    next_pause: usize,
+    /// The shortest pause since `pauses_since`, and in the span before.
+    shortest: f64,
+    shortest_before: f64,
+    pauses_since: f64,
     pace: f64,
 }
 
+/// Reading that waits.
+#[derive(Debug, Clone, Copy)]
+struct Part {
+    arrives: f64,
+    ms: f64,
+}
+
+/// Passes that are followed in one go. An engine that nothing was heard of for longer starts
+/// afresh, which errs towards idle.
+const MAX_PASSES: usize = 64;
+
+/// What a part of a prompt meets on an engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Outlook {
+    /// Milliseconds until the pass after the present one.
+    pub(super) wait_ms: f64,
+    /// Milliseconds of reading that stand before it.
+    pub(super) queued_ms: f64,
+    /// Milliseconds of a pass that reads nothing; zero where nobody writes.
+    pub(super) writing_ms: f64,
+}
+
+impl Outlook {
+    /// Milliseconds until `part_ms` more have been read.
+    pub(super) fn read_by(&self, part_ms: f64) -> f64 {
+        self.wait_ms + self.queued_ms + part_ms + self.writing_ms
+    }
+
+    /// Milliseconds of the longest pass if `part_ms` more are read.
+    pub(super) fn longest_pass(&self, part_ms: f64) -> f64 {
+        self.writing_ms + self.queued_ms + part_ms
+    }
+}
+
 pub(super) fn millis(now: Time) -> f64 {
     now.0 as f64 / 1000.0
 }
@@ -60,21 +105,88 @@
     pub(super) fn new(member: Member, now: Time) -> Server {
         Server {
             member,
-            busy_until: millis(now),
+            pass_ends: millis(now),
+            pending: VecDeque::new(),
             own: Level::default(),
             peers: IndexMap::new(),
             untold_ms: 0.0,
             told: Level::default(),
             is_on_trial: false,
-            pauses: [f64::INFINITY; PAUSES_KEPT],
-            next_pause: 0,
+            shortest: f64::INFINITY,
+            shortest_before: f64::INFINITY,
+            pauses_since: millis(now),
             pace: 1.0,
         }
     }
 
-    /// Milliseconds of reading that stand before a new request, at the engine's pace.
-    pub(super) fn backlog_ms(&self, now: Time) -> f64 {
-        (self.busy_until - millis(now)).max(0.0)
+    /// What a part that is placed now meets.
+    pub(super) fn outlook(&self, rules: &EngineRules, now: Time) -> Outlook {
+        let now = millis(now);
+        let (pass_ends, taken) = self.follow(rules, now);
+        let queued: f64 = self.pending.iter().map(|part| part.ms).sum();
+        let writing_ms = if self.running() > 0 { self.writing_ms(rules) } else { 0.0 };
+        Outlook {
+            wait_ms: (pass_ends - now).max(0.0),
+            queued_ms: (queued - taken).max(0.0),
+            writing_ms,
+        }
+    }
+
+    fn writing_ms(&self, rules: &EngineRules) -> f64 {
+        rules.pass_ms(self.running(), rules.usual_context) * self.pace
+    }
+
+    /// When the pass that is under way at `now` ends, and how much of what was pending is read
+    /// by then.
+    fn follow(&self, rules: &EngineRules, now: f64) -> (f64, f64) {
+        let writing = if self.running() > 0 { self.writing_ms(rules) } else { 0.0 };
+        let mut ends = self.pass_ends;
+        let mut taken = 0.0;
+        for _ in 0..MAX_PASSES {
+            if ends > now {
+                return (ends, taken);
+            }
+            let arrived: f64 =
+                self.pending.iter().filter(|part| part.arrives <= ends).map(|part| part.ms).sum();
+            let read = (arrived - taken).max(0.0);
+            if read + writing <= 0.0 {
+                // It idles until the next part arrives.
+                let next = self.pending.iter().map(|part| part.arrives).find(|at| *at > ends);
+                match next {
+                    Some(next) if next <= now => ends = next,
+                    _ => return (now, taken),
+                }
+                continue;
+            }
+            taken += read;
+            ends += read + writing;
+        }
+        (now, taken)
+    }
+
+    /// Drops what the passes up to now have read.
+    fn advance(&mut self, rules: &EngineRules, now: f64) {
+        let (ends, mut taken) = self.follow(rules, now);
+        self.pass_ends = ends;
+        while taken > 0.0 {
+            let Some(part) = self.pending.front_mut() else { return };
+            if part.ms > taken {
+                part.ms -= taken;
+                return;
+            }
+            taken -= part.ms;
+            self.pending.pop_front();
+        }
+    }
+
+    /// An event arrived: a pass has just ended, and the next one reads what had arrived by then.
+    pub(super) fn pass_began(&mut self, rules: &EngineRules, now: Time) {
+        let now = millis(now);
+        let began = now - self.member.distance.as_secs_f64() * 1000.0;
+        self.advance(rules, now);
+        if began + self.writing_ms(rules) > self.pass_ends || self.pending.is_empty() {
+            self.pass_ends = self.pass_ends.max(began + self.writing_ms(rules));
+        }
     }
 
     /// How many times slower than its figures it is; one where it isn't.
@@ -111,21 +223,27 @@
     }
 
     /// Notes `part_ms` of reading placed there by anybody.
-    pub(super) fn read(&mut self, part_ms: f64, now: Time) {
-        self.busy_until = self.busy_until.max(millis(now)) + part_ms * self.pace;
+    pub(super) fn read(&mut self, rules: &EngineRules, part_ms: f64, now: Time) {
+        let now = millis(now);
+        self.advance(rules, now);
+        let arrives = now + self.member.distance.as_secs_f64() * 1000.0;
+        self.pending.push_back(Part { arrives, ms: part_ms * self.pace });
     }
 
-    /// A first byte came: what was placed before it has been read, and nothing after it is known
-    /// to have begun, so the queue is at most as long as it was.
-    pub(super) fn read_until_now(&mut self, now: Time) {
-        if self.own.reading == 0 && self.peers.values().all(|level| level.reading == 0) {
-            self.busy_until = self.busy_until.min(millis(now));
+    pub(super) fn take(
+        &mut self,
+        rules: Option<&EngineRules>,
+        job: &Job,
+        is_head: bool,
+        now: Time,
+    ) {
+        if let Some(rules) = rules {
+            self.read(rules, job.part_ms, now);
+            self.untold_ms += job.part_ms;
+        }
+        if let Some(reserved) = job.reserved_at(&self.member.endpoint) {
+            self.own.memory += reserved;
         }
-    }
-
-    pub(super) fn take(&mut self, job: &Job, is_head: bool, now: Time) {
-        self.read(job.part_ms, now);
-        self.untold_ms += job.part_ms;
         if is_head {
             self.own.running = self.own.running.saturating_add(1);
             self.own.memory += job.memory;
@@ -135,8 +253,11 @@
 
     pub(super) fn release(&mut self, job: &Job, is_head: bool, now: Time) {
         if !job.is_writing {
-            let given_back = (self.busy_until - job.part_ms * self.pace).max(millis(now));
-            self.busy_until = self.busy_until.min(given_back);
+            // The others count this part as well; they hear that it isn't wanted any more.
+            self.untold_ms -= self.unread(job.part_ms * self.pace, now) / self.pace;
+        }
+        if let Some(reserved) = job.reserved_at(&self.member.endpoint) {
+            self.own.memory = self.own.memory.saturating_sub(reserved);
         }
         if is_head {
             self.own.running = self.own.running.saturating_sub(1);
@@ -144,20 +265,45 @@
             let writers = &mut self.own.writers[pause_class(job.pause_ms)];
             *writers = (*writers - job.weight as f32).max(0.0);
             if self.own.running == 0 {
-                self.own = Level::default();
+                *writers = 0.0;
             }
         }
     }
 
+    /// Takes back up to `ms` of reading, the newest first, and tells how much. What the present
+    /// pass reads ends with it, as an engine drops a prompt whose caller is gone.
+    pub(super) fn unread(&mut self, ms: f64, now: Time) -> f64 {
+        let mut left = ms;
+        while let Some(part) = self.pending.back_mut().filter(|_| left > 0.0) {
+            if part.ms > left {
+                part.ms -= left;
+                return ms;
+            }
+            left -= part.ms;
+            self.pending.pop_back();
+        }
+        let under_way = (self.pass_ends - millis(now)).clamp(0.0, left);
+        self.pass_ends -= under_way;
+        ms - left + under_way
+    }
+
     pub(super) fn forget(&mut self, peer: &InstanceId) {
         self.peers.swap_remove(peer);
     }
 
     /// Learns from a pause between two events how fast the engine is.
-    pub(super) fn saw_pause(&mut self, pause_ms: f64, rules: &EngineRules) {
-        self.pauses[self.next_pause] = pause_ms;
-        self.next_pause = (self.next_pause + 1) % PAUSES_KEPT;
-        let shortest = self.pauses.iter().copied().fold(f64::INFINITY, f64::min);
+    pub(super) fn saw_pause(&mut self, pause_ms: f64, rules: &EngineRules, now: Time) {
+        let now = millis(now);
+        if now - self.pauses_since > PAUSES_OVER_MS {
+            self.shortest_before = self.shortest;
+            self.shortest = f64::INFINITY;
+            self.pauses_since = now;
+        }
+        self.shortest = self.shortest.min(pause_ms);
+        if !self.shortest_before.is_finite() {
+            return;
+        }
+        let shortest = self.shortest.min(self.shortest_before);
         let pace = shortest / rules.pass_ms(self.running().max(1), 0);
         self.pace = if pace < ORDINARY_PACE { 1.0 } else { pace.min(MAX_PACE) };
     }
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -5,16 +5,19 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{EndpointId, InstanceId, Time};
+use crate::{EndpointId, InstanceId, Time, routes::EngineRules};
 
-use super::server::{PAUSES_MS, Server};
+use super::{
+    choose::SHORT_MS,
+    server::{PAUSES_MS, Server},
+};
 
 /// How often levels are told. Reading that stands before others is told at once.
 pub const EVERY: Duration = Duration::from_millis(50);
 
-/// Reading from which on a placement is told at once, in milliseconds: what a short question's
-/// caller would notice.
-const AT_ONCE_MS: f64 = 40.0;
+/// Reading from which on a placement is told at once, in milliseconds: a few such parts in one
+/// pass make it too long for those who write there.
+const AT_ONCE_MS: f64 = 2.0;
 
 /// One instance's work on one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
@@ -34,7 +37,7 @@
 pub struct Told {
     /// The endpoint.
     pub endpoint: EndpointId,
-    /// Milliseconds of reading placed since the last word of it.
+    /// Milliseconds of reading placed since the last word of it, less what isn't wanted any more.
     pub placed_ms: f32,
     /// What the teller has there now.
     pub level: Level,
@@ -48,8 +51,8 @@
 pub(super) fn tell(servers: &mut IndexMap<EndpointId, Server>, is_due: bool) -> Vec<Told> {
     let mut news = Vec::new();
     for (endpoint, server) in servers {
-        let changed = server.untold_ms > 0.0 || server.own != server.told;
-        if !changed || !is_due && server.untold_ms < AT_ONCE_MS {
+        let changed = server.untold_ms != 0.0 || server.own != server.told;
+        if !changed || !is_due && server.untold_ms.abs() < AT_ONCE_MS {
             continue;
         }
         server.told = server.own;
@@ -59,16 +62,28 @@
     news
 }
 
+/// Takes in another instance's news, and tells how much long reading it placed.
 pub(super) fn hear(
     servers: &mut IndexMap<EndpointId, Server>,
+    rules: Option<&EngineRules>,
     peer: &InstanceId,
     words: &[Word],
     now: Time,
-) {
+) -> f64 {
+    let mut long_ms = 0.0;
     for word in words {
         let Some(server) = servers.get_mut(&word.endpoint) else { continue };
-        if word.placed_ms > 0.0 {
-            server.read(f64::from(word.placed_ms), now);
+        let placed_ms = f64::from(word.placed_ms);
+        match rules {
+            Some(rules) if placed_ms > 0.0 => server.read(rules, placed_ms, now),
+            _ if placed_ms < 0.0 => {
+                // What was placed and taken back within one word was never counted here.
+                server.unread(-placed_ms, now);
+            }
+            _ => {}
+        }
+        if placed_ms > SHORT_MS {
+            long_ms += placed_ms;
         }
         if word.level == Level::default() {
             server.peers.swap_remove(peer);
@@ -76,4 +91,5 @@
             server.peers.insert(peer.clone(), word.level);
         }
     }
+    long_ms
 }
--- a/crates/policy/src/routes/engine.rs
+++ b/crates/policy/src/routes/engine.rs
@@ -27,8 +27,8 @@
     pub read_ms_per_1m_pairs: f64,
     /// The longest prompts use several engines; this many further ones at most.
     pub max_helpers: usize,
-    /// Tokens of output that callers usually get.
-    pub usual_output: u64,
+    /// Tokens that a writing request usually has in memory.
+    pub usual_context: u64,
 }
 
 impl EngineRules {
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -21,7 +21,7 @@
         read_tokens_per_ms: 256.0,
         read_ms_per_1m_pairs: 0.0917,
         max_helpers: 16,
-        usual_output: 1540,
+        usual_context: 6_500,
     }
 }
 
@@ -57,6 +57,7 @@
         output: 1_500,
         goal_ms,
         pause_ms,
+        left_ms: 60_000.0,
         priority: 1,
         fingerprint: Fingerprint(u128::from(prompt)),
         tried: Vec::new(),
@@ -66,6 +67,11 @@
 const QUESTION: u64 = 5_000;
 const DOSSIER: u64 = 210_000;
 
+fn endpoints(placement: &Placement) -> Vec<&EndpointId> {
+    let helpers = placement.helpers.iter().map(|helper| &helper.endpoint);
+    std::iter::once(&placement.endpoint).chain(helpers).collect()
+}
+
 fn at(ms: u64) -> Time {
     Time::from_millis(ms)
 }
@@ -110,7 +116,7 @@
     let free = (0..16).map(id).filter(|engine| !writing.contains(engine)).count();
     assert!(placement.helpers.len() + 1 >= free.min(3), "{placement:?}");
     let disturbed = std::iter::once(&placement.endpoint)
-        .chain(&placement.helpers)
+        .chain(placement.helpers.iter().map(|helper| &helper.endpoint))
         .filter(|engine| writing.contains(engine))
         .count();
     assert!(disturbed == 0 || free < 3, "{disturbed} of {} disturbed", placement.helpers.len() + 1);
@@ -134,11 +140,8 @@
     let peer = InstanceId::new("entry-1").unwrap();
     two.hear(&peer, &one.tell(false), Time::ZERO);
     let second = place(&mut two, DOSSIER, Time::ZERO);
-    let taken: Vec<_> = std::iter::once(&first.endpoint).chain(&first.helpers).collect();
-    let shared = std::iter::once(&second.endpoint)
-        .chain(&second.helpers)
-        .filter(|engine| taken.contains(engine))
-        .count();
+    let taken: Vec<_> = endpoints(&first);
+    let shared = endpoints(&second).iter().filter(|engine| taken.contains(engine)).count();
     let idle = 16 - taken.len();
     assert!(shared <= (second.helpers.len() + 1).saturating_sub(idle), "{first:?} {second:?}");
 }
@@ -155,7 +158,7 @@
         let pause = Duration::from_millis(if is_slow { 250 } else { 50 });
         arranger.began(placement.job, now + pause);
         for _ in 0..8 {
-            arranger.paused(placement.job, pause);
+            arranger.paused(placement.job, pause, now + pause);
         }
         *counts.entry(placement.endpoint).or_default() += 1;
         arranger.ended(placement.job, None, now + 3 * pause);
@@ -220,3 +223,44 @@
     let again = place(&mut arranger, DOSSIER, at(60_000));
     assert!((again.predicted_ms - fresh.predicted_ms).abs() < 1.0, "{again:?} {fresh:?}");
 }
+
+/// A dossier is larger than any engine's memory. What doesn't fit where it runs is reserved on
+/// others, exactly, and given back with the rest.
+#[test]
+fn the_longest_prompts_reserve_what_is_missing() {
+    let mut arranger = arranger(16);
+    let placement = place(&mut arranger, 900_000, Time::ZERO);
+    let reserved: u64 = placement.helpers.iter().filter_map(|helper| helper.reserve).sum();
+    assert!(reserved >= 900_000 + 1_500 - 450_000, "{placement:?}");
+    assert!(placement.helpers.iter().filter(|helper| helper.reserve.is_some()).count() <= 2);
+    let level: u64 = arranger.tell(true).iter().map(|word| word.level.memory).sum();
+    assert_eq!(level, 901_500);
+    arranger.ended(placement.job, None, at(9_000));
+    let level: u64 = arranger.tell(true).iter().map(|word| word.level.memory).sum();
+    assert_eq!(level, 0);
+}
+
+/// Four engines can't hold a million tokens beside what they have. That is said at once instead of
+/// when the time is over.
+#[test]
+fn what_cannot_fit_is_refused_at_once() {
+    let mut two = arranger(2);
+    assert_eq!(two.place(&ask(1_000_000), Time::ZERO), Err(Refused::NoEndpoint));
+    let late = arranger(2).place(&Ask { left_ms: 2_000.0, ..ask(600_000) }, Time::ZERO);
+    assert!(matches!(late, Err(Refused::TooLate(_))), "{late:?}");
+}
+
+/// A caller leaves before its dossier is read. The other instance, which had heard of it, hears
+/// that it isn't coming, and uses the engines again.
+#[test]
+fn others_hear_of_what_was_called_off() {
+    let (mut one, mut two) = (arranger(4), arranger(4));
+    let peer = InstanceId::new("entry-1").unwrap();
+    let first = place(&mut one, DOSSIER, Time::ZERO);
+    two.hear(&peer, &one.tell(false), Time::ZERO);
+    one.ended(first.job, Some(FailCause::Deadline), at(2));
+    two.hear(&peer, &one.tell(true), at(2));
+    let after = place(&mut two, DOSSIER, at(3)).predicted_ms;
+    let alone = place(&mut arranger(4), DOSSIER, at(3)).predicted_ms;
+    assert!((after - alone).abs() < 1.0, "{after} {alone}");
+}
--- a/crates/policy/tests/routes.rs
+++ b/crates/policy/tests/routes.rs
@@ -82,7 +82,7 @@
     assert!(keys.is_required() && !KeyTable::default().is_required());
 }
 
-pub fn engine() -> EngineRules {
+fn engine() -> EngineRules {
     EngineRules {
         slots: 16,
         memory_tokens: 450_000,
@@ -93,7 +93,7 @@
         read_tokens_per_ms: 256.0,
         read_ms_per_1m_pairs: 0.0917,
         max_helpers: 16,
-        usual_output: 1540,
+        usual_context: 6_500,
     }
 }
 
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -1,7 +1,8 @@
 //! What an outside system's headers say, as facts. One type for each wire format implements it.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use http::{HeaderMap, request, response};
 use policy::{EndpointId, Workspace};
 
@@ -34,11 +35,31 @@
     /// Rank on the engine; zero goes first.
     pub priority: Option<u8>,
     /// Engines that read a part of the prompt.
-    pub helpers: &'a [std::net::SocketAddr],
+    pub helpers: &'a [HelperFacts],
     /// The last event that the caller has, where the answer goes on behind it.
     pub resume_after: Option<u64>,
 }
 
+/// An engine that reads a part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HelperFacts {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The reservation that holds a part of the prompt's memory there.
+    pub reservation: Option<String>,
+}
+
+/// An order to an engine, as it goes out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The path.
+    pub path: &'static str,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// What an endpoint says of an answer besides its status and body.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct AnswerFacts {
@@ -49,7 +70,7 @@
     /// The endpoint vouches that this is its answer.
     pub is_vouched: bool,
     /// Where another endpoint is at fault: its address.
-    pub at_fault: Option<std::net::SocketAddr>,
+    pub at_fault: Option<SocketAddr>,
 }
 
 /// A request whose headers can't be read.
@@ -80,6 +101,12 @@
     /// What an endpoint says.
     fn read_answer(&self, head: &response::Parts) -> AnswerFacts;
 
+    /// An order to reserve memory under an id for a while, or to go on doing so.
+    fn reserve(&self, endpoint: &EndpointId, id: &str, tokens: u64, hold: Duration) -> Order;
+
+    /// An order to end a reservation.
+    fn release(&self, endpoint: &EndpointId, id: &str) -> Order;
+
     /// The endpoint's headers as the caller gets them.
     fn pass_on(&self, answer: &HeaderMap) -> HeaderMap;
 
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -23,12 +23,13 @@
     AnswerBody, Handler, Received, Refusal,
     attempt::{self, AttemptError, Spawner, Upstream},
     hedge,
+    memory::{ReservationIds, Reservations, Wish},
     refusal::Reason,
     relay,
 };
 use crate::{
     clock::Clock,
-    dialect::{AnswerFacts, AttemptFacts, Dialect},
+    dialect::{AnswerFacts, AttemptFacts, Dialect, HelperFacts},
     links::Nudge,
     lock,
     state::{Group, Groups, Lifecycle},
@@ -70,6 +71,8 @@
     pub instances: Arc<AtomicUsize>,
     /// Wakes the links for work that other instances have to hear of at once.
     pub nudge: Nudge,
+    /// Names reservations of engines' memory.
+    pub reservation_ids: ReservationIds,
 }
 
 /// Sends requests to endpoints.
@@ -122,9 +125,11 @@
 }
 
 /// A request that an endpoint answers.
-pub(super) struct Live {
+pub(super) struct Live<D: Dialect> {
     pub(super) upstream: Upstream,
     pub(super) run: Run,
+    /// Held until the run has ended.
+    _memory: Reservations<D>,
 }
 
 /// A request's place. Dropping it gives the place back.
@@ -144,7 +149,7 @@
 
     /// There was a pause between two events.
     pub(super) fn paused(&self, pause: Duration) {
-        lock(&self.group.arranger).paused(self.job, pause);
+        lock(&self.group.arranger).paused(self.job, pause, self.clock.now());
     }
 
     /// The run ended.
@@ -194,7 +199,7 @@
 
     /// An answer that is passed on once it is whole, so that what breaks off can be asked again.
     async fn whole(self) -> Result<Response<AnswerBody>, Refusal> {
-        let answered = hedge::first(&self, async |call, live: Live| {
+        let answered = hedge::first(&self, async |call, live: Live<D>| {
             let head = live.upstream.head.clone();
             match live.upstream.collect(call.left()).await {
                 Ok(body) => {
@@ -297,13 +302,18 @@
                     attempt = ask.tried.len() + 1;
                     "placed"
                 );
-                if !placement.helpers.is_empty() {
+                if ask.prompt > 0 {
                     self.parts.nudge.nudge();
                 }
                 Ok(placement)
             }
             Err(Refused::NoEndpoint) => Err(self.give_up(Reason::NoEndpoint)),
             Err(Refused::Quarantined(_)) => Err(self.give_up(Reason::Quarantined)),
+            Err(Refused::TooLate(by)) => {
+                log::info!(id = self.id(), prompt = ask.prompt, late_ms = by.as_millis() as u64;
+                    "too_late");
+                Err(self.give_up(Reason::TooLate))
+            }
         }
     }
 
@@ -315,6 +325,7 @@
         Ask {
             prompt,
             output,
+            left_ms: self.left().as_secs_f64() * 1000.0,
             goal_ms: received.route.goal.saturating_sub(spent).as_secs_f64() * 1000.0,
             pause_ms: received.route.pause_goal.as_secs_f64() * 1000.0,
             priority: rank.unwrap_or(received.route.priority),
@@ -324,7 +335,7 @@
     }
 
     /// Sends it to a place; none where that gave no answer that may be the caller's.
-    pub(super) async fn attempt(&self, placement: Placement) -> Option<Live> {
+    pub(super) async fn attempt(&self, placement: Placement) -> Option<Live<D>> {
         let run = Run {
             group: self.group.clone(),
             clock: self.parts.clock,
@@ -337,7 +348,19 @@
             lock(&self.progress).not_sent += 1;
             return None;
         };
-        let req = self.request(&placement);
+        let helpers = self.helpers(&placement);
+        let wishes = self.wishes(&placement, &helpers);
+        let taken = Reservations::take(&self.parts.dialect, &self.parts.executor, wishes).await;
+        let memory = match taken {
+            Ok(memory) => memory,
+            Err(endpoint) => {
+                log::info!(id = self.id(), endpoint = endpoint.as_str(); "not_reserved");
+                lock(&self.progress).not_sent += 1;
+                run.end(Some(FailCause::Rejected));
+                return None;
+            }
+        };
+        let req = self.request(&placement, &helpers);
         {
             // Until the attempt proves otherwise it may have run.
             let mut progress = lock(&self.progress);
@@ -347,7 +370,7 @@
         let group = self.group.clone();
         let sending = || lock(&group.arranger).sent(placement.job);
         match attempt::send(&self.parts.executor, address, req, self.left(), sending).await {
-            Ok(upstream) => self.judge(Live { upstream, run }).await,
+            Ok(upstream) => self.judge(Live { upstream, run, _memory: memory }).await,
             Err(AttemptError::NotSent { is_refused }) => {
                 self.take_back();
                 log::info!(id = self.id(), endpoint = run.endpoint.as_str(), is_refused;
@@ -365,16 +388,39 @@
         }
     }
 
-    fn request(&self, placement: &Placement) -> http::Request<http_body_util::Full<bytes::Bytes>> {
-        let helpers: Vec<_> =
-            placement.helpers.iter().filter_map(|helper| self.group.address(helper)).collect();
+    fn helpers(&self, placement: &Placement) -> Vec<HelperFacts> {
+        let helpers = placement.helpers.iter().filter_map(|helper| {
+            let address = self.group.address(&helper.endpoint)?;
+            let reservation = helper.reserve.map(|_| self.parts.reservation_ids.next());
+            Some(HelperFacts { address, reservation })
+        });
+        helpers.collect()
+    }
+
+    /// What has to be reserved before the prompt is sent.
+    fn wishes(&self, placement: &Placement, helpers: &[HelperFacts]) -> Vec<Wish> {
+        let reserving = placement.helpers.iter().filter_map(|helper| {
+            let tokens = helper.reserve?;
+            let address = self.group.address(&helper.endpoint)?;
+            let facts = helpers.iter().find(|facts| facts.address == address)?;
+            let id = facts.reservation.clone()?;
+            Some(Wish { endpoint: helper.endpoint.clone(), address, tokens, id })
+        });
+        reserving.collect()
+    }
+
+    fn request(
+        &self,
+        placement: &Placement,
+        helpers: &[HelperFacts],
+    ) -> http::Request<http_body_util::Full<bytes::Bytes>> {
         let received = &self.received;
         let facts = AttemptFacts {
             left: self.left(),
             endpoint: &placement.endpoint,
             workspace: received.owner.as_ref().map(|owner| &owner.workspace),
             priority: received.caller.tokens.map(|_| placement.priority),
-            helpers: &helpers,
+            helpers,
             resume_after: self.last_event(),
         };
         let headers = self.parts.dialect.write_attempt(&received.head.headers, &facts);
@@ -403,7 +449,7 @@
     }
 
     /// Whether an answer may be the caller's.
-    async fn judge(&self, live: Live) -> Option<Live> {
+    async fn judge(&self, live: Live<D>) -> Option<Live<D>> {
         let facts = self.parts.dialect.read_answer(&live.upstream.head);
         let status = live.upstream.head.status;
         if !self.is_ours(&facts) {
@@ -450,7 +496,7 @@
 
     /// An endpoint's own failure. It ran; another endpoint may do better where that is allowed,
     /// and else this is the answer.
-    async fn server_error(&self, live: Live) {
+    async fn server_error(&self, live: Live<D>) {
         let head = live.upstream.head.clone();
         log::info!(id = self.id(), endpoint = live.run.endpoint.as_str(),
             status = head.status.as_u16(); "endpoint_error");
--- a/crates/router/src/filter/hedge.rs
+++ b/crates/router/src/filter/hedge.rs
@@ -46,7 +46,7 @@
 pub(super) async fn first<D, T, F>(call: &Call<D>, take: F) -> Result<T, Refusal>
 where
     D: Dialect,
-    F: AsyncFn(&Call<D>, Live) -> Result<T, FailCause>,
+    F: AsyncFn(&Call<D>, Live<D>) -> Result<T, FailCause>,
 {
     loop {
         let placement = call.next_place()?;
@@ -86,7 +86,7 @@
 async fn attempt<D, T, F>(call: &Call<D>, placement: Placement, take: &F) -> Option<T>
 where
     D: Dialect,
-    F: AsyncFn(&Call<D>, Live) -> Result<T, FailCause>,
+    F: AsyncFn(&Call<D>, Live<D>) -> Result<T, FailCause>,
 {
     let live = call.attempt(placement).await?;
     take(call, live).await.ok()
--- a/crates/router/src/filter/mod.rs
+++ b/crates/router/src/filter/mod.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 mod hedge;
 mod identify;
+mod memory;
 mod receive;
 mod refusal;
 mod relay;
@@ -20,6 +21,7 @@
 pub use body::AnswerBody;
 pub use dispatch::{Dispatch, Parts};
 pub use identify::{Identified, Identify};
+pub use memory::ReservationIds;
 pub use receive::{Receive, Received};
 pub use refusal::Refusal;
 
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -24,6 +24,8 @@
     Stale,
     /// No endpoint may run it now.
     NoEndpoint,
+    /// Its answer would come after its caller's time.
+    TooLate,
     /// Endpoints died of it.
     Quarantined,
     /// Endpoints refused it without running it.
@@ -45,6 +47,7 @@
             Reason::NoKey => "no_key",
             Reason::Stale => "configuration_stale",
             Reason::NoEndpoint => "no_endpoint",
+            Reason::TooLate => "too_late",
             Reason::Quarantined => "quarantined",
             Reason::Rejected => "rejected",
             Reason::Unknown => "outcome_unknown",
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -50,15 +50,15 @@
 }
 
 /// A stream whose first event has come.
-struct Flow {
-    live: Live,
+struct Flow<D: Dialect> {
+    live: Live<D>,
     events: Events,
     next: Next,
 }
 
 /// The beginning of an answer.
-enum Opened {
-    Flow(Flow),
+enum Opened<D: Dialect> {
+    Flow(Flow<D>),
     /// A final answer that is no stream.
     Whole(response::Parts, Bytes),
 }
@@ -92,7 +92,7 @@
 }
 
 /// Waits for the first event of an answer.
-async fn open<D: Dialect>(call: &Call<D>, mut live: Live) -> Result<Opened, FailCause> {
+async fn open<D: Dialect>(call: &Call<D>, mut live: Live<D>) -> Result<Opened<D>, FailCause> {
     let head = live.upstream.head.clone();
     if !head.status.is_success() {
         return match live.upstream.collect(call.left()).await {
@@ -122,7 +122,7 @@
     Ok(Opened::Flow(Flow { live, events, next }))
 }
 
-async fn feed<D: Dialect>(call: Call<D>, flow: Flow, tx: EventSender) {
+async fn feed<D: Dialect>(call: Call<D>, flow: Flow<D>, tx: EventSender) {
     let (outcome, broken) = match follow(&call, flow, &tx).await {
         Ended::Finished => ("finished", false),
         Ended::Expired => ("expired", true),
@@ -137,7 +137,7 @@
 }
 
 /// Passes events on until the answer is whole or can't go on.
-async fn follow<D: Dialect>(call: &Call<D>, mut flow: Flow, tx: &EventSender) -> Ended {
+async fn follow<D: Dialect>(call: &Call<D>, mut flow: Flow<D>, tx: &EventSender) -> Ended {
     let silence = LEAST_SILENCE.max(call.received.route.pause_goal * SILENT_PAUSES);
     loop {
         let Flow { live, events, next } = flow;
@@ -178,10 +178,10 @@
 /// time is over.
 async fn wait<D: Dialect>(
     call: &Call<D>,
-    mut live: Live,
+    mut live: Live<D>,
     mut events: Events,
     silence: Duration,
-) -> Option<Flow> {
+) -> Option<Flow<D>> {
     let late = async {
         Timer::after(call.left()).await;
     };
@@ -222,7 +222,7 @@
 }
 
 /// Goes on at another endpoint; none where that isn't allowed or nobody does.
-async fn resume<D: Dialect>(call: &Call<D>) -> Option<Flow> {
+async fn resume<D: Dialect>(call: &Call<D>) -> Option<Flow<D>> {
     if call.received.route.repeat != Repeat::Resumable {
         return None;
     }
@@ -234,7 +234,7 @@
 }
 
 /// The next whole event, or the end.
-async fn next_event(live: &mut Live, events: &mut Events) -> Next {
+async fn next_event<D: Dialect>(live: &mut Live<D>, events: &mut Events) -> Next {
     loop {
         if let Some(event) = events.next_event() {
             return Next::Event(event);
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -16,7 +16,7 @@
     Settings,
     clock::{self, Clock},
     dialect::Dialect,
-    filter::{AnswerBody, Dispatch, Handler, Identify, Parts, Receive},
+    filter::{AnswerBody, Dispatch, Handler, Identify, Parts, Receive, ReservationIds},
     follow,
     links::{self, LinkParts, Links},
     net,
@@ -133,6 +133,7 @@
             },
             instances,
             nudge,
+            reservation_ids: ReservationIds::new(format!("{}.{incarnation}", settings.instance)),
         });
         let chain = Identify::new(
             dialect.clone(),
