Refuse at once what can't be on time, write logs to standard output without ever waiting

Cause: in the bursts of dossiers the engines are asked for nine tenths of what they can read.

Change: a prompt whose first event is predicted beyond 0.8 of its goal (long), its goal (middle) or five times its goal (short) is refused with a time to come back; the longest are measured by what idle engines would take. Log lines go through a bounded queue to standard output.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -63,8 +63,7 @@
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).change_context(RunError)?;
     limits::raise_open_files(settings.max_connections);
     if let Some(routing) = &settings.routing {
-        return routing::run(&settings, routing, args.config.clone(), signals)
-            .change_context(RunError);
+        return routing::run(&settings, routing, args.config, signals).change_context(RunError);
     }
     let instance = Instance::start(settings, config).change_context(RunError)?;
     // The stream ends only with the process. The configuration comes from the log or is published,
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -1,21 +1,34 @@
-//! Log lines: one event a line, as key=value pairs, on standard error.
+//! Log lines: one event a line, as key=value pairs, on standard output.
+//!
+//! `docs/OPERATIONS.md` lists the events and how to follow a request through them.
+
+pub mod queue;
 
 use std::{io, time::SystemTime};
 
-use flexi_logger::{DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle};
+use flexi_logger::{
+    DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle, writers::LogWriter,
+};
 use log::{
-    LevelFilter, Record,
+    Level, LevelFilter, Record,
     kv::{Error, Key, Value, VisitSource},
 };
 
 use crate::cli::LogLevel;
+use queue::{LineQueue, LineWriter, Rank};
 
-/// Starts logging. Dropping the result ends it.
+/// Keeps logging going. Dropping it writes the last lines and ends it.
+pub struct Logging {
+    _handle: LoggerHandle,
+    _writer: LineWriter,
+}
+
+/// Starts logging.
 ///
 /// # Errors
 ///
 /// Where a logger was started before.
-pub fn start(level: LogLevel) -> Result<LoggerHandle, FlexiLoggerError> {
+pub fn start(level: LogLevel) -> Result<Logging, FlexiLoggerError> {
     let filter = match level {
         LogLevel::Error => LevelFilter::Error,
         LogLevel::Warn => LevelFilter::Warn,
@@ -26,12 +39,48 @@
     let spec = LogSpecification::builder()
         .default(LevelFilter::Warn)
         .module("daemon", filter)
+        .module("platform", filter)
         .module("protocols", filter)
         .module("router", filter)
         .build();
-    Logger::with(spec).log_to_stderr().format(line).start()
+    let queue = LineQueue::default();
+    let writer = queue.write_to(io::stdout())?;
+    let sink = Sink { queue, max_level: filter };
+    let handle = Logger::with(spec).log_to_writer(Box::new(sink)).start()?;
+    Ok(Logging { _handle: handle, _writer: writer })
 }
 
+/// Events of which there is one or more for each request; the first to be left out.
+const ROUTINE: [&str; 5] = ["request", "placed", "refused", "hedged", "reserve"];
+
+struct Sink {
+    queue: LineQueue,
+    max_level: LevelFilter,
+}
+
+impl LogWriter for Sink {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let mut bytes = Vec::with_capacity(LINE_BYTES);
+        line(&mut bytes, now, record)?;
+        bytes.push(b'\n');
+        let is_routine = record.level() >= Level::Info
+            && record.args().as_str().is_some_and(|event| ROUTINE.contains(&event));
+        self.queue.push(bytes, if is_routine { Rank::Routine } else { Rank::Kept });
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn max_log_level(&self) -> LevelFilter {
+        self.max_level
+    }
+}
+
+/// What most lines fit into.
+const LINE_BYTES: usize = 256;
+
 fn line(out: &mut dyn io::Write, _: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let level = record.level().as_str().to_ascii_lowercase();
--- a/crates/policy/src/arrange/ask.rs
+++ b/crates/policy/src/arrange/ask.rs
@@ -68,7 +68,7 @@
     NoEndpoint,
     /// Endpoints died of it; it isn't run for this long.
     Quarantined(Duration),
-    /// Its first event would come too late; this much sooner it might not.
+    /// Its first event would come too late now; this much later there may be room.
     TooLate(Duration),
 }
 
--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -28,25 +28,37 @@
 
 /// What one further engine costs a prompt, in weights: each may die under it, and each one's
 /// writers get a longer pause. Keeps prompts whole where splitting gains next to nothing.
-const PER_HELPER: f64 = 0.004;
+const PER_HELPER: f64 = 0.001;
 
 /// The least share of engines that long prompts are taken to need. A burst of them begins within a
 /// second, and questions that are then written everywhere can't be moved.
 const LEAST_LONG_SHARE: f64 = 0.2;
 
-/// How far a prediction has to be past the caller's time before a request is refused at once. The
-/// worst predictions err by half.
-const HOPELESS: f64 = 1.3;
+/// The part of its goal within which a prompt's first event has to be predicted, by its rank; beyond
+/// it the request is refused at once.
+///
+/// A long prompt that comes late is worth a quarter and takes as much of the engines as one that is
+/// on time, so serving it makes the next one late as well: a burst of dossiers at nine tenths of
+/// what the engines can read then ends with all of them late. Predictions err low by a fifth. A
+/// question takes next to nothing and is refused only where it would wait for seconds.
+const BOUNDS: [(u8, f64); 3] = [(SHORT_RANK, 5.0), (MIDDLE_RANK, 1.0), (LONG_RANK, 0.8)];
 
 /// Milliseconds of reading up to which a prompt goes beside writers whole.
 pub(super) const SHORT_MS: f64 = 45.0;
 
+/// A prompt that couldn't be on time even on idle engines is taken on if it would take little
+/// longer than that: else the longest would never be served at all.
+const IDLE_FACTOR: f64 = 1.2;
+const IDLE_SLACK_MS: f64 = 300.0;
+
 /// What is chosen for a request.
 pub(super) struct Chosen {
     /// Indices of the endpoints; the first one runs it.
     servers: Vec<usize>,
     part_ms: f64,
     predicted_ms: f64,
+    /// Milliseconds that reading it would take if all engines that may read it were idle.
+    idle_ms: f64,
     weight: f64,
     /// Tokens of memory where it runs, less what is reserved on others.
     memory: u64,
@@ -56,9 +68,12 @@
 }
 
 impl Chosen {
-    /// Milliseconds by which its first event would come too late for anybody to wait.
+    /// Milliseconds by which its first event is predicted too late to be worth its while.
     pub(super) fn late_ms(&self, ask: &Ask) -> f64 {
-        self.predicted_ms - HOPELESS * ask.left_ms
+        let part =
+            BOUNDS.iter().find(|(rank, _)| *rank == self.rank).map_or(1.0, |(_, part)| *part);
+        let bound = (part * ask.goal_ms).max(IDLE_FACTOR * self.idle_ms + IDLE_SLACK_MS);
+        self.predicted_ms - bound.min(ask.left_ms)
     }
 }
 
@@ -94,6 +109,7 @@
             servers: Vec::new(),
             part_ms: read_ms,
             predicted_ms: 0.0,
+            idle_ms: read_ms / self.usable().min(rules.max_helpers + 1).max(1) as f64,
             weight,
             memory,
             reserve: Vec::new(),
@@ -253,6 +269,7 @@
             servers: vec![index],
             part_ms: 0.0,
             predicted_ms: 0.0,
+            idle_ms: 0.0,
             weight: 1.0,
             memory: 0,
             reserve: Vec::new(),
@@ -359,14 +376,23 @@
     }
 }
 
+/// Ranks on an engine by the length of a prompt.
+const SHORT_RANK: u8 = 1;
+const MIDDLE_RANK: u8 = 3;
+const LONG_RANK: u8 = 5;
+
+/// Milliseconds of reading up to which a prompt is of middle length: what a caller who waits for a
+/// summary would notice.
+const MIDDLE_MS: f64 = 1_000.0;
+
 /// The rank that engines take for the least urgent.
 const LOWEST_RANK: u8 = 9;
 
 /// A prompt's rank on an engine: what is read soonest goes first, which delays the others least.
 fn rank(read_ms: f64) -> u8 {
     match read_ms {
-        ms if ms <= SHORT_MS => 1,
-        ms if ms <= 1000.0 => 3,
-        _ => 5,
+        ms if ms <= SHORT_MS => SHORT_RANK,
+        ms if ms <= MIDDLE_MS => MIDDLE_RANK,
+        _ => LONG_RANK,
     }
 }
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -41,6 +41,10 @@
 /// When to come back if endpoints refused a request as full: a few short answers' time.
 const ROOM_SOON: Duration = Duration::from_millis(250);
 
+/// The latest time to come back that is told: bursts last for seconds, and a caller that stays
+/// away longer than needed finds nobody before it.
+const LATEST_RETURN: Duration = Duration::from_millis(2_500);
+
 /// Connections that may fail and wrong servers that may be met for one request. Each costs its
 /// caller up to a third of a second.
 const MAX_NOT_SENT: u32 = 3;
@@ -312,7 +316,7 @@
             Err(Refused::TooLate(by)) => {
                 log::info!(id = self.id(), prompt = ask.prompt, late_ms = by.as_millis() as u64;
                     "too_late");
-                Err(self.give_up(Reason::TooLate))
+                Err(self.come_back(Reason::TooLate, by))
             }
         }
     }
@@ -509,6 +513,16 @@
         }
     }
 
+    /// The end of a request that there is no room for before `after`. Callers refused together
+    /// come back spread out.
+    fn come_back(&self, reason: Reason, after: Duration) -> Refusal {
+        if self.may_have_run() {
+            return Refusal::unknown(reason);
+        }
+        let after = after.clamp(ROOM_SOON, LATEST_RETURN).mul_f64(1.0 + 0.25 * fastrand::f64());
+        Refusal::not_run(reason, after)
+    }
+
     /// The end of the request without an answer to pass on.
     pub(super) fn give_up(&self, reason: Reason) -> Refusal {
         if self.may_have_run() {
