--- a/crates/daemon/src/settings/routing.rs
+++ b/crates/daemon/src/settings/routing.rs
@@ -21,6 +21,8 @@
     pub ready_listen: SocketAddr,
     /// A key that was taken away is refused everywhere after this, in milliseconds.
     pub revoke_ms: u64,
+    /// An endpoint that leaves gets nothing new after this, in milliseconds.
+    pub leave_ms: u64,
     /// A new configuration is in force after this, in milliseconds.
     pub apply_ms: u64,
     /// From the order to stop to the end by force, in milliseconds.
@@ -42,6 +44,7 @@
         let ready_listen = fields.required("ready_listen", ADDRESS, findings);
         let mut millis = |name, default| fields.whole(name, 1..=MAX_MS, default, findings);
         let revoke_ms = millis("revoke_ms", REVOKE_MS);
+        let leave_ms = millis("leave_ms", LEAVE_MS);
         let apply_ms = millis("apply_ms", APPLY_MS);
         let stop_ms = millis("stop_ms", STOP_MS);
         let retry_window_ms = millis("retry_window_ms", RETRY_WINDOW_MS);
@@ -52,6 +55,7 @@
             log_service: log_service?,
             ready_listen: ready_listen?,
             revoke_ms,
+            leave_ms,
             apply_ms,
             stop_ms,
             retry_share: retry_share.unwrap_or(RETRY_SHARE),
@@ -64,6 +68,7 @@
     pub fn bounds(&self) -> Bounds {
         Bounds {
             revoke: Duration::from_millis(self.revoke_ms),
+            leave: Duration::from_millis(self.leave_ms),
             apply: Duration::from_millis(self.apply_ms),
             stop: Duration::from_millis(self.stop_ms),
             retry_share: self.retry_share,
@@ -91,6 +96,7 @@
 
 /// In force where the settings don't say: the bounds of today's two sites.
 const REVOKE_MS: u64 = 5_000;
+const LEAVE_MS: u64 = 2_000;
 const APPLY_MS: u64 = 2_000;
 const STOP_MS: u64 = 8_000;
 const RETRY_WINDOW_MS: u64 = 10_000;
--- a/crates/router/src/filter/identify.rs
+++ b/crates/router/src/filter/identify.rs
@@ -16,9 +16,9 @@
 };
 
 /// Beyond this age a route or key that isn't there may have been added meanwhile; asking again
-/// after a moment is better than hearing that it doesn't exist. Half of the shortest time within
-/// which operators want a configuration in force.
-const TRUSTED_FOR: Duration = Duration::from_millis(1_500);
+/// after a moment is better than hearing that it doesn't exist. News arrive at once, so a reading
+/// that is held while nothing changes is no sign of age; beyond its end and a retry it is.
+const TRUSTED_FOR: Duration = Duration::from_millis(3_300);
 
 /// When to come back to an instance that knows too little: two readings of the configuration.
 const KNOWN_SOON: Duration = Duration::from_millis(500);
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -17,9 +17,9 @@
     state::{Group, Groups},
 };
 
-/// Time between two readings. Two of them, one of which fails, fit into the shortest time within
-/// which a leaving endpoint may get nothing new.
-const PERIOD: Duration = Duration::from_millis(650);
+/// Time between two readings, as a part of the time within which a leaving endpoint may get nothing
+/// new. What varies about it, a retry and the way there fit into the rest; each reading has a price.
+const PERIOD: f64 = 0.55;
 
 /// Pause after a failed reading.
 const RETRY: Duration = Duration::from_millis(200);
@@ -35,6 +35,7 @@
     groups: Arc<Groups>,
     here: DataCentre,
     clock: Clock,
+    leave: Duration,
 ) {
     let mut contact = Contact::new("endpoints");
     let mut roster = Roster::<EndpointId, EndpointEntry>::default();
@@ -49,7 +50,7 @@
                 if roster.read(&found, clock.now()) {
                     update(&groups, roster.entries(), &here, clock);
                 }
-                PERIOD
+                leave.mul_f64(PERIOD)
             }
             Err(e) => {
                 contact.failed(&e);
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -26,8 +26,8 @@
 };
 
 /// Beyond this age of the configuration the balancer is asked to look elsewhere, where there is a
-/// better informed instance. Two failed readings in a row are no reason yet.
-const READY_FOR: Duration = Duration::from_millis(3_000);
+/// better informed instance. A reading that is held and one that fails are no reason yet.
+const READY_FOR: Duration = Duration::from_millis(3_700);
 
 /// How long a stopping instance serves on as before: the balancer asks every second and believes
 /// the second miss.
@@ -161,7 +161,9 @@
         let followed = follow::configuration(sources.configuration, configuration, groups.clone());
         spawn.spawn(followed).detach();
         let here = settings.data_centre.clone();
-        spawn.spawn(follow::endpoints(sources.endpoints, groups, here, clock)).detach();
+        spawn
+            .spawn(follow::endpoints(sources.endpoints, groups, here, clock, bounds.leave))
+            .detach();
         log::info!(
             instance = settings.instance.as_str(),
             incarnation = incarnation.0,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -30,6 +30,8 @@
 pub struct Bounds {
     /// A key that was taken away is refused everywhere after this.
     pub revoke: Duration,
+    /// An endpoint that leaves gets nothing new after this.
+    pub leave: Duration,
     /// A new configuration is in force after this, while its source is well.
     pub apply: Duration,
     /// From the order to stop to the end by force.
