--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -10,7 +10,7 @@
 use async_signal::{Signal, Signals};
 use error_stack::{Report, ResultExt};
 use futures_lite::StreamExt;
-use router::{Instance, instance::BindError};
+use router::{Instance, instance::StartError};
 use smol::{
     Executor,
     channel::{Receiver, bounded},
@@ -28,7 +28,7 @@
     routing: &RoutingSettings,
     config: PathBuf,
     mut signals: Signals,
-) -> Result<(), Report<BindError>> {
+) -> Result<(), Report<StartError>> {
     let executor = Arc::new(Executor::new());
     let (stop, stopped) = bounded::<()>(1);
     let threads = settings.threads.unwrap_or(1);
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -32,6 +32,7 @@
     dialect::{AnswerFacts, AttemptFacts, Dialect, HelperFacts},
     links::Nudge,
     lock,
+    metrics::Metrics,
     state::{Group, Groups, Lifecycle},
 };
 
@@ -75,6 +76,8 @@
     pub instances: Arc<AtomicUsize>,
     /// Wakes the links for work that other instances have to hear of at once.
     pub nudge: Nudge,
+    /// Counts what happens.
+    pub metrics: Arc<Metrics>,
     /// Names reservations of engines' memory.
     pub reservation_ids: ReservationIds,
 }
@@ -218,6 +221,7 @@
         });
         match answered.await {
             Ok((head, body)) => {
+                self.note_began();
                 self.note_end("finished", head.status);
                 Ok(self.answer(&head, body))
             }
@@ -249,6 +253,7 @@
     pub(super) fn failed(&self, run: Run, cause: FailCause) {
         log::info!(id = self.id(), endpoint = run.endpoint.as_str(), cause:? = cause,
             last_event:? = self.last_event(); "attempt_failed");
+        self.parts.metrics.failed(cause);
         run.end(Some(cause));
     }
 
@@ -371,6 +376,7 @@
             progress.sent += 1;
             progress.doubtful += 1;
         }
+        self.parts.metrics.sent();
         let group = self.group.clone();
         let sending = || lock(&group.arranger).sent(placement.job);
         match attempt::send(&self.parts.executor, address, req, self.left(), sending).await {
@@ -540,8 +546,20 @@
         lock(&self.progress).failure.take()
     }
 
+    /// Tokens of its prompt, where its caller counts them.
+    fn prompt(&self) -> Option<u64> {
+        self.received.caller.tokens.map(|(prompt, _)| prompt)
+    }
+
+    /// The first byte of the answer is about to go to the caller.
+    pub(super) fn note_began(&self) {
+        let taken = self.parts.clock.now().since(self.received.arrived);
+        self.parts.metrics.began(self.prompt(), taken);
+    }
+
     pub(super) fn note_end(&self, outcome: &'static str, status: StatusCode) {
         let total = self.parts.clock.now().since(self.received.arrived);
+        self.parts.metrics.ended(outcome, self.prompt(), total);
         log::info!(
             id = self.id(),
             route = self.received.route.name.as_str(),
--- a/crates/router/src/filter/hedge.rs
+++ b/crates/router/src/filter/hedge.rs
@@ -65,6 +65,7 @@
                 None => continue,
             }
         };
+        call.parts.metrics.hedged();
         log::info!(id = call.id(), endpoint = placement.endpoint.as_str(),
             after_ms = patience.as_millis() as u64; "hedged");
         let mut two = pin!(attempt(call, placement, &take));
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -83,6 +83,7 @@
         }
         Err(refusal) => return call.take_failure().ok_or(refusal),
     };
+    call.note_began();
     let (tx, rx) = bounded(WAITING_EVENTS);
     let executor = call.parts.executor.clone();
     let resp = call.answer_with(&flow.live.upstream.head, AnswerBody::whole(Bytes::new()));
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -19,6 +19,7 @@
     filter::{AnswerBody, Dispatch, Handler, Identify, Parts, Receive, ReservationIds},
     follow,
     links::{self, LinkParts, Links},
+    metrics::{Metrics, MetricsError, MetricsPage},
     net,
     serve::{self, ConnectionRules, Service},
     source::{ConfigSource, EndpointSource, PeerDirectory, PeerEntry},
@@ -43,22 +44,25 @@
 /// How long idle connections are given to close once nothing is under way.
 const IDLE_CLOSE: Duration = Duration::from_millis(150);
 
-/// An address can't be listened on.
+/// Why an instance can't start.
 #[derive(Debug)]
-pub struct BindError {
-    /// The address.
-    pub address: SocketAddr,
-    /// Why.
-    pub cause: io::Error,
+pub enum StartError {
+    /// An address can't be listened on.
+    Bind(SocketAddr, io::Error),
+    /// The metrics can't be set up.
+    Metrics(MetricsError),
 }
 
-impl fmt::Display for BindError {
+impl fmt::Display for StartError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "can't listen at {}: {}", self.address, self.cause)
+        match self {
+            StartError::Bind(address, e) => write!(f, "can't listen at {address}: {e}"),
+            StartError::Metrics(e) => write!(f, "{e}"),
+        }
     }
 }
 
-impl std::error::Error for BindError {}
+impl std::error::Error for StartError {}
 
 /// What an instance gets from outside.
 pub struct Sources<C, E, P> {
@@ -82,13 +86,13 @@
     ///
     /// # Errors
     ///
-    /// [`BindError`] for the first address that can't be listened on.
+    /// See [`StartError`].
     pub async fn start<D, C, E, P>(
         settings: Settings,
         dialect: D,
         sources: Sources<C, E, P>,
         executor: Arc<Executor<'static>>,
-    ) -> Result<Instance, BindError>
+    ) -> Result<Instance, StartError>
     where
         D: Dialect,
         C: ConfigSource + 'static,
@@ -102,7 +106,9 @@
         let groups = Arc::new(Groups::default());
         let lifecycle = Arc::new(Lifecycle::default());
         let instances = Arc::new(AtomicUsize::new(1));
-        let bind = |address| move |cause| BindError { address, cause };
+        let bind = |address| move |e| StartError::Bind(address, e);
+        let metrics = Metrics::new(&configuration, &groups, &lifecycle);
+        let metrics = Arc::new(metrics.map_err(StartError::Metrics)?);
         let callers = net::listen(settings.listen).map_err(bind(settings.listen))?;
         let ready = net::listen(settings.ready_listen).map_err(bind(settings.ready_listen))?;
         let socket =
@@ -133,6 +139,7 @@
             },
             instances,
             nudge,
+            metrics: metrics.clone(),
             reservation_ids: ReservationIds::new(format!("{}.{incarnation}", settings.instance)),
         });
         let chain = Identify::new(
@@ -146,6 +153,7 @@
             dialect: dialect.clone(),
             configuration: configuration.clone(),
             lifecycle: lifecycle.clone(),
+            metrics: metrics.clone(),
         };
         let readiness = Readiness {
             path: dialect.ready_path(),
@@ -154,6 +162,11 @@
             lifecycle: lifecycle.clone(),
         };
         let spawn = executor.clone();
+        if let Some(address) = settings.metrics_listen {
+            let listener = net::listen(address).map_err(bind(address))?;
+            let page = Arc::new(MetricsPage { metrics, lifecycle: lifecycle.clone() });
+            spawn.spawn(serve::serve(listener, page, executor.clone())).detach();
+        }
         spawn.spawn(serve::serve(callers, Arc::new(entry), executor.clone())).detach();
         spawn.spawn(serve::serve(ready, Arc::new(readiness), executor.clone())).detach();
         spawn.spawn(links.run()).detach();
@@ -205,6 +218,7 @@
     dialect: Arc<D>,
     configuration: Arc<Configuration>,
     lifecycle: Arc<Lifecycle>,
+    metrics: Arc<Metrics>,
 }
 
 impl<D: Dialect, H: Handler<Request<Incoming>>> Service for Entry<D, H> {
@@ -214,6 +228,7 @@
         let mut resp = match self.chain.handle(req).await {
             Ok(resp) => resp,
             Err(refusal) => {
+                self.metrics.refused(refusal.reason.as_str());
                 log::info!(
                     id = request_id.as_deref().unwrap_or("-"),
                     reason = refusal.reason.as_str(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 pub mod instance;
 pub mod links;
+pub mod metrics;
 pub mod net;
 pub mod serve;
 pub mod settings;
