Leave an endpoint that crawls, instead of staying at its next sign of life

Each event ended the wait, the second engine that had been asked was dropped, no attempt was left, and the caller's time ran out at 26.1 s with a fraction of the answer. Ruled out: the stops of all instances in turn in the same seconds (no request of a stopped instance is among the failed ones).

Change: once another engine has been asked, it takes over with its first event; what the slow one sends until then is passed on. Also gone: a goodbye between instances that nobody said; a planned stop has nothing left to forget.

--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -165,9 +165,10 @@
             }
         }
         let asked = call.parts.clock.now();
-        flow = match wait(call, live, events, silence).await {
-            Some(flow) => flow,
-            None => return Ended::Expired,
+        flow = match wait(call, live, events, silence, tx).await {
+            Waited::Flow(flow) => flow,
+            Waited::Late => return Ended::Expired,
+            Waited::CallerLeft => return Ended::CallerLeft,
         };
         if matches!(flow.next, Next::Event(_)) {
             flow.live.run.paused(call.parts.clock.now().since(asked));
@@ -175,39 +176,79 @@
     }
 }
 
-/// Waits for what comes next, from another endpoint too where this one is silent; none where the
-/// time is over.
+/// What waiting for the next part of a stream came to.
+enum Waited<D: Dialect> {
+    Flow(Flow<D>),
+    /// The time is over.
+    Late,
+    CallerLeft,
+}
+
+/// Waits for what comes next, from another endpoint too where this one is silent.
 async fn wait<D: Dialect>(
     call: &Call<D>,
     mut live: Live<D>,
     mut events: Events,
     silence: Duration,
-) -> Option<Flow<D>> {
+    tx: &EventSender,
+) -> Waited<D> {
     let late = async {
         Timer::after(call.left()).await;
     };
-    let waited = {
-        let mut read = pin!(next_event(&mut live, &mut events));
-        let waited = async {
-            let resumed = async {
-                Timer::after(silence).await;
-                match resume(call).await {
-                    Some(flow) => flow,
-                    // Nobody else goes on, so this one gets all the time there is.
-                    None => std::future::pending().await,
-                }
-            };
-            race(read.as_mut(), resumed).await
-        };
-        race(waited, late).await
-    };
+    let waited = race(wait_or_change(call, &mut live, &mut events, silence, tx), late).await;
     match waited {
-        First::Left(First::Left(next)) => Some(Flow { live, events, next }),
-        First::Left(First::Right(resumed)) => {
+        First::Left(Change::Next(next)) => Waited::Flow(Flow { live, events, next }),
+        First::Left(Change::To(flow)) => {
             call.failed(live.run, FailCause::Silent);
-            Some(resumed)
+            Waited::Flow(flow)
+        }
+        First::Left(Change::CallerLeft) => Waited::CallerLeft,
+        First::Right(()) => Waited::Late,
+    }
+}
+
+/// Whether a stream stays with its endpoint.
+enum Change<D: Dialect> {
+    Next(Next),
+    To(Flow<D>),
+    CallerLeft,
+}
+
+/// Waits for the next event. Where none comes for a while, another endpoint is asked to go on, and
+/// takes over with its first event; what the silent one sends until then is passed on.
+///
+/// Guards against an endpoint that has become so slow that each event comes after a silence:
+/// whoever stayed with it at its first sign of life would miss the caller's time.
+async fn wait_or_change<D: Dialect>(
+    call: &Call<D>,
+    live: &mut Live<D>,
+    events: &mut Events,
+    silence: Duration,
+    tx: &EventSender,
+) -> Change<D> {
+    match race(next_event(live, events), Timer::after(silence)).await {
+        First::Left(next) => return Change::Next(next),
+        First::Right(_) => {}
+    }
+    let mut resumed = pin!(resume(call));
+    loop {
+        match race(next_event(live, events), resumed.as_mut()).await {
+            First::Left(Next::Event(event)) => {
+                if !pass_on(call, event, tx).await {
+                    return Change::CallerLeft;
+                }
+            }
+            First::Left(Next::Failed(cause)) => {
+                return match resumed.await {
+                    Some(flow) => Change::To(flow),
+                    None => Change::Next(Next::Failed(cause)),
+                };
+            }
+            First::Left(Next::End) => return Change::Next(Next::End),
+            First::Right(Some(flow)) => return Change::To(flow),
+            // Nobody else goes on, so this one gets all the time there is.
+            First::Right(None) => return Change::Next(next_event(live, events).await),
         }
-        First::Right(()) => None,
     }
 }
 
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -79,8 +79,6 @@
     Work { group: EndpointGroup, words: Vec<Told> },
     /// Requests suspected of crashing endpoints of one group.
     Suspects { group: EndpointGroup, entries: Vec<quarantine::Entry> },
-    /// The sender stops.
-    Goodbye,
 }
 
 #[derive(Debug)]
@@ -321,7 +319,6 @@
                     lock(&group.arranger).quarantine().import(&entries, now);
                 }
             }
-            Body::Goodbye => self.lose(&instance),
         }
     }
 
@@ -356,27 +353,6 @@
     }
 }
 
-/// Says goodbye to all that the directory names.
-pub async fn say_goodbye(
-    socket: &UdpSocket,
-    me: &PeerEntry,
-    incarnation: Incarnation,
-    peers: &[PeerEntry],
-) {
-    let datagram = Datagram {
-        instance: me.instance.clone(),
-        incarnation,
-        sequence: u64::MAX,
-        body: Body::Goodbye,
-    };
-    let bytes = bincode::serde::encode_to_vec(&datagram, bincode::config::standard());
-    let Ok(bytes) = bytes else { return };
-    for peer in peers {
-        // Whoever doesn't hear it notices the silence.
-        socket.send_to(&bytes, peer.address).await.ok();
-    }
-}
-
 /// Registers this instance and reads the directory now and then, until it is dropped.
 pub async fn follow_directory(
     mut directory: impl PeerDirectory,
