Don't take a route's short time for an endpoint's silence; give test processes lasting ports

Now nothing counts against an endpoint that had less than 0.6 s. Seen once: a test found its address in use, because the system's own choice of port may go to an outgoing connection meanwhile; the platform's tests now take ports as the other tests do.

--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -22,6 +22,10 @@
 /// longer than asking elsewhere takes.
 const CONNECT: Duration = Duration::from_millis(350);
 
+/// An endpoint that said nothing for this long is silent. Routes may leave less time than their
+/// endpoints ordinarily take; running out of that says nothing about the endpoint.
+const SILENT_AFTER: Duration = Duration::from_millis(600);
+
 /// The largest answer that is held until it is whole.
 const MAX_ANSWER: usize = 4 << 20;
 
@@ -75,7 +79,7 @@
     };
     let late = async {
         Timer::after(patience).await;
-        Err(AttemptError::Unknown(FailCause::Silent))
+        Err(AttemptError::Unknown(out_of_time(patience)))
     };
     let (head, body) = answer.or(late).await?.into_parts();
     Ok(Upstream { head, body, _driver: driver })
@@ -90,12 +94,17 @@
         };
         let late = async {
             Timer::after(patience).await;
-            Err(FailCause::Silent)
+            Err(out_of_time(patience))
         };
         whole.or(late).await
     }
 }
 
+/// What it says of an endpoint that nothing came within `waited`.
+fn out_of_time(waited: Duration) -> FailCause {
+    if waited < SILENT_AFTER { FailCause::Deadline } else { FailCause::Silent }
+}
+
 /// The request as an endpoint gets it.
 pub(super) fn request(
     caller: &http::request::Parts,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,7 +1,7 @@
 //! Small stand-ins of the outside systems, for tests, demo and bench. Each runs inside the calling
 //! process on a loopback port, and each is as faulty as a test asks it to be.
 
-mod address;
+pub mod address;
 pub mod client;
 pub mod engine;
 mod http;
