Let instances learn of a broken endpoint together

Each instance now tells that it failed or had an answer; of each other instance one failure counts until anybody has an answer, so that an instance whose own connections break condemns nobody (a test of each; the first needs twenty instances' failures before). Ruled out: sending less there by load, since a resetting engine is always idle.

--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -39,8 +39,9 @@
 
 use server::Server;
 
-/// Seconds between two judgements of the endpoints' health.
-const ASSESS_EVERY: Duration = Duration::from_millis(500);
+/// Time between two judgements of the endpoints' health: a broken endpoint gets no more than what
+/// comes meanwhile.
+const ASSESS_EVERY: Duration = Duration::from_millis(100);
 
 /// An endpoint as the instance learned of it.
 #[derive(Debug, Clone, PartialEq)]
@@ -153,8 +154,12 @@
         let predicted = Duration::from_secs_f64(known.predicted_ms.max(0.0) / 1000.0);
         let endpoint = known.endpoint.clone();
         self.health.answered(&endpoint, taken, predicted);
-        if let (Some(server), Some(rules)) = (self.servers.get_mut(&endpoint), &self.rules) {
-            server.pass_began(rules, now);
+        if let Some(server) = self.servers.get_mut(&endpoint) {
+            server.answered();
+            server.untold_answer = true;
+            if let Some(rules) = &self.rules {
+                server.pass_began(rules, now);
+            }
         }
     }
 
@@ -179,6 +184,10 @@
         match failed {
             None => {
                 self.quarantine.completed(known.fingerprint);
+                if let Some(server) = self.servers.get_mut(&known.endpoint) {
+                    server.answered();
+                    server.untold_answer = true;
+                }
                 if !known.is_writing {
                     let span = now.since(known.placed);
                     self.health.answered(&known.endpoint, span, span);
@@ -186,7 +195,11 @@
             }
             Some(cause) => {
                 self.quarantine.stopped(known.fingerprint);
-                self.health.failed(&known.endpoint, as_seen(cause));
+                let cause = as_seen(cause);
+                self.health.failed(&known.endpoint, cause);
+                if let Some(server) = self.servers.get_mut(&known.endpoint) {
+                    server.untold_failure |= counts(cause);
+                }
             }
         }
     }
@@ -220,7 +233,7 @@
     /// What another instance has under way.
     pub fn hear(&mut self, peer: &InstanceId, words: &[Word], now: Time) {
         let rules = self.rules.as_ref();
-        let long_ms = told::hear(&mut self.servers, rules, peer, words, now);
+        let long_ms = told::hear(&mut self.servers, &mut self.health, rules, peer, words, now);
         self.long_share.add(long_ms, now);
     }
 
@@ -263,3 +276,15 @@
         other => other,
     }
 }
+
+/// Whether a failure speaks against its endpoint, whoever met it.
+fn counts(cause: FailCause) -> bool {
+    matches!(
+        cause,
+        FailCause::NotSent
+            | FailCause::Broken
+            | FailCause::EndpointError
+            | FailCause::BadAnswer
+            | FailCause::EndpointDied
+    )
+}
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -18,7 +18,7 @@
 
 use std::collections::VecDeque;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{InstanceId, Time, routes::EngineRules};
 
@@ -54,6 +54,11 @@
     /// Milliseconds of reading placed by this instance and not told yet.
     pub(super) untold_ms: f64,
     pub(super) told: Level,
+    /// A request failed, or was answered, since the last word.
+    pub(super) untold_failure: bool,
+    pub(super) untold_answer: bool,
+    /// Instances that told of failures since anybody had an answer.
+    failing_for: IndexSet<InstanceId>,
     /// It is out, and the next request shows whether it is back.
     pub(super) is_on_trial: bool,
     /// The shortest pause since `pauses_since`, and in the span before.
@@ -111,6 +116,9 @@
             peers: IndexMap::new(),
             untold_ms: 0.0,
             told: Level::default(),
+            untold_failure: false,
+            untold_answer: false,
+            failing_for: IndexSet::new(),
             is_on_trial: false,
             shortest: f64::INFINITY,
             shortest_before: f64::INFINITY,
@@ -287,6 +295,20 @@
         ms - left + under_way
     }
 
+    /// Another instance told of a failure; true where it is the first from there since anybody had
+    /// an answer.
+    ///
+    /// Guards against one instance whose own connections break: it fails everywhere at once, and if
+    /// each of its failures counted here, it would take every endpoint out of service for all.
+    pub(super) fn fails_for(&mut self, peer: &InstanceId) -> bool {
+        self.failing_for.insert(peer.clone())
+    }
+
+    /// Somebody had an answer.
+    pub(super) fn answered(&mut self) {
+        self.failing_for.clear();
+    }
+
     pub(super) fn forget(&mut self, peer: &InstanceId) {
         self.peers.swap_remove(peer);
     }
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{EndpointId, InstanceId, Time, routes::EngineRules};
+use crate::{EndpointId, FailCause, InstanceId, Time, health::Health, routes::EngineRules};
 
 use super::{
     choose::SHORT_MS,
@@ -41,6 +41,10 @@
     pub placed_ms: f32,
     /// What the teller has there now.
     pub level: Level,
+    /// A request of the teller's failed there since the last word.
+    pub failed: bool,
+    /// One was answered.
+    pub answered: bool,
 }
 
 /// The same as its receiver knows it.
@@ -51,13 +55,19 @@
 pub(super) fn tell(servers: &mut IndexMap<EndpointId, Server>, is_due: bool) -> Vec<Told> {
     let mut news = Vec::new();
     for (endpoint, server) in servers {
-        let changed = server.untold_ms != 0.0 || server.own != server.told;
+        let changed = server.untold_ms != 0.0 || server.own != server.told || server.untold_failure;
         if !changed || !is_due && server.untold_ms.abs() < AT_ONCE_MS {
             continue;
         }
         server.told = server.own;
         let placed_ms = std::mem::take(&mut server.untold_ms) as f32;
-        news.push(Told { endpoint: endpoint.clone(), placed_ms, level: server.own });
+        news.push(Told {
+            endpoint: endpoint.clone(),
+            placed_ms,
+            level: server.own,
+            failed: std::mem::take(&mut server.untold_failure),
+            answered: std::mem::take(&mut server.untold_answer),
+        });
     }
     news
 }
@@ -65,6 +75,7 @@
 /// Takes in another instance's news, and tells how much long reading it placed.
 pub(super) fn hear(
     servers: &mut IndexMap<EndpointId, Server>,
+    health: &mut Health,
     rules: Option<&EngineRules>,
     peer: &InstanceId,
     words: &[Word],
@@ -85,6 +96,13 @@
         if placed_ms > SHORT_MS {
             long_ms += placed_ms;
         }
+        if word.answered {
+            server.answered();
+            health.vouched(&word.endpoint);
+        }
+        if word.failed && server.fails_for(peer) {
+            health.failed(&word.endpoint, FailCause::Broken);
+        }
         if word.level == Level::default() {
             server.peers.swap_remove(peer);
         } else {
--- a/crates/policy/src/health/mod.rs
+++ b/crates/policy/src/health/mod.rs
@@ -159,6 +159,14 @@
         }
     }
 
+    /// Takes note that another instance had an answer from the endpoint. Failures in a row end with
+    /// it; an ejection doesn't, because the link from here may be the one that is broken.
+    pub fn vouched(&mut self, endpoint: &EndpointId) {
+        if let Some(record) = self.records.get_mut(endpoint) {
+            record.failures = 0;
+        }
+    }
+
     /// Takes note of a probe's end. A good one brings an ejected endpoint back on the ramp; a bad
     /// one doubles the time to the next.
     pub fn probed(&mut self, endpoint: &EndpointId, healthy: bool, now: Time, rng: &mut Rng) {
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -290,3 +290,47 @@
     let alone = place(&mut arranger(4), DOSSIER, at(3)).predicted_ms;
     assert!((after - alone).abs() < 1.0, "{after} {alone}");
 }
+
+fn fail_at(arranger: &mut Arranger, engines: usize, endpoint: &EndpointId, now: Time) {
+    let others = (0..engines).map(id).filter(|other| other != endpoint);
+    let tried = others.map(|other| (other, Incarnation(1))).collect();
+    let placement = arranger.place(&Ask { tried, ..ask(QUESTION) }, now).unwrap();
+    arranger.ended(placement.job, Some(FailCause::Broken), now);
+}
+
+/// Twenty instances serve a site, and an engine begins to reset whatever it gets. Each instance
+/// meets it now and then only; together they know after three failures, not after sixty.
+#[test]
+fn instances_learn_of_a_broken_engine_together() {
+    let mut here = arranger(6);
+    for (index, now) in (0..3).map(|i| (i, at(i * 20))) {
+        let mut other = arranger(6);
+        fail_at(&mut other, 6, &id(2), now);
+        let peer = InstanceId::new(&format!("entry-{index}")).unwrap();
+        here.hear(&peer, &other.tell(true), now);
+    }
+    for i in 0..40 {
+        let placement = place(&mut here, QUESTION, at(200 + i * 20));
+        assert_ne!(placement.endpoint, id(2));
+        here.ended(placement.job, None, at(210 + i * 20));
+    }
+}
+
+/// One instance's own connections break, and it fails at every engine many times. Nobody else
+/// takes an engine out for that.
+#[test]
+fn one_instance_in_trouble_condemns_nobody() {
+    let (mut here, mut other) = (arranger(4), arranger(4));
+    let peer = InstanceId::new("entry-9").unwrap();
+    for i in 0..40 {
+        let placement = place(&mut other, QUESTION, at(i * 10));
+        other.ended(placement.job, Some(FailCause::Broken), at(i * 10));
+        here.hear(&peer, &other.tell(true), at(i * 10));
+    }
+    for wanted in 0..4 {
+        let others = (0..4).filter(|other| *other != wanted);
+        let tried = others.map(|other| (id(other), Incarnation(1))).collect();
+        let placed = here.place(&Ask { tried, ..ask(QUESTION) }, at(1_000));
+        assert!(placed.is_ok(), "{wanted}: {placed:?}");
+    }
+}
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -166,7 +166,7 @@
         }
         let asked = call.parts.clock.now();
         flow = match wait(call, live, events, silence, tx).await {
-            Waited::Flow(flow) => flow,
+            Waited::Flow(flow) => *flow,
             Waited::Late => return Ended::Expired,
             Waited::CallerLeft => return Ended::CallerLeft,
         };
@@ -178,7 +178,7 @@
 
 /// What waiting for the next part of a stream came to.
 enum Waited<D: Dialect> {
-    Flow(Flow<D>),
+    Flow(Box<Flow<D>>),
     /// The time is over.
     Late,
     CallerLeft,
@@ -197,7 +197,7 @@
     };
     let waited = race(wait_or_change(call, &mut live, &mut events, silence, tx), late).await;
     match waited {
-        First::Left(Change::Next(next)) => Waited::Flow(Flow { live, events, next }),
+        First::Left(Change::Next(next)) => Waited::Flow(Box::new(Flow { live, events, next })),
         First::Left(Change::To(flow)) => {
             call.failed(live.run, FailCause::Silent);
             Waited::Flow(flow)
@@ -210,7 +210,7 @@
 /// Whether a stream stays with its endpoint.
 enum Change<D: Dialect> {
     Next(Next),
-    To(Flow<D>),
+    To(Box<Flow<D>>),
     CallerLeft,
 }
 
@@ -240,12 +240,12 @@
             }
             First::Left(Next::Failed(cause)) => {
                 return match resumed.await {
-                    Some(flow) => Change::To(flow),
+                    Some(flow) => Change::To(Box::new(flow)),
                     None => Change::Next(Next::Failed(cause)),
                 };
             }
             First::Left(Next::End) => return Change::Next(Next::End),
-            First::Right(Some(flow)) => return Change::To(flow),
+            First::Right(Some(flow)) => return Change::To(Box::new(flow)),
             // Nobody else goes on, so this one gets all the time there is.
             First::Right(None) => return Change::Next(next_event(live, events).await),
         }
