Refuse, in a stop, what the stop would cut

Change: once a stop has begun, a request that usually takes longer than what is left is refused as not run, with a time to come back.

--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -43,6 +43,12 @@
 /// comes meanwhile.
 const ASSESS_EVERY: Duration = Duration::from_millis(100);
 
+/// How many times longer than its figures a busy engine takes: it reads others' prompts meanwhile.
+const BUSY: f64 = 1.3;
+
+/// Milliseconds until a busy engine begins: a few passes.
+const FIRST_PASSES_MS: f64 = 300.0;
+
 /// An endpoint as the instance learned of it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Member {
@@ -121,6 +127,15 @@
         self.servers.values().filter(|server| !server.member.leaving).count()
     }
 
+    /// How long a request usually takes to its end, with room for a busy engine.
+    pub fn usual_time(&self, prompt: u64, output: u64) -> Duration {
+        let Some(rules) = &self.rules else { return Duration::ZERO };
+        let passes = output.div_ceil(u64::from(rules.stride.max(1))) as f64;
+        let writing = passes * rules.pass_ms(rules.slots, rules.usual_context);
+        let ms = BUSY * (rules.read_ms(prompt) + writing) + FIRST_PASSES_MS;
+        Duration::from_secs_f64(ms / 1000.0)
+    }
+
     /// Finds a place for a request, and counts it as sent there.
     ///
     /// # Errors
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -46,6 +46,9 @@
 /// away longer than needed finds nobody before it.
 const LATEST_RETURN: Duration = Duration::from_millis(2_500);
 
+/// How many times its goal a plain call is expected to take at most, before a stop.
+const PLAIN_GOALS: u32 = 3;
+
 /// Connections that may fail and wrong servers that may be met for one request. Each costs its
 /// caller up to a third of a second.
 const MAX_NOT_SENT: u32 = 3;
@@ -92,12 +95,32 @@
     }
 }
 
+impl<D> Dispatch<D> {
+    /// Refuses a request that a stop under way would cut.
+    ///
+    /// Guards against a planned stop that cuts answers: callers still come long after its
+    /// beginning, because their connection is open or every other instance is stopping too. One
+    /// that hears at once that it hasn't run goes elsewhere with all its time.
+    fn outlasts(&self, received: &Received, group: &Group) -> Result<(), Refusal> {
+        let Some(left) = self.0.lifecycle.time_to_end() else { return Ok(()) };
+        let needed = match received.caller.tokens {
+            Some((prompt, output)) => lock(&group.arranger).usual_time(prompt, output),
+            None => received.route.goal * PLAIN_GOALS,
+        };
+        match needed > left {
+            true => Err(Refusal::not_run(Reason::Stopping, ROOM_SOON)),
+            false => Ok(()),
+        }
+    }
+}
+
 impl<D: Dialect> Handler<Received> for Dispatch<D> {
     async fn handle(&self, received: Received) -> Result<Response<AnswerBody>, Refusal> {
         let draw = fastrand::f64();
         let name = received.route.group(draw).cloned();
         let name = name.ok_or_else(|| Refusal::not_run(Reason::NoEndpoint, ENDPOINTS_SOON))?;
         let group = self.0.groups.get_or_add(&name);
+        self.outlasts(&received, &group)?;
         let call = Call::new(self.0.clone(), received, group);
         if call.received.route.streams {
             return relay::stream(call).await;
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -26,6 +26,8 @@
     NoEndpoint,
     /// Its answer would come after its caller's time.
     TooLate,
+    /// The instance stops before it would be done.
+    Stopping,
     /// Endpoints died of it.
     Quarantined,
     /// Endpoints refused it without running it.
@@ -48,6 +50,7 @@
             Reason::Stale => "configuration_stale",
             Reason::NoEndpoint => "no_endpoint",
             Reason::TooLate => "too_late",
+            Reason::Stopping => "stopping",
             Reason::Quarantined => "quarantined",
             Reason::Rejected => "rejected",
             Reason::Unknown => "outcome_unknown",
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -197,7 +197,7 @@
     /// are closed, and only what lasts beyond the time for a stop is cut.
     pub async fn close(self) {
         let end = std::time::Instant::now() + self.stop_within.saturating_sub(STOP_MARGIN);
-        self.lifecycle.enter(Stage::Leaving);
+        self.lifecycle.leave(end);
         log::info!(open = self.lifecycle.open(); "leaving");
         Timer::after(BALANCER_WAIT).await;
         self.lifecycle.enter(Stage::Closing);
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -3,10 +3,10 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError, RwLock,
+        Arc, Mutex, OnceLock, PoisonError, RwLock,
         atomic::{AtomicU8, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use indexmap::IndexMap;
@@ -38,13 +38,20 @@
 pub struct Lifecycle {
     stage: AtomicU8,
     open: AtomicUsize,
+    /// When whatever is still under way is cut.
+    ends: OnceLock<Instant>,
     /// Closed when the stage becomes [`Stage::Closing`]; nothing is ever sent.
     closing: (Sender<()>, Receiver<()>),
 }
 
 impl Default for Lifecycle {
     fn default() -> Self {
-        Lifecycle { stage: AtomicU8::new(0), open: AtomicUsize::new(0), closing: bounded(1) }
+        Lifecycle {
+            stage: AtomicU8::new(0),
+            open: AtomicUsize::new(0),
+            ends: OnceLock::new(),
+            closing: bounded(1),
+        }
     }
 }
 
@@ -66,6 +73,17 @@
         }
     }
 
+    /// Begins a stop that cuts whatever is still under way at `end`.
+    pub fn leave(&self, end: Instant) {
+        self.ends.get_or_init(|| end);
+        self.enter(Stage::Leaving);
+    }
+
+    /// What is left until requests are cut; none while no stop is under way.
+    pub fn time_to_end(&self) -> Option<Duration> {
+        self.ends.get().map(|end| end.saturating_duration_since(Instant::now()))
+    }
+
     /// Waits until connections are to be closed.
     pub async fn closing(&self) {
         // Nothing is sent, so this ends only when the channel is closed.
