Split what had grown: a run's end, what answers callers; drop settings that did nothing

The daemon's listener is the router's (one copy). `apply_ms` and the endpoints' connection limit were read and used nowhere; they are gone.

--- a/crates/daemon/src/server/mod.rs
+++ b/crates/daemon/src/server/mod.rs
@@ -7,12 +7,11 @@
 pub mod router;
 pub mod stream;
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use http_types::StatusCode;
 use policy::Ran;
-use smol::{Async, Timer, net::TcpListener};
-use socket2::{Domain, Protocol, Socket, Type};
+use smol::{Timer, net::TcpListener};
 
 use crate::{error::CallError, filter::Chain, server::connection::Connection, shared::Shared};
 
@@ -27,10 +26,6 @@
     Both,
 }
 
-/// Connections that may wait to be accepted. The customary 128 overflows when a thousand callers
-/// come at once, and each of those left over tries again only after a full second.
-const BACKLOG: i32 = 4096;
-
 /// Pause after a failed accept. The usual cause is that file descriptors have run out, and without
 /// a pause the loop would keep a thread busy until one is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -46,19 +41,7 @@
 }
 
 /// Binds a listener.
-///
-/// # Errors
-///
-/// Where the address can't be bound.
-pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    // A successor on the same instance must not wait for connections in their last state.
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    socket.set_nonblocking(true)?;
-    Ok(Async::new(std::net::TcpListener::from(socket))?.into())
-}
+pub use ::router::net::listen as bind;
 
 /// Accepts connections until it is dropped.
 pub async fn serve(listener: TcpListener, service: Arc<Service>) {
--- a/crates/daemon/src/settings/routing.rs
+++ b/crates/daemon/src/settings/routing.rs
@@ -23,8 +23,6 @@
     pub revoke_ms: u64,
     /// An endpoint that leaves gets nothing new after this, in milliseconds.
     pub leave_ms: u64,
-    /// A new configuration is in force after this, in milliseconds.
-    pub apply_ms: u64,
     /// From the order to stop to the end by force, in milliseconds.
     pub stop_ms: u64,
     /// Repeats that all instances together may add, as a share of first attempts.
@@ -45,7 +43,6 @@
         let mut millis = |name, default| fields.whole(name, 1..=MAX_MS, default, findings);
         let revoke_ms = millis("revoke_ms", REVOKE_MS);
         let leave_ms = millis("leave_ms", LEAVE_MS);
-        let apply_ms = millis("apply_ms", APPLY_MS);
         let stop_ms = millis("stop_ms", STOP_MS);
         let retry_window_ms = millis("retry_window_ms", RETRY_WINDOW_MS);
         let retry_share = fields.optional("retry_share", "a number", findings);
@@ -56,7 +53,6 @@
             ready_listen: ready_listen?,
             revoke_ms,
             leave_ms,
-            apply_ms,
             stop_ms,
             retry_share: retry_share.unwrap_or(RETRY_SHARE),
             retry_window_ms,
@@ -69,7 +65,6 @@
         Bounds {
             revoke: Duration::from_millis(self.revoke_ms),
             leave: Duration::from_millis(self.leave_ms),
-            apply: Duration::from_millis(self.apply_ms),
             stop: Duration::from_millis(self.stop_ms),
             retry_share: self.retry_share,
             retry_window: Duration::from_millis(self.retry_window_ms),
@@ -97,7 +92,6 @@
 /// In force where the settings don't say: the bounds of today's two sites.
 const REVOKE_MS: u64 = 5_000;
 const LEAVE_MS: u64 = 2_000;
-const APPLY_MS: u64 = 2_000;
 const STOP_MS: u64 = 8_000;
 const RETRY_WINDOW_MS: u64 = 10_000;
 const RETRY_SHARE: f64 = 0.2;
--- a/crates/policy/src/routes/mod.rs
+++ b/crates/policy/src/routes/mod.rs
@@ -89,8 +89,6 @@
 /// Rules for one endpoint group.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct GroupRules {
-    /// Connections that one endpoint accepts from all instances together; none where unbounded.
-    pub max_connections: Option<u32>,
     /// How fast its engines are and what they hold; none for a plain service.
     pub engine: Option<EngineRules>,
 }
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -2,27 +2,16 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod engines;
+
 use std::{collections::BTreeMap, time::Duration};
 
+use engines::engine;
 use policy::{
     EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
     arrange::{Arranger, Ask, JobId, Member, Placement, Refused},
-    routes::EngineRules,
 };
 
-fn engine() -> EngineRules {
-    EngineRules {
-        slots: 16,
-        memory_tokens: 450_000,
-        stride: 46,
-        step_ms: 0.925,
-        step_ms_per_request: 0.00483,
-        step_ms_per_1k_context: 0.00254,
-        read_tokens_per_ms: 256.0,
-        read_ms_per_1m_pairs: 0.0917,
-        max_helpers: 16,
-        usual_context: 6_500,
-    }
 }
 
 fn id(index: usize) -> EndpointId {
--- a/crates/policy/tests/routes.rs
+++ b/crates/policy/tests/routes.rs
@@ -2,11 +2,14 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod engines;
+
 use std::{sync::Arc, time::Duration};
 
+use engines::engine;
 use policy::{
     EndpointGroup, Workspace,
-    routes::{EngineRules, KeyTable, Owner, Repeat, Route, RouteTable, Share},
+    routes::{KeyTable, Owner, Repeat, Route, RouteTable, Share},
 };
 
 fn group(name: &str) -> EndpointGroup {
@@ -82,19 +85,6 @@
     assert!(keys.is_required() && !KeyTable::default().is_required());
 }
 
-fn engine() -> EngineRules {
-    EngineRules {
-        slots: 16,
-        memory_tokens: 450_000,
-        stride: 46,
-        step_ms: 0.925,
-        step_ms_per_request: 0.00483,
-        step_ms_per_1k_context: 0.00254,
-        read_tokens_per_ms: 256.0,
-        read_ms_per_1m_pairs: 0.0917,
-        max_helpers: 16,
-        usual_context: 6_500,
-    }
 }
 
 #[test]
--- /dev/null
+++ b/crates/router/src/entry.rs
@@ -0,0 +1,102 @@
+//! What answers callers and the balancer.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use crate::{
+    dialect::Dialect,
+    filter::{AnswerBody, Handler},
+    metrics::Metrics,
+    serve::{ConnectionRules, Service},
+    state::{Configuration, Groups, Lifecycle, Stage},
+};
+
+/// Beyond this age of the configuration the balancer is asked to look elsewhere, where there is a
+/// better informed instance. A reading that is held and one that fails are no reason yet.
+const READY_FOR: Duration = Duration::from_millis(3_700);
+
+/// Answers callers.
+pub(crate) struct Entry<D, H> {
+    pub(crate) chain: H,
+    pub(crate) dialect: Arc<D>,
+    pub(crate) configuration: Arc<Configuration>,
+    pub(crate) lifecycle: Arc<Lifecycle>,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+impl<D: Dialect, H: Handler<Request<Incoming>>> Service for Entry<D, H> {
+    async fn answer(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let open = self.lifecycle.begin();
+        let request_id = self.dialect.request_id(req.headers());
+        let mut resp = match self.chain.handle(req).await {
+            Ok(resp) => resp,
+            Err(refusal) => {
+                self.metrics.refused(refusal.reason.as_str());
+                log::info!(
+                    id = request_id.as_deref().unwrap_or("-"),
+                    reason = refusal.reason.as_str(),
+                    status = refusal.status.as_u16(),
+                    config_age_ms = self.configuration.age().map_or(-1, |a| a.as_millis() as i64);
+                    "refused"
+                );
+                refusal.response()
+            }
+        };
+        if self.lifecycle.stage() == Stage::Closing {
+            resp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        resp.map(|body| body.counted(open))
+    }
+
+    fn rules(&self) -> ConnectionRules {
+        let limits = self.configuration.table().limits;
+        ConnectionRules {
+            head_bytes: limits.head_bytes,
+            idle: limits.idle_timeout.max(limits.head_timeout),
+        }
+    }
+
+    fn lifecycle(&self) -> &Arc<Lifecycle> {
+        &self.lifecycle
+    }
+}
+
+/// Answers the balancer.
+pub(crate) struct Readiness {
+    pub(crate) path: &'static str,
+    pub(crate) configuration: Arc<Configuration>,
+    pub(crate) groups: Arc<Groups>,
+    pub(crate) lifecycle: Arc<Lifecycle>,
+}
+
+impl Readiness {
+    fn is_ready(&self) -> bool {
+        let known = self.configuration.age().is_some_and(|age| age <= READY_FOR);
+        let serving = self.lifecycle.stage() == Stage::Serving;
+        let has_endpoints =
+            self.groups.all().iter().any(|group| crate::lock(&group.arranger).usable() > 0);
+        known && serving && has_endpoints && self.configuration.table().version.0 > 0
+    }
+}
+
+impl Service for Readiness {
+    async fn answer(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let mut resp = Response::new(AnswerBody::whole(bytes::Bytes::new()));
+        *resp.status_mut() = match req.method() == Method::GET && req.uri().path() == self.path {
+            false => StatusCode::NOT_FOUND,
+            true if self.is_ready() => StatusCode::OK,
+            true => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        resp
+    }
+
+    fn rules(&self) -> ConnectionRules {
+        ConnectionRules { head_bytes: 0, idle: Duration::from_secs(15) }
+    }
+
+    fn lifecycle(&self) -> &Arc<Lifecycle> {
+        &self.lifecycle
+    }
+}
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -21,11 +21,12 @@
 
 use super::{
     AnswerBody, Handler, Received, Refusal,
-    attempt::{self, AttemptError, Spawner, Upstream},
+    attempt::{self, AttemptError, Spawner},
     hedge,
     memory::{ReservationIds, Reservations, Wish},
     refusal::Reason,
     relay,
+    run::{Live, Run, is_promise},
 };
 use crate::{
     clock::Clock,
@@ -154,53 +155,6 @@
     failure: Option<Response<AnswerBody>>,
 }
 
-/// A request that an endpoint answers.
-pub(super) struct Live<D: Dialect> {
-    pub(super) upstream: Upstream,
-    pub(super) run: Run,
-    /// Held until the run has ended.
-    _memory: Reservations<D>,
-}
-
-/// A request's place. Dropping it gives the place back.
-pub(super) struct Run {
-    group: Arc<Group>,
-    clock: Clock,
-    pub(super) job: JobId,
-    pub(super) endpoint: EndpointId,
-    ended: bool,
-}
-
-impl Run {
-    /// The first byte came.
-    pub(super) fn began(&self) {
-        lock(&self.group.arranger).began(self.job, self.clock.now());
-    }
-
-    /// There was a pause between two events.
-    pub(super) fn paused(&self, pause: Duration) {
-        lock(&self.group.arranger).paused(self.job, pause, self.clock.now());
-    }
-
-    /// The run ended.
-    pub(super) fn end(mut self, failed: Option<FailCause>) {
-        self.tell(failed);
-    }
-
-    fn tell(&mut self, failed: Option<FailCause>) {
-        if !std::mem::replace(&mut self.ended, true) {
-            lock(&self.group.arranger).ended(self.job, failed, self.clock.now());
-        }
-    }
-}
-
-impl Drop for Run {
-    fn drop(&mut self) {
-        // The caller left, which says nothing about the endpoint.
-        self.tell(Some(FailCause::Deadline));
-    }
-}
-
 impl<D: Dialect> Call<D> {
     fn new(parts: Arc<Parts<D>>, received: Received, group: Arc<Group>) -> Self {
         let last_event = received.caller.last_event;
@@ -368,13 +322,7 @@
 
     /// Sends it to a place; none where that gave no answer that may be the caller's.
     pub(super) async fn attempt(&self, placement: Placement) -> Option<Live<D>> {
-        let run = Run {
-            group: self.group.clone(),
-            clock: self.parts.clock,
-            job: placement.job,
-            endpoint: placement.endpoint.clone(),
-            ended: false,
-        };
+        let run = Run::new(&self.group, self.parts.clock, &placement);
         lock(&self.progress).tried.push((placement.endpoint.clone(), placement.incarnation));
         let Some(address) = self.group.address(&placement.endpoint) else {
             lock(&self.progress).not_sent += 1;
@@ -594,15 +542,3 @@
         );
     }
 }
-
-/// Whether a status promises that the request hasn't run. An endpoint that says so without its
-/// mark for it isn't to be believed.
-fn is_promise(status: StatusCode) -> bool {
-    [
-        StatusCode::REQUEST_TIMEOUT,
-        StatusCode::MISDIRECTED_REQUEST,
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-    ]
-    .contains(&status)
-}
--- a/crates/router/src/filter/hedge.rs
+++ b/crates/router/src/filter/hedge.rs
@@ -18,10 +18,7 @@
 use policy::{FailCause, arrange::Placement};
 use smol::Timer;
 
-use super::{
-    Refusal,
-    dispatch::{Call, Live},
-};
+use super::{Refusal, dispatch::Call, run::Live};
 use crate::dialect::Dialect;
 
 /// What happened first of two things.
--- a/crates/router/src/filter/mod.rs
+++ b/crates/router/src/filter/mod.rs
@@ -13,6 +13,7 @@
 mod receive;
 mod refusal;
 mod relay;
+mod run;
 
 use std::future::Future;
 
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -22,8 +22,9 @@
 use super::{
     AnswerBody, Refusal,
     body::{BrokenOff, EventBody},
-    dispatch::{Call, Live},
+    dispatch::Call,
     hedge::{self, First, race},
+    run::Live,
 };
 use crate::{
     dialect::Dialect,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod dialect;
+mod entry;
 pub mod events;
 pub mod filter;
 pub mod follow;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use policy::{DataCentre, InstanceId};
+use policy::{DataCentre, InstanceId, retry::RetryRules};
 
 /// Settings of one instance.
 #[derive(Debug, Clone, PartialEq)]
@@ -32,8 +32,6 @@
     pub revoke: Duration,
     /// An endpoint that leaves gets nothing new after this.
     pub leave: Duration,
-    /// A new configuration is in force after this, while its source is well.
-    pub apply: Duration,
     /// From the order to stop to the end by force.
     pub stop: Duration,
     /// Repeats that all instances together may add, as a share of first attempts.
@@ -43,3 +41,14 @@
     /// Repeats in a window that are free, over all instances.
     pub retry_slack: f64,
 }
+
+impl Bounds {
+    /// What repeats are allowed.
+    pub fn retry_rules(&self) -> RetryRules {
+        RetryRules {
+            share: self.retry_share,
+            slack: self.retry_slack,
+            window_s: self.retry_window.as_secs(),
+        }
+    }
+}
