--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -12,8 +12,6 @@
     arrange::{Arranger, Ask, JobId, Member, Placement, Refused},
 };
 
-}
-
 fn id(index: usize) -> EndpointId {
     EndpointId::new(&format!("i-{index}")).unwrap()
 }
--- a/crates/policy/tests/engines/mod.rs
+++ b/crates/policy/tests/engines/mod.rs
@@ -17,3 +17,4 @@
         max_helpers: 16,
         usual_context: 6_500,
     }
+}
--- a/crates/policy/tests/routes.rs
+++ b/crates/policy/tests/routes.rs
@@ -85,8 +85,6 @@
     assert!(keys.is_required() && !KeyTable::default().is_required());
 }
 
-}
-
 #[test]
 fn reading_grows_faster_than_the_prompt() {
     let near = |ms: f64, expected: f64| (ms / expected - 1.0).abs() < 0.03;
