Let what was begun go on after a failure, whatever its goal

Cause: a stream that broke late, or a second try after a failure, was measured by what was left of the goal for its first event, which is nothing, and so refused under load although its caller waited with half of the answer (test what_was_begun_goes_on_under_load, failed before).

--- a/crates/policy/src/arrange/ask.rs
+++ b/crates/policy/src/arrange/ask.rs
@@ -21,6 +21,8 @@
     pub priority: u8,
     /// Names the same request when it is sent again.
     pub fingerprint: Fingerprint,
+    /// An earlier attempt is still under way.
+    pub is_beside: bool,
     /// Lives of endpoints that have had it already.
     pub tried: Vec<(EndpointId, Incarnation)>,
 }
--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -68,8 +68,14 @@
 }
 
 impl Chosen {
-    /// Milliseconds by which its first event is predicted too late to be worth its while.
+    /// Milliseconds by which its first event is predicted too late to be worth its while. One that
+    /// goes on after a failure has been taken on, and gets whatever time there is: its caller may
+    /// have half of the answer. Not so one that is asked beside a slow attempt: under load the
+    /// engines would read every long prompt twice.
     pub(super) fn late_ms(&self, ask: &Ask) -> f64 {
+        if !ask.tried.is_empty() && !ask.is_beside {
+            return self.predicted_ms - ask.left_ms;
+        }
         let part =
             BOUNDS.iter().find(|(rank, _)| *rank == self.rank).map_or(1.0, |(_, part)| *part);
         let bound = (part * ask.goal_ms).max(IDLE_FACTOR * self.idle_ms + IDLE_SLACK_MS);
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -47,6 +47,7 @@
         left_ms: 60_000.0,
         priority: 1,
         fingerprint: Fingerprint(u128::from(prompt)),
+        is_beside: false,
         tried: Vec::new(),
     }
 }
@@ -321,3 +322,15 @@
         assert!(placed.is_ok(), "{wanted}: {placed:?}");
     }
 }
+
+/// An engine dies in the middle of a dossier's answer, long past the goal for its first event, while
+/// the others are busy. The answer goes on elsewhere although a new dossier would be refused.
+#[test]
+fn what_was_begun_goes_on_under_load() {
+    let mut arranger = arranger(8);
+    while arranger.place(&ask(DOSSIER), at(0)).is_ok() {}
+    let tried = vec![(id(0), Incarnation(1))];
+    let going_on = Ask { tried, goal_ms: 0.0, left_ms: 9_000.0, ..ask(DOSSIER) };
+    let placed = arranger.place(&going_on, at(1));
+    assert!(placed.is_ok(), "{placed:?}");
+}
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -139,6 +139,15 @@
     progress: Mutex<Progress>,
 }
 
+/// Whether another attempt of the same request is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Beside {
+    /// None is.
+    Nothing,
+    /// One is, and takes long.
+    Another,
+}
+
 /// How far a request is.
 #[derive(Default)]
 struct Progress {
@@ -183,7 +192,7 @@
 
     /// An answer that is passed on once it is whole, so that what breaks off can be asked again.
     async fn whole(self) -> Result<Response<AnswerBody>, Refusal> {
-        let answered = hedge::first(&self, async |call, live: Live<D>| {
+        let answered = hedge::first(&self, Beside::Nothing, async |call, live: Live<D>| {
             let head = live.upstream.head.clone();
             match live.upstream.collect(call.left()).await {
                 Ok(body) => {
@@ -241,7 +250,7 @@
     }
 
     /// The next place for it, if one more attempt is allowed.
-    pub(super) fn next_place(&self) -> Result<Placement, Refusal> {
+    pub(super) fn next_place(&self, beside: Beside) -> Result<Placement, Refusal> {
         if self.left().is_zero() {
             return Err(self.give_up(Reason::Expired));
         }
@@ -249,7 +258,7 @@
             let reason = if self.may_have_run() { Reason::Unknown } else { Reason::Rejected };
             return Err(self.give_up(reason));
         }
-        self.place()
+        self.place(beside)
     }
 
     fn may_have_run(&self) -> bool {
@@ -272,9 +281,9 @@
             || self.group.may_repeat(&self.parts.retry_rules, instances, now)
     }
 
-    fn place(&self) -> Result<Placement, Refusal> {
+    fn place(&self, beside: Beside) -> Result<Placement, Refusal> {
         let now = self.parts.clock.now();
-        let ask = self.ask(now);
+        let ask = self.ask(beside, now);
         let placed = lock(&self.group.arranger).place(&ask, now);
         match placed {
             Ok(placement) => {
@@ -303,7 +312,7 @@
         }
     }
 
-    fn ask(&self, now: Time) -> Ask {
+    fn ask(&self, beside: Beside, now: Time) -> Ask {
         let received = &self.received;
         let (prompt, output) = received.caller.tokens.unwrap_or((0, 0));
         let spent = now.since(received.arrived);
@@ -316,6 +325,7 @@
             pause_ms: received.route.pause_goal.as_secs_f64() * 1000.0,
             priority: rank.unwrap_or(received.route.priority),
             fingerprint: received.fingerprint,
+            is_beside: beside == Beside::Another,
             tried: lock(&self.progress).tried.clone(),
         }
     }
--- a/crates/router/src/filter/hedge.rs
+++ b/crates/router/src/filter/hedge.rs
@@ -18,7 +18,11 @@
 use policy::{FailCause, arrange::Placement};
 use smol::Timer;
 
-use super::{Refusal, dispatch::Call, run::Live};
+use super::{
+    Refusal,
+    dispatch::{Beside, Call},
+    run::Live,
+};
 use crate::dialect::Dialect;
 
 /// What happened first of two things.
@@ -40,13 +44,13 @@
 }
 
 /// Tries endpoints until `take` has made something of an answer. `take` says why where it couldn't.
-pub(super) async fn first<D, T, F>(call: &Call<D>, take: F) -> Result<T, Refusal>
+pub(super) async fn first<D, T, F>(call: &Call<D>, beside: Beside, take: F) -> Result<T, Refusal>
 where
     D: Dialect,
     F: AsyncFn(&Call<D>, Live<D>) -> Result<T, FailCause>,
 {
     loop {
-        let placement = call.next_place()?;
+        let placement = call.next_place(beside)?;
         let patience = call.patience(&placement);
         let first_job = placement.job;
         let mut one = pin!(attempt(call, placement, &take));
@@ -55,7 +59,7 @@
             First::Left(None) => continue,
             First::Right(()) => {}
         }
-        let Ok(placement) = call.next_place() else {
+        let Ok(placement) = call.next_place(Beside::Another) else {
             // Nobody else may be asked, so the one that was asked gets all the time there is.
             match one.await {
                 Some(taken) => return Ok(taken),
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -22,7 +22,7 @@
 use super::{
     AnswerBody, Refusal,
     body::{BrokenOff, EventBody},
-    dispatch::Call,
+    dispatch::{Beside, Call},
     hedge::{self, First, race},
     run::Live,
 };
@@ -76,7 +76,7 @@
 
 /// Answers with a stream of events.
 pub(super) async fn stream<D: Dialect>(call: Call<D>) -> Result<Response<AnswerBody>, Refusal> {
-    let flow = match hedge::first(&call, open).await {
+    let flow = match hedge::first(&call, Beside::Nothing, open).await {
         Ok(Opened::Flow(flow)) => flow,
         Ok(Opened::Whole(head, body)) => {
             call.note_end("answered", head.status);
@@ -155,7 +155,7 @@
             }
             Next::Failed(cause) => {
                 call.failed(live.run, cause);
-                match resume(call).await {
+                match resume(call, Beside::Nothing).await {
                     Some(resumed) => {
                         flow = resumed;
                         continue;
@@ -231,7 +231,7 @@
         First::Left(next) => return Change::Next(next),
         First::Right(_) => {}
     }
-    let mut resumed = pin!(resume(call));
+    let mut resumed = pin!(resume(call, Beside::Another));
     loop {
         match race(next_event(live, events), resumed.as_mut()).await {
             First::Left(Next::Event(event)) => {
@@ -265,11 +265,11 @@
 }
 
 /// Goes on at another endpoint; none where that isn't allowed or nobody does.
-async fn resume<D: Dialect>(call: &Call<D>) -> Option<Flow<D>> {
+async fn resume<D: Dialect>(call: &Call<D>, beside: Beside) -> Option<Flow<D>> {
     if call.received.route.repeat != Repeat::Resumable {
         return None;
     }
-    let opened = hedge::first(call, async |call, live| match open(call, live).await? {
+    let opened = hedge::first(call, beside, async |call, live| match open(call, live).await? {
         Opened::Flow(flow) => Ok(flow),
         Opened::Whole(..) => Err(FailCause::BadAnswer),
     });
