--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -50,7 +50,8 @@
                 if roster.read(&found, clock.now()) {
                     update(&groups, roster.entries(), &here, clock);
                 }
-                leave.mul_f64(PERIOD)
+                // What is kept after an outage is dropped by a reading, so that one has to come soon.
+                if roster.is_settling() { RETRY } else { leave.mul_f64(PERIOD) }
             }
             Err(e) => {
                 contact.failed(&e);
