Drop what nothing used and what was computed twice in the router's new code

Found on rereading the change: a level that was never set (`reading`), an alias for one type, an accessor without a caller, a second copy of the worker loop (now `daemon::instance::work`), a wrapper that only awaited, and the harm of a part, which each split computed twice for every engine that it took. Behaviour stays.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -209,7 +209,7 @@
 
 /// Runs tasks until the instance ends. A task that panics ends alone: its requests' callers are
 /// cut, and the thread goes on with the others.
-fn work(executor: &Executor<'static>, stopped: &Receiver<()>) {
+pub(crate) fn work(executor: &Executor<'static>, stopped: &Receiver<()>) {
     loop {
         let run = AssertUnwindSafe(|| block_on(executor.run(stopped.recv())));
         match catch_unwind(run) {
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -1,23 +1,16 @@
 //! Runs an instance that passes requests on by the sites' own routes.
 
-use std::{
-    panic::{AssertUnwindSafe, catch_unwind},
-    path::PathBuf,
-    sync::Arc,
-    thread,
-};
+use std::{path::PathBuf, sync::Arc, thread};
 
 use async_signal::{Signal, Signals};
 use error_stack::{Report, ResultExt};
 use futures_lite::StreamExt;
 use router::{Instance, instance::StartError};
-use smol::{
-    Executor,
-    channel::{Receiver, bounded},
-};
+use smol::{Executor, channel::bounded};
 
 use crate::{
     cli::Args,
+    instance::work,
     options::Options,
     settings::{RoutingSettings, Settings},
 };
@@ -59,16 +52,6 @@
     result
 }
 
-fn work(executor: &Executor<'static>, stopped: &Receiver<()>) {
-    loop {
-        let run = AssertUnwindSafe(|| smol::block_on(executor.run(stopped.recv())));
-        match catch_unwind(run) {
-            Ok(_) => return,
-            Err(_) => log::error!("task_panicked"),
-        }
-    }
-}
-
 /// Reads the settings again. Addresses and bounds belong to the process's life; that they have
 /// changed is told, so that an operator sees why a restart is due.
 fn reload(settings: &Settings, config: &std::path::Path) {
--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -98,6 +98,8 @@
     index: usize,
     /// Milliseconds until it has read its part.
     first_ms: f64,
+    /// What those who write there lose by it.
+    harm: f64,
     key: f64,
 }
 
@@ -144,13 +146,12 @@
             let outlook = server.outlook(rules, now);
             let part = read_ms * server.pace();
             let predicted = self.first_ms(rules, server, &outlook, part);
-            let longest = outlook.longest_pass(part);
-            let harm = server.harm(longest) - server.harm(outlook.longest_pass(0.0));
+            let harm = added_harm(server, &outlook, part);
             let company = 1.0 + server.writers()[0];
             let alone = APART * long_share.min(1.0) / company;
             let own = cost::lateness(predicted, ask.goal_ms)
                 + cost::miss(outlook.writing_ms, ask.pause_ms);
-            let total = self.caution(server, now) * (weight * (own + alone) + harm.max(0.0));
+            let total = self.caution(server, now) * (weight * (own + alone) + harm);
             if best.is_none_or(|(least, _, _)| total < least) {
                 best = Some((total, index, predicted));
             }
@@ -183,8 +184,7 @@
             sorted.truncate(parts);
             let Some(shares) = self.memory(rules, &sorted, base.memory) else { continue };
             let predicted_ms = sorted.iter().map(|c| c.first_ms).fold(0.0, f64::max);
-            let harm: f64 =
-                sorted.iter().map(|c| self.part_harm(rules, c.index, part_ms, now)).sum();
+            let harm: f64 = sorted.iter().map(|c| c.harm).sum();
             let own = cost::lateness(predicted_ms, ask.goal_ms);
             let total = base.weight * (own + PER_HELPER * parts as f64) + harm;
             if best.as_ref().is_none_or(|(least, _)| total < *least) {
@@ -214,15 +214,8 @@
         let part = part_ms * server.pace();
         let first_ms = self.first_ms(rules, server, &outlook, part);
         let own = base.weight * cost::lateness(first_ms, ask.goal_ms);
-        let harm = self.part_harm(rules, index, part_ms, now);
-        Candidate { index, first_ms, key: self.caution(server, now) * (own + harm) }
-    }
-
-    fn part_harm(&self, rules: &EngineRules, index: usize, part_ms: f64, now: Time) -> f64 {
-        let server = &self.servers[index];
-        let outlook = server.outlook(rules, now);
-        let longest = outlook.longest_pass(part_ms * server.pace());
-        (server.harm(longest) - server.harm(outlook.longest_pass(0.0))).max(0.0)
+        let harm = added_harm(server, &outlook, part);
+        Candidate { index, first_ms, harm, key: self.caution(server, now) * (own + harm) }
     }
 
     /// Which of the engines runs the request: the one with the most memory left. What doesn't fit
@@ -382,6 +375,12 @@
     }
 }
 
+/// What those who write on an engine lose by `part_ms` more of reading.
+fn added_harm(server: &Server, outlook: &Outlook, part_ms: f64) -> f64 {
+    let longest = outlook.longest_pass(part_ms);
+    (server.harm(longest) - server.harm(outlook.longest_pass(0.0))).max(0.0)
+}
+
 /// Ranks on an engine by the length of a prompt.
 const SHORT_RANK: u8 = 1;
 const MIDDLE_RANK: u8 = 3;
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -28,7 +28,7 @@
 use indexmap::IndexMap;
 
 pub use ask::{Ask, Helper, Job, JobId, Placement, Refused};
-pub use told::{EVERY, Told, Word};
+pub use told::{EVERY, Told};
 
 use crate::{
     EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
@@ -248,7 +248,7 @@
     }
 
     /// What another instance has under way.
-    pub fn hear(&mut self, peer: &InstanceId, words: &[Word], now: Time) {
+    pub fn hear(&mut self, peer: &InstanceId, words: &[Told], now: Time) {
         let rules = self.rules.as_ref();
         let long_ms = told::hear(&mut self.servers, &mut self.health, rules, peer, words, now);
         self.long_share.add(long_ms, now);
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -24,8 +24,6 @@
 pub struct Level {
     /// Requests that run or wait.
     pub running: u16,
-    /// Requests whose prompt is being read.
-    pub reading: u16,
     /// Tokens of memory that they take.
     pub memory: u64,
     /// Their weights, by the pause that they bear.
@@ -47,9 +45,6 @@
     pub answered: bool,
 }
 
-/// The same as its receiver knows it.
-pub type Word = Told;
-
 /// News of all endpoints about which there is any; where levels aren't due, only of those with
 /// reading that others would run into.
 pub(super) fn tell(servers: &mut IndexMap<EndpointId, Server>, is_due: bool) -> Vec<Told> {
@@ -78,7 +73,7 @@
     health: &mut Health,
     rules: Option<&EngineRules>,
     peer: &InstanceId,
-    words: &[Word],
+    words: &[Told],
     now: Time,
 ) -> f64 {
     let mut long_ms = 0.0;
--- a/crates/router/src/filter/memory.rs
+++ b/crates/router/src/filter/memory.rs
@@ -104,9 +104,9 @@
             loop {
                 Timer::after(RENEW).await;
                 for wish in &held {
-                    executor
-                        .spawn(async_drop(reserve(dialect.clone(), executor.clone(), wish.clone())))
-                        .detach();
+                    let order = reserve(dialect.clone(), executor.clone(), wish.clone());
+                    // What became of it is in the log; the next renewal comes anyway.
+                    executor.spawn(order).detach();
                 }
             }
         }));
@@ -123,11 +123,6 @@
     }
 }
 
-/// Waits for an order whose answer matters to nobody.
-async fn async_drop(order: impl Future<Output = bool>) {
-    order.await;
-}
-
 async fn reserve<D: Dialect>(dialect: Arc<D>, executor: Spawner, wish: Wish) -> bool {
     let order = dialect.reserve(&wish.endpoint, &wish.id, wish.tokens, HOLD);
     let status = give(&executor, wish.address, order).await;
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -70,7 +70,6 @@
 /// A running instance.
 pub struct Instance {
     lifecycle: Arc<Lifecycle>,
-    executor: Arc<Executor<'static>>,
     stop_within: Duration,
 }
 
@@ -174,12 +173,7 @@
             links:% = settings.link_listen;
             "started"
         );
-        Ok(Instance { lifecycle, executor, stop_within: bounds.stop })
-    }
-
-    /// Where its tasks run.
-    pub fn executor(&self) -> &Arc<Executor<'static>> {
-        &self.executor
+        Ok(Instance { lifecycle, stop_within: bounds.stop })
     }
 
     /// Stops gracefully: the balancer is waited out, every request is finished, idle connections
