--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -15,7 +15,7 @@
 use http::{Response, StatusCode};
 use policy::{
     EndpointId, FailCause, Incarnation, Time,
-    arrange::{Ask, JobId, Placement, Refused},
+    arrange::{Ask, Helper, JobId, Placement, Refused},
     retry::RetryRules,
 };
 
@@ -139,6 +139,12 @@
     progress: Mutex<Progress>,
 }
 
+/// Helpers as they stand in a log line.
+fn names(helpers: &[Helper]) -> String {
+    let names: Vec<&str> = helpers.iter().map(|helper| helper.endpoint.as_str()).collect();
+    names.join(",")
+}
+
 /// Whether another attempt of the same request is under way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Beside {
@@ -160,6 +166,10 @@
     doubtful: u32,
     /// The last event that the caller has.
     last_event: Option<u64>,
+    /// How long after its arrival the first byte of its answer went out.
+    began: Option<Duration>,
+    /// The longest wait between two events of its answer.
+    longest_pause: Duration,
     /// The last answer of an endpoint that was a failure of its own.
     failure: Option<Response<AnswerBody>>,
 }
@@ -292,7 +302,7 @@
                     route = self.received.route.name.as_str(),
                     prompt = ask.prompt,
                     endpoint = placement.endpoint.as_str(),
-                    helpers = placement.helpers.len(),
+                    helpers = names(&placement.helpers).as_str(),
                     predicted_ms = placement.predicted_ms as u64,
                     attempt = ask.tried.len() + 1;
                     "placed"
@@ -535,18 +545,28 @@
     /// The first byte of the answer is about to go to the caller.
     pub(super) fn note_began(&self) {
         let taken = self.parts.clock.now().since(self.received.arrived);
+        lock(&self.progress).began = Some(taken);
         self.parts.metrics.began(self.prompt(), taken);
     }
 
+    /// The caller waited for an event.
+    pub(super) fn note_pause(&self, pause: Duration) {
+        let mut progress = lock(&self.progress);
+        progress.longest_pause = progress.longest_pause.max(pause);
+    }
+
     pub(super) fn note_end(&self, outcome: &'static str, status: StatusCode) {
         let total = self.parts.clock.now().since(self.received.arrived);
         self.parts.metrics.ended(outcome, self.prompt(), total);
+        let progress = lock(&self.progress);
         log::info!(
             id = self.id(),
             route = self.received.route.name.as_str(),
             outcome,
             status = status.as_u16(),
-            attempts = lock(&self.progress).tried.len(),
+            attempts = progress.tried.len(),
+            first_ms = progress.began.map_or(-1, |taken| taken.as_millis() as i64),
+            pause_ms = progress.longest_pause.as_millis() as u64,
             total_ms = total.as_millis() as u64;
             "request"
         );
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -172,7 +172,9 @@
             Waited::CallerLeft => return Ended::CallerLeft,
         };
         if matches!(flow.next, Next::Event(_)) {
-            flow.live.run.paused(call.parts.clock.now().since(asked));
+            let pause = call.parts.clock.now().since(asked);
+            call.note_pause(pause);
+            flow.live.run.paused(pause);
         }
     }
 }
