Let a longer pause cost more

Cause: 369 of 633 pauses too long for questions came from parts of more than a second. Once a pause was too long, a longer one cost nothing more, so two huge parts on engines full of questions looked cheaper than many small ones, although their callers leave after two seconds.

Ruled out: summaries (85 of 633), whole prompts (39).

--- a/crates/policy/src/arrange/cost.rs
+++ b/crates/policy/src/arrange/cost.rs
@@ -17,6 +17,10 @@
 /// earlier one is taken.
 const PER_BOUND: f64 = 0.1;
 
+/// What each further bound's length of a pause adds: a question's caller leaves after ten bounds, which
+/// costs the quarter that a late answer is still worth, and its place is taken for as long.
+const PER_LONGER_PAUSE: f64 = 0.05;
+
 /// Half-life of the measured share of long prompts: a burst begins and ends within seconds.
 const HALF_LIFE_S: f64 = 1.5;
 
@@ -36,6 +40,15 @@
     miss(expected_ms, bound_ms) + PER_BOUND * expected_ms / bound_ms.max(1.0)
 }
 
+/// What those who write lose by a pass that takes `pass_ms` where they bear `bears_ms`.
+///
+/// Guards against parts of seconds on engines full of questions: once a pause is too long, a longer
+/// one seems to cost nothing more, and a few large parts look cheaper than many small ones. But their
+/// callers leave after two seconds, and their places stay taken meanwhile.
+pub(super) fn disturbance(pass_ms: f64, bears_ms: f64) -> f64 {
+    miss(pass_ms, bears_ms) + PER_LONGER_PAUSE * pass_ms / bears_ms.max(1.0)
+}
+
 /// A sum that fades.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Decaying {
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -198,7 +198,7 @@
     /// What those who write there lose by a pass of `pass_ms`.
     pub(super) fn harm(&self, pass_ms: f64) -> f64 {
         let each = self.writers().into_iter().zip(BEARS_MS);
-        each.map(|(weight, bears)| weight * super::cost::miss(pass_ms, bears)).sum()
+        each.map(|(weight, bears)| weight * super::cost::disturbance(pass_ms, bears)).sum()
     }
 
     /// Notes a part placed there by anybody.
