Refuse what would cost others more than it is worth

Cause: the cheapest place was taken however much it cost. In a burst of dossiers each disturbed dozens of questions, in sum worth several times the dossier.

Now a prompt whose cheapest place costs others more than its own weight is refused at once, with a time to come back.

--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -60,6 +60,12 @@
 /// question takes next to nothing and is refused only where it would wait for seconds.
 const BOUNDS: [(u8, f64); 3] = [(SHORT_RANK, 5.0), (MIDDLE_RANK, 1.0), (LONG_RANK, 0.8)];
 
+/// How many times its own weight a prompt may cost others; beyond it callers in sum lose by serving it.
+const MOST_HARM: f64 = 1.0;
+
+/// When to come back to engines that are crowded: in a second the questions of half a burst have gone.
+const CROWDED_MS: f64 = 1_000.0;
+
 /// Milliseconds of reading up to which a prompt goes beside writers whole.
 pub(super) const SHORT_MS: f64 = 45.0;
 
@@ -82,6 +88,8 @@
     /// Milliseconds that reading it would take if all engines that may read it were idle.
     idle_ms: f64,
     weight: f64,
+    /// What others lose by it.
+    harm: f64,
     /// Tokens of memory where it runs, less what is reserved on others.
     memory: u64,
     /// Tokens to be reserved on each of the others, in their order.
@@ -101,7 +109,9 @@
         let part =
             BOUNDS.iter().find(|(rank, _)| *rank == self.rank).map_or(1.0, |(_, part)| *part);
         let bound = (part * ask.goal_ms).max(IDLE_FACTOR * self.idle_ms + IDLE_SLACK_MS);
-        self.predicted_ms - bound.min(ask.left_ms)
+        let late_ms = self.predicted_ms - bound.min(ask.left_ms);
+        // What disturbs others more than it is worth waits until there is room.
+        if self.harm > MOST_HARM * self.weight { late_ms.max(CROWDED_MS) } else { late_ms }
     }
 }
 
@@ -156,6 +166,7 @@
             hold_ms: 0.0,
             idle_ms: read_ms / self.usable().min(rules.max_helpers + 1).max(1) as f64,
             weight,
+            harm: 0.0,
             memory,
             reserve: Vec::new(),
             rank: rank(read_ms),
@@ -268,7 +279,7 @@
         let mut servers: Vec<usize> = sorted.iter().map(|c| c.index).collect();
         servers.swap(0, head);
         let chosen =
-            Chosen { servers, predicted_ms, read_in_ms, memory: at_head, reserve, ..tried };
+            Chosen { servers, predicted_ms, read_in_ms, harm, memory: at_head, reserve, ..tried };
         Some((total, chosen))
     }
 
@@ -350,6 +361,7 @@
             hold_ms: 0.0,
             idle_ms: 0.0,
             weight: 1.0,
+            harm: 0.0,
             memory: 0,
             reserve: Vec::new(),
             rank: ask.priority.min(LOWEST_RANK),
