Simplify what the reread of the arranger and the emulator found

Cause: Reading::pass_began asked a question whose answer changed nothing, and its comment told of a rule that wasn't there; began cloned the whole job on every first event; the empty choice was spelled out twice; the emulator had the arithmetic of a pass, the example's engine and the writing of a file a second time; tell spelled one condition in two steps.

Ruled out: one order of reading for both the emulator and policy::arrange. The arranger only believes what an engine does, and sharing it would hide its mistakes; the module says so now.

--- a/crates/cli/src/bench/export/mod.rs
+++ b/crates/cli/src/bench/export/mod.rs
@@ -6,14 +6,9 @@
 pub(super) mod svg;
 pub(super) mod table;
 
-use std::{fs, path::Path};
+use std::path::Path;
 
-use error_stack::ResultExt;
-
-use crate::{
-    bench::result::BenchReport,
-    error::{CliError, CliResult},
-};
+use crate::{bench::result::BenchReport, error::CliResult, output};
 
 /// A form of results.
 pub(super) trait Export {
@@ -28,9 +23,7 @@
     report: &BenchReport,
 ) -> CliResult<()> {
     let Some(path) = path else { return Ok(()) };
-    fs::write(path, form.export(report)?)
-        .change_context(CliError::Output)
-        .attach_with(|| path.display().to_string())
+    output::write_file(path, &form.export(report)?)
 }
 
 /// A figure that may be missing.
--- a/crates/cli/src/experiment/mod.rs
+++ b/crates/cli/src/experiment/mod.rs
@@ -34,10 +34,10 @@
     let played = play_all(&spec);
     let report = ExperimentReport::new(&spec, &played);
     if let Some(path) = &options.csv {
-        write(path, &export::csv(&report))?;
+        output::write_file(path, &export::csv(&report))?;
     }
     if let Some(path) = &options.markdown {
-        write(path, &export::markdown(&report))?;
+        output::write_file(path, &export::markdown(&report))?;
     }
     match format {
         Format::Json => output::print_json(&report)?,
@@ -56,12 +56,6 @@
     })
 }
 
-fn write(path: &std::path::Path, text: &str) -> CliResult<()> {
-    fs::write(path, text)
-        .change_context(CliError::Output)
-        .attach_with(|| path.display().to_string())
-}
-
 /// Plays each policy with each seed, on all cores.
 fn play_all(spec: &SiteSpec) -> Vec<Played> {
     let plays: Vec<(PlacerName, u64)> = spec
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,6 +1,10 @@
 //! Printing of results. A reader that closes the pipe early is no error.
 
-use std::io::{self, ErrorKind, Write};
+use std::{
+    fs,
+    io::{self, ErrorKind, Write},
+    path::Path,
+};
 
 use comfy_table::{Table, presets};
 use error_stack::{Report, ResultExt};
@@ -26,6 +30,13 @@
     print(&text)
 }
 
+/// Writes results to a file.
+pub fn write_file(path: &Path, text: &str) -> CliResult<()> {
+    fs::write(path, text)
+        .change_context(CliError::Output)
+        .attach_with(|| path.display().to_string())
+}
+
 /// Prints rows below a head.
 pub fn print_table<const N: usize>(head: [&str; N], rows: Vec<[String; N]>) -> CliResult<()> {
     let mut table = Table::new();
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -4,6 +4,9 @@
 //! first and whole prompts after all parts. Where somebody writes it works in passes of a fixed number
 //! of steps, each of which reads at most a chunk; an event of every stream comes with the end of a pass.
 //! Memory isn't emulated.
+//!
+//! The order of reading stands a second time in `policy::arrange`, which only believes what an engine
+//! does. Sharing it would hide every mistake in that belief from the experiments.
 
 use std::collections::VecDeque;
 
@@ -34,6 +37,7 @@
 struct Writer {
     run: RunId,
     events_left: u32,
+    /// Thousands of tokens.
     context: f64,
 }
 
@@ -119,8 +123,10 @@
         if !writes && self.parts.is_empty() {
             return None;
         }
-        let steps = if writes { self.rules.stride } else { 1 };
-        let room = f64::from(steps) * f64::from(self.rules.chunk_tokens);
+        let room = match writes {
+            true => self.rules.pass_tokens(),
+            false => f64::from(self.rules.chunk_tokens),
+        };
         let (reads, reading_ms) = self.take(room);
         let writing_ms = if writes { self.pass_ms() } else { 0.0 };
         self.activity = Some(Activity { reads, writes });
@@ -193,10 +199,7 @@
     }
 
     fn pass_ms(&self) -> f64 {
-        let context: f64 = self.writers.iter().map(|writer| writer.context).sum();
-        let step = self.rules.step_ms
-            + self.writers.len() as f64 * self.rules.step_ms_per_request
-            + context * self.rules.step_ms_per_1k_context;
-        step * f64::from(self.rules.stride)
+        let thousands = self.writers.iter().map(|writer| writer.context).sum();
+        self.rules.pass_ms_for(u32::try_from(self.writers.len()).unwrap_or(u32::MAX), thousands)
     }
 }
--- a/crates/emulator/src/placer.rs
+++ b/crates/emulator/src/placer.rs
@@ -1,7 +1,7 @@
 //! What places requests: the product's own arranger, and what it is compared with.
 
 use policy::{
-    EndpointId, FailCause, Incarnation, InstanceId, Time,
+    EndpointId, FailCause, InstanceId, Time,
     arrange::{Arranger, Ask, JobId, Member, Placement, Refused, Told},
     routes::EngineRules,
 };
@@ -170,8 +170,7 @@
 
 impl Naive {
     fn place(&mut self, ask: &Ask) -> Result<Placement, Refused> {
-        let was_tried =
-            |m: &Member| ask.tried.contains(&(m.endpoint.clone(), Incarnation(m.incarnation.0)));
+        let was_tried = |m: &Member| ask.tried.contains(&(m.endpoint.clone(), m.incarnation));
         let free = (0..self.members.len()).filter(|i| !was_tried(&self.members[*i]));
         let next = self.jobs.len() % self.members.len().max(1);
         let turn = |i: &usize| (i + self.members.len() - next) % self.members.len();
--- a/crates/emulator/src/play.rs
+++ b/crates/emulator/src/play.rs
@@ -63,7 +63,6 @@
     Send(RunId),
     Arrive(usize, Part),
     Done(usize, u64),
-    First(RunId),
     Heard(RunId, Happened),
     Words {
         to: usize,
@@ -223,7 +222,6 @@
             Event::Send(run) => self.send(run),
             Event::Arrive(engine, part) => self.arrive(engine, part),
             Event::Done(engine, epoch) => self.done(engine, epoch),
-            Event::First(run) => self.heard(run, Happened::Event(run)),
             Event::Heard(run, happened) => self.heard(run, happened),
             Event::Words { to, from, words } => {
                 let (name, now) = (self.names[from].clone(), self.time());
@@ -382,7 +380,7 @@
         let left = call.events.saturating_sub(self.progress[run.call].events).max(1);
         self.engines[head].write(id, left, call.prompt);
         let first_ms = self.engines[head].first_event_ms();
-        self.after(first_ms + WAY_MS, Event::First(id));
+        self.after(first_ms + WAY_MS, Event::Heard(id, Happened::Event(id)));
         self.wake(head);
     }
 
--- a/crates/emulator/tests/heavy_days.rs
+++ b/crates/emulator/tests/heavy_days.rs
@@ -12,20 +12,10 @@
 
 const DOSSIER: usize = 2;
 
+/// The engines of a site of today.
 fn engine() -> EngineRules {
-    EngineRules {
-        slots: 12,
-        memory_tokens: 450_000,
-        stride: 52,
-        chunk_tokens: 2_048,
-        step_ms: 0.925,
-        step_ms_per_request: 0.00483,
-        step_ms_per_1k_context: 0.00254,
-        read_tokens_per_ms: 256.0,
-        read_ms_per_1m_pairs: 0.0917,
-        max_helpers: 16,
-        usual_context: 14_000,
-    }
+    let text = include_str!("../../../examples/experiments/brasov-grown.json");
+    SiteSpec::parse(text).unwrap().engine
 }
 
 fn kind(name: &str, per_s: f64, prompt: f64, goal_ms: f64, pause_ms: f64, worth: f64) -> Kind {
--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -76,7 +76,7 @@
 const IDLE_SLACK_MS: f64 = 300.0;
 
 /// What is chosen for a request.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub(super) struct Chosen {
     /// Indices of the endpoints; the first one runs it.
     servers: Vec<usize>,
@@ -161,20 +161,13 @@
         now: Time,
     ) -> Option<Chosen> {
         let read_ms = rules.read_ms(ask.prompt);
-        let weight = cost::weight(read_ms);
-        let memory = ask.prompt + ask.output;
         let base = Chosen {
-            servers: Vec::new(),
             part_ms: read_ms,
-            predicted_ms: 0.0,
-            read_in_ms: 0.0,
-            hold_ms: 0.0,
             idle_ms: read_ms / self.usable().min(rules.max_helpers + 1).max(1) as f64,
-            weight,
-            harm: 0.0,
-            memory,
-            reserve: Vec::new(),
+            weight: cost::weight(read_ms),
+            memory: ask.prompt + ask.output,
             rank: rank(read_ms),
+            ..Chosen::default()
         };
         if read_ms <= SHORT_MS {
             let (index, predicted_ms) = self.gather(rules, ask, &base, now)?;
@@ -360,16 +353,9 @@
         let (_, index) = best?;
         Some(Chosen {
             servers: vec![index],
-            part_ms: 0.0,
-            predicted_ms: 0.0,
-            read_in_ms: 0.0,
-            hold_ms: 0.0,
-            idle_ms: 0.0,
             weight: 1.0,
-            harm: 0.0,
-            memory: 0,
-            reserve: Vec::new(),
             rank: ask.priority.min(LOWEST_RANK),
+            ..Chosen::default()
         })
     }
 
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -10,7 +10,9 @@
 //! **Rule.** The cost of a place is what callers lose by it: the request's own chance to be late,
 //! and that of everybody whose pause grows by its reading. A prompt is split into as many even
 //! parts as makes this least. Short ones gather where others write, so that the remaining engines
-//! stay free for long ones; nothing is set aside, and the border moves with each arrival.
+//! stay free for long ones; nothing is set aside, and the border moves with each arrival. A long
+//! prompt is held until its engines have read what came before it ([`reading`]), and whatever costs
+//! others more than it is worth is refused.
 //!
 //! **Grounds.** Writing costs hardly more for twelve requests than for one (a step takes 0.925 ms
 //! and 0.005 ms a request), while reading stops everybody, so gathering writers is nearly free.
@@ -178,16 +180,14 @@
         known.is_writing = true;
         let taken = now.since(known.placed);
         let predicted = Duration::from_secs_f64(known.predicted_ms.max(0.0) / 1000.0);
-        let endpoint = known.endpoint.clone();
-        let known = known.clone();
         // Whatever was foretold, all of its parts have been read.
         for reader in known.endpoints() {
             if let Some(server) = self.servers.get_mut(reader) {
                 server.unread_own(known.key, now);
             }
         }
-        self.health.answered(&endpoint, taken, predicted);
-        if let Some(server) = self.servers.get_mut(&endpoint) {
+        self.health.answered(&known.endpoint, taken, predicted);
+        if let Some(server) = self.servers.get_mut(&known.endpoint) {
             server.answered();
             server.untold_answer = true;
             if let Some(rules) = &self.rules {
--- a/crates/policy/src/arrange/reading.rs
+++ b/crates/policy/src/arrange/reading.rs
@@ -119,13 +119,12 @@
         self.waiting.len() < before
     }
 
-    /// An event tells that a pass began at `began`. It moves a pass that reads nothing; one that reads
-    /// is known better by what it reads, as first events also come in the middle of passes.
+    /// An event tells that a pass began at `began`, so the engine is busy for a pass at least. It never
+    /// ends one sooner than foretold: first events come in the middle of passes as well, and a pass cut
+    /// short here would lose what it reads.
     pub(super) fn pass_began(&mut self, began: f64, tempo: Tempo<'_>) {
         let ends = began + tempo.pass_ms(self.writers(tempo.running).max(1));
-        if ends > self.at || self.in_pass.is_empty() {
-            self.at = self.at.max(ends);
-        }
+        self.at = self.at.max(ends);
     }
 
     /// Of the requests that run there, those that have been read.
@@ -175,7 +174,9 @@
                 writers += self.read_pass(tempo, writers, &mut done);
             }
         }
-        self.at = if until.is_finite() { until } else { self.at };
+        if until.is_finite() {
+            self.at = until;
+        }
     }
 
     /// Reads on one part until it is done, another arrives, or `until`. Tells the part that is done.
@@ -232,15 +233,10 @@
         }
         let pass_ms = reading_ms + tempo.pass_ms(writers);
         self.at = begins + pass_ms;
-        let note = |part: &mut Part, part_ms: f64| {
-            if pass_ms > part.longest.ms {
-                part.longest = Pass { ms: pass_ms, part_ms };
-            }
-        };
         for read in &self.in_pass {
             let left = self.waiting.iter_mut().chain(&mut whole).find(|part| part.key == read.key);
-            if let Some(part) = left {
-                note(part, read.ms);
+            if let Some(part) = left.filter(|part| pass_ms > part.longest.ms) {
+                part.longest = Pass { ms: pass_ms, part_ms: read.ms };
             }
         }
         let heads = whole.iter().filter(|part| part.is_head).count();
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -115,8 +115,7 @@
     let mut news = Vec::new();
     for (endpoint, server) in servers {
         let has_parts = !server.untold.is_empty() || !server.untold_gone.is_empty();
-        let changed = has_parts || server.own != server.told;
-        let changed = changed || server.untold_failure;
+        let changed = has_parts || server.own != server.told || server.untold_failure;
         let placed_ms: f64 = server.untold.iter().map(|part| f64::from(part.ms)).sum();
         if !changed || !is_due && placed_ms < AT_ONCE_MS {
             continue;
--- a/crates/policy/src/routes/engine.rs
+++ b/crates/policy/src/routes/engine.rs
@@ -49,11 +49,14 @@
     /// Milliseconds of a pass that reads nothing while `writers` requests write, each with
     /// `context` tokens.
     pub fn pass_ms(&self, writers: u32, context: u64) -> f64 {
-        let requests = f64::from(writers);
-        let context = requests * context as f64 / 1000.0;
+        self.pass_ms_for(writers, f64::from(writers) * context as f64 / 1000.0)
+    }
+
+    /// The same for requests that have `thousands` of tokens together.
+    pub fn pass_ms_for(&self, writers: u32, thousands: f64) -> f64 {
         let step = self.step_ms
-            + requests * self.step_ms_per_request
-            + context * self.step_ms_per_1k_context;
+            + f64::from(writers) * self.step_ms_per_request
+            + thousands * self.step_ms_per_1k_context;
         step * f64::from(self.stride)
     }
 }
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -398,8 +398,8 @@
         }
     }
 
-    /// Waits until a request's engines have read what came before it; false where one of them has
-    /// begun to leave meanwhile, so that it has to be placed anew.
+    /// Waits until a request's engines have read what came before it; false where it has to be placed
+    /// anew, because one of them has begun to leave or went to another request meanwhile.
     async fn held(&self, placement: &Placement) -> bool {
         if placement.hold.is_zero() {
             return true;
