--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -23,6 +23,7 @@
 mod cost;
 mod reading;
 mod server;
+mod split;
 mod told;
 
 use std::time::Duration;
