--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -359,8 +359,8 @@
         };
         let helpers = self.helpers(&placement);
         let wishes = self.wishes(&placement, &helpers);
-        let taken = Reservations::take(&self.parts.dialect, &self.parts.executor, wishes).await;
-        let memory = match taken {
+        let Parts { dialect, executor, .. } = &*self.parts;
+        let memory = match Reservations::take(dialect, executor, address, wishes).await {
             Ok(memory) => memory,
             Err(endpoint) => {
                 log::info!(id = self.id(), endpoint = endpoint.as_str(); "not_reserved");
--- a/crates/router/src/filter/memory.rs
+++ b/crates/router/src/filter/memory.rs
@@ -3,6 +3,10 @@
 //! Guards against memory that nobody gives back: a reservation lapses by itself soon after its
 //! owner has stopped renewing it, whatever became of the owner, of its release or of the answer to
 //! it. Each has an id of its own, so that no two requests can ever use the same.
+//!
+//! An engine that vanishes without a word leaves its connections open, and reading may take many
+//! seconds, so an owner that merely waits for a first event would renew long after the run is gone.
+//! It renews only while the engine that runs the prompt still takes connections.
 
 use std::{
     net::SocketAddr,
@@ -20,7 +24,10 @@
 use smol::{Task, Timer};
 
 use super::attempt::{self, Spawner};
-use crate::dialect::{Dialect, Order};
+use crate::{
+    dialect::{Dialect, Order},
+    net,
+};
 
 /// How long a reservation lasts without being renewed. It outlives two lost renewals, and ends
 /// before memory that nobody uses is missed.
@@ -32,6 +39,9 @@
 /// How long an order's answer is waited for.
 const PATIENCE: Duration = Duration::from_millis(600);
 
+/// How long an engine may take to accept a connection before it counts as gone for one renewal.
+const ALIVE_WITHIN: Duration = Duration::from_millis(350);
+
 /// How often a release is tried; what is left after that lapses.
 const RELEASES: usize = 2;
 
@@ -71,10 +81,11 @@
 }
 
 impl<D: Dialect> Reservations<D> {
-    /// Reserves all of it, or nothing.
+    /// Reserves all of it, or nothing, for a prompt that the engine at `runner` will run.
     pub(super) async fn take(
         dialect: &Arc<D>,
         executor: &Spawner,
+        runner: SocketAddr,
         wishes: Vec<Wish>,
     ) -> Result<Reservations<D>, EndpointId> {
         let (dialect, executor) = (dialect.clone(), executor.clone());
@@ -93,16 +104,20 @@
         match refused {
             Some(endpoint) => Err(endpoint),
             None if held.held.is_empty() => Ok(held),
-            None => Ok(held.renewed()),
+            None => Ok(held.renewed(runner)),
         }
     }
 
-    fn renewed(mut self) -> Self {
+    fn renewed(mut self, runner: SocketAddr) -> Self {
         let (dialect, executor, held) =
             (self.dialect.clone(), self.executor.clone(), self.held.clone());
         self._renewing = Some(self.executor.spawn(async move {
             loop {
                 Timer::after(RENEW).await;
+                if let Err(e) = net::connect(runner, ALIVE_WITHIN).await {
+                    log::info!(runner:% = runner, cause:% = e; "not_renewed");
+                    continue;
+                }
                 for wish in &held {
                     let order = reserve(dialect.clone(), executor.clone(), wish.clone());
                     // What became of it is in the log; the next renewal comes anyway.
