Serve in a stop what will be done in time, by how long answers took before

Cause: an instance that stops refused every question from the first moment on, since it reckoned with the longest answer that the caller allows on a full engine (8.0 s of 7.5 left; half of the answers take 1.5 s, one in a hundred over 5.1 s).

Now the longest of the last 200 answers of the route bounds the next one (policy::answers).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! tests therefore drive exactly the same code. See `docs/ARCHITECTURE.md`.
 
 pub mod affinity;
+pub mod answers;
 pub mod any;
 pub mod arrange;
 pub mod baseline;
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -15,6 +15,7 @@
 use http::{Response, StatusCode};
 use policy::{
     EndpointId, FailCause, Incarnation, Time,
+    answers::AnswerTimes,
     arrange::{Ask, Helper, JobId, Placement, Refused},
     retry::RetryRules,
 };
@@ -63,6 +64,9 @@
 /// asked beside the first.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(900);
 
+/// The outcome of a request whose caller has the whole answer.
+pub(super) const FINISHED: &str = "finished";
+
 /// What dispatching needs of its instance.
 pub struct Parts<D> {
     /// The outside system's headers.
@@ -85,6 +89,8 @@
     pub metrics: Arc<Metrics>,
     /// Names reservations of engines' memory.
     pub reservation_ids: ReservationIds,
+    /// How long answers take to be written.
+    pub answer_times: Mutex<AnswerTimes>,
 }
 
 /// Sends requests to endpoints.
@@ -102,11 +108,12 @@
     ///
     /// Guards against a planned stop that cuts answers: callers still come long after its
     /// beginning, because their connection is open or every other instance is stopping too. One
-    /// that hears at once that it hasn't run goes elsewhere with all its time.
+    /// that hears at once that it hasn't run goes elsewhere with all its time. What would be done
+    /// in time is served, as the other instances may be stopping as well ([`policy::answers`]).
     fn outlasts(&self, received: &Received, group: &Group) -> Result<(), Refusal> {
         let Some(left) = self.0.lifecycle.time_to_end() else { return Ok(()) };
         let needed = match received.caller.tokens {
-            Some((prompt, output)) => lock(&group.arranger).usual_time(prompt, output),
+            Some(tokens) => self.needed(&received.route.name, tokens, group),
             None => received.route.goal * PLAIN_GOALS,
         };
         match needed > left {
@@ -114,6 +121,16 @@
             false => Ok(()),
         }
     }
+
+    /// How long a prompt and its answer take: by what was seen on the route, or else as if the answer
+    /// were as long as it may be.
+    fn needed(&self, route: &str, (prompt, output): (u64, u64), group: &Group) -> Duration {
+        let arranger = lock(&group.arranger);
+        match lock(&self.0.answer_times).bound(route) {
+            Some(writing) => arranger.usual_time(prompt, 0) + writing,
+            None => arranger.usual_time(prompt, output),
+        }
+    }
 }
 
 impl<D: Dialect> Handler<Received> for Dispatch<D> {
@@ -219,7 +236,7 @@
         match answered.await {
             Ok((head, body)) => {
                 self.note_began();
-                self.note_end("finished", head.status);
+                self.note_end(FINISHED, head.status);
                 Ok(self.answer(&head, body))
             }
             Err(refusal) => self.take_failure().ok_or(refusal),
@@ -582,9 +599,13 @@
         let total = self.parts.clock.now().since(self.received.arrived);
         self.parts.metrics.ended(outcome, self.prompt(), total);
         let progress = lock(&self.progress);
+        let route = self.received.route.name.as_str();
+        if let Some(began) = progress.began.filter(|_| outcome == FINISHED) {
+            lock(&self.parts.answer_times).note(route, total.saturating_sub(began));
+        }
         log::info!(
             id = self.id(),
-            route = self.received.route.name.as_str(),
+            route,
             outcome,
             status = status.as_u16(),
             attempts = progress.tried.len(),
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -22,7 +22,7 @@
 use super::{
     AnswerBody, Refusal,
     body::{BrokenOff, EventBody},
-    dispatch::{Beside, Call},
+    dispatch::{Beside, Call, FINISHED},
     hedge::{self, First, race},
     run::Live,
 };
@@ -126,7 +126,7 @@
 
 async fn feed<D: Dialect>(call: Call<D>, flow: Flow<D>, tx: EventSender) {
     let (outcome, broken) = match follow(&call, flow, &tx).await {
-        Ended::Finished => ("finished", false),
+        Ended::Finished => (FINISHED, false),
         Ended::Expired => ("expired", true),
         Ended::Broken => ("broken_off", true),
         Ended::CallerLeft => ("caller_left", false),
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -3,7 +3,7 @@
 use std::{
     fmt, io,
     net::SocketAddr,
-    sync::{Arc, atomic::AtomicUsize},
+    sync::{Arc, Mutex, atomic::AtomicUsize},
     time::Duration,
 };
 
@@ -129,6 +129,7 @@
             nudge,
             metrics: metrics.clone(),
             reservation_ids: ReservationIds::new(format!("{}.{incarnation}", settings.instance)),
+            answer_times: Mutex::default(),
         });
         let chain = Identify::new(
             dialect.clone(),
