--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -99,7 +99,8 @@
         }
         let part =
             BOUNDS.iter().find(|(rank, _)| *rank == self.rank).map_or(1.0, |(_, part)| *part);
-        let bound = (part * ask.goal_ms).max(IDLE_FACTOR * self.idle_ms + IDLE_SLACK_MS);
+        let idle_bound = IDLE_FACTOR * self.idle_ms + IDLE_SLACK_MS;
+        let bound = if ask.is_beside { idle_bound } else { idle_bound.max(part * ask.goal_ms) };
         self.predicted_ms - bound.min(ask.left_ms)
     }
 
--- a/crates/policy/src/routes/mod.rs
+++ b/crates/policy/src/routes/mod.rs
@@ -51,6 +51,8 @@
     pub goal: Duration,
     /// The longest pause between two events that is still on time.
     pub pause_goal: Duration,
+    /// A wait for the first event, or between two, after which callers leave a stream.
+    pub patience: Duration,
     /// Rank; zero is the most urgent.
     pub priority: u8,
     /// The most endpoints that one request may run on.
@@ -61,6 +63,10 @@
     pub split: Vec<Share>,
 }
 
+/// The least time that is taken to be left until an event is late: a few passes of an engine. What takes
+/// them anyway can't be hurried.
+const LEAST_BOUND: Duration = Duration::from_millis(200);
+
 /// One group's share of a route.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Share {
@@ -71,6 +77,25 @@
 }
 
 impl Route {
+    /// How long until an event that comes later is worth less: until it is late, or else until its caller
+    /// leaves. `since_event` is the time since the last event that the caller has.
+    ///
+    /// Guards against streams that are late already and whose every further millisecond would look as dear
+    /// as a whole goal: each would be read by a dozen idle engines at once, and write alone on one of
+    /// them, so that one engine's silence takes a dozen from everybody.
+    pub fn time_to_bound(
+        &self,
+        since_arrival: Duration,
+        since_event: Option<Duration>,
+    ) -> Duration {
+        let (waited, goal) = match since_event {
+            Some(waited) => (waited, self.pause_goal),
+            None => (since_arrival, self.goal),
+        };
+        let bound = if waited < goal { goal } else { self.patience };
+        bound.saturating_sub(waited).max(LEAST_BOUND)
+    }
+
     /// The group for one request, `draw` being drawn evenly from 0 to 1. A group with weight zero
     /// gets nothing, unless all have none.
     pub fn group(&self, draw: f64) -> Option<&EndpointGroup> {
--- a/crates/policy/tests/routes.rs
+++ b/crates/policy/tests/routes.rs
@@ -24,6 +24,7 @@
         timeout: Duration::from_secs(1),
         goal: Duration::from_secs(1),
         pause_goal: Duration::from_secs(1),
+        patience: Duration::from_secs(8),
         priority: 0,
         max_attempts: 1,
         is_public: false,
@@ -100,3 +101,29 @@
     assert!((43.0..46.0).contains(&one), "{one}");
     assert!(twelve < 1.3 * one, "{twelve}");
 }
+
+macro_rules! bounds {
+    ($($(#[$doc:meta])* $name:ident: $arrived:expr, $event:expr => $left:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            let mut route = (*route("ask", &[("g", 1)])).clone();
+            route.pause_goal = Duration::from_millis(250);
+            let event: Option<u64> = $event;
+            let left = route.time_to_bound(
+                Duration::from_millis($arrived),
+                event.map(Duration::from_millis),
+            );
+            assert_eq!(left, Duration::from_millis($left));
+        })*
+    };
+}
+
+bounds! {
+    a_new_request_has_its_goal: 0, None => 1_000;
+    one_that_waited_has_the_rest: 400, None => 600;
+    /// Its goal is over, so only its caller's leaving still matters.
+    a_late_request_has_its_callers_patience: 1_500, None => 6_500;
+    a_broken_stream_has_the_rest_of_a_pause: 5_000, Some(20) => 230;
+    a_stream_that_fell_silent_has_its_callers_patience: 5_000, Some(1_000) => 7_000;
+    nothing_is_hurried_beyond_a_few_passes: 0, Some(245) => 200;
+    a_caller_that_is_leaving_has_little: 9_000, None => 200;
+}
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -184,6 +184,8 @@
     doubtful: u32,
     /// The last event that the caller has.
     last_event: Option<u64>,
+    /// When it got that.
+    last_event_at: Option<Time>,
     /// How long after its arrival the first byte of its answer went out.
     began: Option<Duration>,
     /// The longest wait between two events of its answer.
@@ -215,7 +217,9 @@
 
     /// Notes that the caller has an event.
     pub(super) fn set_last_event(&self, id: u64) {
-        lock(&self.progress).last_event = Some(id);
+        let mut progress = lock(&self.progress);
+        progress.last_event = Some(id);
+        progress.last_event_at = Some(self.parts.clock.now());
     }
 
     /// An answer that is passed on once it is whole, so that what breaks off can be asked again.
@@ -348,13 +352,14 @@
     fn ask(&self, beside: Beside, now: Time) -> Ask {
         let received = &self.received;
         let (prompt, output) = received.caller.tokens.unwrap_or((0, 0));
-        let spent = now.since(received.arrived);
+        let since_event = lock(&self.progress).last_event_at.map(|at| now.since(at));
+        let goal = received.route.time_to_bound(now.since(received.arrived), since_event);
         let rank = received.owner.as_ref().and_then(|owner| owner.priority);
         Ask {
             prompt,
             output,
             left_ms: self.left().as_secs_f64() * 1000.0,
-            goal_ms: received.route.goal.saturating_sub(spent).as_secs_f64() * 1000.0,
+            goal_ms: goal.as_secs_f64() * 1000.0,
             pause_ms: received.route.pause_goal.as_secs_f64() * 1000.0,
             priority: rank.unwrap_or(received.route.priority),
             fingerprint: received.fingerprint,
