Write short answers where others write, whatever reads their prompts

A question of 9k tokens and more, and every summary, was split, and its head was the engine with the most free memory, an idle one.

Change: questions up to 100 ms of reading (45 before) gather whole; who bears pauses up to 600 ms may write where others write while idle engines read its parts, and pays for an engine taken from long prompts (APART 3, 1.5 before, as an answer lasts two or three parts).

middle_questions_write_together fails without it (14 heads, 5 allowed).

--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -23,7 +23,7 @@
 
 /// What an engine that nobody writes on costs a short prompt, times the share of engines that long
 /// prompts take: it will soon be wanted for a part that the short one's pause can't bear.
-const APART: f64 = 1.5;
+const APART: f64 = 3.0;
 
 /// Milliseconds from the end of reading to the first event on an engine that writes nothing else: half
 /// a pass, as measured for 16 prompts of 125,000 to 800,000 tokens alone (19 to 27 ms).
@@ -58,7 +58,7 @@
 pub(super) const CROWDED_FOR: Duration = Duration::from_millis(1_000);
 
 /// Milliseconds of reading up to which a prompt goes beside writers whole.
-pub(super) const SHORT_MS: f64 = 45.0;
+pub(super) const SHORT_MS: f64 = 100.0;
 
 /// A prompt that couldn't be on time even on idle engines is taken on if it would take little
 /// longer than that: else the longest would never be served at all.
@@ -147,15 +147,12 @@
         base: &Chosen,
         now: Time,
     ) -> Option<(usize, f64)> {
-        let engines = self.usable().max(1) as f64;
-        let long_share = (self.long_share.rate(now) / 1000.0 / engines).max(LEAST_LONG_SHARE);
         let mut best = None;
         for (index, server) in self.candidates(ask, now) {
             let part = tried_part(base, server, 1, ask, now);
             let outlook = server.outlook(rules, part, &server.reads(rules, now), now);
             let predicted = first_ms(rules, server, &outlook);
-            let company = 1.0 + server.writers()[0];
-            let alone = APART * long_share.min(1.0) / company;
+            let alone = self.alone(server, now);
             let own =
                 cost::lateness(predicted, ask.goal_ms) + cost::miss(outlook.pause_ms, ask.pause_ms);
             let harm = outlook.harm + delay_cost(std::iter::once(&outlook));
@@ -167,6 +164,14 @@
         best.map(|(_, index, predicted)| (index, predicted))
     }
 
+    /// What writing on this engine costs in weights because it will be wanted for a part of a long
+    /// prompt: nearly nothing where others write already.
+    pub(super) fn alone(&self, server: &Server, now: Time) -> f64 {
+        let engines = self.usable().max(1) as f64;
+        let long_share = (self.long_share.rate(now) / 1000.0 / engines).max(LEAST_LONG_SHARE);
+        APART * long_share.min(1.0) / (1.0 + server.writers()[0])
+    }
+
     pub(super) fn choose_plain(&self, ask: &Ask, now: Time) -> Option<Chosen> {
         let mut best = None;
         for (index, server) in self.candidates(ask, now) {
--- a/crates/policy/src/arrange/split.rs
+++ b/crates/policy/src/arrange/split.rs
@@ -1,4 +1,14 @@
 //! Over how many engines a long prompt is read, on which, and from when on.
+//!
+//! **Load pattern.** Prompts of middle length come beside questions and the longest ones.
+//!
+//! **Without it.** Each is written on the engine that reads it soonest, which is one where nobody else
+//! writes. Its answer takes seconds, so after a while every engine has a single writer, and each part of
+//! a long prompt is somebody's pause.
+//!
+//! **Rule.** Who bears only short pauses writes where others write, and its parts are read elsewhere,
+//! unless that costs more than the engine that it would take from long prompts ([`Arranger::alone`]).
+//! Who bears long ones writes on whichever of its engines is best, so that nobody hears its reading.
 
 use crate::{Time, routes::EngineRules};
 
@@ -7,7 +17,7 @@
     choose::{Chosen, delay_cost, first_ms, tried_part},
     cost,
     reading::Read,
-    server::{Outlook, Server, millis},
+    server::{Outlook, PAUSES_MS, Server, millis},
 };
 
 /// Tokens by which an engine's memory is planned too small: engines allocate in blocks.
@@ -22,15 +32,25 @@
 
 /// How a prompt's memory is spread over the engines that read it.
 struct MemoryShares {
-    /// Which of them runs it.
-    head: usize,
-    /// Tokens there.
+    /// Tokens where it runs.
     at_head: u64,
     /// Tokens on each of the others, in the order in which they stand once the head is first.
     reserve: Vec<Option<u64>>,
 }
 
+/// The longest pause of those who write where others do; whoever bears more also bears the parts of long
+/// prompts, and takes no engine from them.
+const GATHERED_PAUSE_MS: f64 = PAUSES_MS[1];
+
+/// The engines for one split, in the order in which they are taken.
+struct Parts {
+    candidates: Vec<Candidate>,
+    /// Which of them runs it, where that is settled.
+    head: Option<usize>,
+}
+
 /// An engine that may read a part, in the order in which they are taken.
+#[derive(Clone)]
 struct Candidate {
     index: usize,
     outlook: Outlook,
@@ -81,46 +101,91 @@
             let holds = [0.0, held].into_iter().take(if held > 0.0 { 2 } else { 1 });
             for hold_ms in holds {
                 let tried = Chosen { part_ms: read_ms / parts as f64, hold_ms, ..base.clone() };
-                let Some((total, chosen)) = self.try_split(rules, ask, &engines, parts, tried, now)
-                else {
-                    continue;
-                };
-                if best.as_ref().is_none_or(|(least, _)| total < *least) {
-                    best = Some((total, chosen));
+                for parts in self.ways(rules, ask, &engines, parts, &tried, now) {
+                    let Some((total, chosen)) = self.try_split(rules, ask, parts, &tried, now)
+                    else {
+                        continue;
+                    };
+                    if best.as_ref().is_none_or(|(least, _)| total < *least) {
+                        best = Some((total, chosen));
+                    }
                 }
             }
         }
         best.map(|(_, chosen)| chosen)
     }
 
-    /// What one split costs on the engines that are cheapest for it; none where their memory is too
-    /// small.
-    fn try_split(
+    /// The engines for a number of parts: those that are cheapest for it, and for whoever bears only short
+    /// pauses also those with a head where others write.
+    fn ways(
         &self,
         rules: &EngineRules,
         ask: &Ask,
         engines: &[Engine<'_>],
         parts: usize,
-        tried: Chosen,
+        tried: &Chosen,
         now: Time,
-    ) -> Option<(f64, Chosen)> {
+    ) -> Vec<Parts> {
         let mut sorted: Vec<Candidate> = engines
             .iter()
-            .map(|engine| self.candidate(rules, engine, parts, &tried, ask, now))
+            .map(|engine| self.candidate(rules, engine, parts, tried, ask, now))
             .collect();
         sorted.sort_by(|a, b| a.key.total_cmp(&b.key));
+        let mut ways = Vec::new();
+        if ask.pause_ms <= GATHERED_PAUSE_MS {
+            ways.extend(self.gathered(rules, &sorted, parts, tried, now));
+        }
         sorted.truncate(parts);
-        let MemoryShares { head, at_head, reserve } =
-            self.memory(rules, &sorted, tried.memory, ask.pause_ms)?;
-        let predicted_ms = sorted.iter().map(|c| c.first_ms).fold(0.0, f64::max);
-        let read_in_ms = sorted.iter().map(|c| c.outlook.read_in_ms).fold(0.0, f64::max);
-        let harm: f64 = sorted.iter().map(|c| c.outlook.harm).sum();
-        let harm = harm + delay_cost(sorted.iter().map(|c| &c.outlook));
+        ways.push(Parts { candidates: sorted, head: None });
+        ways
+    }
+
+    /// The cheapest engine to write on, and the cheapest others to read.
+    fn gathered(
+        &self,
+        rules: &EngineRules,
+        sorted: &[Candidate],
+        parts: usize,
+        tried: &Chosen,
+        now: Time,
+    ) -> Option<Parts> {
+        let server = |c: &Candidate| &self.servers[c.index];
+        let cost = |c: &Candidate| c.key + tried.weight * self.alone(server(c), now);
+        let with_slot = sorted.iter().filter(|c| server(c).running() < rules.slots);
+        let head = with_slot.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        let others = sorted.iter().filter(|c| c.index != head.index);
+        let candidates = std::iter::once(head).chain(others).take(parts).cloned().collect();
+        Some(Parts { candidates, head: Some(0) })
+    }
+
+    /// What one split costs; none where the memory of its engines is too small.
+    fn try_split(
+        &self,
+        rules: &EngineRules,
+        ask: &Ask,
+        parts: Parts,
+        tried: &Chosen,
+        now: Time,
+    ) -> Option<(f64, Chosen)> {
+        let Parts { candidates, head } = parts;
+        let head =
+            head.or_else(|| self.best_head(rules, &candidates, tried.memory, ask.pause_ms))?;
+        let MemoryShares { at_head, reserve } =
+            self.memory(rules, &candidates, head, tried.memory)?;
+        let outlooks = || candidates.iter().map(|c| &c.outlook);
+        let predicted_ms = candidates.iter().map(|c| c.first_ms).fold(0.0, f64::max);
+        let read_in_ms = outlooks().map(|outlook| outlook.read_in_ms).fold(0.0, f64::max);
+        let harm = outlooks().map(|outlook| outlook.harm).sum::<f64>() + delay_cost(outlooks());
+        let alone = match ask.pause_ms <= GATHERED_PAUSE_MS {
+            true => self.alone(&self.servers[candidates[head].index], now),
+            false => 0.0,
+        };
         let own = cost::lateness(predicted_ms, ask.goal_ms)
-            + cost::miss(sorted[head].outlook.pause_ms, ask.pause_ms);
-        let total = tried.weight * (own + PER_HELPER * parts as f64) + harm;
-        let mut servers: Vec<usize> = sorted.iter().map(|c| c.index).collect();
+            + cost::miss(candidates[head].outlook.pause_ms, ask.pause_ms);
+        let total = tried.weight * (own + alone + PER_HELPER * candidates.len() as f64) + harm;
+        let mut servers: Vec<usize> = candidates.iter().map(|c| c.index).collect();
         servers.swap(0, head);
+        let tried = tried.clone();
         let chosen =
             Chosen { servers, predicted_ms, read_in_ms, harm, memory: at_head, reserve, ..tried };
         Some((total, chosen))
@@ -146,32 +211,45 @@
     }
 
     /// Which of the engines runs the request: one whose memory takes it and that won't read for long
-    /// while it writes, and of those the one with the most memory left. What doesn't fit
-    /// there is reserved on the others, those with the most memory first, so that few have to be
-    /// asked; none where all together have too little.
-    fn memory(
+    /// while it writes, and of those the one with the most memory left.
+    fn best_head(
         &self,
         rules: &EngineRules,
-        sorted: &[Candidate],
+        candidates: &[Candidate],
         needed: u64,
         pause_ms: f64,
-    ) -> Option<MemoryShares> {
-        let free = |c: &Candidate| {
-            rules.memory_tokens.saturating_sub(self.servers[c.index].memory() + MEMORY_SLACK)
+    ) -> Option<usize> {
+        let merit = |c: &Candidate| {
+            let free = self.free_memory(rules, c);
+            let has_slot = self.servers[c.index].running() < rules.slots;
+            let undisturbed = cost::miss(c.outlook.pause_ms, pause_ms) <= 0.0;
+            (has_slot, free >= needed, undisturbed, free)
         };
-        let has_slot = |c: &Candidate| self.servers[c.index].running() < rules.slots;
-        let undisturbed = |c: &Candidate| cost::miss(c.outlook.pause_ms, pause_ms) <= 0.0;
-        let fits = |c: &Candidate| free(c) >= needed;
-        let merit = |c: &Candidate| (has_slot(c), fits(c), undisturbed(c), free(c));
-        let head = (0..sorted.len()).max_by_key(|i| merit(&sorted[*i]))?;
-        let mut rest: Vec<u64> = sorted.iter().map(free).collect();
+        (0..candidates.len()).max_by_key(|i| merit(&candidates[*i]))
+    }
+
+    /// Tokens that an engine's memory takes.
+    fn free_memory(&self, rules: &EngineRules, c: &Candidate) -> u64 {
+        rules.memory_tokens.saturating_sub(self.servers[c.index].memory() + MEMORY_SLACK)
+    }
+
+    /// How a prompt's memory is spread. What doesn't fit at its head is reserved on the others, those with
+    /// the most memory first, so that few have to be asked; none where all together have too little.
+    fn memory(
+        &self,
+        rules: &EngineRules,
+        candidates: &[Candidate],
+        head: usize,
+        needed: u64,
+    ) -> Option<MemoryShares> {
+        let mut rest: Vec<u64> = candidates.iter().map(|c| self.free_memory(rules, c)).collect();
         rest.swap(0, head);
         let at_head = needed.min(rest[0]);
         let mut missing = needed - at_head;
         let mut reserve = vec![None; rest.len() - 1];
         if needed < rules.memory_tokens && rest.iter().sum::<u64>() < needed {
             // It fits an engine, but none has the room now: it waits where it runs.
-            return Some(MemoryShares { head, at_head: needed, reserve });
+            return Some(MemoryShares { at_head: needed, reserve });
         }
         let mut by_room: Vec<usize> = (0..reserve.len()).collect();
         by_room.sort_by_key(|i| std::cmp::Reverse(rest[i + 1]));
@@ -183,6 +261,6 @@
             reserve[index] = Some(part);
             missing -= part;
         }
-        (missing == 0).then_some(MemoryShares { head, at_head, reserve })
+        (missing == 0).then_some(MemoryShares { at_head, reserve })
     }
 }
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -119,6 +119,26 @@
     assert!(placement.predicted_ms < 1_000.0, "{placement:?}");
 }
 
+/// Dossiers come while questions of middle length, which several engines read, are asked one after the
+/// other. Each answer takes seconds. Were each written on an idle engine, soon none would be left, and
+/// every part of a dossier would be a caller's pause.
+#[test]
+fn middle_questions_write_together() {
+    let mut arranger = arranger(20);
+    let mut heads = std::collections::BTreeSet::new();
+    for i in 0..14 {
+        let now = at(i * 100);
+        if i % 4 == 0 {
+            let dossier = place(&mut arranger, DOSSIER, now);
+            arranger.ended(dossier.job, None, now + Duration::from_millis(50));
+        }
+        let placement = place(&mut arranger, 28_000, now);
+        arranger.began(placement.job, now + Duration::from_millis(60));
+        heads.insert(placement.endpoint);
+    }
+    assert!(heads.len() <= 5, "{heads:?}");
+}
+
 /// Two instances place dossiers in the same moment. Word of the first keeps the second off the
 /// engines that are about to read it, as long as others are idle.
 #[test]
