Bound what company is worth, and guess a stop's first answers by questions among questions

Now it costs 0.8 weights at most, and those who write beside a question are taken to be like it.

questions_dont_queue_for_the_company_of_others fails with the bound at 8 (430 ms foretold, 300 allowed).

--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -25,6 +25,10 @@
 /// prompts take: it will soon be wanted for a part that the short one's pause can't bear.
 const APART: f64 = 3.0;
 
+/// The most that it costs, in weights: less than being late. Without this bound, questions queue for the
+/// slots of a few engines in a burst of dossiers while others have room, and are refused in the end.
+const MOST_APART: f64 = 0.8;
+
 /// Milliseconds from the end of reading to the first event on an engine that writes nothing else: half
 /// a pass, as measured for 16 prompts of 125,000 to 800,000 tokens alone (19 to 27 ms).
 const FIRST_EVENT_MS: f64 = 25.0;
@@ -169,7 +173,7 @@
     pub(super) fn alone(&self, server: &Server, now: Time) -> f64 {
         let engines = self.usable().max(1) as f64;
         let long_share = (self.long_share.rate(now) / 1000.0 / engines).max(LEAST_LONG_SHARE);
-        APART * long_share.min(1.0) / (1.0 + server.writers()[0])
+        (APART * long_share.min(1.0) / (1.0 + server.writers()[0])).min(MOST_APART)
     }
 
     pub(super) fn choose_plain(&self, ask: &Ask, now: Time) -> Option<Chosen> {
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -138,11 +138,13 @@
         self.servers.values().filter(|server| !server.member.leaving).count()
     }
 
-    /// How long a request usually takes to its end, with room for a busy engine.
+    /// How long a request usually takes to its end, with room for a busy engine. Those who write beside it
+    /// are taken to be like it, but no longer than usual: questions stand among questions.
     pub fn usual_time(&self, prompt: u64, output: u64) -> Duration {
         let Some(rules) = &self.rules else { return Duration::ZERO };
         let passes = output.div_ceil(u64::from(rules.stride.max(1))) as f64;
-        let writing = passes * rules.pass_ms(rules.slots, rules.usual_context);
+        let context = rules.usual_context.min(prompt + output / 2);
+        let writing = passes * rules.pass_ms(rules.slots, context);
         let ms = BUSY * (rules.read_ms(prompt) + writing) + FIRST_PASSES_MS;
         Duration::from_secs_f64(ms / 1000.0)
     }
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -139,6 +139,22 @@
     assert!(heads.len() <= 5, "{heads:?}");
 }
 
+/// A burst of dossiers has just been placed when a burst of questions begins. The first engine's slots are
+/// soon taken; the next question goes to another engine instead of waiting for a slot until it is late.
+#[test]
+fn questions_dont_queue_for_the_company_of_others() {
+    let mut arranger = arranger(20);
+    for i in 0..24 {
+        let dossier = place(&mut arranger, DOSSIER, at(i * 100));
+        arranger.ended(dossier.job, None, at(i * 100 + 50));
+    }
+    for i in 0..60 {
+        let placement = place(&mut arranger, QUESTION, at(2_500 + i * 10));
+        assert!(placement.predicted_ms < 300.0, "question {i}: {placement:?}");
+        arranger.began(placement.job, at(2_505 + i * 10));
+    }
+}
+
 /// Two instances place dossiers in the same moment. Word of the first keeps the second off the
 /// engines that are about to read it, as long as others are idle.
 #[test]
