Let peers vouch for configuration and endpoints, so that few instances read the log

Ruled out: telling freshness unasked (a word that waits in a suspended instance's socket looks new); comparing clocks; an elected reader (a paused one would keep its turn). Sending configurations through the links: hundreds of datagrams for a large one, to save a call a version.

Now an instance asks the first live ones by name before it reads for itself (policy::vouch); an answer counts from the moment of its question, on the clock that counts suspends. Changes of endpoints come along. News only wake. Up to eight instances have one reader, more have one a data centre.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod topology;
 pub mod trefoilhall;
 pub mod units;
+pub mod vouch;
 
 pub use any::AnyScheduler;
 pub use ids::{
--- /dev/null
+++ b/crates/policy/src/vouch.rs
@@ -0,0 +1,88 @@
+//! Which instance reads a source for others, and how fresh that makes what they know.
+//!
+//! **Load pattern.** Every instance follows the same log of configurations and endpoints.
+//!
+//! **Without it.** The log's calls grow with the instances: at three hundred and fifty they are all that
+//! it takes. And an instance that alone can't reach the log refuses everybody, while its peers have
+//! read it a moment ago.
+//!
+//! **Rule.** An instance asks a peer up to where it has read and how long ago that was true. What it
+//! knows itself is as fresh as that, counted from the moment of its own question, unless the peer has
+//! read further; then it reads for itself. All ask the instances that come first among the live ones
+//! ([`readers`]); whose turn it is reads. There is no election and no lease: two readers do no harm, and
+//! who hears nothing fresh reads for itself.
+//!
+//! **Grounds.** No clocks are compared and no word is believed that wasn't asked for, so neither a
+//! datagram that waits in a suspended instance's socket nor a suspended peer makes anything look fresher
+//! than it is: an age is told after the question was sent, and on a clock that counts suspends.
+
+use std::{fmt, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{DataCentre, InstanceId};
+
+/// Live instances up to which one reads for all; of more, one in each data centre does, so that no
+/// instance answers more than some dozens.
+const FEW: usize = 8;
+
+/// Instances that are asked before one reads for itself: the first, and the next where that one is
+/// cut off from the source.
+const ASKED: usize = 2;
+
+/// Up to where a log has been read: the first offset that isn't known.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct Position(pub u64);
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// What an instance knows of a log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vouch {
+    /// Nothing was there at this position or beyond.
+    pub position: Position,
+    /// How long ago that was so at least, when it was told.
+    pub age: Duration,
+}
+
+/// What a peer's answer says of one's own knowledge.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    /// Nothing was missing this long ago.
+    Complete(Duration),
+    /// The peer has read further.
+    Behind,
+}
+
+impl Vouch {
+    /// What it says of an instance that has read up to `mine` and asked `since_asked` ago, by a clock that
+    /// counts suspends.
+    pub fn says_of(&self, mine: Position, since_asked: Duration) -> Word {
+        match self.position > mine {
+            true => Word::Behind,
+            // Told after the question was sent, so it was true at least that long before.
+            false => Word::Complete(self.age + since_asked),
+        }
+    }
+}
+
+/// Whom `me` asks, in this order, before it reads for itself; none where it is its own turn.
+pub fn readers(
+    me: &InstanceId,
+    here: &DataCentre,
+    others: &[(InstanceId, DataCentre)],
+) -> Vec<InstanceId> {
+    let all = others.len() < FEW;
+    let near = others.iter().filter(|(_, data_centre)| all || data_centre == here);
+    let mut before: Vec<InstanceId> =
+        near.map(|(instance, _)| instance.clone()).filter(|instance| instance < me).collect();
+    before.sort();
+    before.truncate(ASKED);
+    before
+}
--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -82,6 +82,11 @@
         BootTime::now().0.saturating_sub(self.0)
     }
 
+    /// The point `span` earlier.
+    pub fn before(self, span: Duration) -> BootTime {
+        BootTime(self.0.saturating_sub(span))
+    }
+
     /// The point `span` later.
     pub fn after(self, span: Duration) -> BootTime {
         BootTime(self.0 + span)
--- a/crates/router/src/follow/configuration.rs
+++ b/crates/router/src/follow/configuration.rs
@@ -2,50 +2,136 @@
 
 use std::{sync::Arc, time::Duration};
 
+use policy::{
+    routes::RouteTable,
+    vouch::{Position, Word},
+};
 use smol::Timer;
 
-use super::Contact;
+use super::{Contact, PLACES};
 use crate::{
+    clock::BootTime,
     lock,
     source::ConfigSource,
     state::{Configuration, Groups},
+    vouching::{Asked, Heard, Vouching, Whom},
 };
 
 /// Pause after a failed reading. Several fit into the time within which a change has to be in
 /// force, and all instances together stay far below what a store refuses.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// Reads on until it is dropped.
-pub async fn follow(
-    mut source: impl ConfigSource,
+/// Time between two questions to a peer. News are told at once; where such a word is lost, this is how
+/// much later a change is in force.
+const ASK_EVERY: Duration = Duration::from_millis(800);
+
+/// A peer's knowledge older than this is no reason not to read for oneself: a held reading, its way and
+/// the peer's own question.
+const YOUNG: Duration = Duration::from_millis(1_700);
+
+/// The configuration, as a peer or the log knows it.
+pub struct Follower<S> {
+    source: S,
     configuration: Arc<Configuration>,
     groups: Arc<Groups>,
-) {
-    let mut contact = Contact::new("configuration");
-    loop {
-        match source.read().await {
-            Ok(reading) => {
-                contact.answered();
-                if let Some(table) = reading.news {
-                    let version = table.version;
-                    if configuration.put(table) {
-                        log::info!(version = version.0; "config_in_force");
-                        set_rules(&configuration, &groups);
-                    }
+    vouching: Arc<Vouching>,
+    contact: Contact,
+}
+
+impl<S: ConfigSource> Follower<S> {
+    /// Follows `source`.
+    pub fn new(
+        source: S,
+        configuration: Arc<Configuration>,
+        groups: Arc<Groups>,
+        vouching: Arc<Vouching>,
+    ) -> Self {
+        Follower { source, configuration, groups, vouching, contact: Contact::new("configuration") }
+    }
+
+    /// Reads on until it is dropped.
+    pub async fn run(mut self) {
+        loop {
+            if self.is_vouched().await {
+                self.vouching.configuration_news(ASK_EVERY).await;
+            } else {
+                self.read().await;
+            }
+        }
+    }
+
+    /// Whether a peer that reads before this instance does says that nothing is missing.
+    async fn is_vouched(&mut self) -> bool {
+        let Some(mine) = self.source.position() else { return false };
+        for place in 0..PLACES {
+            match self.vouching.ask(Whom::Reader(place), |heard| is_young(heard, mine)).await {
+                Asked::Nobody => return false,
+                Asked::Silence => {}
+                Asked::Heard(heard) => {
+                    self.confirm(&heard, mine);
+                    return true;
                 }
-                configuration.confirm(reading.as_of);
+            }
+        }
+        false
+    }
+
+    fn confirm(&self, heard: &Heard, mine: Position) {
+        if let Some(as_of) = complete_as_of(heard, mine) {
+            self.configuration.confirm(as_of);
+            self.vouching.know_configuration(mine, as_of, false);
+        }
+    }
+
+    async fn read(&mut self) {
+        match self.source.read().await {
+            Ok(reading) => {
+                self.contact.answered();
+                let is_news = reading.news.is_some_and(|table| self.put(table));
+                self.configuration.confirm(reading.as_of);
+                self.vouching.know_configuration(reading.position, reading.as_of, is_news);
             }
             Err(e) => {
-                contact.failed(&e);
+                self.contact.failed(&e);
+                self.ask_anybody().await;
                 Timer::after(RETRY.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
             }
         }
     }
+
+    /// Guards against an instance that alone can't reach the log and refuses all that need a key, while
+    /// its peers have read a moment ago.
+    async fn ask_anybody(&mut self) {
+        let Some(mine) = self.source.position() else { return };
+        if let Asked::Heard(heard) =
+            self.vouching.ask(Whom::Anybody, |heard| is_young(heard, mine)).await
+        {
+            self.confirm(&heard, mine);
+        }
+    }
+
+    fn put(&self, table: RouteTable) -> bool {
+        let version = table.version;
+        let is_news = self.configuration.put(table);
+        if is_news {
+            log::info!(version = version.0; "config_in_force");
+            for (name, rules) in &self.configuration.table().groups {
+                let group = self.groups.get_or_add(name);
+                lock(&group.arranger).set_rules(rules.engine.clone());
+            }
+        }
+        is_news
+    }
 }
 
-fn set_rules(configuration: &Configuration, groups: &Groups) {
-    for (name, rules) in &configuration.table().groups {
-        let group = groups.get_or_add(name);
-        lock(&group.arranger).set_rules(rules.engine.clone());
+/// Since when nothing is missing of what was read up to `mine`.
+fn complete_as_of(heard: &Heard, mine: Position) -> Option<BootTime> {
+    match heard.answer.configuration?.says_of(mine, heard.asked.age()) {
+        Word::Complete(age) => Some(BootTime::now().before(age)),
+        Word::Behind => None,
     }
 }
+
+fn is_young(heard: &Heard, mine: Position) -> bool {
+    complete_as_of(heard, mine).is_some_and(|as_of| as_of.age() <= YOUNG)
+}
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -6,20 +6,32 @@
 };
 
 use indexmap::IndexMap;
-use policy::{DataCentre, EndpointGroup, EndpointId, arrange::Member, roster::Roster};
-use smol::Timer;
+use policy::{
+    DataCentre, EndpointGroup, EndpointId,
+    arrange::Member,
+    roster::Roster,
+    vouch::{Position, Word},
+};
 
-use super::Contact;
+use super::{Contact, PLACES};
 use crate::{
-    clock::Clock,
+    clock::{BootTime, Clock},
     lock,
     source::{EndpointEntry, EndpointSource},
     state::{Group, Groups},
+    vouching::{Asked, EndpointChange, Heard, Vouching, Whom},
 };
 
 /// Time between two readings, as a part of the time within which a leaving endpoint may get nothing
 /// new. What varies about it, a retry and the way there fit into the rest; each reading has a price.
-const PERIOD: f64 = 0.55;
+const PERIOD: f64 = 0.45;
+
+/// Time between two questions to a peer, as such a part.
+const ASK_PERIOD: f64 = 0.25;
+
+/// A peer's knowledge older than this part is no reason not to read for oneself: with the time to the next
+/// question and the way there it stays below the whole.
+const YOUNG: f64 = 0.55;
 
 /// Pause after a failed reading.
 const RETRY: Duration = Duration::from_millis(200);
@@ -29,37 +41,165 @@
 const NEAR: Duration = Duration::from_micros(200);
 const FAR: Duration = Duration::from_micros(1_400);
 
-/// Reads on until it is dropped.
-pub async fn follow(
-    mut source: impl EndpointSource,
+/// The endpoints, as a peer or the log knows them.
+pub struct Follower<S> {
+    source: S,
     groups: Arc<Groups>,
     here: DataCentre,
     clock: Clock,
+    /// Within this a leaving endpoint gets nothing new any more.
     leave: Duration,
-) {
-    let mut contact = Contact::new("endpoints");
-    let mut roster = Roster::<EndpointId, EndpointEntry>::default();
-    let mut found = IndexMap::new();
-    loop {
-        let pause = match source.read().await {
+    vouching: Arc<Vouching>,
+    contact: Contact,
+    roster: Roster<EndpointId, EndpointEntry>,
+    found: IndexMap<EndpointId, EndpointEntry>,
+}
+
+impl<S: EndpointSource> Follower<S> {
+    /// Follows `source` for an instance that stands `here`.
+    pub fn new(
+        source: S,
+        groups: Arc<Groups>,
+        here: DataCentre,
+        clock: Clock,
+        leave: Duration,
+        vouching: Arc<Vouching>,
+    ) -> Self {
+        Follower {
+            source,
+            groups,
+            here,
+            clock,
+            leave,
+            vouching,
+            contact: Contact::new("endpoints"),
+            roster: Roster::default(),
+            found: IndexMap::new(),
+        }
+    }
+
+    /// Reads on until it is dropped.
+    pub async fn run(mut self) {
+        loop {
+            let pause = match self.is_vouched().await {
+                true => self.leave.mul_f64(ASK_PERIOD),
+                false => self.read().await,
+            };
+            // What is kept after an outage is dropped by a reading, so that one has to come soon.
+            let pause = if self.roster.is_settling() { RETRY } else { pause };
+            self.vouching.endpoint_news(pause.mul_f64(0.85 + 0.3 * fastrand::f64())).await;
+        }
+    }
+
+    /// Whether a peer that reads before this instance does says what has changed, if anything.
+    async fn is_vouched(&mut self) -> bool {
+        for place in 0..PLACES {
+            match self.ask(Whom::Reader(place)).await {
+                Asked::Nobody => return false,
+                Asked::Silence => {}
+                Asked::Heard(heard) => return self.take(heard),
+            }
+        }
+        false
+    }
+
+    async fn ask(&mut self, whom: Whom) -> Asked {
+        if self.source.position().is_none() {
+            return Asked::Nobody;
+        }
+        let young = self.leave.mul_f64(YOUNG);
+        let is_good = |heard: &Heard| age(heard).is_some_and(|age| age <= young);
+        self.vouching.ask(whom, is_good).await
+    }
+
+    /// Takes over a peer's changes; false where it doesn't know what this instance lacks.
+    fn take(&mut self, heard: Heard) -> bool {
+        let (Some(age), Some(mine), Some(vouch)) =
+            (age(&heard), self.source.position(), heard.answer.endpoints)
+        else {
+            return false;
+        };
+        let Some(changes) = heard.answer.changes else { return false };
+        let position = vouch.position.max(mine);
+        if vouch.position > mine {
+            self.source.advance(&changes, position);
+            for EndpointChange { id, entry } in &changes {
+                match entry {
+                    Some(entry) => self.found.insert(id.clone(), entry.clone()),
+                    None => self.found.shift_remove(id),
+                };
+            }
+            self.know(Some(mine), position, BootTime::now().before(age), &changes);
+        } else {
+            self.know(Some(mine), position, BootTime::now().before(age), &[]);
+        }
+        self.update();
+        true
+    }
+
+    /// Reads, and tells how long to wait then.
+    async fn read(&mut self) -> Duration {
+        let before = self.source.position();
+        match self.source.read().await {
             Ok(reading) => {
-                contact.answered();
-                if let Some(entries) = reading.news {
-                    found = entries.into_iter().map(|e| (e.id.clone(), e)).collect();
-                }
-                if roster.read(&found, clock.now()) {
-                    update(&groups, roster.entries(), &here, clock);
-                }
-                // What is kept after an outage is dropped by a reading, so that one has to come soon.
-                if roster.is_settling() { RETRY } else { leave.mul_f64(PERIOD) }
+                self.contact.answered();
+                let changes = match reading.news {
+                    Some(entries) => self.replace(entries),
+                    None => Vec::new(),
+                };
+                self.know(before, reading.position, reading.as_of, &changes);
+                self.update();
+                self.leave.mul_f64(PERIOD)
             }
             Err(e) => {
-                contact.failed(&e);
-                roster.failed();
+                self.contact.failed(&e);
+                if let Asked::Heard(heard) = self.ask(Whom::Anybody).await
+                    && self.take(heard)
+                {
+                    return self.leave.mul_f64(ASK_PERIOD);
+                }
+                self.roster.failed();
                 RETRY
             }
-        };
-        Timer::after(pause.mul_f64(0.85 + 0.3 * fastrand::f64())).await;
+        }
+    }
+
+    /// Puts all endpoints in place of those found before, and tells what changed.
+    fn replace(&mut self, entries: Vec<EndpointEntry>) -> Vec<EndpointChange> {
+        let found: IndexMap<_, _> = entries.into_iter().map(|e| (e.id.clone(), e)).collect();
+        let gone = self.found.keys().filter(|id| !found.contains_key(*id));
+        let gone = gone.map(|id| EndpointChange { id: id.clone(), entry: None });
+        let new = found.iter().filter(|(id, entry)| self.found.get(*id) != Some(entry));
+        let new = new.map(|(id, e)| EndpointChange { id: id.clone(), entry: Some(e.clone()) });
+        let changes = gone.chain(new).collect();
+        self.found = found;
+        changes
+    }
+
+    fn know(
+        &self,
+        before: Option<Position>,
+        position: Position,
+        as_of: BootTime,
+        changes: &[EndpointChange],
+    ) {
+        self.vouching.know_endpoints(before, position, as_of, changes);
+    }
+
+    fn update(&mut self) {
+        if self.roster.read(&self.found, self.clock.now()) {
+            update(&self.groups, self.roster.entries(), &self.here, self.clock);
+        }
+    }
+}
+
+/// How old a peer's knowledge of the endpoints is.
+fn age(heard: &Heard) -> Option<Duration> {
+    let vouch = heard.answer.endpoints?;
+    // What this instance lacks comes along, so its own position is of no matter.
+    match vouch.says_of(vouch.position, heard.asked.age()) {
+        Word::Complete(age) => Some(age),
+        Word::Behind => None,
     }
 }
 
--- a/crates/router/src/follow/mod.rs
+++ b/crates/router/src/follow/mod.rs
@@ -3,11 +3,14 @@
 mod configuration;
 mod endpoints;
 
-pub use configuration::follow as configuration;
-pub use endpoints::follow as endpoints;
+pub use configuration::Follower as ConfigurationFollower;
+pub use endpoints::Follower as EndpointsFollower;
 
 use crate::source::SourceError;
 
+/// Peers that are asked one after the other before an instance reads for itself.
+const PLACES: usize = 2;
+
 /// Tells once that a source is lost and once that it is back.
 #[derive(Debug)]
 struct Contact {
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -21,6 +21,7 @@
     net, serve,
     source::{ConfigSource, EndpointSource, PeerDirectory, PeerEntry},
     state::{Configuration, Groups, Lifecycle, Stage},
+    vouching::Vouching,
 };
 
 /// How long a stopping instance serves on as before: the balancer asks every second and believes
@@ -108,6 +109,8 @@
 
         let me = PeerEntry { instance: settings.instance.clone(), address: settings.link_listen };
         let (listed_tx, listed) = bounded(1);
+        let (vouching, questions, telling) = Vouching::new();
+        let vouching = Arc::new(vouching);
         let (links, nudge) = Links::new(LinkParts {
             me: me.clone(),
             incarnation,
@@ -116,6 +119,10 @@
             clock,
             instances: instances.clone(),
             listed,
+            here: settings.data_centre.clone(),
+            vouching: vouching.clone(),
+            questions,
+            telling,
         });
         let bounds = settings.bounds;
         let dispatch = Dispatch::new(Parts {
@@ -160,12 +167,23 @@
         spawn.spawn(serve::serve(ready, Arc::new(readiness), executor.clone())).detach();
         spawn.spawn(links.run()).detach();
         spawn.spawn(links::follow_directory(sources.peers, me, listed_tx)).detach();
-        let followed = follow::configuration(sources.configuration, configuration, groups.clone());
-        spawn.spawn(followed).detach();
+        let followed = follow::ConfigurationFollower::new(
+            sources.configuration,
+            configuration,
+            groups.clone(),
+            vouching.clone(),
+        );
+        spawn.spawn(followed.run()).detach();
         let here = settings.data_centre.clone();
-        spawn
-            .spawn(follow::endpoints(sources.endpoints, groups, here, clock, bounds.leave))
-            .detach();
+        let followed = follow::EndpointsFollower::new(
+            sources.endpoints,
+            groups,
+            here,
+            clock,
+            bounds.leave,
+            vouching,
+        );
+        spawn.spawn(followed.run()).detach();
         log::info!(
             instance = settings.instance.as_str(),
             incarnation = incarnation.0,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod settings;
 pub mod source;
 pub mod state;
+pub mod vouching;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -17,9 +17,10 @@
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
 use policy::{
-    EndpointGroup, Incarnation, InstanceId, Time,
+    DataCentre, EndpointGroup, Incarnation, InstanceId, Time,
     arrange::{EVERY, Told},
     quarantine,
+    vouch::{Position, readers},
 };
 use serde::{Deserialize, Serialize};
 use smol::{
@@ -29,10 +30,11 @@
 };
 
 use crate::{
-    clock::Clock,
+    clock::{BootTime, Clock},
     lock,
     source::{PeerDirectory, PeerEntry},
     state::{Group, Groups},
+    vouching::{Answer, Heard, Question, Vouching, Whom},
 };
 
 /// The most words in one datagram, so that it fits into one packet: a word with a part takes about 70
@@ -51,9 +53,18 @@
 /// How long addresses of instances that fell silent are still tried.
 const REMEMBERED: Duration = Duration::from_secs(60);
 
-/// Time between two readings of the directory. Instances that start say hello to all that are in
-/// it; this only heals what was lost then.
-const DIRECTORY_PERIOD: Duration = Duration::from_secs(12);
+/// Time between two readings of the directory. Instances that start greet all that are in it, and again
+/// those that don't answer; this only heals what was lost beyond that.
+const DIRECTORY_PERIOD: Duration = Duration::from_secs(45);
+
+/// How often those that are listed and weren't heard of are greeted. Most of them are gone for good.
+const GREETINGS: u32 = 5;
+
+/// How long an answer to a question may come.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(500);
+
+/// Live instances that are asked where any will do.
+const ANYBODY: usize = 3;
 
 /// Pause before the directory is tried again.
 const DIRECTORY_RETRY: Duration = Duration::from_millis(500);
@@ -67,6 +78,7 @@
 struct Datagram {
     instance: InstanceId,
     incarnation: Incarnation,
+    data_centre: DataCentre,
     /// Counts the sender's datagrams; one that arrives after a later one is dropped.
     sequence: u64,
     body: Body,
@@ -80,11 +92,28 @@
     Work { group: EndpointGroup, words: Vec<Told> },
     /// Requests suspected of crashing endpoints of one group.
     Suspects { group: EndpointGroup, entries: Vec<quarantine::Entry> },
+    /// How fresh is what the receiver knows, and what has changed of the endpoints since a position?
+    Question { nonce: u64, endpoints_at: Position },
+    /// What the receiver asked.
+    Answer { nonce: u64, answer: Answer },
+    /// The sender has read up to there. Nothing is believed of it; whoever has read less looks.
+    News { configuration: Position, endpoints: Position },
+}
+
+/// A question under way.
+#[derive(Debug)]
+struct Pending {
+    sent: Time,
+    asked: BootTime,
+    answers: Sender<Heard>,
+    /// Answers that may still come.
+    expected: usize,
 }
 
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
+    data_centre: DataCentre,
     incarnation: Incarnation,
     sequence: u64,
     heard: Time,
@@ -119,11 +148,22 @@
     told: Time,
     /// Suspects told in the last round, so that only changes are told.
     suspects: IndexMap<EndpointGroup, usize>,
+    /// Listed instances that weren't heard of yet, and how often they will still be greeted.
+    unmet: Vec<PeerEntry>,
+    greetings_left: u32,
+    greeted: Time,
+    here: DataCentre,
+    vouching: Arc<Vouching>,
+    questions: Receiver<Question>,
+    telling: Receiver<()>,
+    pending: IndexMap<u64, Pending>,
 }
 
 enum Wake {
     Due,
     Nudged,
+    Asked(Question),
+    News,
     Listed(Vec<PeerEntry>),
     Heard(Datagram, SocketAddr),
 }
@@ -144,26 +184,41 @@
     pub instances: Arc<AtomicUsize>,
     /// Addresses from the directory.
     pub listed: Receiver<Vec<PeerEntry>>,
+    /// Where this instance stands.
+    pub here: DataCentre,
+    /// What it has read.
+    pub vouching: Arc<Vouching>,
+    /// Its questions to peers.
+    pub questions: Receiver<Question>,
+    /// Wakes the links to tell peers that there are news.
+    pub telling: Receiver<()>,
 }
 
 impl Links {
     /// Links without peers yet.
     pub fn new(parts: LinkParts) -> (Links, Nudge) {
         let (tx, nudged) = bounded(1);
-        let LinkParts { me, incarnation, socket, groups, clock, instances, listed } = parts;
         let links = Links {
-            me,
-            incarnation,
-            socket,
-            groups,
-            clock,
+            me: parts.me,
+            incarnation: parts.incarnation,
+            socket: parts.socket,
+            groups: parts.groups,
+            clock: parts.clock,
             peers: IndexMap::new(),
-            instances,
+            instances: parts.instances,
             nudged,
-            listed,
+            listed: parts.listed,
             sequence: 0,
             told: Time::ZERO,
             suspects: IndexMap::new(),
+            unmet: Vec::new(),
+            greetings_left: 0,
+            greeted: Time::ZERO,
+            here: parts.here,
+            vouching: parts.vouching,
+            questions: parts.questions,
+            telling: parts.telling,
+            pending: IndexMap::new(),
         };
         (links, Nudge(tx))
     }
@@ -176,10 +231,18 @@
                 Wake::Due => {
                     next = self.clock.now() + self.period();
                     self.tell(true).await;
+                    self.greet().await;
                     self.forget_silent();
                 }
                 Wake::Nudged => self.tell(false).await,
-                Wake::Listed(entries) => self.greet(entries).await,
+                Wake::Asked(question) => self.ask(question).await,
+                Wake::News => self.tell_news().await,
+                Wake::Listed(entries) => {
+                    self.unmet = entries;
+                    self.greetings_left = GREETINGS;
+                    self.greeted = Time::ZERO;
+                    self.greet().await;
+                }
                 Wake::Heard(datagram, from) => self.hear(datagram, from).await,
             }
         }
@@ -212,7 +275,19 @@
                 }
             }
         };
-        nudged.or(heard).or(listed).or(due).await
+        let asked = async {
+            match self.questions.recv().await {
+                Ok(question) => Wake::Asked(question),
+                Err(_) => std::future::pending().await,
+            }
+        };
+        let news = async {
+            match self.telling.recv().await {
+                Ok(()) => Wake::News,
+                Err(_) => std::future::pending().await,
+            }
+        };
+        nudged.or(heard).or(asked).or(news).or(listed).or(due).await
     }
 
     fn period(&self) -> Duration {
@@ -262,6 +337,7 @@
         let datagram = Datagram {
             instance: self.me.instance.clone(),
             incarnation: self.incarnation,
+            data_centre: self.here.clone(),
             sequence: self.sequence,
             body: body.clone(),
         };
@@ -274,16 +350,76 @@
         }
     }
 
-    async fn greet(&mut self, entries: Vec<PeerEntry>) {
-        for entry in entries {
-            if entry.instance != self.me.instance && !self.peers.contains_key(&entry.instance) {
-                self.send(&Body::Heartbeat, entry.address).await;
+    /// Greets those that are listed and weren't heard of yet.
+    async fn greet(&mut self) {
+        let now = self.clock.now();
+        if self.greetings_left == 0
+            || self.greeted > Time::ZERO && now.since(self.greeted) < HEARTBEAT
+        {
+            return;
+        }
+        self.greetings_left -= 1;
+        self.greeted = now;
+        let (me, peers) = (&self.me, &self.peers);
+        self.unmet.retain(|e| e.instance != me.instance && !peers.contains_key(&e.instance));
+        for entry in self.unmet.clone() {
+            self.send(&Body::Heartbeat, entry.address).await;
+        }
+    }
+
+    /// Passes a question on; where there is nobody to ask, it is let go of at once.
+    async fn ask(&mut self, question: Question) {
+        let Question { whom, endpoints_at, answers } = question;
+        let addresses = self.whom(whom);
+        if addresses.is_empty() {
+            return;
+        }
+        let nonce = fastrand::u64(..);
+        let (sent, asked) = (self.clock.now(), BootTime::now());
+        let pending = Pending { sent, asked, answers, expected: addresses.len() };
+        self.pending.insert(nonce, pending);
+        for address in addresses {
+            self.send(&Body::Question { nonce, endpoints_at }, address).await;
+        }
+    }
+
+    fn whom(&self, whom: Whom) -> Vec<SocketAddr> {
+        let live = || self.peers.iter().filter(|(_, peer)| peer.is_live);
+        match whom {
+            Whom::Reader(place) => {
+                let others: Vec<_> =
+                    live().map(|(id, peer)| (id.clone(), peer.data_centre.clone())).collect();
+                let readers = readers(&self.me.instance, &self.here, &others);
+                let reader = readers.get(place).and_then(|instance| self.peers.get(instance));
+                reader.map(|peer| peer.address).into_iter().collect()
             }
+            Whom::Anybody => {
+                let mut addresses: Vec<_> = live().map(|(_, peer)| peer.address).collect();
+                fastrand::shuffle(&mut addresses);
+                addresses.truncate(ANYBODY);
+                addresses
+            }
+        }
+    }
+
+    fn answered(&mut self, nonce: u64, answer: Answer) {
+        let Some(pending) = self.pending.get_mut(&nonce) else { return };
+        let heard = Heard { asked: pending.asked, answer };
+        pending.expected = pending.expected.saturating_sub(1);
+        // Whoever has a good answer waits for no other.
+        let is_over = pending.answers.try_send(heard).is_err() || pending.expected == 0;
+        if is_over {
+            self.pending.swap_remove(&nonce);
         }
     }
 
+    async fn tell_news(&mut self) {
+        let (configuration, endpoints) = self.vouching.positions();
+        self.send_all(&Body::News { configuration, endpoints }).await;
+    }
+
     async fn hear(&mut self, datagram: Datagram, from: SocketAddr) {
-        let Datagram { instance, incarnation, sequence, body } = datagram;
+        let Datagram { instance, incarnation, data_centre, sequence, body } = datagram;
         if instance == self.me.instance {
             return;
         }
@@ -301,7 +437,8 @@
             _ => true,
         };
         if is_new {
-            let peer = Peer { address: from, incarnation, sequence, heard: now, is_live: true };
+            let (heard, address) = (now, from);
+            let peer = Peer { address, data_centre, incarnation, sequence, heard, is_live: true };
             self.forget(&instance);
             self.peers.insert(instance.clone(), peer);
             log::info!(peer = instance.as_str(), incarnation = incarnation.0; "peer_found");
@@ -320,11 +457,20 @@
                     lock(&group.arranger).quarantine().import(&entries, now);
                 }
             }
+            Body::Question { nonce, endpoints_at } => {
+                let answer = self.vouching.answer(endpoints_at);
+                self.send(&Body::Answer { nonce, answer }, from).await;
+            }
+            Body::Answer { nonce, answer } => self.answered(nonce, answer),
+            Body::News { configuration, endpoints } => {
+                self.vouching.hear_news(configuration, endpoints);
+            }
         }
     }
 
     fn forget_silent(&mut self) {
         let now = self.clock.now();
+        self.pending.retain(|_, pending| now.since(pending.sent) < ANSWERED_WITHIN);
         let silent = self.peers.iter().filter(|(_, p)| p.is_live && now.since(p.heard) > SILENT);
         let silent: Vec<_> = silent.map(|(instance, _)| instance.clone()).collect();
         for instance in silent {
--- a/crates/router/src/source.rs
+++ b/crates/router/src/source.rs
@@ -2,9 +2,13 @@
 
 use std::{fmt, future::Future, net::SocketAddr};
 
-use policy::{DataCentre, EndpointGroup, EndpointId, Incarnation, InstanceId, routes::RouteTable};
+use policy::{
+    DataCentre, EndpointGroup, EndpointId, Incarnation, InstanceId, routes::RouteTable,
+    vouch::Position,
+};
+use serde::{Deserialize, Serialize};
 
-use crate::clock::BootTime;
+use crate::{clock::BootTime, vouching::EndpointChange};
 
 /// Why a source can't be read.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,16 +40,22 @@
     pub news: Option<T>,
     /// Whatever was acknowledged before this moment is in it.
     pub as_of: BootTime,
+    /// Up to where the source has been read with it.
+    pub position: Position,
 }
 
 /// Where configuration comes from.
 pub trait ConfigSource: Send {
     /// Waits for a short while for something new.
     fn read(&mut self) -> impl Future<Output = Result<Reading<RouteTable>, SourceError>> + Send;
+
+    /// Up to where it has been read; none before the first reading, and where that is of no use to
+    /// anybody any more.
+    fn position(&self) -> Option<Position>;
 }
 
 /// One endpoint as it registered itself.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndpointEntry {
     /// Its name.
     pub id: EndpointId,
@@ -69,6 +79,12 @@
     fn read(
         &mut self,
     ) -> impl Future<Output = Result<Reading<Vec<EndpointEntry>>, SourceError>> + Send;
+
+    /// Up to where it has been read; none before the first reading.
+    fn position(&self) -> Option<Position>;
+
+    /// Takes over what a peer has read up to `position`, and goes on there.
+    fn advance(&mut self, changes: &[EndpointChange], position: Position);
 }
 
 /// Another instance's address, as it registered itself.
