--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -30,7 +30,7 @@
 const MOST_APART: f64 = 0.8;
 
 /// Milliseconds from the end of reading to the first event on an engine that writes nothing else: half
-/// a pass, as measured for 16 prompts of 125,000 to 800,000 tokens alone (19 to 27 ms).
+/// a pass.
 const FIRST_EVENT_MS: f64 = 25.0;
 
 /// Milliseconds for which a long prompt is held at least, so that instances that placed others in the
--- a/crates/policy/src/arrange/cost.rs
+++ b/crates/policy/src/arrange/cost.rs
@@ -5,8 +5,8 @@
 /// Milliseconds of reading that weigh one. About what a short question takes.
 const UNIT_MS: f64 = 20.0;
 
-/// How weight grows with a prompt's reading time. The sites value their dossiers 17 times as much
-/// as their questions, and a dossier takes 140 times as long to read: 140 to this power is 17.
+/// How weight grows with a prompt's reading time: less than in proportion, as a long prompt is one caller's
+/// loss all the same.
 const WEIGHT_POWER: f64 = 0.57;
 
 /// Parts of a bound between which the chance to miss it rises from none to certainty: predictions
@@ -21,7 +21,7 @@
 /// costs the quarter that a late answer is still worth, and its place is taken for as long.
 const PER_LONGER_PAUSE: f64 = 0.05;
 
-/// Half-life of the measured share of long prompts: a burst begins and ends within seconds.
+/// Half-life of the share of long prompts: a burst begins and ends within seconds.
 const HALF_LIFE_S: f64 = 1.5;
 
 /// What the lateness of a prompt that takes `read_ms` alone weighs.
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -4,8 +4,7 @@
 //! come in bursts; several instances place work without seeing each other's last milliseconds.
 //!
 //! **Without it.** A dossier read beside writers is one pause of seconds for each of them, and a
-//! dossier that waits for its turn on one engine misses its goal, although most engines idle: at
-//! today's sites reading takes a third of the engines in the mean and two thirds in bursts.
+//! dossier that waits for its turn on one engine misses its goal, although most engines idle.
 //!
 //! **Rule.** The cost of a place is what callers lose by it: the request's own chance to be late,
 //! and that of everybody whose pause grows by its reading. A prompt is split into as many even
@@ -16,7 +15,7 @@
 //!
 //! **Grounds.** Writing costs hardly more for twelve requests than for one (a step takes 0.925 ms
 //! and 0.005 ms a request), while reading stops everybody, so gathering writers is nearly free.
-//! Measured in `docs/decisions/arrangement.md`.
+//! The figures stand in `docs/decisions/arrangement.md`.
 
 mod ask;
 mod choose;
@@ -48,9 +47,8 @@
 /// comes meanwhile.
 const ASSESS_EVERY: Duration = Duration::from_millis(100);
 
-/// How many times longer than its figures a busy engine takes. It reads others' prompts meanwhile,
-/// while most answers are shorter than they may be: at 0.9 a planned stop of all instances still cut
-/// two answers in a day, at 1.3 it refused twice as many as at 1.15.
+/// How many times longer than its figures a busy engine takes: it reads others' prompts meanwhile, while
+/// most answers are shorter than they may be.
 const BUSY: f64 = 1.15;
 
 /// Milliseconds by which a prompt is read later than foretold because another instance chose the same
--- a/crates/policy/src/arrange/reading.rs
+++ b/crates/policy/src/arrange/reading.rs
@@ -11,9 +11,7 @@
 //! prompts after all parts. One on which somebody writes works in passes, each of which reads what has
 //! come before it begins in the same order, up to its number of tokens.
 //!
-//! **Grounds.** Placements of a day of dossiers alone, played through four orders: the median of the
-//! error of first events was 36 ms in order of arrival and 27 ms by this rule, the ninth decile 1,190
-//! and 255 ms. The figures stand in `docs/decisions/arrangement.md`.
+//! **Grounds.** `docs/decisions/arrangement.md` compares the orders.
 
 use crate::routes::EngineRules;
 
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -26,8 +26,7 @@
     told::{Level, ToldPart},
 };
 
-/// Upper bounds in milliseconds of the pauses that writers bear, by which they are counted. The
-/// sites ask for 200, 500 and 800 ms.
+/// Upper bounds in milliseconds of the pauses that writers bear, by which they are counted.
 pub(super) const PAUSES_MS: [f64; 3] = [250.0, 600.0, f64::INFINITY];
 
 /// What each of these bears, where none of this instance's own has said it.
--- a/crates/router/src/filter/hedge.rs
+++ b/crates/router/src/filter/hedge.rs
@@ -10,7 +10,7 @@
 //! an answer is the one. The other is dropped only then. Only what is idempotent is asked twice,
 //! within the attempts that its route and the budget of repeats allow.
 //!
-//! **Grounds.** The times stand with [`super::dispatch`] and [`super::relay`].
+//! **Grounds.** The times stand with [`super::send`] and [`super::relay`].
 
 use std::{future::Future, pin::pin, time::Duration};
 
@@ -20,7 +20,7 @@
 
 use super::{
     Refusal,
-    dispatch::{Beside, Call},
+    call::{Beside, Call},
     run::Live,
 };
 use crate::dialect::Dialect;
--- a/crates/router/src/filter/mod.rs
+++ b/crates/router/src/filter/mod.rs
@@ -1,11 +1,13 @@
 //! The path of a request, one file a filter: [`identify`] finds route and workspace, [`receive`]
-//! takes the body, [`dispatch`] sends it to endpoints, [`relay`] passes events on.
+//! takes the body, [`dispatch`] takes it on, [`call`] and [`send`] find endpoints for it, [`relay`] passes
+//! events on.
 //!
 //! Each filter takes what the one before it made, so that a request can't skip one; the chain is
 //! composed by generics alone.
 
 mod attempt;
 mod body;
+mod call;
 mod dispatch;
 mod hedge;
 mod identify;
@@ -14,6 +16,7 @@
 mod refusal;
 mod relay;
 mod run;
+mod send;
 
 use std::future::Future;
 
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -22,7 +22,7 @@
 use super::{
     AnswerBody, Refusal,
     body::{BrokenOff, EventBody},
-    dispatch::{Beside, Call, FINISHED},
+    call::{Beside, Call, FINISHED},
     hedge::{self, First, race},
     run::Live,
 };
