--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -114,29 +114,32 @@
 
     /// Takes over a peer's changes; false where it doesn't know what this instance lacks.
     fn take(&mut self, heard: Heard) -> bool {
-        let (Some(age), Some(mine), Some(vouch)) =
-            (age(&heard), self.source.position(), heard.answer.endpoints)
-        else {
-            return false;
-        };
-        let Some(changes) = heard.answer.changes else { return false };
-        let position = vouch.position.max(mine);
+        let Some(mine) = self.source.position() else { return false };
+        let (Some(age), Some(vouch)) = (age(&heard), heard.answer.endpoints) else { return false };
+        let Some(mut changes) = heard.answer.changes else { return false };
         if vouch.position > mine {
-            self.source.advance(&changes, position);
-            for EndpointChange { id, entry } in &changes {
-                match entry {
-                    Some(entry) => self.found.insert(id.clone(), entry.clone()),
-                    None => self.found.shift_remove(id),
-                };
-            }
-            self.know(Some(mine), position, BootTime::now().before(age), &changes);
+            self.apply(&changes, vouch.position);
         } else {
-            self.know(Some(mine), position, BootTime::now().before(age), &[]);
+            // This instance has read further, so what the peer has of them is old.
+            changes.clear();
         }
+        let position = vouch.position.max(mine);
+        let as_of = BootTime::now().before(age);
+        self.vouching.know_endpoints(Some(mine), position, as_of, &changes);
         self.update();
         true
     }
 
+    fn apply(&mut self, changes: &[EndpointChange], position: Position) {
+        self.source.advance(changes, position);
+        for EndpointChange { id, entry } in changes {
+            match entry {
+                Some(entry) => self.found.insert(id.clone(), entry.clone()),
+                None => self.found.shift_remove(id),
+            };
+        }
+    }
+
     /// Reads, and tells how long to wait then.
     async fn read(&mut self) -> Duration {
         let before = self.source.position();
@@ -148,7 +151,8 @@
                     Some(entries) => self.replace(entries),
                     None => Vec::new(),
                 };
-                self.know(before, reading.position, reading.as_of, &changes);
+                let (position, as_of) = (reading.position, reading.as_of);
+                self.vouching.know_endpoints(before, position, as_of, &changes);
                 self.update();
                 self.leave.mul_f64(PERIOD)
             }
@@ -178,16 +182,6 @@
         changes
     }
 
-    fn know(
-        &self,
-        before: Option<Position>,
-        position: Position,
-        as_of: BootTime,
-        changes: &[EndpointChange],
-    ) {
-        self.vouching.know_endpoints(before, position, as_of, changes);
-    }
-
     fn update(&mut self) {
         if self.roster.read(&self.found, self.clock.now()) {
             update(&self.groups, self.roster.entries(), &self.here, self.clock);
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links/mod.rs
@@ -2,8 +2,12 @@
 //!
 //! Every word is a level or a short-lived addition, so the newest is all that matters: a lost one
 //! is made good by the next, and none waits behind another. A stream would deliver old words late
-//! and in order (`docs/decisions/platform.md`). What an instance hears changes only where it sends
-//! work; nothing that must hold depends on it.
+//! and in order (`docs/decisions/platform.md`). What an instance is told unasked changes only where it
+//! sends work, or wakes it to look; nothing that must hold depends on it. Answers to its own questions
+//! ([`questions`]) are believed as [`policy::vouch`] says.
+
+mod message;
+mod questions;
 
 use std::{
     net::SocketAddr,
@@ -16,13 +20,7 @@
 
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
-use policy::{
-    DataCentre, EndpointGroup, Incarnation, InstanceId, Time,
-    arrange::{EVERY, Told},
-    quarantine,
-    vouch::{Position, readers},
-};
-use serde::{Deserialize, Serialize};
+use policy::{DataCentre, EndpointGroup, Incarnation, InstanceId, Time, arrange::EVERY};
 use smol::{
     Timer,
     channel::{Receiver, Sender, bounded},
@@ -30,13 +28,16 @@
 };
 
 use crate::{
-    clock::{BootTime, Clock},
+    clock::Clock,
     lock,
     source::{PeerDirectory, PeerEntry},
     state::{Group, Groups},
-    vouching::{Answer, Heard, Question, Vouching, Whom},
+    vouching::{Question, Vouching},
 };
 
+use message::{Body, Datagram};
+use questions::Pending;
+
 /// The most words in one datagram, so that it fits into one packet: a word with a part takes about 70
 /// bytes.
 const WORDS: usize = 18;
@@ -60,12 +61,6 @@
 /// How often those that are listed and weren't heard of are greeted. Most of them are gone for good.
 const GREETINGS: u32 = 5;
 
-/// How long an answer to a question may come.
-const ANSWERED_WITHIN: Duration = Duration::from_millis(500);
-
-/// Live instances that are asked where any will do.
-const ANYBODY: usize = 3;
-
 /// Pause before the directory is tried again.
 const DIRECTORY_RETRY: Duration = Duration::from_millis(500);
 
@@ -73,43 +68,6 @@
 /// for each stays as it is.
 const FEW: usize = 8;
 
-/// One datagram.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct Datagram {
-    instance: InstanceId,
-    incarnation: Incarnation,
-    data_centre: DataCentre,
-    /// Counts the sender's datagrams; one that arrives after a later one is dropped.
-    sequence: u64,
-    body: Body,
-}
-
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-enum Body {
-    /// A sign of life; whoever doesn't know the sender yet answers with one.
-    Heartbeat,
-    /// Work on endpoints of one group.
-    Work { group: EndpointGroup, words: Vec<Told> },
-    /// Requests suspected of crashing endpoints of one group.
-    Suspects { group: EndpointGroup, entries: Vec<quarantine::Entry> },
-    /// How fresh is what the receiver knows, and what has changed of the endpoints since a position?
-    Question { nonce: u64, endpoints_at: Position },
-    /// What the receiver asked.
-    Answer { nonce: u64, answer: Answer },
-    /// The sender has read up to there. Nothing is believed of it; whoever has read less looks.
-    News { configuration: Position, endpoints: Position },
-}
-
-/// A question under way.
-#[derive(Debug)]
-struct Pending {
-    sent: Time,
-    asked: BootTime,
-    answers: Sender<Heard>,
-    /// Answers that may still come.
-    expected: usize,
-}
-
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
@@ -367,52 +325,6 @@
         }
     }
 
-    /// Passes a question on; where there is nobody to ask, it is let go of at once.
-    async fn ask(&mut self, question: Question) {
-        let Question { whom, endpoints_at, answers } = question;
-        let addresses = self.whom(whom);
-        if addresses.is_empty() {
-            return;
-        }
-        let nonce = fastrand::u64(..);
-        let (sent, asked) = (self.clock.now(), BootTime::now());
-        let pending = Pending { sent, asked, answers, expected: addresses.len() };
-        self.pending.insert(nonce, pending);
-        for address in addresses {
-            self.send(&Body::Question { nonce, endpoints_at }, address).await;
-        }
-    }
-
-    fn whom(&self, whom: Whom) -> Vec<SocketAddr> {
-        let live = || self.peers.iter().filter(|(_, peer)| peer.is_live);
-        match whom {
-            Whom::Reader(place) => {
-                let others: Vec<_> =
-                    live().map(|(id, peer)| (id.clone(), peer.data_centre.clone())).collect();
-                let readers = readers(&self.me.instance, &self.here, &others);
-                let reader = readers.get(place).and_then(|instance| self.peers.get(instance));
-                reader.map(|peer| peer.address).into_iter().collect()
-            }
-            Whom::Anybody => {
-                let mut addresses: Vec<_> = live().map(|(_, peer)| peer.address).collect();
-                fastrand::shuffle(&mut addresses);
-                addresses.truncate(ANYBODY);
-                addresses
-            }
-        }
-    }
-
-    fn answered(&mut self, nonce: u64, answer: Answer) {
-        let Some(pending) = self.pending.get_mut(&nonce) else { return };
-        let heard = Heard { asked: pending.asked, answer };
-        pending.expected = pending.expected.saturating_sub(1);
-        // Whoever has a good answer waits for no other.
-        let is_over = pending.answers.try_send(heard).is_err() || pending.expected == 0;
-        if is_over {
-            self.pending.swap_remove(&nonce);
-        }
-    }
-
     async fn tell_news(&mut self) {
         let (configuration, endpoints) = self.vouching.positions();
         self.send_all(&Body::News { configuration, endpoints }).await;
@@ -470,7 +382,7 @@
 
     fn forget_silent(&mut self) {
         let now = self.clock.now();
-        self.pending.retain(|_, pending| now.since(pending.sent) < ANSWERED_WITHIN);
+        self.pending.retain(|_, pending| pending.is_open(now));
         let silent = self.peers.iter().filter(|(_, p)| p.is_live && now.since(p.heard) > SILENT);
         let silent: Vec<_> = silent.map(|(instance, _)| instance.clone()).collect();
         for instance in silent {
--- /dev/null
+++ b/crates/router/src/links/questions.rs
@@ -0,0 +1,83 @@
+//! Questions to peers about what they have read, and the answers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use policy::{Time, vouch::readers};
+use smol::channel::Sender;
+
+use super::{Body, Links};
+use crate::{
+    clock::BootTime,
+    vouching::{Answer, Heard, Question, Whom},
+};
+
+/// How long an answer to a question may come.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(500);
+
+/// Live instances that are asked where any will do.
+const ANYBODY: usize = 3;
+
+/// A question under way.
+#[derive(Debug)]
+pub(super) struct Pending {
+    sent: Time,
+    asked: BootTime,
+    answers: Sender<Heard>,
+    /// Answers that may still come.
+    expected: usize,
+}
+
+impl Pending {
+    /// Whether answers may still come.
+    pub(super) fn is_open(&self, now: Time) -> bool {
+        now.since(self.sent) < ANSWERED_WITHIN
+    }
+}
+
+impl Links {
+    /// Passes a question on; where there is nobody to ask, it is let go of at once.
+    pub(super) async fn ask(&mut self, question: Question) {
+        let Question { whom, endpoints_at, answers } = question;
+        let addresses = self.whom(whom);
+        if addresses.is_empty() {
+            return;
+        }
+        let nonce = fastrand::u64(..);
+        let (sent, asked) = (self.clock.now(), BootTime::now());
+        let pending = Pending { sent, asked, answers, expected: addresses.len() };
+        self.pending.insert(nonce, pending);
+        for address in addresses {
+            self.send(&Body::Question { nonce, endpoints_at }, address).await;
+        }
+    }
+
+    fn whom(&self, whom: Whom) -> Vec<SocketAddr> {
+        let live = || self.peers.iter().filter(|(_, peer)| peer.is_live);
+        match whom {
+            Whom::Reader(place) => {
+                let others: Vec<_> =
+                    live().map(|(id, peer)| (id.clone(), peer.data_centre.clone())).collect();
+                let readers = readers(&self.me.instance, &self.here, &others);
+                let reader = readers.get(place).and_then(|instance| self.peers.get(instance));
+                reader.map(|peer| peer.address).into_iter().collect()
+            }
+            Whom::Anybody => {
+                let mut addresses: Vec<_> = live().map(|(_, peer)| peer.address).collect();
+                fastrand::shuffle(&mut addresses);
+                addresses.truncate(ANYBODY);
+                addresses
+            }
+        }
+    }
+
+    pub(super) fn answered(&mut self, nonce: u64, answer: Answer) {
+        let Some(pending) = self.pending.get_mut(&nonce) else { return };
+        let heard = Heard { asked: pending.asked, answer };
+        pending.expected = pending.expected.saturating_sub(1);
+        // Whoever has a good answer waits for no other.
+        let is_over = pending.answers.try_send(heard).is_err() || pending.expected == 0;
+        if is_over {
+            self.pending.swap_remove(&nonce);
+        }
+    }
+}
