Simplify what the reread of the followers, the links and the arranger found

Left: the emulator still counts a stream's urgency and its callers' patience by itself (play.rs), and the platform's endpoints and their follower keep the registrations each.

--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -83,6 +83,8 @@
     /// Milliseconds that reading it would take if all engines that may read it were idle.
     pub(super) idle_ms: f64,
     pub(super) weight: f64,
+    /// What an engine that nobody else writes on costs it, in weights.
+    pub(super) apart: f64,
     /// What others lose by it.
     pub(super) harm: f64,
     /// Tokens of memory where it runs, less what is reserved on others.
@@ -127,6 +129,7 @@
             part_ms: read_ms,
             idle_ms: read_ms / self.usable().min(rules.max_helpers + 1).max(1) as f64,
             weight: cost::weight(read_ms),
+            apart: self.apart(now),
             memory: ask.prompt + ask.output,
             rank: rank(read_ms),
             ..Chosen::default()
@@ -156,7 +159,7 @@
             let part = tried_part(base, server, 1, ask, now);
             let outlook = server.outlook(rules, part, &server.reads(rules, now), now);
             let predicted = first_ms(rules, server, &outlook);
-            let alone = self.alone(server, now);
+            let alone = alone(base.apart, server);
             let own =
                 cost::lateness(predicted, ask.goal_ms) + cost::miss(outlook.pause_ms, ask.pause_ms);
             let harm = outlook.harm + delay_cost(std::iter::once(&outlook));
@@ -168,12 +171,11 @@
         best.map(|(_, index, predicted)| (index, predicted))
     }
 
-    /// What writing on this engine costs in weights because it will be wanted for a part of a long
-    /// prompt: nearly nothing where others write already.
-    pub(super) fn alone(&self, server: &Server, now: Time) -> f64 {
+    /// What an engine that nobody writes on costs a short prompt now.
+    fn apart(&self, now: Time) -> f64 {
         let engines = self.usable().max(1) as f64;
         let long_share = (self.long_share.rate(now) / 1000.0 / engines).max(LEAST_LONG_SHARE);
-        (APART * long_share.min(1.0) / (1.0 + server.writers()[0])).min(MOST_APART)
+        APART * long_share.min(1.0)
     }
 
     pub(super) fn choose_plain(&self, ask: &Ask, now: Time) -> Option<Chosen> {
@@ -286,6 +288,12 @@
     }
 }
 
+/// What writing on this engine costs in weights because it will be wanted for a part of a long prompt:
+/// nearly nothing where others write already.
+pub(super) fn alone(apart: f64, server: &Server) -> f64 {
+    (apart / (1.0 + server.writers()[0])).min(MOST_APART)
+}
+
 /// A request's part on one engine, before it is placed.
 pub(super) fn tried_part(
     chosen: &Chosen,
--- a/crates/policy/src/arrange/split.rs
+++ b/crates/policy/src/arrange/split.rs
@@ -7,14 +7,14 @@
 //! a long prompt is somebody's pause.
 //!
 //! **Rule.** Who bears only short pauses writes where others write, and its parts are read elsewhere,
-//! unless that costs more than the engine that it would take from long prompts ([`Arranger::alone`]).
+//! unless that costs more than the engine that it would take from long prompts ([`alone`]).
 //! Who bears long ones writes on whichever of its engines is best, so that nobody hears its reading.
 
 use crate::{Time, routes::EngineRules};
 
 use super::{
     Arranger, Ask,
-    choose::{Chosen, delay_cost, first_ms, tried_part},
+    choose::{Chosen, alone, delay_cost, first_ms, tried_part},
     cost,
     reading::Read,
     server::{Outlook, PAUSES_MS, Server, millis},
@@ -43,14 +43,13 @@
 const GATHERED_PAUSE_MS: f64 = PAUSES_MS[1];
 
 /// The engines for one split, in the order in which they are taken.
-struct Parts {
-    candidates: Vec<Candidate>,
+struct Parts<'a> {
+    candidates: Vec<&'a Candidate>,
     /// Which of them runs it, where that is settled.
     head: Option<usize>,
 }
 
 /// An engine that may read a part, in the order in which they are taken.
-#[derive(Clone)]
 struct Candidate {
     index: usize,
     outlook: Outlook,
@@ -101,9 +100,9 @@
             let holds = [0.0, held].into_iter().take(if held > 0.0 { 2 } else { 1 });
             for hold_ms in holds {
                 let tried = Chosen { part_ms: read_ms / parts as f64, hold_ms, ..base.clone() };
-                for parts in self.ways(rules, ask, &engines, parts, &tried, now) {
-                    let Some((total, chosen)) = self.try_split(rules, ask, parts, &tried, now)
-                    else {
+                let sorted = self.sorted(rules, ask, &engines, parts, &tried, now);
+                for parts in self.ways(rules, ask, &sorted, parts, &tried) {
+                    let Some((total, chosen)) = self.try_split(rules, ask, parts, &tried) else {
                         continue;
                     };
                     if best.as_ref().is_none_or(|(least, _)| total < *least) {
@@ -115,9 +114,8 @@
         best.map(|(_, chosen)| chosen)
     }
 
-    /// The engines for a number of parts: those that are cheapest for it, and for whoever bears only short
-    /// pauses also those with a head where others write.
-    fn ways(
+    /// All engines, the cheapest for a part of this size first.
+    fn sorted(
         &self,
         rules: &EngineRules,
         ask: &Ask,
@@ -125,36 +123,44 @@
         parts: usize,
         tried: &Chosen,
         now: Time,
-    ) -> Vec<Parts> {
-        let mut sorted: Vec<Candidate> = engines
-            .iter()
-            .map(|engine| self.candidate(rules, engine, parts, tried, ask, now))
-            .collect();
+    ) -> Vec<Candidate> {
+        let candidates =
+            engines.iter().map(|engine| self.candidate(rules, engine, parts, tried, ask, now));
+        let mut sorted: Vec<Candidate> = candidates.collect();
         sorted.sort_by(|a, b| a.key.total_cmp(&b.key));
-        let mut ways = Vec::new();
-        if ask.pause_ms <= GATHERED_PAUSE_MS {
-            ways.extend(self.gathered(rules, &sorted, parts, tried, now));
-        }
-        sorted.truncate(parts);
-        ways.push(Parts { candidates: sorted, head: None });
-        ways
+        sorted
+    }
+
+    /// The engines for a number of parts: for whoever bears only short pauses those with a head where
+    /// others write, and in any case those that are cheapest.
+    fn ways<'a>(
+        &self,
+        rules: &EngineRules,
+        ask: &Ask,
+        sorted: &'a [Candidate],
+        parts: usize,
+        tried: &Chosen,
+    ) -> impl Iterator<Item = Parts<'a>> {
+        let gathers = ask.pause_ms <= GATHERED_PAUSE_MS;
+        let gathered = gathers.then(|| self.gathered(rules, sorted, parts, tried)).flatten();
+        let cheapest = Parts { candidates: sorted.iter().take(parts).collect(), head: None };
+        gathered.into_iter().chain(std::iter::once(cheapest))
     }
 
     /// The cheapest engine to write on, and the cheapest others to read.
-    fn gathered(
+    fn gathered<'a>(
         &self,
         rules: &EngineRules,
-        sorted: &[Candidate],
+        sorted: &'a [Candidate],
         parts: usize,
         tried: &Chosen,
-        now: Time,
-    ) -> Option<Parts> {
+    ) -> Option<Parts<'a>> {
         let server = |c: &Candidate| &self.servers[c.index];
-        let cost = |c: &Candidate| c.key + tried.weight * self.alone(server(c), now);
+        let cost = |c: &Candidate| c.key + tried.weight * alone(tried.apart, server(c));
         let with_slot = sorted.iter().filter(|c| server(c).running() < rules.slots);
         let head = with_slot.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
         let others = sorted.iter().filter(|c| c.index != head.index);
-        let candidates = std::iter::once(head).chain(others).take(parts).cloned().collect();
+        let candidates = std::iter::once(head).chain(others).take(parts).collect();
         Some(Parts { candidates, head: Some(0) })
     }
 
@@ -163,9 +169,8 @@
         &self,
         rules: &EngineRules,
         ask: &Ask,
-        parts: Parts,
+        parts: Parts<'_>,
         tried: &Chosen,
-        now: Time,
     ) -> Option<(f64, Chosen)> {
         let Parts { candidates, head } = parts;
         let head =
@@ -177,7 +182,7 @@
         let read_in_ms = outlooks().map(|outlook| outlook.read_in_ms).fold(0.0, f64::max);
         let harm = outlooks().map(|outlook| outlook.harm).sum::<f64>() + delay_cost(outlooks());
         let alone = match ask.pause_ms <= GATHERED_PAUSE_MS {
-            true => self.alone(&self.servers[candidates[head].index], now),
+            true => alone(tried.apart, &self.servers[candidates[head].index]),
             false => 0.0,
         };
         let own = cost::lateness(predicted_ms, ask.goal_ms)
@@ -215,7 +220,7 @@
     fn best_head(
         &self,
         rules: &EngineRules,
-        candidates: &[Candidate],
+        candidates: &[&Candidate],
         needed: u64,
         pause_ms: f64,
     ) -> Option<usize> {
@@ -225,7 +230,7 @@
             let undisturbed = cost::miss(c.outlook.pause_ms, pause_ms) <= 0.0;
             (has_slot, free >= needed, undisturbed, free)
         };
-        (0..candidates.len()).max_by_key(|i| merit(&candidates[*i]))
+        (0..candidates.len()).max_by_key(|i| merit(candidates[*i]))
     }
 
     /// Tokens that an engine's memory takes.
@@ -238,7 +243,7 @@
     fn memory(
         &self,
         rules: &EngineRules,
-        candidates: &[Candidate],
+        candidates: &[&Candidate],
         head: usize,
         needed: u64,
     ) -> Option<MemoryShares> {
--- a/crates/policy/src/vouch.rs
+++ b/crates/policy/src/vouch.rs
@@ -28,7 +28,7 @@
 
 /// Instances that are asked before one reads for itself: the first, and the next where that one is
 /// cut off from the source.
-const ASKED: usize = 2;
+pub const ASKED: usize = 2;
 
 /// Up to where a log has been read: the first offset that isn't known.
 #[derive(
@@ -66,10 +66,15 @@
     pub fn says_of(&self, mine: Position, since_asked: Duration) -> Word {
         match self.position > mine {
             true => Word::Behind,
-            // Told after the question was sent, so it was true at least that long before.
-            false => Word::Complete(self.age + since_asked),
+            false => Word::Complete(self.age_after(since_asked)),
         }
     }
+
+    /// How old it is at most, `since_asked` after the question: it was told later than that, and was true
+    /// so long before.
+    pub fn age_after(&self, since_asked: Duration) -> Duration {
+        self.age + since_asked
+    }
 }
 
 /// Whom `me` asks, in this order, before it reads for itself; none where it is its own turn.
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -217,7 +217,7 @@
                     "placed"
                 );
                 if ask.prompt > 0 {
-                    self.parts.nudge.nudge();
+                    self.parts.urgent.raise();
                 }
                 Ok(placement)
             }
@@ -238,7 +238,8 @@
     fn ask(&self, beside: Beside, now: Time) -> Ask {
         let received = &self.received;
         let (prompt, output) = received.caller.tokens.unwrap_or((0, 0));
-        let since_event = lock(&self.progress).last_event_at.map(|at| now.since(at));
+        let progress = lock(&self.progress);
+        let since_event = progress.last_event_at.map(|at| now.since(at));
         let goal = received.route.time_to_bound(now.since(received.arrived), since_event);
         let rank = received.owner.as_ref().and_then(|owner| owner.priority);
         Ask {
@@ -250,7 +251,7 @@
             priority: rank.unwrap_or(received.route.priority),
             fingerprint: received.fingerprint,
             is_beside: beside == Beside::Another,
-            tried: lock(&self.progress).tried.clone(),
+            tried: progress.tried.clone(),
         }
     }
 
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -19,9 +19,9 @@
 use crate::{
     clock::Clock,
     dialect::Dialect,
-    links::Nudge,
     lock,
     metrics::Metrics,
+    signal::Signal,
     state::{Group, Groups, Lifecycle},
 };
 
@@ -48,7 +48,7 @@
     /// Instances that share what is allowed, this one included.
     pub instances: Arc<AtomicUsize>,
     /// Wakes the links for work that other instances have to hear of at once.
-    pub nudge: Nudge,
+    pub urgent: Signal,
     /// Counts what happens.
     pub metrics: Arc<Metrics>,
     /// Names reservations of engines' memory.
@@ -65,9 +65,7 @@
     pub fn new(parts: Parts<D>) -> Self {
         Dispatch(Arc::new(parts))
     }
-}
 
-impl<D> Dispatch<D> {
     /// Refuses a request that a stop under way would cut.
     ///
     /// Guards against a planned stop that cuts answers: callers still come long after its
@@ -89,8 +87,9 @@
     /// How long a prompt and its answer take: by what was seen on the route, or else as if the answer
     /// were as long as it may be.
     fn needed(&self, route: &str, (prompt, output): (u64, u64), group: &Group) -> Duration {
+        let seen = lock(&self.0.answer_times).bound(route);
         let arranger = lock(&group.arranger);
-        match lock(&self.0.answer_times).bound(route) {
+        match seen {
             Some(writing) => arranger.usual_time(prompt, 0) + writing,
             None => arranger.usual_time(prompt, output),
         }
--- a/crates/router/src/follow/configuration.rs
+++ b/crates/router/src/follow/configuration.rs
@@ -8,13 +8,13 @@
 };
 use smol::Timer;
 
-use super::{Contact, PLACES};
+use super::Contact;
 use crate::{
     clock::BootTime,
     lock,
     source::ConfigSource,
     state::{Configuration, Groups},
-    vouching::{Asked, Heard, Source, Vouching, Whom},
+    vouching::{Heard, Source, Vouching},
 };
 
 /// Pause after a failed reading. Several fit into the time within which a change has to be in
@@ -47,14 +47,15 @@
         groups: Arc<Groups>,
         vouching: Arc<Vouching>,
     ) -> Self {
-        Follower { source, configuration, groups, vouching, contact: Contact::new("configuration") }
+        let contact = Contact::new(Source::Configuration, vouching.clone());
+        Follower { source, configuration, groups, vouching, contact }
     }
 
     /// Reads on until it is dropped.
     pub async fn run(mut self) {
         loop {
             if self.is_vouched().await {
-                self.vouching.configuration_news(ASK_EVERY).await;
+                self.vouching.news(Source::Configuration, ASK_EVERY).await;
             } else {
                 self.read().await;
             }
@@ -64,38 +65,28 @@
     /// Whether a peer that reads before this instance does says that nothing is missing.
     async fn is_vouched(&mut self) -> bool {
         let Some(mine) = self.source.position() else { return false };
-        for place in 0..PLACES {
-            match self.vouching.ask(Whom::Reader(place), |heard| is_young(heard, mine)).await {
-                Asked::Nobody => return false,
-                Asked::Silence => {}
-                Asked::Heard(heard) => {
-                    self.confirm(&heard, mine);
-                    return true;
-                }
-            }
-        }
-        false
+        let complete = self.vouching.ask_readers(|heard| young_as_of(&heard, mine)).await;
+        self.confirm(mine, complete)
     }
 
-    fn confirm(&self, heard: &Heard, mine: Position) {
-        if let Some(as_of) = complete_as_of(heard, mine) {
-            self.configuration.confirm(as_of);
-            self.vouching.know_configuration(mine, as_of, false);
-        }
+    /// Notes since when nothing is missing; false where nobody knows.
+    fn confirm(&self, mine: Position, complete: Option<BootTime>) -> bool {
+        let Some(as_of) = complete else { return false };
+        self.configuration.confirm(as_of);
+        self.vouching.know_configuration(mine, as_of, false);
+        true
     }
 
     async fn read(&mut self) {
         match self.source.read().await {
             Ok(reading) => {
                 self.contact.answered();
-                self.vouching.set_lost(Source::Configuration, false);
                 let is_news = reading.news.is_some_and(|table| self.put(table));
                 self.configuration.confirm(reading.as_of);
                 self.vouching.know_configuration(reading.position, reading.as_of, is_news);
             }
             Err(e) => {
                 self.contact.failed(&e);
-                self.vouching.set_lost(Source::Configuration, true);
                 self.ask_anybody().await;
                 Timer::after(RETRY.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
             }
@@ -106,11 +97,8 @@
     /// its peers have read a moment ago.
     async fn ask_anybody(&mut self) {
         let Some(mine) = self.source.position() else { return };
-        if let Asked::Heard(heard) =
-            self.vouching.ask(Whom::Anybody, |heard| is_young(heard, mine)).await
-        {
-            self.confirm(&heard, mine);
-        }
+        let complete = self.vouching.ask_anybody(|heard| young_as_of(&heard, mine)).await;
+        self.confirm(mine, complete);
     }
 
     fn put(&self, table: RouteTable) -> bool {
@@ -127,14 +115,10 @@
     }
 }
 
-/// Since when nothing is missing of what was read up to `mine`.
-fn complete_as_of(heard: &Heard, mine: Position) -> Option<BootTime> {
+/// Since when nothing is missing of what was read up to `mine`; none where that is too long ago.
+fn young_as_of(heard: &Heard, mine: Position) -> Option<BootTime> {
     match heard.answer.configuration?.says_of(mine, heard.asked.age()) {
-        Word::Complete(age) => Some(BootTime::now().before(age)),
-        Word::Behind => None,
+        Word::Complete(age) if age <= YOUNG => Some(BootTime::now().before(age)),
+        Word::Complete(_) | Word::Behind => None,
     }
 }
-
-fn is_young(heard: &Heard, mine: Position) -> bool {
-    complete_as_of(heard, mine).is_some_and(|as_of| as_of.age() <= YOUNG)
-}
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -7,19 +7,16 @@
 
 use indexmap::IndexMap;
 use policy::{
-    DataCentre, EndpointGroup, EndpointId,
-    arrange::Member,
-    roster::Roster,
-    vouch::{Position, Word},
+    DataCentre, EndpointGroup, EndpointId, arrange::Member, roster::Roster, vouch::Position,
 };
 
-use super::{Contact, PLACES};
+use super::Contact;
 use crate::{
     clock::{BootTime, Clock},
     lock,
     source::{EndpointEntry, EndpointSource},
     state::{Group, Groups},
-    vouching::{Asked, EndpointChange, Heard, Source, Vouching, Whom},
+    vouching::{EndpointChange, Heard, Source, Vouching},
 };
 
 /// Time between two readings, as a part of the time within which a leaving endpoint may get nothing
@@ -71,8 +68,8 @@
             here,
             clock,
             leave,
+            contact: Contact::new(Source::Endpoints, vouching.clone()),
             vouching,
-            contact: Contact::new("endpoints"),
             roster: Roster::default(),
             found: IndexMap::new(),
         }
@@ -87,45 +84,37 @@
             };
             // What is kept after an outage is dropped by a reading, so that one has to come soon.
             let pause = if self.roster.is_settling() { RETRY } else { pause };
-            self.vouching.endpoint_news(pause.mul_f64(0.85 + 0.3 * fastrand::f64())).await;
+            let pause = pause.mul_f64(0.85 + 0.3 * fastrand::f64());
+            self.vouching.news(Source::Endpoints, pause).await;
         }
     }
 
     /// Whether a peer that reads before this instance does says what has changed, if anything.
     async fn is_vouched(&mut self) -> bool {
-        for place in 0..PLACES {
-            match self.ask(Whom::Reader(place)).await {
-                Asked::Nobody => return false,
-                Asked::Silence => {}
-                Asked::Heard(heard) => return self.take(heard),
-            }
-        }
-        false
+        let Some(mine) = self.source.position() else { return false };
+        let oldest = self.leave.mul_f64(YOUNG);
+        let told = self.vouching.ask_readers(|heard| Told::of(heard, oldest)).await;
+        self.take(mine, told)
     }
 
-    async fn ask(&mut self, whom: Whom) -> Asked {
-        if self.source.position().is_none() {
-            return Asked::Nobody;
-        }
-        let young = self.leave.mul_f64(YOUNG);
-        let is_good = |heard: &Heard| age(heard).is_some_and(|age| age <= young);
-        self.vouching.ask(whom, is_good).await
+    /// Guards against an instance that alone can't reach the log, and goes on with what it knew.
+    async fn ask_anybody(&mut self) -> bool {
+        let Some(mine) = self.source.position() else { return false };
+        let oldest = self.leave.mul_f64(YOUNG);
+        let told = self.vouching.ask_anybody(|heard| Told::of(heard, oldest)).await;
+        self.take(mine, told)
     }
 
     /// Takes over a peer's changes; false where it doesn't know what this instance lacks.
-    fn take(&mut self, heard: Heard) -> bool {
-        let Some(mine) = self.source.position() else { return false };
-        let (Some(age), Some(vouch)) = (age(&heard), heard.answer.endpoints) else { return false };
-        let Some(mut changes) = heard.answer.changes else { return false };
-        if vouch.position > mine {
-            self.apply(&changes, vouch.position);
+    fn take(&mut self, mine: Position, told: Option<Told>) -> bool {
+        let Some(Told { position, as_of, changes: Some(mut changes) }) = told else { return false };
+        if position > mine {
+            self.apply(&changes, position);
         } else {
             // This instance has read further, so what the peer has of them is old.
             changes.clear();
         }
-        let position = vouch.position.max(mine);
-        let as_of = BootTime::now().before(age);
-        self.vouching.know_endpoints(Some(mine), position, as_of, &changes);
+        self.vouching.know_endpoints(Some(mine), position.max(mine), as_of, &changes);
         self.update();
         true
     }
@@ -146,7 +135,6 @@
         match self.source.read().await {
             Ok(reading) => {
                 self.contact.answered();
-                self.vouching.set_lost(Source::Endpoints, false);
                 let changes = match reading.news {
                     Some(entries) => self.replace(entries),
                     None => Vec::new(),
@@ -158,10 +146,7 @@
             }
             Err(e) => {
                 self.contact.failed(&e);
-                self.vouching.set_lost(Source::Endpoints, true);
-                if let Asked::Heard(heard) = self.ask(Whom::Anybody).await
-                    && self.take(heard)
-                {
+                if self.ask_anybody().await {
                     return self.leave.mul_f64(ASK_PERIOD);
                 }
                 self.roster.failed();
@@ -189,13 +174,22 @@
     }
 }
 
-/// How old a peer's knowledge of the endpoints is.
-fn age(heard: &Heard) -> Option<Duration> {
-    let vouch = heard.answer.endpoints?;
-    // What this instance lacks comes along, so its own position is of no matter.
-    match vouch.says_of(vouch.position, heard.asked.age()) {
-        Word::Complete(age) => Some(age),
-        Word::Behind => None,
+/// What a peer told of the endpoints.
+struct Told {
+    position: Position,
+    as_of: BootTime,
+    /// What changed since this instance's own position; none where the peer doesn't know.
+    changes: Option<Vec<EndpointChange>>,
+}
+
+impl Told {
+    /// None where what the peer knows is older than `oldest`.
+    fn of(heard: Heard, oldest: Duration) -> Option<Told> {
+        let vouch = heard.answer.endpoints?;
+        let age = vouch.age_after(heard.asked.age());
+        let as_of = BootTime::now().before(age);
+        let changes = heard.answer.changes;
+        (age <= oldest).then_some(Told { position: vouch.position, as_of, changes })
     }
 }
 
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -19,6 +19,7 @@
     links::{self, LinkParts, Links},
     metrics::{Metrics, MetricsError, MetricsPage},
     net, serve,
+    signal::Signal,
     source::{ConfigSource, EndpointSource, PeerDirectory, PeerEntry},
     state::{Configuration, Groups, Lifecycle, Stage},
     vouching::Vouching,
@@ -109,9 +110,10 @@
 
         let me = PeerEntry { instance: settings.instance.clone(), address: settings.link_listen };
         let (listed_tx, listed) = bounded(1);
-        let (vouching, questions, telling) = Vouching::new();
+        let urgent = Signal::default();
+        let (vouching, questions) = Vouching::new();
         let vouching = Arc::new(vouching);
-        let (links, nudge) = Links::new(LinkParts {
+        let links = Links::new(LinkParts {
             me: me.clone(),
             incarnation,
             socket,
@@ -122,7 +124,7 @@
             here: settings.data_centre.clone(),
             vouching: vouching.clone(),
             questions,
-            telling,
+            urgent: urgent.clone(),
         });
         let bounds = settings.bounds;
         let dispatch = Dispatch::new(Parts {
@@ -133,7 +135,7 @@
             lifecycle: lifecycle.clone(),
             retry_rules: bounds.retry_rules(),
             instances,
-            nudge,
+            urgent,
             metrics: metrics.clone(),
             reservation_ids: ReservationIds::new(format!("{}.{incarnation}", settings.instance)),
             answer_times: Mutex::default(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod net;
 pub mod serve;
 pub mod settings;
+pub mod signal;
 pub mod source;
 pub mod state;
 pub mod vouching;
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -23,13 +23,14 @@
 use policy::{DataCentre, EndpointGroup, Incarnation, InstanceId, Time, arrange::EVERY};
 use smol::{
     Timer,
-    channel::{Receiver, Sender, bounded},
+    channel::{Receiver, Sender},
     net::UdpSocket,
 };
 
 use crate::{
     clock::Clock,
     lock,
+    signal::Signal,
     source::{PeerDirectory, PeerEntry},
     state::{Group, Groups},
     vouching::{Question, Vouching},
@@ -78,18 +79,6 @@
     is_live: bool,
 }
 
-/// Wakes the links for a word that can't wait.
-#[derive(Debug, Clone)]
-pub struct Nudge(Sender<()>);
-
-impl Nudge {
-    /// There is such a word.
-    pub fn nudge(&self) {
-        // A full channel already says so.
-        self.0.try_send(()).ok();
-    }
-}
-
 /// The links of one instance.
 pub struct Links {
     me: PeerEntry,
@@ -100,7 +89,8 @@
     peers: IndexMap<InstanceId, Peer>,
     /// Live instances, this one included.
     instances: Arc<AtomicUsize>,
-    nudged: Receiver<()>,
+    /// Raised for a word that can't wait.
+    urgent: Signal,
     listed: Receiver<Vec<PeerEntry>>,
     sequence: u64,
     told: Time,
@@ -113,13 +103,12 @@
     here: DataCentre,
     vouching: Arc<Vouching>,
     questions: Receiver<Question>,
-    telling: Receiver<()>,
     pending: IndexMap<u64, Pending>,
 }
 
 enum Wake {
     Due,
-    Nudged,
+    Urgent,
     Asked(Question),
     News,
     Listed(Vec<PeerEntry>),
@@ -148,15 +137,14 @@
     pub vouching: Arc<Vouching>,
     /// Its questions to peers.
     pub questions: Receiver<Question>,
-    /// Wakes the links to tell peers that there are news.
-    pub telling: Receiver<()>,
+    /// Raised for a word that can't wait.
+    pub urgent: Signal,
 }
 
 impl Links {
     /// Links without peers yet.
-    pub fn new(parts: LinkParts) -> (Links, Nudge) {
-        let (tx, nudged) = bounded(1);
-        let links = Links {
+    pub fn new(parts: LinkParts) -> Links {
+        Links {
             me: parts.me,
             incarnation: parts.incarnation,
             socket: parts.socket,
@@ -164,7 +152,7 @@
             clock: parts.clock,
             peers: IndexMap::new(),
             instances: parts.instances,
-            nudged,
+            urgent: parts.urgent,
             listed: parts.listed,
             sequence: 0,
             told: Time::ZERO,
@@ -175,10 +163,8 @@
             here: parts.here,
             vouching: parts.vouching,
             questions: parts.questions,
-            telling: parts.telling,
             pending: IndexMap::new(),
-        };
-        (links, Nudge(tx))
+        }
     }
 
     /// Tells and hears until it is dropped.
@@ -192,7 +178,7 @@
                     self.greet().await;
                     self.forget_silent();
                 }
-                Wake::Nudged => self.tell(false).await,
+                Wake::Urgent => self.tell(false).await,
                 Wake::Asked(question) => self.ask(question).await,
                 Wake::News => self.tell_news().await,
                 Wake::Listed(entries) => {
@@ -211,18 +197,11 @@
             Timer::after(self.clock.until(next)).await;
             Wake::Due
         };
-        let nudged = async {
-            match self.nudged.recv().await {
-                Ok(()) => Wake::Nudged,
-                Err(_) => std::future::pending().await,
-            }
-        };
-        let listed = async {
-            match self.listed.recv().await {
-                Ok(entries) => Wake::Listed(entries),
-                Err(_) => std::future::pending().await,
-            }
+        let urgent = async {
+            self.urgent.raised().await;
+            Wake::Urgent
         };
+        let listed = async { Wake::Listed(next_of(&self.listed).await) };
         let heard = async {
             let mut buf = [0; MAX_DATAGRAM];
             loop {
@@ -233,19 +212,12 @@
                 }
             }
         };
-        let asked = async {
-            match self.questions.recv().await {
-                Ok(question) => Wake::Asked(question),
-                Err(_) => std::future::pending().await,
-            }
-        };
+        let asked = async { Wake::Asked(next_of(&self.questions).await) };
         let news = async {
-            match self.telling.recv().await {
-                Ok(()) => Wake::News,
-                Err(_) => std::future::pending().await,
-            }
+            self.vouching.telling().await;
+            Wake::News
         };
-        nudged.or(heard).or(asked).or(news).or(listed).or(due).await
+        urgent.or(heard).or(asked).or(news).or(listed).or(due).await
     }
 
     fn period(&self) -> Duration {
@@ -412,6 +384,14 @@
     }
 }
 
+/// What comes next; nothing ever where the sender is gone.
+async fn next_of<T>(rx: &Receiver<T>) -> T {
+    match rx.recv().await {
+        Ok(next) => next,
+        Err(_) => std::future::pending().await,
+    }
+}
+
 /// Registers this instance and reads the directory now and then, until it is dropped.
 pub async fn follow_directory(
     mut directory: impl PeerDirectory,
--- /dev/null
+++ b/crates/router/src/signal.rs
@@ -0,0 +1,45 @@
+//! Wakes a task that waits.
+
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use smol::{
+    Timer,
+    channel::{Receiver, Sender, bounded},
+};
+
+/// Wakes whoever waits for it. Raised several times before anybody looks, it wakes once.
+#[derive(Debug, Clone)]
+pub struct Signal {
+    tx: Sender<()>,
+    rx: Receiver<()>,
+}
+
+impl Default for Signal {
+    fn default() -> Self {
+        let (tx, rx) = bounded(1);
+        Signal { tx, rx }
+    }
+}
+
+impl Signal {
+    /// Wakes whoever waits now, or next.
+    pub fn raise(&self) {
+        // A full channel already says so.
+        self.tx.try_send(()).ok();
+    }
+
+    /// Waits until it is raised.
+    pub async fn raised(&self) {
+        // It holds both ends, so the channel is never closed.
+        self.rx.recv().await.ok();
+    }
+
+    /// The same, for `patience` at most.
+    pub async fn raised_within(&self, patience: Duration) {
+        let late = async {
+            Timer::after(patience).await;
+        };
+        self.raised().or(late).await;
+    }
+}
--- a/crates/router/src/vouching.rs
+++ b/crates/router/src/vouching.rs
@@ -7,7 +7,7 @@
 use futures_lite::FutureExt;
 use policy::{
     EndpointId,
-    vouch::{Position, Vouch},
+    vouch::{ASKED, Position, Vouch},
 };
 use serde::{Deserialize, Serialize};
 use smol::{
@@ -15,7 +15,7 @@
     channel::{Receiver, Sender, bounded},
 };
 
-use crate::{clock::BootTime, lock, source::EndpointEntry};
+use crate::{clock::BootTime, lock, signal::Signal, source::EndpointEntry};
 
 /// How long an answer is waited for: many times a datagram's way within a region, and little beside a
 /// reading of one's own.
@@ -81,14 +81,13 @@
 }
 
 /// What asking came to.
-#[derive(Debug)]
-pub enum Asked {
+enum Asked<T> {
     /// Nobody stands at this place.
     Nobody,
     /// No answer was good enough in time.
     Silence,
-    /// This one was.
-    Heard(Heard),
+    /// This was made of one that was.
+    Accepted(T),
 }
 
 /// What is read.
@@ -100,69 +99,103 @@
     Endpoints,
 }
 
+impl Source {
+    /// As it stands in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Source::Configuration => "configuration",
+            Source::Endpoints => "endpoints",
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Known {
     position: Position,
     as_of: BootTime,
 }
 
-impl Known {
-    fn vouch(self) -> Vouch {
-        Vouch { position: self.position, age: self.as_of.age() }
-    }
+/// What this instance has of one source.
+#[derive(Debug, Default)]
+struct Followed {
+    known: Option<Known>,
+    /// It can't read the source itself.
+    is_lost: bool,
+    news: Signal,
+}
 
+impl Followed {
     /// Knowledge only grows: a late answer takes nothing back.
-    fn grow(known: &mut Option<Known>, position: Position, as_of: BootTime) {
-        let before = known.unwrap_or(Known { position, as_of });
+    fn grow(&mut self, position: Position, as_of: BootTime) {
+        let before = self.known.unwrap_or(Known { position, as_of });
         let position = before.position.max(position);
-        *known = Some(Known { position, as_of: before.as_of.max(as_of) });
+        self.known = Some(Known { position, as_of: before.as_of.max(as_of) });
+    }
+
+    fn position(&self) -> Position {
+        self.known.map_or(Position::default(), |known| known.position)
+    }
+
+    /// What a peer hears of it.
+    ///
+    /// Guards against a circle: where the instance that reads for others is cut off and lives on what
+    /// they say, and they on what it says, nobody reads, and a change is in force too late. Who is cut
+    /// off vouches for nothing, so that the next one reads.
+    fn vouch(&self) -> Option<Vouch> {
+        let known = self.known.filter(|_| !self.is_lost)?;
+        Some(Vouch { position: known.position, age: known.as_of.age() })
+    }
+
+    /// Somebody has read up to there: whoever has read less looks at once.
+    fn hear(&self, position: Position) {
+        if position > self.position() {
+            self.news.raise();
+        }
     }
 }
 
 #[derive(Debug, Default)]
 struct Readings {
-    configuration: Option<Known>,
-    endpoints: Option<Known>,
-    is_configuration_lost: bool,
-    are_endpoints_lost: bool,
+    configuration: Followed,
+    endpoints: Followed,
     /// Changes of endpoints with the position up to which each was read.
     changes: VecDeque<(Position, EndpointChange)>,
     /// All changes from this position on are kept.
     changes_from: Position,
 }
 
+impl Readings {
+    fn of(&mut self, source: Source) -> &mut Followed {
+        match source {
+            Source::Configuration => &mut self.configuration,
+            Source::Endpoints => &mut self.endpoints,
+        }
+    }
+}
+
 /// Shared by the followers of the log and the links.
 #[derive(Debug)]
 pub struct Vouching {
     readings: Mutex<Readings>,
     questions: Sender<Question>,
-    configuration_news: (Sender<()>, Receiver<()>),
-    endpoint_news: (Sender<()>, Receiver<()>),
-    /// Wakes the links to tell of news.
-    told: Sender<()>,
+    /// There are news to tell to peers.
+    telling: Signal,
 }
 
 impl Vouching {
-    /// Knows nothing yet. The receivers are for the links: questions to send, and news to tell.
-    pub fn new() -> (Vouching, Receiver<Question>, Receiver<()>) {
+    /// Knows nothing yet. The receiver is for the links: questions to send.
+    pub fn new() -> (Vouching, Receiver<Question>) {
         let (questions, asked) = bounded(QUESTIONS);
-        let (told, telling) = bounded(1);
-        let vouching = Vouching {
-            readings: Mutex::default(),
-            questions,
-            configuration_news: bounded(1),
-            endpoint_news: bounded(1),
-            told,
-        };
-        (vouching, asked, telling)
+        let vouching =
+            Vouching { readings: Mutex::default(), questions, telling: Signal::default() };
+        (vouching, asked)
     }
 
     /// The configuration is known up to `position`, and was complete at `as_of`.
     pub fn know_configuration(&self, position: Position, as_of: BootTime, is_news: bool) {
-        Known::grow(&mut lock(&self.readings).configuration, position, as_of);
+        lock(&self.readings).configuration.grow(position, as_of);
         if is_news {
-            // A full channel already says so.
-            self.told.try_send(()).ok();
+            self.telling.raise();
         }
     }
 
@@ -175,7 +208,7 @@
         changes: &[EndpointChange],
     ) {
         let mut readings = lock(&self.readings);
-        Known::grow(&mut readings.endpoints, position, as_of);
+        readings.endpoints.grow(position, as_of);
         if before.is_none() {
             readings.changes.clear();
             readings.changes_from = position;
@@ -191,21 +224,13 @@
         }
         drop(readings);
         if !changes.is_empty() {
-            self.told.try_send(()).ok();
+            self.telling.raise();
         }
     }
 
     /// Whether this instance reaches a source itself.
-    ///
-    /// Guards against a circle: where the instance that reads for others is cut off and lives on what
-    /// they say, and they on what it says, nobody reads, and a change is in force too late. Who is cut
-    /// off vouches for nothing, so that the next one reads.
     pub fn set_lost(&self, source: Source, is_lost: bool) {
-        let mut readings = lock(&self.readings);
-        match source {
-            Source::Configuration => readings.is_configuration_lost = is_lost,
-            Source::Endpoints => readings.are_endpoints_lost = is_lost,
-        }
+        lock(&self.readings).of(source).is_lost = is_lost;
     }
 
     /// What a peer hears that knows the endpoints up to `endpoints_at`.
@@ -214,11 +239,9 @@
         let since = readings.changes.iter().filter(|(position, _)| *position > endpoints_at);
         let changes: Vec<_> = since.map(|(_, change)| change.clone()).collect();
         let is_complete = endpoints_at >= readings.changes_from && changes.len() <= CHANGES_TOLD;
-        let configuration = readings.configuration.filter(|_| !readings.is_configuration_lost);
-        let endpoints = readings.endpoints.filter(|_| !readings.are_endpoints_lost);
         Answer {
-            configuration: configuration.map(Known::vouch),
-            endpoints: endpoints.map(Known::vouch),
+            configuration: readings.configuration.vouch(),
+            endpoints: readings.endpoints.vouch(),
             changes: is_complete.then_some(changes),
         }
     }
@@ -226,33 +249,49 @@
     /// Up to where configuration and endpoints are known.
     pub fn positions(&self) -> (Position, Position) {
         let readings = lock(&self.readings);
-        let at = |known: Option<Known>| known.map_or(Position::default(), |known| known.position);
-        (at(readings.configuration), at(readings.endpoints))
+        (readings.configuration.position(), readings.endpoints.position())
     }
 
-    /// Somebody has read up to there: whoever has read less looks at once.
+    /// Takes in how far a peer has read.
     pub fn hear_news(&self, configuration: Position, endpoints: Position) {
-        let (mine, my_endpoints) = self.positions();
-        if configuration > mine {
-            self.configuration_news.0.try_send(()).ok();
-        }
-        if endpoints > my_endpoints {
-            self.endpoint_news.0.try_send(()).ok();
-        }
+        let readings = lock(&self.readings);
+        readings.configuration.hear(configuration);
+        readings.endpoints.hear(endpoints);
+    }
+
+    /// Waits for news of a source, for `patience` at most.
+    pub async fn news(&self, source: Source, patience: Duration) {
+        let news = lock(&self.readings).of(source).news.clone();
+        news.raised_within(patience).await;
     }
 
-    /// Waits for news of the configuration, for `patience` at most.
-    pub async fn configuration_news(&self, patience: Duration) {
-        wait(&self.configuration_news.1, patience).await;
+    /// Waits until there are news to tell to peers.
+    pub async fn telling(&self) {
+        self.telling.raised().await;
     }
 
-    /// Waits for news of the endpoints, for `patience` at most.
-    pub async fn endpoint_news(&self, patience: Duration) {
-        wait(&self.endpoint_news.1, patience).await;
+    /// Asks the peers that read before this instance does, one after the other, and gives what `accept`
+    /// makes of the first good answer; none where it is this instance's turn to read.
+    pub async fn ask_readers<T>(&self, accept: impl Fn(Heard) -> Option<T>) -> Option<T> {
+        for place in 0..ASKED {
+            match self.ask(Whom::Reader(place), &accept).await {
+                Asked::Nobody => return None,
+                Asked::Silence => {}
+                Asked::Accepted(accepted) => return Some(accepted),
+            }
+        }
+        None
     }
 
-    /// Asks, and takes the first answer that is good enough.
-    pub async fn ask(&self, whom: Whom, is_good: impl Fn(&Heard) -> bool) -> Asked {
+    /// The same with some of all peers at once.
+    pub async fn ask_anybody<T>(&self, accept: impl Fn(Heard) -> Option<T>) -> Option<T> {
+        match self.ask(Whom::Anybody, &accept).await {
+            Asked::Accepted(accepted) => Some(accepted),
+            Asked::Nobody | Asked::Silence => None,
+        }
+    }
+
+    async fn ask<T>(&self, whom: Whom, accept: &impl Fn(Heard) -> Option<T>) -> Asked<T> {
         let (answers, heard) = bounded(QUESTIONS);
         let (_, endpoints_at) = self.positions();
         if self.questions.send(Question { whom, endpoints_at, answers }).await.is_err() {
@@ -262,8 +301,8 @@
         let first_good = async {
             while let Ok(heard) = heard.recv().await {
                 anybody = true;
-                if is_good(&heard) {
-                    return Some(Asked::Heard(heard));
+                if let Some(accepted) = accept(heard) {
+                    return Some(Asked::Accepted(accepted));
                 }
             }
             None
@@ -280,13 +319,3 @@
         }
     }
 }
-
-async fn wait(news: &Receiver<()>, patience: Duration) {
-    let heard = async {
-        news.recv().await.ok();
-    };
-    let late = async {
-        Timer::after(patience).await;
-    };
-    heard.or(late).await;
-}
