Back off from a store that fails, and share the retries in a data centre

Change: exponential back-off with full jitter whose spans grow with the instances that share the retries of a data centre; its first reader retries as if alone. While they wait, instances go on asking peers, and a return of the store is told to all, which ask whoever told it. A reader in front that answers again counts as the source's return.

--- /dev/null
+++ b/crates/policy/src/backoff.rs
@@ -0,0 +1,64 @@
+//! When a source that failed is tried again.
+//!
+//! **Load pattern.** A store fails for all instances at once, for seconds.
+//!
+//! **Without it.** Every instance retries several times a second, so that the store meets a retry storm the
+//! moment it returns, and each of these calls has a price.
+//!
+//! **Rule.** Exponential back-off with full jitter (M. Brooker, "Exponential Backoff and Jitter", 2015). Its
+//! spans grow with the instances that share the retries, so that together they retry as often as a few
+//! would; whoever succeeds tells the others at once.
+//!
+//! **Grounds.** An instance that nobody shares with retries within [`LEAST_CAP`], well within the time in
+//! which a change must be in force after an outage.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+
+/// The first back-off is drawn from up to this, times the instances that share the retries.
+pub const FIRST: Duration = Duration::from_millis(200);
+
+/// The longest back-off of an instance that shares with nobody.
+pub const LEAST_CAP: Duration = Duration::from_secs(1);
+
+/// How much each instance that shares the retries adds to the longest back-off: together they retry four
+/// times a second on average.
+pub const CAP_EACH: Duration = Duration::from_millis(500);
+
+/// No back-off is longer, however many share: a lost word of the return costs no more.
+pub const LONGEST_CAP: Duration = Duration::from_secs(10);
+
+/// Failures in a row, and what they mean for the next try.
+#[derive(Debug, Clone, Default)]
+pub struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    /// How long to wait after a failure, where `sharers` instances retry, this one included.
+    pub fn failed(&mut self, sharers: usize, rng: &mut Rng) -> Duration {
+        let first = times(FIRST, sharers);
+        let span = first.saturating_mul(1 << self.failures.min(16)).min(cap(sharers));
+        self.failures += 1;
+        span.mul_f64(rng.f64())
+    }
+
+    /// How long to wait before a first try where others are known to have failed.
+    pub fn deferred(sharers: usize, rng: &mut Rng) -> Duration {
+        cap(sharers).mul_f64(rng.f64())
+    }
+
+    /// A try has succeeded.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+}
+
+fn cap(sharers: usize) -> Duration {
+    times(CAP_EACH, sharers).clamp(LEAST_CAP, LONGEST_CAP)
+}
+
+fn times(span: Duration, sharers: usize) -> Duration {
+    span.saturating_mul(u32::try_from(sharers).unwrap_or(u32::MAX))
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod answers;
 pub mod any;
 pub mod arrange;
+pub mod backoff;
 pub mod baseline;
 pub mod config;
 pub mod digest;
--- a/crates/policy/src/vouch.rs
+++ b/crates/policy/src/vouch.rs
@@ -83,11 +83,28 @@
     here: &DataCentre,
     others: &[(InstanceId, DataCentre)],
 ) -> Vec<InstanceId> {
-    let all = others.len() < FEW;
-    let near = others.iter().filter(|(_, data_centre)| all || data_centre == here);
     let mut before: Vec<InstanceId> =
-        near.map(|(instance, _)| instance.clone()).filter(|instance| instance < me).collect();
+        neighbours(here, others).filter(|instance| *instance < me).cloned().collect();
     before.sort();
     before.truncate(ASKED);
     before
 }
+
+/// How many instances retry a lost source together with `me`, itself included. The one that reads for the
+/// others shares with nobody: they wait for it.
+pub fn sharers(me: &InstanceId, here: &DataCentre, others: &[(InstanceId, DataCentre)]) -> usize {
+    match neighbours(here, others).any(|instance| instance < me) {
+        true => 1 + neighbours(here, others).count(),
+        false => 1,
+    }
+}
+
+/// The instances among which one reads for all.
+fn neighbours<'a>(
+    here: &'a DataCentre,
+    others: &'a [(InstanceId, DataCentre)],
+) -> impl Iterator<Item = &'a InstanceId> {
+    let all = others.len() < FEW;
+    let near = others.iter().filter(move |(_, data_centre)| all || data_centre == here);
+    near.map(|(instance, _)| instance)
+}
--- a/crates/router/src/follow/configuration.rs
+++ b/crates/router/src/follow/configuration.rs
@@ -6,21 +6,16 @@
     routes::RouteTable,
     vouch::{Position, Word},
 };
-use smol::Timer;
 
-use super::Contact;
+use super::{Contact, Standing};
 use crate::{
     clock::BootTime,
     lock,
     source::ConfigSource,
     state::{Configuration, Groups},
-    vouching::{Heard, Source, Vouching},
+    vouching::{Asked, Heard, Source, Verdict, Vouching},
 };
 
-/// Pause after a failed reading. Several fit into the time within which a change has to be in
-/// force, and all instances together stay far below what a store refuses.
-const RETRY: Duration = Duration::from_millis(200);
-
 /// Time between two questions to a peer. News are told at once; where such a word is lost, this is how
 /// much later a change is in force.
 const ASK_EVERY: Duration = Duration::from_millis(500);
@@ -54,53 +49,71 @@
     /// Reads on until it is dropped.
     pub async fn run(mut self) {
         loop {
-            if self.is_vouched().await {
-                self.vouching.news(Source::Configuration, ASK_EVERY).await;
-            } else {
-                self.read().await;
+            let pause = self.follow().await;
+            if self.vouching.news(Source::Configuration, pause).await {
+                self.contact.hear_news();
             }
         }
     }
 
-    /// Whether a peer that reads before this instance does says that nothing is missing.
-    async fn is_vouched(&mut self) -> bool {
-        let Some(mine) = self.source.position() else { return false };
-        let complete = self.vouching.ask_readers(|heard| young_as_of(&heard, mine)).await;
-        self.confirm(mine, complete)
+    /// Learns what is new, and tells how long to wait then.
+    async fn follow(&mut self) -> Duration {
+        match self.ask_readers().await {
+            Standing::Vouched => return ASK_EVERY,
+            Standing::Refused => self.contact.defer(),
+            Standing::Unknown => {}
+        }
+        let until_retry = self.contact.until_retry();
+        if until_retry.is_zero() {
+            return self.read().await;
+        }
+        self.ask_anybody().await;
+        until_retry.min(ASK_EVERY)
+    }
+
+    async fn ask_readers(&mut self) -> Standing {
+        let Some(mine) = self.source.position() else { return Standing::Unknown };
+        let configuration = self.configuration.clone();
+        let judge = |heard: Heard| judge(&configuration, &heard, mine);
+        match self.vouching.ask_readers(judge).await {
+            Asked::Used(as_of) => {
+                self.vouching.know_configuration(mine, as_of, false);
+                self.contact.answered();
+                Standing::Vouched
+            }
+            Asked::Lost => Standing::Refused,
+            Asked::Nobody | Asked::Silence => Standing::Unknown,
+        }
     }
 
-    /// Notes since when nothing is missing; false where nobody knows.
-    fn confirm(&self, mine: Position, complete: Option<BootTime>) -> bool {
-        let Some(as_of) = complete else { return false };
-        self.configuration.confirm(as_of);
-        self.vouching.know_configuration(mine, as_of, false);
-        true
+    /// Guards against an instance that alone can't reach the log and refuses all that need a key, while
+    /// its peers have read a moment ago.
+    async fn ask_anybody(&mut self) {
+        let Some(mine) = self.source.position() else { return };
+        let configuration = self.configuration.clone();
+        let judge = |heard: Heard| judge(&configuration, &heard, mine);
+        if let Some(as_of) = self.vouching.ask_anybody(judge).await {
+            self.vouching.know_configuration(mine, as_of, false);
+        }
     }
 
-    async fn read(&mut self) {
+    async fn read(&mut self) -> Duration {
         match self.source.read().await {
             Ok(reading) => {
                 self.contact.answered();
                 let is_news = reading.news.is_some_and(|table| self.put(table));
                 self.configuration.confirm(reading.as_of);
                 self.vouching.know_configuration(reading.position, reading.as_of, is_news);
+                Duration::ZERO
             }
             Err(e) => {
                 self.contact.failed(&e);
                 self.ask_anybody().await;
-                Timer::after(RETRY.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
+                self.contact.until_retry().min(ASK_EVERY)
             }
         }
     }
 
-    /// Guards against an instance that alone can't reach the log and refuses all that need a key, while
-    /// its peers have read a moment ago.
-    async fn ask_anybody(&mut self) {
-        let Some(mine) = self.source.position() else { return };
-        let complete = self.vouching.ask_anybody(|heard| young_as_of(&heard, mine)).await;
-        self.confirm(mine, complete);
-    }
-
     fn put(&self, table: RouteTable) -> bool {
         let version = table.version;
         let is_news = self.configuration.put(table);
@@ -115,10 +128,15 @@
     }
 }
 
-/// Since when nothing is missing of what was read up to `mine`; none where that is too long ago.
-fn young_as_of(heard: &Heard, mine: Position) -> Option<BootTime> {
-    match heard.answer.configuration?.says_of(mine, heard.asked.age()) {
-        Word::Complete(age) if age <= YOUNG => Some(BootTime::now().before(age)),
-        Word::Complete(_) | Word::Behind => None,
+/// Confirms what was read up to `mine`, and gives since when nothing is missing of it.
+fn judge(configuration: &Configuration, heard: &Heard, mine: Position) -> Verdict<BootTime> {
+    let Some(vouch) = heard.answer.configuration else { return Verdict::Lost };
+    match vouch.says_of(mine, heard.asked.age()) {
+        Word::Complete(age) => {
+            let as_of = BootTime::now().before(age);
+            configuration.confirm(as_of);
+            if age <= YOUNG { Verdict::Use(as_of) } else { Verdict::Useless }
+        }
+        Word::Behind => Verdict::Useless,
     }
 }
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -10,13 +10,13 @@
     DataCentre, EndpointGroup, EndpointId, arrange::Member, roster::Roster, vouch::Position,
 };
 
-use super::Contact;
+use super::{Contact, Standing};
 use crate::{
     clock::{BootTime, Clock},
     lock,
     source::{EndpointEntry, EndpointSource},
     state::{Group, Groups},
-    vouching::{EndpointChange, Heard, Source, Vouching},
+    vouching::{Asked, EndpointChange, Heard, Source, Verdict, Vouching},
 };
 
 /// Time between two readings, as a part of the time within which a leaving endpoint may get nothing
@@ -30,8 +30,8 @@
 /// question and the way there it stays below the whole.
 const YOUNG: f64 = 0.5;
 
-/// Pause after a failed reading.
-const RETRY: Duration = Duration::from_millis(200);
+/// Time between two readings while what an outage left is kept.
+const SETTLING_PERIOD: Duration = Duration::from_millis(200);
 
 /// One-way delay to an endpoint in the same data centre, and in another one. A few hundredths of a
 /// short question's goal; the order of magnitude is all that placement needs.
@@ -78,23 +78,49 @@
     /// Reads on until it is dropped.
     pub async fn run(mut self) {
         loop {
-            let pause = match self.is_vouched().await {
-                true => self.leave.mul_f64(ASK_PERIOD),
-                false => self.read().await,
-            };
+            let pause = self.follow().await;
             // What is kept after an outage is dropped by a reading, so that one has to come soon.
-            let pause = if self.roster.is_settling() { RETRY } else { pause };
+            let pause = if self.roster.is_settling() { SETTLING_PERIOD } else { pause };
             let pause = pause.mul_f64(0.85 + 0.3 * fastrand::f64());
-            self.vouching.news(Source::Endpoints, pause).await;
+            if self.vouching.news(Source::Endpoints, pause).await {
+                self.contact.hear_news();
+            }
         }
     }
 
-    /// Whether a peer that reads before this instance does says what has changed, if anything.
-    async fn is_vouched(&mut self) -> bool {
-        let Some(mine) = self.source.position() else { return false };
+    /// Learns what has changed, and tells how long to wait then.
+    async fn follow(&mut self) -> Duration {
+        let ask_period = self.leave.mul_f64(ASK_PERIOD);
+        match self.ask_readers().await {
+            Standing::Vouched => return ask_period,
+            Standing::Refused => self.contact.defer(),
+            Standing::Unknown => {}
+        }
+        let until_retry = self.contact.until_retry();
+        if until_retry.is_zero() {
+            return self.read().await;
+        }
+        if self.ask_anybody().await {
+            return ask_period;
+        }
+        self.roster.failed();
+        until_retry.min(ask_period)
+    }
+
+    async fn ask_readers(&mut self) -> Standing {
+        let Some(mine) = self.source.position() else { return Standing::Unknown };
         let oldest = self.leave.mul_f64(YOUNG);
-        let told = self.vouching.ask_readers(|heard| Told::of(heard, oldest)).await;
-        self.take(mine, told)
+        match self.vouching.ask_readers(|heard| Told::of(heard, oldest)).await {
+            Asked::Used(told) => {
+                if !self.take(mine, told) {
+                    return Standing::Unknown;
+                }
+                self.contact.answered();
+                Standing::Vouched
+            }
+            Asked::Lost => Standing::Refused,
+            Asked::Nobody | Asked::Silence => Standing::Unknown,
+        }
     }
 
     /// Guards against an instance that alone can't reach the log, and goes on with what it knew.
@@ -102,12 +128,12 @@
         let Some(mine) = self.source.position() else { return false };
         let oldest = self.leave.mul_f64(YOUNG);
         let told = self.vouching.ask_anybody(|heard| Told::of(heard, oldest)).await;
-        self.take(mine, told)
+        told.is_some_and(|told| self.take(mine, told))
     }
 
     /// Takes over a peer's changes; false where it doesn't know what this instance lacks.
-    fn take(&mut self, mine: Position, told: Option<Told>) -> bool {
-        let Some(Told { position, as_of, changes: Some(mut changes) }) = told else { return false };
+    fn take(&mut self, mine: Position, told: Told) -> bool {
+        let Told { position, as_of, changes: Some(mut changes) } = told else { return false };
         if position > mine {
             self.apply(&changes, position);
         } else {
@@ -146,11 +172,12 @@
             }
             Err(e) => {
                 self.contact.failed(&e);
+                let ask_period = self.leave.mul_f64(ASK_PERIOD);
                 if self.ask_anybody().await {
-                    return self.leave.mul_f64(ASK_PERIOD);
+                    return ask_period;
                 }
                 self.roster.failed();
-                RETRY
+                self.contact.until_retry().min(ask_period)
             }
         }
     }
@@ -183,13 +210,16 @@
 }
 
 impl Told {
-    /// None where what the peer knows is older than `oldest`.
-    fn of(heard: Heard, oldest: Duration) -> Option<Told> {
-        let vouch = heard.answer.endpoints?;
+    /// Of no use where what the peer knows is older than `oldest`.
+    fn of(heard: Heard, oldest: Duration) -> Verdict<Told> {
+        let Some(vouch) = heard.answer.endpoints else { return Verdict::Lost };
         let age = vouch.age_after(heard.asked.age());
         let as_of = BootTime::now().before(age);
         let changes = heard.answer.changes;
-        (age <= oldest).then_some(Told { position: vouch.position, as_of, changes })
+        match age <= oldest {
+            true => Verdict::Use(Told { position: vouch.position, as_of, changes }),
+            false => Verdict::Useless,
+        }
     }
 }
 
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -20,7 +20,10 @@
 
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
-use policy::{DataCentre, EndpointGroup, Incarnation, InstanceId, Time, arrange::EVERY};
+use policy::{
+    DataCentre, EndpointGroup, Incarnation, InstanceId, Time, arrange::EVERY, backoff::Backoff,
+    vouch::sharers,
+};
 use smol::{
     Timer,
     channel::{Receiver, Sender},
@@ -62,9 +65,6 @@
 /// How often those that are listed and weren't heard of are greeted. Most of them are gone for good.
 const GREETINGS: u32 = 5;
 
-/// Pause before the directory is tried again.
-const DIRECTORY_RETRY: Duration = Duration::from_millis(500);
-
 /// Instances up to which levels are told every [`EVERY`]; with more, less often, so that the cost
 /// for each stays as it is.
 const FEW: usize = 8;
@@ -104,6 +104,8 @@
     vouching: Arc<Vouching>,
     questions: Receiver<Question>,
     pending: IndexMap<u64, Pending>,
+    /// The peer that last told of news.
+    informant: Option<InstanceId>,
 }
 
 enum Wake {
@@ -164,6 +166,7 @@
             vouching: parts.vouching,
             questions: parts.questions,
             pending: IndexMap::new(),
+            informant: None,
         }
     }
 
@@ -347,6 +350,7 @@
             }
             Body::Answer { nonce, answer } => self.answered(nonce, answer),
             Body::News { configuration, endpoints } => {
+                self.informant = Some(instance);
                 self.vouching.hear_news(configuration, endpoints);
             }
         }
@@ -378,9 +382,15 @@
         }
     }
 
+    fn live(&self) -> Vec<(InstanceId, DataCentre)> {
+        let live = self.peers.iter().filter(|(_, peer)| peer.is_live);
+        live.map(|(instance, peer)| (instance.clone(), peer.data_centre.clone())).collect()
+    }
+
     fn count(&self) {
-        let live = self.peers.values().filter(|peer| peer.is_live).count();
-        self.instances.store(live + 1, Ordering::Relaxed);
+        let live = self.live();
+        self.instances.store(live.len() + 1, Ordering::Relaxed);
+        self.vouching.set_sharers(sharers(&self.me.instance, &self.here, &live));
     }
 }
 
@@ -398,9 +408,11 @@
     me: PeerEntry,
     listed: Sender<Vec<PeerEntry>>,
 ) {
+    let mut backoff = Backoff::default();
+    let mut after_failure = || backoff.failed(1, &mut fastrand::Rng::new());
     while let Err(e) = directory.register(&me).await {
         log::debug!(cause:% = e; "not_registered");
-        Timer::after(DIRECTORY_RETRY).await;
+        Timer::after(after_failure()).await;
     }
     loop {
         let pause = match directory.list().await {
@@ -410,7 +422,7 @@
                 }
                 DIRECTORY_PERIOD
             }
-            Err(_) => DIRECTORY_RETRY,
+            Err(_) => after_failure(),
         };
         Timer::after(pause).await;
     }
--- a/crates/router/src/links/questions.rs
+++ b/crates/router/src/links/questions.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use policy::{Time, vouch::readers};
+use policy::{InstanceId, Time, vouch::readers};
 use smol::channel::Sender;
 
 use super::{Body, Links};
@@ -52,20 +52,22 @@
     }
 
     fn whom(&self, whom: Whom) -> Vec<SocketAddr> {
-        let live = || self.peers.iter().filter(|(_, peer)| peer.is_live);
+        let address = |instance: &InstanceId| {
+            let peer = self.peers.get(instance).filter(|peer| peer.is_live);
+            peer.map(|peer| peer.address)
+        };
         match whom {
             Whom::Reader(place) => {
-                let others: Vec<_> =
-                    live().map(|(id, peer)| (id.clone(), peer.data_centre.clone())).collect();
-                let readers = readers(&self.me.instance, &self.here, &others);
-                let reader = readers.get(place).and_then(|instance| self.peers.get(instance));
-                reader.map(|peer| peer.address).into_iter().collect()
+                let readers = readers(&self.me.instance, &self.here, &self.live());
+                readers.get(place).and_then(address).into_iter().collect()
             }
             Whom::Anybody => {
-                let mut addresses: Vec<_> = live().map(|(_, peer)| peer.address).collect();
+                let mut addresses: Vec<_> =
+                    self.peers.values().filter(|p| p.is_live).map(|p| p.address).collect();
                 fastrand::shuffle(&mut addresses);
-                addresses.truncate(ANYBODY);
-                addresses
+                let informant = self.informant.as_ref().and_then(address);
+                addresses.retain(|address| Some(*address) != informant);
+                informant.into_iter().chain(addresses).take(ANYBODY).collect()
             }
         }
     }
--- a/crates/router/src/signal.rs
+++ b/crates/router/src/signal.rs
@@ -35,11 +35,16 @@
         self.rx.recv().await.ok();
     }
 
-    /// The same, for `patience` at most.
-    pub async fn raised_within(&self, patience: Duration) {
+    /// The same, for `patience` at most; whether it was raised.
+    pub async fn raised_within(&self, patience: Duration) -> bool {
+        let raised = async {
+            self.raised().await;
+            true
+        };
         let late = async {
             Timer::after(patience).await;
+            false
         };
-        self.raised().or(late).await;
+        raised.or(late).await
     }
 }
--- a/crates/router/src/vouching.rs
+++ b/crates/router/src/vouching.rs
@@ -2,7 +2,14 @@
 //!
 //! [`policy::vouch`] says what a peer's answer means; here it is kept and passed on.
 
-use std::{collections::VecDeque, sync::Mutex, time::Duration};
+use std::{
+    collections::VecDeque,
+    sync::{
+        Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use futures_lite::FutureExt;
 use policy::{
@@ -80,14 +87,26 @@
     pub answers: Sender<Heard>,
 }
 
+/// What an answer is worth to the instance that asked.
+pub enum Verdict<T> {
+    /// It is used.
+    Use(T),
+    /// The peer can't read the source.
+    Lost,
+    /// It is too old, or lacks what was asked for.
+    Useless,
+}
+
 /// What asking came to.
-enum Asked<T> {
-    /// Nobody stands at this place.
+pub enum Asked<T> {
+    /// There is nobody to ask.
     Nobody,
-    /// No answer was good enough in time.
+    /// No answer was of use in time.
     Silence,
-    /// This was made of one that was.
-    Accepted(T),
+    /// All that answered can't read the source.
+    Lost,
+    /// This was made of an answer.
+    Used(T),
 }
 
 /// What is read.
@@ -146,9 +165,9 @@
         Some(Vouch { position: known.position, age: known.as_of.age() })
     }
 
-    /// Somebody has read up to there: whoever has read less looks at once.
+    /// A peer has read up to there: whoever has read less, or can't read, asks at once.
     fn hear(&self, position: Position) {
-        if position > self.position() {
+        if self.is_lost || position > self.position() {
             self.news.raise();
         }
     }
@@ -180,14 +199,20 @@
     questions: Sender<Question>,
     /// There are news to tell to peers.
     telling: Signal,
+    /// Instances that retry a lost source together.
+    sharers: AtomicUsize,
 }
 
 impl Vouching {
     /// Knows nothing yet. The receiver is for the links: questions to send.
     pub fn new() -> (Vouching, Receiver<Question>) {
         let (questions, asked) = bounded(QUESTIONS);
-        let vouching =
-            Vouching { readings: Mutex::default(), questions, telling: Signal::default() };
+        let vouching = Vouching {
+            readings: Mutex::default(),
+            questions,
+            telling: Signal::default(),
+            sharers: AtomicUsize::new(1),
+        };
         (vouching, asked)
     }
 
@@ -228,9 +253,22 @@
         }
     }
 
-    /// Whether this instance reaches a source itself.
+    /// Whether this instance reaches a source. Peers are told of a return, as they may wait for it.
     pub fn set_lost(&self, source: Source, is_lost: bool) {
         lock(&self.readings).of(source).is_lost = is_lost;
+        if !is_lost {
+            self.telling.raise();
+        }
+    }
+
+    /// Instances that retry a lost source together, this one included.
+    pub fn sharers(&self) -> usize {
+        self.sharers.load(Ordering::Relaxed)
+    }
+
+    /// The links know how many these are.
+    pub fn set_sharers(&self, sharers: usize) {
+        self.sharers.store(sharers, Ordering::Relaxed);
     }
 
     /// What a peer hears that knows the endpoints up to `endpoints_at`.
@@ -259,10 +297,10 @@
         readings.endpoints.hear(endpoints);
     }
 
-    /// Waits for news of a source, for `patience` at most.
-    pub async fn news(&self, source: Source, patience: Duration) {
+    /// Waits for news of a source, for `patience` at most; whether there are any.
+    pub async fn news(&self, source: Source, patience: Duration) -> bool {
         let news = lock(&self.readings).of(source).news.clone();
-        news.raised_within(patience).await;
+        news.raised_within(patience).await
     }
 
     /// Waits until there are news to tell to peers.
@@ -270,52 +308,49 @@
         self.telling.raised().await;
     }
 
-    /// Asks the peers that read before this instance does, one after the other, and gives what `accept`
-    /// makes of the first good answer; none where it is this instance's turn to read.
-    pub async fn ask_readers<T>(&self, accept: impl Fn(Heard) -> Option<T>) -> Option<T> {
+    /// Asks the peers that read before this instance does, one after the other, until an answer is of use.
+    pub async fn ask_readers<T>(&self, judge: impl Fn(Heard) -> Verdict<T>) -> Asked<T> {
+        let mut result = Asked::Nobody;
         for place in 0..ASKED {
-            match self.ask(Whom::Reader(place), &accept).await {
-                Asked::Nobody => return None,
-                Asked::Silence => {}
-                Asked::Accepted(accepted) => return Some(accepted),
+            match self.ask(Whom::Reader(place), &judge).await {
+                Asked::Used(used) => return Asked::Used(used),
+                Asked::Nobody => return result,
+                asked => result = asked,
             }
         }
-        None
+        result
     }
 
     /// The same with some of all peers at once.
-    pub async fn ask_anybody<T>(&self, accept: impl Fn(Heard) -> Option<T>) -> Option<T> {
-        match self.ask(Whom::Anybody, &accept).await {
-            Asked::Accepted(accepted) => Some(accepted),
-            Asked::Nobody | Asked::Silence => None,
+    pub async fn ask_anybody<T>(&self, judge: impl Fn(Heard) -> Verdict<T>) -> Option<T> {
+        match self.ask(Whom::Anybody, &judge).await {
+            Asked::Used(used) => Some(used),
+            Asked::Nobody | Asked::Silence | Asked::Lost => None,
         }
     }
 
-    async fn ask<T>(&self, whom: Whom, accept: &impl Fn(Heard) -> Option<T>) -> Asked<T> {
+    async fn ask<T>(&self, whom: Whom, judge: &impl Fn(Heard) -> Verdict<T>) -> Asked<T> {
         let (answers, heard) = bounded(QUESTIONS);
         let (_, endpoints_at) = self.positions();
         if self.questions.send(Question { whom, endpoints_at, answers }).await.is_err() {
             return Asked::Nobody;
         }
-        let mut anybody = false;
-        let first_good = async {
+        let mut result = Asked::Nobody;
+        let first_useful = async {
             while let Ok(heard) = heard.recv().await {
-                anybody = true;
-                if let Some(accepted) = accept(heard) {
-                    return Some(Asked::Accepted(accepted));
-                }
+                result = match judge(heard) {
+                    Verdict::Use(used) => return Asked::Used(used),
+                    Verdict::Lost => Asked::Lost,
+                    Verdict::Useless => Asked::Silence,
+                };
             }
-            None
+            // The links let go of the question: at once where there is nobody to ask.
+            result
         };
         let late = async {
             Timer::after(PATIENCE).await;
-            Some(Asked::Silence)
+            Asked::Silence
         };
-        match first_good.or(late).await {
-            Some(asked) => asked,
-            // The links let go of the question: at once where there is nobody to ask.
-            None if anybody => Asked::Silence,
-            None => Asked::Nobody,
-        }
+        first_useful.or(late).await
     }
 }
