Let instances take configuration and endpoints from peers, and never put off a first try

A first try is now never put off; the longest back-off is 6 s.

Change: datagrams still tell who has read further; the content travels over HTTP/2 with bincode on the links' port, checked by a digest, and its age counts from the question. News are told by those who read the source themselves, not by all who hear of them.

Ruled out: content in datagrams (a version with its keys takes many); taking over the freshness of unasked words (suspended peers would look fresh).

--- a/crates/policy/src/backoff.rs
+++ b/crates/policy/src/backoff.rs
@@ -7,7 +7,8 @@
 //!
 //! **Rule.** Exponential back-off with full jitter (M. Brooker, "Exponential Backoff and Jitter", 2015). Its
 //! spans grow with the instances that share the retries, so that together they retry as often as a few
-//! would; whoever succeeds tells the others at once.
+//! would; whoever succeeds tells the others at once. The first try is never put off: that peers have failed
+//! doesn't show that this instance will.
 //!
 //! **Grounds.** An instance that nobody shares with retries within [`LEAST_CAP`], well within the time in
 //! which a change must be in force after an outage.
@@ -26,8 +27,9 @@
 /// times a second on average.
 pub const CAP_EACH: Duration = Duration::from_millis(500);
 
-/// No back-off is longer, however many share: a lost word of the return costs no more.
-pub const LONGEST_CAP: Duration = Duration::from_secs(10);
+/// No back-off is longer, however many share: where word of the return is lost, a change is in force this
+/// much later.
+pub const LONGEST_CAP: Duration = Duration::from_secs(6);
 
 /// Failures in a row, and what they mean for the next try.
 #[derive(Debug, Clone, Default)]
@@ -44,11 +46,6 @@
         span.mul_f64(rng.f64())
     }
 
-    /// How long to wait before a first try where others are known to have failed.
-    pub fn deferred(sharers: usize, rng: &mut Rng) -> Duration {
-        cap(sharers).mul_f64(rng.f64())
-    }
-
     /// A try has succeeded.
     pub fn reset(&mut self) {
         self.failures = 0;
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -59,7 +59,7 @@
 
 /// The beginning of an answer.
 enum Opened<D: Dialect> {
-    Flow(Flow<D>),
+    Flow(Box<Flow<D>>),
     /// A final answer that is no stream.
     Whole(response::Parts, Bytes),
 }
@@ -77,7 +77,7 @@
 /// Answers with a stream of events.
 pub(super) async fn stream<D: Dialect>(call: Call<D>) -> Result<Response<AnswerBody>, Refusal> {
     let flow = match hedge::first(&call, Beside::Nothing, open).await {
-        Ok(Opened::Flow(flow)) => flow,
+        Ok(Opened::Flow(flow)) => *flow,
         Ok(Opened::Whole(head, body)) => {
             call.note_end("answered", head.status);
             return Ok(call.answer(&head, body));
@@ -121,7 +121,7 @@
         return Err(cause);
     }
     live.run.began();
-    Ok(Opened::Flow(Flow { live, events, next }))
+    Ok(Opened::Flow(Box::new(Flow { live, events, next })))
 }
 
 async fn feed<D: Dialect>(call: Call<D>, flow: Flow<D>, tx: EventSender) {
@@ -272,7 +272,7 @@
         return None;
     }
     let opened = hedge::first(call, beside, async |call, live| match open(call, live).await? {
-        Opened::Flow(flow) => Ok(flow),
+        Opened::Flow(flow) => Ok(*flow),
         Opened::Whole(..) => Err(FailCause::BadAnswer),
     });
     opened.await.ok()
--- a/crates/router/src/follow/configuration.rs
+++ b/crates/router/src/follow/configuration.rs
@@ -1,19 +1,20 @@
 //! Follows the configuration.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use policy::{
     routes::RouteTable,
     vouch::{Position, Word},
 };
 
-use super::{Contact, Standing};
+use super::Contact;
 use crate::{
     clock::BootTime,
     lock,
+    snapshot::{SnapshotClient, Transfer},
     source::ConfigSource,
     state::{Configuration, Groups},
-    vouching::{Asked, Heard, Source, Verdict, Vouching},
+    vouching::{Heard, Source, Vouching},
 };
 
 /// Time between two questions to a peer. News are told at once; where such a word is lost, this is how
@@ -31,6 +32,7 @@
     configuration: Arc<Configuration>,
     groups: Arc<Groups>,
     vouching: Arc<Vouching>,
+    snapshots: SnapshotClient,
     contact: Contact,
 }
 
@@ -41,9 +43,10 @@
         configuration: Arc<Configuration>,
         groups: Arc<Groups>,
         vouching: Arc<Vouching>,
+        snapshots: SnapshotClient,
     ) -> Self {
         let contact = Contact::new(Source::Configuration, vouching.clone());
-        Follower { source, configuration, groups, vouching, contact }
+        Follower { source, configuration, groups, vouching, snapshots, contact }
     }
 
     /// Reads on until it is dropped.
@@ -51,17 +54,15 @@
         loop {
             let pause = self.follow().await;
             if self.vouching.news(Source::Configuration, pause).await {
-                self.contact.hear_news();
+                self.contact.hear_news().await;
             }
         }
     }
 
     /// Learns what is new, and tells how long to wait then.
     async fn follow(&mut self) -> Duration {
-        match self.ask_readers().await {
-            Standing::Vouched => return ASK_EVERY,
-            Standing::Refused => self.contact.defer(),
-            Standing::Unknown => {}
+        if self.ask_readers().await && self.has_all_news().await {
+            return ASK_EVERY;
         }
         let until_retry = self.contact.until_retry();
         if until_retry.is_zero() {
@@ -71,29 +72,66 @@
         until_retry.min(ASK_EVERY)
     }
 
-    async fn ask_readers(&mut self) -> Standing {
-        let Some(mine) = self.source.position() else { return Standing::Unknown };
+    /// Guards against news that come from another peer than those that are asked first, and are in force
+    /// late.
+    async fn has_all_news(&mut self) -> bool {
+        if self.vouching.is_behind(Source::Configuration) {
+            self.ask_anybody().await;
+        }
+        !self.vouching.is_behind(Source::Configuration)
+    }
+
+    /// Whether a peer that reads before this instance does knows what it lacks, and it has it now.
+    async fn ask_readers(&mut self) -> bool {
+        let mine = self.source.position();
         let configuration = self.configuration.clone();
         let judge = |heard: Heard| judge(&configuration, &heard, mine);
-        match self.vouching.ask_readers(judge).await {
-            Asked::Used(as_of) => {
-                self.vouching.know_configuration(mine, as_of, false);
-                self.contact.answered();
-                Standing::Vouched
-            }
-            Asked::Lost => Standing::Refused,
-            Asked::Nobody | Asked::Silence => Standing::Unknown,
+        let Some(word) = self.vouching.ask_readers(judge).await else { return false };
+        let is_taken = self.take(&word).await;
+        if is_taken {
+            self.contact.answered();
         }
+        is_taken
     }
 
     /// Guards against an instance that alone can't reach the log and refuses all that need a key, while
     /// its peers have read a moment ago.
-    async fn ask_anybody(&mut self) {
-        let Some(mine) = self.source.position() else { return };
+    async fn ask_anybody(&mut self) -> bool {
+        let mine = self.source.position();
         let configuration = self.configuration.clone();
         let judge = |heard: Heard| judge(&configuration, &heard, mine);
-        if let Some(as_of) = self.vouching.ask_anybody(judge).await {
-            self.vouching.know_configuration(mine, as_of, false);
+        match self.vouching.ask_anybody(judge).await {
+            Some(word) => self.take(&word).await,
+            None => false,
+        }
+    }
+
+    /// Makes use of a peer's answer; false where that came to nothing.
+    async fn take(&mut self, word: &PeerWord) -> bool {
+        match *word {
+            PeerWord::Complete(position, as_of) => {
+                self.vouching.know_configuration(position, as_of, None);
+                true
+            }
+            PeerWord::Behind(peer) => self.transfer(peer).await,
+        }
+    }
+
+    async fn transfer(&mut self, peer: SocketAddr) -> bool {
+        let after = self.source.position().unwrap_or_default();
+        let transfer = self.contact.transfer(&self.snapshots, peer, after).await;
+        let Some(Transfer { position, as_of, content }) = transfer else { return false };
+        match self.source.adopt(&content, position) {
+            Ok(table) => {
+                self.put(table);
+                self.configuration.confirm(as_of);
+                self.vouching.know_configuration(position, as_of, Some(content));
+                true
+            }
+            Err(e) => {
+                log::warn!(peer:% = peer, cause:% = e; "snapshot_not_taken");
+                false
+            }
         }
     }
 
@@ -101,9 +139,13 @@
         match self.source.read().await {
             Ok(reading) => {
                 self.contact.answered();
-                let is_news = reading.news.is_some_and(|table| self.put(table));
+                let bytes = reading.news.as_ref().map(|news| news.bytes.clone());
+                let is_news = reading.news.is_some_and(|news| self.put(news.table));
                 self.configuration.confirm(reading.as_of);
-                self.vouching.know_configuration(reading.position, reading.as_of, is_news);
+                self.vouching.know_configuration(reading.position, reading.as_of, bytes);
+                if is_news {
+                    self.vouching.announce();
+                }
                 Duration::ZERO
             }
             Err(e) => {
@@ -128,15 +170,25 @@
     }
 }
 
-/// Confirms what was read up to `mine`, and gives since when nothing is missing of it.
-fn judge(configuration: &Configuration, heard: &Heard, mine: Position) -> Verdict<BootTime> {
-    let Some(vouch) = heard.answer.configuration else { return Verdict::Lost };
+/// What a peer's answer says of what this instance has.
+enum PeerWord {
+    /// Nothing was missing of it up to here, at this moment.
+    Complete(Position, BootTime),
+    /// The peer there has more.
+    Behind(SocketAddr),
+}
+
+/// Confirms what was read up to `mine`, and judges what else the answer is good for.
+fn judge(configuration: &Configuration, heard: &Heard, mine: Option<Position>) -> Option<PeerWord> {
+    let vouch = heard.answer.configuration?;
+    let behind = Some(PeerWord::Behind(heard.from));
+    let Some(mine) = mine else { return behind };
     match vouch.says_of(mine, heard.asked.age()) {
         Word::Complete(age) => {
             let as_of = BootTime::now().before(age);
             configuration.confirm(as_of);
-            if age <= YOUNG { Verdict::Use(as_of) } else { Verdict::Useless }
+            (age <= YOUNG).then_some(PeerWord::Complete(mine, as_of))
         }
-        Word::Behind => Verdict::Useless,
+        Word::Behind => behind,
     }
 }
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -1,6 +1,7 @@
 //! Follows the endpoints.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, PoisonError},
     time::Duration,
 };
@@ -10,13 +11,14 @@
     DataCentre, EndpointGroup, EndpointId, arrange::Member, roster::Roster, vouch::Position,
 };
 
-use super::{Contact, Standing};
+use super::Contact;
 use crate::{
     clock::{BootTime, Clock},
     lock,
+    snapshot::{self, SnapshotClient, Transfer},
     source::{EndpointEntry, EndpointSource},
     state::{Group, Groups},
-    vouching::{Asked, EndpointChange, Heard, Source, Verdict, Vouching},
+    vouching::{EndpointChange, Heard, Source, Vouching},
 };
 
 /// Time between two readings, as a part of the time within which a leaving endpoint may get nothing
@@ -49,7 +51,8 @@
     vouching: Arc<Vouching>,
     contact: Contact,
     roster: Roster<EndpointId, EndpointEntry>,
-    found: IndexMap<EndpointId, EndpointEntry>,
+    found: Arc<IndexMap<EndpointId, EndpointEntry>>,
+    snapshots: SnapshotClient,
 }
 
 impl<S: EndpointSource> Follower<S> {
@@ -61,6 +64,7 @@
         clock: Clock,
         leave: Duration,
         vouching: Arc<Vouching>,
+        snapshots: SnapshotClient,
     ) -> Self {
         Follower {
             source,
@@ -71,7 +75,8 @@
             contact: Contact::new(Source::Endpoints, vouching.clone()),
             vouching,
             roster: Roster::default(),
-            found: IndexMap::new(),
+            found: Arc::default(),
+            snapshots,
         }
     }
 
@@ -83,7 +88,7 @@
             let pause = if self.roster.is_settling() { SETTLING_PERIOD } else { pause };
             let pause = pause.mul_f64(0.85 + 0.3 * fastrand::f64());
             if self.vouching.news(Source::Endpoints, pause).await {
-                self.contact.hear_news();
+                self.contact.hear_news().await;
             }
         }
     }
@@ -91,10 +96,8 @@
     /// Learns what has changed, and tells how long to wait then.
     async fn follow(&mut self) -> Duration {
         let ask_period = self.leave.mul_f64(ASK_PERIOD);
-        match self.ask_readers().await {
-            Standing::Vouched => return ask_period,
-            Standing::Refused => self.contact.defer(),
-            Standing::Unknown => {}
+        if self.ask_readers().await {
+            return ask_period;
         }
         let until_retry = self.contact.until_retry();
         if until_retry.is_zero() {
@@ -107,50 +110,71 @@
         until_retry.min(ask_period)
     }
 
-    async fn ask_readers(&mut self) -> Standing {
-        let Some(mine) = self.source.position() else { return Standing::Unknown };
+    /// Whether a peer that reads before this instance does knows what it lacks, and it has it now.
+    async fn ask_readers(&mut self) -> bool {
         let oldest = self.leave.mul_f64(YOUNG);
-        match self.vouching.ask_readers(|heard| Told::of(heard, oldest)).await {
-            Asked::Used(told) => {
-                if !self.take(mine, told) {
-                    return Standing::Unknown;
-                }
-                self.contact.answered();
-                Standing::Vouched
-            }
-            Asked::Lost => Standing::Refused,
-            Asked::Nobody | Asked::Silence => Standing::Unknown,
+        let told = self.vouching.ask_readers(|heard| Told::of(heard, oldest)).await;
+        let Some(told) = told else { return false };
+        let is_taken = self.take(&told).await;
+        if is_taken {
+            self.contact.answered();
         }
+        is_taken
     }
 
     /// Guards against an instance that alone can't reach the log, and goes on with what it knew.
     async fn ask_anybody(&mut self) -> bool {
-        let Some(mine) = self.source.position() else { return false };
         let oldest = self.leave.mul_f64(YOUNG);
-        let told = self.vouching.ask_anybody(|heard| Told::of(heard, oldest)).await;
-        told.is_some_and(|told| self.take(mine, told))
+        match self.vouching.ask_anybody(|heard| Told::of(heard, oldest)).await {
+            Some(told) => self.take(&told).await,
+            None => false,
+        }
     }
 
-    /// Takes over a peer's changes; false where it doesn't know what this instance lacks.
-    fn take(&mut self, mine: Position, told: Told) -> bool {
-        let Told { position, as_of, changes: Some(mut changes) } = told else { return false };
+    /// Takes over what a peer has read; false where it comes to nothing.
+    async fn take(&mut self, told: &Told) -> bool {
+        let Some(mine) = self.source.position() else { return self.transfer(told.from).await };
+        let Told { position, as_of, .. } = *told;
+        let changes = match &told.changes {
+            // This instance has read as far, so what the peer has of changes is old.
+            _ if position <= mine => &[][..],
+            Some(changes) => changes,
+            None => return self.transfer(told.from).await,
+        };
         if position > mine {
-            self.apply(&changes, position);
-        } else {
-            // This instance has read further, so what the peer has of them is old.
-            changes.clear();
+            self.apply(changes, position);
         }
-        self.vouching.know_endpoints(Some(mine), position.max(mine), as_of, &changes);
+        let position = position.max(mine);
+        self.vouching.know_endpoints(Some(mine), position, as_of, changes, &self.found);
+        self.update();
+        true
+    }
+
+    async fn transfer(&mut self, peer: SocketAddr) -> bool {
+        let after = self.source.position().unwrap_or_default();
+        let transfer = self.contact.transfer(&self.snapshots, peer, after).await;
+        let Some(Transfer { position, as_of, content }) = transfer else { return false };
+        let entries = match snapshot::decode(&content) {
+            Ok(entries) => entries,
+            Err(e) => {
+                log::warn!(peer:% = peer, cause:% = e; "snapshot_not_taken");
+                return false;
+            }
+        };
+        self.source.adopt(&entries, position);
+        self.found = Arc::new(entries);
+        self.vouching.know_endpoints(None, position, as_of, &[], &self.found);
         self.update();
         true
     }
 
     fn apply(&mut self, changes: &[EndpointChange], position: Position) {
         self.source.advance(changes, position);
+        let found = Arc::make_mut(&mut self.found);
         for EndpointChange { id, entry } in changes {
             match entry {
-                Some(entry) => self.found.insert(id.clone(), entry.clone()),
-                None => self.found.shift_remove(id),
+                Some(entry) => found.insert(id.clone(), entry.clone()),
+                None => found.shift_remove(id),
             };
         }
     }
@@ -166,7 +190,10 @@
                     None => Vec::new(),
                 };
                 let (position, as_of) = (reading.position, reading.as_of);
-                self.vouching.know_endpoints(before, position, as_of, &changes);
+                self.vouching.know_endpoints(before, position, as_of, &changes, &self.found);
+                if before.is_some() && !changes.is_empty() {
+                    self.vouching.announce();
+                }
                 self.update();
                 self.leave.mul_f64(PERIOD)
             }
@@ -190,7 +217,7 @@
         let new = found.iter().filter(|(id, entry)| self.found.get(*id) != Some(entry));
         let new = new.map(|(id, e)| EndpointChange { id: id.clone(), entry: Some(e.clone()) });
         let changes = gone.chain(new).collect();
-        self.found = found;
+        self.found = Arc::new(found);
         changes
     }
 
@@ -203,6 +230,7 @@
 
 /// What a peer told of the endpoints.
 struct Told {
+    from: SocketAddr,
     position: Position,
     as_of: BootTime,
     /// What changed since this instance's own position; none where the peer doesn't know.
@@ -210,16 +238,18 @@
 }
 
 impl Told {
-    /// Of no use where what the peer knows is older than `oldest`.
-    fn of(heard: Heard, oldest: Duration) -> Verdict<Told> {
-        let Some(vouch) = heard.answer.endpoints else { return Verdict::Lost };
+    /// None where what the peer knows is older than `oldest`.
+    fn of(heard: Heard, oldest: Duration) -> Option<Told> {
+        let vouch = heard.answer.endpoints?;
         let age = vouch.age_after(heard.asked.age());
         let as_of = BootTime::now().before(age);
         let changes = heard.answer.changes;
-        match age <= oldest {
-            true => Verdict::Use(Told { position: vouch.position, as_of, changes }),
-            false => Verdict::Useless,
-        }
+        (age <= oldest).then_some(Told {
+            from: heard.from,
+            position: vouch.position,
+            as_of,
+            changes,
+        })
     }
 }
 
@@ -252,6 +282,8 @@
         endpoint: entry.id.clone(),
         incarnation: entry.incarnation,
         slots: entry.slots,
+        data_centre: entry.data_centre.clone(),
+        is_near: entry.data_centre == *here,
         distance: if entry.data_centre == *here { NEAR } else { FAR },
         leaving: entry.leaving,
     });
--- a/crates/router/src/follow/mod.rs
+++ b/crates/router/src/follow/mod.rs
@@ -4,28 +4,25 @@
 mod endpoints;
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 pub use configuration::Follower as ConfigurationFollower;
 pub use endpoints::Follower as EndpointsFollower;
-use policy::backoff::Backoff;
+use policy::{backoff::Backoff, vouch::Position};
+use smol::Timer;
 
 use crate::{
+    snapshot::{LONG, SnapshotClient, Transfer},
     source::SourceError,
     vouching::{Source, Vouching},
 };
 
-/// What the readers in front of an instance said.
-enum Standing {
-    /// They know what it lacks, and it has it now.
-    Vouched,
-    /// They can't read the source either.
-    Refused,
-    /// Nobody said anything of use.
-    Unknown,
-}
+/// Over this time instances ask for the same news. Little beside the time within which a change has to be
+/// in force.
+const NEWS_SPREAD: Duration = Duration::from_millis(60);
 
 /// Whether a source is lost, and when it is tried again.
 #[derive(Debug)]
@@ -61,16 +58,35 @@
         }
     }
 
-    /// Leaves the next try to others for a while, as they are known to have failed.
-    fn defer(&mut self) {
-        let pause = || Backoff::deferred(self.vouching.sharers(), &mut fastrand::Rng::new());
-        self.retry_at.get_or_insert_with(|| Instant::now() + pause());
+    /// Peers have news. The instance that reads before all others tries again at once; the others give it
+    /// the time to read, and don't ask it all in the same moment.
+    async fn hear_news(&mut self) {
+        if self.vouching.sharers() > 1 {
+            Timer::after(NEWS_SPREAD.mul_f64(fastrand::f64())).await;
+        } else if self.is_lost {
+            self.retry_at = None;
+        }
     }
 
-    /// Tries again at once if this instance reads before all others.
-    fn hear_news(&mut self) {
-        if self.is_lost && self.vouching.sharers() == 1 {
-            self.retry_at = None;
+    /// What a peer has read beyond `after`; none where that comes to nothing.
+    async fn transfer(
+        &self,
+        snapshots: &SnapshotClient,
+        peer: SocketAddr,
+        after: Position,
+    ) -> Option<Transfer> {
+        let max_bytes = if self.is_lost { usize::MAX } else { LONG };
+        let source = self.source.as_str();
+        match snapshots.take(peer, self.source, after, max_bytes).await {
+            Ok(transfer) => {
+                log::info!(source, peer:% = peer, after = after.0, position = transfer.position.0,
+                    bytes = transfer.content.len(); "snapshot_taken");
+                Some(transfer)
+            }
+            Err(e) => {
+                log::info!(source, peer:% = peer, after = after.0, cause:% = e; "snapshot_not_taken");
+                None
+            }
         }
     }
 
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -20,6 +20,7 @@
     metrics::{Metrics, MetricsError, MetricsPage},
     net, serve,
     signal::Signal,
+    snapshot::{self, SnapshotClient},
     source::{ConfigSource, EndpointSource, PeerDirectory, PeerEntry},
     state::{Configuration, Groups, Lifecycle, Stage},
     vouching::Vouching,
@@ -107,6 +108,7 @@
         let ready = net::listen(settings.ready_listen).map_err(bind(settings.ready_listen))?;
         let socket =
             net::datagrams(settings.link_listen).await.map_err(bind(settings.link_listen))?;
+        let peers = net::listen(settings.link_listen).map_err(bind(settings.link_listen))?;
 
         let me = PeerEntry { instance: settings.instance.clone(), address: settings.link_listen };
         let (listed_tx, listed) = bounded(1);
@@ -168,12 +170,15 @@
         spawn.spawn(serve::serve(callers, Arc::new(entry), executor.clone())).detach();
         spawn.spawn(serve::serve(ready, Arc::new(readiness), executor.clone())).detach();
         spawn.spawn(links.run()).detach();
+        spawn.spawn(snapshot::serve(peers, vouching.clone(), executor.clone())).detach();
+        let snapshots = SnapshotClient::new(executor);
         spawn.spawn(links::follow_directory(sources.peers, me, listed_tx)).detach();
         let followed = follow::ConfigurationFollower::new(
             sources.configuration,
             configuration,
             groups.clone(),
             vouching.clone(),
+            snapshots.clone(),
         );
         spawn.spawn(followed.run()).detach();
         let here = settings.data_centre.clone();
@@ -184,6 +189,7 @@
             clock,
             bounds.leave,
             vouching,
+            snapshots,
         );
         spawn.spawn(followed.run()).detach();
         log::info!(
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod serve;
 pub mod settings;
 pub mod signal;
+pub mod snapshot;
 pub mod source;
 pub mod state;
 pub mod vouching;
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -348,7 +348,7 @@
                 let answer = self.vouching.answer(endpoints_at);
                 self.send(&Body::Answer { nonce, answer }, from).await;
             }
-            Body::Answer { nonce, answer } => self.answered(nonce, answer),
+            Body::Answer { nonce, answer } => self.answered(nonce, answer, from),
             Body::News { configuration, endpoints } => {
                 self.informant = Some(instance);
                 self.vouching.hear_news(configuration, endpoints);
--- a/crates/router/src/links/questions.rs
+++ b/crates/router/src/links/questions.rs
@@ -72,9 +72,9 @@
         }
     }
 
-    pub(super) fn answered(&mut self, nonce: u64, answer: Answer) {
+    pub(super) fn answered(&mut self, nonce: u64, answer: Answer, from: SocketAddr) {
         let Some(pending) = self.pending.get_mut(&nonce) else { return };
-        let heard = Heard { asked: pending.asked, answer };
+        let heard = Heard { from, asked: pending.asked, answer };
         pending.expected = pending.expected.saturating_sub(1);
         // Whoever has a good answer waits for no other.
         let is_over = pending.answers.try_send(heard).is_err() || pending.expected == 0;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -48,15 +48,21 @@
     executor: Arc<Executor<'static>>,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let stream = accept(&listener).await;
+        executor.spawn(connection(stream, service.clone())).detach();
+    }
+}
+
+/// The next connection.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
             Err(e) => {
                 log::warn!(cause:% = e; "accept_failed");
                 Timer::after(ACCEPT_PAUSE).await;
-                continue;
             }
-        };
-        executor.spawn(connection(stream, service.clone())).detach();
+        }
     }
 }
 
--- /dev/null
+++ b/crates/router/src/snapshot.rs
@@ -0,0 +1,225 @@
+//! State transfer between instances: whoever is behind takes what a peer has read, whole.
+//!
+//! Datagrams tell who has read further ([`crate::vouching`]). What it has read is too long for one, so it
+//! travels over HTTP/2 with `bincode`, on the port at which the peer listens for datagrams.
+//!
+//! Guards against an instance that the log turns away: it knows that its peers have a newer version, and
+//! refuses everything that needs a key because it can't have that version.
+
+use std::{convert::Infallible, fmt, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    body::Incoming, client::conn::http2 as client, server::conn::http2 as server,
+    service::service_fn,
+};
+use policy::vouch::{Position, Vouch};
+use serde::{Deserialize, Serialize};
+use smol::{
+    Executor, Timer,
+    net::{TcpListener, TcpStream},
+};
+use smol_hyper::rt::{FuturesIo, SmolExecutor};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    clock::BootTime,
+    net, serve,
+    vouching::{Source, Vouching},
+};
+
+/// How long a transfer may take. Within a data centre it takes milliseconds; a peer that takes longer is
+/// suspended or cut off.
+const WITHIN: Duration = Duration::from_millis(400);
+
+/// The longest request and snapshot that are read.
+const MAX_REQUEST: usize = 64;
+const MAX_SNAPSHOT: usize = 8 << 20;
+
+/// Snapshots longer than this are left to the log, unless the log can't be read: a data centre's reader
+/// would send them to all others over its own link.
+pub const LONG: usize = 64 << 10;
+
+/// What is asked for.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct Query {
+    source: Source,
+    /// Up to where the asking instance has read.
+    after: Position,
+    max_bytes: usize,
+}
+
+/// The answer on the wire.
+#[derive(Serialize, Deserialize)]
+struct Snapshot {
+    vouch: Vouch,
+    /// Of the content, by XXH3.
+    digest: u64,
+    content: Bytes,
+}
+
+/// What a peer has read of a source.
+#[derive(Debug)]
+pub struct Transfer {
+    /// Up to where.
+    pub position: Position,
+    /// Nothing acknowledged before this moment is missing.
+    pub as_of: BootTime,
+    /// The state, as the source's follower wrote it.
+    pub content: Bytes,
+}
+
+/// Why a transfer came to nothing.
+#[derive(Debug)]
+pub enum TransferError {
+    /// The peer wasn't reached, or broke off.
+    Unreachable(String),
+    /// It has nothing newer, or more than was asked for.
+    Refused(StatusCode),
+    /// What came can't be read.
+    Malformed(String),
+    /// It took too long.
+    Late,
+}
+
+impl fmt::Display for TransferError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            TransferError::Unreachable(cause) => write!(f, "no answer: {cause}"),
+            TransferError::Refused(status) => write!(f, "answered with status {status}"),
+            TransferError::Malformed(what) => write!(f, "unreadable snapshot: {what}"),
+            TransferError::Late => write!(f, "no whole answer within {WITHIN:?}"),
+        }
+    }
+}
+
+impl std::error::Error for TransferError {}
+
+/// Takes snapshots from peers.
+#[derive(Debug, Clone)]
+pub struct SnapshotClient {
+    executor: Arc<Executor<'static>>,
+}
+
+impl SnapshotClient {
+    /// A client whose connections run on `executor`.
+    pub fn new(executor: Arc<Executor<'static>>) -> SnapshotClient {
+        SnapshotClient { executor }
+    }
+
+    /// What the peer at `address` has read of `source` beyond `after`.
+    ///
+    /// # Errors
+    ///
+    /// See [`TransferError`].
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+        source: Source,
+        after: Position,
+        max_bytes: usize,
+    ) -> Result<Transfer, TransferError> {
+        let asked = BootTime::now();
+        let late = async {
+            Timer::after(WITHIN).await;
+            Err(TransferError::Late)
+        };
+        let body = self.exchange(address, &Query { source, after, max_bytes }).or(late).await?;
+        let Snapshot { vouch, digest, content } = decode(&body)?;
+        if xxh3_64(&content) != digest {
+            return Err(TransferError::Malformed("the digest differs".to_owned()));
+        }
+        // The vouch was made after the question, so that a suspended peer makes nothing look fresh.
+        let as_of = BootTime::now().before(vouch.age_after(asked.age()));
+        Ok(Transfer { position: vouch.position, as_of, content })
+    }
+
+    async fn exchange(&self, address: SocketAddr, query: &Query) -> Result<Bytes, TransferError> {
+        let unreachable = |e: &dyn fmt::Display| TransferError::Unreachable(e.to_string());
+        let stream = net::connect(address, WITHIN).await.map_err(|e| unreachable(&e))?;
+        let executor = SmolExecutor::new(self.executor.clone());
+        let shaken = client::handshake(executor, FuturesIo::new(stream)).await;
+        let (mut sender, connection) = shaken.map_err(|e| unreachable(&e))?;
+        let _driver = self.executor.spawn(connection);
+        let req = Request::post(format!("http://{address}/snapshot"))
+            .body(Full::new(encode(query)))
+            .map_err(|e| TransferError::Malformed(e.to_string()))?;
+        let resp = sender.send_request(req).await.map_err(|e| unreachable(&e))?;
+        if resp.status() != StatusCode::OK {
+            return Err(TransferError::Refused(resp.status()));
+        }
+        let body = Limited::new(resp.into_body(), MAX_SNAPSHOT).collect().await;
+        Ok(body.map_err(|e| unreachable(&e))?.to_bytes())
+    }
+}
+
+/// Gives peers what this instance has read, until it is dropped.
+pub async fn serve(
+    listener: TcpListener,
+    vouching: Arc<Vouching>,
+    executor: Arc<Executor<'static>>,
+) {
+    loop {
+        let stream = serve::accept(&listener).await;
+        executor.spawn(connection(stream, vouching.clone(), executor.clone())).detach();
+    }
+}
+
+async fn connection(stream: TcpStream, vouching: Arc<Vouching>, executor: Arc<Executor<'static>>) {
+    net::tune(&stream);
+    let answer = service_fn(|req| {
+        let vouching = vouching.clone();
+        async move { Ok::<_, Infallible>(answer(req, &vouching).await) }
+    });
+    let served = server::Builder::new(SmolExecutor::new(executor))
+        .serve_connection(FuturesIo::new(stream), answer)
+        .await;
+    if let Err(e) = served {
+        log::debug!(cause:% = e; "peer_connection_ended");
+    }
+}
+
+async fn answer(req: Request<Incoming>, vouching: &Vouching) -> Response<Full<Bytes>> {
+    let (status, body) = match Limited::new(req.into_body(), MAX_REQUEST).collect().await {
+        Ok(body) => match decode(&body.to_bytes()) {
+            Ok(query) => snapshot(&query, vouching),
+            Err(_) => (StatusCode::BAD_REQUEST, Bytes::new()),
+        },
+        Err(_) => (StatusCode::BAD_REQUEST, Bytes::new()),
+    };
+    let mut resp = Response::new(Full::new(body));
+    *resp.status_mut() = status;
+    resp
+}
+
+fn snapshot(query: &Query, vouching: &Vouching) -> (StatusCode, Bytes) {
+    let Some((vouch, content)) = vouching.content(query.source, query.after) else {
+        return (StatusCode::NOT_FOUND, Bytes::new());
+    };
+    if content.len() > query.max_bytes {
+        return (StatusCode::PAYLOAD_TOO_LARGE, Bytes::new());
+    }
+    let digest = xxh3_64(&content);
+    (StatusCode::OK, encode(&Snapshot { vouch, digest, content }))
+}
+
+/// Writes one of this module's types, or what a snapshot holds.
+pub fn encode<T: Serialize>(value: &T) -> Bytes {
+    // These types can always be written.
+    let bytes = bincode::serde::encode_to_vec(value, bincode::config::standard());
+    Bytes::from(bytes.unwrap_or_default())
+}
+
+/// Reads what [`encode`] wrote.
+///
+/// # Errors
+///
+/// [`TransferError::Malformed`].
+pub fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, TransferError> {
+    let config = bincode::config::standard().with_limit::<MAX_SNAPSHOT>();
+    let decoded = bincode::serde::decode_from_slice(bytes, config);
+    decoded.map(|(value, _)| value).map_err(|e| TransferError::Malformed(e.to_string()))
+}
--- a/crates/router/src/source.rs
+++ b/crates/router/src/source.rs
@@ -2,6 +2,8 @@
 
 use std::{fmt, future::Future, net::SocketAddr};
 
+use bytes::Bytes;
+use indexmap::IndexMap;
 use policy::{
     DataCentre, EndpointGroup, EndpointId, Incarnation, InstanceId, routes::RouteTable,
     vouch::Position,
@@ -44,10 +46,26 @@
     pub position: Position,
 }
 
+/// A configuration as its source published it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Published {
+    /// What it says.
+    pub table: RouteTable,
+    /// Its bytes, for peers.
+    pub bytes: Bytes,
+}
+
 /// Where configuration comes from.
 pub trait ConfigSource: Send {
     /// Waits for a short while for something new.
-    fn read(&mut self) -> impl Future<Output = Result<Reading<RouteTable>, SourceError>> + Send;
+    fn read(&mut self) -> impl Future<Output = Result<Reading<Published>, SourceError>> + Send;
+
+    /// Takes over the bytes that a peer has read up to `position`, and goes on there.
+    ///
+    /// # Errors
+    ///
+    /// [`SourceError::Malformed`] where they can't be read; nothing has changed then.
+    fn adopt(&mut self, bytes: &[u8], position: Position) -> Result<RouteTable, SourceError>;
 
     /// Up to where it has been read; none before the first reading, and where that is of no use to
     /// anybody any more.
@@ -83,7 +101,10 @@
     /// Up to where it has been read; none before the first reading.
     fn position(&self) -> Option<Position>;
 
-    /// Takes over what a peer has read up to `position`, and goes on there.
+    /// Takes over what a peer has read up to `position`, all of it, and goes on there.
+    fn adopt(&mut self, entries: &IndexMap<EndpointId, EndpointEntry>, position: Position);
+
+    /// Takes over what a peer has read since this source's own position, and goes on at `position`.
     fn advance(&mut self, changes: &[EndpointChange], position: Position);
 }
 
--- a/crates/router/src/vouching.rs
+++ b/crates/router/src/vouching.rs
@@ -4,14 +4,17 @@
 
 use std::{
     collections::VecDeque,
+    net::SocketAddr,
     sync::{
-        Mutex,
+        Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
+use bytes::Bytes;
 use futures_lite::FutureExt;
+use indexmap::IndexMap;
 use policy::{
     EndpointId,
     vouch::{ASKED, Position, Vouch},
@@ -22,7 +25,7 @@
     channel::{Receiver, Sender, bounded},
 };
 
-use crate::{clock::BootTime, lock, signal::Signal, source::EndpointEntry};
+use crate::{clock::BootTime, lock, signal::Signal, snapshot, source::EndpointEntry};
 
 /// How long an answer is waited for: many times a datagram's way within a region, and little beside a
 /// reading of one's own.
@@ -61,6 +64,8 @@
 /// An answer that came.
 #[derive(Debug, Clone)]
 pub struct Heard {
+    /// Who answered.
+    pub from: SocketAddr,
     /// When the question was sent.
     pub asked: BootTime,
     /// The answer.
@@ -87,30 +92,18 @@
     pub answers: Sender<Heard>,
 }
 
-/// What an answer is worth to the instance that asked.
-pub enum Verdict<T> {
-    /// It is used.
-    Use(T),
-    /// The peer can't read the source.
-    Lost,
-    /// It is too old, or lacks what was asked for.
-    Useless,
-}
-
 /// What asking came to.
-pub enum Asked<T> {
+enum Asked<T> {
     /// There is nobody to ask.
     Nobody,
-    /// No answer was of use in time.
+    /// No answer was good enough in time.
     Silence,
-    /// All that answered can't read the source.
-    Lost,
-    /// This was made of an answer.
-    Used(T),
+    /// This was made of one that was.
+    Accepted(T),
 }
 
 /// What is read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Source {
     /// The operators' configuration.
     Configuration,
@@ -141,6 +134,8 @@
     /// It can't read the source itself.
     is_lost: bool,
     news: Signal,
+    /// How far peers have read, by their own word.
+    announced: Position,
 }
 
 impl Followed {
@@ -166,7 +161,8 @@
     }
 
     /// A peer has read up to there: whoever has read less, or can't read, asks at once.
-    fn hear(&self, position: Position) {
+    fn hear(&mut self, position: Position) {
+        self.announced = self.announced.max(position);
         if self.is_lost || position > self.position() {
             self.news.raise();
         }
@@ -176,7 +172,11 @@
 #[derive(Debug, Default)]
 struct Readings {
     configuration: Followed,
+    /// The newest configuration, as it was published.
+    published: Option<Bytes>,
     endpoints: Followed,
+    /// All endpoints.
+    entries: Arc<IndexMap<EndpointId, EndpointEntry>>,
     /// Changes of endpoints with the position up to which each was read.
     changes: VecDeque<(Position, EndpointChange)>,
     /// All changes from this position on are kept.
@@ -217,23 +217,26 @@
     }
 
     /// The configuration is known up to `position`, and was complete at `as_of`.
-    pub fn know_configuration(&self, position: Position, as_of: BootTime, is_news: bool) {
-        lock(&self.readings).configuration.grow(position, as_of);
-        if is_news {
-            self.telling.raise();
+    pub fn know_configuration(&self, position: Position, as_of: BootTime, news: Option<Bytes>) {
+        let mut readings = lock(&self.readings);
+        if news.is_some() && position >= readings.configuration.position() {
+            readings.published = news;
         }
+        readings.configuration.grow(position, as_of);
     }
 
-    /// The endpoints are known up to `position`, after these changes since `before`.
+    /// The endpoints are known up to `position`: these, after `changes` since `before`.
     pub fn know_endpoints(
         &self,
         before: Option<Position>,
         position: Position,
         as_of: BootTime,
         changes: &[EndpointChange],
+        entries: &Arc<IndexMap<EndpointId, EndpointEntry>>,
     ) {
         let mut readings = lock(&self.readings);
         readings.endpoints.grow(position, as_of);
+        readings.entries = entries.clone();
         if before.is_none() {
             readings.changes.clear();
             readings.changes_from = position;
@@ -247,17 +250,42 @@
                 readings.changes_from = position;
             }
         }
-        drop(readings);
-        if !changes.is_empty() {
-            self.telling.raise();
-        }
+    }
+
+    /// Tells all peers up to where this instance has read. Only who has read the source itself does, so
+    /// that news cost a datagram for each reader and peer and not for each two peers.
+    pub fn announce(&self) {
+        self.telling.raise();
+    }
+
+    /// Whether a peer has announced more of a source than this instance has.
+    pub fn is_behind(&self, source: Source) -> bool {
+        let mut readings = lock(&self.readings);
+        let followed = readings.of(source);
+        followed.announced > followed.position()
+    }
+
+    /// What this instance has of a source, written for a peer; none where it can't vouch for it, or has no
+    /// more than the peer, which has read up to `after`.
+    pub fn content(&self, source: Source, after: Position) -> Option<(Vouch, Bytes)> {
+        let mut readings = lock(&self.readings);
+        let vouch = readings.of(source).vouch().filter(|vouch| vouch.position > after)?;
+        let content = match source {
+            Source::Configuration => readings.published.clone()?,
+            Source::Endpoints => {
+                let entries = readings.entries.clone();
+                drop(readings);
+                snapshot::encode(&*entries)
+            }
+        };
+        Some((vouch, content))
     }
 
     /// Whether this instance reaches a source. Peers are told of a return, as they may wait for it.
     pub fn set_lost(&self, source: Source, is_lost: bool) {
         lock(&self.readings).of(source).is_lost = is_lost;
         if !is_lost {
-            self.telling.raise();
+            self.announce();
         }
     }
 
@@ -292,7 +320,7 @@
 
     /// Takes in how far a peer has read.
     pub fn hear_news(&self, configuration: Position, endpoints: Position) {
-        let readings = lock(&self.readings);
+        let mut readings = lock(&self.readings);
         readings.configuration.hear(configuration);
         readings.endpoints.hear(endpoints);
     }
@@ -308,49 +336,52 @@
         self.telling.raised().await;
     }
 
-    /// Asks the peers that read before this instance does, one after the other, until an answer is of use.
-    pub async fn ask_readers<T>(&self, judge: impl Fn(Heard) -> Verdict<T>) -> Asked<T> {
-        let mut result = Asked::Nobody;
+    /// Asks the peers that read before this instance does, one after the other, and gives what `accept`
+    /// makes of the first good answer; none where it is this instance's turn to read.
+    pub async fn ask_readers<T>(&self, accept: impl Fn(Heard) -> Option<T>) -> Option<T> {
         for place in 0..ASKED {
-            match self.ask(Whom::Reader(place), &judge).await {
-                Asked::Used(used) => return Asked::Used(used),
-                Asked::Nobody => return result,
-                asked => result = asked,
+            match self.ask(Whom::Reader(place), &accept).await {
+                Asked::Nobody => return None,
+                Asked::Silence => {}
+                Asked::Accepted(accepted) => return Some(accepted),
             }
         }
-        result
+        None
     }
 
     /// The same with some of all peers at once.
-    pub async fn ask_anybody<T>(&self, judge: impl Fn(Heard) -> Verdict<T>) -> Option<T> {
-        match self.ask(Whom::Anybody, &judge).await {
-            Asked::Used(used) => Some(used),
-            Asked::Nobody | Asked::Silence | Asked::Lost => None,
+    pub async fn ask_anybody<T>(&self, accept: impl Fn(Heard) -> Option<T>) -> Option<T> {
+        match self.ask(Whom::Anybody, &accept).await {
+            Asked::Accepted(accepted) => Some(accepted),
+            Asked::Nobody | Asked::Silence => None,
         }
     }
 
-    async fn ask<T>(&self, whom: Whom, judge: &impl Fn(Heard) -> Verdict<T>) -> Asked<T> {
+    async fn ask<T>(&self, whom: Whom, accept: &impl Fn(Heard) -> Option<T>) -> Asked<T> {
         let (answers, heard) = bounded(QUESTIONS);
         let (_, endpoints_at) = self.positions();
         if self.questions.send(Question { whom, endpoints_at, answers }).await.is_err() {
             return Asked::Nobody;
         }
-        let mut result = Asked::Nobody;
-        let first_useful = async {
+        let mut anybody = false;
+        let first_good = async {
             while let Ok(heard) = heard.recv().await {
-                result = match judge(heard) {
-                    Verdict::Use(used) => return Asked::Used(used),
-                    Verdict::Lost => Asked::Lost,
-                    Verdict::Useless => Asked::Silence,
-                };
+                anybody = true;
+                if let Some(accepted) = accept(heard) {
+                    return Some(Asked::Accepted(accepted));
+                }
             }
-            // The links let go of the question: at once where there is nobody to ask.
-            result
+            None
         };
         let late = async {
             Timer::after(PATIENCE).await;
-            Asked::Silence
+            Some(Asked::Silence)
         };
-        first_useful.or(late).await
+        match first_good.or(late).await {
+            Some(asked) => asked,
+            // The links let go of the question: at once where there is nobody to ask.
+            None if anybody => Asked::Silence,
+            None => Asked::Nobody,
+        }
     }
 }
