Make the figures of placement typed rules that an experiment varies

Cause: nobody knew which mechanism of policy::arrange reached the targets; its 25 figures stood as constants in four files, and a trial needed a scratch copy.

--- a/crates/cli/src/experiment/export.rs
+++ b/crates/cli/src/experiment/export.rs
@@ -2,12 +2,13 @@
 
 use std::fmt::Write as _;
 
-use super::result::{ExperimentReport, PolicyResult};
+use super::result::{ExperimentReport, TrialResult};
 use crate::{error::CliResult, output};
 
-const HEAD: [&str; 11] = [
-    "policy",
+const HEAD: [&str; 12] = [
+    "trial",
     "worth",
+    "gain",
     "kind",
     "asked",
     "on time",
@@ -19,7 +20,7 @@
     "pause p99 ms",
 ];
 
-/// Prints a line for each kind and policy.
+/// Prints a line for each kind and trial.
 pub(super) fn print_table(report: &ExperimentReport) -> CliResult<()> {
     output::print_table(HEAD, rows(report))
 }
@@ -36,24 +37,22 @@
 
 /// The same as Markdown.
 pub(super) fn markdown(report: &ExperimentReport) -> String {
-    let mut text = format!("| {} |\n|---|--:|---{}|\n", HEAD.join(" | "), "|--:".repeat(8));
+    let mut text = format!("| {} |\n|---|--:|---{}|\n", HEAD.join(" | "), "|--:".repeat(9));
     for row in rows(report) {
         let _ = writeln!(text, "| {} |", row.join(" | "));
     }
     text
 }
 
-fn rows(report: &ExperimentReport) -> Vec<[String; 11]> {
-    let kinds = |result: &PolicyResult| {
-        let worth = match result.worth_error {
-            Some(error) => format!("{:.3} ± {error:.3}", result.worth),
-            None => format!("{:.3}", result.worth),
-        };
-        let policy = result.policy;
+fn rows(report: &ExperimentReport) -> Vec<[String; 12]> {
+    let kinds = |result: &TrialResult| {
+        let worth = with_error(result.worth, result.worth_error);
+        let gain = with_error(result.gain, result.gain_error);
         let row = |kind: &emulator::KindSummary| {
             [
-                policy.to_string(),
+                result.trial.clone(),
                 worth.clone(),
+                gain.clone(),
                 kind.kind.clone(),
                 kind.asked.to_string(),
                 format!("{:.3}", kind.on_time),
@@ -70,6 +69,13 @@
     report.results.iter().flat_map(kinds).collect()
 }
 
+fn with_error(value: f64, error: Option<f64>) -> String {
+    match error {
+        Some(error) => format!("{value:.3} ± {error:.3}"),
+        None => format!("{value:.3}"),
+    }
+}
+
 /// A cell of a CSV file; names of kinds may hold anything.
 fn quoted(cell: &str) -> String {
     if cell.contains([',', '"', '\n']) {
--- a/crates/cli/src/experiment/mod.rs
+++ b/crates/cli/src/experiment/mod.rs
@@ -16,7 +16,7 @@
     thread,
 };
 
-use emulator::{PlacerName, SiteSpec, play};
+use emulator::{SiteSpec, play};
 use error_stack::{Report, ResultExt};
 use indicatif::ProgressBar;
 
@@ -56,13 +56,11 @@
     })
 }
 
-/// Plays each policy with each seed, on all cores.
+/// Plays each trial with each seed, on all cores.
 fn play_all(spec: &SiteSpec) -> Vec<Played> {
-    let plays: Vec<(PlacerName, u64)> = spec
-        .policies
-        .iter()
-        .flat_map(|policy| spec.seeds.iter().map(|seed| (*policy, *seed)))
-        .collect();
+    let trials = spec.trials();
+    let seeds = |trial: usize| spec.seeds.iter().map(move |seed| (trial, *seed));
+    let plays: Vec<(usize, u64)> = (0..trials.len()).flat_map(seeds).collect();
     let bar = ProgressBar::new(plays.len() as u64);
     let next = AtomicUsize::new(0);
     let played = Mutex::new(Vec::with_capacity(plays.len()));
@@ -70,9 +68,9 @@
     thread::scope(|scope| {
         for _ in 0..cores.min(plays.len()) {
             scope.spawn(|| {
-                while let Some((policy, seed)) = plays.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let received = play(spec, *policy, *seed);
-                    let one = Played { policy: *policy, seed: *seed, received };
+                while let Some((trial, seed)) = plays.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let received = play(spec, trials[*trial].clone(), *seed);
+                    let one = Played { trial: *trial, seed: *seed, received };
                     played.lock().unwrap_or_else(PoisonError::into_inner).push(one);
                     bar.inc(1);
                 }
@@ -81,9 +79,6 @@
     });
     bar.finish_and_clear();
     let mut played = played.into_inner().unwrap_or_else(PoisonError::into_inner);
-    played.sort_by_key(|one| {
-        let place = spec.policies.iter().position(|policy| *policy == one.policy);
-        (place, one.seed)
-    });
+    played.sort_by_key(|one| (one.trial, one.seed));
     played
 }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -12,8 +12,9 @@
 pub mod placer;
 pub mod play;
 pub mod spec;
+mod telling;
 
 pub use outcome::{KindSummary, Received};
-pub use placer::{Placer, PlacerName};
+pub use placer::{Placer, PlacerName, Trial};
 pub use play::play;
 pub use spec::SiteSpec;
--- a/crates/emulator/src/placer.rs
+++ b/crates/emulator/src/placer.rs
@@ -2,7 +2,7 @@
 
 use policy::{
     EndpointId, FailCause, InstanceId, Time,
-    arrange::{Arranger, Ask, JobId, Member, Placement, Refused, Told},
+    arrange::{Arranger, Ask, JobId, Member, Placement, PlacementRules, Refused, Told},
     routes::EngineRules,
 };
 use serde::{Deserialize, Serialize};
@@ -43,6 +43,23 @@
     }
 }
 
+/// One way to place requests, as an experiment tries it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Trial {
+    /// Its name in tables.
+    pub name: String,
+    /// What places.
+    pub policy: PlacerName,
+    /// What the product's own goes by.
+    pub placement: PlacementRules,
+}
+
+impl From<PlacerName> for Trial {
+    fn from(policy: PlacerName) -> Trial {
+        Trial { name: policy.to_string(), policy, placement: PlacementRules::default() }
+    }
+}
+
 /// One instance's way to place requests.
 #[derive(Debug)]
 pub enum Placer {
@@ -59,7 +76,8 @@
 
 impl Placer {
     /// A placer for these engines.
-    pub fn new(name: PlacerName, rules: &EngineRules, members: &[Member], seed: u64) -> Placer {
+    pub fn new(trial: &Trial, rules: &EngineRules, members: &[Member], seed: u64) -> Placer {
+        let name = trial.policy;
         let sends_at_once = name == PlacerName::NoHolding;
         match name {
             PlacerName::Arranger | PlacerName::NoSplitting | PlacerName::NoHolding => {
@@ -67,7 +85,7 @@
                 if name == PlacerName::NoSplitting {
                     rules.max_helpers = 0;
                 }
-                let mut arranger = Box::new(Arranger::new(seed));
+                let mut arranger = Box::new(Arranger::with_rules(trial.placement, seed));
                 arranger.set_rules(Some(rules));
                 arranger.set_members(members.to_vec(), Time::ZERO);
                 Placer::Arranged { arranger, sends_at_once }
--- a/crates/emulator/src/play.rs
+++ b/crates/emulator/src/play.rs
@@ -4,14 +4,14 @@
 
 use policy::{
     EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
-    arrange::{Ask, EVERY, JobId, Member, Refused, Told},
+    arrange::{Ask, JobId, Member, Refused, Told, period},
 };
 
 use crate::{
     engine::{Engine, Happened, Part, RunId},
     load::{self, Call},
     outcome::Received,
-    placer::{Placer, PlacerName, engine_id},
+    placer::{Placer, Trial, engine_id},
     spec::{Kind, SiteSpec},
 };
 
@@ -58,7 +58,7 @@
 }
 
 #[derive(Debug)]
-enum Event {
+pub(crate) enum Event {
     Ask(usize),
     Send(RunId),
     Arrive(usize, Part),
@@ -109,16 +109,16 @@
 }
 
 /// Plays a run and tells what each caller received.
-pub fn play(spec: &SiteSpec, policy: PlacerName, seed: u64) -> Vec<Received> {
-    let mut world = World::new(spec, policy, seed);
+pub fn play(spec: &SiteSpec, trial: impl Into<Trial>, seed: u64) -> Vec<Received> {
+    let mut world = World::new(spec, &trial.into(), seed);
     world.play();
     world.received
 }
 
-struct World<'a> {
-    spec: &'a SiteSpec,
-    rng: fastrand::Rng,
-    now: f64,
+pub(crate) struct World<'a> {
+    pub(crate) spec: &'a SiteSpec,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) now: f64,
     order: u64,
     heap: BinaryHeap<Due>,
     engines: Vec<Engine>,
@@ -127,8 +127,8 @@
     is_dead: Vec<bool>,
     /// Instances have heard that it is.
     is_gone: Vec<bool>,
-    members: Vec<Member>,
-    placers: Vec<Placer>,
+    pub(crate) members: Vec<Member>,
+    pub(crate) placers: Vec<Placer>,
     names: Vec<InstanceId>,
     calls: Vec<Call>,
     progress: Vec<Progress>,
@@ -137,7 +137,7 @@
 }
 
 impl<'a> World<'a> {
-    fn new(spec: &'a SiteSpec, policy: PlacerName, seed: u64) -> World<'a> {
+    fn new(spec: &'a SiteSpec, trial: &Trial, seed: u64) -> World<'a> {
         let calls = load::calls(spec, seed);
         let member = |index| {
             engine_id(index).map(|endpoint| Member {
@@ -149,7 +149,7 @@
             })
         };
         let members: Vec<Member> = (0..spec.engines).filter_map(member).collect();
-        let placer = |i: usize| Placer::new(policy, &spec.engine, &members, seed ^ i as u64);
+        let placer = |i: usize| Placer::new(trial, &spec.engine, &members, seed ^ i as u64);
         let name = |i: usize| InstanceId::new(&format!("instance-{i}")).ok();
         let received = calls.iter().map(|call| Received {
             kind: call.kind,
@@ -179,7 +179,7 @@
         }
         for instance in 0..spec.instances {
             // Instances started at different times.
-            let first = EVERY.as_secs_f64() * 1000.0 * instance as f64 / spec.instances as f64;
+            let first = period(0).as_secs_f64() * 1000.0 * instance as f64 / spec.instances as f64;
             world.at(first, Event::Tell(instance));
         }
         for death in &spec.deaths {
@@ -193,11 +193,11 @@
         self.heap.push(Due { at, order: self.order, event });
     }
 
-    fn after(&mut self, ms: f64, event: Event) {
+    pub(crate) fn after(&mut self, ms: f64, event: Event) {
         self.at(self.now + ms, event);
     }
 
-    fn time(&self) -> Time {
+    pub(crate) fn time(&self) -> Time {
         Time((self.now * 1000.0) as u64)
     }
 
@@ -228,8 +228,7 @@
                 self.placers[to].hear(&name, &words, now);
             }
             Event::Tell(instance) => {
-                self.tell(instance, true);
-                self.after(EVERY.as_secs_f64() * 1000.0, Event::Tell(instance));
+                self.take_turn(instance);
             }
             Event::Impatient { call, events } => self.impatient(call, events),
             Event::Die(engine) => self.die(engine),
@@ -440,19 +439,6 @@
         self.placers[instance].ended(job, failed, now);
     }
 
-    fn tell(&mut self, from: usize, is_due: bool) {
-        let words = self.placers[from].tell(is_due);
-        if words.is_empty() {
-            return;
-        }
-        for to in (0..self.spec.instances).filter(|to| *to != from) {
-            if self.rng.f64() >= self.spec.word_loss {
-                let words = words.clone();
-                self.after(self.spec.word_ms, Event::Words { to, from, words });
-            }
-        }
-    }
-
     fn die(&mut self, engine: usize) {
         self.is_dead[engine] = true;
         let hit = self.runs.iter().enumerate().filter(|(_, run)| !run.is_over);
--- a/crates/emulator/src/spec.rs
+++ b/crates/emulator/src/spec.rs
@@ -1,9 +1,10 @@
 //! What an experiment plays, as it stands in its file.
 
-use policy::routes::EngineRules;
+use indexmap::IndexMap;
+use policy::{arrange::PlacementRules, routes::EngineRules};
 use serde::{Deserialize, Serialize};
 
-use crate::placer::PlacerName;
+use crate::placer::{PlacerName, Trial};
 
 /// A site and what is tried on it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -32,7 +33,10 @@
     pub deaths: Vec<Death>,
     /// What places the requests; each is tried.
     pub policies: Vec<PlacerName>,
-    /// Each is played with each policy.
+    /// Other rules for the product's own placing, by name; each is tried.
+    #[serde(default)]
+    pub variants: IndexMap<String, PlacementRules>,
+    /// Each is played with each policy and variant.
     pub seeds: Vec<u64>,
 }
 
@@ -89,6 +93,17 @@
 }
 
 impl SiteSpec {
+    /// All that is tried, in the order of the file.
+    pub fn trials(&self) -> Vec<Trial> {
+        let policies = self.policies.iter().map(|policy| Trial::from(*policy));
+        let variants = self.variants.iter().map(|(name, placement)| Trial {
+            name: name.clone(),
+            policy: PlacerName::Arranger,
+            placement: *placement,
+        });
+        policies.chain(variants).collect()
+    }
+
     /// Reads a file's text.
     ///
     /// # Errors
--- a/crates/emulator/tests/heavy_days.rs
+++ b/crates/emulator/tests/heavy_days.rs
@@ -51,6 +51,7 @@
         bursts: Vec::new(),
         deaths: Vec::new(),
         policies: vec![PlacerName::Arranger],
+        variants: Default::default(),
         seeds: vec![1],
     }
 }
--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -7,68 +7,20 @@
 use crate::{Time, health, quarantine::Standing, routes::EngineRules};
 
 use super::{
-    Arranger, Ask, Helper, JobId, Placement,
+    Arranger, Ask, Helper, JobId, Placement, PlacementRules,
     ask::Job,
-    cost,
     reading::{Part, PartKey, Pass, Read},
+    rules::LONG_RANK,
     server::{Outlook, Server, millis},
 };
 
-/// What waiting for a slot costs, in milliseconds for each request that stands before: a question
-/// is written in about two seconds on sixteen slots, and those that fill them began together.
-const SLOT_WAIT_MS: f64 = 300.0;
-
-/// Slots that are left to what other instances have just placed and not told yet.
-const SLOTS_LEFT: u32 = 1;
-
-/// What an engine that nobody writes on costs a short prompt, times the share of engines that long
-/// prompts take: it will soon be wanted for a part that the short one's pause can't bear.
-const APART: f64 = 3.0;
-
-/// The most that it costs, in weights: less than being late. Without this bound, questions queue for the
-/// slots of a few engines in a burst of dossiers while others have room, and are refused in the end.
-const MOST_APART: f64 = 0.8;
-
-/// Milliseconds from the end of reading to the first event on an engine that writes nothing else: half
-/// a pass.
-const FIRST_EVENT_MS: f64 = 25.0;
-
-/// Milliseconds for which a long prompt is held at least, so that instances that placed others in the
-/// same moment have heard of each other: a datagram's way between data centres and two turns of the
-/// receiver's processor. One part in 500 of its goal.
-const HEARD_MS: f64 = 8.0;
-
 /// The key under which a request's own part is tried; placed ones have random keys.
 const TRIED: PartKey = 0;
 
-/// The least share of engines that long prompts are taken to need. A burst of them begins within a
-/// second, and questions that are then written everywhere can't be moved.
-const LEAST_LONG_SHARE: f64 = 0.2;
-
-/// The part of its goal within which a prompt's first event has to be predicted, by its rank; beyond
-/// it the request is refused at once.
-///
-/// A long prompt that comes late is worth a quarter and takes as much of the engines as one that is
-/// on time, so serving it makes the next one late as well: a burst of dossiers at nine tenths of
-/// what the engines can read then ends with all of them late. Predictions err low by a fifth. A
-/// question takes next to nothing and is refused only where it would wait for seconds.
-const BOUNDS: [(u8, f64); 3] = [(SHORT_RANK, 5.0), (MIDDLE_RANK, 1.0), (LONG_RANK, 0.8)];
-
-/// How many times its own weight a prompt may cost others; beyond it callers in sum lose by serving it.
-const MOST_HARM: f64 = 1.0;
-
 /// When to come back to engines that are crowded: in a second half of the questions that are written
 /// now have gone.
 pub(super) const CROWDED_FOR: Duration = Duration::from_millis(1_000);
 
-/// Milliseconds of reading up to which a prompt goes beside writers whole.
-pub(super) const SHORT_MS: f64 = 100.0;
-
-/// A prompt that couldn't be on time even on idle engines is taken on if it would take little
-/// longer than that: else the longest would never be served at all.
-const IDLE_FACTOR: f64 = 1.2;
-const IDLE_SLACK_MS: f64 = 300.0;
-
 /// What is chosen for a request.
 #[derive(Clone, Default)]
 pub(super) struct Chosen {
@@ -99,21 +51,20 @@
     /// goes on after a failure has been taken on, and gets whatever time there is: its caller may
     /// have half of the answer. Not so one that is asked beside a slow attempt: under load the
     /// engines would read every long prompt twice.
-    pub(super) fn late_ms(&self, ask: &Ask) -> f64 {
+    pub(super) fn late_ms(&self, ask: &Ask, placement: &PlacementRules) -> f64 {
         if !ask.tried.is_empty() && !ask.is_beside {
             return self.predicted_ms - ask.left_ms;
         }
-        let part =
-            BOUNDS.iter().find(|(rank, _)| *rank == self.rank).map_or(1.0, |(_, part)| *part);
-        let idle_bound = IDLE_FACTOR * self.idle_ms + IDLE_SLACK_MS;
+        let part = placement.bound(self.rank);
+        let idle_bound = placement.idle_factor * self.idle_ms + placement.idle_slack_ms;
         let bound = if ask.is_beside { idle_bound } else { idle_bound.max(part * ask.goal_ms) };
         self.predicted_ms - bound.min(ask.left_ms)
     }
 
     /// Whether others would lose more by it than it is worth. What goes on after a failure has been
     /// taken on, and stays.
-    pub(super) fn is_crowding(&self, ask: &Ask) -> bool {
-        ask.tried.is_empty() && self.harm > MOST_HARM * self.weight
+    pub(super) fn is_crowding(&self, ask: &Ask, placement: &PlacementRules) -> bool {
+        ask.tried.is_empty() && self.harm > placement.most_harm * self.weight
     }
 }
 
@@ -128,13 +79,13 @@
         let base = Chosen {
             part_ms: read_ms,
             idle_ms: read_ms / self.usable().min(rules.max_helpers + 1).max(1) as f64,
-            weight: cost::weight(read_ms),
+            weight: self.placement.weight(read_ms),
             apart: self.apart(now),
             memory: ask.prompt + ask.output,
-            rank: rank(read_ms),
+            rank: self.placement.rank(read_ms),
             ..Chosen::default()
         };
-        if read_ms <= SHORT_MS {
+        if read_ms <= self.placement.short_ms {
             let (index, predicted_ms) = self.gather(rules, ask, &base, now)?;
             return Some(Chosen {
                 servers: vec![index],
@@ -154,15 +105,17 @@
         base: &Chosen,
         now: Time,
     ) -> Option<(usize, f64)> {
+        let placement = &self.placement;
         let mut best = None;
         for (index, server) in self.candidates(ask, now) {
             let part = tried_part(base, server, 1, ask, now);
-            let outlook = server.outlook(rules, part, &server.reads(rules, now), now);
-            let predicted = first_ms(rules, server, &outlook);
-            let alone = alone(base.apart, server);
-            let own =
-                cost::lateness(predicted, ask.goal_ms) + cost::miss(outlook.pause_ms, ask.pause_ms);
-            let harm = outlook.harm + delay_cost(std::iter::once(&outlook));
+            let reads = server.reads(rules, now);
+            let outlook = server.outlook(rules, &self.placement, part, &reads, now);
+            let predicted = self.first_ms(rules, server, &outlook);
+            let alone = self.alone(base.apart, server);
+            let own = placement.lateness(predicted, ask.goal_ms)
+                + placement.miss(outlook.pause_ms, ask.pause_ms);
+            let harm = outlook.harm + self.delay_cost(std::iter::once(&outlook));
             let total = self.caution(server, now) * (base.weight * (own + alone) + harm);
             if best.is_none_or(|(least, _, _)| total < least) {
                 best = Some((total, index, predicted));
@@ -174,8 +127,9 @@
     /// What an engine that nobody writes on costs a short prompt now.
     fn apart(&self, now: Time) -> f64 {
         let engines = self.usable().max(1) as f64;
-        let long_share = (self.long_share.rate(now) / 1000.0 / engines).max(LEAST_LONG_SHARE);
-        APART * long_share.min(1.0)
+        let long_share =
+            (self.long_share.rate(now) / 1000.0 / engines).max(self.placement.least_long_share);
+        self.placement.apart * long_share.min(1.0)
     }
 
     pub(super) fn choose_plain(&self, ask: &Ask, now: Time) -> Option<Chosen> {
@@ -226,6 +180,45 @@
         }
     }
 
+    /// What writing on this engine costs in weights because it will be wanted for a part of a long prompt:
+    /// nearly nothing where others write already.
+    pub(super) fn alone(&self, apart: f64, server: &Server) -> f64 {
+        (apart / (1.0 + server.writers()[0])).min(self.placement.most_apart)
+    }
+
+    /// Milliseconds until a first event comes, if a part is read as foretold.
+    pub(super) fn first_ms(&self, rules: &EngineRules, server: &Server, outlook: &Outlook) -> f64 {
+        let PlacementRules { slots_left, first_event_ms, slot_wait_ms, .. } = self.placement;
+        let places = rules.slots.saturating_sub(slots_left).max(1);
+        let over = (server.running() + 1).saturating_sub(places);
+        let own_pass = if outlook.beside_writers { 0.0 } else { first_event_ms * server.pace() };
+        outlook.read_in_ms
+            + own_pass
+            + f64::from(over) * slot_wait_ms
+            + server.member.distance.as_secs_f64() * 1000.0
+    }
+
+    /// What the requests lose whose parts are read later on these engines. A request whose parts are
+    /// delayed on several engines is as late as the latest of them.
+    pub(super) fn delay_cost<'a>(&self, outlooks: impl Iterator<Item = &'a Outlook>) -> f64 {
+        let mut latest: IndexMap<PartKey, Read> = IndexMap::new();
+        for read in outlooks.flat_map(|outlook| &outlook.delayed) {
+            let known = latest.entry(read.part.key).or_insert(*read);
+            if read.at > known.at {
+                *known = *read;
+            }
+        }
+        latest.values().map(|read| read.part.weight * self.delay(read)).sum()
+    }
+
+    /// How much nearer to being late a request is if this part has been read only then.
+    fn delay(&self, read: &Read) -> f64 {
+        let part = &read.part;
+        let placed = part.due - part.goal;
+        let lateness = |at: f64| self.placement.lateness(at - placed, part.goal);
+        (lateness(read.at) - lateness(part.ready)).max(0.0)
+    }
+
     /// Counts the request as sent to the chosen endpoints.
     pub(super) fn commit(&mut self, chosen: Chosen, ask: &Ask, now: Time) -> Placement {
         self.next_job += 1;
@@ -244,7 +237,7 @@
             .collect();
         let incarnations =
             chosen.servers.iter().map(|index| self.servers[*index].member.incarnation).collect();
-        let least_hold = if chosen.rank == LONG_RANK { HEARD_MS } else { 0.0 };
+        let least_hold = if chosen.rank == LONG_RANK { self.placement.heard_ms } else { 0.0 };
         let hold = Duration::from_secs_f64(chosen.hold_ms.max(least_hold) / 1000.0);
         let job = Job {
             key: self.rng.u64(TRIED + 1..),
@@ -271,7 +264,7 @@
         let head = &mut self.servers[chosen.servers[0]];
         head.is_on_trial = false;
         let incarnation = head.member.incarnation;
-        if chosen.part_ms > SHORT_MS || !helpers.is_empty() {
+        if chosen.part_ms > self.placement.short_ms || !helpers.is_empty() {
             self.long_share.add(chosen.part_ms * chosen.servers.len() as f64, now);
         }
         self.quarantine.started(ask.fingerprint, &endpoint, now);
@@ -288,12 +281,6 @@
     }
 }
 
-/// What writing on this engine costs in weights because it will be wanted for a part of a long prompt:
-/// nearly nothing where others write already.
-pub(super) fn alone(apart: f64, server: &Server) -> f64 {
-    (apart / (1.0 + server.writers()[0])).min(MOST_APART)
-}
-
 /// A request's part on one engine, before it is placed.
 pub(super) fn tried_part(
     chosen: &Chosen,
@@ -319,55 +306,5 @@
     }
 }
 
-/// Milliseconds until a first event comes, if a part is read as foretold.
-pub(super) fn first_ms(rules: &EngineRules, server: &Server, outlook: &Outlook) -> f64 {
-    let places = rules.slots.saturating_sub(SLOTS_LEFT).max(1);
-    let over = (server.running() + 1).saturating_sub(places);
-    let own_pass = if outlook.beside_writers { 0.0 } else { FIRST_EVENT_MS * server.pace() };
-    outlook.read_in_ms
-        + own_pass
-        + f64::from(over) * SLOT_WAIT_MS
-        + server.member.distance.as_secs_f64() * 1000.0
-}
-
-/// What the requests lose whose parts are read later on these engines. A request whose parts are
-/// delayed on several engines is as late as the latest of them.
-pub(super) fn delay_cost<'a>(outlooks: impl Iterator<Item = &'a Outlook>) -> f64 {
-    let mut latest: IndexMap<PartKey, Read> = IndexMap::new();
-    for read in outlooks.flat_map(|outlook| &outlook.delayed) {
-        let known = latest.entry(read.part.key).or_insert(*read);
-        if read.at > known.at {
-            *known = *read;
-        }
-    }
-    latest.values().map(|read| read.part.weight * delay(read)).sum()
-}
-
-/// How much nearer to being late a request is if this part has been read only then.
-fn delay(read: &Read) -> f64 {
-    let part = &read.part;
-    let placed = part.due - part.goal;
-    let lateness = |at: f64| cost::lateness(at - placed, part.goal);
-    (lateness(read.at) - lateness(part.ready)).max(0.0)
-}
-
-/// Ranks on an engine by the length of a prompt.
-const SHORT_RANK: u8 = 1;
-const MIDDLE_RANK: u8 = 3;
-const LONG_RANK: u8 = 5;
-
-/// Milliseconds of reading up to which a prompt is of middle length: what a caller who waits for a
-/// summary would notice.
-const MIDDLE_MS: f64 = 1_000.0;
-
 /// The rank that engines take for the least urgent.
 const LOWEST_RANK: u8 = 9;
-
-/// A prompt's rank on an engine: what is read soonest goes first, which delays the others least.
-fn rank(read_ms: f64) -> u8 {
-    match read_ms {
-        ms if ms <= SHORT_MS => SHORT_RANK,
-        ms if ms <= MIDDLE_MS => MIDDLE_RANK,
-        _ => LONG_RANK,
-    }
-}
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -19,8 +19,9 @@
 
 mod ask;
 mod choose;
-mod cost;
+mod decaying;
 mod reading;
+mod rules;
 mod server;
 mod split;
 mod told;
@@ -32,7 +33,8 @@
 
 pub use ask::{Ask, Helper, Job, JobId, Placement, Refused};
 pub use reading::PartKey;
-pub use told::{EVERY, Told, ToldPart};
+pub use rules::PlacementRules;
+pub use told::{Told, ToldPart, period};
 
 use crate::{
     EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
@@ -51,10 +53,6 @@
 /// most answers are shorter than they may be.
 const BUSY: f64 = 1.15;
 
-/// Milliseconds by which a prompt is read later than foretold because another instance chose the same
-/// engines: half of a middle prompt's goal, below which looking again gains nothing.
-const COLLISION_MS: f64 = 300.0;
-
 /// Milliseconds until a busy engine begins: a few passes.
 const FIRST_PASSES_MS: f64 = 300.0;
 
@@ -77,6 +75,7 @@
 #[derive(Debug)]
 pub struct Arranger {
     rules: Option<EngineRules>,
+    placement: PlacementRules,
     servers: IndexMap<EndpointId, Server>,
     jobs: IndexMap<JobId, Job>,
     next_job: u64,
@@ -86,14 +85,20 @@
     rng: Rng,
     /// Share of the engines' time that prompts too long to be read beside writers have taken of
     /// late.
-    long_share: cost::Decaying,
+    long_share: decaying::Decaying,
 }
 
 impl Arranger {
     /// Knows no endpoint yet; `seed` starts its generator.
     pub fn new(seed: u64) -> Arranger {
+        Arranger::with_rules(PlacementRules::default(), seed)
+    }
+
+    /// The same, with other rules than the usual ones.
+    pub fn with_rules(placement: PlacementRules, seed: u64) -> Arranger {
         Arranger {
             rules: None,
+            placement,
             servers: IndexMap::new(),
             jobs: IndexMap::new(),
             next_job: 0,
@@ -101,7 +106,7 @@
             quarantine: Quarantine::new(),
             assessed: Time::ZERO,
             rng: Rng::with_seed(seed),
-            long_share: cost::Decaying::default(),
+            long_share: decaying::Decaying::default(),
         }
     }
 
@@ -162,11 +167,11 @@
             None => self.choose_plain(ask, now),
         };
         let chosen = chosen.ok_or(Refused::NoEndpoint)?;
-        let late_ms = chosen.late_ms(ask);
+        let late_ms = chosen.late_ms(ask, &self.placement);
         if late_ms > 0.0 {
             return Err(Refused::TooLate(Duration::from_secs_f64(late_ms / 1000.0)));
         }
-        if chosen.is_crowding(ask) {
+        if chosen.is_crowding(ask, &self.placement) {
             return Err(Refused::Crowded(choose::CROWDED_FOR));
         }
         Ok(self.commit(chosen, ask, now))
@@ -277,7 +282,7 @@
         let foretold = server::millis(job.placed) + job.read_in_ms;
         let reads = server.reads(rules, now);
         let mine = reads.iter().find(|read| read.part.key == job.key);
-        mine.is_some_and(|mine| mine.at > foretold + COLLISION_MS)
+        mine.is_some_and(|mine| mine.at > foretold + self.placement.collision_ms)
             && reads.iter().any(|read| read.part.overtakes && read.part.key < job.key)
     }
 
@@ -296,8 +301,8 @@
     /// What another instance has under way.
     pub fn hear(&mut self, peer: &InstanceId, words: &[Told], now: Time) {
         let rules = self.rules.as_ref();
-        let long_ms = told::hear(&mut self.servers, &mut self.health, rules, peer, words, now);
-        self.long_share.add(long_ms, now);
+        told::hear(&mut self.servers, &mut self.health, rules, peer, words, now);
+        self.long_share.add(told::long_ms(words, &self.placement), now);
     }
 
     /// Another instance is gone, and what it had under way with it.
--- /dev/null
+++ b/crates/policy/src/arrange/rules.rs
@@ -0,0 +1,157 @@
+//! What a choice of places goes by, as figures that an experiment can vary.
+
+use serde::{Deserialize, Serialize};
+
+/// How places are weighed. The defaults are in force everywhere; `trefoilhall experiment` plays others
+/// (docs/decisions/arrangement.md). A weight is the loss of one short prompt's being late.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlacementRules {
+    /// Milliseconds of reading that weigh one.
+    pub unit_ms: f64,
+    /// How weight grows with a prompt's reading time: less than in proportion, as a long prompt is one
+    /// caller's loss all the same.
+    pub weight_power: f64,
+    /// Parts of a bound between which the chance to miss it rises from none to certainty, as predictions
+    /// err by about a pass.
+    pub ramp_from: f64,
+    /// See `ramp_from`.
+    pub ramp_to: f64,
+    /// What each further bound's length of lateness adds, in weights, so that of two late places the
+    /// earlier one is taken.
+    pub per_bound: f64,
+    /// What each further bound's length of a pause adds.
+    ///
+    /// Guards against parts of seconds on engines full of questions: once a pause is too long, a longer one
+    /// would cost nothing more, and a few large parts would look cheaper than many small ones.
+    pub per_longer_pause: f64,
+    /// Milliseconds that waiting for a slot takes, for each request that stands before.
+    pub slot_wait_ms: f64,
+    /// Slots that are left to what other instances have just placed and not told yet.
+    pub slots_left: u32,
+    /// What an engine that nobody writes on costs a short prompt, times the share of engines that long
+    /// prompts take: it will soon be wanted for a part that the short one's pause can't bear.
+    pub apart: f64,
+    /// The most that it costs, in weights. Without this bound, questions queue for the slots of a few engines
+    /// in a burst of dossiers while others have room.
+    pub most_apart: f64,
+    /// The least share of engines that long prompts are taken to need, as questions that are written
+    /// everywhere when a burst of long prompts begins can't be moved.
+    pub least_long_share: f64,
+    /// Milliseconds from the end of reading to the first event on an engine that writes nothing else: half a
+    /// pass.
+    pub first_event_ms: f64,
+    /// Milliseconds for which a long prompt is held at least, so that instances that placed others in the
+    /// same moment have heard of each other.
+    pub heard_ms: f64,
+    /// Milliseconds of reading up to which a prompt goes beside writers whole.
+    pub short_ms: f64,
+    /// Milliseconds of reading up to which a prompt is of middle length: what a caller who waits for a
+    /// summary would notice.
+    pub middle_ms: f64,
+    /// The part of its goal within which a short prompt's first event has to be predicted; beyond it the
+    /// request is refused at once. It takes next to nothing, so only a wait of seconds is too long.
+    pub short_bound: f64,
+    /// The same for one of middle length.
+    pub middle_bound: f64,
+    /// The same for a long one: it is worth little when late, and makes the next one late as well.
+    /// Predictions err low, so less than the whole goal is given.
+    pub long_bound: f64,
+    /// A prompt that couldn't be on time even on idle engines is taken on if it would take no more than so
+    /// many times that and `idle_slack_ms`: else the longest would never be served at all.
+    pub idle_factor: f64,
+    /// See `idle_factor`.
+    pub idle_slack_ms: f64,
+    /// How many times its own weight a prompt may cost others; beyond it callers in sum lose by serving it.
+    pub most_harm: f64,
+    /// What one further engine costs a prompt, in weights: each may die under it.
+    pub per_helper: f64,
+    /// Whoever bears pauses up to this writes where others write; whoever bears more also bears the parts of
+    /// long prompts.
+    pub gathered_pause_ms: f64,
+    /// Milliseconds by which a prompt has to be read later than foretold, because another instance chose the
+    /// same engines, for a second look to be worth its while.
+    pub collision_ms: f64,
+    /// Long prompts may be held until their engines have read what came before.
+    pub holds: bool,
+}
+
+impl Default for PlacementRules {
+    fn default() -> PlacementRules {
+        PlacementRules {
+            unit_ms: 20.0,
+            weight_power: 0.57,
+            ramp_from: 0.75,
+            ramp_to: 1.1,
+            per_bound: 0.1,
+            per_longer_pause: 0.05,
+            slot_wait_ms: 300.0,
+            slots_left: 1,
+            apart: 3.0,
+            most_apart: 0.8,
+            least_long_share: 0.2,
+            first_event_ms: 25.0,
+            heard_ms: 8.0,
+            short_ms: 100.0,
+            middle_ms: 1_000.0,
+            short_bound: 5.0,
+            middle_bound: 1.0,
+            long_bound: 0.8,
+            idle_factor: 1.2,
+            idle_slack_ms: 300.0,
+            most_harm: 1.0,
+            per_helper: 0.001,
+            gathered_pause_ms: 600.0,
+            collision_ms: 300.0,
+            holds: true,
+        }
+    }
+}
+
+/// Ranks on an engine by the length of a prompt.
+pub(super) const SHORT_RANK: u8 = 1;
+pub(super) const MIDDLE_RANK: u8 = 3;
+pub(super) const LONG_RANK: u8 = 5;
+
+impl PlacementRules {
+    /// A prompt's rank on an engine: what is read soonest goes first, which delays the others least.
+    pub(super) fn rank(&self, read_ms: f64) -> u8 {
+        match read_ms {
+            ms if ms <= self.short_ms => SHORT_RANK,
+            ms if ms <= self.middle_ms => MIDDLE_RANK,
+            _ => LONG_RANK,
+        }
+    }
+
+    /// The part of its goal within which a first event has to be predicted.
+    pub(super) fn bound(&self, rank: u8) -> f64 {
+        match rank {
+            SHORT_RANK => self.short_bound,
+            MIDDLE_RANK => self.middle_bound,
+            LONG_RANK => self.long_bound,
+            // Calls to plain services.
+            _ => 1.0,
+        }
+    }
+
+    /// What the lateness of a prompt that takes `read_ms` alone weighs.
+    pub(super) fn weight(&self, read_ms: f64) -> f64 {
+        (read_ms / self.unit_ms).max(0.2).powf(self.weight_power)
+    }
+
+    /// The chance to miss `bound_ms` with `expected_ms`, from 0 to 1.
+    pub(super) fn miss(&self, expected_ms: f64, bound_ms: f64) -> f64 {
+        let part = expected_ms / bound_ms.max(1.0);
+        ((part - self.ramp_from) / (self.ramp_to - self.ramp_from)).clamp(0.0, 1.0)
+    }
+
+    /// The same, and a little for each millisecond.
+    pub(super) fn lateness(&self, expected_ms: f64, bound_ms: f64) -> f64 {
+        self.miss(expected_ms, bound_ms) + self.per_bound * expected_ms / bound_ms.max(1.0)
+    }
+
+    /// What those who write lose by a pass that takes `pass_ms` where they bear `bears_ms`.
+    pub(super) fn disturbance(&self, pass_ms: f64, bears_ms: f64) -> f64 {
+        self.miss(pass_ms, bears_ms) + self.per_longer_pause * pass_ms / bears_ms.max(1.0)
+    }
+}
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -20,7 +20,7 @@
 use crate::{InstanceId, Time, routes::EngineRules};
 
 use super::{
-    Member,
+    Member, PlacementRules,
     ask::Job,
     reading::{Part, PartKey, Pass, Read, Reading, Tempo},
     told::{Level, ToldPart},
@@ -121,6 +121,7 @@
     pub(super) fn outlook(
         &self,
         rules: &EngineRules,
+        placement: &PlacementRules,
         part: Part,
         base: &[Read],
         now: Time,
@@ -130,7 +131,7 @@
         let mine = reads.iter().find(|read| read.part.key == part.key);
         let mine = mine.copied().unwrap_or(Read { part, at: f64::MAX, beside_writers: true });
         let Pass { ms, part_ms } = mine.part.longest;
-        let harm = (self.harm(ms) - self.harm(ms - part_ms)).max(0.0);
+        let harm = (self.harm(placement, ms) - self.harm(placement, ms - part_ms)).max(0.0);
         let delayed = reads.iter().filter_map(|read| {
             let before = base.iter().find(|before| before.part.key == read.part.key)?;
             let ready = read.part.ready.max(before.at);
@@ -195,9 +196,9 @@
     }
 
     /// What those who write there lose by a pass of `pass_ms`.
-    pub(super) fn harm(&self, pass_ms: f64) -> f64 {
+    pub(super) fn harm(&self, placement: &PlacementRules, pass_ms: f64) -> f64 {
         let each = self.writers().into_iter().zip(BEARS_MS);
-        each.map(|(weight, bears)| weight * super::cost::disturbance(pass_ms, bears)).sum()
+        each.map(|(weight, bears)| weight * placement.disturbance(pass_ms, bears)).sum()
     }
 
     /// Notes a part placed there by anybody.
--- a/crates/policy/src/arrange/split.rs
+++ b/crates/policy/src/arrange/split.rs
@@ -7,17 +7,16 @@
 //! a long prompt is somebody's pause.
 //!
 //! **Rule.** Who bears only short pauses writes where others write, and its parts are read elsewhere,
-//! unless that costs more than the engine that it would take from long prompts ([`alone`]).
+//! unless that costs more than the engine that it would take from long prompts ([`Arranger::alone`]).
 //! Who bears long ones writes on whichever of its engines is best, so that nobody hears its reading.
 
 use crate::{Time, routes::EngineRules};
 
 use super::{
     Arranger, Ask,
-    choose::{Chosen, alone, delay_cost, first_ms, tried_part},
-    cost,
+    choose::{Chosen, tried_part},
     reading::Read,
-    server::{Outlook, PAUSES_MS, Server, millis},
+    server::{Outlook, Server, millis},
 };
 
 /// Tokens by which an engine's memory is planned too small: engines allocate in blocks.
@@ -26,10 +25,6 @@
 /// Numbers of parts that are tried. Beyond these the gain of one more is below a pass.
 const PARTS: [usize; 12] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 16, 17];
 
-/// What one further engine costs a prompt, in weights: each may die under it, and each one's
-/// writers get a longer pause. Keeps prompts whole where splitting gains next to nothing.
-const PER_HELPER: f64 = 0.001;
-
 /// How a prompt's memory is spread over the engines that read it.
 struct MemoryShares {
     /// Tokens where it runs.
@@ -38,10 +33,6 @@
     reserve: Vec<Option<u64>>,
 }
 
-/// The longest pause of those who write where others do; whoever bears more also bears the parts of long
-/// prompts, and takes no engine from them.
-const GATHERED_PAUSE_MS: f64 = PAUSES_MS[1];
-
 /// The engines for one split, in the order in which they are taken.
 struct Parts<'a> {
     candidates: Vec<&'a Candidate>,
@@ -97,7 +88,8 @@
         let mut best: Option<(f64, Chosen)> = None;
         for parts in PARTS.into_iter().filter(|parts| *parts <= most) {
             let held = free[parts - 1];
-            let holds = [0.0, held].into_iter().take(if held > 0.0 { 2 } else { 1 });
+            let may_hold = self.placement.holds && held > 0.0;
+            let holds = [0.0, held].into_iter().take(if may_hold { 2 } else { 1 });
             for hold_ms in holds {
                 let tried = Chosen { part_ms: read_ms / parts as f64, hold_ms, ..base.clone() };
                 let sorted = self.sorted(rules, ask, &engines, parts, &tried, now);
@@ -141,7 +133,7 @@
         parts: usize,
         tried: &Chosen,
     ) -> impl Iterator<Item = Parts<'a>> {
-        let gathers = ask.pause_ms <= GATHERED_PAUSE_MS;
+        let gathers = ask.pause_ms <= self.placement.gathered_pause_ms;
         let gathered = gathers.then(|| self.gathered(rules, sorted, parts, tried)).flatten();
         let cheapest = Parts { candidates: sorted.iter().take(parts).collect(), head: None };
         gathered.into_iter().chain(std::iter::once(cheapest))
@@ -156,7 +148,7 @@
         tried: &Chosen,
     ) -> Option<Parts<'a>> {
         let server = |c: &Candidate| &self.servers[c.index];
-        let cost = |c: &Candidate| c.key + tried.weight * alone(tried.apart, server(c));
+        let cost = |c: &Candidate| c.key + tried.weight * self.alone(tried.apart, server(c));
         let with_slot = sorted.iter().filter(|c| server(c).running() < rules.slots);
         let head = with_slot.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
         let others = sorted.iter().filter(|c| c.index != head.index);
@@ -180,14 +172,17 @@
         let outlooks = || candidates.iter().map(|c| &c.outlook);
         let predicted_ms = candidates.iter().map(|c| c.first_ms).fold(0.0, f64::max);
         let read_in_ms = outlooks().map(|outlook| outlook.read_in_ms).fold(0.0, f64::max);
-        let harm = outlooks().map(|outlook| outlook.harm).sum::<f64>() + delay_cost(outlooks());
-        let alone = match ask.pause_ms <= GATHERED_PAUSE_MS {
-            true => alone(tried.apart, &self.servers[candidates[head].index]),
+        let harm =
+            outlooks().map(|outlook| outlook.harm).sum::<f64>() + self.delay_cost(outlooks());
+        let alone = match ask.pause_ms <= self.placement.gathered_pause_ms {
+            true => self.alone(tried.apart, &self.servers[candidates[head].index]),
             false => 0.0,
         };
-        let own = cost::lateness(predicted_ms, ask.goal_ms)
-            + cost::miss(candidates[head].outlook.pause_ms, ask.pause_ms);
-        let total = tried.weight * (own + alone + PER_HELPER * candidates.len() as f64) + harm;
+        let own = self.placement.lateness(predicted_ms, ask.goal_ms)
+            + self.placement.miss(candidates[head].outlook.pause_ms, ask.pause_ms);
+        let total = tried.weight
+            * (own + alone + self.placement.per_helper * candidates.len() as f64)
+            + harm;
         let mut servers: Vec<usize> = candidates.iter().map(|c| c.index).collect();
         servers.swap(0, head);
         let tried = tried.clone();
@@ -207,10 +202,10 @@
     ) -> Candidate {
         let Engine { index, server, reads } = engine;
         let part = tried_part(tried, server, parts, ask, now);
-        let outlook = server.outlook(rules, part, reads, now);
-        let first_ms = first_ms(rules, server, &outlook);
-        let own = tried.weight * cost::lateness(first_ms, ask.goal_ms);
-        let harm = outlook.harm + delay_cost(std::iter::once(&outlook));
+        let outlook = server.outlook(rules, &self.placement, part, reads, now);
+        let first_ms = self.first_ms(rules, server, &outlook);
+        let own = tried.weight * self.placement.lateness(first_ms, ask.goal_ms);
+        let harm = outlook.harm + self.delay_cost(std::iter::once(&outlook));
         let key = self.caution(server, now) * (own + harm);
         Candidate { index: *index, outlook, first_ms, key }
     }
@@ -227,7 +222,7 @@
         let merit = |c: &Candidate| {
             let free = self.free_memory(rules, c);
             let has_slot = self.servers[c.index].running() < rules.slots;
-            let undisturbed = cost::miss(c.outlook.pause_ms, pause_ms) <= 0.0;
+            let undisturbed = self.placement.miss(c.outlook.pause_ms, pause_ms) <= 0.0;
             (has_slot, free >= needed, undisturbed, free)
         };
         (0..candidates.len()).max_by_key(|i| merit(candidates[*i]))
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -8,18 +8,27 @@
 use crate::{EndpointId, FailCause, InstanceId, Time, health::Health, routes::EngineRules};
 
 use super::{
-    choose::SHORT_MS,
+    PlacementRules,
     reading::{Part, PartKey, Pass},
     server::{PAUSES_MS, Server, millis},
 };
 
-/// How often levels are told. Reading that stands before others is told at once.
-pub const EVERY: Duration = Duration::from_millis(50);
+/// How often levels are told to a few peers. Reading that stands before others is told at once.
+const EVERY: Duration = Duration::from_millis(50);
+
+/// Peers up to which levels are told every [`EVERY`]; with more, less often, so that the cost for each
+/// instance stays as it is.
+const FEW: usize = 8;
 
 /// Reading from which on a placement is told at once, in milliseconds: a few such parts in one
 /// pass make it too long for those who write there.
 const AT_ONCE_MS: f64 = 2.0;
 
+/// How often levels are told to this many peers.
+pub fn period(peers: usize) -> Duration {
+    EVERY * u32::try_from(peers / FEW + 1).unwrap_or(u32::MAX)
+}
+
 /// One instance's work on one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Level {
@@ -133,7 +142,13 @@
     news
 }
 
-/// Takes in another instance's news, and tells how much long reading it placed.
+/// How much long reading another instance placed, in milliseconds.
+pub(super) fn long_ms(words: &[Told], placement: &PlacementRules) -> f64 {
+    let placed = |word: &Told| word.placed.iter().map(|part| f64::from(part.ms)).sum::<f64>();
+    words.iter().map(placed).filter(|ms| *ms > placement.short_ms).sum()
+}
+
+/// Takes in another instance's news.
 pub(super) fn hear(
     servers: &mut IndexMap<EndpointId, Server>,
     health: &mut Health,
@@ -141,8 +156,7 @@
     peer: &InstanceId,
     words: &[Told],
     now: Time,
-) -> f64 {
-    let mut long_ms = 0.0;
+) {
     for word in words {
         let Some(server) = servers.get_mut(&word.endpoint) else { continue };
         if let Some(rules) = rules {
@@ -153,10 +167,6 @@
         for key in &word.gone {
             server.unread(*key, now);
         }
-        let placed_ms: f64 = word.placed.iter().map(|part| f64::from(part.ms)).sum();
-        if placed_ms > SHORT_MS {
-            long_ms += placed_ms;
-        }
         if word.answered {
             server.answered();
             health.vouched(&word.endpoint);
@@ -170,5 +180,4 @@
             server.peers.insert(peer.clone(), word.level);
         }
     }
-    long_ms
 }
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -282,8 +282,6 @@
         endpoint: entry.id.clone(),
         incarnation: entry.incarnation,
         slots: entry.slots,
-        data_centre: entry.data_centre.clone(),
-        is_near: entry.data_centre == *here,
         distance: if entry.data_centre == *here { NEAR } else { FAR },
         leaving: entry.leaving,
     });
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -21,7 +21,7 @@
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
 use policy::{
-    DataCentre, EndpointGroup, Incarnation, InstanceId, Time, arrange::EVERY, backoff::Backoff,
+    DataCentre, EndpointGroup, Incarnation, InstanceId, Time, arrange::period, backoff::Backoff,
     vouch::sharers,
 };
 use smol::{
@@ -65,10 +65,6 @@
 /// How often those that are listed and weren't heard of are greeted. Most of them are gone for good.
 const GREETINGS: u32 = 5;
 
-/// Instances up to which levels are told every [`EVERY`]; with more, less often, so that the cost
-/// for each stays as it is.
-const FEW: usize = 8;
-
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
@@ -176,7 +172,7 @@
         loop {
             match self.wake(next).await {
                 Wake::Due => {
-                    next = self.clock.now() + self.period();
+                    next = self.clock.now() + period(self.peers.len());
                     self.tell(true).await;
                     self.greet().await;
                     self.forget_silent();
@@ -223,10 +219,6 @@
         urgent.or(heard).or(asked).or(news).or(listed).or(due).await
     }
 
-    fn period(&self) -> Duration {
-        EVERY * u32::try_from(self.peers.len() / FEW + 1).unwrap_or(1)
-    }
-
     async fn tell(&mut self, is_due: bool) {
         for group in self.groups.all() {
             let words = lock(&group.arranger).tell(is_due);
