Shorten the words between instances, and let readers take changes from each other

And each change of an endpoint was read from the store by the reader of every data centre, as its peers' news woke it.

Change: names travel in hellos only; a sender is known by address and life, and asked for a hello where it isn't. Endpoints and groups go by 32-bit tags, levels and parts as whole numbers. A reader that is told of changes takes them from whoever told, and reads on at its own pace.

Test: words_are_short_and_tell_all.

--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -240,7 +240,7 @@
         let least_hold = if chosen.rank == LONG_RANK { self.placement.heard_ms } else { 0.0 };
         let hold = Duration::from_secs_f64(chosen.hold_ms.max(least_hold) / 1000.0);
         let job = Job {
-            key: self.rng.u64(TRIED + 1..),
+            key: PartKey::from(self.rng.u32(1..)),
             endpoint: endpoint.clone(),
             incarnations,
             helpers: helpers.clone(),
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -25,6 +25,7 @@
 mod server;
 mod split;
 mod told;
+mod wire;
 
 use std::time::Duration;
 
@@ -37,7 +38,7 @@
 pub use told::{Told, ToldPart, period};
 
 use crate::{
-    EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
+    EndpointId, EndpointTag, FailCause, Fingerprint, Incarnation, InstanceId, Time,
     health::Health,
     quarantine::{Quarantine, Standing},
     routes::EngineRules,
@@ -77,6 +78,8 @@
     rules: Option<EngineRules>,
     placement: PlacementRules,
     servers: IndexMap<EndpointId, Server>,
+    /// The servers' places by tag.
+    tags: IndexMap<EndpointTag, usize>,
     jobs: IndexMap<JobId, Job>,
     next_job: u64,
     health: Health,
@@ -100,6 +103,7 @@
             rules: None,
             placement,
             servers: IndexMap::new(),
+            tags: IndexMap::new(),
             jobs: IndexMap::new(),
             next_job: 0,
             health: Health::new(),
@@ -134,6 +138,7 @@
             };
             self.servers.insert(server.member.endpoint.clone(), server);
         }
+        self.tags = self.servers.keys().enumerate().map(|(i, id)| (id.into(), i)).collect();
     }
 
     /// Endpoints that may get work.
@@ -301,7 +306,7 @@
     /// What another instance has under way.
     pub fn hear(&mut self, peer: &InstanceId, words: &[Told], now: Time) {
         let rules = self.rules.as_ref();
-        told::hear(&mut self.servers, &mut self.health, rules, peer, words, now);
+        told::hear(&mut self.servers, &self.tags, &mut self.health, rules, peer, words, now);
         self.long_share.add(told::long_ms(words, &self.placement), now);
     }
 
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -5,12 +5,15 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{EndpointId, FailCause, InstanceId, Time, health::Health, routes::EngineRules};
+use crate::{
+    EndpointId, EndpointTag, FailCause, InstanceId, Time, health::Health, routes::EngineRules,
+};
 
 use super::{
     PlacementRules,
     reading::{Part, PartKey, Pass},
     server::{PAUSES_MS, Server, millis},
+    wire::{WireLevel, WirePart},
 };
 
 /// How often levels are told to a few peers. Reading that stands before others is told at once.
@@ -31,6 +34,7 @@
 
 /// One instance's work on one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+#[serde(from = "WireLevel", into = "WireLevel")]
 pub struct Level {
     /// Requests that run or wait.
     pub running: u16,
@@ -43,6 +47,7 @@
 /// A part of a prompt that an instance placed. Times are milliseconds from the word on, so that no
 /// clocks are compared.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(from = "WirePart", into = "WirePart")]
 pub struct ToldPart {
     /// Names its request.
     pub key: PartKey,
@@ -105,7 +110,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Told {
     /// The endpoint.
-    pub endpoint: EndpointId,
+    pub endpoint: EndpointTag,
     /// Parts placed since the last word of it.
     pub placed: Vec<ToldPart>,
     /// Parts told before that wait no more.
@@ -131,7 +136,7 @@
         }
         server.told = server.own;
         news.push(Told {
-            endpoint: endpoint.clone(),
+            endpoint: endpoint.into(),
             placed: std::mem::take(&mut server.untold),
             gone: std::mem::take(&mut server.untold_gone),
             level: server.own,
@@ -151,6 +156,7 @@
 /// Takes in another instance's news.
 pub(super) fn hear(
     servers: &mut IndexMap<EndpointId, Server>,
+    tags: &IndexMap<EndpointTag, usize>,
     health: &mut Health,
     rules: Option<&EngineRules>,
     peer: &InstanceId,
@@ -158,7 +164,10 @@
     now: Time,
 ) {
     for word in words {
-        let Some(server) = servers.get_mut(&word.endpoint) else { continue };
+        let index = tags.get(&word.endpoint).copied();
+        let Some((endpoint, server)) = index.and_then(|i| servers.get_index_mut(i)) else {
+            continue;
+        };
         if let Some(rules) = rules {
             for part in &word.placed {
                 server.read(rules, part.part(now), now);
@@ -169,10 +178,10 @@
         }
         if word.answered {
             server.answered();
-            health.vouched(&word.endpoint);
+            health.vouched(endpoint);
         }
         if word.failed && server.fails_for(peer) {
-            health.failed(&word.endpoint, FailCause::Broken);
+            health.failed(endpoint, FailCause::Broken);
         }
         if word.level == Level::default() {
             server.peers.swap_remove(peer);
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -3,6 +3,7 @@
 use std::{fmt, str::FromStr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The longest accepted textual identifier, in bytes. Identifiers stand in metric labels, log
 /// lines and peer messages, so an unbounded one would be an unbounded cost everywhere.
@@ -170,3 +171,24 @@
         u128::from_str_radix(text, 16).map(Self)
     }
 }
+
+/// An endpoint as messages between instances name it: short, as most of them name several.
+///
+/// Two endpoints of a group have the same tag once in thousands of groups; one of them then looks as
+/// loaded as the other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EndpointTag(u32);
+
+impl From<&EndpointId> for EndpointTag {
+    fn from(id: &EndpointId) -> EndpointTag {
+        // The low half of a 64-bit hash is a hash itself.
+        EndpointTag(xxh3_64(id.as_str().as_bytes()) as u32)
+    }
+}
+
+impl fmt::Display for EndpointTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -9,7 +9,7 @@
 use engines::engine;
 use policy::{
     EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
-    arrange::{Arranger, Ask, JobId, Member, Placement, Refused},
+    arrange::{Arranger, Ask, JobId, Member, Placement, Refused, Told},
 };
 
 fn id(index: usize) -> EndpointId {
@@ -422,3 +422,25 @@
     let placed = arranger.place(&going_on, at(1));
     assert!(placed.is_ok(), "{placed:?}");
 }
+
+/// Guards against words that grow until they fill the lines between data centres, and against words that
+/// lose what they tell when they are shortened.
+#[test]
+fn words_are_short_and_tell_all() {
+    let (mut one, mut two) = (arranger(4), arranger(4));
+    let peer = InstanceId::new("one").unwrap();
+    one.place(&ask(QUESTION), at(0)).unwrap();
+    let words = one.tell(false);
+    let bytes = bincode::serde::encode_to_vec(&words, bincode::config::standard()).unwrap();
+    assert!(bytes.len() <= 45, "{} bytes for a question", bytes.len());
+    let (heard, _): (Vec<Told>, _) =
+        bincode::serde::decode_from_slice(&bytes, bincode::config::standard()).unwrap();
+    let (told, heard_of) = (&words[0], &heard[0]);
+    assert_eq!(told.endpoint, heard_of.endpoint);
+    assert_eq!(told.level.running, heard_of.level.running);
+    assert_eq!(told.placed[0].key, heard_of.placed[0].key);
+    assert!((told.placed[0].ms - heard_of.placed[0].ms).abs() < 0.1);
+    assert!((told.level.writers[0] - heard_of.level.writers[0]).abs() < 0.01);
+    two.hear(&peer, &heard, at(2));
+    assert!(two.tell(true).is_empty());
+}
--- a/crates/router/src/follow/configuration.rs
+++ b/crates/router/src/follow/configuration.rs
@@ -14,7 +14,7 @@
     snapshot::{SnapshotClient, Transfer},
     source::ConfigSource,
     state::{Configuration, Groups},
-    vouching::{Heard, Source, Vouching},
+    vouching::{Heard, Source, Vouching, Whom},
 };
 
 /// Time between two questions to a peer. News are told at once; where such a word is lost, this is how
@@ -100,7 +100,7 @@
         let mine = self.source.position();
         let configuration = self.configuration.clone();
         let judge = |heard: Heard| judge(&configuration, &heard, mine);
-        match self.vouching.ask_anybody(judge).await {
+        match self.vouching.ask_any(Whom::Anybody, judge).await {
             Some(word) => self.take(&word).await,
             None => false,
         }
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use indexmap::IndexMap;
@@ -18,7 +18,7 @@
     snapshot::{self, SnapshotClient, Transfer},
     source::{EndpointEntry, EndpointSource},
     state::{Group, Groups},
-    vouching::{EndpointChange, Heard, Source, Vouching},
+    vouching::{EndpointChange, Heard, Source, Vouching, Whom},
 };
 
 /// Time between two readings, as a part of the time within which a leaving endpoint may get nothing
@@ -87,8 +87,23 @@
             // What is kept after an outage is dropped by a reading, so that one has to come soon.
             let pause = if self.roster.is_settling() { SETTLING_PERIOD } else { pause };
             let pause = pause.mul_f64(0.85 + 0.3 * fastrand::f64());
-            if self.vouching.news(Source::Endpoints, pause).await {
-                self.contact.hear_news().await;
+            self.wait(Instant::now() + pause).await;
+        }
+    }
+
+    /// Waits until then, or for news that have to be read or asked for.
+    ///
+    /// Guards against readings of the log for each change by the reader of every data centre: it takes the
+    /// change from whoever told of it, and reads on at its own pace.
+    async fn wait(&mut self, until: Instant) {
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if !self.vouching.news(Source::Endpoints, left).await {
+                return;
+            }
+            self.contact.hear_news().await;
+            if !self.contact.is_reader() || !self.ask(Whom::Informant).await {
+                return;
             }
         }
     }
@@ -103,7 +118,7 @@
         if until_retry.is_zero() {
             return self.read().await;
         }
-        if self.ask_anybody().await {
+        if self.ask(Whom::Anybody).await {
             return ask_period;
         }
         self.roster.failed();
@@ -122,10 +137,12 @@
         is_taken
     }
 
+    /// Takes over what other peers than the readers know; false where that comes to nothing.
+    ///
     /// Guards against an instance that alone can't reach the log, and goes on with what it knew.
-    async fn ask_anybody(&mut self) -> bool {
+    async fn ask(&mut self, whom: Whom) -> bool {
         let oldest = self.leave.mul_f64(YOUNG);
-        match self.vouching.ask_anybody(|heard| Told::of(heard, oldest)).await {
+        match self.vouching.ask_any(whom, |heard| Told::of(heard, oldest)).await {
             Some(told) => self.take(&told).await,
             None => false,
         }
@@ -200,7 +217,7 @@
             Err(e) => {
                 self.contact.failed(&e);
                 let ask_period = self.leave.mul_f64(ASK_PERIOD);
-                if self.ask_anybody().await {
+                if self.ask(Whom::Anybody).await {
                     return ask_period;
                 }
                 self.roster.failed();
--- a/crates/router/src/follow/mod.rs
+++ b/crates/router/src/follow/mod.rs
@@ -61,13 +61,23 @@
     /// Peers have news. The instance that reads before all others tries again at once; the others give it
     /// the time to read, and don't ask it all in the same moment.
     async fn hear_news(&mut self) {
-        if self.vouching.sharers() > 1 {
+        if !self.is_first() {
             Timer::after(NEWS_SPREAD.mul_f64(fastrand::f64())).await;
         } else if self.is_lost {
             self.retry_at = None;
         }
     }
 
+    /// Whether no peer reads before this instance does.
+    fn is_first(&self) -> bool {
+        self.vouching.sharers() == 1
+    }
+
+    /// Whether it reads the source for others.
+    fn is_reader(&self) -> bool {
+        self.is_first() && !self.is_lost
+    }
+
     /// What a peer has read beyond `after`; none where that comes to nothing.
     async fn transfer(
         &self,
--- a/crates/router/src/links/message.rs
+++ b/crates/router/src/links/message.rs
@@ -1,31 +1,49 @@
 //! What instances send each other.
 
-use policy::{
-    DataCentre, EndpointGroup, Incarnation, InstanceId, arrange::Told, quarantine, vouch::Position,
-};
+use policy::{DataCentre, Incarnation, InstanceId, arrange::Told, quarantine, vouch::Position};
 use serde::{Deserialize, Serialize};
 
-use crate::vouching::Answer;
+use crate::{state::GroupTag, vouching::Answer};
 
-/// One datagram.
+/// One datagram. Its sender is known by its address and life, so that most datagrams hold no name.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct Datagram {
-    pub(super) instance: InstanceId,
-    pub(super) incarnation: Incarnation,
-    pub(super) data_centre: DataCentre,
+    /// The sender's life.
+    pub(super) life: LifeTag,
     /// Counts the sender's datagrams; one that arrives after a later one is dropped.
     pub(super) sequence: u64,
     pub(super) body: Body,
 }
 
+/// The lower half of an incarnation: enough to tell a life from the one before at the same address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub(super) struct LifeTag(u32);
+
+impl From<Incarnation> for LifeTag {
+    fn from(incarnation: Incarnation) -> LifeTag {
+        LifeTag(incarnation.0 as u32)
+    }
+}
+
+/// Who a sender is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(super) struct Hello {
+    pub(super) instance: InstanceId,
+    pub(super) incarnation: Incarnation,
+    pub(super) data_centre: DataCentre,
+    /// The sender doesn't know the receiver, which is to answer with a hello.
+    pub(super) is_asking: bool,
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) enum Body {
     /// A sign of life; whoever doesn't know the sender yet answers with one.
-    Heartbeat,
+    Heartbeat(Hello),
     /// Work on endpoints of one group.
-    Work { group: EndpointGroup, words: Vec<Told> },
+    Work { group: GroupTag, words: Vec<Told> },
     /// Requests suspected of crashing endpoints of one group.
-    Suspects { group: EndpointGroup, entries: Vec<quarantine::Entry> },
+    Suspects { group: GroupTag, entries: Vec<quarantine::Entry> },
     /// How fresh is what the receiver knows, and what has changed of the endpoints since a position?
     Question { nonce: u64, endpoints_at: Position },
     /// What the receiver asked.
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -39,12 +39,12 @@
     vouching::{Question, Vouching},
 };
 
-use message::{Body, Datagram};
+use message::{Body, Datagram, Hello, LifeTag};
 use questions::Pending;
 
-/// The most words in one datagram, so that it fits into one packet: a word with a part takes about 70
+/// The most words in one datagram, so that it fits into one packet: a word with a part takes about 40
 /// bytes.
-const WORDS: usize = 18;
+const WORDS: usize = 24;
 
 /// The longest datagram that is read.
 const MAX_DATAGRAM: usize = 4 << 10;
@@ -75,6 +75,13 @@
     is_live: bool,
 }
 
+impl Peer {
+    /// Whether datagrams of this life come from there.
+    fn is(&self, address: SocketAddr, life: LifeTag) -> bool {
+        self.is_live && self.address == address && life == self.incarnation.into()
+    }
+}
+
 /// The links of one instance.
 pub struct Links {
     me: PeerEntry,
@@ -223,7 +230,7 @@
         for group in self.groups.all() {
             let words = lock(&group.arranger).tell(is_due);
             for part in words.chunks(WORDS) {
-                let body = Body::Work { group: group.name.clone(), words: part.to_vec() };
+                let body = Body::Work { group: group.tag, words: part.to_vec() };
                 self.send_all(&body).await;
             }
             if is_due {
@@ -231,7 +238,7 @@
             }
         }
         if is_due && self.clock.now().since(self.told) >= HEARTBEAT {
-            self.send_all(&Body::Heartbeat).await;
+            self.send_all(&self.hello(false)).await;
         }
     }
 
@@ -240,7 +247,7 @@
         let entries = lock(&group.arranger).quarantine().export(now);
         let before = self.suspects.insert(group.name.clone(), entries.len()).unwrap_or(0);
         if entries.len() > before {
-            let body = Body::Suspects { group: group.name.clone(), entries };
+            let body = Body::Suspects { group: group.tag, entries };
             self.send_all(&body).await;
         }
     }
@@ -249,7 +256,7 @@
         self.told = self.clock.now();
         let now = self.clock.now();
         let known = self.peers.values().filter(|peer| {
-            peer.is_live || now.since(peer.heard) < REMEMBERED && *body == Body::Heartbeat
+            peer.is_live || now.since(peer.heard) < REMEMBERED && matches!(body, Body::Heartbeat(_))
         });
         let addresses: Vec<_> = known.map(|peer| peer.address).collect();
         for address in addresses {
@@ -259,13 +266,8 @@
 
     async fn send(&mut self, body: &Body, address: SocketAddr) {
         self.sequence += 1;
-        let datagram = Datagram {
-            instance: self.me.instance.clone(),
-            incarnation: self.incarnation,
-            data_centre: self.here.clone(),
-            sequence: self.sequence,
-            body: body.clone(),
-        };
+        let datagram =
+            Datagram { life: self.incarnation.into(), sequence: self.sequence, body: body.clone() };
         // These types can always be written.
         let bytes = bincode::serde::encode_to_vec(&datagram, bincode::config::standard());
         if let Ok(bytes) = bytes
@@ -287,8 +289,9 @@
         self.greeted = now;
         let (me, peers) = (&self.me, &self.peers);
         self.unmet.retain(|e| e.instance != me.instance && !peers.contains_key(&e.instance));
+        let hello = self.hello(false);
         for entry in self.unmet.clone() {
-            self.send(&Body::Heartbeat, entry.address).await;
+            self.send(&hello, entry.address).await;
         }
     }
 
@@ -298,41 +301,75 @@
     }
 
     async fn hear(&mut self, datagram: Datagram, from: SocketAddr) {
-        let Datagram { instance, incarnation, data_centre, sequence, body } = datagram;
+        let Datagram { life, sequence, body } = datagram;
+        if let Body::Heartbeat(hello) = body {
+            return self.meet(hello, sequence, from).await;
+        }
+        let now = self.clock.now();
+        let known = self.peers.iter_mut().find(|(_, peer)| peer.is(from, life));
+        let Some((instance, peer)) = known else {
+            let hello = self.hello(true);
+            return self.send(&hello, from).await;
+        };
+        peer.heard = now;
+        if sequence <= peer.sequence {
+            return;
+        }
+        peer.sequence = sequence;
+        let instance = instance.clone();
+        self.take(instance, body, from).await;
+    }
+
+    /// A peer says who it is.
+    async fn meet(&mut self, hello: Hello, sequence: u64, from: SocketAddr) {
+        let Hello { instance, incarnation, data_centre, is_asking } = hello;
         if instance == self.me.instance {
             return;
         }
         let now = self.clock.now();
-        let is_new = match self.peers.get_mut(&instance) {
+        match self.peers.get_mut(&instance) {
             Some(peer) if incarnation < peer.incarnation => return,
-            Some(peer) if incarnation == peer.incarnation && peer.is_live => {
+            Some(peer) if peer.is_live && peer.is(from, incarnation.into()) => {
                 peer.heard = now;
-                if sequence <= peer.sequence {
-                    return;
+                peer.sequence = peer.sequence.max(sequence);
+                if is_asking {
+                    let hello = self.hello(false);
+                    self.send(&hello, from).await;
                 }
-                peer.sequence = sequence;
-                false
+                return;
             }
-            _ => true,
-        };
-        if is_new {
-            let (heard, address) = (now, from);
-            let peer = Peer { address, data_centre, incarnation, sequence, heard, is_live: true };
-            self.forget(&instance);
-            self.peers.insert(instance.clone(), peer);
-            log::info!(peer = instance.as_str(), incarnation = incarnation.0; "peer_found");
-            self.count();
-            self.send(&Body::Heartbeat, from).await;
+            _ => {}
         }
+        let (heard, address) = (now, from);
+        let peer = Peer { address, data_centre, incarnation, sequence, heard, is_live: true };
+        self.forget(&instance);
+        log::info!(peer = instance.as_str(), incarnation = incarnation.0; "peer_found");
+        self.peers.insert(instance, peer);
+        self.count();
+        let hello = self.hello(false);
+        self.send(&hello, from).await;
+    }
+
+    fn hello(&self, is_asking: bool) -> Body {
+        Body::Heartbeat(Hello {
+            instance: self.me.instance.clone(),
+            incarnation: self.incarnation,
+            data_centre: self.here.clone(),
+            is_asking,
+        })
+    }
+
+    async fn take(&mut self, instance: InstanceId, body: Body, from: SocketAddr) {
+        let now = self.clock.now();
         match body {
-            Body::Heartbeat => {}
+            Body::Heartbeat(_) => {}
             Body::Work { group, words } => {
-                if let Some(group) = self.groups.get(&group) {
+                if let Some(group) = self.groups.by_tag(group) {
                     lock(&group.arranger).hear(&instance, &words, now);
                 }
             }
             Body::Suspects { group, entries } => {
-                if let Some(group) = self.groups.get(&group) {
+                if let Some(group) = self.groups.by_tag(group) {
                     lock(&group.arranger).quarantine().import(&entries, now);
                 }
             }
--- a/crates/router/src/links/questions.rs
+++ b/crates/router/src/links/questions.rs
@@ -61,6 +61,7 @@
                 let readers = readers(&self.me.instance, &self.here, &self.live());
                 readers.get(place).and_then(address).into_iter().collect()
             }
+            Whom::Informant => self.informant.as_ref().and_then(address).into_iter().collect(),
             Whom::Anybody => {
                 let mut addresses: Vec<_> =
                     self.peers.values().filter(|p| p.is_live).map(|p| p.address).collect();
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -16,8 +16,9 @@
     retry::{RetryRules, RetryWindow},
     routes::RouteTable,
 };
-
+use serde::{Deserialize, Serialize};
 use smol::channel::{Receiver, Sender, bounded};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{clock::BootTime, lock};
 
@@ -151,11 +152,25 @@
     }
 }
 
+/// An endpoint group as messages between instances name it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct GroupTag(u32);
+
+impl From<&EndpointGroup> for GroupTag {
+    fn from(name: &EndpointGroup) -> GroupTag {
+        // The low half of a 64-bit hash is a hash itself.
+        GroupTag(xxh3_64(name.as_str().as_bytes()) as u32)
+    }
+}
+
 /// One endpoint group.
 #[derive(Debug)]
 pub struct Group {
     /// Its name.
     pub name: EndpointGroup,
+    /// The same in messages.
+    pub tag: GroupTag,
     /// Decides where requests go.
     pub arranger: Mutex<Arranger>,
     /// Where its endpoints listen.
@@ -167,6 +182,7 @@
     /// A group without endpoints.
     pub fn new(name: EndpointGroup, seed: u64) -> Group {
         Group {
+            tag: GroupTag::from(&name),
             name,
             arranger: Mutex::new(Arranger::new(seed)),
             addresses: RwLock::default(),
@@ -210,6 +226,12 @@
         self.groups.read().unwrap_or_else(PoisonError::into_inner).get(name).cloned()
     }
 
+    /// The group that a message names.
+    pub fn by_tag(&self, tag: GroupTag) -> Option<Arc<Group>> {
+        let groups = self.groups.read().unwrap_or_else(PoisonError::into_inner);
+        groups.values().find(|group| group.tag == tag).cloned()
+    }
+
     /// A group, made where there is none.
     pub fn get_or_add(&self, name: &EndpointGroup) -> Arc<Group> {
         if let Some(group) = self.get(name) {
--- a/crates/router/src/vouching.rs
+++ b/crates/router/src/vouching.rs
@@ -77,7 +77,9 @@
 pub enum Whom {
     /// The one at this place among those that read before this instance does.
     Reader(usize),
-    /// Some of all live ones.
+    /// The one that last told of news.
+    Informant,
+    /// That one, and some of all live ones.
     Anybody,
 }
 
@@ -349,9 +351,9 @@
         None
     }
 
-    /// The same with some of all peers at once.
-    pub async fn ask_anybody<T>(&self, accept: impl Fn(Heard) -> Option<T>) -> Option<T> {
-        match self.ask(Whom::Anybody, &accept).await {
+    /// The same with other peers, all at once.
+    pub async fn ask_any<T>(&self, whom: Whom, accept: impl Fn(Heard) -> Option<T>) -> Option<T> {
+        match self.ask(whom, &accept).await {
             Asked::Accepted(accepted) => Some(accepted),
             Asked::Nobody | Asked::Silence => None,
         }
