Log changes of endpoints and peers in one line each, and every reading of the log

Change: endpoints_changed and peers_changed name up to 16 and count the rest; source_read tells who read what, and whether reading is that instance's job. Unmet peers are asked for a hello, as one that knows this instance already wouldn't say who it is otherwise.

--- a/crates/policy/src/arrange/rules.rs
+++ b/crates/policy/src/arrange/rules.rs
@@ -69,8 +69,8 @@
     /// Whoever bears pauses up to this writes where others write; whoever bears more also bears the parts of
     /// long prompts.
     pub gathered_pause_ms: f64,
-    /// Milliseconds by which a prompt has to be read later than foretold, because another instance chose the
-    /// same engines, for a second look to be worth its while.
+    /// Milliseconds by which a prompt may be read later than predicted, because another instance chose the
+    /// same engines, before another place is looked for.
     pub collision_ms: f64,
     /// Long prompts may be held until their engines have read what came before.
     pub holds: bool,
--- a/crates/router/src/follow/configuration.rs
+++ b/crates/router/src/follow/configuration.rs
@@ -141,6 +141,7 @@
                 self.contact.answered();
                 let bytes = reading.news.as_ref().map(|news| news.bytes.clone());
                 let is_news = reading.news.is_some_and(|news| self.put(news.table));
+                self.contact.log_read(reading.position, is_news);
                 self.configuration.confirm(reading.as_of);
                 self.vouching.know_configuration(reading.position, reading.as_of, bytes);
                 if is_news {
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -14,7 +14,7 @@
 use super::Contact;
 use crate::{
     clock::{BootTime, Clock},
-    lock,
+    lock, names,
     snapshot::{self, SnapshotClient, Transfer},
     source::{EndpointEntry, EndpointSource},
     state::{Group, Groups},
@@ -207,6 +207,7 @@
                     None => Vec::new(),
                 };
                 let (position, as_of) = (reading.position, reading.as_of);
+                self.contact.log_read(position, !changes.is_empty());
                 self.vouching.know_endpoints(before, position, as_of, &changes, &self.found);
                 if before.is_some() && !changes.is_empty() {
                     self.vouching.announce();
@@ -292,7 +293,7 @@
 fn update_group(group: &Group, entries: &[&EndpointEntry], here: &DataCentre, clock: Clock) {
     let addresses = entries.iter().map(|entry| (entry.id.clone(), entry.address)).collect();
     let mut known = group.addresses.write().unwrap_or_else(PoisonError::into_inner);
-    tell_changes(group, &known, entries);
+    log_changes(group, &known, entries);
     *known = addresses;
     drop(known);
     let members = entries.iter().map(|entry| Member {
@@ -305,17 +306,20 @@
     lock(&group.arranger).set_members(members.collect(), clock.now());
 }
 
-fn tell_changes(
+/// Logs what changed in a group, in one line however many endpoints there are.
+fn log_changes(
     group: &Group,
-    known: &IndexMap<EndpointId, std::net::SocketAddr>,
+    known: &IndexMap<EndpointId, SocketAddr>,
     entries: &[&EndpointEntry],
 ) {
-    for entry in entries.iter().filter(|e| e.leaving || !known.contains_key(&e.id)) {
-        let state = if entry.leaving { "leaving" } else { "new" };
-        log::info!(group = group.name.as_str(), endpoint = entry.id.as_str(), state,
-            incarnation = entry.incarnation.0; "endpoint_seen");
-    }
-    for endpoint in known.keys().filter(|id| !entries.iter().any(|e| e.id == **id)) {
-        log::info!(group = group.name.as_str(), endpoint = endpoint.as_str(); "endpoint_gone");
+    let ids = |entries: Vec<&EndpointEntry>| names(entries.iter().map(|e| e.id.as_str()));
+    let new: Vec<_> = entries.iter().copied().filter(|e| !known.contains_key(&e.id)).collect();
+    let leaving: Vec<_> = entries.iter().copied().filter(|e| e.leaving).collect();
+    let gone: Vec<_> = known.keys().filter(|id| !entries.iter().any(|e| e.id == **id)).collect();
+    if new.is_empty() && leaving.is_empty() && gone.is_empty() {
+        return;
     }
+    log::info!(group = group.name.as_str(), known = entries.len(), new = ids(new).as_str(),
+        leaving = ids(leaving).as_str(), gone = names(gone.iter().map(|id| id.as_str())).as_str();
+        "endpoints_changed");
 }
--- a/crates/router/src/follow/mod.rs
+++ b/crates/router/src/follow/mod.rs
@@ -15,7 +15,7 @@
 use smol::Timer;
 
 use crate::{
-    snapshot::{LONG, SnapshotClient, Transfer},
+    snapshot::{MAX_RELAYED, SnapshotClient, Transfer},
     source::SourceError,
     vouching::{Source, Vouching},
 };
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Logs a reading of the source, of which most are somebody else's to do.
+    fn log_read(&self, position: Position, has_news: bool) {
+        log::info!(source = self.source.as_str(), position = position.0, has_news,
+            is_reader = self.is_first(); "source_read");
+    }
+
     /// Whether no peer reads before this instance does.
     fn is_first(&self) -> bool {
         self.vouching.sharers() == 1
@@ -85,7 +91,7 @@
         peer: SocketAddr,
         after: Position,
     ) -> Option<Transfer> {
-        let max_bytes = if self.is_lost { usize::MAX } else { LONG };
+        let max_bytes = if self.is_lost { usize::MAX } else { MAX_RELAYED };
         let source = self.source.as_str();
         match snapshots.take(peer, self.source, after, max_bytes).await {
             Ok(transfer) => {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -27,6 +27,19 @@
 pub use instance::Instance;
 pub use settings::Settings;
 
+/// The most names in one log line.
+const MAX_NAMES: usize = 16;
+
+/// Names for a log line, and how many more there are.
+pub(crate) fn names<'a>(names: impl ExactSizeIterator<Item = &'a str>) -> String {
+    let more = names.len().saturating_sub(MAX_NAMES);
+    let mut text = names.take(MAX_NAMES).collect::<Vec<_>>().join(",");
+    if more > 0 {
+        text += &format!("+{more}");
+    }
+    text
+}
+
 /// Locks, also after a panic elsewhere: every change under these locks is a single step.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -32,7 +32,7 @@
 
 use crate::{
     clock::Clock,
-    lock,
+    lock, names,
     signal::Signal,
     source::{PeerDirectory, PeerEntry},
     state::{Group, Groups},
@@ -109,6 +109,9 @@
     pending: IndexMap<u64, Pending>,
     /// The peer that last told of news.
     informant: Option<InstanceId>,
+    /// Peers found and lost since that was logged.
+    found: Vec<InstanceId>,
+    lost: Vec<InstanceId>,
 }
 
 enum Wake {
@@ -170,6 +173,8 @@
             questions: parts.questions,
             pending: IndexMap::new(),
             informant: None,
+            found: Vec::new(),
+            lost: Vec::new(),
         }
     }
 
@@ -183,6 +188,7 @@
                     self.tell(true).await;
                     self.greet().await;
                     self.forget_silent();
+                    self.log_changes();
                 }
                 Wake::Urgent => self.tell(false).await,
                 Wake::Asked(question) => self.ask(question).await,
@@ -289,7 +295,7 @@
         self.greeted = now;
         let (me, peers) = (&self.me, &self.peers);
         self.unmet.retain(|e| e.instance != me.instance && !peers.contains_key(&e.instance));
-        let hello = self.hello(false);
+        let hello = self.hello(true);
         for entry in self.unmet.clone() {
             self.send(&hello, entry.address).await;
         }
@@ -343,7 +349,7 @@
         let (heard, address) = (now, from);
         let peer = Peer { address, data_centre, incarnation, sequence, heard, is_live: true };
         self.forget(&instance);
-        log::info!(peer = instance.as_str(), incarnation = incarnation.0; "peer_found");
+        self.found.push(instance.clone());
         self.peers.insert(instance, peer);
         self.count();
         let hello = self.hello(false);
@@ -396,11 +402,22 @@
         self.peers.retain(|_, peer| now.since(peer.heard) < REMEMBERED);
     }
 
+    /// Logs which peers came and went, in one line however many there are.
+    fn log_changes(&mut self) {
+        let (found, lost) = (std::mem::take(&mut self.found), std::mem::take(&mut self.lost));
+        if found.is_empty() && lost.is_empty() {
+            return;
+        }
+        let ids = |ids: &[InstanceId]| names(ids.iter().map(InstanceId::as_str));
+        log::info!(live = self.live().len(), found = ids(&found).as_str(), lost = ids(&lost).as_str();
+            "peers_changed");
+    }
+
     fn lose(&mut self, instance: &InstanceId) {
         if let Some(peer) = self.peers.get_mut(instance) {
             peer.is_live = false;
         }
-        log::info!(peer = instance.as_str(); "peer_lost");
+        self.lost.push(instance.clone());
         self.forget(instance);
         self.count();
     }
--- a/crates/router/src/snapshot.rs
+++ b/crates/router/src/snapshot.rs
@@ -39,9 +39,9 @@
 const MAX_REQUEST: usize = 64;
 const MAX_SNAPSHOT: usize = 8 << 20;
 
-/// Snapshots longer than this are left to the log, unless the log can't be read: a data centre's reader
-/// would send them to all others over its own link.
-pub const LONG: usize = 64 << 10;
+/// Bytes of a snapshot beyond which it is left to the log, unless the log can't be read: a data centre's
+/// reader would send it to all others over its own link.
+pub const MAX_RELAYED: usize = 64 << 10;
 
 /// What is asked for.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
