--- a/crates/cli/src/experiment/mod.rs
+++ b/crates/cli/src/experiment/mod.rs
@@ -9,6 +9,7 @@
 
 use std::{
     fs,
+    path::Path,
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicUsize, Ordering},
@@ -16,7 +17,7 @@
     thread,
 };
 
-use emulator::{SiteSpec, play};
+use emulator::{SiteSpec, play, spec::Variants};
 use error_stack::{Report, ResultExt};
 use indicatif::ProgressBar;
 
@@ -48,12 +49,23 @@
 
 fn read(options: &ExperimentOptions) -> CliResult<SiteSpec> {
     let path = &options.file;
-    let text = fs::read_to_string(path)
-        .change_context_lazy(|| CliError::Other(format!("{} can't be read", path.display())))?;
-    SiteSpec::parse(&text).map_err(|findings| {
+    let mut spec = SiteSpec::parse(&read_file(path)?).map_err(|findings| {
         let findings = findings.join("\n  ");
         Report::new(CliError::Other(format!("{}:\n  {findings}", path.display())))
-    })
+    })?;
+    if let Some(path) = &options.variants {
+        let variants: Variants =
+            serde_json::from_str(&read_file(path)?).change_context_lazy(|| {
+                CliError::Other(format!("{} holds no variants", path.display()))
+            })?;
+        spec.variants.extend(variants);
+    }
+    Ok(spec)
+}
+
+fn read_file(path: &Path) -> CliResult<String> {
+    fs::read_to_string(path)
+        .change_context_lazy(|| CliError::Other(format!("{} can't be read", path.display())))
 }
 
 /// Plays each trial with each seed, on all cores.
--- a/crates/cli/src/experiment/options.rs
+++ b/crates/cli/src/experiment/options.rs
@@ -9,6 +9,9 @@
 pub struct ExperimentOptions {
     /// The site, its load and what is tried on it, in JSON; examples/experiments has some.
     pub file: PathBuf,
+    /// Other rules of placement to try besides, by name, in JSON; examples/variants has some.
+    #[arg(long, value_name = "FILE")]
+    pub variants: Option<PathBuf>,
     /// Also write the results to this file, as CSV.
     #[arg(long, value_name = "FILE")]
     pub csv: Option<PathBuf>,
--- a/crates/cli/tests/examples.rs
+++ b/crates/cli/tests/examples.rs
@@ -53,3 +53,15 @@
         }
     }
 }
+
+#[test]
+fn each_experiment_takes_the_variants() {
+    let variants = std::fs::read_to_string(example("variants/ablation.json")).unwrap();
+    let variants: emulator::spec::Variants = serde_json::from_str(&variants).unwrap();
+    for entry in std::fs::read_dir(example("experiments")).unwrap() {
+        let text = std::fs::read_to_string(entry.unwrap().path()).unwrap();
+        let mut spec = emulator::SiteSpec::parse(&text).unwrap();
+        spec.variants.extend(variants.clone());
+        assert_eq!(spec.trials().len(), spec.policies.len() + variants.len());
+    }
+}
--- a/crates/emulator/src/spec.rs
+++ b/crates/emulator/src/spec.rs
@@ -6,6 +6,9 @@
 
 use crate::placer::{PlacerName, Trial};
 
+/// Rules of placement by name. What a variant doesn't name is as usual.
+pub type Variants = IndexMap<String, PlacementRules>;
+
 /// A site and what is tried on it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -35,7 +38,7 @@
     pub policies: Vec<PlacerName>,
     /// Other rules for the product's own placing, by name; each is tried.
     #[serde(default)]
-    pub variants: IndexMap<String, PlacementRules>,
+    pub variants: Variants,
     /// Each is played with each policy and variant.
     pub seeds: Vec<u64>,
 }
