Write each broadcast once; one full jitter, one kind of tag, one place for transfers

What the reread of the whole change found, without a change of behaviour:

- policy::backoff wrote the full jitter of policy::retry again: both call backoff::full_jitter now.
- EndpointTag and GroupTag were the same hash in two crates, beside rendezvous::key: one macro in ids.rs, which calls it.

--- a/crates/emulator/src/play.rs
+++ b/crates/emulator/src/play.rs
@@ -118,7 +118,7 @@
 pub(crate) struct World<'a> {
     pub(crate) spec: &'a SiteSpec,
     pub(crate) rng: fastrand::Rng,
-    pub(crate) now: f64,
+    now: f64,
     order: u64,
     heap: BinaryHeap<Due>,
     engines: Vec<Engine>,
@@ -127,7 +127,7 @@
     is_dead: Vec<bool>,
     /// Instances have heard that it is.
     is_gone: Vec<bool>,
-    pub(crate) members: Vec<Member>,
+    members: Vec<Member>,
     pub(crate) placers: Vec<Placer>,
     names: Vec<InstanceId>,
     calls: Vec<Call>,
@@ -197,7 +197,7 @@
         self.at(self.now + ms, event);
     }
 
-    pub(crate) fn time(&self) -> Time {
+    fn time(&self) -> Time {
         Time((self.now * 1000.0) as u64)
     }
 
--- a/crates/policy/src/backoff.rs
+++ b/crates/policy/src/backoff.rs
@@ -37,10 +37,9 @@
 impl Backoff {
     /// How long to wait after a failure, where `sharers` instances retry, this one included.
     pub fn failed(&mut self, sharers: usize, rng: &mut Rng) -> Duration {
-        let first = times(FIRST, sharers);
-        let span = first.saturating_mul(1 << self.failures.min(16)).min(cap(sharers));
+        let pause = full_jitter(times(FIRST, sharers), self.failures, cap(sharers), rng);
         self.failures += 1;
-        span.mul_f64(rng.f64())
+        pause
     }
 
     /// A try has succeeded.
@@ -49,6 +48,11 @@
     }
 }
 
+/// A pause drawn evenly from a span that doubles with each failure, up to `cap`.
+pub fn full_jitter(first: Duration, failures: u32, cap: Duration, rng: &mut Rng) -> Duration {
+    first.saturating_mul(1 << failures.min(16)).min(cap).mul_f64(rng.f64())
+}
+
 fn cap(sharers: usize) -> Duration {
     times(CAP_EACH, sharers).min(LONGEST_CAP)
 }
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -3,7 +3,8 @@
 use std::{fmt, str::FromStr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+
+use crate::rendezvous;
 
 /// The longest accepted textual identifier, in bytes. Identifiers stand in metric labels, log
 /// lines and peer messages, so an unbounded one would be an unbounded cost everywhere.
@@ -172,23 +173,36 @@
     }
 }
 
-/// An endpoint as messages between instances name it: short, as most of them name several.
-///
-/// Two endpoints of a group have the same tag once in thousands of groups; one of them then looks as
-/// loaded as the other.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct EndpointTag(u32);
+macro_rules! tags {
+    ($($(#[$doc:meta])* $name:ident of $id:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(u32);
 
-impl From<&EndpointId> for EndpointTag {
-    fn from(id: &EndpointId) -> EndpointTag {
-        // The low half of a 64-bit hash is a hash itself.
-        EndpointTag(xxh3_64(id.as_str().as_bytes()) as u32)
-    }
+        impl From<&$id> for $name {
+            fn from(id: &$id) -> $name {
+                // The low half of a 64-bit hash is a hash itself.
+                $name(rendezvous::key(id.as_str()) as u32)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:08x}", self.0)
+            }
+        }
+    )*};
 }
 
-impl fmt::Display for EndpointTag {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:08x}", self.0)
-    }
+tags! {
+    /// An endpoint as messages between instances name it: short, as most of them name several.
+    ///
+    /// Two endpoints of a group have the same tag once in thousands of groups; one of them then looks
+    /// as loaded as the other.
+    EndpointTag of EndpointId;
+    /// An endpoint group as messages between instances name it.
+    GroupTag of EndpointGroup;
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,8 +36,8 @@
 
 pub use any::AnyScheduler;
 pub use ids::{
-    DataCentre, Deployment, EndpointGroup, EndpointId, EndpointTag, Fingerprint, Incarnation,
-    InstanceId, Model, RequestId, Workspace,
+    DataCentre, Deployment, EndpointGroup, EndpointId, EndpointTag, Fingerprint, GroupTag,
+    Incarnation, InstanceId, Model, RequestId, Workspace,
 };
 pub use replay::Offset;
 pub use report::{BANDS, CacheEvents, LoadDigest, LoadReport, ReservationWish, WishPart};
--- a/crates/policy/src/retry/mod.rs
+++ b/crates/policy/src/retry/mod.rs
@@ -24,7 +24,7 @@
 use fastrand::Rng;
 use indexmap::IndexMap;
 
-use crate::{EndpointId, Time, Workspace};
+use crate::{EndpointId, Time, Workspace, backoff::full_jitter};
 
 /// The most units a budget can save up. A burst of failures larger than this is an outage, which
 /// retries don't mend.
@@ -133,9 +133,7 @@
 /// How long to wait before attempt number `attempt` (2 is the first retry). Drawn evenly from the
 /// whole span, so that requests that failed together don't come back together.
 pub fn backoff(attempt: u32, rng: &mut Rng) -> Duration {
-    let doublings = attempt.saturating_sub(2).min(16);
-    let span = FIRST_BACKOFF.saturating_mul(1 << doublings).min(MAX_BACKOFF);
-    span.mul_f64(rng.f64())
+    full_jitter(FIRST_BACKOFF, attempt.saturating_sub(2), MAX_BACKOFF, rng)
 }
 
 /// Whether a second attempt is started beside one that is slow. Off: a hedge adds a whole prefill
--- a/crates/router/src/follow/configuration.rs
+++ b/crates/router/src/follow/configuration.rs
@@ -32,7 +32,6 @@
     configuration: Arc<Configuration>,
     groups: Arc<Groups>,
     vouching: Arc<Vouching>,
-    snapshots: SnapshotClient,
     contact: Contact,
 }
 
@@ -45,8 +44,8 @@
         vouching: Arc<Vouching>,
         snapshots: SnapshotClient,
     ) -> Self {
-        let contact = Contact::new(Source::Configuration, vouching.clone());
-        Follower { source, configuration, groups, vouching, snapshots, contact }
+        let contact = Contact::new(Source::Configuration, vouching.clone(), snapshots);
+        Follower { source, configuration, groups, vouching, contact }
     }
 
     /// Reads on until it is dropped.
@@ -83,10 +82,7 @@
 
     /// Whether a peer that reads before this instance does knows what it lacks, and it has it now.
     async fn ask_readers(&mut self) -> bool {
-        let mine = self.source.position();
-        let configuration = self.configuration.clone();
-        let judge = |heard: Heard| judge(&configuration, &heard, mine);
-        let Some(word) = self.vouching.ask_readers(judge).await else { return false };
+        let Some(word) = self.vouching.ask_readers(self.judge()).await else { return false };
         let is_taken = self.take(&word).await;
         if is_taken {
             self.contact.answered();
@@ -97,15 +93,18 @@
     /// Guards against an instance that alone can't reach the log and refuses all that need a key, while
     /// its peers have read a moment ago.
     async fn ask_anybody(&mut self) -> bool {
-        let mine = self.source.position();
-        let configuration = self.configuration.clone();
-        let judge = |heard: Heard| judge(&configuration, &heard, mine);
-        match self.vouching.ask_any(Whom::Anybody, judge).await {
+        match self.vouching.ask_any(Whom::Anybody, self.judge()).await {
             Some(word) => self.take(&word).await,
             None => false,
         }
     }
 
+    /// Judges answers by what this instance has read so far.
+    fn judge(&self) -> impl Fn(Heard) -> Option<PeerWord> + use<S> {
+        let (configuration, mine) = (self.configuration.clone(), self.source.position());
+        move |heard| judge(&configuration, &heard, mine)
+    }
+
     /// Makes use of a peer's answer; false where that came to nothing.
     async fn take(&mut self, word: &PeerWord) -> bool {
         match *word {
@@ -119,7 +118,7 @@
 
     async fn transfer(&mut self, peer: SocketAddr) -> bool {
         let after = self.source.position().unwrap_or_default();
-        let transfer = self.contact.transfer(&self.snapshots, peer, after).await;
+        let transfer = self.contact.transfer(peer, after).await;
         let Some(Transfer { position, as_of, content }) = transfer else { return false };
         match self.source.adopt(&content, position) {
             Ok(table) => {
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -52,7 +52,6 @@
     contact: Contact,
     roster: Roster<EndpointId, EndpointEntry>,
     found: Arc<IndexMap<EndpointId, EndpointEntry>>,
-    snapshots: SnapshotClient,
 }
 
 impl<S: EndpointSource> Follower<S> {
@@ -72,11 +71,10 @@
             here,
             clock,
             leave,
-            contact: Contact::new(Source::Endpoints, vouching.clone()),
+            contact: Contact::new(Source::Endpoints, vouching.clone(), snapshots),
             vouching,
             roster: Roster::default(),
             found: Arc::default(),
-            snapshots,
         }
     }
 
@@ -169,7 +167,7 @@
 
     async fn transfer(&mut self, peer: SocketAddr) -> bool {
         let after = self.source.position().unwrap_or_default();
-        let transfer = self.contact.transfer(&self.snapshots, peer, after).await;
+        let transfer = self.contact.transfer(peer, after).await;
         let Some(Transfer { position, as_of, content }) = transfer else { return false };
         let entries = match snapshot::decode(&content) {
             Ok(entries) => entries,
--- a/crates/router/src/follow/mod.rs
+++ b/crates/router/src/follow/mod.rs
@@ -29,14 +29,22 @@
 struct Contact {
     source: Source,
     vouching: Arc<Vouching>,
+    snapshots: SnapshotClient,
     is_lost: bool,
     backoff: Backoff,
     retry_at: Option<Instant>,
 }
 
 impl Contact {
-    fn new(source: Source, vouching: Arc<Vouching>) -> Contact {
-        Contact { source, vouching, is_lost: false, backoff: Backoff::default(), retry_at: None }
+    fn new(source: Source, vouching: Arc<Vouching>, snapshots: SnapshotClient) -> Contact {
+        Contact {
+            source,
+            vouching,
+            snapshots,
+            is_lost: false,
+            backoff: Backoff::default(),
+            retry_at: None,
+        }
     }
 
     fn failed(&mut self, e: &SourceError) {
@@ -85,15 +93,10 @@
     }
 
     /// What a peer has read beyond `after`; none where that comes to nothing.
-    async fn transfer(
-        &self,
-        snapshots: &SnapshotClient,
-        peer: SocketAddr,
-        after: Position,
-    ) -> Option<Transfer> {
+    async fn transfer(&self, peer: SocketAddr, after: Position) -> Option<Transfer> {
         let max_bytes = if self.is_lost { usize::MAX } else { MAX_RELAYED };
         let source = self.source.as_str();
-        match snapshots.take(peer, self.source, after, max_bytes).await {
+        match self.snapshots.take(peer, self.source, after, max_bytes).await {
             Ok(transfer) => {
                 log::info!(source, peer:% = peer, after = after.0, position = transfer.position.0,
                     bytes = transfer.content.len(); "snapshot_taken");
--- a/crates/router/src/links/message.rs
+++ b/crates/router/src/links/message.rs
@@ -1,9 +1,11 @@
 //! What instances send each other.
 
-use policy::{DataCentre, Incarnation, InstanceId, arrange::Told, quarantine, vouch::Position};
+use policy::{
+    DataCentre, GroupTag, Incarnation, InstanceId, arrange::Told, quarantine, vouch::Position,
+};
 use serde::{Deserialize, Serialize};
 
-use crate::{state::GroupTag, vouching::Answer};
+use crate::vouching::Answer;
 
 /// One datagram. Its sender is known by its address and life, so that most datagrams hold no name.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -237,14 +237,14 @@
             let words = lock(&group.arranger).tell(is_due);
             for part in words.chunks(WORDS) {
                 let body = Body::Work { group: group.tag, words: part.to_vec() };
-                self.send_all(&body).await;
+                self.send_all(body).await;
             }
             if is_due {
                 self.tell_suspects(&group).await;
             }
         }
         if is_due && self.clock.now().since(self.told) >= HEARTBEAT {
-            self.send_all(&self.hello(false)).await;
+            self.send_all(self.hello(false)).await;
         }
     }
 
@@ -254,32 +254,31 @@
         let before = self.suspects.insert(group.name.clone(), entries.len()).unwrap_or(0);
         if entries.len() > before {
             let body = Body::Suspects { group: group.tag, entries };
-            self.send_all(&body).await;
+            self.send_all(body).await;
         }
     }
 
-    async fn send_all(&mut self, body: &Body) {
+    async fn send_all(&mut self, body: Body) {
         self.told = self.clock.now();
         let now = self.clock.now();
         let known = self.peers.values().filter(|peer| {
             peer.is_live || now.since(peer.heard) < REMEMBERED && matches!(body, Body::Heartbeat(_))
         });
         let addresses: Vec<_> = known.map(|peer| peer.address).collect();
-        for address in addresses {
-            self.send(body, address).await;
-        }
+        self.send(body, &addresses).await;
     }
 
-    async fn send(&mut self, body: &Body, address: SocketAddr) {
+    /// Sends one datagram, written once, to each of these.
+    async fn send(&mut self, body: Body, addresses: &[SocketAddr]) {
         self.sequence += 1;
-        let datagram =
-            Datagram { life: self.incarnation.into(), sequence: self.sequence, body: body.clone() };
+        let datagram = Datagram { life: self.incarnation.into(), sequence: self.sequence, body };
         // These types can always be written.
         let bytes = bincode::serde::encode_to_vec(&datagram, bincode::config::standard());
-        if let Ok(bytes) = bytes
-            && let Err(e) = self.socket.send_to(&bytes, address).await
-        {
-            log::debug!(peer:% = address, cause:% = e; "datagram_not_sent");
+        let Ok(bytes) = bytes else { return };
+        for address in addresses {
+            if let Err(e) = self.socket.send_to(&bytes, address).await {
+                log::debug!(peer:% = address, cause:% = e; "datagram_not_sent");
+            }
         }
     }
 
@@ -295,15 +294,13 @@
         self.greeted = now;
         let (me, peers) = (&self.me, &self.peers);
         self.unmet.retain(|e| e.instance != me.instance && !peers.contains_key(&e.instance));
-        let hello = self.hello(true);
-        for entry in self.unmet.clone() {
-            self.send(&hello, entry.address).await;
-        }
+        let addresses: Vec<_> = self.unmet.iter().map(|entry| entry.address).collect();
+        self.send(self.hello(true), &addresses).await;
     }
 
     async fn tell_news(&mut self) {
         let (configuration, endpoints) = self.vouching.positions();
-        self.send_all(&Body::News { configuration, endpoints }).await;
+        self.send_all(Body::News { configuration, endpoints }).await;
     }
 
     async fn hear(&mut self, datagram: Datagram, from: SocketAddr) {
@@ -314,8 +311,7 @@
         let now = self.clock.now();
         let known = self.peers.iter_mut().find(|(_, peer)| peer.is(from, life));
         let Some((instance, peer)) = known else {
-            let hello = self.hello(true);
-            return self.send(&hello, from).await;
+            return self.send(self.hello(true), &[from]).await;
         };
         peer.heard = now;
         if sequence <= peer.sequence {
@@ -339,8 +335,7 @@
                 peer.heard = now;
                 peer.sequence = peer.sequence.max(sequence);
                 if is_asking {
-                    let hello = self.hello(false);
-                    self.send(&hello, from).await;
+                    self.send(self.hello(false), &[from]).await;
                 }
                 return;
             }
@@ -352,8 +347,7 @@
         self.found.push(instance.clone());
         self.peers.insert(instance, peer);
         self.count();
-        let hello = self.hello(false);
-        self.send(&hello, from).await;
+        self.send(self.hello(false), &[from]).await;
     }
 
     fn hello(&self, is_asking: bool) -> Body {
@@ -381,7 +375,7 @@
             }
             Body::Question { nonce, endpoints_at } => {
                 let answer = self.vouching.answer(endpoints_at);
-                self.send(&Body::Answer { nonce, answer }, from).await;
+                self.send(Body::Answer { nonce, answer }, &[from]).await;
             }
             Body::Answer { nonce, answer } => self.answered(nonce, answer, from),
             Body::News { configuration, endpoints } => {
--- a/crates/router/src/links/questions.rs
+++ b/crates/router/src/links/questions.rs
@@ -46,9 +46,7 @@
         let (sent, asked) = (self.clock.now(), BootTime::now());
         let pending = Pending { sent, asked, answers, expected: addresses.len() };
         self.pending.insert(nonce, pending);
-        for address in addresses {
-            self.send(&Body::Question { nonce, endpoints_at }, address).await;
-        }
+        self.send(Body::Question { nonce, endpoints_at }, &addresses).await;
     }
 
     fn whom(&self, whom: Whom) -> Vec<SocketAddr> {
--- a/crates/router/src/snapshot.rs
+++ b/crates/router/src/snapshot.rs
@@ -183,12 +183,11 @@
 }
 
 async fn answer(req: Request<Incoming>, vouching: &Vouching) -> Response<Full<Bytes>> {
-    let (status, body) = match Limited::new(req.into_body(), MAX_REQUEST).collect().await {
-        Ok(body) => match decode(&body.to_bytes()) {
-            Ok(query) => snapshot(&query, vouching),
-            Err(_) => (StatusCode::BAD_REQUEST, Bytes::new()),
-        },
-        Err(_) => (StatusCode::BAD_REQUEST, Bytes::new()),
+    let body = Limited::new(req.into_body(), MAX_REQUEST).collect().await.ok();
+    let query = body.and_then(|body| decode(&body.to_bytes()).ok());
+    let (status, body) = match query {
+        Some(query) => snapshot(&query, vouching),
+        None => (StatusCode::BAD_REQUEST, Bytes::new()),
     };
     let mut resp = Response::new(Full::new(body));
     *resp.status_mut() = status;
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -11,14 +11,12 @@
 
 use indexmap::IndexMap;
 use policy::{
-    EndpointGroup, EndpointId, Time,
+    EndpointGroup, EndpointId, GroupTag, Time,
     arrange::Arranger,
     retry::{RetryRules, RetryWindow},
     routes::RouteTable,
 };
-use serde::{Deserialize, Serialize};
 use smol::channel::{Receiver, Sender, bounded};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{clock::BootTime, lock};
 
@@ -152,18 +150,6 @@
     }
 }
 
-/// An endpoint group as messages between instances name it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct GroupTag(u32);
-
-impl From<&EndpointGroup> for GroupTag {
-    fn from(name: &EndpointGroup) -> GroupTag {
-        // The low half of a 64-bit hash is a hash itself.
-        GroupTag(xxh3_64(name.as_str().as_bytes()) as u32)
-    }
-}
-
 /// One endpoint group.
 #[derive(Debug)]
 pub struct Group {
