Keep the messages of a link that a second dial replaces

Both ends had noticed the silence in the same tick and dialled each other; the link that stood first was replaced by the smaller name's, and what had been written to it was thrown away on the other end, what still waited went with its queue.

The new test forces such replacements: one message of twenty was lost in each. Now the new link takes over what waits, and a replaced link of the same life is read for one second more, messages only. Ruled out: the daemon's own repair. It tells versions and leaving endpoints again at each new link, but not a question, an answer, or the ledger's offsets.

--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -1,13 +1,16 @@
 //! One link, from its hello to its end.
 
-use std::{fmt, sync::Arc};
+use std::{fmt, sync::Arc, time::Duration};
 
 use futures_lite::{FutureExt, future::or};
 use policy::{DataCentre, Incarnation, InstanceId, membership::Evidence};
-use smol::channel::{Receiver, bounded};
+use smol::{
+    Timer,
+    channel::{Receiver, bounded},
+};
 
 use crate::peer::{
-    PROTOCOL, PeerEvent,
+    HELLO_WITHIN, PROTOCOL, PeerEvent,
     compact::{Heard, PartOfLoad, Spoken},
     frame::{FrameError, FrameReader, FrameWriter},
     message::{Hello, Message, Origin, Packet, PacketError, encode},
@@ -16,6 +19,10 @@
     state::{Link, Rejected, State},
 };
 
+/// How long a replaced link is still read: the other end takes up the new link within this time,
+/// and until then goes on writing to the old one.
+const LINGER: Duration = HELLO_WITHIN;
+
 /// Both directions of a new stream between two instances.
 pub(super) struct Streams {
     pub(super) reader: FrameReader,
@@ -92,6 +99,7 @@
     let stopped = async {
         // Nothing is ever sent; this ends when the link is taken out of the table.
         session.stop.recv().await.ok();
+        Timer::after(LINGER).await;
         End::Replaced
     };
     let end = or(stopped, reading.or(writing)).await;
@@ -137,6 +145,9 @@
     let id = state.next_link;
     state.next_link += 1;
     let outbox = Arc::new(Outbox::new());
+    if let Some(old) = state.links.get(&hello.instance).filter(|old| old.is_same_life(&hello)) {
+        outbox.take_over(&old.outbox);
+    }
     let link = Link {
         id,
         hello: hello.clone(),
@@ -210,8 +221,9 @@
     }
 }
 
-/// Takes in a packet and says what the instance has to hear; none where this link has been
-/// replaced, so that what comes late on an old link isn't taken for news.
+/// Takes in a packet and says what the instance has to hear; none where the peer has no link any
+/// more, or a new life. On a link that another one of the same life has replaced, only messages
+/// count: load and heartbeats are told anew on the new link.
 fn take_in(
     shared: &Shared,
     session: &Session,
@@ -221,9 +233,13 @@
     let now = shared.now();
     let mut state = shared.lock();
     let (instance, incarnation) = (&session.hello.instance, session.hello.incarnation);
-    let Some(link) = state.links.get_mut(instance).filter(|link| link.id == session.id) else {
+    let Some(link) = state.links.get_mut(instance).filter(|link| link.is_same_life(&session.hello))
+    else {
         return Ok(None);
     };
+    if link.id != session.id && !matches!(packet, Packet::Direct(_) | Packet::Flood { .. }) {
+        return Ok(Some(Vec::new()));
+    }
     link.heard = now;
     let events = match packet {
         Packet::Hello(_) | Packet::Heartbeat { leaving: false } => Vec::new(),
--- a/crates/daemon/src/peer/outbox.rs
+++ b/crates/daemon/src/peer/outbox.rs
@@ -70,6 +70,17 @@
         Ok(())
     }
 
+    /// Takes the packets that still wait for a link which this one replaces. Its load isn't taken:
+    /// a new link begins with the whole.
+    pub(super) fn take_over(&self, old: &Outbox) {
+        let mut old = old.lock();
+        let mut pending = self.lock();
+        pending.bytes += std::mem::take(&mut old.bytes);
+        pending.packets.append(&mut old.packets);
+        old.loads.clear();
+        self.wake();
+    }
+
     /// Queues a part of the load, on top of one that still waits.
     pub(super) fn push_load(&self, deployment: &Deployment, part: &LoadDigest) {
         let mut pending = self.lock();
--- a/crates/daemon/src/peer/state.rs
+++ b/crates/daemon/src/peer/state.rs
@@ -53,10 +53,17 @@
     /// Whether the peer has said on this link that it is leaving.
     pub(super) leaving: bool,
     pub(super) listeners: IndexMap<Deployment, Listener>,
-    /// Dropping it ends the link at once.
+    /// Dropping it ends the link shortly after.
     pub(super) _stop: Sender<()>,
 }
 
+impl Link {
+    /// Whether the link leads to the life that said this hello.
+    pub(super) fn is_same_life(&self, hello: &Hello) -> bool {
+        self.hello.incarnation == hello.incarnation
+    }
+}
+
 /// Why a new link isn't kept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Rejected {
@@ -106,9 +113,8 @@
             return Ok(());
         };
         let same_moment = now.since(link.since) < HELLO_WITHIN * 2;
-        let same_life = link.hello.incarnation == hello.incarnation;
         let preferred = dialled == (me < &hello.instance);
-        if same_moment && same_life && link.dialled != dialled && !preferred {
+        if same_moment && link.is_same_life(hello) && link.dialled != dialled && !preferred {
             return Err(Rejected::Duplicate);
         }
         Ok(())
--- a/crates/daemon/src/peer/tests.rs
+++ b/crates/daemon/src/peer/tests.rs
@@ -5,13 +5,23 @@
     Workspace,
     config::Version,
     report::{EndpointShare, WorkspaceShare},
+    scheduler::EndpointState,
 };
 use quickcheck::quickcheck;
 
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use smol::{Executor, Timer, channel::Receiver};
+
 use super::{
+    PeerConfig, PeerEvent, PeerMesh,
     compact::{Heard, PartOfLoad, Spoken},
+    dial,
     flood::Flood,
-    message::{Hello, LENGTH, Message, Origin, PROTOCOL, Packet, decode, encode},
+    message::{EndpointNews, Hello, LENGTH, Message, Origin, PROTOCOL, Packet, decode, encode},
 };
 
 fn origin(incarnation: u64, number: u64) -> Origin {
@@ -102,6 +112,77 @@
     assert!(Heard::default().expand(&hello, stranger).is_err(), "numbers without names");
 }
 
+fn mesh(name: &str, executor: &Arc<Executor<'static>>) -> (PeerMesh, Receiver<PeerEvent>) {
+    let cfg = PeerConfig {
+        instance: InstanceId::new(name).unwrap(),
+        incarnation: Incarnation(1),
+        data_centre: DataCentre::new("brasov-a").unwrap(),
+        listen: ([127, 0, 0, 1], 0).into(),
+        seeds: Vec::new(),
+        load_bytes_per_second: 10_000,
+        origin: Instant::now(),
+        executor: executor.clone(),
+    };
+    PeerMesh::start(cfg).unwrap()
+}
+
+fn news(incarnation: u64) -> Message {
+    let endpoint = EndpointId::new("model-redactare-0001").unwrap();
+    let (incarnation, state) = (Incarnation(incarnation), EndpointState::Leaving);
+    Message::Endpoint(EndpointNews { endpoint, incarnation, state })
+}
+
+async fn next_news(events: &Receiver<PeerEvent>) -> Option<u64> {
+    let news = async {
+        loop {
+            if let PeerEvent::Message { message: Message::Endpoint(news), .. } =
+                events.recv().await.unwrap()
+            {
+                return Some(news.incarnation.0);
+            }
+        }
+    };
+    let patience = async {
+        Timer::after(Duration::from_secs(5)).await;
+        None
+    };
+    futures_lite::future::or(news, patience).await
+}
+
+/// Guards against messages lost on a link that a second dial replaces.
+#[test]
+fn what_was_said_on_a_replaced_link_arrives() {
+    let executor = Arc::new(Executor::new());
+    let (first, _events) = mesh("entry-1", &executor);
+    let (second, events) = mesh("entry-2", &executor);
+    smol::block_on(executor.run(async {
+        let mut told = 0;
+        for _ in 0..20 {
+            // The smaller name's dial replaces a link that stands.
+            first.shared.spawn(dial::run(first.shared.clone(), second.address()));
+            for _ in 0..20 {
+                told += 1;
+                first.broadcast(news(told)).unwrap();
+                Timer::after(Duration::from_micros(200)).await;
+            }
+        }
+        // What is told before the first link stands is told to nobody; what is told on a replaced
+        // link may come after what is told on the new one.
+        let (mut heard, mut first_heard) = (Vec::new(), told);
+        while heard.len() as u64 <= told - first_heard
+            && let Some(number) = next_news(&events).await
+        {
+            heard.push(number);
+            first_heard = first_heard.min(number);
+        }
+        assert!(first_heard < told / 2, "{first_heard} of {told}");
+        let lost: Vec<u64> =
+            (first_heard..=told).filter(|number| !heard.contains(number)).collect();
+        assert_eq!(lost, Vec::<u64>::new());
+        assert_eq!(heard.len() as u64, told + 1 - first_heard, "each once");
+    }));
+}
+
 quickcheck! {
     fn any_bytes_are_a_packet_or_refused(bytes: Vec<u8>) -> bool {
         match decode(&bytes) {
