Count writers by the pause that they bear

Cause: writers were counted in three classes with the first site's pauses (up to 250 ms, taken to bear 200; up to 600, 500; more, 800). On a site whose callers bear 100 ms every pass up to 150 looked harmless.

Now an instance tells up to three pauses and the weight of those who bear each. Whole steps make the sums over instances exact, so they are kept instead of being added up for each candidate.

The new test fails before: both engines looked alike. words_are_short_and_tell_all reads the weight by its new name, with the same bound.

--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -26,6 +26,7 @@
 mod split;
 mod told;
 mod wire;
+mod writers;
 
 use std::time::Duration;
 
@@ -35,7 +36,8 @@
 pub use ask::{Ask, Helper, Job, JobId, Placement, Refused};
 pub use reading::PartKey;
 pub use rules::PlacementRules;
-pub use told::{Told, ToldPart, period};
+pub use told::{Level, Told, ToldPart, period};
+pub use writers::Writers;
 
 use crate::{
     EndpointId, EndpointTag, FailCause, Fingerprint, Incarnation, InstanceId, Time,
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -24,14 +24,9 @@
     ask::Job,
     reading::{Part, PartKey, Pass, Read, Reading, Tempo},
     told::{Level, ToldPart},
+    writers::{AllWriters, Writers},
 };
 
-/// Upper bounds in milliseconds of the pauses that writers bear, by which they are counted.
-pub(super) const PAUSES_MS: [f64; 3] = [250.0, 600.0, f64::INFINITY];
-
-/// What each of these bears, where none of this instance's own has said it.
-const BEARS_MS: [f64; 3] = [200.0, 500.0, 800.0];
-
 /// Milliseconds over which the shortest pause shows how fast an engine is: a second holds fifteen
 /// passes, and some of them are free of reading.
 const PAUSES_OVER_MS: f64 = 1_000.0;
@@ -48,7 +43,9 @@
     pub(super) member: Member,
     reading: Reading,
     pub(super) own: Level,
-    pub(super) peers: IndexMap<InstanceId, Level>,
+    peers: IndexMap<InstanceId, Level>,
+    /// What `own` and `peers` make together.
+    all: Total,
     /// Parts placed by this instance and not told yet.
     pub(super) untold: Vec<ToldPart>,
     /// Parts told that wait no more: they aren't wanted, or were read sooner than foretold.
@@ -94,6 +91,7 @@
             reading: Reading::new(millis(now)),
             own: Level::default(),
             peers: IndexMap::new(),
+            all: Total::default(),
             untold: Vec::new(),
             untold_gone: Vec::new(),
             told: Level::default(),
@@ -173,32 +171,26 @@
         self.pace
     }
 
-    /// Weights of those who write there, by the pause that they bear.
-    pub(super) fn writers(&self) -> [f64; PAUSES_MS.len()] {
-        let mut sum = self.own.writers;
-        for level in self.peers.values() {
-            for (sum, more) in sum.iter_mut().zip(level.writers) {
-                *sum += more;
-            }
-        }
-        sum.map(f64::from)
+    /// Weights of those who write there and bear no more than this pause.
+    pub(super) fn writers_up_to(&self, pause_ms: f64) -> f64 {
+        let each = self.all.writers.by_pause();
+        each.filter(|(bears_ms, _)| *bears_ms <= pause_ms).map(|(_, weight)| weight).sum()
     }
 
     /// Requests that run or wait there.
     pub(super) fn running(&self) -> u32 {
-        u32::from(self.own.running)
-            + self.peers.values().map(|level| u32::from(level.running)).sum::<u32>()
+        self.all.running
     }
 
     /// Tokens of memory in use.
     pub(super) fn memory(&self) -> u64 {
-        self.own.memory + self.peers.values().map(|level| level.memory).sum::<u64>()
+        self.all.memory
     }
 
     /// What those who write there lose by a pass of `pass_ms`.
     pub(super) fn harm(&self, placement: &PlacementRules, pass_ms: f64) -> f64 {
-        let each = self.writers().into_iter().zip(BEARS_MS);
-        each.map(|(weight, bears)| weight * placement.disturbance(pass_ms, bears)).sum()
+        let each = self.all.writers.by_pause();
+        each.map(|(bears, weight)| weight * placement.disturbance(pass_ms, bears)).sum()
     }
 
     /// Notes a part placed there by anybody.
@@ -236,32 +228,50 @@
             self.read(rules, part, now);
             self.untold.push(ToldPart::of(&part, now));
         }
+        let mut own = self.own;
         if let Some(reserved) = job.reserved_at(&self.member.endpoint) {
-            self.own.memory += reserved;
+            own.memory += reserved;
         }
         if is_head {
-            self.own.running = self.own.running.saturating_add(1);
-            self.own.memory += job.memory;
-            self.own.writers[pause_class(job.pause_ms)] += job.weight as f32;
+            own.running = own.running.saturating_add(1);
+            own.memory += job.memory;
+            own.writers.add(job.pause_ms, job.weight);
         }
+        self.set_own(own);
     }
 
     pub(super) fn release(&mut self, job: &Job, is_head: bool, now: Time) {
         if !job.is_writing {
             self.unread_own(job.key, now);
         }
+        let mut own = self.own;
         if let Some(reserved) = job.reserved_at(&self.member.endpoint) {
-            self.own.memory = self.own.memory.saturating_sub(reserved);
+            own.memory = own.memory.saturating_sub(reserved);
         }
         if is_head {
-            self.own.running = self.own.running.saturating_sub(1);
-            self.own.memory = self.own.memory.saturating_sub(job.memory);
-            let writers = &mut self.own.writers[pause_class(job.pause_ms)];
-            *writers = (*writers - job.weight as f32).max(0.0);
-            if self.own.running == 0 {
-                *writers = 0.0;
+            own.running = own.running.saturating_sub(1);
+            own.memory = own.memory.saturating_sub(job.memory);
+            own.writers.remove(job.pause_ms, job.weight);
+            if own.running == 0 {
+                own.writers = Writers::default();
             }
         }
+        self.set_own(own);
+    }
+
+    fn set_own(&mut self, own: Level) {
+        self.all.remove(&self.own);
+        self.all.add(&own);
+        self.own = own;
+    }
+
+    /// Takes over what another instance has there now.
+    pub(super) fn set_peer(&mut self, peer: &InstanceId, level: Level) {
+        self.forget(peer);
+        if level != Level::default() {
+            self.all.add(&level);
+            self.peers.insert(peer.clone(), level);
+        }
     }
 
     /// Another instance told of a failure; true where it is the first from there since anybody had
@@ -279,7 +289,9 @@
     }
 
     pub(super) fn forget(&mut self, peer: &InstanceId) {
-        self.peers.swap_remove(peer);
+        if let Some(level) = self.peers.swap_remove(peer) {
+            self.all.remove(&level);
+        }
     }
 
     /// Learns from a pause between two events how fast the engine is.
@@ -300,6 +312,24 @@
     }
 }
 
-fn pause_class(pause_ms: f64) -> usize {
-    PAUSES_MS.iter().position(|bound| pause_ms <= *bound).unwrap_or(PAUSES_MS.len() - 1)
+/// All instances' work on one endpoint.
+#[derive(Debug, Default)]
+struct Total {
+    running: u32,
+    memory: u64,
+    writers: AllWriters,
+}
+
+impl Total {
+    fn add(&mut self, level: &Level) {
+        self.running += u32::from(level.running);
+        self.memory += level.memory;
+        self.writers.add(&level.writers);
+    }
+
+    fn remove(&mut self, level: &Level) {
+        self.running = self.running.saturating_sub(u32::from(level.running));
+        self.memory = self.memory.saturating_sub(level.memory);
+        self.writers.remove(&level.writers);
+    }
 }
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -12,8 +12,9 @@
 use super::{
     PlacementRules,
     reading::{Part, PartKey, Pass},
-    server::{PAUSES_MS, Server, millis},
-    wire::{WireLevel, WirePart},
+    server::{Server, millis},
+    wire::WirePart,
+    writers::Writers,
 };
 
 /// How often levels are told to a few peers. Reading that stands before others is told at once.
@@ -33,15 +34,14 @@
 }
 
 /// One instance's work on one endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
-#[serde(from = "WireLevel", into = "WireLevel")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Level {
     /// Requests that run or wait.
     pub running: u16,
     /// Tokens of memory that they take.
     pub memory: u64,
     /// Their weights, by the pause that they bear.
-    pub writers: [f32; PAUSES_MS.len()],
+    pub writers: Writers,
 }
 
 /// A part of a prompt that an instance placed. Times are milliseconds from the word on, so that no
@@ -183,10 +183,6 @@
         if word.failed && server.fails_for(peer) {
             health.failed(endpoint, FailCause::Broken);
         }
-        if word.level == Level::default() {
-            server.peers.swap_remove(peer);
-        } else {
-            server.peers.insert(peer.clone(), word.level);
-        }
+        server.set_peer(peer, word.level);
     }
 }
--- a/crates/policy/src/arrange/wire.rs
+++ b/crates/policy/src/arrange/wire.rs
@@ -1,4 +1,4 @@
-//! Levels and parts as they travel: whole numbers, which a codec with variable lengths writes in one to
+//! Parts as they travel: whole numbers, which a codec with variable lengths writes in one to
 //! three bytes each.
 //!
 //! **Load pattern.** Each placement is told to each instance at once, so with hundreds of instances these
@@ -8,11 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{
-    reading::PartKey,
-    server::PAUSES_MS,
-    told::{Level, ToldPart},
-};
+use super::{reading::PartKey, told::ToldPart};
 
 /// Steps of a millisecond of reading: predictions err by far more.
 const READING_STEPS: f32 = 10.0;
@@ -20,27 +16,6 @@
 /// Steps of a weight.
 const WEIGHT_STEPS: f32 = 100.0;
 
-#[derive(Serialize, Deserialize)]
-pub(super) struct WireLevel {
-    running: u16,
-    memory: u64,
-    writers: [u32; PAUSES_MS.len()],
-}
-
-impl From<Level> for WireLevel {
-    fn from(level: Level) -> WireLevel {
-        let writers = level.writers.map(|weight| (weight * WEIGHT_STEPS).round() as u32);
-        WireLevel { running: level.running, memory: level.memory, writers }
-    }
-}
-
-impl From<WireLevel> for Level {
-    fn from(wire: WireLevel) -> Level {
-        let writers = wire.writers.map(|steps| steps as f32 / WEIGHT_STEPS);
-        Level { running: wire.running, memory: wire.memory, writers }
-    }
-}
-
 #[derive(Serialize, Deserialize)]
 pub(super) struct WirePart {
     key: PartKey,
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -440,7 +440,22 @@
     assert_eq!(told.level.running, heard_of.level.running);
     assert_eq!(told.placed[0].key, heard_of.placed[0].key);
     assert!((told.placed[0].ms - heard_of.placed[0].ms).abs() < 0.1);
-    assert!((told.level.writers[0] - heard_of.level.writers[0]).abs() < 0.01);
+    assert!((told.level.writers.weight() - heard_of.level.writers.weight()).abs() < 0.01);
     two.hear(&peer, &heard, at(2));
     assert!(two.tell(true).is_empty());
 }
+
+/// Guards against writers that bear less than others being counted as if they bore as much.
+#[test]
+fn a_long_pass_goes_where_it_is_borne() {
+    let mut arranger = arranger(2);
+    for (engine, pause_ms) in [(0, 90.0), (1, 250.0)] {
+        let other = vec![(id(1 - engine), Incarnation(1))];
+        let writer = Ask { pause_ms, tried: other, ..ask(QUESTION) };
+        let placed = arranger.place(&writer, at(0)).unwrap();
+        assert_eq!(placed.endpoint, id(engine));
+        arranger.began(placed.job, at(40));
+    }
+    let placed = place(&mut arranger, 17_000, at(200));
+    assert_eq!(placed.endpoint, id(1), "{placed:?}");
+}
