Learn from callers what is short and who writes apart

Cause: a prompt counted as short up to 100 ms of reading, and callers as bearing a long prompt's parts from 600 ms of pause on. Where callers bear 100 ms, a prompt of 90 ms was still read beside writers.

Now a group remembers the pauses that its callers and its peers' callers bear: short is what takes half of the least, and all but those who bear the longest gather.

--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -76,16 +76,17 @@
         now: Time,
     ) -> Option<Chosen> {
         let read_ms = rules.read_ms(ask.prompt);
+        let short_ms = self.short_ms();
         let base = Chosen {
             part_ms: read_ms,
             idle_ms: read_ms / self.usable().min(rules.max_helpers + 1).max(1) as f64,
             weight: self.placement.weight(read_ms),
             apart: self.apart(now),
             memory: ask.prompt + ask.output,
-            rank: self.placement.rank(read_ms),
+            rank: self.placement.rank(read_ms, short_ms),
             ..Chosen::default()
         };
-        if read_ms <= self.placement.short_ms {
+        if read_ms <= short_ms {
             let (index, predicted_ms) = self.gather(rules, ask, &base, now)?;
             return Some(Chosen {
                 servers: vec![index],
@@ -183,7 +184,7 @@
     /// What writing on this engine costs in weights because it will be wanted for a part of a long prompt:
     /// nearly nothing where others write already.
     pub(super) fn alone(&self, apart: f64, server: &Server) -> f64 {
-        (apart / (1.0 + server.writers_up_to(self.placement.gathered_pause_ms)))
+        (apart / (1.0 + server.writers(|pause_ms| self.pauses.is_below_longest(pause_ms))))
             .min(self.placement.most_apart)
     }
 
@@ -265,7 +266,7 @@
         let head = &mut self.servers[chosen.servers[0]];
         head.is_on_trial = false;
         let incarnation = head.member.incarnation;
-        if chosen.part_ms > self.placement.short_ms || !helpers.is_empty() {
+        if chosen.part_ms > self.short_ms() || !helpers.is_empty() {
             self.long_share.add(chosen.part_ms * chosen.servers.len() as f64, now);
         }
         self.quarantine.started(ask.fingerprint, &endpoint, now);
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -20,6 +20,7 @@
 mod ask;
 mod choose;
 mod decaying;
+mod pauses;
 mod reading;
 mod rules;
 mod server;
@@ -91,6 +92,7 @@
     /// Share of the engines' time that prompts too long to be read beside writers have taken of
     /// late.
     long_share: decaying::Decaying,
+    pauses: pauses::Pauses,
 }
 
 impl Arranger {
@@ -113,6 +115,7 @@
             assessed: Time::ZERO,
             rng: Rng::with_seed(seed),
             long_share: decaying::Decaying::default(),
+            pauses: pauses::Pauses::default(),
         }
     }
 
@@ -169,6 +172,7 @@
         if let Standing::Refused(left) = self.quarantine.standing(ask.fingerprint, now) {
             return Err(Refused::Quarantined(left));
         }
+        self.pauses.note(writers::whole_ms(ask.pause_ms), now);
         let chosen = match &self.rules {
             Some(rules) => self.choose_engine(rules, ask, now),
             None => self.choose_plain(ask, now),
@@ -309,7 +313,10 @@
     pub fn hear(&mut self, peer: &InstanceId, words: &[Told], now: Time) {
         let rules = self.rules.as_ref();
         told::hear(&mut self.servers, &self.tags, &mut self.health, rules, peer, words, now);
-        self.long_share.add(told::long_ms(words, &self.placement), now);
+        for pause_ms in words.iter().flat_map(|word| word.level.writers.pauses()) {
+            self.pauses.note(pause_ms, now);
+        }
+        self.long_share.add(told::long_ms(words, self.short_ms()), now);
     }
 
     /// Another instance is gone, and what it had under way with it.
@@ -324,6 +331,11 @@
         &mut self.quarantine
     }
 
+    /// Milliseconds of reading up to which a prompt goes beside writers whole.
+    fn short_ms(&self) -> f64 {
+        self.placement.short_share * self.pauses.least()
+    }
+
     fn assess(&mut self, now: Time) {
         if now.since(self.assessed) < ASSESS_EVERY {
             return;
--- a/crates/policy/src/arrange/rules.rs
+++ b/crates/policy/src/arrange/rules.rs
@@ -44,8 +44,9 @@
     /// Milliseconds for which a long prompt is held at least, so that instances that placed others in the
     /// same moment have heard of each other.
     pub heard_ms: f64,
-    /// Milliseconds of reading up to which a prompt goes beside writers whole.
-    pub short_ms: f64,
+    /// The part of the least pause that callers bear within which a prompt that is read beside writers
+    /// whole has to be read: the pass that reads it has others to read, too.
+    pub short_share: f64,
     /// Milliseconds of reading up to which a prompt is of middle length: what a caller who waits for a
     /// summary would notice.
     pub middle_ms: f64,
@@ -66,9 +67,9 @@
     pub most_harm: f64,
     /// What one further engine costs a prompt, in weights: each may die under it.
     pub per_helper: f64,
-    /// Whoever bears pauses up to this writes where others write; whoever bears more also bears the parts of
-    /// long prompts.
-    pub gathered_pause_ms: f64,
+    /// Prompts of middle length are written where others write, unless their callers bear the longest
+    /// pauses of all: those also bear the parts of long prompts.
+    pub gathers: bool,
     /// Milliseconds by which a prompt may be read later than predicted, because another instance chose the
     /// same engines, before another place is looked for.
     pub collision_ms: f64,
@@ -92,7 +93,7 @@
             least_long_share: 0.2,
             first_event_ms: 25.0,
             heard_ms: 8.0,
-            short_ms: 100.0,
+            short_share: 0.5,
             middle_ms: 1_000.0,
             short_bound: 5.0,
             middle_bound: 1.0,
@@ -101,7 +102,7 @@
             idle_slack_ms: 300.0,
             most_harm: 1.0,
             per_helper: 0.001,
-            gathered_pause_ms: 600.0,
+            gathers: true,
             collision_ms: 300.0,
             holds: true,
         }
@@ -115,9 +116,9 @@
 
 impl PlacementRules {
     /// A prompt's rank on an engine: what is read soonest goes first, which delays the others least.
-    pub(super) fn rank(&self, read_ms: f64) -> u8 {
+    pub(super) fn rank(&self, read_ms: f64, short_ms: f64) -> u8 {
         match read_ms {
-            ms if ms <= self.short_ms => SHORT_RANK,
+            ms if ms <= short_ms => SHORT_RANK,
             ms if ms <= self.middle_ms => MIDDLE_RANK,
             _ => LONG_RANK,
         }
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -171,10 +171,10 @@
         self.pace
     }
 
-    /// Weights of those who write there and bear no more than this pause.
-    pub(super) fn writers_up_to(&self, pause_ms: f64) -> f64 {
+    /// Weight of those who write there and bear such a pause.
+    pub(super) fn writers(&self, counts: impl Fn(f64) -> bool) -> f64 {
         let each = self.all.writers.by_pause();
-        each.filter(|(bears_ms, _)| *bears_ms <= pause_ms).map(|(_, weight)| weight).sum()
+        each.filter(|(bears_ms, _)| counts(*bears_ms)).map(|(_, weight)| weight).sum()
     }
 
     /// Requests that run or wait there.
--- a/crates/policy/src/arrange/split.rs
+++ b/crates/policy/src/arrange/split.rs
@@ -133,12 +133,17 @@
         parts: usize,
         tried: &Chosen,
     ) -> impl Iterator<Item = Parts<'a>> {
-        let gathers = ask.pause_ms <= self.placement.gathered_pause_ms;
+        let gathers = self.gathers(ask);
         let gathered = gathers.then(|| self.gathered(rules, sorted, parts, tried)).flatten();
         let cheapest = Parts { candidates: sorted.iter().take(parts).collect(), head: None };
         gathered.into_iter().chain(std::iter::once(cheapest))
     }
 
+    /// Whether it writes where others write: all but those who bear the longest pauses.
+    fn gathers(&self, ask: &Ask) -> bool {
+        self.placement.gathers && self.pauses.is_below_longest(ask.pause_ms)
+    }
+
     /// The cheapest engine to write on, and the cheapest others to read.
     fn gathered<'a>(
         &self,
@@ -174,7 +179,7 @@
         let read_in_ms = outlooks().map(|outlook| outlook.read_in_ms).fold(0.0, f64::max);
         let harm =
             outlooks().map(|outlook| outlook.harm).sum::<f64>() + self.delay_cost(outlooks());
-        let alone = match ask.pause_ms <= self.placement.gathered_pause_ms {
+        let alone = match self.gathers(ask) {
             true => self.alone(tried.apart, &self.servers[candidates[head].index]),
             false => 0.0,
         };
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -10,7 +10,6 @@
 };
 
 use super::{
-    PlacementRules,
     reading::{Part, PartKey, Pass},
     server::{Server, millis},
     wire::WirePart,
@@ -148,9 +147,9 @@
 }
 
 /// How much long reading another instance placed, in milliseconds.
-pub(super) fn long_ms(words: &[Told], placement: &PlacementRules) -> f64 {
+pub(super) fn long_ms(words: &[Told], short_ms: f64) -> f64 {
     let placed = |word: &Told| word.placed.iter().map(|part| f64::from(part.ms)).sum::<f64>();
-    words.iter().map(placed).filter(|ms| *ms > placement.short_ms).sum()
+    words.iter().map(placed).filter(|ms| *ms > short_ms).sum()
 }
 
 /// Takes in another instance's news.
--- a/crates/policy/src/arrange/writers.rs
+++ b/crates/policy/src/arrange/writers.rs
@@ -30,6 +30,11 @@
         self.0.iter().map(|group| f64::from(group.steps)).sum::<f64>() / WEIGHT_STEPS
     }
 
+    /// Each pause that some bear, in milliseconds.
+    pub(super) fn pauses(&self) -> impl Iterator<Item = u16> {
+        self.0.into_iter().filter(|group| group.steps > 0).map(|group| group.bears_ms)
+    }
+
     pub(super) fn add(&mut self, pause_ms: f64, weight: f64) {
         let bears_ms = whole_ms(pause_ms);
         let place = self.place(bears_ms);
@@ -93,6 +98,6 @@
     (weight * WEIGHT_STEPS).round() as u32
 }
 
-fn whole_ms(pause_ms: f64) -> u16 {
+pub(super) fn whole_ms(pause_ms: f64) -> u16 {
     pause_ms.round() as u16
 }
