Read the messages of a rejected duplicate link

Second cause: both ends dial; one end takes up the other's link and writes to it, the other has kept its own already and rejects the first as a duplicate, with what was written.

--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -91,7 +91,15 @@
     streams: Streams,
 ) -> Result<(), HelloError> {
     let Streams { mut reader, writer, dialled } = streams;
-    let (session, events) = register(shared, hello, dialled).map_err(HelloError::Rejected)?;
+    let (session, events) = match register(shared, &hello, dialled) {
+        Ok(registered) => registered,
+        Err(rejected) => {
+            if rejected == Rejected::Duplicate {
+                linger(shared, hello, &mut reader).await;
+            }
+            return Err(HelloError::Rejected(rejected));
+        }
+    };
     log::debug!(peer = session.hello.instance.as_str(), dialled; "peer_link_up");
     shared.emit(events).await;
     let reading = read(shared, &session, &mut reader);
@@ -108,6 +116,21 @@
     Ok(())
 }
 
+/// Reads the messages on a link that isn't kept: the other end took it up before it heard of the one
+/// that is.
+async fn linger(shared: &Shared, hello: Hello, reader: &mut FrameReader) {
+    let (_, stop) = bounded(1);
+    let session = Session { id: NOT_KEPT, hello, outbox: Arc::new(Outbox::new()), stop };
+    let moment = async {
+        Timer::after(LINGER).await;
+        End::Replaced
+    };
+    or(read(shared, &session, reader), moment).await;
+}
+
+/// The id of all links that aren't kept.
+const NOT_KEPT: u64 = 0;
+
 /// How a link ended.
 #[derive(Debug)]
 enum End {
@@ -130,13 +153,13 @@
 
 fn register(
     shared: &Shared,
-    hello: Hello,
+    hello: &Hello,
     dialled: bool,
 ) -> Result<(Session, Vec<PeerEvent>), Rejected> {
     let now = shared.now();
     let mut state = shared.lock();
-    state.check(&shared.me.instance, &hello, dialled, now)?;
-    let events = state.met(&hello, now);
+    state.check(&shared.me.instance, hello, dialled, now)?;
+    let events = state.met(hello, now);
     // An instance that listens on all its addresses can't say which of them others reach.
     if !hello.address.ip().is_unspecified() {
         state.add_target(hello.address, Some(hello.instance.clone()));
@@ -145,7 +168,7 @@
     let id = state.next_link;
     state.next_link += 1;
     let outbox = Arc::new(Outbox::new());
-    if let Some(old) = state.links.get(&hello.instance).filter(|old| old.is_same_life(&hello)) {
+    if let Some(old) = state.links.get(&hello.instance).filter(|old| old.is_same_life(hello)) {
         outbox.take_over(&old.outbox);
     }
     let link = Link {
@@ -173,7 +196,7 @@
     }
     shared.choose_links(&mut state);
     shared.traffic.links_made.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-    Ok((Session { id, hello, outbox, stop }, events))
+    Ok((Session { id, hello: hello.clone(), outbox, stop }, events))
 }
 
 async fn write(outbox: &Outbox, mut writer: FrameWriter) -> End {
