Learn how long slots are held; drop two figures that were worth nothing

Cause: a request that waits for a slot was reckoned 300 ms for each that stands before it, and accepted up to five times its goal. Both are one site's figures.

Now the mean time that answers hold their slots is learned, twice the mean time between two free slots is reckoned, and what would come later than 1.5 times its goal is refused at once.

--- a/crates/policy/src/arrange/ask.rs
+++ b/crates/policy/src/arrange/ask.rs
@@ -122,6 +122,8 @@
     pub is_sent: bool,
     /// Its first byte came.
     pub is_writing: bool,
+    /// When it came.
+    pub(super) began: Time,
 }
 
 impl Job {
--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -112,7 +112,7 @@
             let part = tried_part(base, server, 1, ask, now);
             let reads = server.reads(rules, now);
             let outlook = server.outlook(rules, &self.placement, part, &reads, now);
-            let predicted = self.first_ms(rules, server, &outlook);
+            let predicted = self.first_ms(rules, ask, server, &outlook);
             let alone = self.alone(base.apart, server);
             let own = placement.lateness(predicted, ask.goal_ms)
                 + placement.miss(outlook.pause_ms, ask.pause_ms);
@@ -189,17 +189,30 @@
     }
 
     /// Milliseconds until a first event comes, if a part is read as foretold.
-    pub(super) fn first_ms(&self, rules: &EngineRules, server: &Server, outlook: &Outlook) -> f64 {
-        let PlacementRules { slots_left, first_event_ms, slot_wait_ms, .. } = self.placement;
+    pub(super) fn first_ms(
+        &self,
+        rules: &EngineRules,
+        ask: &Ask,
+        server: &Server,
+        outlook: &Outlook,
+    ) -> f64 {
+        let PlacementRules { slots_left, slot_waits, .. } = self.placement;
+        let slot_wait_ms = slot_waits * self.slot_ms(rules, ask) / f64::from(rules.slots.max(1));
         let places = rules.slots.saturating_sub(slots_left).max(1);
         let over = (server.running() + 1).saturating_sub(places);
-        let own_pass = if outlook.beside_writers { 0.0 } else { first_event_ms * server.pace() };
         outlook.read_in_ms
-            + own_pass
             + f64::from(over) * slot_wait_ms
             + server.member.distance.as_secs_f64() * 1000.0
     }
 
+    /// Milliseconds for which an answer holds its slot; before any was seen, as if the answer were as
+    /// long as it may be.
+    fn slot_ms(&self, rules: &EngineRules, ask: &Ask) -> f64 {
+        let passes = ask.output.div_ceil(u64::from(rules.stride.max(1))) as f64;
+        let longest_ms = || passes * rules.pass_ms(rules.slots, rules.usual_context);
+        self.slots.held_ms().unwrap_or_else(longest_ms)
+    }
+
     /// What the requests lose whose parts are read later on these engines. A request whose parts are
     /// delayed on several engines is as late as the latest of them.
     pub(super) fn delay_cost<'a>(&self, outlooks: impl Iterator<Item = &'a Outlook>) -> f64 {
@@ -259,6 +272,7 @@
             hold,
             is_sent: false,
             is_writing: false,
+            began: now,
         };
         for (place, index) in chosen.servers.iter().enumerate() {
             self.servers[*index].take(self.rules.as_ref(), &job, place == 0, now);
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -24,6 +24,7 @@
 mod reading;
 mod rules;
 mod server;
+mod slots;
 mod split;
 mod told;
 mod wire;
@@ -93,6 +94,7 @@
     /// late.
     long_share: decaying::Decaying,
     pauses: pauses::Pauses,
+    slots: slots::Slots,
 }
 
 impl Arranger {
@@ -116,6 +118,7 @@
             rng: Rng::with_seed(seed),
             long_share: decaying::Decaying::default(),
             pauses: pauses::Pauses::default(),
+            slots: slots::Slots::default(),
         }
     }
 
@@ -195,6 +198,7 @@
             return;
         }
         known.is_writing = true;
+        known.began = now;
         let taken = now.since(known.placed);
         let predicted = Duration::from_secs_f64(known.predicted_ms.max(0.0) / 1000.0);
         // Whatever was foretold, all of its parts have been read.
@@ -234,6 +238,10 @@
         match failed {
             None => {
                 self.quarantine.completed(known.fingerprint);
+                if known.is_writing {
+                    let writing_ms = now.since(known.began).as_secs_f64() * 1000.0;
+                    self.slots.freed(known.part_ms + writing_ms);
+                }
                 if let Some(server) = self.servers.get_mut(&known.endpoint) {
                     server.answered();
                     server.untold_answer = true;
--- a/crates/policy/src/arrange/reading.rs
+++ b/crates/policy/src/arrange/reading.rs
@@ -63,8 +63,6 @@
 pub(super) struct Read {
     pub(super) part: Part,
     pub(super) at: f64,
-    /// It is done at the end of a pass beside writers.
-    pub(super) beside_writers: bool,
 }
 
 /// The reading of one engine.
@@ -194,7 +192,7 @@
         }
         self.at = now + part.ms;
         let part = self.waiting.remove(index);
-        Some(Read { part, at: self.at, beside_writers: false })
+        Some(Read { part, at: self.at })
     }
 
     /// The newest part of a split prompt, or else the oldest whole one.
@@ -239,7 +237,7 @@
         }
         let heads = whole.iter().filter(|part| part.is_head).count();
         for part in whole {
-            done(Read { part, at: self.at, beside_writers: true });
+            done(Read { part, at: self.at });
         }
         u32::try_from(heads).unwrap_or(u32::MAX)
     }
--- a/crates/policy/src/arrange/rules.rs
+++ b/crates/policy/src/arrange/rules.rs
@@ -25,8 +25,9 @@
     /// Guards against parts of seconds on engines full of questions: once a pause is too long, a longer one
     /// would cost nothing more, and a few large parts would look cheaper than many small ones.
     pub per_longer_pause: f64,
-    /// Milliseconds that waiting for a slot takes, for each request that stands before.
-    pub slot_wait_ms: f64,
+    /// How many times the mean time between two slots that become free is reckoned for each request that
+    /// stands before, as some that stand before aren't heard of yet.
+    pub slot_waits: f64,
     /// Slots that are left to what other instances have just placed and not told yet.
     pub slots_left: u32,
     /// What an engine that nobody writes on costs a short prompt, times the share of engines that long
@@ -38,9 +39,6 @@
     /// The least share of engines that long prompts are taken to need, as questions that are written
     /// everywhere when a burst of long prompts begins can't be moved.
     pub least_long_share: f64,
-    /// Milliseconds from the end of reading to the first event on an engine that writes nothing else: half a
-    /// pass.
-    pub first_event_ms: f64,
     /// Milliseconds for which a long prompt is held at least, so that instances that placed others in the
     /// same moment have heard of each other.
     pub heard_ms: f64,
@@ -51,7 +49,7 @@
     /// summary would notice.
     pub middle_ms: f64,
     /// The part of its goal within which a short prompt's first event has to be predicted; beyond it the
-    /// request is refused at once. It takes next to nothing, so only a wait of seconds is too long.
+    /// request is refused at once. With more, a queue for slots that stands makes every answer late.
     pub short_bound: f64,
     /// The same for one of middle length.
     pub middle_bound: f64,
@@ -65,8 +63,6 @@
     pub idle_slack_ms: f64,
     /// How many times its own weight a prompt may cost others; beyond it callers in sum lose by serving it.
     pub most_harm: f64,
-    /// What one further engine costs a prompt, in weights: each may die under it.
-    pub per_helper: f64,
     /// Prompts of middle length are written where others write, unless their callers bear the longest
     /// pauses of all: those also bear the parts of long prompts.
     pub gathers: bool,
@@ -86,22 +82,20 @@
             ramp_to: 1.1,
             per_bound: 0.1,
             per_longer_pause: 0.05,
-            slot_wait_ms: 300.0,
+            slot_waits: 2.0,
             slots_left: 1,
             apart: 3.0,
             most_apart: 0.8,
             least_long_share: 0.2,
-            first_event_ms: 25.0,
             heard_ms: 8.0,
             short_share: 0.5,
             middle_ms: 1_000.0,
-            short_bound: 5.0,
+            short_bound: 1.5,
             middle_bound: 1.0,
             long_bound: 0.8,
             idle_factor: 1.2,
             idle_slack_ms: 300.0,
             most_harm: 1.0,
-            per_helper: 0.001,
             gathers: true,
             collision_ms: 300.0,
             holds: true,
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -70,8 +70,6 @@
 pub(super) struct Outlook {
     /// Milliseconds until it has been read, from now.
     pub(super) read_in_ms: f64,
-    /// It is read while others write, so that its own first event comes with the end of that pass.
-    pub(super) beside_writers: bool,
     /// The longest pause that is known to come once its request writes there.
     pub(super) pause_ms: f64,
     /// What those who write there lose by it.
@@ -127,7 +125,7 @@
         let part = Part { ms: part.ms * self.pace, ..part };
         let reads = self.reading.foretell(self.tempo(rules), millis(now), Some(part));
         let mine = reads.iter().find(|read| read.part.key == part.key);
-        let mine = mine.copied().unwrap_or(Read { part, at: f64::MAX, beside_writers: true });
+        let mine = mine.copied().unwrap_or(Read { part, at: f64::MAX });
         let Pass { ms, part_ms } = mine.part.longest;
         let harm = (self.harm(placement, ms) - self.harm(placement, ms - part_ms)).max(0.0);
         let delayed = reads.iter().filter_map(|read| {
@@ -140,13 +138,7 @@
             later.clone().filter(|part| part.arrives <= mine.at).map(|p| p.ms).sum();
         let alone = later.filter(|part| part.arrives > mine.at).map(|part| part.ms);
         let pause_ms = self.writing_ms(rules) + alone.fold(together, f64::max);
-        Outlook {
-            pause_ms,
-            read_in_ms: mine.at - millis(now),
-            beside_writers: mine.beside_writers,
-            harm,
-            delayed: delayed.collect(),
-        }
+        Outlook { pause_ms, read_in_ms: mine.at - millis(now), harm, delayed: delayed.collect() }
     }
 
     /// Milliseconds of a pass that reads nothing; zero where nobody writes.
@@ -166,11 +158,6 @@
         self.reading.pass_began(began, tempo);
     }
 
-    /// How many times slower than its figures it is; one where it isn't.
-    pub(super) fn pace(&self) -> f64 {
-        self.pace
-    }
-
     /// Weight of those who write there and bear such a pause.
     pub(super) fn writers(&self, counts: impl Fn(f64) -> bool) -> f64 {
         let each = self.all.writers.by_pause();
--- a/crates/policy/src/arrange/split.rs
+++ b/crates/policy/src/arrange/split.rs
@@ -185,9 +185,7 @@
         };
         let own = self.placement.lateness(predicted_ms, ask.goal_ms)
             + self.placement.miss(candidates[head].outlook.pause_ms, ask.pause_ms);
-        let total = tried.weight
-            * (own + alone + self.placement.per_helper * candidates.len() as f64)
-            + harm;
+        let total = tried.weight * (own + alone) + harm;
         let mut servers: Vec<usize> = candidates.iter().map(|c| c.index).collect();
         servers.swap(0, head);
         let tried = tried.clone();
@@ -208,7 +206,7 @@
         let Engine { index, server, reads } = engine;
         let part = tried_part(tried, server, parts, ask, now);
         let outlook = server.outlook(rules, &self.placement, part, reads, now);
-        let first_ms = self.first_ms(rules, server, &outlook);
+        let first_ms = self.first_ms(rules, ask, server, &outlook);
         let own = tried.weight * self.placement.lateness(first_ms, ask.goal_ms);
         let harm = outlook.harm + self.delay_cost(std::iter::once(&outlook));
         let key = self.caution(server, now) * (own + harm);
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -449,6 +449,8 @@
 #[test]
 fn a_long_pass_goes_where_it_is_borne() {
     let mut arranger = arranger(2);
+    let dossier = place(&mut arranger, DOSSIER, at(0));
+    arranger.ended(dossier.job, None, at(0));
     for (engine, pause_ms) in [(0, 90.0), (1, 250.0)] {
         let other = vec![(id(1 - engine), Incarnation(1))];
         let writer = Ask { pause_ms, tried: other, ..ask(QUESTION) };
@@ -459,3 +461,55 @@
     let placed = place(&mut arranger, 17_000, at(200));
     assert_eq!(placed.endpoint, id(1), "{placed:?}");
 }
+
+/// Guards against prompts that are read beside writers whole where the callers bear less than the first
+/// site's.
+#[test]
+fn what_is_short_depends_on_the_callers() {
+    let prompt = 17_000;
+    let read_ms = engine().read_ms(prompt);
+    for (pause_ms, is_split) in [(read_ms * 3.0, false), (read_ms, true)] {
+        let mut arranger = arranger(8);
+        let ask = Ask { pause_ms, ..ask(prompt) };
+        let placed = arranger.place(&ask, at(0)).unwrap();
+        assert_eq!(!placed.helpers.is_empty(), is_split, "{pause_ms} ms: {placed:?}");
+    }
+}
+
+/// Questions come twice as fast as slots become free. Guards against a queue that stands at the longest
+/// wait that is accepted, so that all answers are late.
+#[test]
+fn a_standing_queue_is_refused_what_would_be_late() {
+    const HELD_MS: u64 = 1_600;
+    let mut arranger = arranger(2);
+    let slots = u64::from(engine().slots) * 2;
+    let every_ms = HELD_MS / slots / 2;
+    let mut free_at = vec![0; usize::try_from(slots).unwrap()];
+    let mut running: Vec<(u64, JobId)> = Vec::new();
+    let (mut on_time, mut late, mut refused) = (0, 0, 0);
+    for now in (0..20_000).step_by(usize::try_from(every_ms).unwrap()) {
+        running.retain(|(ends, job)| {
+            if *ends <= now {
+                arranger.ended(*job, None, at(*ends));
+            }
+            *ends > now
+        });
+        match arranger.place(&ask(QUESTION), at(now)) {
+            Ok(placed) => {
+                let slot = free_at.iter_mut().min().unwrap();
+                let begins = (*slot).max(now) + 25;
+                *slot = begins + HELD_MS;
+                arranger.began(placed.job, at(begins));
+                running.push((*slot, placed.job));
+                // The first seconds show that the queue stands.
+                if now > 4_000 {
+                    *(if begins - now <= 300 { &mut on_time } else { &mut late }) += 1;
+                }
+            }
+            Err(Refused::TooLate(_)) => refused += 1,
+            Err(other) => panic!("{other:?}"),
+        }
+    }
+    assert!(on_time > 9 * late, "{on_time} on time, {late} late, {refused} refused");
+    assert!(on_time * 10 > 9 * 16_000 / HELD_MS * slots, "slots stay empty: {on_time} on time");
+}
