Spread short prompts over as many engines as others may just have taken

Sixteen go to one engine within 4 ms, before word of the first has arrived; predicted 150 ms, seen 370 and more. 226 of the 301 questions of 36.1 s are late.

Ruled out: instances that don't know each other yet (all have found all by 35.3 s), engines that still work for callers who are gone (the same engines answer within 60 ms).

Now the rate at which others place, times the round trip to endpoints, says how many placements are unknown here; a question goes to one of that many more of the best places, as long as this costs less than its being late. The round trip is measured at each connection, which also replaces NEAR and FAR, the first site's delays.

--- a/crates/emulator/src/placer.rs
+++ b/crates/emulator/src/placer.rs
@@ -124,6 +124,13 @@
         }
     }
 
+    /// A connection took so long to be made.
+    pub fn connected(&mut self, engine: &EndpointId, took: Duration) {
+        if let Placer::Arranged { arranger, .. } = self {
+            arranger.connected(engine, took);
+        }
+    }
+
     /// The first event came.
     pub fn began(&mut self, job: JobId, now: Time) {
         if let Placer::Arranged { arranger, .. } = self {
--- a/crates/emulator/src/play.rs
+++ b/crates/emulator/src/play.rs
@@ -144,7 +144,6 @@
                 endpoint,
                 incarnation: Incarnation(1),
                 slots: spec.engine.slots,
-                distance: Duration::from_secs_f64(WAY_MS / 1000.0),
                 leaving: false,
             })
         };
@@ -319,6 +318,10 @@
         let call = self.calls[run.call];
         let parts = run.engines.len() as f64;
         self.progress[run.call].tried.push(run.engines[0]);
+        if let Some(head) = engine_id(run.engines[0]) {
+            let round_trip = Duration::from_secs_f64(2.0 * WAY_MS / 1000.0);
+            self.placers[instance].connected(&head, round_trip);
+        }
         for (place, engine) in run.engines.iter().enumerate() {
             let part = Part {
                 run: id,
--- a/crates/policy/src/arrange/ask.rs
+++ b/crates/policy/src/arrange/ask.rs
@@ -5,7 +5,6 @@
 use crate::{EndpointId, Fingerprint, Incarnation, Time};
 
 use super::{
-    Member,
     reading::{Part, PartKey, Pass},
     server::millis,
 };
@@ -133,12 +132,12 @@
     }
 
     /// Its part on one engine.
-    pub(super) fn part(&self, engine: &Member, is_head: bool) -> Part {
+    pub(super) fn part(&self, way_ms: f64, is_head: bool) -> Part {
         let placed = millis(self.placed);
-        let way = self.hold + engine.distance;
+        let hold_ms = self.hold.as_secs_f64() * 1000.0;
         Part {
             key: self.key,
-            arrives: placed + way.as_secs_f64() * 1000.0,
+            arrives: placed + hold_ms + way_ms,
             ms: self.part_ms,
             tokens: self.part_tokens,
             overtakes: !self.helpers.is_empty(),
--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -73,6 +73,7 @@
         &self,
         rules: &EngineRules,
         ask: &Ask,
+        spread: usize,
         now: Time,
     ) -> Option<Chosen> {
         let read_ms = rules.read_ms(ask.prompt);
@@ -87,7 +88,7 @@
             ..Chosen::default()
         };
         if read_ms <= short_ms {
-            let (index, predicted_ms) = self.gather(rules, ask, &base, now)?;
+            let (index, predicted_ms) = self.gather(rules, ask, &base, spread, now)?;
             return Some(Chosen {
                 servers: vec![index],
                 predicted_ms,
@@ -98,16 +99,18 @@
         self.split(rules, ask, base, read_ms, now)
     }
 
-    /// The least costly engine for a short prompt.
+    /// An engine for a short prompt: the least costly one, or the one that comes after `spread` others,
+    /// unless going there costs more than the request's being late.
     fn gather(
         &self,
         rules: &EngineRules,
         ask: &Ask,
         base: &Chosen,
+        spread: usize,
         now: Time,
     ) -> Option<(usize, f64)> {
         let placement = &self.placement;
-        let mut best = None;
+        let mut places = Vec::new();
         for (index, server) in self.candidates(ask, now) {
             let part = tried_part(base, server, 1, ask, now);
             let reads = server.reads(rules, now);
@@ -118,11 +121,12 @@
                 + placement.miss(outlook.pause_ms, ask.pause_ms);
             let harm = outlook.harm + self.delay_cost(std::iter::once(&outlook));
             let total = self.caution(server, now) * (base.weight * (own + alone) + harm);
-            if best.is_none_or(|(least, _, _)| total < least) {
-                best = Some((total, index, predicted));
-            }
+            places.push((total, index, predicted));
         }
-        best.map(|(_, index, predicted)| (index, predicted))
+        places.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        let least = places.first()?.0;
+        let near = places.iter().take_while(|(total, ..)| *total <= least + base.weight);
+        near.take(spread + 1).last().map(|(_, index, predicted)| (*index, *predicted))
     }
 
     /// What an engine that nobody writes on costs a short prompt now.
@@ -137,7 +141,7 @@
         let mut best = None;
         for (index, server) in self.candidates(ask, now) {
             let load = f64::from(server.running() + 1) / f64::from(server.member.slots.max(1));
-            let total = self.caution(server, now) * load + server.member.distance.as_secs_f64();
+            let total = self.caution(server, now) * load + server.way_ms() / 1000.0;
             if best.is_none_or(|(least, _)| total < least) {
                 best = Some((total, index));
             }
@@ -200,9 +204,7 @@
         let slot_wait_ms = slot_waits * self.slot_ms(rules, ask) / f64::from(rules.slots.max(1));
         let places = rules.slots.saturating_sub(slots_left).max(1);
         let over = (server.running() + 1).saturating_sub(places);
-        outlook.read_in_ms
-            + f64::from(over) * slot_wait_ms
-            + server.member.distance.as_secs_f64() * 1000.0
+        outlook.read_in_ms + f64::from(over) * slot_wait_ms + server.way_ms()
     }
 
     /// Milliseconds for which an answer holds its slot; before any was seen, as if the answer were as
@@ -306,7 +308,7 @@
     now: Time,
 ) -> Part {
     let placed = millis(now);
-    let way_ms = server.member.distance.as_secs_f64() * 1000.0;
+    let way_ms = server.way_ms();
     Part {
         key: TRIED,
         arrives: placed + chosen.hold_ms + way_ms,
--- a/crates/policy/src/arrange/decaying.rs
+++ b/crates/policy/src/arrange/decaying.rs
@@ -1,18 +1,22 @@
 //! Sums that fade, for what has come of late.
 
-use crate::Time;
+use std::time::Duration;
 
-/// Half-life of the share of long prompts: a burst begins and ends within seconds.
-const HALF_LIFE_S: f64 = 1.5;
+use crate::Time;
 
 /// A sum that fades.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct Decaying {
     value: f64,
     at: Time,
+    half_life_s: f64,
 }
 
 impl Decaying {
+    pub(super) fn new(half_life: Duration) -> Decaying {
+        Decaying { value: 0.0, at: Time::ZERO, half_life_s: half_life.as_secs_f64() }
+    }
+
     pub(super) fn add(&mut self, amount: f64, now: Time) {
         self.value = self.read(now) + amount;
         self.at = now;
@@ -20,11 +24,11 @@
 
     /// The sum as faded by now.
     pub(super) fn read(&self, now: Time) -> f64 {
-        self.value * (-now.since(self.at).as_secs_f64() / HALF_LIFE_S).exp2()
+        self.value * (-now.since(self.at).as_secs_f64() / self.half_life_s).exp2()
     }
 
     /// The mean of what was added a second.
     pub(super) fn rate(&self, now: Time) -> f64 {
-        self.read(now) * std::f64::consts::LN_2 / HALF_LIFE_S
+        self.read(now) * std::f64::consts::LN_2 / self.half_life_s
     }
 }
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -20,6 +20,7 @@
 mod ask;
 mod choose;
 mod decaying;
+mod herd;
 mod pauses;
 mod reading;
 mod rules;
@@ -61,6 +62,9 @@
 /// Milliseconds until a busy engine begins: a few passes.
 const FIRST_PASSES_MS: f64 = 300.0;
 
+/// Half-life of the share of long prompts: a burst begins and ends within seconds.
+const BURST: Duration = Duration::from_millis(1_500);
+
 /// An endpoint as the instance learned of it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Member {
@@ -70,8 +74,6 @@
     pub incarnation: Incarnation,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// One-way delay from this instance.
-    pub distance: Duration,
     /// Whether it finishes what it has and gets nothing new.
     pub leaving: bool,
 }
@@ -95,6 +97,7 @@
     long_share: decaying::Decaying,
     pauses: pauses::Pauses,
     slots: slots::Slots,
+    herd: herd::Herd,
 }
 
 impl Arranger {
@@ -116,9 +119,10 @@
             quarantine: Quarantine::new(),
             assessed: Time::ZERO,
             rng: Rng::with_seed(seed),
-            long_share: decaying::Decaying::default(),
+            long_share: decaying::Decaying::new(BURST),
             pauses: pauses::Pauses::default(),
             slots: slots::Slots::default(),
+            herd: herd::Herd::default(),
         }
     }
 
@@ -176,8 +180,9 @@
             return Err(Refused::Quarantined(left));
         }
         self.pauses.note(writers::whole_ms(ask.pause_ms), now);
+        let spread = self.spread(now);
         let chosen = match &self.rules {
-            Some(rules) => self.choose_engine(rules, ask, now),
+            Some(rules) => self.choose_engine(rules, ask, spread, now),
             None => self.choose_plain(ask, now),
         };
         let chosen = chosen.ok_or(Refused::NoEndpoint)?;
@@ -191,6 +196,20 @@
         Ok(self.commit(chosen, ask, now))
     }
 
+    /// How many of the best places are passed over, as others may just have taken them.
+    fn spread(&mut self, now: Time) -> usize {
+        let unheard = self.herd.unheard(now) + self.rng.f64();
+        self.rng.usize(0..=unheard as usize)
+    }
+
+    /// A connection to an endpoint took so long to be made.
+    pub fn connected(&mut self, endpoint: &EndpointId, took: Duration) {
+        self.herd.round_trip(took);
+        if let Some(server) = self.servers.get_mut(endpoint) {
+            server.connected(took);
+        }
+    }
+
     /// The first byte of an answer came.
     pub fn began(&mut self, job: JobId, now: Time) {
         let Some(known) = self.jobs.get_mut(&job) else { return };
@@ -324,6 +343,8 @@
         for pause_ms in words.iter().flat_map(|word| word.level.writers.pauses()) {
             self.pauses.note(pause_ms, now);
         }
+        let heads = words.iter().flat_map(|word| &word.placed).filter(|part| part.is_head);
+        self.herd.heard(heads.count(), now);
         self.long_share.add(told::long_ms(words, self.short_ms()), now);
     }
 
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -15,6 +15,8 @@
 //! pass in a hundred too long, a third of all answers are late. Reading that is merely taken to
 //! drain with time looks done before its pass has begun.
 
+use std::time::Duration;
+
 use indexmap::{IndexMap, IndexSet};
 
 use crate::{InstanceId, Time, routes::EngineRules};
@@ -22,6 +24,7 @@
 use super::{
     Member, PlacementRules,
     ask::Job,
+    herd::average,
     reading::{Part, PartKey, Pass, Read, Reading, Tempo},
     told::{Level, ToldPart},
     writers::{AllWriters, Writers},
@@ -58,6 +61,8 @@
     failing_for: IndexSet<InstanceId>,
     /// It is out, and the next request shows whether it is back.
     pub(super) is_on_trial: bool,
+    /// Milliseconds that a connection takes to be made, as soon as one was.
+    round_trip_ms: Option<f64>,
     /// The shortest pause since `pauses_since`, and in the span before.
     shortest: f64,
     shortest_before: f64,
@@ -97,6 +102,7 @@
             untold_answer: false,
             failing_for: IndexSet::new(),
             is_on_trial: false,
+            round_trip_ms: None,
             shortest: f64::INFINITY,
             shortest_before: f64::INFINITY,
             pauses_since: millis(now),
@@ -154,10 +160,20 @@
         let now = millis(now);
         let tempo = self.tempo(rules);
         self.reading.advance(tempo, now);
-        let began = now - self.member.distance.as_secs_f64() * 1000.0;
+        let began = now - self.way_ms();
         self.reading.pass_began(began, tempo);
     }
 
+    pub(super) fn connected(&mut self, took: Duration) {
+        let ms = took.as_secs_f64() * 1000.0;
+        self.round_trip_ms = Some(self.round_trip_ms.map_or(ms, |mean| average(mean, took)));
+    }
+
+    /// Milliseconds that bytes take to get there.
+    pub(super) fn way_ms(&self) -> f64 {
+        self.round_trip_ms.unwrap_or_default() / 2.0
+    }
+
     /// Weight of those who write there and bear such a pause.
     pub(super) fn writers(&self, counts: impl Fn(f64) -> bool) -> f64 {
         let each = self.all.writers.by_pause();
@@ -211,7 +227,7 @@
         now: Time,
     ) {
         if let Some(rules) = rules {
-            let part = job.part(&self.member, is_head);
+            let part = job.part(self.way_ms(), is_head);
             self.read(rules, part, now);
             self.untold.push(ToldPart::of(&part, now));
         }
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -17,13 +17,7 @@
 }
 
 fn member(index: usize, leaving: bool) -> Member {
-    Member {
-        endpoint: id(index),
-        incarnation: Incarnation(1),
-        slots: 16,
-        distance: Duration::from_micros(200),
-        leaving,
-    }
+    Member { endpoint: id(index), incarnation: Incarnation(1), slots: 16, leaving }
 }
 
 fn arranger(engines: usize) -> Arranger {
--- /dev/null
+++ b/crates/policy/tests/herd.rs
@@ -0,0 +1,89 @@
+//! Many instances place a burst of questions while word of each placement is still under way.
+
+#![allow(clippy::unwrap_used)]
+
+mod engines;
+
+use std::{collections::VecDeque, time::Duration};
+
+use engines::engine;
+use policy::{
+    EndpointId, Fingerprint, Incarnation, InstanceId, Time,
+    arrange::{Arranger, Ask, Member, Told},
+};
+
+const ENGINES: usize = 60;
+const INSTANCES: usize = 60;
+const QUESTION: u64 = 5_000;
+const GOAL_MS: f64 = 300.0;
+
+/// Microseconds until the others have word of a placement.
+const WORD_US: u64 = 2_000;
+
+/// Microseconds between two questions of the burst.
+const EVERY_US: u64 = 125;
+
+fn instance(index: usize) -> Arranger {
+    let mut arranger = Arranger::new(index as u64);
+    arranger.set_rules(Some(engine()));
+    let members = (0..ENGINES).map(|index| Member {
+        endpoint: EndpointId::new(&format!("i-{index}")).unwrap(),
+        incarnation: Incarnation(1),
+        slots: engine().slots,
+        leaving: false,
+    });
+    arranger.set_members(members.collect(), Time::ZERO);
+    for index in 0..ENGINES {
+        let endpoint = EndpointId::new(&format!("i-{index}")).unwrap();
+        arranger.connected(&endpoint, Duration::from_micros(WORD_US));
+    }
+    arranger
+}
+
+fn ask(index: u64) -> Ask {
+    Ask {
+        prompt: QUESTION,
+        output: 1_500,
+        goal_ms: GOAL_MS,
+        pause_ms: 200.0,
+        left_ms: 10_000.0,
+        priority: 1,
+        fingerprint: Fingerprint(u128::from(index)),
+        is_beside: false,
+        tried: Vec::new(),
+    }
+}
+
+/// Guards against a herd: all instances see the same engine as the best one, and until each hears of the
+/// others' placements there, it has a queue of prompts that makes all of them late.
+#[test]
+fn a_burst_on_many_instances_doesnt_queue_on_one_engine() {
+    let mut instances: Vec<Arranger> = (0..INSTANCES).map(instance).collect();
+    let mut words: VecDeque<(u64, usize, Vec<Told>)> = VecDeque::new();
+    // When each engine has read what it got.
+    let mut read_at = vec![0.0_f64; ENGINES];
+    let (mut late, mut asked) = (0, 0);
+    for (index, now_us) in (0..50_000).step_by(EVERY_US as usize).enumerate() {
+        let now = Time(now_us);
+        while words.front().is_some_and(|(at, ..)| *at <= now_us) {
+            let (_, from, told) = words.pop_front().unwrap();
+            let peer = InstanceId::new(&format!("p-{from}")).unwrap();
+            for (to, other) in instances.iter_mut().enumerate() {
+                if to != from {
+                    other.hear(&peer, &told, now);
+                }
+            }
+        }
+        let from = index * 7 % INSTANCES;
+        let Ok(placed) = instances[from].place(&ask(index as u64), now) else { continue };
+        words.push_back((now_us + WORD_US, from, instances[from].tell(false)));
+        let engine: usize = placed.endpoint.as_str()[2..].parse().unwrap();
+        let now_ms = now_us as f64 / 1_000.0;
+        read_at[engine] = read_at[engine].max(now_ms) + self::engine().read_ms(QUESTION);
+        asked += 1;
+        late += usize::from(read_at[engine] - now_ms > GOAL_MS);
+    }
+    println!("{late} of {asked} late");
+    assert!(asked >= 390, "{asked} of 400 placed");
+    assert!(late * 50 < asked, "{late} of {asked} late");
+}
--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -4,7 +4,10 @@
 //! connections that are used again, and a connection that was open for a while may be silent for
 //! good. A fresh connection has neither, and costs a round trip.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, response};
@@ -49,18 +52,20 @@
 }
 
 /// Sends a request and waits for the head of its answer. `sending` is told right before the first
-/// byte goes out.
+/// byte goes out, with the time that the connection took.
 pub(super) async fn send(
     executor: &Executor<'static>,
     address: SocketAddr,
     req: Request<Full<Bytes>>,
     patience: Duration,
-    sending: impl FnOnce(),
+    sending: impl FnOnce(Duration),
 ) -> Result<Upstream, AttemptError> {
+    let began = Instant::now();
     let stream = net::connect(address, patience.min(CONNECT)).await.map_err(|e| {
         let is_refused = e.kind() == std::io::ErrorKind::ConnectionRefused;
         AttemptError::NotSent { is_refused }
     })?;
+    let took = began.elapsed();
     let (mut sender, connection) = http1::handshake(FuturesIo::new(stream))
         .await
         .map_err(|_| AttemptError::NotSent { is_refused: false })?;
@@ -69,7 +74,7 @@
             log::debug!(cause:% = e; "endpoint_connection_ended");
         }
     });
-    sending();
+    sending(took);
     let answer = async {
         sender.send_request(req).await.map_err(|e| match e.is_canceled() {
             true => AttemptError::NotSent { is_refused: false },
--- a/crates/router/src/filter/memory.rs
+++ b/crates/router/src/filter/memory.rs
@@ -166,7 +166,7 @@
     *req.headers_mut() = order.headers;
     let host = address.to_string();
     req.headers_mut().insert(header::HOST, host.parse().ok()?);
-    let answer = attempt::send(executor, address, req, PATIENCE, || {}).await.ok()?;
+    let answer = attempt::send(executor, address, req, PATIENCE, |_| {}).await.ok()?;
     let status = answer.head.status;
     // The body says how much is free, which is old by the next order.
     let _: Option<Bytes> = answer.collect(PATIENCE).await.ok();
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -63,7 +63,11 @@
         }
         self.parts.metrics.sent();
         let group = self.group.clone();
-        let sending = || lock(&group.arranger).sent(placement.job);
+        let sending = |took| {
+            let mut arranger = lock(&group.arranger);
+            arranger.connected(&placement.endpoint, took);
+            arranger.sent(placement.job);
+        };
         match attempt::send(&self.parts.executor, address, req, self.left(), sending).await {
             Ok(upstream) => self.judge(Live { upstream, run, _memory: memory }).await,
             Err(AttemptError::NotSent { is_refused }) => {
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -7,9 +7,7 @@
 };
 
 use indexmap::IndexMap;
-use policy::{
-    DataCentre, EndpointGroup, EndpointId, arrange::Member, roster::Roster, vouch::Position,
-};
+use policy::{EndpointGroup, EndpointId, arrange::Member, roster::Roster, vouch::Position};
 
 use super::Contact;
 use crate::{
@@ -35,16 +33,10 @@
 /// Time between two readings while what an outage left is kept.
 const SETTLING_PERIOD: Duration = Duration::from_millis(200);
 
-/// One-way delay to an endpoint in the same data centre, and in another one. A few hundredths of a
-/// short question's goal; the order of magnitude is all that placement needs.
-const NEAR: Duration = Duration::from_micros(200);
-const FAR: Duration = Duration::from_micros(1_400);
-
 /// The endpoints, as a peer or the log knows them.
 pub struct Follower<S> {
     source: S,
     groups: Arc<Groups>,
-    here: DataCentre,
     clock: Clock,
     /// Within this a leaving endpoint gets nothing new any more.
     leave: Duration,
@@ -55,11 +47,10 @@
 }
 
 impl<S: EndpointSource> Follower<S> {
-    /// Follows `source` for an instance that stands `here`.
+    /// Follows `source`.
     pub fn new(
         source: S,
         groups: Arc<Groups>,
-        here: DataCentre,
         clock: Clock,
         leave: Duration,
         vouching: Arc<Vouching>,
@@ -68,7 +59,6 @@
         Follower {
             source,
             groups,
-            here,
             clock,
             leave,
             contact: Contact::new(Source::Endpoints, vouching.clone(), snapshots),
@@ -239,7 +229,7 @@
 
     fn update(&mut self) {
         if self.roster.read(&self.found, self.clock.now()) {
-            update(&self.groups, self.roster.entries(), &self.here, self.clock);
+            update(&self.groups, self.roster.entries(), self.clock);
         }
     }
 }
@@ -269,12 +259,7 @@
     }
 }
 
-fn update(
-    groups: &Groups,
-    entries: &IndexMap<EndpointId, EndpointEntry>,
-    here: &DataCentre,
-    clock: Clock,
-) {
+fn update(groups: &Groups, entries: &IndexMap<EndpointId, EndpointEntry>, clock: Clock) {
     let mut by_group: IndexMap<EndpointGroup, Vec<&EndpointEntry>> = IndexMap::new();
     for entry in entries.values() {
         by_group.entry(entry.group.clone()).or_default().push(entry);
@@ -284,11 +269,11 @@
         by_group.entry(group.name.clone()).or_default();
     }
     for (name, entries) in by_group {
-        update_group(&groups.get_or_add(&name), &entries, here, clock);
+        update_group(&groups.get_or_add(&name), &entries, clock);
     }
 }
 
-fn update_group(group: &Group, entries: &[&EndpointEntry], here: &DataCentre, clock: Clock) {
+fn update_group(group: &Group, entries: &[&EndpointEntry], clock: Clock) {
     let addresses = entries.iter().map(|entry| (entry.id.clone(), entry.address)).collect();
     let mut known = group.addresses.write().unwrap_or_else(PoisonError::into_inner);
     log_changes(group, &known, entries);
@@ -298,7 +283,6 @@
         endpoint: entry.id.clone(),
         incarnation: entry.incarnation,
         slots: entry.slots,
-        distance: if entry.data_centre == *here { NEAR } else { FAR },
         leaving: entry.leaving,
     });
     lock(&group.arranger).set_members(members.collect(), clock.now());
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -181,11 +181,9 @@
             snapshots.clone(),
         );
         spawn.spawn(followed.run()).detach();
-        let here = settings.data_centre.clone();
         let followed = follow::EndpointsFollower::new(
             sources.endpoints,
             groups,
-            here,
             clock,
             bounds.leave,
             vouching,
