--- a/crates/daemon/src/settings/routing.rs
+++ b/crates/daemon/src/settings/routing.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use policy::config::{Findings, SETTINGS, fields::Fields, tree::Node};
+use policy::{
+    arrange::PlacementRules,
+    config::{Findings, SETTINGS, fields::Fields, tree::Node},
+};
 use router::settings::Bounds;
 use serde::{Deserialize, Serialize};
 
@@ -31,6 +34,9 @@
     pub retry_window_ms: u64,
     /// Repeats in a window that are free, over all instances.
     pub retry_slack: f64,
+    /// How places are chosen.
+    #[serde(default)]
+    pub placement: PlacementRules,
 }
 
 impl RoutingSettings {
@@ -47,6 +53,7 @@
         let retry_window_ms = millis("retry_window_ms", RETRY_WINDOW_MS);
         let retry_share = fields.optional("retry_share", "a number", findings);
         let retry_slack = fields.optional("retry_slack", "a number", findings);
+        let placement = read_placement(&mut fields, findings);
         fields.close(findings);
         Some(RoutingSettings {
             log_service: log_service?,
@@ -57,6 +64,7 @@
             retry_share: retry_share.unwrap_or(RETRY_SHARE),
             retry_window_ms,
             retry_slack: retry_slack.unwrap_or(RETRY_SLACK),
+            placement,
         })
     }
 
@@ -73,6 +81,16 @@
     }
 }
 
+fn read_placement(fields: &mut Fields<'_>, findings: &mut Findings) -> PlacementRules {
+    let read: Option<PlacementRules> = fields.optional("placement", "rules of placement", findings);
+    let rules = read.unwrap_or_default();
+    if let Some(name) = rules.wrong() {
+        let path = fields.path(&format!("placement.{name}"));
+        findings.push(fields.place_of("placement"), &path, "expected a larger number");
+    }
+    rules
+}
+
 impl Settings {
     /// The same for the router, where these settings are for one.
     pub fn router(&self, routing: &RoutingSettings) -> router::Settings {
@@ -85,6 +103,7 @@
             metrics_listen: self.admin_listen,
             threads: self.threads.unwrap_or(1),
             bounds: routing.bounds(),
+            placement: routing.placement,
         }
     }
 }
--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -7,7 +7,7 @@
 use crate::{Time, health, quarantine::Standing, routes::EngineRules};
 
 use super::{
-    Arranger, Ask, Helper, JobId, Placement, PlacementRules,
+    Arranger, Ask, Choice, Helper, JobId, Placement, PlacementRules,
     ask::Job,
     reading::{Part, PartKey, Pass, Read},
     rules::LONG_RANK,
@@ -76,6 +76,9 @@
         spread: usize,
         now: Time,
     ) -> Option<Chosen> {
+        if self.placement.choice != Choice::Weighed {
+            return self.choose_naively(ask, now);
+        }
         let read_ms = rules.read_ms(ask.prompt);
         let short_ms = self.short_ms();
         let base = Chosen {
@@ -99,6 +102,26 @@
         self.split(rules, ask, base, read_ms, now)
     }
 
+    /// The choice of the baselines.
+    fn choose_naively(&self, ask: &Ask, now: Time) -> Option<Chosen> {
+        let next = usize::try_from(self.next_job).unwrap_or_default() % self.servers.len().max(1);
+        let turn = |index: usize| (index + self.servers.len() - next) % self.servers.len();
+        let running = |server: &Server| match self.placement.choice {
+            Choice::LeastOutstanding => server.running(),
+            Choice::RoundRobin | Choice::Weighed => 0,
+        };
+        let least =
+            self.candidates(ask, now).min_by_key(|(index, server)| (running(server), turn(*index)));
+        let (index, _) = least?;
+        Some(Chosen {
+            servers: vec![index],
+            weight: 1.0,
+            memory: ask.prompt + ask.output,
+            rank: ask.priority.min(LOWEST_RANK),
+            ..Chosen::default()
+        })
+    }
+
     /// An engine for a short prompt: the least costly one, or the one that comes after `spread` others,
     /// unless going there costs more than the request's being late.
     fn gather(
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -38,7 +38,7 @@
 
 pub use ask::{Ask, Helper, Job, JobId, Placement, Refused};
 pub use reading::PartKey;
-pub use rules::PlacementRules;
+pub use rules::{Choice, PlacementRules};
 pub use told::{Level, Told, ToldPart, period};
 pub use writers::Writers;
 
--- a/crates/policy/src/arrange/rules.rs
+++ b/crates/policy/src/arrange/rules.rs
@@ -2,11 +2,26 @@
 
 use serde::{Deserialize, Serialize};
 
+/// How an engine is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Choice {
+    /// By what callers lose.
+    #[default]
+    Weighed,
+    /// Where the fewest requests run, as a baseline. Nothing is split, held or refused.
+    LeastOutstanding,
+    /// One after the other, as a baseline. Nothing is split, held or refused.
+    RoundRobin,
+}
+
 /// How places are weighed. The defaults are in force everywhere; `trefoilhall experiment` plays others
 /// (docs/decisions/arrangement.md). A weight is the loss of one short prompt's being late.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlacementRules {
+    /// How an engine is chosen; the other figures are for [`Choice::Weighed`].
+    pub choice: Choice,
     /// Milliseconds of reading that weigh one.
     pub unit_ms: f64,
     /// How weight grows with a prompt's reading time: less than in proportion, as a long prompt is one
@@ -76,6 +91,7 @@
 impl Default for PlacementRules {
     fn default() -> PlacementRules {
         PlacementRules {
+            choice: Choice::Weighed,
             unit_ms: 20.0,
             weight_power: 0.57,
             ramp_from: 0.75,
@@ -109,6 +125,34 @@
 pub(super) const LONG_RANK: u8 = 5;
 
 impl PlacementRules {
+    /// The name of a figure that makes no sense, if there is one.
+    pub fn wrong(&self) -> Option<&'static str> {
+        let positive = [("unit_ms", self.unit_ms), ("idle_factor", self.idle_factor)];
+        let others = [
+            ("weight_power", self.weight_power),
+            ("ramp_from", self.ramp_from),
+            ("per_bound", self.per_bound),
+            ("per_longer_pause", self.per_longer_pause),
+            ("slot_waits", self.slot_waits),
+            ("apart", self.apart),
+            ("most_apart", self.most_apart),
+            ("least_long_share", self.least_long_share),
+            ("heard_ms", self.heard_ms),
+            ("short_share", self.short_share),
+            ("middle_ms", self.middle_ms),
+            ("short_bound", self.short_bound),
+            ("middle_bound", self.middle_bound),
+            ("long_bound", self.long_bound),
+            ("idle_slack_ms", self.idle_slack_ms),
+            ("most_harm", self.most_harm),
+            ("collision_ms", self.collision_ms),
+        ];
+        let too_small = |(name, value): &(&'static str, f64)| (*value < 0.0).then_some(*name);
+        let not_positive = positive.iter().find(|(_, value)| *value <= 0.0).map(|(name, _)| *name);
+        let ramp = (self.ramp_to <= self.ramp_from).then_some("ramp_to");
+        not_positive.or(others.iter().find_map(too_small)).or(ramp)
+    }
+
     /// A prompt's rank on an engine: what is read soonest goes first, which delays the others least.
     pub(super) fn rank(&self, read_ms: f64, short_ms: f64) -> u8 {
         match read_ms {
--- a/crates/policy/src/config/fields.rs
+++ b/crates/policy/src/config/fields.rs
@@ -150,6 +150,7 @@
         Err(e) => {
             let message = match &node.value {
                 Value::Text(text) => format!("expected {expected}, found {text:?}: {e}"),
+                Value::Object(_) => format!("expected {expected}: {e}"),
                 Value::Number(number) => format!("expected {expected}, found {number}"),
                 _ => format!("expected {expected}, found {}", node.kind()),
             };
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -9,7 +9,7 @@
 use engines::engine;
 use policy::{
     EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
-    arrange::{Arranger, Ask, JobId, Member, Placement, Refused, Told},
+    arrange::{Arranger, Ask, Choice, JobId, Member, Placement, PlacementRules, Refused, Told},
 };
 
 fn id(index: usize) -> EndpointId {
@@ -507,3 +507,41 @@
     assert!(on_time > 9 * late, "{on_time} on time, {late} late, {refused} refused");
     assert!(on_time * 10 > 9 * 16_000 / HELD_MS * slots, "slots stay empty: {on_time} on time");
 }
+
+macro_rules! baselines {
+    ($($case:ident: $choice:expr => $counts:expr;)*) => {$(
+        #[test]
+        fn $case() {
+            let rules = PlacementRules { choice: $choice, ..PlacementRules::default() };
+            let mut arranger = Arranger::with_rules(rules, 7);
+            arranger.set_rules(Some(engine()));
+            arranger.set_members((0..3).map(|i| member(i, false)).collect(), Time::ZERO);
+            let mut counts = [0; 3];
+            for i in 0..6 {
+                let placed = place(&mut arranger, if i == 0 { DOSSIER } else { QUESTION }, at(i));
+                assert!(placed.helpers.is_empty() && placed.hold.is_zero(), "{placed:?}");
+                let index = (0..3).find(|index| id(*index) == placed.endpoint).unwrap();
+                counts[index] += 1;
+                // All but the first engine answer at once.
+                if index > 0 {
+                    arranger.ended(placed.job, None, at(i));
+                }
+            }
+            assert_eq!(counts, $counts);
+        }
+    )*};
+}
+
+baselines! {
+    round_robin_takes_turns: Choice::RoundRobin => [2, 2, 2];
+    least_outstanding_avoids_the_busy: Choice::LeastOutstanding => [1, 3, 2];
+}
+
+#[test]
+fn rules_that_make_no_sense_are_named() {
+    let default = PlacementRules::default();
+    assert_eq!(default.wrong(), None);
+    assert_eq!(PlacementRules { unit_ms: 0.0, ..default }.wrong(), Some("unit_ms"));
+    assert_eq!(PlacementRules { apart: -1.0, ..default }.wrong(), Some("apart"));
+    assert_eq!(PlacementRules { ramp_to: 0.5, ..default }.wrong(), Some("ramp_to"));
+}
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -98,7 +98,7 @@
         let incarnation = clock::incarnation();
         let dialect = Arc::new(dialect);
         let configuration = Arc::new(Configuration::default());
-        let groups = Arc::new(Groups::default());
+        let groups = Arc::new(Groups::new(settings.placement));
         let lifecycle = Arc::new(Lifecycle::default());
         let instances = Arc::new(AtomicUsize::new(1));
         let bind = |address| move |e| StartError::Bind(address, e);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use policy::{DataCentre, InstanceId, retry::RetryRules};
+use policy::{DataCentre, InstanceId, arrange::PlacementRules, retry::RetryRules};
 
 /// Settings of one instance.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,6 +23,8 @@
     pub threads: usize,
     /// Bounds that the operators set.
     pub bounds: Bounds,
+    /// How places are chosen.
+    pub placement: PlacementRules,
 }
 
 /// Bounds that the operators set; all of them are times.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -12,7 +12,7 @@
 use indexmap::IndexMap;
 use policy::{
     EndpointGroup, EndpointId, GroupTag, Time,
-    arrange::Arranger,
+    arrange::{Arranger, PlacementRules},
     retry::{RetryRules, RetryWindow},
     routes::RouteTable,
 };
@@ -166,11 +166,11 @@
 
 impl Group {
     /// A group without endpoints.
-    pub fn new(name: EndpointGroup, seed: u64) -> Group {
+    pub fn new(name: EndpointGroup, placement: PlacementRules, seed: u64) -> Group {
         Group {
             tag: GroupTag::from(&name),
             name,
-            arranger: Mutex::new(Arranger::new(seed)),
+            arranger: Mutex::new(Arranger::with_rules(placement, seed)),
             addresses: RwLock::default(),
             retries: Mutex::default(),
         }
@@ -203,10 +203,16 @@
 /// All endpoint groups.
 #[derive(Debug, Default)]
 pub struct Groups {
+    placement: PlacementRules,
     groups: RwLock<IndexMap<EndpointGroup, Arc<Group>>>,
 }
 
 impl Groups {
+    /// No group yet; requests of all will be placed by these rules.
+    pub fn new(placement: PlacementRules) -> Groups {
+        Groups { placement, groups: RwLock::default() }
+    }
+
     /// A group, if any endpoint or route ever named it.
     pub fn get(&self, name: &EndpointGroup) -> Option<Arc<Group>> {
         self.groups.read().unwrap_or_else(PoisonError::into_inner).get(name).cloned()
@@ -224,7 +230,7 @@
             return group;
         }
         let mut groups = self.groups.write().unwrap_or_else(PoisonError::into_inner);
-        let made = || Arc::new(Group::new(name.clone(), fastrand::u64(..)));
+        let made = || Arc::new(Group::new(name.clone(), self.placement, fastrand::u64(..)));
         groups.entry(name.clone()).or_insert_with(made).clone()
     }
 
