Tell changed levels with each word; price first events as late from 0.6 of their goal

An end on an engine was told with the next level, 0.75 s later with 118 instances, though the teller sent words about other engines meanwhile.

Predictions of first events err by more than those of pauses, which shared a ramp from 0.75 of the bound.

--- a/crates/policy/src/arrange/rules.rs
+++ b/crates/policy/src/arrange/rules.rs
@@ -32,6 +32,9 @@
     pub ramp_from: f64,
     /// See `ramp_from`.
     pub ramp_to: f64,
+    /// The same as `ramp_from` for first events, whose predictions err by more than those of pauses: prompts that
+    /// others place meanwhile come before them.
+    pub first_from: f64,
     /// What each further bound's length of lateness adds, in weights, so that of two late places the
     /// earlier one is taken.
     pub per_bound: f64,
@@ -96,6 +99,7 @@
             weight_power: 0.57,
             ramp_from: 0.75,
             ramp_to: 1.1,
+            first_from: 0.6,
             per_bound: 0.1,
             per_longer_pause: 0.05,
             slot_waits: 2.0,
@@ -131,6 +135,7 @@
         let others = [
             ("weight_power", self.weight_power),
             ("ramp_from", self.ramp_from),
+            ("first_from", self.first_from),
             ("per_bound", self.per_bound),
             ("per_longer_pause", self.per_longer_pause),
             ("slot_waits", self.slot_waits),
@@ -149,7 +154,7 @@
         ];
         let too_small = |(name, value): &(&'static str, f64)| (*value < 0.0).then_some(*name);
         let not_positive = positive.iter().find(|(_, value)| *value <= 0.0).map(|(name, _)| *name);
-        let ramp = (self.ramp_to <= self.ramp_from).then_some("ramp_to");
+        let ramp = (self.ramp_to <= self.ramp_from.max(self.first_from)).then_some("ramp_to");
         not_positive.or(others.iter().find_map(too_small)).or(ramp)
     }
 
@@ -178,15 +183,15 @@
         (read_ms / self.unit_ms).max(0.2).powf(self.weight_power)
     }
 
-    /// The chance to miss `bound_ms` with `expected_ms`, from 0 to 1.
-    pub(super) fn miss(&self, expected_ms: f64, bound_ms: f64) -> f64 {
-        let part = expected_ms / bound_ms.max(1.0);
-        ((part - self.ramp_from) / (self.ramp_to - self.ramp_from)).clamp(0.0, 1.0)
+    /// The chance that a pause of `expected_ms` is longer than `bears_ms`, from 0 to 1.
+    pub(super) fn miss(&self, expected_ms: f64, bears_ms: f64) -> f64 {
+        ramp(expected_ms / bears_ms.max(1.0), self.ramp_from, self.ramp_to)
     }
 
-    /// The same, and a little for each millisecond.
-    pub(super) fn lateness(&self, expected_ms: f64, bound_ms: f64) -> f64 {
-        self.miss(expected_ms, bound_ms) + self.per_bound * expected_ms / bound_ms.max(1.0)
+    /// The chance that a first event comes later than `goal_ms`, and a little for each millisecond.
+    pub(super) fn lateness(&self, expected_ms: f64, goal_ms: f64) -> f64 {
+        let part = expected_ms / goal_ms.max(1.0);
+        ramp(part, self.first_from, self.ramp_to) + self.per_bound * part
     }
 
     /// What those who write lose by a pass that takes `pass_ms` where they bear `bears_ms`.
@@ -194,3 +199,8 @@
         self.miss(pass_ms, bears_ms) + self.per_longer_pause * pass_ms / bears_ms.max(1.0)
     }
 }
+
+/// Rises from 0 to 1 between two values.
+fn ramp(value: f64, from: f64, to: f64) -> f64 {
+    ((value - from) / (to - from)).clamp(0.0, 1.0)
+}
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -126,11 +126,15 @@
 /// reading that others would run into.
 pub(super) fn tell(servers: &mut IndexMap<EndpointId, Server>, is_due: bool) -> Vec<Told> {
     let mut news = Vec::new();
+    let placed_ms =
+        |server: &Server| server.untold.iter().map(|part| f64::from(part.ms)).sum::<f64>();
+    let is_due = is_due || servers.values().any(|server| placed_ms(server) >= AT_ONCE_MS);
+    if !is_due {
+        return news;
+    }
     for (endpoint, server) in servers {
         let has_parts = !server.untold.is_empty() || !server.untold_gone.is_empty();
-        let changed = has_parts || server.own != server.told || server.untold_failure;
-        let placed_ms: f64 = server.untold.iter().map(|part| f64::from(part.ms)).sum();
-        if !changed || !is_due && placed_ms < AT_ONCE_MS {
+        if !has_parts && server.own == server.told && !server.untold_failure {
             continue;
         }
         server.told = server.own;
