Have no engine read parts for more others than it has slots

The platform's page says that an engine which helps as many others as it has slots (ten there) refuses; placement counted slots for writers only.

Now each part counts until its request is expected to have been read, and an engine that has slots less one such parts isn't taken for another.

--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -91,6 +91,12 @@
         self.activity.is_none()
     }
 
+    /// Whether it reads parts for as many others as it has slots, and refuses one more.
+    pub fn helps_enough(&self) -> bool {
+        let helping = self.parts.iter().filter(|part| !part.is_head).count();
+        helping >= self.rules.slots as usize
+    }
+
     /// A part arrives.
     pub fn arrive(&mut self, part: Part) {
         if !part.is_head {
--- a/crates/emulator/src/play.rs
+++ b/crates/emulator/src/play.rs
@@ -342,6 +342,9 @@
             let stall_ms = if part.is_head { 0.0 } else { STALL_MS };
             return self.after(stall_ms, Event::Break(part.run, engine));
         }
+        if !part.is_head && self.engines[engine].helps_enough() {
+            return self.after(WAY_MS, Event::Break(part.run, engine));
+        }
         self.engines[engine].arrive(part);
         self.wake(engine);
     }
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -20,6 +20,7 @@
 mod ask;
 mod choose;
 mod decaying;
+mod helping;
 mod herd;
 mod pauses;
 mod reading;
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -24,6 +24,7 @@
 use super::{
     Member, PlacementRules,
     ask::Job,
+    helping::Helping,
     herd::average,
     reading::{Part, PartKey, Pass, Read, Reading, Tempo},
     told::{Level, ToldPart},
@@ -45,6 +46,7 @@
 pub(super) struct Server {
     pub(super) member: Member,
     reading: Reading,
+    helping: Helping,
     pub(super) own: Level,
     peers: IndexMap<InstanceId, Level>,
     /// What `own` and `peers` make together.
@@ -92,6 +94,7 @@
         Server {
             member,
             reading: Reading::new(millis(now)),
+            helping: Helping::default(),
             own: Level::default(),
             peers: IndexMap::new(),
             all: Total::default(),
@@ -185,6 +188,11 @@
         self.all.running
     }
 
+    /// Requests for which it will read parts then, in milliseconds of the instance's clock.
+    pub(super) fn helping(&self, at: f64) -> usize {
+        self.helping.count(at)
+    }
+
     /// Tokens of memory in use.
     pub(super) fn memory(&self) -> u64 {
         self.all.memory
@@ -198,12 +206,14 @@
 
     /// Notes a part placed there by anybody.
     pub(super) fn read(&mut self, rules: &EngineRules, part: Part, now: Time) {
+        self.helping.note(&part, millis(now));
         self.reading.advance(self.tempo(rules), millis(now));
         self.reading.add(Part { ms: part.ms * self.pace, ..part });
     }
 
     /// A part waits no more; true where it was thought to.
     pub(super) fn unread(&mut self, key: PartKey, now: Time) -> bool {
+        self.helping.over(key);
         self.reading.take_back(key, millis(now))
     }
 
--- a/crates/policy/src/arrange/split.rs
+++ b/crates/policy/src/arrange/split.rs
@@ -93,6 +93,9 @@
             for hold_ms in holds {
                 let tried = Chosen { part_ms: read_ms / parts as f64, hold_ms, ..base.clone() };
                 let sorted = self.sorted(rules, ask, &engines, parts, &tried, now);
+                if sorted.len() < parts {
+                    continue;
+                }
                 for parts in self.ways(rules, ask, &sorted, parts, &tried) {
                     let Some((total, chosen)) = self.try_split(rules, ask, parts, &tried) else {
                         continue;
@@ -106,7 +109,7 @@
         best.map(|(_, chosen)| chosen)
     }
 
-    /// All engines, the cheapest for a part of this size first.
+    /// All engines that may read a part of this size, the cheapest first.
     fn sorted(
         &self,
         rules: &EngineRules,
@@ -116,8 +119,12 @@
         tried: &Chosen,
         now: Time,
     ) -> Vec<Candidate> {
+        let most_helped = rules.slots.saturating_sub(self.placement.slots_left) as usize;
+        let arrives = millis(now) + tried.hold_ms;
+        let may_help = |engine: &&Engine<'_>| engine.server.helping(arrives) < most_helped;
+        let may_read = engines.iter().filter(|engine| parts == 1 || may_help(engine));
         let candidates =
-            engines.iter().map(|engine| self.candidate(rules, engine, parts, tried, ask, now));
+            may_read.map(|engine| self.candidate(rules, engine, parts, tried, ask, now));
         let mut sorted: Vec<Candidate> = candidates.collect();
         sorted.sort_by(|a, b| a.key.total_cmp(&b.key));
         sorted
--- /dev/null
+++ b/crates/policy/tests/helpers.rs
@@ -0,0 +1,71 @@
+//! Engines refuse to read parts for more others than they have slots.
+
+#![allow(clippy::unwrap_used)]
+
+mod engines;
+
+use std::collections::BTreeMap;
+
+use engines::engine;
+use policy::{
+    EndpointId, Fingerprint, Incarnation, InstanceId, Time,
+    arrange::{Arranger, Ask, Member},
+};
+
+const ENGINES: usize = 12;
+
+fn arranger(seed: u64) -> Arranger {
+    let mut arranger = Arranger::new(seed);
+    arranger.set_rules(Some(engine()));
+    let members = (0..ENGINES).map(|index| Member {
+        endpoint: EndpointId::new(&format!("i-{index}")).unwrap(),
+        incarnation: Incarnation(1),
+        slots: engine().slots,
+        leaving: false,
+    });
+    arranger.set_members(members.collect(), Time::ZERO);
+    arranger
+}
+
+fn summary(index: u64) -> Ask {
+    Ask {
+        prompt: 60_000,
+        output: 1_000,
+        goal_ms: 6_000.0,
+        pause_ms: 500.0,
+        left_ms: 10_000.0,
+        priority: 1,
+        fingerprint: Fingerprint(u128::from(index)),
+        is_beside: false,
+        tried: Vec::new(),
+    }
+}
+
+/// Summaries come at once on two instances. Guards against requests that are refused because one of
+/// their engines helps too many others.
+#[test]
+fn no_engine_helps_more_others_than_it_has_slots() {
+    let (mut one, mut two) = (arranger(1), arranger(2));
+    let names = ["one", "two"].map(|name| InstanceId::new(name).unwrap());
+    let mut helping: BTreeMap<EndpointId, u32> = BTreeMap::new();
+    let mut placed = 0;
+    for index in 0..120 {
+        let now = Time(index * 100);
+        let (here, there, name) = match index % 2 {
+            0 => (&mut one, &mut two, &names[0]),
+            _ => (&mut two, &mut one, &names[1]),
+        };
+        let Ok(placement) = here.place(&summary(index), now) else { continue };
+        there.hear(name, &here.tell(false), now);
+        placed += 1;
+        // What is held is sent only when its engines have read the others' parts.
+        if placement.hold.as_millis() < 20 {
+            for helper in &placement.helpers {
+                *helping.entry(helper.endpoint.clone()).or_default() += 1;
+            }
+        }
+    }
+    let most = helping.values().max().unwrap();
+    assert!(*most <= engine().slots, "{most} of {}: {helping:?}", engine().slots);
+    assert!(placed >= 60, "{placed} of 120 placed");
+}
