--- a/crates/policy/src/arrange/helping.rs
+++ b/crates/policy/src/arrange/helping.rs
@@ -5,10 +5,14 @@
 //! **Without it.** An engine that reads parts for as many others as it has slots refuses one more, and with it the
 //! whole request, of which the other parts are read for nothing. Its next attempt meets the next such engine.
 //!
-//! **Rule.** A part counts from its arrival until all parts of its request are expected to have been read.
+//! **Rule.** A part counts until the first event of its request, of which its instance tells the others. Where that word is
+//! lost, it counts for some time beyond what was foretold.
 
 use super::reading::{Part, PartKey};
 
+/// Milliseconds beyond twice what was foretold after which a peer's part counts no more.
+const LOST_AFTER_MS: f64 = 1_000.0;
+
 #[derive(Debug, Default)]
 pub(super) struct Helping(Vec<Help>);
 
@@ -20,17 +24,27 @@
 }
 
 impl Helping {
-    /// Notes a part that was placed by anybody.
-    pub(super) fn note(&mut self, part: &Part, now: f64) {
+    /// Notes a part of this instance's own, which counts until [`Self::over`].
+    pub(super) fn note_own(&mut self, part: &Part) {
+        if part.overtakes && !part.is_head {
+            self.0.push(Help { key: part.key, until: f64::INFINITY });
+        }
+    }
+
+    /// Notes a peer's part.
+    pub(super) fn note_told(&mut self, part: &Part, now: f64) {
         self.0.retain(|help| help.until > now);
         if part.overtakes && !part.is_head {
-            self.0.push(Help { key: part.key, until: part.ready.max(part.arrives + part.ms) });
+            let until = part.ready + (part.ready - part.arrives).max(part.ms) + LOST_AFTER_MS;
+            self.0.push(Help { key: part.key, until });
         }
     }
 
-    /// A request's part is wanted no more, or has been read.
-    pub(super) fn over(&mut self, key: PartKey) {
+    /// A request's first event came, or it is over; true where it counted.
+    pub(super) fn over(&mut self, key: PartKey) -> bool {
+        let before = self.0.len();
         self.0.retain(|help| help.key != key);
+        self.0.len() < before
     }
 
     /// How many are helped at a time.
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -204,17 +204,21 @@
         each.map(|(bears, weight)| weight * placement.disturbance(pass_ms, bears)).sum()
     }
 
-    /// Notes a part placed there by anybody.
-    pub(super) fn read(&mut self, rules: &EngineRules, part: Part, now: Time) {
-        self.helping.note(&part, millis(now));
+    /// Notes a part that a peer placed there.
+    pub(super) fn read_told(&mut self, rules: &EngineRules, part: Part, now: Time) {
+        self.helping.note_told(&part, millis(now));
+        self.read(rules, part, now);
+    }
+
+    fn read(&mut self, rules: &EngineRules, part: Part, now: Time) {
         self.reading.advance(self.tempo(rules), millis(now));
         self.reading.add(Part { ms: part.ms * self.pace, ..part });
     }
 
-    /// A part waits no more; true where it was thought to.
+    /// A part waits no more, and its request isn't helped any more; true where either was thought.
     pub(super) fn unread(&mut self, key: PartKey, now: Time) -> bool {
-        self.helping.over(key);
-        self.reading.take_back(key, millis(now))
+        let was_helped = self.helping.over(key);
+        self.reading.take_back(key, millis(now)) || was_helped
     }
 
     /// The same for a part of this instance's own, of which the others have to hear.
@@ -238,6 +242,7 @@
     ) {
         if let Some(rules) = rules {
             let part = job.part(self.way_ms(), is_head);
+            self.helping.note_own(&part);
             self.read(rules, part, now);
             self.untold.push(ToldPart::of(&part, now));
         }
--- a/crates/policy/tests/helpers.rs
+++ b/crates/policy/tests/helpers.rs
@@ -69,3 +69,39 @@
     assert!(*most <= engine().slots, "{most} of {}: {helping:?}", engine().slots);
     assert!(placed >= 60, "{placed} of 120 placed");
 }
+
+/// Guards against a part that counts as read because its time is over: engines count it until the
+/// request's first event.
+#[test]
+fn a_late_prompt_counts_until_its_first_event() {
+    let (mut one, mut two) = (arranger(1), arranger(2));
+    let name = InstanceId::new("one").unwrap();
+    let mut helping: BTreeMap<EndpointId, u32> = BTreeMap::new();
+    let (mut jobs, mut foretold_ms) = (Vec::new(), 0);
+    for index in 0..200 {
+        let Ok(placement) = one.place(&summary(index), Time(index)) else { continue };
+        for helper in placement.helpers {
+            *helping.entry(helper.endpoint).or_default() += 1;
+        }
+        foretold_ms = foretold_ms.max(placement.predicted_ms as u64);
+        jobs.push(placement.job);
+    }
+    two.hear(&name, &one.tell(false), Time(200));
+    let mut full = helping.into_iter().filter(|(_, count)| *count >= engine().slots - 1);
+    let (full, _) = full.next().expect("an engine helps as many as it may");
+    let late = Time::from_millis(foretold_ms + 100);
+    let takes_full = |two: &mut Arranger| {
+        // A prompt that all engines are needed for.
+        let dossier = Ask { prompt: 300_000, goal_ms: 9_000.0, ..summary(900) };
+        let placement = two.place(&dossier, late).unwrap();
+        two.ended(placement.job, None, late);
+        placement.endpoint == full || placement.helpers.iter().any(|h| h.endpoint == full)
+    };
+    assert!(!takes_full(&mut two), "{full} refuses");
+    for job in jobs {
+        one.began(job, late);
+        one.ended(job, None, late);
+    }
+    two.hear(&name, &one.tell(true), late);
+    assert!(takes_full(&mut two), "{full} is free again");
+}
