--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -211,8 +211,8 @@
     /// What writing on this engine costs in weights because it will be wanted for a part of a long prompt:
     /// nearly nothing where others write already.
     pub(super) fn alone(&self, apart: f64, server: &Server) -> f64 {
-        (apart / (1.0 + server.writers(|pause_ms| self.pauses.is_below_longest(pause_ms))))
-            .min(self.placement.most_apart)
+        let gathered = server.writers(|pause_ms| self.pauses.is_below_longest(pause_ms));
+        (apart / (1.0 + gathered)).min(self.placement.most_apart)
     }
 
     /// Milliseconds until a first event comes, if a part is read as foretold.
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -122,8 +122,8 @@
     pub answered: bool,
 }
 
-/// News of all endpoints about which there is any; where levels aren't due, only of those with
-/// reading that others would run into.
+/// News of all endpoints about which there is any; where levels aren't due, only if others would run into
+/// reading on some of them.
 pub(super) fn tell(servers: &mut IndexMap<EndpointId, Server>, is_due: bool) -> Vec<Told> {
     let mut news = Vec::new();
     let placed_ms =
