--- a/crates/policy/src/arrange/helping.rs
+++ b/crates/policy/src/arrange/helping.rs
@@ -10,7 +10,7 @@
 
 use super::reading::{Part, PartKey};
 
-/// Milliseconds beyond twice what was foretold after which a peer's part counts no more.
+/// Milliseconds beyond twice what was foretold after which a part counts no more.
 const LOST_AFTER_MS: f64 = 1_000.0;
 
 #[derive(Debug, Default)]
@@ -24,15 +24,8 @@
 }
 
 impl Helping {
-    /// Notes a part of this instance's own, which counts until [`Self::over`].
-    pub(super) fn note_own(&mut self, part: &Part) {
-        if part.overtakes && !part.is_head {
-            self.0.push(Help { key: part.key, until: f64::INFINITY });
-        }
-    }
-
-    /// Notes a peer's part.
-    pub(super) fn note_told(&mut self, part: &Part, now: f64) {
+    /// Notes a part that anybody placed there.
+    pub(super) fn note(&mut self, part: &Part, now: f64) {
         self.0.retain(|help| help.until > now);
         if part.overtakes && !part.is_head {
             let until = part.ready + (part.ready - part.arrives).max(part.ms) + LOST_AFTER_MS;
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -204,13 +204,9 @@
         each.map(|(bears, weight)| weight * placement.disturbance(pass_ms, bears)).sum()
     }
 
-    /// Notes a part that a peer placed there.
-    pub(super) fn read_told(&mut self, rules: &EngineRules, part: Part, now: Time) {
-        self.helping.note_told(&part, millis(now));
-        self.read(rules, part, now);
-    }
-
-    fn read(&mut self, rules: &EngineRules, part: Part, now: Time) {
+    /// Notes a part that anybody placed there.
+    pub(super) fn read(&mut self, rules: &EngineRules, part: Part, now: Time) {
+        self.helping.note(&part, millis(now));
         self.reading.advance(self.tempo(rules), millis(now));
         self.reading.add(Part { ms: part.ms * self.pace, ..part });
     }
@@ -242,7 +238,6 @@
     ) {
         if let Some(rules) = rules {
             let part = job.part(self.way_ms(), is_head);
-            self.helping.note_own(&part);
             self.read(rules, part, now);
             self.untold.push(ToldPart::of(&part, now));
         }
