--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -44,6 +44,8 @@
     /// Tokens to be reserved on each of the others, in their order.
     pub(super) reserve: Vec<Option<u64>>,
     pub(super) rank: u8,
+    /// Whether a short prompt waits for a slot where it runs.
+    pub(super) queues: Option<bool>,
 }
 
 impl Chosen {
@@ -51,11 +53,17 @@
     /// goes on after a failure has been taken on, and gets whatever time there is: its caller may
     /// have half of the answer. Not so one that is asked beside a slow attempt: under load the
     /// engines would read every long prompt twice.
-    pub(super) fn late_ms(&self, ask: &Ask, placement: &PlacementRules) -> f64 {
+    pub(super) fn late_ms(
+        &self,
+        ask: &Ask,
+        placement: &PlacementRules,
+        is_overloaded: bool,
+    ) -> f64 {
         if !ask.tried.is_empty() && !ask.is_beside {
             return self.predicted_ms - ask.left_ms;
         }
         let part = placement.bound(self.rank);
+        let part = if is_overloaded { part.min(1.0) } else { part };
         let idle_bound = placement.idle_factor * self.idle_ms + placement.idle_slack_ms;
         let bound = if ask.is_beside { idle_bound } else { idle_bound.max(part * ask.goal_ms) };
         self.predicted_ms - bound.min(ask.left_ms)
@@ -94,6 +102,7 @@
             let (index, predicted_ms) = self.gather(rules, ask, &base, spread, now)?;
             return Some(Chosen {
                 servers: vec![index],
+                queues: Some(self.servers[index].running() >= rules.slots),
                 predicted_ms,
                 read_in_ms: predicted_ms,
                 ..base
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -187,7 +187,10 @@
             None => self.choose_plain(ask, now),
         };
         let chosen = chosen.ok_or(Refused::NoEndpoint)?;
-        let late_ms = chosen.late_ms(ask, &self.placement);
+        if let Some(queues) = chosen.queues {
+            self.slots.note(!queues, now);
+        }
+        let late_ms = chosen.late_ms(ask, &self.placement, self.slots.is_overloaded(now));
         if late_ms > 0.0 {
             return Err(Refused::TooLate(Duration::from_secs_f64(late_ms / 1000.0)));
         }
--- a/crates/policy/src/arrange/rules.rs
+++ b/crates/policy/src/arrange/rules.rs
@@ -67,7 +67,8 @@
     /// summary would notice.
     pub middle_ms: f64,
     /// The part of its goal within which a short prompt's first event has to be predicted; beyond it the
-    /// request is refused at once. With more, a queue for slots that stands makes every answer late.
+    /// request is refused at once. A late answer is better than none; where a queue for slots stands, the
+    /// whole goal is the bound.
     pub short_bound: f64,
     /// The same for one of middle length.
     pub middle_bound: f64,
@@ -110,7 +111,7 @@
             heard_ms: 8.0,
             short_share: 0.5,
             middle_ms: 1_000.0,
-            short_bound: 1.5,
+            short_bound: 5.0,
             middle_bound: 1.0,
             long_bound: 0.8,
             idle_factor: 1.2,
--- a/crates/policy/src/arrange/slots.rs
+++ b/crates/policy/src/arrange/slots.rs
@@ -1,16 +1,37 @@
-//! How long answers hold their slots, which tells how soon one becomes free.
+//! How long answers hold their slots, and whether requests queue for them.
 //!
 //! **Load pattern.** Questions keep coming faster than engines have slots for their answers.
 //!
-//! **Without it.** A wait is reckoned with one site's figure. Where answers are shorter or engines have more slots,
-//! the queue stands at the longest wait that is accepted, and every answer is late.
+//! **Without it.** Each is taken on although its slot comes too late, so the queue stands at the longest
+//! wait that is accepted, and every answer is late.
+//!
+//! **Rule.** The queue of a burst drains, and a late answer is better than none. Where a good part of the
+//! requests finds no slot free for longer than a burst lasts, what would be late is refused, so that those who are
+//! taken on are on time. The same idea as in Nichols and Jacobson, "Controlling Queue Delay" (2012).
+
+use crate::Time;
+
+use super::{BURST, decaying::Decaying};
 
-/// Answers over which the time is averaged.
+/// Answers over which the time that slots are held is averaged.
 const AVERAGED: f64 = 50.0;
 
-#[derive(Debug, Default)]
+/// Share of the latest requests that found no slot free from which on the queue is taken to stand. At
+/// twice what the slots can bear it is a half.
+const STANDING: f64 = 0.3;
+
+#[derive(Debug)]
 pub(super) struct Slots {
     held_ms: Option<f64>,
+    asked: Decaying,
+    /// Of these, the ones that found no slot free.
+    queued: Decaying,
+}
+
+impl Default for Slots {
+    fn default() -> Slots {
+        Slots { held_ms: None, asked: Decaying::new(BURST), queued: Decaying::new(BURST) }
+    }
 }
 
 impl Slots {
@@ -24,4 +45,15 @@
     pub(super) fn held_ms(&self) -> Option<f64> {
         self.held_ms
     }
+
+    /// Notes whether the best place for a request has a slot free.
+    pub(super) fn note(&mut self, is_free: bool, now: Time) {
+        self.asked.add(1.0, now);
+        self.queued.add(if is_free { 0.0 } else { 1.0 }, now);
+    }
+
+    /// Whether requests queue for longer than a burst lasts.
+    pub(super) fn is_overloaded(&self, now: Time) -> bool {
+        self.queued.read(now) > STANDING * self.asked.read(now).max(1.0)
+    }
 }
