--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -71,8 +71,30 @@
 
 /// Says hello and waits for the other end's.
 pub(super) async fn greet(me: &Hello, streams: &mut Streams) -> Result<Hello, HelloError> {
+    say_hello(me, streams).await?;
+    hear_hello(streams).await
+}
+
+/// Waits for the hello of the end that dialled, and says one unless that is a life which has been
+/// replaced: it would take the link as standing until it learned of its end.
+pub(super) async fn greet_back(
+    shared: &Shared,
+    streams: &mut Streams,
+) -> Result<Hello, HelloError> {
+    let hello = hear_hello(streams).await?;
+    if shared.lock().is_old_life(&hello) {
+        return Err(HelloError::Rejected(Rejected::OldLife));
+    }
+    say_hello(&shared.me, streams).await?;
+    Ok(hello)
+}
+
+async fn say_hello(me: &Hello, streams: &mut Streams) -> Result<(), HelloError> {
     let hello = encode(&Packet::Hello(me.clone())).map_err(FrameError::from)?;
-    streams.writer.send(hello).await?;
+    Ok(streams.writer.send(hello).await?)
+}
+
+async fn hear_hello(streams: &mut Streams) -> Result<Hello, HelloError> {
     match streams.reader.next().await? {
         Some(Packet::Hello(hello)) if hello.protocol == PROTOCOL => Ok(hello),
         Some(Packet::Hello(hello)) => Err(HelloError::Protocol(hello.protocol)),
--- a/crates/daemon/src/peer/listen.rs
+++ b/crates/daemon/src/peer/listen.rs
@@ -77,7 +77,7 @@
     mut streams: Streams,
     permit: Arc<()>,
 ) -> Result<(), HelloError> {
-    let hello = within(link::greet(&shared.me, &mut streams))
+    let hello = within(link::greet_back(shared, &mut streams))
         .await
         .map_err(|late| late.unwrap_or(HelloError::NoHello))?;
     drop(permit);
--- a/crates/daemon/src/peer/state.rs
+++ b/crates/daemon/src/peer/state.rs
@@ -106,7 +106,7 @@
         if &hello.instance == me {
             return Err(Rejected::Myself);
         }
-        if self.members.incarnation(&hello.instance).is_some_and(|i| i > hello.incarnation) {
+        if self.is_old_life(hello) {
             return Err(Rejected::OldLife);
         }
         let Some(link) = self.links.get(&hello.instance) else {
@@ -120,6 +120,11 @@
         Ok(())
     }
 
+    /// Whether a newer life of the instance that said this hello is known.
+    pub(super) fn is_old_life(&self, hello: &Hello) -> bool {
+        self.members.incarnation(&hello.instance).is_some_and(|i| i > hello.incarnation)
+    }
+
     /// Takes note of a life that was met on a link, and says what the instance has to hear.
     pub(super) fn met(&mut self, hello: &Hello, now: Time) -> Vec<PeerEvent> {
         self.members.observe(&hello.instance, hello.incarnation, Evidence::Alive, now);
