Take one running mean, one wait for a slot and one set-up of test sites

Found in the reread of the whole change: - The running mean of slots, of an engine's round trips and of all round trips stood three times; arrange::mean serves them. - Whether a request is being written follows from when its first byte came, so is_writing goes. - The wait for a slot depends on the request alone and was worked out for each engine and number of parts; once a request now. - Choices without weights were built in two places; steps of a weight were a constant in two files. - Pauses are compared as whole milliseconds on both sides.

Tests keep their assertions.

--- a/crates/policy/src/arrange/ask.rs
+++ b/crates/policy/src/arrange/ask.rs
@@ -119,10 +119,8 @@
     pub hold: Duration,
     /// It was handed to the endpoint.
     pub is_sent: bool,
-    /// Its first byte came.
-    pub is_writing: bool,
-    /// When it came.
-    pub(super) began: Time,
+    /// When its first byte came.
+    pub began: Option<Time>,
 }
 
 impl Job {
--- a/crates/policy/src/arrange/choose.rs
+++ b/crates/policy/src/arrange/choose.rs
@@ -37,6 +37,8 @@
     pub(super) weight: f64,
     /// What an engine that nobody else writes on costs it, in weights.
     pub(super) apart: f64,
+    /// Milliseconds of waiting for a slot that are reckoned for each request that stands before.
+    pub(super) slot_wait_ms: f64,
     /// What others lose by it.
     pub(super) harm: f64,
     /// Tokens of memory where it runs, less what is reserved on others.
@@ -49,6 +51,16 @@
 }
 
 impl Chosen {
+    /// One endpoint, of which nothing is foretold.
+    fn unweighed(index: usize, ask: &Ask) -> Chosen {
+        Chosen {
+            servers: vec![index],
+            weight: 1.0,
+            rank: ask.priority.min(LOWEST_RANK),
+            ..Chosen::default()
+        }
+    }
+
     /// Milliseconds by which its first event is predicted too late to be worth its while. One that
     /// goes on after a failure has been taken on, and gets whatever time there is: its caller may
     /// have half of the answer. Not so one that is asked beside a slow attempt: under load the
@@ -94,6 +106,7 @@
             idle_ms: read_ms / self.usable().min(rules.max_helpers + 1).max(1) as f64,
             weight: self.placement.weight(read_ms),
             apart: self.apart(now),
+            slot_wait_ms: self.slot_wait_ms(rules, ask),
             memory: ask.prompt + ask.output,
             rank: self.placement.rank(read_ms, short_ms),
             ..Chosen::default()
@@ -122,13 +135,7 @@
         let least =
             self.candidates(ask, now).min_by_key(|(index, server)| (running(server), turn(*index)));
         let (index, _) = least?;
-        Some(Chosen {
-            servers: vec![index],
-            weight: 1.0,
-            memory: ask.prompt + ask.output,
-            rank: ask.priority.min(LOWEST_RANK),
-            ..Chosen::default()
-        })
+        Some(Chosen { memory: ask.prompt + ask.output, ..Chosen::unweighed(index, ask) })
     }
 
     /// An engine for a short prompt: the least costly one, or the one that comes after `spread` others,
@@ -147,7 +154,7 @@
             let part = tried_part(base, server, 1, ask, now);
             let reads = server.reads(rules, now);
             let outlook = server.outlook(rules, &self.placement, part, &reads, now);
-            let predicted = self.first_ms(rules, ask, server, &outlook);
+            let predicted = self.first_ms(rules, base, server, &outlook);
             let alone = self.alone(base.apart, server);
             let own = placement.lateness(predicted, ask.goal_ms)
                 + placement.miss(outlook.pause_ms, ask.pause_ms);
@@ -179,12 +186,7 @@
             }
         }
         let (_, index) = best?;
-        Some(Chosen {
-            servers: vec![index],
-            weight: 1.0,
-            rank: ask.priority.min(LOWEST_RANK),
-            ..Chosen::default()
-        })
+        Some(Chosen::unweighed(index, ask))
     }
 
     /// Endpoints that may run the request: neither leaving, nor out, nor tried before, nor barred
@@ -228,23 +230,22 @@
     pub(super) fn first_ms(
         &self,
         rules: &EngineRules,
-        ask: &Ask,
+        chosen: &Chosen,
         server: &Server,
         outlook: &Outlook,
     ) -> f64 {
-        let PlacementRules { slots_left, slot_waits, .. } = self.placement;
-        let slot_wait_ms = slot_waits * self.slot_ms(rules, ask) / f64::from(rules.slots.max(1));
-        let places = rules.slots.saturating_sub(slots_left).max(1);
+        let places = rules.slots.saturating_sub(self.placement.slots_left).max(1);
         let over = (server.running() + 1).saturating_sub(places);
-        outlook.read_in_ms + f64::from(over) * slot_wait_ms + server.way_ms()
+        outlook.read_in_ms + f64::from(over) * chosen.slot_wait_ms + server.way_ms()
     }
 
-    /// Milliseconds for which an answer holds its slot; before any was seen, as if the answer were as
+    /// From the time for which an answer holds its slot; before any was seen, as if the answer were as
     /// long as it may be.
-    fn slot_ms(&self, rules: &EngineRules, ask: &Ask) -> f64 {
+    fn slot_wait_ms(&self, rules: &EngineRules, ask: &Ask) -> f64 {
         let passes = ask.output.div_ceil(u64::from(rules.stride.max(1))) as f64;
         let longest_ms = || passes * rules.pass_ms(rules.slots, rules.usual_context);
-        self.slots.held_ms().unwrap_or_else(longest_ms)
+        let held_ms = self.slots.held_ms().unwrap_or_else(longest_ms);
+        self.placement.slot_waits * held_ms / f64::from(rules.slots.max(1))
     }
 
     /// What the requests lose whose parts are read later on these engines. A request whose parts are
@@ -305,8 +306,7 @@
             read_in_ms: chosen.read_in_ms,
             hold,
             is_sent: false,
-            is_writing: false,
-            began: now,
+            began: None,
         };
         for (place, index) in chosen.servers.iter().enumerate() {
             self.servers[*index].take(self.rules.as_ref(), &job, place == 0, now);
--- a/crates/policy/src/arrange/herd.rs
+++ b/crates/policy/src/arrange/herd.rs
@@ -14,7 +14,7 @@
 
 use crate::Time;
 
-use super::decaying::Decaying;
+use super::{decaying::Decaying, mean::Mean};
 
 /// Half-life of the rate: a herd comes within tens of milliseconds.
 const HALF_LIFE: Duration = Duration::from_millis(20);
@@ -23,20 +23,19 @@
 const USUAL_ROUND_TRIP: Duration = Duration::from_millis(1);
 
 /// Round trips over which the mean is taken, as TCP does.
-const AVERAGED: f64 = 8.0;
+pub(super) const ROUND_TRIPS: f64 = 8.0;
 
 #[derive(Debug)]
 pub(super) struct Herd {
     placed: Decaying,
-    round_trip_ms: f64,
+    round_trip_ms: Mean,
 }
 
 impl Default for Herd {
     fn default() -> Herd {
-        Herd {
-            placed: Decaying::new(HALF_LIFE),
-            round_trip_ms: USUAL_ROUND_TRIP.as_secs_f64() * 1000.0,
-        }
+        let mut round_trip_ms = Mean::over(ROUND_TRIPS);
+        round_trip_ms.add(USUAL_ROUND_TRIP.as_secs_f64() * 1000.0);
+        Herd { placed: Decaying::new(HALF_LIFE), round_trip_ms }
     }
 }
 
@@ -48,17 +47,12 @@
         }
     }
 
-    pub(super) fn round_trip(&mut self, took: Duration) {
-        self.round_trip_ms = average(self.round_trip_ms, took);
+    pub(super) fn round_trip(&mut self, ms: f64) {
+        self.round_trip_ms.add(ms);
     }
 
     /// Placements of others that aren't known here yet.
     pub(super) fn unheard(&self, now: Time) -> f64 {
-        self.placed.rate(now) * self.round_trip_ms / 1000.0
+        self.placed.rate(now) * self.round_trip_ms.get().unwrap_or_default() / 1000.0
     }
 }
-
-/// A mean of round trips, in milliseconds, with one more.
-pub(super) fn average(mean_ms: f64, took: Duration) -> f64 {
-    mean_ms + (took.as_secs_f64() * 1000.0 - mean_ms) / AVERAGED
-}
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -22,6 +22,7 @@
 mod decaying;
 mod helping;
 mod herd;
+mod mean;
 mod pauses;
 mod reading;
 mod rules;
@@ -51,6 +52,7 @@
 };
 
 use server::Server;
+use writers::whole_ms;
 
 /// Time between two judgements of the endpoints' health: a broken endpoint gets no more than what
 /// comes meanwhile.
@@ -180,7 +182,7 @@
         if let Standing::Refused(left) = self.quarantine.standing(ask.fingerprint, now) {
             return Err(Refused::Quarantined(left));
         }
-        self.pauses.note(writers::whole_ms(ask.pause_ms), now);
+        self.pauses.note(whole_ms(ask.pause_ms), now);
         let spread = self.spread(now);
         let chosen = match &self.rules {
             Some(rules) => self.choose_engine(rules, ask, spread, now),
@@ -208,20 +210,20 @@
 
     /// A connection to an endpoint took so long to be made.
     pub fn connected(&mut self, endpoint: &EndpointId, took: Duration) {
-        self.herd.round_trip(took);
+        let ms = took.as_secs_f64() * 1000.0;
+        self.herd.round_trip(ms);
         if let Some(server) = self.servers.get_mut(endpoint) {
-            server.connected(took);
+            server.round_trip(ms);
         }
     }
 
     /// The first byte of an answer came.
     pub fn began(&mut self, job: JobId, now: Time) {
         let Some(known) = self.jobs.get_mut(&job) else { return };
-        if known.is_writing {
+        if known.began.is_some() {
             return;
         }
-        known.is_writing = true;
-        known.began = now;
+        known.began = Some(now);
         let taken = now.since(known.placed);
         let predicted = Duration::from_secs_f64(known.predicted_ms.max(0.0) / 1000.0);
         // Whatever was foretold, all of its parts have been read.
@@ -261,18 +263,20 @@
         match failed {
             None => {
                 self.quarantine.completed(known.fingerprint);
-                if known.is_writing {
-                    let writing_ms = now.since(known.began).as_secs_f64() * 1000.0;
-                    self.slots.freed(known.part_ms + writing_ms);
+                match known.began {
+                    Some(began) => {
+                        let writing_ms = now.since(began).as_secs_f64() * 1000.0;
+                        self.slots.freed(known.part_ms + writing_ms);
+                    }
+                    None => {
+                        let span = now.since(known.placed);
+                        self.health.answered(&known.endpoint, span, span);
+                    }
                 }
                 if let Some(server) = self.servers.get_mut(&known.endpoint) {
                     server.answered();
                     server.untold_answer = true;
                 }
-                if !known.is_writing {
-                    let span = now.since(known.placed);
-                    self.health.answered(&known.endpoint, span, span);
-                }
             }
             Some(cause) => {
                 self.quarantine.stopped(known.fingerprint);
--- a/crates/policy/src/arrange/pauses.rs
+++ b/crates/policy/src/arrange/pauses.rs
@@ -42,7 +42,7 @@
     }
 
     /// Whether somebody bears longer pauses than this one.
-    pub(super) fn is_below_longest(&self, pause_ms: f64) -> bool {
-        self.seen.iter().any(|(ms, _)| f64::from(*ms) > pause_ms)
+    pub(super) fn is_below_longest(&self, pause_ms: u16) -> bool {
+        self.seen.iter().any(|(ms, _)| *ms > pause_ms)
     }
 }
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -15,8 +15,6 @@
 //! pass in a hundred too long, a third of all answers are late. Reading that is merely taken to
 //! drain with time looks done before its pass has begun.
 
-use std::time::Duration;
-
 use indexmap::{IndexMap, IndexSet};
 
 use crate::{InstanceId, Time, routes::EngineRules};
@@ -25,7 +23,8 @@
     Member, PlacementRules,
     ask::Job,
     helping::Helping,
-    herd::average,
+    herd::ROUND_TRIPS,
+    mean::Mean,
     reading::{Part, PartKey, Pass, Read, Reading, Tempo},
     told::{Level, ToldPart},
     writers::{AllWriters, Writers},
@@ -64,7 +63,7 @@
     /// It is out, and the next request shows whether it is back.
     pub(super) is_on_trial: bool,
     /// Milliseconds that a connection takes to be made, as soon as one was.
-    round_trip_ms: Option<f64>,
+    round_trip_ms: Mean,
     /// The shortest pause since `pauses_since`, and in the span before.
     shortest: f64,
     shortest_before: f64,
@@ -105,7 +104,7 @@
             untold_answer: false,
             failing_for: IndexSet::new(),
             is_on_trial: false,
-            round_trip_ms: None,
+            round_trip_ms: Mean::over(ROUND_TRIPS),
             shortest: f64::INFINITY,
             shortest_before: f64::INFINITY,
             pauses_since: millis(now),
@@ -167,18 +166,17 @@
         self.reading.pass_began(began, tempo);
     }
 
-    pub(super) fn connected(&mut self, took: Duration) {
-        let ms = took.as_secs_f64() * 1000.0;
-        self.round_trip_ms = Some(self.round_trip_ms.map_or(ms, |mean| average(mean, took)));
+    pub(super) fn round_trip(&mut self, ms: f64) {
+        self.round_trip_ms.add(ms);
     }
 
     /// Milliseconds that bytes take to get there.
     pub(super) fn way_ms(&self) -> f64 {
-        self.round_trip_ms.unwrap_or_default() / 2.0
+        self.round_trip_ms.get().unwrap_or_default() / 2.0
     }
 
     /// Weight of those who write there and bear such a pause.
-    pub(super) fn writers(&self, counts: impl Fn(f64) -> bool) -> f64 {
+    pub(super) fn writers(&self, counts: impl Fn(u16) -> bool) -> f64 {
         let each = self.all.writers.by_pause();
         each.filter(|(bears_ms, _)| counts(*bears_ms)).map(|(_, weight)| weight).sum()
     }
@@ -201,7 +199,7 @@
     /// What those who write there lose by a pass of `pass_ms`.
     pub(super) fn harm(&self, placement: &PlacementRules, pass_ms: f64) -> f64 {
         let each = self.all.writers.by_pause();
-        each.map(|(bears, weight)| weight * placement.disturbance(pass_ms, bears)).sum()
+        each.map(|(bears, weight)| weight * placement.disturbance(pass_ms, bears.into())).sum()
     }
 
     /// Notes a part that anybody placed there.
@@ -254,7 +252,7 @@
     }
 
     pub(super) fn release(&mut self, job: &Job, is_head: bool, now: Time) {
-        if !job.is_writing {
+        if job.began.is_none() {
             self.unread_own(job.key, now);
         }
         let mut own = self.own;
--- a/crates/policy/src/arrange/slots.rs
+++ b/crates/policy/src/arrange/slots.rs
@@ -11,7 +11,7 @@
 
 use crate::Time;
 
-use super::{BURST, decaying::Decaying};
+use super::{BURST, decaying::Decaying, mean::Mean};
 
 /// Answers over which the time that slots are held is averaged.
 const AVERAGED: f64 = 50.0;
@@ -22,7 +22,7 @@
 
 #[derive(Debug)]
 pub(super) struct Slots {
-    held_ms: Option<f64>,
+    held_ms: Mean,
     asked: Decaying,
     /// Of these, the ones that found no slot free.
     queued: Decaying,
@@ -30,20 +30,23 @@
 
 impl Default for Slots {
     fn default() -> Slots {
-        Slots { held_ms: None, asked: Decaying::new(BURST), queued: Decaying::new(BURST) }
+        Slots {
+            held_ms: Mean::over(AVERAGED),
+            asked: Decaying::new(BURST),
+            queued: Decaying::new(BURST),
+        }
     }
 }
 
 impl Slots {
     /// An answer is whole that held a slot for so long.
     pub(super) fn freed(&mut self, held_ms: f64) {
-        let mean = self.held_ms.get_or_insert(held_ms);
-        *mean += (held_ms - *mean) / AVERAGED;
+        self.held_ms.add(held_ms);
     }
 
     /// Mean time that an answer holds its slot, in milliseconds.
     pub(super) fn held_ms(&self) -> Option<f64> {
-        self.held_ms
+        self.held_ms.get()
     }
 
     /// Notes whether the best place for a request has a slot free.
--- a/crates/policy/src/arrange/split.rs
+++ b/crates/policy/src/arrange/split.rs
@@ -17,6 +17,7 @@
     choose::{Chosen, tried_part},
     reading::Read,
     server::{Outlook, Server, millis},
+    writers::whole_ms,
 };
 
 /// Tokens by which an engine's memory is planned too small: engines allocate in blocks.
@@ -148,7 +149,7 @@
 
     /// Whether it writes where others write: all but those who bear the longest pauses.
     fn gathers(&self, ask: &Ask) -> bool {
-        self.placement.gathers && self.pauses.is_below_longest(ask.pause_ms)
+        self.placement.gathers && self.pauses.is_below_longest(whole_ms(ask.pause_ms))
     }
 
     /// The cheapest engine to write on, and the cheapest others to read.
@@ -213,7 +214,7 @@
         let Engine { index, server, reads } = engine;
         let part = tried_part(tried, server, parts, ask, now);
         let outlook = server.outlook(rules, &self.placement, part, reads, now);
-        let first_ms = self.first_ms(rules, ask, server, &outlook);
+        let first_ms = self.first_ms(rules, tried, server, &outlook);
         let own = tried.weight * self.placement.lateness(first_ms, ask.goal_ms);
         let harm = outlook.harm + self.delay_cost(std::iter::once(&outlook));
         let key = self.caution(server, now) * (own + harm);
--- a/crates/policy/src/arrange/wire.rs
+++ b/crates/policy/src/arrange/wire.rs
@@ -8,13 +8,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{reading::PartKey, told::ToldPart};
+use super::{reading::PartKey, told::ToldPart, writers};
 
 /// Steps of a millisecond of reading: predictions err by far more.
 const READING_STEPS: f32 = 10.0;
 
-/// Steps of a weight.
-const WEIGHT_STEPS: f32 = 100.0;
+const WEIGHT_STEPS: f32 = writers::WEIGHT_STEPS as f32;
 
 #[derive(Serialize, Deserialize)]
 pub(super) struct WirePart {
--- a/crates/policy/src/arrange/writers.rs
+++ b/crates/policy/src/arrange/writers.rs
@@ -11,7 +11,7 @@
 const MOST: usize = 3;
 
 /// Steps of a weight. Whole steps make sums over instances exact.
-const WEIGHT_STEPS: f64 = 100.0;
+pub(super) const WEIGHT_STEPS: f64 = 100.0;
 
 /// Writers that bear the same pause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -89,8 +89,8 @@
     }
 
     /// Each pause that some bear, in milliseconds, and the weight of those who do.
-    pub(super) fn by_pause(&self) -> impl Iterator<Item = (f64, f64)> {
-        self.0.iter().map(|(ms, steps)| (f64::from(*ms), *steps as f64 / WEIGHT_STEPS))
+    pub(super) fn by_pause(&self) -> impl Iterator<Item = (u16, f64)> {
+        self.0.iter().map(|(ms, steps)| (*ms, *steps as f64 / WEIGHT_STEPS))
     }
 }
 
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -2,48 +2,24 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod arranging;
 mod engines;
 
 use std::{collections::BTreeMap, time::Duration};
 
+use arranging::{ask, id};
 use engines::engine;
 use policy::{
-    EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
+    EndpointId, FailCause, Incarnation, InstanceId, Time,
     arrange::{Arranger, Ask, Choice, JobId, Member, Placement, PlacementRules, Refused, Told},
 };
 
-fn id(index: usize) -> EndpointId {
-    EndpointId::new(&format!("i-{index}")).unwrap()
-}
-
 fn member(index: usize, leaving: bool) -> Member {
-    Member { endpoint: id(index), incarnation: Incarnation(1), slots: 16, leaving }
+    arranging::member(index, engine().slots, leaving)
 }
 
 fn arranger(engines: usize) -> Arranger {
-    let mut arranger = Arranger::new(7);
-    arranger.set_rules(Some(engine()));
-    arranger.set_members((0..engines).map(|i| member(i, false)).collect(), Time::ZERO);
-    arranger
-}
-
-fn ask(prompt: u64) -> Ask {
-    let (goal_ms, pause_ms) = match prompt {
-        0..=30_000 => (300.0, 200.0),
-        30_001..=120_000 => (1_500.0, 500.0),
-        _ => (3_000.0, 800.0),
-    };
-    Ask {
-        prompt,
-        output: 1_500,
-        goal_ms,
-        pause_ms,
-        left_ms: 60_000.0,
-        priority: 1,
-        fingerprint: Fingerprint(u128::from(prompt)),
-        is_beside: false,
-        tried: Vec::new(),
-    }
+    arranging::arranger(engines, engine(), PlacementRules::default(), 7)
 }
 
 const QUESTION: u64 = 5_000;
@@ -513,9 +489,7 @@
         #[test]
         fn $case() {
             let rules = PlacementRules { choice: $choice, ..PlacementRules::default() };
-            let mut arranger = Arranger::with_rules(rules, 7);
-            arranger.set_rules(Some(engine()));
-            arranger.set_members((0..3).map(|i| member(i, false)).collect(), Time::ZERO);
+            let mut arranger = arranging::arranger(3, engine(), rules, 7);
             let mut counts = [0; 3];
             for i in 0..6 {
                 let placed = place(&mut arranger, if i == 0 { DOSSIER } else { QUESTION }, at(i));
--- /dev/null
+++ b/crates/policy/tests/arranging/mod.rs
@@ -0,0 +1,51 @@
+//! Arrangers of sites that have engines of one kind, and what callers ask of them.
+
+// Each test file uses a part.
+#![allow(dead_code, missing_docs, unreachable_pub, clippy::unwrap_used)]
+
+use policy::{
+    EndpointId, Fingerprint, Incarnation, Time,
+    arrange::{Arranger, Ask, Member, PlacementRules},
+    routes::EngineRules,
+};
+
+pub fn id(index: usize) -> EndpointId {
+    EndpointId::new(&format!("i-{index}")).unwrap()
+}
+
+pub fn member(index: usize, slots: u32, leaving: bool) -> Member {
+    Member { endpoint: id(index), incarnation: Incarnation(1), slots, leaving }
+}
+
+pub fn arranger(
+    engines: usize,
+    engine: EngineRules,
+    placement: PlacementRules,
+    seed: u64,
+) -> Arranger {
+    let mut arranger = Arranger::with_rules(placement, seed);
+    let members = (0..engines).map(|index| member(index, engine.slots, false)).collect();
+    arranger.set_rules(Some(engine));
+    arranger.set_members(members, Time::ZERO);
+    arranger
+}
+
+/// A question, a summary or a dossier, by its length.
+pub fn ask(prompt: u64) -> Ask {
+    let (goal_ms, pause_ms) = match prompt {
+        0..=30_000 => (300.0, 200.0),
+        30_001..=120_000 => (1_500.0, 500.0),
+        _ => (3_000.0, 800.0),
+    };
+    Ask {
+        prompt,
+        output: 1_500,
+        goal_ms,
+        pause_ms,
+        left_ms: 60_000.0,
+        priority: 1,
+        fingerprint: Fingerprint(u128::from(prompt)),
+        is_beside: false,
+        tried: Vec::new(),
+    }
+}
--- a/crates/policy/tests/helpers.rs
+++ b/crates/policy/tests/helpers.rs
@@ -2,49 +2,28 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod arranging;
 mod engines;
 
 use std::collections::BTreeMap;
 
 use engines::engine;
 use policy::{
-    EndpointId, Fingerprint, Incarnation, InstanceId, Time,
-    arrange::{Arranger, Ask, Member, PlacementRules},
+    EndpointId, Fingerprint, InstanceId, Time,
+    arrange::{Arranger, Ask, PlacementRules},
     routes::EngineRules,
 };
 
 const ENGINES: usize = 12;
 
 fn arranger(seed: u64) -> Arranger {
-    arranger_with(PlacementRules::default(), engine(), seed)
-}
-
-fn arranger_with(rules: PlacementRules, engine: EngineRules, seed: u64) -> Arranger {
-    let mut arranger = Arranger::with_rules(rules, seed);
-    let slots = engine.slots;
-    arranger.set_rules(Some(engine));
-    let members = (0..ENGINES).map(|index| Member {
-        endpoint: EndpointId::new(&format!("i-{index}")).unwrap(),
-        incarnation: Incarnation(1),
-        slots,
-        leaving: false,
-    });
-    arranger.set_members(members.collect(), Time::ZERO);
-    arranger
+    arranging::arranger(ENGINES, engine(), PlacementRules::default(), seed)
 }
 
 fn summary(index: u64) -> Ask {
-    Ask {
-        prompt: 60_000,
-        output: 1_000,
-        goal_ms: 6_000.0,
-        pause_ms: 500.0,
-        left_ms: 10_000.0,
-        priority: 1,
-        fingerprint: Fingerprint(u128::from(index)),
-        is_beside: false,
-        tried: Vec::new(),
-    }
+    let fingerprint = Fingerprint(u128::from(index));
+    let goal_ms = 6_000.0;
+    Ask { output: 1_000, goal_ms, left_ms: 10_000.0, fingerprint, ..arranging::ask(60_000) }
 }
 
 /// Summaries come at once on two instances. Guards against requests that are refused because one of
@@ -83,8 +62,9 @@
     // What it costs those who write, and whether it waits, is another matter.
     let heedless = PlacementRules { most_harm: 1e9, holds: false, ..PlacementRules::default() };
     let few_slots = EngineRules { slots: 5, ..engine() };
-    let mut one = arranger_with(PlacementRules::default(), few_slots.clone(), 1);
-    let mut two = arranger_with(heedless, few_slots.clone(), 2);
+    let rules = PlacementRules::default();
+    let mut one = arranging::arranger(ENGINES, few_slots.clone(), rules, 1);
+    let mut two = arranging::arranger(ENGINES, few_slots.clone(), heedless, 2);
     let name = InstanceId::new("one").unwrap();
     let mut helping: BTreeMap<EndpointId, u32> = BTreeMap::new();
     let (mut jobs, mut foretold_ms) = (Vec::new(), 0);
--- a/crates/policy/tests/herd.rs
+++ b/crates/policy/tests/herd.rs
@@ -2,14 +2,15 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod arranging;
 mod engines;
 
 use std::{collections::VecDeque, time::Duration};
 
 use engines::engine;
 use policy::{
-    EndpointId, Fingerprint, Incarnation, InstanceId, Time,
-    arrange::{Arranger, Ask, Member, Told},
+    Fingerprint, InstanceId, Time,
+    arrange::{Arranger, Ask, PlacementRules, Told},
 };
 
 const ENGINES: usize = 60;
@@ -24,34 +25,17 @@
 const EVERY_US: u64 = 125;
 
 fn instance(index: usize) -> Arranger {
-    let mut arranger = Arranger::new(index as u64);
-    arranger.set_rules(Some(engine()));
-    let members = (0..ENGINES).map(|index| Member {
-        endpoint: EndpointId::new(&format!("i-{index}")).unwrap(),
-        incarnation: Incarnation(1),
-        slots: engine().slots,
-        leaving: false,
-    });
-    arranger.set_members(members.collect(), Time::ZERO);
+    let rules = PlacementRules::default();
+    let mut arranger = arranging::arranger(ENGINES, engine(), rules, index as u64);
     for index in 0..ENGINES {
-        let endpoint = EndpointId::new(&format!("i-{index}")).unwrap();
-        arranger.connected(&endpoint, Duration::from_micros(WORD_US));
+        arranger.connected(&arranging::id(index), Duration::from_micros(WORD_US));
     }
     arranger
 }
 
 fn ask(index: u64) -> Ask {
-    Ask {
-        prompt: QUESTION,
-        output: 1_500,
-        goal_ms: GOAL_MS,
-        pause_ms: 200.0,
-        left_ms: 10_000.0,
-        priority: 1,
-        fingerprint: Fingerprint(u128::from(index)),
-        is_beside: false,
-        tried: Vec::new(),
-    }
+    let fingerprint = Fingerprint(u128::from(index));
+    Ask { goal_ms: GOAL_MS, left_ms: 10_000.0, fingerprint, ..arranging::ask(QUESTION) }
 }
 
 /// Guards against a herd: all instances see the same engine as the best one, and until each hears of the
