--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -455,10 +455,14 @@
     let slots = u64::from(engine().slots) * 2;
     let every_ms = HELD_MS / slots / 2;
     let mut free_at = vec![0; usize::try_from(slots).unwrap()];
-    let mut running: Vec<(u64, JobId)> = Vec::new();
+    // When each begins and ends; none for a beginning that was told.
+    let mut running: Vec<(Option<u64>, u64, JobId)> = Vec::new();
     let (mut on_time, mut late, mut refused) = (0, 0, 0);
     for now in (0..20_000).step_by(usize::try_from(every_ms).unwrap()) {
-        running.retain(|(ends, job)| {
+        running.retain_mut(|(begins, ends, job)| {
+            if let Some(begun) = begins.take_if(|begins| *begins <= now) {
+                arranger.began(*job, at(begun));
+            }
             if *ends <= now {
                 arranger.ended(*job, None, at(*ends));
             }
@@ -469,8 +473,7 @@
                 let slot = free_at.iter_mut().min().unwrap();
                 let begins = (*slot).max(now) + 25;
                 *slot = begins + HELD_MS;
-                arranger.began(placed.job, at(begins));
-                running.push((*slot, placed.job));
+                running.push((Some(begins), *slot, placed.job));
                 // The first seconds show that the queue stands.
                 if now > 4_000 {
                     *(if begins - now <= 300 { &mut on_time } else { &mut late }) += 1;
