Try a busy directory twice a second again

Cause: the directory's fixed half second became the shared back-off, of which a lone instance draws from at most 0.35 s, and which was never reset. An instance that starts counts as alone, so 300 of them called the store three times as often as before, and kept it too busy to serve any.

Now the pause is what it was.

--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -21,8 +21,7 @@
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
 use policy::{
-    DataCentre, EndpointGroup, Incarnation, InstanceId, Time, arrange::period, backoff::Backoff,
-    vouch::sharers,
+    DataCentre, EndpointGroup, Incarnation, InstanceId, Time, arrange::period, vouch::sharers,
 };
 use smol::{
     Timer,
@@ -42,6 +41,10 @@
 use message::{Body, Datagram, Hello, LifeTag};
 use questions::Pending;
 
+/// Pause before the directory is tried again. Instances that start together don't know of one another
+/// yet, so none knows with how many it shares the retries.
+const DIRECTORY_RETRY: Duration = Duration::from_millis(500);
+
 /// The most words in one datagram, so that it fits into one packet: a word with a part takes about 40
 /// bytes.
 const WORDS: usize = 24;
@@ -448,11 +451,9 @@
     me: PeerEntry,
     listed: Sender<Vec<PeerEntry>>,
 ) {
-    let mut backoff = Backoff::default();
-    let mut after_failure = || backoff.failed(1, &mut fastrand::Rng::new());
     while let Err(e) = directory.register(&me).await {
         log::debug!(cause:% = e; "not_registered");
-        Timer::after(after_failure()).await;
+        Timer::after(DIRECTORY_RETRY).await;
     }
     loop {
         let pause = match directory.list().await {
@@ -462,7 +463,7 @@
                 }
                 DIRECTORY_PERIOD
             }
-            Err(_) => after_failure(),
+            Err(_) => DIRECTORY_RETRY,
         };
         Timer::after(pause).await;
     }
