--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -154,7 +154,7 @@
     }
 
     /// A run failed after it began.
-    pub(super) fn failed(&self, run: Run, cause: FailCause) {
+    pub(super) fn failed(&self, run: Run<D>, cause: FailCause) {
         log::info!(id = self.id(), endpoint = run.endpoint.as_str(), cause:? = cause,
             last_event:? = self.last_event(); "attempt_failed");
         self.parts.metrics.failed(cause);
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -117,7 +117,7 @@
         First::Left(next) | First::Right(next) => next,
     };
     if let Next::Failed(cause) = next {
-        call.failed(live.run, cause);
+        call.failed(live.into_run(), cause);
         return Err(cause);
     }
     live.run.began();
@@ -154,20 +154,21 @@
                 return Ended::Finished;
             }
             Next::Failed(cause) => {
-                call.failed(live.run, cause);
-                match resume(call, Beside::Nothing).await {
-                    Some(resumed) => {
-                        flow = resumed;
-                        continue;
-                    }
-                    None if call.left().is_zero() => return Ended::Expired,
-                    None => return Ended::Broken,
-                }
+                call.failed(live.into_run(), cause);
+                flow = match go_on(call).await {
+                    Ok(resumed) => resumed,
+                    Err(ended) => return ended,
+                };
+                continue;
             }
         }
         let asked = call.parts.clock.now();
         flow = match wait(call, live, events, silence, tx).await {
             Waited::Flow(flow) => *flow,
+            Waited::Failed => match go_on(call).await {
+                Ok(resumed) => resumed,
+                Err(ended) => return ended,
+            },
             Waited::Late => return Ended::Expired,
             Waited::CallerLeft => return Ended::CallerLeft,
         };
@@ -179,44 +180,43 @@
     }
 }
 
+/// Goes on elsewhere after a stream has failed, or tells how the answer ends.
+async fn go_on<D: Dialect>(call: &Call<D>) -> Result<Flow<D>, Ended> {
+    match resume(call, Beside::Nothing).await {
+        Some(resumed) => Ok(resumed),
+        None if call.left().is_zero() => Err(Ended::Expired),
+        None => Err(Ended::Broken),
+    }
+}
+
 /// What waiting for the next part of a stream came to.
 enum Waited<D: Dialect> {
+    /// The stream, or the one that took over from it.
     Flow(Box<Flow<D>>),
+    /// The stream failed, and nobody who was asked beside it goes on.
+    Failed,
     /// The time is over.
     Late,
     CallerLeft,
 }
 
-/// Waits for what comes next, from another endpoint too where this one is silent.
+/// Waits for what comes next within the caller's time, from another endpoint too where this one is silent.
 async fn wait<D: Dialect>(
     call: &Call<D>,
-    mut live: Live<D>,
-    mut events: Events,
+    live: Live<D>,
+    events: Events,
     silence: Duration,
     tx: &EventSender,
 ) -> Waited<D> {
     let late = async {
         Timer::after(call.left()).await;
     };
-    let waited = race(wait_or_change(call, &mut live, &mut events, silence, tx), late).await;
-    match waited {
-        First::Left(Change::Next(next)) => Waited::Flow(Box::new(Flow { live, events, next })),
-        First::Left(Change::To(flow)) => {
-            call.failed(live.run, FailCause::Silent);
-            Waited::Flow(flow)
-        }
-        First::Left(Change::CallerLeft) => Waited::CallerLeft,
+    match race(wait_or_change(call, live, events, silence, tx), late).await {
+        First::Left(waited) => waited,
         First::Right(()) => Waited::Late,
     }
 }
 
-/// Whether a stream stays with its endpoint.
-enum Change<D: Dialect> {
-    Next(Next),
-    To(Box<Flow<D>>),
-    CallerLeft,
-}
-
 /// Waits for the next event. Where none comes for a while, another endpoint is asked to go on, and
 /// takes over with its first event; what the silent one sends until then is passed on.
 ///
@@ -224,35 +224,38 @@
 /// whoever stayed with it at its first sign of life would miss the caller's time.
 async fn wait_or_change<D: Dialect>(
     call: &Call<D>,
-    live: &mut Live<D>,
-    events: &mut Events,
+    mut live: Live<D>,
+    mut events: Events,
     silence: Duration,
     tx: &EventSender,
-) -> Change<D> {
-    match race(next_event(live, events), Timer::after(silence)).await {
-        First::Left(next) => return Change::Next(next),
+) -> Waited<D> {
+    match race(next_event(&mut live, &mut events), Timer::after(silence)).await {
+        First::Left(next) => return Waited::Flow(Box::new(Flow { live, events, next })),
         First::Right(_) => {}
     }
     let mut resumed = pin!(resume(call, Beside::Another));
-    loop {
-        match race(next_event(live, events), resumed.as_mut()).await {
+    let next = loop {
+        match race(next_event(&mut live, &mut events), resumed.as_mut()).await {
             First::Left(Next::Event(event)) => {
                 if !pass_on(call, event, tx).await {
-                    return Change::CallerLeft;
+                    return Waited::CallerLeft;
                 }
             }
             First::Left(Next::Failed(cause)) => {
-                return match resumed.await {
-                    Some(flow) => Change::To(Box::new(flow)),
-                    None => Change::Next(Next::Failed(cause)),
-                };
+                // The other one may take seconds, for which nothing is kept here.
+                call.failed(live.into_run(), cause);
+                return resumed.await.map_or(Waited::Failed, |flow| Waited::Flow(Box::new(flow)));
+            }
+            First::Left(Next::End) => break Next::End,
+            First::Right(Some(flow)) => {
+                call.failed(live.into_run(), FailCause::Silent);
+                return Waited::Flow(Box::new(flow));
             }
-            First::Left(Next::End) => return Change::Next(Next::End),
-            First::Right(Some(flow)) => return Change::To(Box::new(flow)),
             // Nobody else goes on, so this one gets all the time there is.
-            First::Right(None) => return Change::Next(next_event(live, events).await),
+            First::Right(None) => break next_event(&mut live, &mut events).await,
         }
-    }
+    };
+    Waited::Flow(Box::new(Flow { live, events, next }))
 }
 
 /// Passes an event on, unless the caller has it; false where the caller is gone.
--- a/crates/router/src/filter/run.rs
+++ b/crates/router/src/filter/run.rs
@@ -14,25 +14,48 @@
 /// A request that an endpoint answers.
 pub(super) struct Live<D: Dialect> {
     pub(super) upstream: Upstream,
-    pub(super) run: Run,
-    /// Held until the run has ended.
-    pub(super) _memory: Reservations<D>,
+    pub(super) run: Run<D>,
 }
 
-/// A request's place. Dropping it gives the place back.
-pub(super) struct Run {
+impl<D: Dialect> Live<D> {
+    /// Closes the connection, and leaves what has to be ended.
+    pub(super) fn into_run(self) -> Run<D> {
+        self.run
+    }
+}
+
+/// A request's place, with the memory that it needs on other endpoints. Ending or dropping it gives
+/// both back.
+pub(super) struct Run<D: Dialect> {
     group: Arc<Group>,
     clock: Clock,
     job: JobId,
     pub(super) endpoint: EndpointId,
+    memory: Option<Reservations<D>>,
     ended: bool,
 }
 
-impl Run {
+impl<D: Dialect> Run<D> {
     /// The run of a request that was placed.
-    pub(super) fn new(group: &Arc<Group>, clock: Clock, placement: &Placement) -> Run {
-        let endpoint = placement.endpoint.clone();
-        Run { group: group.clone(), clock, job: placement.job, endpoint, ended: false }
+    pub(super) fn new(group: &Arc<Group>, clock: Clock, placement: &Placement) -> Run<D> {
+        Run {
+            group: group.clone(),
+            clock,
+            job: placement.job,
+            endpoint: placement.endpoint.clone(),
+            memory: None,
+            ended: false,
+        }
+    }
+
+    /// Keeps memory on other endpoints until the run has ended.
+    pub(super) fn hold(&mut self, memory: Reservations<D>) {
+        self.memory = Some(memory);
+    }
+
+    /// The endpoint is done with the request, while its answer may still be on the way.
+    pub(super) fn release_memory(&mut self) {
+        self.memory = None;
     }
 
     /// The first byte came.
@@ -57,7 +80,7 @@
     }
 }
 
-impl Drop for Run {
+impl<D: Dialect> Drop for Run<D> {
     fn drop(&mut self) {
         // The caller left, which says nothing about the endpoint.
         self.tell(Some(FailCause::Deadline));
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -33,7 +33,7 @@
 impl<D: Dialect> Call<D> {
     /// Sends it to a place; none where that gave no answer that may be the caller's.
     pub(super) async fn attempt(&self, placement: Placement) -> Option<Live<D>> {
-        let run = Run::new(&self.group, self.parts.clock, &placement);
+        let mut run = Run::new(&self.group, self.parts.clock, &placement);
         if !self.held(&placement).await {
             return None;
         }
@@ -45,15 +45,15 @@
         let helpers = self.helpers(&placement);
         let wishes = self.wishes(&placement, &helpers);
         let Parts { dialect, executor, .. } = &*self.parts;
-        let memory = match Reservations::take(dialect, executor, address, wishes).await {
-            Ok(memory) => memory,
+        match Reservations::take(dialect, executor, address, wishes).await {
+            Ok(memory) => run.hold(memory),
             Err(endpoint) => {
                 log::info!(id = self.id(), endpoint = endpoint.as_str(); "not_reserved");
                 lock(&self.progress).not_sent += 1;
                 run.end(Some(FailCause::Rejected));
                 return None;
             }
-        };
+        }
         let req = self.request(&placement, &helpers);
         {
             // Until the attempt proves otherwise it may have run.
@@ -69,7 +69,7 @@
             arranger.sent(placement.job);
         };
         match attempt::send(&self.parts.executor, address, req, self.left(), sending).await {
-            Ok(upstream) => self.judge(Live { upstream, run, _memory: memory }).await,
+            Ok(upstream) => self.judge(Live { upstream, run }).await,
             Err(AttemptError::NotSent { is_refused }) => {
                 self.take_back();
                 log::info!(id = self.id(), endpoint = run.endpoint.as_str(), is_refused;
@@ -166,15 +166,15 @@
         let facts = self.parts.dialect.read_answer(&live.upstream.head);
         let status = live.upstream.head.status;
         if !self.is_ours(&facts) {
-            self.failed(live.run, FailCause::BadAnswer);
+            self.failed(live.into_run(), FailCause::BadAnswer);
             return None;
         }
         if facts.not_run {
-            self.not_run(live.run, &facts, status);
+            self.not_run(live.into_run(), &facts, status);
             return None;
         }
         if status.is_success() && !facts.is_vouched {
-            self.failed(live.run, FailCause::BadAnswer);
+            self.failed(live.into_run(), FailCause::BadAnswer);
             return None;
         }
         if status.is_server_error() || is_promise(status) {
@@ -191,7 +191,7 @@
         }
     }
 
-    fn not_run(&self, run: Run, facts: &AnswerFacts, status: StatusCode) {
+    fn not_run(&self, run: Run<D>, facts: &AnswerFacts, status: StatusCode) {
         log::info!(id = self.id(), endpoint = run.endpoint.as_str(), status = status.as_u16(),
             at_fault:? = facts.at_fault; "not_run");
         if status == StatusCode::MISDIRECTED_REQUEST {
@@ -209,7 +209,8 @@
 
     /// An endpoint's own failure. It ran; another endpoint may do better where that is allowed,
     /// and else this is the answer.
-    async fn server_error(&self, live: Live<D>) {
+    async fn server_error(&self, mut live: Live<D>) {
+        live.run.release_memory();
         let head = live.upstream.head.clone();
         log::info!(id = self.id(), endpoint = live.run.endpoint.as_str(),
             status = head.status.as_u16(); "endpoint_error");
