Count helped parts until their first event, however late it is

Engines help as many others as they have slots: 12. A request that is refused keeps nothing at its engine, which then has the most memory free and is chosen next.

Now a part that is overdue counts until its first event, or until the instance that placed it is gone; what is foretold to be over by the time of sending isn't counted, as before.

Tests: two cases fail before (a part counts 6 s late; it is dropped with its instance). `overload_is_refused_early...` played engines that never give a first event, so every part of it would be overdue now; its answers come as foretold now, and what it asserts is as it was (it also passes on the code before).

--- a/crates/policy/src/arrange/helping.rs
+++ b/crates/policy/src/arrange/helping.rs
@@ -5,13 +5,16 @@
 //! **Without it.** An engine that reads parts for as many others as it has slots refuses one more, and with it the
 //! whole request, of which the other parts are read for nothing. Its next attempt meets the next such engine.
 //!
-//! **Rule.** A part counts until the first event of its request, of which its instance tells the others. Where that word is
-//! lost, it counts for some time beyond what was foretold.
+//! **Rule.** A part counts until the first event of its request, of which its instance tells the others, however late that
+//! is: an engine that has turned slow holds on to its parts. What is foretold to be over by then isn't counted ahead, but what
+//! is overdue is. Where the word is lost, a part counts until no caller can be waiting any more.
+
+use crate::InstanceId;
 
 use super::reading::{Part, PartKey};
 
-/// Milliseconds beyond twice what was foretold after which a part counts no more.
-const LOST_AFTER_MS: f64 = 1_000.0;
+/// Milliseconds beyond what was foretold after which a part counts no more: callers have given up by then.
+const LOST_AFTER_MS: f64 = 15_000.0;
 
 #[derive(Debug, Default)]
 pub(super) struct Helping(Vec<Help>);
@@ -19,17 +22,19 @@
 #[derive(Debug)]
 struct Help {
     key: PartKey,
-    /// Milliseconds of the instance's clock.
+    /// Who placed it; none where this instance did.
+    placed_by: Option<InstanceId>,
+    /// When it is foretold to be over, in milliseconds of the instance's clock.
     until: f64,
 }
 
 impl Helping {
     /// Notes a part that anybody placed there.
-    pub(super) fn note(&mut self, part: &Part, now: f64) {
-        self.0.retain(|help| help.until > now);
+    pub(super) fn note(&mut self, part: &Part, placed_by: Option<&InstanceId>, now: f64) {
+        self.0.retain(|help| help.until + LOST_AFTER_MS > now);
         if part.overtakes && !part.is_head {
-            let until = part.ready + (part.ready - part.arrives).max(part.ms) + LOST_AFTER_MS;
-            self.0.push(Help { key: part.key, until });
+            let placed_by = placed_by.cloned();
+            self.0.push(Help { key: part.key, placed_by, until: part.ready });
         }
     }
 
@@ -40,8 +45,17 @@
         self.0.len() < before
     }
 
-    /// How many are helped at a time.
-    pub(super) fn count(&self, at: f64) -> usize {
-        self.0.iter().filter(|help| help.until > at).count()
+    /// An instance is gone, and with it the requests that it had sent.
+    pub(super) fn forget(&mut self, placed_by: &InstanceId) {
+        self.0.retain(|help| help.placed_by.as_ref() != Some(placed_by));
+    }
+
+    /// How many will be helped at a time from now on.
+    pub(super) fn count(&self, at: f64, now: f64) -> usize {
+        let counts = |help: &&Help| match help.until > now {
+            true => help.until > at,
+            false => help.until + LOST_AFTER_MS > now,
+        };
+        self.0.iter().filter(counts).count()
     }
 }
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -187,8 +187,8 @@
     }
 
     /// Requests for which it will read parts then, in milliseconds of the instance's clock.
-    pub(super) fn helping(&self, at: f64) -> usize {
-        self.helping.count(at)
+    pub(super) fn helping(&self, at: f64, now: Time) -> usize {
+        self.helping.count(at, millis(now))
     }
 
     /// Tokens of memory in use.
@@ -202,9 +202,15 @@
         each.map(|(bears, weight)| weight * placement.disturbance(pass_ms, bears.into())).sum()
     }
 
-    /// Notes a part that anybody placed there.
-    pub(super) fn read(&mut self, rules: &EngineRules, part: Part, now: Time) {
-        self.helping.note(&part, millis(now));
+    /// Notes a part that an instance placed there; none stands for this one.
+    pub(super) fn read(
+        &mut self,
+        rules: &EngineRules,
+        part: Part,
+        placed_by: Option<&InstanceId>,
+        now: Time,
+    ) {
+        self.helping.note(&part, placed_by, millis(now));
         self.reading.advance(self.tempo(rules), millis(now));
         self.reading.add(Part { ms: part.ms * self.pace, ..part });
     }
@@ -236,7 +242,7 @@
     ) {
         if let Some(rules) = rules {
             let part = job.part(self.way_ms(), is_head);
-            self.read(rules, part, now);
+            self.read(rules, part, None, now);
             self.untold.push(ToldPart::of(&part, now));
         }
         let mut own = self.own;
@@ -278,7 +284,7 @@
 
     /// Takes over what another instance has there now.
     pub(super) fn set_peer(&mut self, peer: &InstanceId, level: Level) {
-        self.forget(peer);
+        self.forget_level(peer);
         if level != Level::default() {
             self.all.add(&level);
             self.peers.insert(peer.clone(), level);
@@ -299,7 +305,13 @@
         self.failing_for.clear();
     }
 
+    /// Another instance is gone, and what it had there with it.
     pub(super) fn forget(&mut self, peer: &InstanceId) {
+        self.helping.forget(peer);
+        self.forget_level(peer);
+    }
+
+    fn forget_level(&mut self, peer: &InstanceId) {
         if let Some(level) = self.peers.swap_remove(peer) {
             self.all.remove(&level);
         }
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -173,7 +173,7 @@
         };
         if let Some(rules) = rules {
             for part in &word.placed {
-                server.read(rules, part.part(now), now);
+                server.read(rules, part.part(now), Some(peer), now);
             }
         }
         for key in &word.gone {
--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -249,16 +249,26 @@
 
 /// Overload: dossiers come twice as fast as sixteen engines read them, for ten seconds. Those that
 /// are taken on are on time, nearly as many as the engines can read; the others hear at once when
-/// to come back. Without the refusals all but the first seconds' would be late.
+/// to come back. Without the refusals all but the first seconds' would be late. Answers are one event
+/// long, which comes as foretold.
 #[test]
 fn overload_is_refused_early_and_the_rest_is_on_time() {
     let mut arranger = arranger(16);
     let (mut taken_ms, mut refused) = (0.0, 0);
+    let mut answers: BTreeMap<Time, Vec<JobId>> = BTreeMap::new();
     for i in 0..100 {
         let now = at(i * 100);
+        let later = answers.split_off(&now);
+        for (answered, jobs) in std::mem::replace(&mut answers, later) {
+            for job in jobs {
+                arranger.ended(job, None, answered);
+            }
+        }
         match arranger.place(&Ask { left_ms: 15_000.0, ..ask(DOSSIER) }, now) {
             Ok(placement) => {
                 assert!(placement.predicted_ms <= 3_000.0, "{placement:?}");
+                let answered = now + Duration::from_secs_f64(placement.predicted_ms / 1000.0);
+                answers.entry(answered).or_default().push(placement.job);
                 taken_ms += engine().read_ms(DOSSIER);
             }
             Err(Refused::TooLate(after)) => {
--- a/crates/policy/tests/helpers.rs
+++ b/crates/policy/tests/helpers.rs
@@ -10,7 +10,7 @@
 use engines::engine;
 use policy::{
     EndpointId, Fingerprint, InstanceId, Time,
-    arrange::{Arranger, Ask, PlacementRules},
+    arrange::{Arranger, Ask, Level, PlacementRules},
     routes::EngineRules,
 };
 
@@ -55,10 +55,33 @@
     assert!(placed >= 60, "{placed} of 120 placed");
 }
 
-/// Guards against a part that counts as read because its time is over: engines count it until the
-/// request's first event.
-#[test]
-fn a_late_prompt_counts_until_its_first_event() {
+/// How a full engine becomes free.
+enum Freed {
+    /// The first events come.
+    Begun,
+    /// The instance that placed the parts is gone.
+    Forgotten,
+}
+
+macro_rules! counts_until {
+    ($($(#[$doc:meta])* $name:ident: $late_ms:expr, $freed:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { counts_until($late_ms, $freed) })*
+    };
+}
+
+counts_until! {
+    /// Guards against a part that counts as read because its time is over: engines count it until the
+    /// request's first event.
+    a_late_prompt_counts_until_its_first_event: 100, Freed::Begun;
+
+    /// Guards against an engine that has turned slow, holds on to its parts for seconds, and is sent more.
+    a_very_late_prompt_counts_until_its_first_event: 6_000, Freed::Begun;
+
+    /// Guards against parts that count for seconds although the instance that waited for them is gone.
+    a_late_prompt_counts_until_its_instance_is_gone: 6_000, Freed::Forgotten;
+}
+
+fn counts_until(late_ms: u64, freed: Freed) {
     // What it costs those who write, and whether it waits, is another matter.
     let heedless = PlacementRules { most_harm: 1e9, holds: false, ..PlacementRules::default() };
     let few_slots = EngineRules { slots: 5, ..engine() };
@@ -80,10 +103,15 @@
         foretold_ms = foretold_ms.max(placement.predicted_ms as u64);
         jobs.push(placement.job);
     }
-    two.hear(&name, &one.tell(false), Time(200));
+    let mut words = one.tell(false);
+    for word in &mut words {
+        // Who runs and writes there makes an engine unattractive as well.
+        word.level = Level::default();
+    }
+    two.hear(&name, &words, Time(200));
     let mut full = helping.into_iter().filter(|(_, count)| *count >= few_slots.slots - 1);
     let (full, _) = full.next().expect("an engine helps as many as it may");
-    let late = Time::from_millis(foretold_ms + 100);
+    let late = Time::from_millis(foretold_ms + late_ms);
     let takes_full = |two: &mut Arranger| {
         // A prompt that all engines are needed for.
         let dossier = Ask { prompt: 300_000, goal_ms: 9_000.0, ..summary(900) };
@@ -94,10 +122,15 @@
         !placement.helpers.is_empty() && (placement.endpoint == full || helps(full.clone()))
     };
     assert!(!takes_full(&mut two), "{full} refuses");
-    for job in jobs {
-        one.began(job, late);
-        one.ended(job, None, late);
+    match freed {
+        Freed::Begun => {
+            for job in jobs {
+                one.began(job, late);
+                one.ended(job, None, late);
+            }
+            two.hear(&name, &one.tell(true), late);
+        }
+        Freed::Forgotten => two.forget(&name),
     }
-    two.hear(&name, &one.tell(true), late);
     assert!(takes_full(&mut two), "{full} is free again");
 }
