Have requests of the first moments wait for the first configuration

Two ways: refused at once (as it stood), and held until both are known, for 400 ms after the start at most. Later a request is refused at once, since nothing says that the configuration comes within its time. Not listening until then was ruled out: callers whose connection is refused have used up a try.

Held is kept.

The lifecycle's closed channel and the two new ones are one type now, `signal::Once`.

--- a/crates/router/src/filter/mod.rs
+++ b/crates/router/src/filter/mod.rs
@@ -1,5 +1,5 @@
-//! The path of a request, one file a filter: [`identify`] finds route and workspace, [`receive`]
-//! takes the body, [`dispatch`] takes it on, [`call`] and [`send`] find endpoints for it, [`relay`] passes
+//! The path of a request, one file a filter: [`start`] waits for what an instance learns first, [`identify`]
+//! finds route and workspace, [`receive`] takes the body, [`dispatch`] takes it on, [`call`] and [`send`] find endpoints for it, [`relay`] passes
 //! events on.
 //!
 //! Each filter takes what the one before it made, so that a request can't skip one; the chain is
@@ -17,6 +17,7 @@
 mod relay;
 mod run;
 mod send;
+mod start;
 
 use std::future::Future;
 
@@ -28,6 +29,7 @@
 pub use memory::ReservationIds;
 pub use receive::{Receive, Received};
 pub use refusal::Refusal;
+pub use start::Start;
 
 /// One stage of the path of a request.
 pub trait Handler<In>: Send + Sync + 'static {
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -231,6 +231,7 @@
         if self.roster.read(&self.found, self.clock.now()) {
             update(&self.groups, self.roster.entries(), self.clock);
         }
+        self.groups.fill();
     }
 }
 
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -14,7 +14,7 @@
     clock::{self, Clock},
     dialect::Dialect,
     entry::{Entry, Readiness},
-    filter::{Dispatch, Identify, Parts, Receive, ReservationIds},
+    filter::{Dispatch, Identify, Parts, Receive, ReservationIds, Start},
     follow,
     links::{self, LinkParts, Links},
     metrics::{Metrics, MetricsError, MetricsPage},
@@ -142,12 +142,13 @@
             reservation_ids: ReservationIds::new(format!("{}.{incarnation}", settings.instance)),
             answer_times: Mutex::default(),
         });
-        let chain = Identify::new(
+        let identify = Identify::new(
             dialect.clone(),
             configuration.clone(),
             bounds.revoke,
             Receive::new(clock, dispatch),
         );
+        let chain = Start::new(configuration.clone(), groups.clone(), identify);
         let entry = Entry {
             chain,
             dialect: dialect.clone(),
--- a/crates/router/src/signal.rs
+++ b/crates/router/src/signal.rs
@@ -1,4 +1,4 @@
-//! Wakes a task that waits.
+//! Wakes tasks that wait.
 
 use std::time::Duration;
 
@@ -48,3 +48,30 @@
         raised.or(late).await
     }
 }
+
+/// Something that happens once, for which any number of tasks wait.
+#[derive(Debug)]
+pub struct Once {
+    // Nothing is ever sent; closing the channel wakes all.
+    tx: Sender<()>,
+    rx: Receiver<()>,
+}
+
+impl Default for Once {
+    fn default() -> Self {
+        let (tx, rx) = bounded(1);
+        Once { tx, rx }
+    }
+}
+
+impl Once {
+    /// It has happened.
+    pub fn reach(&self) {
+        self.tx.close();
+    }
+
+    /// Waits until it has happened.
+    pub async fn reached(&self) {
+        self.rx.recv().await.ok();
+    }
+}
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -16,9 +16,8 @@
     retry::{RetryRules, RetryWindow},
     routes::RouteTable,
 };
-use smol::channel::{Receiver, Sender, bounded};
 
-use crate::{clock::BootTime, lock};
+use crate::{clock::BootTime, lock, signal::Once};
 
 /// How far the instance is on its way to a stop. It only moves on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -39,8 +38,7 @@
     open: AtomicUsize,
     /// When whatever is still under way is cut.
     ends: OnceLock<Instant>,
-    /// Closed when the stage becomes [`Stage::Closing`]; nothing is ever sent.
-    closing: (Sender<()>, Receiver<()>),
+    closing: Once,
 }
 
 impl Default for Lifecycle {
@@ -49,7 +47,7 @@
             stage: AtomicU8::new(0),
             open: AtomicUsize::new(0),
             ends: OnceLock::new(),
-            closing: bounded(1),
+            closing: Once::default(),
         }
     }
 }
@@ -68,7 +66,7 @@
     pub fn enter(&self, stage: Stage) {
         self.stage.fetch_max(stage as u8, Ordering::AcqRel);
         if stage == Stage::Closing {
-            self.closing.0.close();
+            self.closing.reach();
         }
     }
 
@@ -85,8 +83,7 @@
 
     /// Waits until connections are to be closed.
     pub async fn closing(&self) {
-        // Nothing is sent, so this ends only when the channel is closed.
-        self.closing.1.recv().await.ok();
+        self.closing.reached().await;
     }
 
     /// Requests under way.
@@ -116,6 +113,8 @@
 pub struct Configuration {
     table: RwLock<Arc<RouteTable>>,
     as_of: Mutex<Option<BootTime>>,
+    /// A table is in force, and its age is known.
+    known: Once,
 }
 
 impl Configuration {
@@ -139,6 +138,15 @@
     pub fn confirm(&self, as_of: BootTime) {
         let mut known = lock(&self.as_of);
         *known = (*known).max(Some(as_of));
+        drop(known);
+        if self.table().version.0 > 0 {
+            self.known.reach();
+        }
+    }
+
+    /// Waits until there is a configuration.
+    pub async fn known(&self) {
+        self.known.reached().await;
     }
 
     /// How long ago the table was known to be the newest; none where there is none yet.
@@ -205,12 +213,24 @@
 pub struct Groups {
     placement: PlacementRules,
     groups: RwLock<IndexMap<EndpointGroup, Arc<Group>>>,
+    /// Endpoints were read.
+    filled: Once,
 }
 
 impl Groups {
     /// No group yet; requests of all will be placed by these rules.
     pub fn new(placement: PlacementRules) -> Groups {
-        Groups { placement, groups: RwLock::default() }
+        Groups { placement, ..Groups::default() }
+    }
+
+    /// Endpoints were read, here or by a peer.
+    pub fn fill(&self) {
+        self.filled.reach();
+    }
+
+    /// Waits until endpoints were read.
+    pub async fn filled(&self) {
+        self.filled.reached().await;
     }
 
     /// A group, if any endpoint or route ever named it.
