Take an engine that answers nobody for as busy as long as it has stalled

What was sent there counts as read once its time is over, so it looks idle, and each instance learns of it by a request of its own, 1.2 s later.

All instances know what the others have placed there, and hear of its first event or end. `Awaited` (before: `Helping`) keeps whole prompts too: one that its engine should have read, and of which no first event is known after the time that word of it takes (`told_after_ms`), shows for how long the engine has stalled; that much is added to what is foretold there. No message is added.

--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -18,9 +18,9 @@
 //! The figures stand in `docs/decisions/arrangement.md`.
 
 mod ask;
+mod awaited;
 mod choose;
 mod decaying;
-mod helping;
 mod herd;
 mod mean;
 mod pauses;
@@ -184,6 +184,11 @@
         }
         self.pauses.note(whole_ms(ask.pause_ms), now);
         let spread = self.spread(now);
+        if let Some(rules) = &self.rules {
+            for server in self.servers.values_mut() {
+                server.advance(rules, now);
+            }
+        }
         let chosen = match &self.rules {
             Some(rules) => self.choose_engine(rules, ask, spread, now),
             None => self.choose_plain(ask, now),
--- a/crates/policy/src/arrange/reading.rs
+++ b/crates/policy/src/arrange/reading.rs
@@ -129,9 +129,9 @@
         running.saturating_sub(u32::try_from(unread).unwrap_or(u32::MAX))
     }
 
-    /// Follows the engine up to `now`.
-    pub(super) fn advance(&mut self, tempo: Tempo<'_>, now: f64) {
-        self.run(tempo, now, |_| {});
+    /// Follows the engine up to `now`, and tells what it has read.
+    pub(super) fn advance(&mut self, tempo: Tempo<'_>, now: f64, done: impl FnMut(Read)) {
+        self.run(tempo, now, done);
     }
 
     /// When everything that waits will have been read, with `more` besides.
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -22,7 +22,7 @@
 use super::{
     Member, PlacementRules,
     ask::Job,
-    helping::Helping,
+    awaited::Awaited,
     herd::ROUND_TRIPS,
     mean::Mean,
     reading::{Part, PartKey, Pass, Read, Reading, Tempo},
@@ -45,7 +45,7 @@
 pub(super) struct Server {
     pub(super) member: Member,
     reading: Reading,
-    helping: Helping,
+    awaited: Awaited,
     pub(super) own: Level,
     peers: IndexMap<InstanceId, Level>,
     /// What `own` and `peers` make together.
@@ -93,7 +93,7 @@
         Server {
             member,
             reading: Reading::new(millis(now)),
-            helping: Helping::default(),
+            awaited: Awaited::default(),
             own: Level::default(),
             peers: IndexMap::new(),
             all: Total::default(),
@@ -116,6 +116,13 @@
         Tempo { rules, pace: self.pace, running: self.running() }
     }
 
+    /// Follows what it reads up to now.
+    pub(super) fn advance(&mut self, rules: &EngineRules, now: Time) {
+        let (tempo, awaited) = (self.tempo(rules), &mut self.awaited);
+        self.reading
+            .advance(tempo, millis(now), |read| awaited.has_been_read(read.part.key, read.at));
+    }
+
     /// When each waiting part will have been read, as things stand.
     pub(super) fn reads(&self, rules: &EngineRules, now: Time) -> Vec<Read> {
         self.reading.foretell(self.tempo(rules), millis(now), None)
@@ -146,7 +153,9 @@
             later.clone().filter(|part| part.arrives <= mine.at).map(|p| p.ms).sum();
         let alone = later.filter(|part| part.arrives > mine.at).map(|part| part.ms);
         let pause_ms = self.writing_ms(rules) + alone.fold(together, f64::max);
-        Outlook { pause_ms, read_in_ms: mine.at - millis(now), harm, delayed: delayed.collect() }
+        let stalled_ms = self.awaited.stalled_ms(placement.told_after_ms, millis(now));
+        let read_in_ms = mine.at - millis(now) + stalled_ms;
+        Outlook { pause_ms, read_in_ms, harm, delayed: delayed.collect() }
     }
 
     /// Milliseconds of a pass that reads nothing; zero where nobody writes.
@@ -159,11 +168,9 @@
 
     /// An event arrived: a pass has just ended, and the next one reads what had arrived by then.
     pub(super) fn pass_began(&mut self, rules: &EngineRules, now: Time) {
-        let now = millis(now);
-        let tempo = self.tempo(rules);
-        self.reading.advance(tempo, now);
-        let began = now - self.way_ms();
-        self.reading.pass_began(began, tempo);
+        self.advance(rules, now);
+        let began = millis(now) - self.way_ms();
+        self.reading.pass_began(began, self.tempo(rules));
     }
 
     pub(super) fn round_trip(&mut self, ms: f64) {
@@ -188,7 +195,7 @@
 
     /// Requests for which it will read parts then, in milliseconds of the instance's clock.
     pub(super) fn helping(&self, at: f64, now: Time) -> usize {
-        self.helping.count(at, millis(now))
+        self.awaited.helping(at, millis(now))
     }
 
     /// Tokens of memory in use.
@@ -210,15 +217,15 @@
         placed_by: Option<&InstanceId>,
         now: Time,
     ) {
-        self.helping.note(&part, placed_by, millis(now));
-        self.reading.advance(self.tempo(rules), millis(now));
+        self.awaited.note(&part, placed_by, millis(now));
+        self.advance(rules, now);
         self.reading.add(Part { ms: part.ms * self.pace, ..part });
     }
 
-    /// A part waits no more, and its request isn't helped any more; true where either was thought.
+    /// A part waits no more, and nor does its request for a first event; true where either was thought.
     pub(super) fn unread(&mut self, key: PartKey, now: Time) -> bool {
-        let was_helped = self.helping.over(key);
-        self.reading.take_back(key, millis(now)) || was_helped
+        let was_awaited = self.awaited.over(key);
+        self.reading.take_back(key, millis(now)) || was_awaited
     }
 
     /// The same for a part of this instance's own, of which the others have to hear.
@@ -307,7 +314,7 @@
 
     /// Another instance is gone, and what it had there with it.
     pub(super) fn forget(&mut self, peer: &InstanceId) {
-        self.helping.forget(peer);
+        self.awaited.forget(peer);
         self.forget_level(peer);
     }
 
