--- a/crates/emulator/src/placer.rs
+++ b/crates/emulator/src/placer.rs
@@ -154,9 +154,9 @@
     }
 
     /// An engine was named as the one that a run broke on.
-    pub fn at_fault(&mut self, engine: &EndpointId) {
+    pub fn at_fault(&mut self, engine: &EndpointId, now: Time) {
         if let Placer::Arranged { arranger, .. } = self {
-            arranger.at_fault(engine);
+            arranger.at_fault(engine, now);
         }
     }
 
--- a/crates/emulator/src/play.rs
+++ b/crates/emulator/src/play.rs
@@ -468,9 +468,9 @@
         if is_head {
             self.over(id, Some(FailCause::Broken));
         } else {
-            let instance = self.calls[call].instance;
+            let (now, instance) = (self.time(), self.calls[call].instance);
             if let Some(id) = engine_id(engine) {
-                self.placers[instance].at_fault(&id);
+                self.placers[instance].at_fault(&id, now);
             }
             self.over(id, Some(FailCause::Rejected));
         }
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -19,6 +19,7 @@
 
 mod ask;
 mod awaited;
+mod backoff;
 mod choose;
 mod decaying;
 mod herd;
@@ -294,9 +295,12 @@
         }
     }
 
-    /// An endpoint that a request depended on was named as the one at fault.
-    pub fn at_fault(&mut self, endpoint: &EndpointId) {
-        self.health.failed(endpoint, FailCause::NotSent);
+    /// A request was refused for the sake of an endpoint that was to read a part of it.
+    pub fn at_fault(&mut self, endpoint: &EndpointId, now: Time) {
+        if let Some(server) = self.servers.get_mut(endpoint) {
+            server.refused_to_help(now);
+            server.untold_fault = true;
+        }
     }
 
     /// An endpoint's life ended while requests ran there; all that began to run are suspects.
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -23,6 +23,7 @@
     Member, PlacementRules,
     ask::Job,
     awaited::Awaited,
+    backoff::HelperBackoff,
     herd::ROUND_TRIPS,
     mean::Mean,
     reading::{Part, PartKey, Pass, Read, Reading, Tempo},
@@ -46,6 +47,7 @@
     pub(super) member: Member,
     reading: Reading,
     awaited: Awaited,
+    as_helper: HelperBackoff,
     pub(super) own: Level,
     peers: IndexMap<InstanceId, Level>,
     /// What `own` and `peers` make together.
@@ -58,6 +60,8 @@
     /// A request failed, or was answered, since the last word.
     pub(super) untold_failure: bool,
     pub(super) untold_answer: bool,
+    /// A request was refused for its sake since the last word.
+    pub(super) untold_fault: bool,
     /// Instances that told of failures since anybody had an answer.
     failing_for: IndexSet<InstanceId>,
     /// It is out, and the next request shows whether it is back.
@@ -94,6 +98,7 @@
             member,
             reading: Reading::new(millis(now)),
             awaited: Awaited::default(),
+            as_helper: HelperBackoff::default(),
             own: Level::default(),
             peers: IndexMap::new(),
             all: Total::default(),
@@ -102,6 +107,7 @@
             told: Level::default(),
             untold_failure: false,
             untold_answer: false,
+            untold_fault: false,
             failing_for: IndexSet::new(),
             is_on_trial: false,
             round_trip_ms: Mean::over(ROUND_TRIPS),
@@ -193,9 +199,15 @@
         self.all.running
     }
 
-    /// Requests for which it will read parts then, in milliseconds of the instance's clock.
-    pub(super) fn helping(&self, at: f64, now: Time) -> usize {
-        self.awaited.helping(at, millis(now))
+    /// Whether it may read a part that reaches it then, in milliseconds of the instance's clock, where engines help up
+    /// to `most` others.
+    pub(super) fn may_help(&self, most: usize, at: f64, now: Time) -> bool {
+        self.as_helper.may_help(at) && self.awaited.helping(at, millis(now)) < most
+    }
+
+    /// A request was refused for its sake, here or at another instance.
+    pub(super) fn refused_to_help(&mut self, now: Time) {
+        self.as_helper.refused(millis(now));
     }
 
     /// Tokens of memory in use.
--- a/crates/policy/src/arrange/split.rs
+++ b/crates/policy/src/arrange/split.rs
@@ -122,7 +122,7 @@
     ) -> Vec<Candidate> {
         let most_helped = rules.slots.saturating_sub(self.placement.slots_left) as usize;
         let arrives = millis(now) + tried.hold_ms;
-        let may_help = |engine: &&Engine<'_>| engine.server.helping(arrives, now) < most_helped;
+        let may_help = |engine: &&Engine<'_>| engine.server.may_help(most_helped, arrives, now);
         let may_read = engines.iter().filter(|engine| parts == 1 || may_help(engine));
         let candidates =
             may_read.map(|engine| self.candidate(rules, engine, parts, tried, ask, now));
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -120,6 +120,8 @@
     pub failed: bool,
     /// One was answered.
     pub answered: bool,
+    /// One was refused because this endpoint didn't read a part of it.
+    pub at_fault: bool,
 }
 
 /// News of all endpoints about which there is any; where levels aren't due, only if others would run into
@@ -128,13 +130,15 @@
     let mut news = Vec::new();
     let placed_ms =
         |server: &Server| server.untold.iter().map(|part| f64::from(part.ms)).sum::<f64>();
-    let is_due = is_due || servers.values().any(|server| placed_ms(server) >= AT_ONCE_MS);
+    let is_urgent = |server: &Server| server.untold_fault || placed_ms(server) >= AT_ONCE_MS;
+    let is_due = is_due || servers.values().any(is_urgent);
     if !is_due {
         return news;
     }
     for (endpoint, server) in servers {
         let has_parts = !server.untold.is_empty() || !server.untold_gone.is_empty();
-        if !has_parts && server.own == server.told && !server.untold_failure {
+        let has_failed = server.untold_failure || server.untold_fault;
+        if !has_parts && server.own == server.told && !has_failed {
             continue;
         }
         server.told = server.own;
@@ -145,6 +149,7 @@
             level: server.own,
             failed: std::mem::take(&mut server.untold_failure),
             answered: std::mem::take(&mut server.untold_answer),
+            at_fault: std::mem::take(&mut server.untold_fault),
         });
     }
     news
@@ -186,6 +191,9 @@
         if word.failed && server.fails_for(peer) {
             health.failed(endpoint, FailCause::Broken);
         }
+        if word.at_fault {
+            server.refused_to_help(now);
+        }
         server.set_peer(peer, word.level);
     }
 }
--- /dev/null
+++ b/crates/policy/tests/stalls.rs
@@ -0,0 +1,195 @@
+//! Engines that answer nobody, or don't read parts for others, before many instances that each send them little.
+
+#![allow(clippy::unwrap_used)]
+
+mod arranging;
+mod engines;
+
+use std::{collections::VecDeque, time::Duration};
+
+use engines::engine;
+use policy::{
+    EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
+    arrange::{Arranger, Ask, JobId, Placement, PlacementRules},
+};
+
+const ENGINES: usize = 40;
+const INSTANCES: usize = 32;
+
+/// Milliseconds between two looks at what has to be told to all, as with so many instances.
+const LEVELS_EVERY: u64 = 200;
+
+/// Milliseconds for which an answer is written.
+const WRITING: u64 = 800;
+
+/// Milliseconds until the first of a request's helpers is named as the one at fault.
+const REFUSED_AFTER: u64 = 3;
+
+/// Instances that hear of each other within the millisecond.
+struct Site {
+    instances: Vec<Arranger>,
+    /// What happens later, in milliseconds, with the instance and the job.
+    later: VecDeque<(u64, usize, JobId, Event)>,
+}
+
+enum Event {
+    Begins,
+    Ends,
+    Refused(EndpointId),
+}
+
+impl Site {
+    fn new() -> Site {
+        let rules = PlacementRules::default();
+        let arranger = |index| arranging::arranger(ENGINES, engine(), rules, index as u64);
+        Site { instances: (0..INSTANCES).map(arranger).collect(), later: VecDeque::new() }
+    }
+
+    fn at(&mut self, at: u64, instance: usize, job: JobId, event: Event) {
+        let place = self.later.partition_point(|(known, ..)| *known <= at);
+        self.later.insert(place, (at, instance, job, event));
+    }
+
+    /// Lets happen what is due, and tells the instance and job of what was refused.
+    fn advance(&mut self, now: u64) -> Vec<(usize, JobId)> {
+        let mut refused = Vec::new();
+        while self.later.front().is_some_and(|(at, ..)| *at <= now) {
+            let (at, from, job, event) = self.later.pop_front().unwrap();
+            let time = Time::from_millis(at);
+            let instance = &mut self.instances[from];
+            match event {
+                Event::Begins => {
+                    instance.began(job, time);
+                    self.at(at + WRITING, from, job, Event::Ends);
+                }
+                Event::Ends => instance.ended(job, None, time),
+                Event::Refused(fault) => {
+                    instance.at_fault(&fault, time);
+                    instance.ended(job, Some(FailCause::Rejected), time);
+                    refused.push((from, job));
+                    self.tell(from, false, time);
+                }
+            }
+        }
+        if now % LEVELS_EVERY == 0 {
+            for from in 0..INSTANCES {
+                self.tell(from, true, Time::from_millis(now));
+            }
+        }
+        refused
+    }
+
+    fn tell(&mut self, from: usize, is_due: bool, now: Time) {
+        let words = self.instances[from].tell(is_due);
+        let peer = InstanceId::new(&format!("p-{from}")).unwrap();
+        for (to, other) in self.instances.iter_mut().enumerate() {
+            if to != from && !words.is_empty() {
+                other.hear(&peer, &words, now);
+            }
+        }
+    }
+
+    fn place(&mut self, from: usize, ask: &Ask, now: u64) -> Option<Placement> {
+        let now = Time::from_millis(now);
+        let placement = self.instances[from].place(ask, now).ok()?;
+        self.tell(from, false, now);
+        Some(placement)
+    }
+}
+
+fn ask(prompt: u64, index: u64) -> Ask {
+    Ask { fingerprint: Fingerprint(u128::from(index)), ..arranging::ask(prompt) }
+}
+
+/// Guards against an engine that died without a word: it looks idle, as what was sent there counts as read, and each
+/// instance sends questions there until it has lost some of its own.
+#[test]
+fn questions_leave_an_engine_that_answers_nobody() {
+    let rules = PlacementRules::default();
+    let [mut one, mut two] = [1, 2].map(|seed| arranging::arranger(2, engine(), rules, seed));
+    let peer = InstanceId::new("p-1").unwrap();
+    let to = |arranger: &mut Arranger, engine: usize, index: u64, now: u64| {
+        let tried = vec![(arranging::id(1 - engine), Incarnation(1))];
+        let question = Ask { tried, is_beside: true, ..ask(5_000, index) };
+        arranger.place(&question, Time::from_millis(now)).unwrap()
+    };
+    let unanswered = to(&mut one, 0, 0, 1);
+    two.hear(&peer, &one.tell(true), Time::from_millis(1));
+    // The other engine answers, and has a few questions to read.
+    let now = unanswered.predicted_ms as u64 + 700;
+    for index in 1..4 {
+        to(&mut two, 1, index, now);
+    }
+    let place =
+        |two: &mut Arranger, index| two.place(&ask(5_000, index), Time::from_millis(now)).unwrap();
+    assert_eq!(place(&mut two, 10).endpoint, arranging::id(1));
+    // Its first event comes after all.
+    one.began(unanswered.job, Time::from_millis(now));
+    two.hear(&peer, &one.tell(true), Time::from_millis(now));
+    assert_eq!(place(&mut two, 11).endpoint, arranging::id(0));
+}
+
+/// Guards against a helper that refuses everybody, and is taken again by each instance and by each second try, until
+/// the directory no longer lists it.
+#[test]
+fn long_prompts_leave_a_helper_that_refuses() {
+    let mut site = Site::new();
+    let refuses = arranging::id(3);
+    let mut runs = vec![0_usize; ENGINES];
+    let (mut asked, mut twice) = (0_usize, 0_usize);
+    let mut tries: Vec<(usize, JobId, u64, usize)> = Vec::new();
+    for index in 0..500_u64 {
+        let now = index * 10;
+        let refused = site.advance(now);
+        let again = refused.iter().filter_map(|(from, job)| {
+            tries.iter().find(|(instance, known, ..)| instance == from && known == job).copied()
+        });
+        let mut wanted: Vec<(usize, u64, usize)> =
+            again.map(|(from, _, index, nth)| (from, index, nth + 1)).collect();
+        if index % 5 == 0 {
+            wanted.push(((index / 5 * 7) as usize % INSTANCES, index, 1));
+            asked += 1;
+        }
+        for (from, index, nth) in wanted {
+            if nth > 2 {
+                twice += 1;
+                continue;
+            }
+            let Some(placed) = site.place(from, &ask(60_000, index), now) else { continue };
+            tries.push((from, placed.job, index, nth));
+            let engine: usize = placed.endpoint.as_str()[2..].parse().unwrap();
+            runs[engine] += 1;
+            let hold = placed.hold.as_millis() as u64;
+            if placed.helpers.iter().any(|helper| helper.endpoint == refuses) {
+                let event = Event::Refused(refuses.clone());
+                site.at(now + hold + REFUSED_AFTER, from, placed.job, event);
+            } else {
+                let begins = now + placed.predicted_ms as u64 + 1;
+                site.at(begins, from, placed.job, Event::Begins);
+            }
+        }
+    }
+    let most = runs.iter().max().unwrap();
+    let share = runs.iter().sum::<usize>() as f64 / ENGINES as f64;
+    assert!(*most as f64 <= 3.0 * share.max(1.0), "{most} runs on one engine: {runs:?}");
+    assert!(twice * 50 < asked, "{twice} of {asked} refused twice");
+}
+
+/// Guards against an engine that is left out for good because it once was full.
+#[test]
+fn a_helper_that_refused_is_taken_again() {
+    let rules = PlacementRules::default();
+    let mut arranger = arranging::arranger(3, engine(), rules, 1);
+    let other = arranging::id(1);
+    let helps = |arranger: &mut Arranger, now: Time| {
+        let placed = arranger.place(&ask(210_000, 1), now).unwrap();
+        arranger.ended(placed.job, None, now);
+        let mut all = placed.helpers.iter().map(|helper| &helper.endpoint);
+        placed.endpoint == other || all.any(|helper| *helper == other)
+    };
+    assert!(helps(&mut arranger, Time::from_millis(1)));
+    arranger.at_fault(&other, Time::from_millis(2));
+    assert!(!helps(&mut arranger, Time::from_millis(3)));
+    let later = Time::from_millis(3) + Duration::from_secs(1);
+    assert!(helps(&mut arranger, later));
+}
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -202,7 +202,8 @@
         lock(&self.progress).doubtful -= 1;
         let fault = facts.at_fault.and_then(|address| self.group.at(address));
         if let Some(fault) = fault.filter(|fault| *fault != run.endpoint) {
-            lock(&self.group.arranger).at_fault(&fault);
+            lock(&self.group.arranger).at_fault(&fault, self.parts.clock.now());
+            self.parts.urgent.raise();
         }
         run.end(Some(FailCause::Rejected));
     }
