Draw from all places in an instance's first moments

The rate of what others place, by which places are spread, is unknown yet.

Ruled out: waiting until the others are known (nobody says how many there are).

--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -155,6 +155,9 @@
             self.servers.insert(server.member.endpoint.clone(), server);
         }
         self.tags = self.servers.keys().enumerate().map(|(i, id)| (id.into(), i)).collect();
+        if !self.servers.is_empty() {
+            self.herd.begin(now);
+        }
     }
 
     /// Endpoints that may get work.
@@ -210,6 +213,9 @@
 
     /// How many of the best places are passed over, as others may just have taken them.
     fn spread(&mut self, now: Time) -> usize {
+        if self.herd.is_starting(now) {
+            return self.rng.usize(0..=self.servers.len());
+        }
         let unheard = self.herd.unheard(now) + self.rng.f64();
         self.rng.usize(0..=unheard as usize)
     }
