Add trefoilhall explain: which requests weren't served on time, when and why

The command reads the lines of all instances, follows each id, and counts by spans of seconds, length of the prompt and cause. The `request` line tells the goals that its route has for the first event and for pauses, without which nobody can say what was late.

--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -8,7 +8,7 @@
     cli::{Cli, Command},
     command, demo,
     error::{CliError, CliResult, Exit},
-    experiment, output,
+    experiment, explain, output,
 };
 
 /// Reads the command line and carries it out.
@@ -24,6 +24,7 @@
         Command::Demo(args) => demo::run(&args.into()),
         Command::Bench(args) => bench::run(&args.try_into()?),
         Command::Experiment(options) => experiment::run(&options, format),
+        Command::Explain(options) => explain::run(&options, format),
         Command::Completions { shell } => completions(shell),
         Command::Man { command } => man(command.as_deref()),
     }
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     bench::options::BenchArgs, demo::options::DemoArgs, experiment::options::ExperimentOptions,
+    explain::options::ExplainOptions,
 };
 
 /// Checks, publishes and watches the configuration of trefoilhall.
@@ -52,6 +53,8 @@
     Bench(BenchArgs),
     /// Play a site in virtual time with several ways to place requests.
     Experiment(ExperimentOptions),
+    /// Tell which requests weren't served on time, when and why, from instances' logs.
+    Explain(ExplainOptions),
     /// Print completions for a shell.
     Completions {
         /// The shell.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod demo;
 pub mod error;
 pub mod experiment;
+pub mod explain;
 pub mod fleet;
 pub mod instance;
 pub mod options;
--- a/crates/cli/tests/man.rs
+++ b/crates/cli/tests/man.rs
@@ -34,4 +34,5 @@
     drain: ["drain"];
     demo: ["demo"];
     bench: ["bench"];
+    explain: ["explain"];
 }
--- /dev/null
+++ b/crates/policy/examples/arrange_cost.rs
@@ -0,0 +1,107 @@
+//! Prints how long choosing a place takes, by the number of engines and the length of the prompt.
+//!
+//! Run it with `cargo run --release -p policy --example arrange_cost`.
+
+#![allow(clippy::print_stdout, clippy::unwrap_used)]
+
+use std::{collections::VecDeque, time::Instant};
+
+use policy::{
+    EndpointId, Fingerprint, Incarnation, Time,
+    arrange::{Arranger, Ask, JobId, Member, PlacementRules},
+    routes::EngineRules,
+};
+
+/// Placements measured in each setting.
+const PLACED: usize = 400;
+
+/// Questions that are written on each engine meanwhile.
+const WRITERS: usize = 3;
+
+/// Microseconds between two questions on one engine.
+const EVERY_US: u64 = 500_000;
+
+fn main() {
+    println!("engines  prompt   median us   p99 us");
+    for engines in [20, 54, 135, 1_000, 3_600] {
+        for prompt in [5_000, 45_000, 220_000] {
+            let (median, p99) = measure(engines, prompt);
+            println!("{engines:7} {prompt:7} {median:11.1} {p99:8.1}");
+        }
+    }
+}
+
+/// Median and 99th percentile in microseconds, beside questions that are written everywhere.
+fn measure(engines: usize, prompt: u64) -> (f64, f64) {
+    let mut site = arranger(engines);
+    let mut written: VecDeque<JobId> = VecDeque::new();
+    let mut took = Vec::with_capacity(PLACED);
+    let step = EVERY_US / engines as u64;
+    for index in 0..(WRITERS * engines + PLACED) as u64 {
+        let now = Time(1_000_000 + index * step.max(1));
+        if let Ok(placed) = site.place(&ask(5_000, index), now) {
+            site.began(placed.job, now);
+            written.push_back(placed.job);
+        }
+        if written.len() > WRITERS * engines {
+            let over = written.pop_front().unwrap();
+            site.ended(over, None, now);
+        }
+        if index < (WRITERS * engines) as u64 {
+            continue;
+        }
+        let began = Instant::now();
+        let placed = site.place(&ask(prompt, u64::MAX - index), now);
+        took.push(began.elapsed().as_secs_f64() * 1e6);
+        if let Ok(placed) = placed {
+            site.ended(placed.job, None, now);
+        }
+    }
+    took.sort_by(f64::total_cmp);
+    (took[took.len() / 2], took[took.len() * 99 / 100])
+}
+
+fn arranger(engines: usize) -> Arranger {
+    let mut arranger = Arranger::with_rules(PlacementRules::default(), 1);
+    let rules = EngineRules {
+        slots: 12,
+        memory_tokens: 315_000,
+        stride: 57,
+        chunk_tokens: 2_048,
+        step_ms: 0.85,
+        step_ms_per_request: 0.00425,
+        step_ms_per_1k_context: 0.00285,
+        read_tokens_per_ms: 177.0,
+        read_ms_per_1m_pairs: 0.184,
+        usual_context: 13_000,
+        max_helpers: 16,
+    };
+    let member = |index| Member {
+        endpoint: EndpointId::new(&format!("i-{index}")).unwrap(),
+        incarnation: Incarnation(1),
+        slots: rules.slots,
+        leaving: false,
+    };
+    arranger.set_members((0..engines).map(member).collect(), Time::ZERO);
+    arranger.set_rules(Some(rules));
+    arranger
+}
+
+fn ask(prompt: u64, index: u64) -> Ask {
+    let (goal_ms, pause_ms) = match prompt {
+        0..=30_000 => (300.0, 250.0),
+        30_001..=120_000 => (1_500.0, 600.0),
+        _ => (4_000.0, 1_000.0),
+    };
+    Ask {
+        prompt,
+        output: 1_500,
+        goal_ms,
+        pause_ms,
+        left_ms: 10_000.0,
+        priority: 1,
+        fingerprint: Fingerprint(u128::from(index)),
+        is_beside: false,
+        tried: Vec::new(),
+    }
+}
--- a/crates/policy/tests/stalls.rs
+++ b/crates/policy/tests/stalls.rs
@@ -71,7 +71,7 @@
                 }
             }
         }
-        if now % LEVELS_EVERY == 0 {
+        if now.is_multiple_of(LEVELS_EVERY) {
             for from in 0..INSTANCES {
                 self.tell(from, true, Time::from_millis(now));
             }
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -315,7 +315,9 @@
             status = status.as_u16(),
             attempts = progress.tried.len(),
             first_ms = progress.began.map_or(-1, |taken| taken.as_millis() as i64),
+            goal_ms = self.received.route.goal.as_millis() as u64,
             pause_ms = progress.longest_pause.as_millis() as u64,
+            pause_goal_ms = self.received.route.pause_goal.as_millis() as u64,
             total_ms = total.as_millis() as u64;
             "request"
         );
