--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -10,8 +10,8 @@
 }
 
 impl<'a> Line<'a> {
-    /// Whatever stands before the first pair is passed over: collectors put names and times there. None where it is no
-    /// line of an instance.
+    /// Whatever stands before the first pair is passed over: collectors put names and times there. None
+    /// where it is no line of an instance.
     pub(super) fn parse(text: &'a str) -> Option<Line<'a>> {
         let mut rest = &text[text.find("time=")?..];
         let mut fields = Vec::new();
--- a/crates/cli/src/explain/story.rs
+++ b/crates/cli/src/explain/story.rs
@@ -46,7 +46,8 @@
     }
 }
 
-/// What became of a request. Where several things happened to it, the first one in this order that explains its end.
+/// What became of a request. Where several things happened to it, the first one in this order that
+/// explains its end.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Cause {
--- a/crates/policy/src/arrange/awaited.rs
+++ b/crates/policy/src/arrange/awaited.rs
@@ -1,22 +1,25 @@
 //! Requests at one engine whose first event hasn't come yet, whoever sent them.
 //!
-//! **Load pattern.** A burst of long prompts, each read by a dozen engines; and an engine that turns slow, hangs or dies
-//! without a word while dozens of instances send it questions.
+//! **Load pattern.** A burst of long prompts, each read by a dozen engines; and an engine that turns
+//! slow, hangs or dies without a word while dozens of instances send it questions.
 //!
-//! **Without it.** An engine that reads parts for as many others as it has slots refuses one more, and with it the
-//! whole request, of which the other parts are read for nothing. An engine that answers nobody looks idle, as what was sent
-//! there counts as read once its time is over: every instance has to lose requests of its own there before it knows.
+//! **Without it.** An engine that reads parts for as many others as it has slots refuses one more, and
+//! with it the whole request, of which the other parts are read for nothing. An engine that answers
+//! nobody looks idle, as what was sent there counts as read once its time is over: every instance has
+//! to lose requests of its own there before it knows.
 //!
-//! **Rule.** A part counts until the first event of its request, of which its instance tells the others, however late that
-//! is. What is foretold to be over by then isn't counted ahead, but what is overdue is. A prompt that its engine reads alone and
-//! that is overdue shows for how long the engine has stalled, and that it may go on for as long again. Where the word of a
-//! first event is lost, that of a later one clears it, or the end of any caller's patience.
+//! **Rule.** A part counts until the first event of its request, of which its instance tells the
+//! others, however late that is. What is foretold to be over by then isn't counted ahead, but what is
+//! overdue is. A prompt that its engine reads alone and that is overdue shows for how long the engine
+//! has stalled, and that it may go on for as long again. Where the word of a first event is lost, that
+//! of a later one clears it, or the end of any caller's patience.
 
 use crate::InstanceId;
 
 use super::reading::{Part, PartKey};
 
-/// Milliseconds beyond what was foretold after which a part counts no more: callers have given up by then.
+/// Milliseconds beyond what was foretold after which a part counts no more: callers have given up by
+/// then.
 const LOST_AFTER_MS: f64 = 15_000.0;
 
 #[derive(Debug, Default)]
@@ -28,8 +31,9 @@
     /// Who placed it; none where this instance did.
     placed_by: Option<InstanceId>,
     role: Role,
+    /// When it reaches the engine, in milliseconds of the instance's clock.
     arrives: f64,
-    /// When all of its prompt is foretold to have been read, in milliseconds of the instance's clock.
+    /// When all of its prompt is foretold to have been read.
     until: f64,
     /// When the engine is thought to have read it.
     read_at: Option<f64>,
@@ -97,8 +101,8 @@
         self.0.iter().filter(counts).count()
     }
 
-    /// For how long the engine has stalled, in milliseconds. What others sent counts only after `told_after_ms`, which
-    /// word of a first event may take.
+    /// For how long the engine has stalled, in milliseconds. What others sent counts only after
+    /// `told_after_ms`, which word of a first event may take.
     pub(super) fn stalled_ms(&self, told_after_ms: f64, now: f64) -> f64 {
         let stalled = self.0.iter().filter(|wait| wait.role == Role::Whole).filter_map(|wait| {
             let told_after_ms = if wait.placed_by.is_some() { told_after_ms } else { 0.0 };
--- a/crates/policy/src/arrange/backoff.rs
+++ b/crates/policy/src/arrange/backoff.rs
@@ -1,15 +1,18 @@
 //! Whether an engine may read parts of others' prompts, after requests were refused for its sake.
 //!
-//! **Load pattern.** An engine dies, or begins to leave, while every instance takes it as one of a dozen helpers for each
-//! long prompt.
+//! **Load pattern.** An engine dies, or begins to leave, while every instance takes it as one of a
+//! dozen helpers for each long prompt.
 //!
-//! **Without it.** Each instance learns by its own refusals only. The request that was refused is sent again with the same
-//! helper and is lost, and so are those of the other instances, until the directory no longer lists the engine.
+//! **Without it.** Each instance learns by its own refusals only. The request that was refused is sent
+//! again with the same helper and is lost, and so are those of the other instances, until the directory
+//! no longer lists the engine.
 //!
-//! **Rule.** Whoever has a request refused for a helper's sake tells the others at once, and all leave that helper out for
-//! a while that doubles with each further refusal. It still runs requests of its own: if it can't, that shows there.
+//! **Rule.** Whoever has a request refused for a helper's sake tells the others at once, and all leave
+//! that helper out for a while that doubles with each further refusal. It still runs requests of its
+//! own: if it can't, that shows there.
 
-/// The first time for which an engine is left out: what it takes to hear of one that leaves, at most sites.
+/// The first time for which an engine is left out: what it takes to hear of one that leaves, at most
+/// sites.
 const FIRST_MS: f64 = 500.0;
 
 /// The longest such time.
@@ -26,7 +29,8 @@
 }
 
 impl HelperBackoff {
-    /// A request was refused for its sake. Refusals while it is left out are those of requests that were under way.
+    /// A request was refused for its sake. Refusals while it is left out are those of requests that
+    /// were under way.
     pub(super) fn refused(&mut self, now: f64) {
         if now < self.until {
             return;
--- a/crates/policy/src/arrange/herd.rs
+++ b/crates/policy/src/arrange/herd.rs
@@ -1,15 +1,16 @@
 //! How many placements of others are under way that this instance hasn't heard of.
 //!
-//! **Load pattern.** Hundreds of callers come back at once, and a hundred instances place their requests within
-//! milliseconds.
+//! **Load pattern.** Hundreds of callers come back at once, and a hundred instances place their
+//! requests within milliseconds.
 //!
-//! **Without it.** All instances see the same engine as the best one. Until word of each other's placements arrives, all
-//! choose it, and a dozen prompts queue there while other engines idle.
+//! **Without it.** All instances see the same engine as the best one. Until word of each other's
+//! placements arrives, all choose it, and a dozen prompts queue there while other engines idle.
 //!
-//! **Rule.** The rate at which others place, times the time that word of it takes, is how many placements are unknown. A
-//! request goes to one of that many more of the best places, drawn at random. In its first moments an instance doesn't
-//! know who else there is, and others may have started with it, so all places are drawn from. Compare Mitzenmacher,
-//! "How Useful Is Old Information?" (2000), and Dahlin, "Interpreting Stale Load Information" (2000).
+//! **Rule.** The rate at which others place, times the time that word of it takes, is how many
+//! placements are unknown. A request goes to one of that many more of the best places, drawn at random.
+//! In its first moments an instance doesn't know who else there is, and others may have started with
+//! it, so all places are drawn from. Compare Mitzenmacher, "How Useful Is Old Information?" (2000), and
+//! Dahlin, "Interpreting Stale Load Information" (2000).
 
 use std::time::Duration;
 
@@ -20,14 +21,15 @@
 /// Half-life of the rate: a herd comes within tens of milliseconds.
 const HALF_LIFE: Duration = Duration::from_millis(20);
 
-/// The time that word of a placement takes until anything was measured: a round trip between machines of one site.
+/// The time that word of a placement takes until anything was measured: a round trip between machines
+/// of one site.
 const USUAL_ROUND_TRIP: Duration = Duration::from_millis(1);
 
 /// Round trips over which the mean is taken, as TCP does.
 pub(super) const ROUND_TRIPS: f64 = 8.0;
 
-/// How long after its first endpoints an instance may not have found the others, who may have started with it: the directory
-/// has to be written and read by all, and everybody greeted.
+/// How long after its first endpoints an instance may not have found the others, who may have started
+/// with it: the directory has to be written and read by all, and everybody greeted.
 const STARTING: Duration = Duration::from_millis(500);
 
 #[derive(Debug)]
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -127,7 +127,8 @@
         Tempo { rules, pace: self.pace, running: self.running() }
     }
 
-    /// Follows what it reads, and for how long it has answered nobody. Word of others' first events takes `told_after`.
+    /// Follows what it reads, and for how long it has answered nobody. Word of others' first events
+    /// takes `told_after`.
     pub(super) fn follow(&mut self, rules: &EngineRules, told_after: Duration, now: Time) {
         self.advance(rules, now);
         let told_after_ms = told_after.as_secs_f64() * 1000.0;
@@ -209,8 +210,8 @@
         self.all.running
     }
 
-    /// Whether it may read a part that reaches it then, in milliseconds of the instance's clock, where engines help up
-    /// to `most` others.
+    /// Whether it may read a part that reaches it then, in milliseconds of the instance's clock, where
+    /// engines help up to `most` others.
     pub(super) fn may_help(&self, most: usize, at: f64, now: Time) -> bool {
         self.as_helper.may_help(at) && self.awaited.helping(at, millis(now)) < most
     }
--- a/crates/policy/tests/helpers.rs
+++ b/crates/policy/tests/helpers.rs
@@ -74,7 +74,8 @@
     /// request's first event.
     a_late_prompt_counts_until_its_first_event: 100, Freed::Begun;
 
-    /// Guards against an engine that has turned slow, holds on to its parts for seconds, and is sent more.
+    /// Guards against an engine that has turned slow, holds on to its parts for seconds, and is sent
+    /// more.
     a_very_late_prompt_counts_until_its_first_event: 6_000, Freed::Begun;
 
     /// Guards against parts that count for seconds although the instance that waited for them is gone.
--- a/crates/policy/tests/stalls.rs
+++ b/crates/policy/tests/stalls.rs
@@ -1,4 +1,5 @@
-//! Engines that answer nobody, or don't read parts for others, before many instances that each send them little.
+//! Engines that answer nobody, or don't read parts for others, before many instances that each send
+//! them little.
 
 #![allow(clippy::unwrap_used)]
 
@@ -101,8 +102,8 @@
     Ask { fingerprint: Fingerprint(u128::from(index)), ..arranging::ask(prompt) }
 }
 
-/// Guards against an engine that died without a word: it looks idle, as what was sent there counts as read, and each
-/// instance sends questions there until it has lost some of its own.
+/// Guards against an engine that died without a word: it looks idle, as what was sent there counts as
+/// read, and each instance sends questions there until it has lost some of its own.
 #[test]
 fn questions_leave_an_engine_that_answers_nobody() {
     let rules = PlacementRules::default();
@@ -129,8 +130,8 @@
     assert_eq!(place(&mut two, 11).endpoint, arranging::id(0));
 }
 
-/// Guards against a helper that refuses everybody, and is taken again by each instance and by each second try, until
-/// the directory no longer lists it.
+/// Guards against a helper that refuses everybody, and is taken again by each instance and by each
+/// second try, until the directory no longer lists it.
 #[test]
 fn long_prompts_leave_a_helper_that_refuses() {
     let mut site = Site::new();
@@ -194,8 +195,8 @@
     assert!(helps(&mut arranger, later));
 }
 
-/// Guards against engines of a large site that all look as if they stalled: with many instances, word of a first event comes
-/// late.
+/// Guards against engines of a large site that all look as if they stalled: with many instances, word
+/// of a first event comes late.
 #[test]
 fn many_instances_tell_late_of_first_events() {
     let rules = PlacementRules::default();
--- a/crates/router/src/filter/mod.rs
+++ b/crates/router/src/filter/mod.rs
@@ -1,6 +1,6 @@
-//! The path of a request, one file a filter: [`start`] waits for what an instance learns first, [`identify`]
-//! finds route and workspace, [`receive`] takes the body, [`dispatch`] takes it on, [`call`] and [`send`] find endpoints for it, [`relay`] passes
-//! events on.
+//! The path of a request, one file a filter: [`start`] waits for what an instance learns first,
+//! [`identify`] finds route and workspace, [`receive`] takes the body, [`dispatch`] takes it on,
+//! [`call`] and [`send`] find endpoints for it, [`relay`] passes events on.
 //!
 //! Each filter takes what the one before it made, so that a request can't skip one; the chain is
 //! composed by generics alone.
--- a/crates/router/src/filter/start.rs
+++ b/crates/router/src/filter/start.rs
@@ -1,10 +1,10 @@
 //! Has requests wait for what an instance learns in its first moments.
 //!
-//! **Load pattern.** All instances restart at once, and callers whose connections broke come back within
-//! milliseconds, before configuration and endpoints have been read.
+//! **Load pattern.** All instances restart at once, and callers whose connections broke come back
+//! within milliseconds, before configuration and endpoints have been read.
 //!
-//! **Without it.** They are refused, although a tenth of a second later they could have been served on time,
-//! and callers who come back only once are lost.
+//! **Without it.** They are refused, although a tenth of a second later they could have been served on
+//! time, and callers who come back only once are lost.
 //!
 //! **Rule.** Within [`PATIENCE`] of the start a request waits for the first configuration and the first
 //! endpoints. Later, what isn't known won't be known in a moment, and a request is refused at once.
