Let a relayed stream end by one way, and share what tests had several times

Found by reading the change again; no decision differs.

- relay: `follow` and `wait` return a Result whose error says why a stream ended, so that going on elsewhere after a failure stands once and not in two copied matches; `Waited::Late` and `Ended::Finished` are gone.
Going on still happens outside the race with the caller's time, as before.
- Reading::advance only passed its arguments on to `run`; `run` is called.
Which engine an id names, and a question that only one engine may run, have one function each.

Looked at and left: `arrange::backoff` beside `policy::backoff` (no jitter and no sharers, it forgets), the release of memory for an engine's own failure in `server_error` (for every failing head in `judge` it would change when memory goes).

--- a/crates/policy/examples/arrange_cost.rs
+++ b/crates/policy/examples/arrange_cost.rs
@@ -4,11 +4,14 @@
 
 #![allow(clippy::print_stdout, clippy::unwrap_used)]
 
+#[path = "../tests/arranging/mod.rs"]
+mod arranging;
+
 use std::{collections::VecDeque, time::Instant};
 
 use policy::{
-    EndpointId, Fingerprint, Incarnation, Time,
-    arrange::{Arranger, Ask, JobId, Member, PlacementRules},
+    Fingerprint, Time,
+    arrange::{Arranger, Ask, JobId, PlacementRules},
     routes::EngineRules,
 };
 
@@ -62,8 +65,7 @@
 }
 
 fn arranger(engines: usize) -> Arranger {
-    let mut arranger = Arranger::with_rules(PlacementRules::default(), 1);
-    let rules = EngineRules {
+    let engine = EngineRules {
         slots: 12,
         memory_tokens: 315_000,
         stride: 57,
@@ -76,32 +78,9 @@
         usual_context: 13_000,
         max_helpers: 16,
     };
-    let member = |index| Member {
-        endpoint: EndpointId::new(&format!("i-{index}")).unwrap(),
-        incarnation: Incarnation(1),
-        slots: rules.slots,
-        leaving: false,
-    };
-    arranger.set_members((0..engines).map(member).collect(), Time::ZERO);
-    arranger.set_rules(Some(rules));
-    arranger
+    arranging::arranger(engines, engine, PlacementRules::default(), 1)
 }
 
 fn ask(prompt: u64, index: u64) -> Ask {
-    let (goal_ms, pause_ms) = match prompt {
-        0..=30_000 => (300.0, 250.0),
-        30_001..=120_000 => (1_500.0, 600.0),
-        _ => (4_000.0, 1_000.0),
-    };
-    Ask {
-        prompt,
-        output: 1_500,
-        goal_ms,
-        pause_ms,
-        left_ms: 10_000.0,
-        priority: 1,
-        fingerprint: Fingerprint(u128::from(index)),
-        is_beside: false,
-        tried: Vec::new(),
-    }
+    Ask { fingerprint: Fingerprint(u128::from(index)), ..arranging::ask(prompt) }
 }
--- a/crates/policy/src/arrange/reading.rs
+++ b/crates/policy/src/arrange/reading.rs
@@ -129,11 +129,6 @@
         running.saturating_sub(u32::try_from(unread).unwrap_or(u32::MAX))
     }
 
-    /// Follows the engine up to `now`, and tells what it has read.
-    pub(super) fn advance(&mut self, tempo: Tempo<'_>, now: f64, done: impl FnMut(Read)) {
-        self.run(tempo, now, done);
-    }
-
     /// When everything that waits will have been read, with `more` besides.
     pub(super) fn foretell(&self, tempo: Tempo<'_>, now: f64, more: Option<Part>) -> Vec<Read> {
         let mut ahead = self.clone();
@@ -150,8 +145,8 @@
         reads
     }
 
-    /// Plays the engine until `until`, or until nothing waits.
-    fn run(&mut self, tempo: Tempo<'_>, until: f64, mut done: impl FnMut(Read)) {
+    /// Follows the engine until `until`, or until nothing waits, and tells what it reads.
+    pub(super) fn run(&mut self, tempo: Tempo<'_>, until: f64, mut done: impl FnMut(Read)) {
         let mut writers = self.writers(tempo.running);
         for _ in 0..MAX_PASSES {
             if self.at >= until || until.is_infinite() && self.waiting.is_empty() {
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -137,8 +137,7 @@
 
     fn advance(&mut self, rules: &EngineRules, now: Time) {
         let (tempo, awaited) = (self.tempo(rules), &mut self.awaited);
-        self.reading
-            .advance(tempo, millis(now), |read| awaited.has_been_read(read.part.key, read.at));
+        self.reading.run(tempo, millis(now), |read| awaited.has_been_read(read.part.key, read.at));
     }
 
     /// When each waiting part will have been read, as things stand.
--- a/crates/policy/tests/arranging/mod.rs
+++ b/crates/policy/tests/arranging/mod.rs
@@ -13,6 +13,11 @@
     EndpointId::new(&format!("i-{index}")).unwrap()
 }
 
+/// Which engine it is.
+pub fn index(engine: &EndpointId) -> usize {
+    engine.as_str()["i-".len()..].parse().unwrap()
+}
+
 pub fn member(index: usize, slots: u32, leaving: bool) -> Member {
     Member { endpoint: id(index), incarnation: Incarnation(1), slots, leaving }
 }
--- a/crates/policy/tests/herd.rs
+++ b/crates/policy/tests/herd.rs
@@ -64,7 +64,7 @@
         let from = index * 7 % INSTANCES;
         let Ok(placed) = instances[from].place(&ask(index as u64), now) else { continue };
         words.push_back((now_us + WORD_US, from, instances[from].tell(false)));
-        let engine: usize = placed.endpoint.as_str()[2..].parse().unwrap();
+        let engine = arranging::index(&placed.endpoint);
         let now_ms = now_us as f64 / 1_000.0;
         read_at[engine] = read_at[engine].max(now_ms) + self::engine().read_ms(QUESTION);
         asked += 1;
@@ -84,7 +84,7 @@
     for index in 0..300 {
         let now = Time(index * EVERY_US);
         let placed = instances[index as usize % INSTANCES].place(&ask(index), now).unwrap();
-        let engine: usize = placed.endpoint.as_str()[2..].parse().unwrap();
+        let engine = arranging::index(&placed.endpoint);
         on_engine[engine] += 1;
     }
     let most = on_engine.iter().max().unwrap();
--- a/crates/policy/tests/stalls.rs
+++ b/crates/policy/tests/stalls.rs
@@ -102,6 +102,12 @@
     Ask { fingerprint: Fingerprint(u128::from(index)), ..arranging::ask(prompt) }
 }
 
+/// A question that only one of two engines may run.
+fn question_for(engine: usize, index: u64) -> Ask {
+    let tried = vec![(arranging::id(1 - engine), Incarnation(1))];
+    Ask { tried, is_beside: true, ..ask(5_000, index) }
+}
+
 /// Guards against an engine that died without a word: it looks idle, as what was sent there counts as
 /// read, and each instance sends questions there until it has lost some of its own.
 #[test]
@@ -110,9 +116,7 @@
     let [mut one, mut two] = [1, 2].map(|seed| arranging::arranger(2, engine(), rules, seed));
     let peer = InstanceId::new("p-1").unwrap();
     let to = |arranger: &mut Arranger, engine: usize, index: u64, now: u64| {
-        let tried = vec![(arranging::id(1 - engine), Incarnation(1))];
-        let question = Ask { tried, is_beside: true, ..ask(5_000, index) };
-        arranger.place(&question, Time::from_millis(now)).unwrap()
+        arranger.place(&question_for(engine, index), Time::from_millis(now)).unwrap()
     };
     let unanswered = to(&mut one, 0, 0, 1);
     two.hear(&peer, &one.tell(true), Time::from_millis(1));
@@ -158,7 +162,7 @@
             }
             let Some(placed) = site.place(from, &ask(60_000, index), now) else { continue };
             tries.push((from, placed.job, index, nth));
-            let engine: usize = placed.endpoint.as_str()[2..].parse().unwrap();
+            let engine = arranging::index(&placed.endpoint);
             runs[engine] += 1;
             let hold = placed.hold.as_millis() as u64;
             if placed.helpers.iter().any(|helper| helper.endpoint == refuses) {
@@ -205,16 +209,10 @@
         let peer = InstanceId::new(&format!("p-{index}")).unwrap();
         two.hear(&peer, &[], Time::from_millis(1));
     }
-    let tried = vec![(arranging::id(1), Incarnation(1))];
-    let question = Ask { tried, is_beside: true, ..ask(5_000, 0) };
-    let unanswered = one.place(&question, Time::from_millis(1)).unwrap();
+    let unanswered = one.place(&question_for(0, 0), Time::from_millis(1)).unwrap();
     let peer = InstanceId::new("p-1").unwrap();
     two.hear(&peer, &one.tell(true), Time::from_millis(1));
     let now = Time::from_millis(unanswered.predicted_ms as u64 + 600);
-    let foretold = |asked: &mut Arranger| {
-        let tried = vec![(arranging::id(1), Incarnation(1))];
-        let question = Ask { tried, is_beside: true, ..ask(5_000, 1) };
-        asked.place(&question, now).unwrap().predicted_ms
-    };
-    assert!(foretold(&mut two) < 100.0);
+    let next = two.place(&question_for(0, 1), now).unwrap();
+    assert!(next.predicted_ms < 100.0);
 }
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -64,9 +64,8 @@
     Whole(response::Parts, Bytes),
 }
 
-/// Why a stream ends.
+/// Why a stream ends before its answer is whole.
 enum Ended {
-    Finished,
     Expired,
     Broken,
     CallerLeft,
@@ -126,10 +125,10 @@
 
 async fn feed<D: Dialect>(call: Call<D>, flow: Flow<D>, tx: EventSender) {
     let (outcome, broken) = match follow(&call, flow, &tx).await {
-        Ended::Finished => (FINISHED, false),
-        Ended::Expired => ("expired", true),
-        Ended::Broken => ("broken_off", true),
-        Ended::CallerLeft => ("caller_left", false),
+        Ok(()) => (FINISHED, false),
+        Err(Ended::Expired) => ("expired", true),
+        Err(Ended::Broken) => ("broken_off", true),
+        Err(Ended::CallerLeft) => ("caller_left", false),
     };
     call.note_end(outcome, http::StatusCode::OK);
     if broken {
@@ -139,39 +138,32 @@
 }
 
 /// Passes events on until the answer is whole or can't go on.
-async fn follow<D: Dialect>(call: &Call<D>, mut flow: Flow<D>, tx: &EventSender) -> Ended {
+async fn follow<D: Dialect>(
+    call: &Call<D>,
+    mut flow: Flow<D>,
+    tx: &EventSender,
+) -> Result<(), Ended> {
     let silence = LEAST_SILENCE.max(call.received.route.pause_goal * SILENT_PAUSES);
     loop {
         let Flow { live, events, next } = flow;
         match next {
             Next::Event(event) => {
                 if !pass_on(call, event, tx).await {
-                    return Ended::CallerLeft;
+                    return Err(Ended::CallerLeft);
                 }
             }
             Next::End => {
                 live.run.end(None);
-                return Ended::Finished;
+                return Ok(());
             }
             Next::Failed(cause) => {
                 call.failed(live.into_run(), cause);
-                flow = match go_on(call).await {
-                    Ok(resumed) => resumed,
-                    Err(ended) => return ended,
-                };
+                flow = go_on(call).await?;
                 continue;
             }
         }
         let asked = call.parts.clock.now();
-        flow = match wait(call, live, events, silence, tx).await {
-            Waited::Flow(flow) => *flow,
-            Waited::Failed => match go_on(call).await {
-                Ok(resumed) => resumed,
-                Err(ended) => return ended,
-            },
-            Waited::Late => return Ended::Expired,
-            Waited::CallerLeft => return Ended::CallerLeft,
-        };
+        flow = wait(call, live, events, silence, tx).await?;
         if matches!(flow.next, Next::Event(_)) {
             let pause = call.parts.clock.now().since(asked);
             call.note_pause(pause);
@@ -195,25 +187,26 @@
     Flow(Box<Flow<D>>),
     /// The stream failed, and nobody who was asked beside it goes on.
     Failed,
-    /// The time is over.
-    Late,
     CallerLeft,
 }
 
-/// Waits for what comes next within the caller's time, from another endpoint too where this one is silent.
+/// Waits for what comes next within the caller's time, from another endpoint too where this one is silent
+/// or fails.
 async fn wait<D: Dialect>(
     call: &Call<D>,
     live: Live<D>,
     events: Events,
     silence: Duration,
     tx: &EventSender,
-) -> Waited<D> {
+) -> Result<Flow<D>, Ended> {
     let late = async {
         Timer::after(call.left()).await;
     };
     match race(wait_or_change(call, live, events, silence, tx), late).await {
-        First::Left(waited) => waited,
-        First::Right(()) => Waited::Late,
+        First::Left(Waited::Flow(flow)) => Ok(*flow),
+        First::Left(Waited::Failed) => go_on(call).await,
+        First::Left(Waited::CallerLeft) => Err(Ended::CallerLeft),
+        First::Right(()) => Err(Ended::Expired),
     }
 }
 
