Tell a link that breaks long answers from an engine's death

Callers saw: with three engines behind links that break after 900 bytes, a harmless question asked a second time gets 422 "endpoints died of this request, so it isn't run again", for ten minutes and on every instance.

Cause: after a broken stream the engine is asked for its listing, and another break counts as its death. A listing of more than about six entries doesn't fit such a link.

Now the load report is asked for, which names the engine's life too and whose length doesn't depend on what it holds; a death still shows as another life or a connection that fails. Ruled out: deaths (one incarnation throughout).

--- a/crates/daemon/src/filter/dispatch/attempt.rs
+++ b/crates/daemon/src/filter/dispatch/attempt.rs
@@ -5,7 +5,7 @@
 //! and the next one resumes behind what the caller has. Without the end mark and the reason why
 //! generation ended, nothing counts as whole.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use policy::{Event, FailCause, Incarnation, Shard, Start, Tokens};
@@ -226,10 +226,9 @@
     /// Whether the engine still lives the life that was chosen, and has let go of the run `name`,
     /// whose memory the next run needs.
     async fn has_let_go(&self, name: &str) -> bool {
-        let Ok(page) = self.endpoint.listing(Duration::ZERO).await else { return false };
-        let ids = [name.to_owned()];
-        is_expected(self.head, page.incarnation)
-            && self.endpoint.engine().release(&ids).await.is_ok()
+        let engine = self.endpoint.engine();
+        let Ok(load) = engine.load().await else { return false };
+        is_expected(self.head, load.incarnation) && engine.release(&[name.to_owned()]).await.is_ok()
     }
 }
 
--- a/crates/daemon/src/filter/dispatch/silence.rs
+++ b/crates/daemon/src/filter/dispatch/silence.rs
@@ -10,7 +10,7 @@
 
 use futures_lite::{FutureExt, StreamExt};
 use policy::{FailCause, Incarnation};
-use protocols::engine::{EngineError, wire::HeldPage};
+use protocols::engine::{Engine, EngineError};
 use smol::Timer;
 
 use crate::endpoint::Endpoint;
@@ -104,10 +104,13 @@
     /// the old one. The second need not be refused: whatever stands between may take it, and break
     /// it when it finds nobody behind. Taken for a mere break, the death of four engines in a row
     /// raised no suspicion against the prompt that killed them.
+    ///
+    /// A link that breaks long answers breaks listings, so the short load report is asked for: a
+    /// break taken for a death makes suspects of the prompts there.
     pub(super) async fn why_broken(&self) -> FailCause {
         let ask = async {
-            match self.endpoint.listing(Duration::ZERO).await {
-                Ok(page) if self.is_other_life(&page) => FailCause::EndpointDied,
+            match self.endpoint.engine().load().await {
+                Ok(load) if self.is_other_life(load.incarnation) => FailCause::EndpointDied,
                 Ok(_) | Err(EngineError::Refused | EngineError::BadAnswer) => FailCause::Broken,
                 Err(EngineError::NotSent | EngineError::Unknown) => FailCause::EndpointDied,
             }
@@ -121,7 +124,7 @@
 
     async fn look(&self, offset: u64) -> Sign {
         let Ok(page) = self.endpoint.listing(LISTING_AGE).await else { return Sign::Lost };
-        if self.is_other_life(&page) {
+        if self.is_other_life(page.incarnation) {
             return Sign::Died;
         }
         match page.held.iter().find(|held| held.id == self.attempt) {
@@ -130,7 +133,7 @@
         }
     }
 
-    fn is_other_life(&self, page: &HeldPage) -> bool {
-        self.incarnation.is_some_and(|life| life != page.incarnation)
+    fn is_other_life(&self, reported: Incarnation) -> bool {
+        self.incarnation.is_some_and(|life| life != reported)
     }
 }
