Release engine memory by id, and read listings in parts where they break off

Callers and engines saw: behind a link whose connections break after 900 bytes, memory of six prompts and more stays on the engine after their callers have gone, and for good while the instance wants anything else there.

Cause: an entry takes about 130 bytes of the engine's listing, so a listing of six never arrives.

Now an instance remembers the ids that it let go and releases them until the engine has confirmed it, few at once after an answer that broke off; reads a listing that breaks off in parts (new: `?max=N&after=ID`); and renews reservations only, each by its id. Why it works: what is let go needs no listing, what nobody remembers needs one entry of it at a time, and what nobody renews ends with its lease.

--- a/crates/daemon/src/controller/memory.rs
+++ b/crates/daemon/src/controller/memory.rs
@@ -1,5 +1,9 @@
 //! Keeps an engine from losing memory: releases what this instance no longer wants, again and
-//! again until the engine's own listing shows that it is gone, and renews what it wants.
+//! again until the engine has confirmed that it is gone, and renews what it wants.
+//!
+//! What this instance let go is released by the ids that it remembers, so that a listing that
+//! can't be read delays nothing. The listing finds the rest: what earlier lives of this instance
+//! and instances that are gone have left.
 //!
 //! The failure: a release is lost on the way, or an instance dies with streams open over a link
 //! that the engine doesn't see break. It shows as memory that the engine lists under an owner
@@ -8,14 +12,14 @@
 
 use std::{
     sync::{Arc, Weak},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures_lite::FutureExt;
 use policy::membership::owners::OwnerLife;
 use protocols::engine::{
-    Engine, EngineError,
-    wire::{Held, Owner},
+    Engine, EngineError, listing,
+    wire::{Held, HeldPage, Owner},
 };
 use smol::Timer;
 
@@ -35,6 +39,9 @@
 /// Sweeps in a row at the shorter distance, before the engine is left to the regular ones.
 const QUICK_SWEEPS: u32 = 20;
 
+/// Ids in one call. The engine's answer may name them all, and links can break long answers.
+const RELEASED_AT_ONCE: usize = 16;
+
 /// Sweeps until the endpoint or the instance is gone.
 pub(super) async fn run(shared: Weak<Shared>, endpoint: Weak<Endpoint>) {
     let mut quick = 0;
@@ -63,28 +70,79 @@
     }
 }
 
-/// Releases what isn't wanted and tells how much that was.
+/// Releases what isn't wanted, and tells how much of it the engine hasn't shown to be gone.
 async fn sweep(shared: &Shared, endpoint: &Arc<Endpoint>) -> Result<usize, EngineError> {
-    let owner = &shared.owner;
+    let released = release_unwanted(endpoint).await;
+    renew(shared, endpoint).await;
+    let asked = Instant::now();
+    let page = match listing::held(&endpoint.engine()).await {
+        Ok(page) => page,
+        Err(e) => {
+            let unwanted = endpoint.holdings().unwanted().len();
+            log::warn!(endpoint = endpoint.place.id.as_str(), error:% = e, unwanted; "memory_not_listed");
+            return released.and(Err(e));
+        }
+    };
+    endpoint.holdings().listed(&page, asked);
+    let left = left_over(shared, endpoint, &page);
+    release(endpoint, &left, "listing").await?;
+    released.map(|()| left.len())
+}
+
+/// Releases what this instance let go, by the ids that it remembers.
+async fn release_unwanted(endpoint: &Endpoint) -> Result<(), EngineError> {
+    endpoint.holdings().expire(Instant::now());
+    let ids = endpoint.holdings().unwanted();
+    release(endpoint, &ids, "id").await
+}
+
+/// Releases `ids`. Fewer at once after an answer that broke off, because it may name them all.
+async fn release(endpoint: &Endpoint, ids: &[String], by: &str) -> Result<(), EngineError> {
     let engine = endpoint.engine();
-    // What this life wants is noted before it is sent, so that nothing which is about to be wanted
-    // can look like something let go.
-    if endpoint.holds_any() {
-        // A failure shows in the listing; the next sweep renews again.
-        engine.renew(owner, LEASE.as_millis() as u64).await.ok();
+    let mut rest = ids;
+    let mut most = RELEASED_AT_ONCE;
+    while !rest.is_empty() {
+        let (some, others) = rest.split_at(most.min(rest.len()));
+        match engine.release(some).await {
+            Ok(()) => {}
+            Err(EngineError::Broken) if most > 1 => {
+                most = 1;
+                continue;
+            }
+            Err(e) => {
+                log::warn!(endpoint = endpoint.place.id.as_str(), error:% = e, by, unwanted = rest.len(); "memory_not_released");
+                return Err(e);
+            }
+        }
+        endpoint.holdings().released(some);
+        rest = others;
+    }
+    if !ids.is_empty() {
+        log::info!(endpoint = endpoint.place.id.as_str(), count = ids.len(), by; "memory_released");
     }
-    let page = engine.held().await?;
+    Ok(())
+}
+
+async fn renew(shared: &Shared, endpoint: &Endpoint) {
+    let ids = endpoint.holdings().renewed();
+    let lease_ms = LEASE.as_millis() as u64;
+    for some in ids.chunks(RELEASED_AT_ONCE) {
+        // The next sweep renews again.
+        if let Err(e) = endpoint.engine().renew(&shared.owner, some, lease_ms).await {
+            log::info!(endpoint = endpoint.place.id.as_str(), error:% = e, count = some.len(); "memory_not_renewed");
+        }
+    }
+}
+
+/// What the engine lists and nobody wants.
+fn left_over(shared: &Shared, endpoint: &Endpoint, page: &HeldPage) -> Vec<String> {
+    let owner = &shared.owner;
     let foreign = super::chosen(shared, endpoint.place.id.as_str());
     let unwanted = |held: &&Held| match held.owner == *owner {
-        true => !endpoint.wants(&held.id),
+        true => !endpoint.holdings().wants(&held.id),
         false => is_predecessor(owner, &held.owner) || foreign && is_gone(shared, &held.owner),
     };
-    let ids: Vec<_> = page.held.iter().filter(unwanted).map(|held| held.id.clone()).collect();
-    if !ids.is_empty() {
-        log::info!(endpoint = endpoint.place.id.as_str(), count = ids.len(); "memory_released");
-        engine.release(&ids).await?;
-    }
-    Ok(ids.len())
+    page.held.iter().filter(unwanted).map(|held| held.id.clone()).collect()
 }
 
 /// Held by an earlier life of this instance: two lives never overlap, so that one is over.
--- a/crates/daemon/src/endpoint.rs
+++ b/crates/daemon/src/endpoint.rs
@@ -3,21 +3,27 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
 };
 
-use indexmap::IndexSet;
 use policy::{
     DataCentre, EndpointChange, EndpointGroup, EndpointId, Incarnation, config::EndpointKind,
     scheduler::EndpointState,
 };
-use protocols::engine::{Engine, EngineError, http::HttpEngine, wire::HeldPage};
+use protocols::engine::{
+    EngineError,
+    http::HttpEngine,
+    listing,
+    wire::{HeldKind, HeldPage},
+};
 pub(crate) use router::lock;
 use smol::channel::{Receiver, Sender, bounded};
 
+use crate::holdings::Holdings;
+
 /// What is known of an endpoint's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Life {
@@ -61,7 +67,7 @@
     /// Its load was asked for, whatever came of it.
     asked: AtomicBool,
     life: Mutex<Life>,
-    holdings: Mutex<IndexSet<String>>,
+    holdings: Mutex<Holdings>,
     nudge: Sender<()>,
     nudged: Receiver<()>,
     listing: smol::lock::Mutex<Option<Listing>>,
@@ -142,19 +148,14 @@
 
     /// Notes that this instance is about to hold memory there under `id`, until the result is
     /// dropped.
-    pub fn hold(self: &Arc<Self>, id: String) -> Holding {
-        lock(&self.state.holdings).insert(id.clone());
+    pub fn hold(self: &Arc<Self>, id: String, kind: HeldKind) -> Holding {
+        lock(&self.state.holdings).hold(id.clone(), kind);
         Holding { endpoint: self.clone(), id, may_remain: true }
     }
 
-    /// Whether this instance still wants what it holds under `id`.
-    pub fn wants(&self, id: &str) -> bool {
-        lock(&self.state.holdings).contains(id)
-    }
-
-    /// Whether this instance holds anything there.
-    pub fn holds_any(&self) -> bool {
-        !lock(&self.state.holdings).is_empty()
+    /// What this instance holds there.
+    pub fn holdings(&self) -> MutexGuard<'_, Holdings> {
+        lock(&self.state.holdings)
     }
 
     /// Waits until something that was held there is no longer wanted.
@@ -177,7 +178,7 @@
             return known.page.clone();
         }
         let taken = Instant::now();
-        let page = self.engine().held().await.map(Arc::new);
+        let page = listing::held(&self.engine()).await.map(Arc::new);
         *listing = Some(Listing { taken, page: page.clone() });
         page
     }
@@ -185,7 +186,7 @@
 
 /// Memory that this instance holds on an engine, or is about to. Dropping it says that the memory
 /// is no longer wanted; the engine's memory controller then releases it, and again until the
-/// engine's own listing shows that it is gone.
+/// engine has confirmed that it is gone.
 #[derive(Debug)]
 pub struct Holding {
     endpoint: Arc<Endpoint>,
@@ -212,10 +213,11 @@
 
 impl Drop for Holding {
     fn drop(&mut self) {
-        lock(&self.endpoint.state.holdings).swap_remove(&self.id);
-        if self.may_remain {
-            // A full channel already says it.
-            self.endpoint.state.nudge.try_send(()).ok();
+        if !self.may_remain {
+            return self.endpoint.holdings().ended(&self.id);
         }
+        self.endpoint.holdings().let_go(&self.id, Instant::now());
+        // A full channel already says it.
+        self.endpoint.state.nudge.try_send(()).ok();
     }
 }
--- a/crates/daemon/src/filter/dispatch/attempt.rs
+++ b/crates/daemon/src/filter/dispatch/attempt.rs
@@ -14,7 +14,7 @@
     piece::Piece,
     run::{Run, RunError, Running},
     sse::{SseError, SseEvent},
-    wire::{AttemptId, DONE, EventId, Resume},
+    wire::{AttemptId, DONE, EventId, HeldKind, Resume},
 };
 use serde::Serialize;
 
@@ -83,7 +83,7 @@
             facts.endpoint = Some(head.endpoint.clone());
         });
         let id = attempt.to_string();
-        let holding = endpoint.hold(id.clone());
+        let holding = endpoint.hold(id.clone(), HeldKind::Stream);
         let run = self.run_call(place, attempt.clone());
         let known = (head.incarnation != Incarnation(0)).then_some(head.incarnation);
         let mut watch = Watch::new(endpoint, &id, known);
--- a/crates/daemon/src/filter/dispatch/reserve.rs
+++ b/crates/daemon/src/filter/dispatch/reserve.rs
@@ -7,7 +7,10 @@
 use std::{fmt::Write, sync::Arc};
 
 use policy::{FailCause, Incarnation, Shard};
-use protocols::engine::{Engine, EngineError, wire::AttemptId};
+use protocols::engine::{
+    Engine, EngineError,
+    wire::{AttemptId, HeldKind},
+};
 
 use crate::{
     active::Active,
@@ -32,7 +35,7 @@
         for (index, shard) in shards.iter().enumerate() {
             let endpoint = active.endpoints.get(&shard.endpoint).ok_or(FailCause::NotSent)?;
             let id = format!("{attempt}/{}", index + 1);
-            let holding = endpoint.hold(id);
+            let holding = endpoint.hold(id, HeldKind::Reservation);
             let result = reserve(endpoint, holding.id(), attempt, shard).await;
             reservations.holdings.push(holding);
             result?;
@@ -63,7 +66,9 @@
     match engine.reserve(id, &attempt.owner, shard.tokens, lease).await {
         Ok(life) if is_expected(shard, life) => Ok(()),
         // Nothing of the request was sent, whatever became of the reservation.
-        Ok(_) | Err(EngineError::NotSent | EngineError::Unknown) => Err(FailCause::NotSent),
+        Ok(_) | Err(EngineError::NotSent | EngineError::Unknown | EngineError::Broken) => {
+            Err(FailCause::NotSent)
+        }
         Err(EngineError::Refused) => Err(FailCause::Rejected),
         Err(EngineError::BadAnswer) => Err(FailCause::EndpointError),
     }
--- a/crates/daemon/src/filter/dispatch/silence.rs
+++ b/crates/daemon/src/filter/dispatch/silence.rs
@@ -112,7 +112,9 @@
             match self.endpoint.engine().load().await {
                 Ok(load) if self.is_other_life(load.incarnation) => FailCause::EndpointDied,
                 Ok(_) | Err(EngineError::Refused | EngineError::BadAnswer) => FailCause::Broken,
-                Err(EngineError::NotSent | EngineError::Unknown) => FailCause::EndpointDied,
+                Err(EngineError::NotSent | EngineError::Unknown | EngineError::Broken) => {
+                    FailCause::EndpointDied
+                }
             }
         };
         let limit = async {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod error;
 pub mod filter;
 pub mod folder;
+pub mod holdings;
 pub mod instance;
 pub mod ledger;
 pub mod limits;
--- /dev/null
+++ b/crates/daemon/tests/holdings.rs
@@ -0,0 +1,93 @@
+//! What is remembered of memory that was let go.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use daemon::{
+    controller::LEASE,
+    holdings::{Holdings, MAX_UNWANTED},
+};
+use policy::{Incarnation, Tokens};
+use protocols::engine::wire::{Held, HeldKind, HeldPage};
+
+fn listing(ids: &[&str]) -> HeldPage {
+    let held = |id: &&str| Held {
+        id: (*id).to_owned(),
+        kind: HeldKind::Stream,
+        owner: "entry-1/7".parse().unwrap(),
+        tokens: Tokens(1),
+        expires_ms: None,
+        offset: None,
+    };
+    HeldPage { incarnation: Incarnation(1), held: ids.iter().map(held).collect(), next: None }
+}
+
+/// Holds `kept` and `left`, and lets go of the second.
+fn one_let_go(now: Instant) -> Holdings {
+    let mut holdings = Holdings::default();
+    holdings.hold("kept".to_owned(), HeldKind::Reservation);
+    holdings.hold("left".to_owned(), HeldKind::Reservation);
+    holdings.let_go("left", now);
+    holdings
+}
+
+/// Names each case by what it guards against.
+macro_rules! remembers {
+    ($($(#[$line:meta])* $case:ident($holdings:ident, $now:ident) $body:block => $unwanted:expr;)*) => {$(
+        $(#[$line])*
+        #[test]
+        fn $case() {
+            let $now = Instant::now();
+            let mut $holdings = one_let_go($now);
+            $body
+            assert_eq!($holdings.unwanted(), $unwanted as [&str; _]);
+        }
+    )*};
+}
+
+remembers! {
+    /// Guards against memory that nobody releases after the first try failed.
+    until_the_engine_shows_that_it_is_gone(holdings, now) {
+        holdings.listed(&listing(&["kept", "left"]), now + Duration::from_secs(1));
+        holdings.expire(now + 100 * LEASE);
+    } => ["left"];
+    /// Guards against ids that pile up.
+    no_longer_than_that(holdings, now) {
+        holdings.listed(&listing(&["kept"]), now + Duration::from_secs(1));
+    } => [];
+    /// Guards against a listing that was on its way when the memory was let go.
+    beyond_an_older_listing(holdings, now) {
+        holdings.listed(&listing(&[]), now);
+    } => ["left"];
+    /// Guards against a release that overtakes the run that takes the memory.
+    beyond_its_release(holdings, now) {
+        holdings.released(&["left".to_owned()]);
+        holdings.expire(now + LEASE);
+    } => ["left"];
+    /// Guards against ids that pile up where no listing can be read.
+    released_only_as_long_as_its_lease(holdings, now) {
+        holdings.released(&["left".to_owned()]);
+        holdings.expire(now + 2 * LEASE);
+    } => [];
+}
+
+/// Guards against renewals that keep what nobody wants, and streams that nobody waits for.
+#[test]
+fn only_wanted_reservations_are_renewed() {
+    let mut holdings = one_let_go(Instant::now());
+    holdings.hold("stream".to_owned(), HeldKind::Stream);
+    assert_eq!(holdings.renewed(), ["kept"]);
+}
+
+/// Guards against memory of the instance's own that grows while an engine can't be reached.
+#[test]
+fn what_is_remembered_is_bounded() {
+    let (mut holdings, now) = (Holdings::default(), Instant::now());
+    for number in 0..MAX_UNWANTED + 10 {
+        holdings.hold(number.to_string(), HeldKind::Stream);
+        holdings.let_go(&number.to_string(), now);
+    }
+    assert_eq!(holdings.unwanted().len(), MAX_UNWANTED);
+    assert_eq!(holdings.unwanted()[0], "10");
+}
--- a/crates/protocols/src/engine/http.rs
+++ b/crates/protocols/src/engine/http.rs
@@ -65,13 +65,18 @@
         self.get("/engine/held").await
     }
 
+    async fn held_part(&self, after: Option<&str>, max: usize) -> Result<HeldPage, EngineError> {
+        let after = after.map(|id| format!("&after={id}")).unwrap_or_default();
+        self.get(&format!("/engine/held?max={max}{after}")).await
+    }
+
     async fn release(&self, ids: &[String]) -> Result<(), EngineError> {
         let content = Release { ids: ids.to_vec() };
         self.post("/engine/release", &content, CALL_TIMEOUT).await.map(drop)
     }
 
-    async fn renew(&self, owner: &Owner, lease_ms: u64) -> Result<(), EngineError> {
-        let content = Renew { owner: owner.clone(), lease_ms };
+    async fn renew(&self, owner: &Owner, ids: &[String], lease_ms: u64) -> Result<(), EngineError> {
+        let content = Renew { owner: owner.clone(), ids: ids.to_vec(), lease_ms };
         self.post("/engine/renew", &content, CALL_TIMEOUT).await.map(drop)
     }
 
@@ -125,7 +130,8 @@
         Ok(answer) if answer.is_success() => Ok(answer),
         Ok(_) => Err(EngineError::Refused),
         Err(HttpError::NotSent) => Err(EngineError::NotSent),
-        Err(HttpError::Broken | HttpError::Silent) => Err(EngineError::Unknown),
+        Err(HttpError::Silent) => Err(EngineError::Unknown),
+        Err(HttpError::Broken) => Err(EngineError::Broken),
         Err(HttpError::TooLong | HttpError::Unreadable) => Err(EngineError::BadAnswer),
     }
 }
--- a/crates/protocols/src/engine/mod.rs
+++ b/crates/protocols/src/engine/mod.rs
@@ -1,6 +1,7 @@
 //! Model engines: running requests, and the orders and listings that go with them.
 
 pub mod http;
+pub mod listing;
 pub mod piece;
 pub mod run;
 pub mod sse;
@@ -17,8 +18,10 @@
 pub enum EngineError {
     /// No connection: nothing was sent.
     NotSent,
-    /// No answer in time, or the connection broke: it may have taken effect.
+    /// No answer in time: it may have taken effect.
     Unknown,
+    /// The connection broke before the whole answer came: it may have taken effect.
+    Broken,
     /// The engine refused (no room, an old fencing number, an unknown id).
     Refused,
     /// The answer made no sense.
@@ -30,6 +33,7 @@
         f.write_str(match self {
             EngineError::NotSent => "the engine can't be reached",
             EngineError::Unknown => "the engine gave no answer, so the call may have taken effect",
+            EngineError::Broken => "the connection broke, so the call may have taken effect",
             EngineError::Refused => "the engine refused",
             EngineError::BadAnswer => "the engine's answer can't be read",
         })
@@ -49,13 +53,22 @@
     /// What holds its memory, each entry with owner and expiry.
     fn held(&self) -> impl Future<Output = Result<HeldPage, EngineError>> + Send;
 
+    /// At most `max` entries of the same listing in the order of their ids, from the first behind
+    /// `after` on. Engines that know no parts answer with the whole listing.
+    fn held_part(
+        &self,
+        after: Option<&str>,
+        max: usize,
+    ) -> impl Future<Output = Result<HeldPage, EngineError>> + Send;
+
     /// Releases streams, reservations, imports and exports by id; unknown ids count as released.
     fn release(&self, ids: &[String]) -> impl Future<Output = Result<(), EngineError>> + Send;
 
-    /// Extends the leases of all that `owner` holds.
+    /// Extends the leases of what `owner` holds under `ids`.
     fn renew(
         &self,
         owner: &Owner,
+        ids: &[String],
         lease_ms: u64,
     ) -> impl Future<Output = Result<(), EngineError>> + Send;
 
--- a/crates/protocols/src/engine/wire.rs
+++ b/crates/protocols/src/engine/wire.rs
@@ -164,13 +164,16 @@
     pub offset: Option<u64>,
 }
 
-/// `GET /engine/held`.
+/// `GET /engine/held`, or a part of it: `GET /engine/held?max=N&after=ID`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HeldPage {
     /// The life that reports.
     pub incarnation: Incarnation,
-    /// All that holds memory.
+    /// All that holds memory, or the part of it that was asked for.
     pub held: Vec<Held>,
+    /// The id behind which the next part begins; absent at the end of the listing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub next: Option<String>,
 }
 
 /// `POST /engine/release`.
@@ -185,6 +188,9 @@
 pub struct Renew {
     /// Whose leases.
     pub owner: Owner,
+    /// Which of them; all where none are named.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ids: Vec<String>,
     /// How long from now.
     pub lease_ms: u64,
 }
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -23,7 +23,7 @@
         run::{held_at, try_run},
         state::{Lease, State},
     },
-    http::{Handler, Refused, Reply, json, lock, query, read_json},
+    http::{Handler, Refused, Reply, json, lock, query, query_text, read_json},
     weights::WeightSize,
 };
 
@@ -48,7 +48,7 @@
         let resp = match (req.method(), path.as_str()) {
             (Method::Post, "/v1/completions" | "/v1/chat/completions") => self.run(&mut req).await,
             (Method::Get, "/engine/load") => Ok(json(&self.state(|s, now| s.load(now)))),
-            (Method::Get, "/engine/held") => Ok(json(&self.state(|s, now| s.held_page(now)))),
+            (Method::Get, "/engine/held") => Ok(json(&self.held(&req))),
             (Method::Post, "/engine/release") => self.release(&mut req).await,
             (Method::Post, "/engine/renew") => self.renew(&mut req).await,
             (Method::Post, "/engine/reserve") => self.reserve(&mut req).await,
@@ -79,6 +79,12 @@
         resp
     }
 
+    fn held(&self, req: &Request) -> HeldPage {
+        let max = query(req, "max").map_or(usize::MAX, |max| max as usize);
+        let after = query_text(req, "after").unwrap_or_default();
+        self.state(|s, now| s.held_page(&after, max, now))
+    }
+
     async fn run(&self, req: &mut Request) -> Result<Response, Refused> {
         let answer = try_run(&self.0, req).await;
         if answer.is_err() {
@@ -96,7 +102,7 @@
     async fn renew(&self, req: &mut Request) -> Result<Response, Refused> {
         let call: Renew = read_json(req).await?;
         let span = Duration::from_millis(call.lease_ms);
-        self.state(|state, now| state.renew(&call.owner, now + span));
+        self.state(|state, now| state.renew(&call, now + span));
         Ok(json(&call))
     }
 
@@ -167,8 +173,14 @@
 }
 
 impl State {
-    fn held_page(&self, now: Instant) -> HeldPage {
-        HeldPage { incarnation: self.incarnation, held: self.listing(now) }
+    fn held_page(&self, after: &str, max: usize, now: Instant) -> HeldPage {
+        let mut held = self.listing(now);
+        held.sort_by(|one, other| one.id.cmp(&other.id));
+        held.retain(|entry| entry.id.as_str() > after);
+        let next = held.len() > max;
+        held.truncate(max);
+        let next = held.last().filter(|_| next).map(|entry| entry.id.clone());
+        HeldPage { incarnation: self.incarnation, held, next }
     }
 
     fn export(&mut self, call: &ExportCall, source: SocketAddr, now: Instant) -> Option<KvExport> {
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 use policy::{Fingerprint, Incarnation, RequestSpec, Tokens};
-use protocols::engine::wire::{AttemptId, Held, HeldKind, Load, Order, Owner};
+use protocols::engine::wire::{AttemptId, Held, HeldKind, Load, Order, Owner, Renew};
 use smol::channel::Sender;
 
 use crate::engine::{EngineConfig, EngineStats, cache::PrefixCache};
@@ -162,11 +162,18 @@
         }
     }
 
-    pub(crate) fn renew(&mut self, owner: &Owner, until: Instant) {
-        let leases = self.leases.values_mut().filter(|lease| lease.owner == *owner);
-        leases.for_each(|lease| lease.expires = lease.expires.max(until));
-        for stream in self.streams.values_mut().filter(|s| s.attempt.owner == *owner) {
-            if let Some(expires) = &mut stream.progress.expires {
+    pub(crate) fn renew(&mut self, call: &Renew, until: Instant) {
+        let is_named = |id: &String| call.ids.is_empty() || call.ids.contains(id);
+        for (id, lease) in &mut self.leases {
+            if lease.owner == call.owner && is_named(id) {
+                lease.expires = lease.expires.max(until);
+            }
+        }
+        for (id, stream) in &mut self.streams {
+            if stream.attempt.owner == call.owner
+                && is_named(id)
+                && let Some(expires) = &mut stream.progress.expires
+            {
                 *expires = until.max(*expires);
             }
         }
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -219,7 +219,13 @@
 
 /// A number from the query, as in `?from=7`.
 pub(crate) fn query(req: &Request, name: &str) -> Option<u64> {
-    req.url().query_pairs().find(|(key, _)| key == name)?.1.parse().ok()
+    query_text(req, name)?.parse().ok()
+}
+
+/// A text from the query.
+pub(crate) fn query_text(req: &Request, name: &str) -> Option<String> {
+    let (_, value) = req.url().query_pairs().find(|(key, _)| key == name)?;
+    Some(value.into_owned())
 }
 
 fn bind(address: SocketAddr) -> io::Result<StdListener> {
