Refuse no prompt by a speed that nobody has measured

Cause: until an engine's speed is measured, predictions take 8,000 tokens a second, which is 125 s for a million tokens. Beyond its bound a prompt was admitted only as a trial, and that only where the instance had nothing else under way; one short prompt that came while the million tokens were read was enough to refuse them.

Evidence: refusals now log what the prediction rests on.

Now a prediction refuses only by measured speeds. Without a measure one prompt that the assumed speed speaks against is tried at a time on each instance, so that no herd goes to the engines; the others wait, and hear too_late (not run) with the first measure that shows that they can't be served. Replaced engines and restarted instances start from no measure in the same way.

--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -132,6 +132,11 @@
         FailCause::Deadline => {
             (StatusCode::GatewayTimeout, "deadline", "the request didn't end by its deadline")
         }
+        FailCause::TooLate => (
+            unavailable,
+            "too_late",
+            "by the speeds measured meanwhile the first token would come too late",
+        ),
         FailCause::NotSent => (unavailable, "not_sent", "no endpoint could be reached"),
         FailCause::Rejected => (unavailable, "rejected", "the endpoints took no work"),
         FailCause::Broken => (bad, "broken", "the connection to the endpoint broke"),
--- a/crates/daemon/src/filter/admission.rs
+++ b/crates/daemon/src/filter/admission.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use policy::{CallKind, Decision, Event, Outcome, RequestSpec};
+use policy::{CallKind, Decision, Event, Outcome, Refusal, RequestSpec};
 use smol::channel::Receiver;
 
 use crate::{
@@ -71,12 +71,38 @@
     async fn handle(&self, timed: Timed) -> Result<Answer, CallError> {
         let spec = Arc::new(spec(&timed));
         let deployment = timed.received.route.deployment.clone();
-        let decisions = deployment.offer(spec.clone())?;
+        let decisions =
+            deployment.offer(spec.clone()).inspect_err(|refusal| note(&spec, refusal))?;
         let ticket = Ticket { deployment, decisions, spec: spec.clone(), ended: false };
         self.next.handle(Admitted { timed, spec, ticket, claim: None }).await
     }
 }
 
+fn note(spec: &RequestSpec, refusal: &Refusal) {
+    let (request, reason) = (spec.id.0, refusal.reason.as_str());
+    let Some(forecast) = &refusal.forecast else {
+        log::info!(request, reason, prompt = spec.prompt.0; "refused");
+        return;
+    };
+    log::info!(
+        request,
+        reason,
+        prompt = spec.prompt.0,
+        allowed_s = forecast.allowed_s,
+        own_s = forecast.own_s,
+        others_s = forecast.others_s,
+        turn_s = forecast.turn_s,
+        margin = forecast.margin,
+        rate = forecast.rate.0,
+        is_measured = forecast.is_measured,
+        in_flight = forecast.in_flight.0,
+        queued = forecast.queued.0,
+        under_way = forecast.under_way,
+        heard_ms = forecast.heard.as_millis() as u64;
+        "refused"
+    );
+}
+
 fn spec(timed: &Timed) -> RequestSpec {
     let received = &timed.received;
     let common = RequestSpec {
--- a/crates/daemon/src/filter/dispatch/service.rs
+++ b/crates/daemon/src/filter/dispatch/service.rs
@@ -184,7 +184,6 @@
 }
 
 fn hung_up_error() -> CallError {
-    let refusal =
-        policy::Refusal { reason: RefusalReason::NoEndpoint, retry_after: Duration::from_secs(1) };
+    let refusal = policy::Refusal::new(RefusalReason::NoEndpoint, Duration::from_secs(1));
     CallError { code: "hung_up", ..refusal.into() }
 }
--- a/crates/daemon/src/filter/once.rs
+++ b/crates/daemon/src/filter/once.rs
@@ -215,5 +215,5 @@
 }
 
 fn log_down() -> CallError {
-    Refusal { reason: RefusalReason::LogUnavailable, retry_after: COME_BACK }.into()
+    Refusal::new(RefusalReason::LogUnavailable, COME_BACK).into()
 }
--- a/crates/daemon/src/filter/parse.rs
+++ b/crates/daemon/src/filter/parse.rs
@@ -125,7 +125,7 @@
 
 fn check_stage(shared: &Shared) -> Result<(), CallError> {
     if shared.stage() == Stage::Refusing {
-        let refusal = Refusal { reason: RefusalReason::Stopping, retry_after: COME_BACK };
+        let refusal = Refusal::new(RefusalReason::Stopping, COME_BACK);
         return Err(refusal.into());
     }
     if shared.active().version == Version(0) {
--- a/crates/policy/src/health/mod.rs
+++ b/crates/policy/src/health/mod.rs
@@ -150,6 +150,7 @@
             | FailCause::BadAnswer
             | FailCause::EndpointDied => record.failures += 1,
             FailCause::Deadline
+            | FailCause::TooLate
             | FailCause::Rejected
             | FailCause::Silent
             | FailCause::Quarantined
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,7 +43,7 @@
 pub use report::{BANDS, CacheEvents, LoadDigest, LoadReport, ReservationWish, WishPart};
 pub use request::{CallKind, RequestSpec};
 pub use scheduler::{
-    Admission, Decision, EndpointChange, Event, FailCause, Failure, Outcome, Priority, Ran,
-    Refusal, RefusalReason, Scheduler, Shard, Start,
+    Admission, Decision, EndpointChange, Event, FailCause, Failure, Forecast, Outcome, Priority,
+    Ran, Refusal, RefusalReason, Scheduler, Shard, Start,
 };
 pub use units::{Time, TokenRate, Tokens};
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     CacheEvents, DataCentre, EndpointId, Incarnation, InstanceId, LoadDigest, LoadReport,
-    RequestId, RequestSpec, Time, Tokens, config,
+    RequestId, RequestSpec, Time, TokenRate, Tokens, config,
 };
 
 /// Decides about the requests of one deployment on one instance.
@@ -59,6 +59,42 @@
     pub reason: RefusalReason,
     /// When asking again is likely to succeed, for `Retry-After`.
     pub retry_after: Duration,
+    /// What a refusal by prediction rests on.
+    pub forecast: Option<Forecast>,
+}
+
+impl Refusal {
+    /// A refusal that rests on no prediction.
+    pub fn new(reason: RefusalReason, retry_after: Duration) -> Refusal {
+        Refusal { reason, retry_after, forecast: None }
+    }
+}
+
+/// A predicted first token and what it was computed from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Forecast {
+    /// Seconds of prefill of the prompt itself.
+    pub own_s: f64,
+    /// Seconds for what goes before it.
+    pub others_s: f64,
+    /// Seconds until its workspace's turn.
+    pub turn_s: f64,
+    /// What the first two are multiplied by.
+    pub margin: f64,
+    /// Seconds until the first token has to be out.
+    pub allowed_s: f64,
+    /// Prefill speed that it was computed with.
+    pub rate: TokenRate,
+    /// Whether any engine's speed was measured.
+    pub is_measured: bool,
+    /// Prefill that was sent to engines and goes before it.
+    pub in_flight: Tokens,
+    /// Prefill that waits here and at the other instances.
+    pub queued: Tokens,
+    /// Requests of this instance under way.
+    pub under_way: usize,
+    /// Age of the oldest word of another instance.
+    pub heard: Duration,
 }
 
 /// The reasons for turning a request away.
@@ -189,6 +225,8 @@
 pub enum FailCause {
     /// The deadline has passed or can't be met any more.
     Deadline,
+    /// Speeds measured since its admission show that it can't meet its bound.
+    TooLate,
     /// Nothing was sent: the connection was refused, or the endpoint has another incarnation.
     NotSent,
     /// The endpoint refused before running (busy, leaving, out of memory).
--- a/crates/policy/src/trefoilhall/admit.rs
+++ b/crates/policy/src/trefoilhall/admit.rs
@@ -10,25 +10,33 @@
 //! engines in its band and below, for what waits in lower bands here and on the peers, and for its
 //! own workspace's turns, which come at its share of the lane or at what the others leave. The refusal says when the prediction would fit. A full waiting room
 //! gives up the latest request of the workspace furthest over its share, or refuses the newcomer
-//! if that is the one.
+//! if that is the one. Before any engine's speed is measured nothing is refused by a prediction:
+//! one request at a time tries, the others wait, and as soon as there is a measure those that can't
+//! make their bound hear it.
 //!
 //! **Grounds.** A refusal that costs microseconds and comes at once lets the caller go elsewhere
 //! or come back when told; an admission that fails later costs it the whole wait. Weighing
 //! predictions against measured first tokens ([`super::learn::Margin`]) makes the rule right for
 //! effects that no term names, such as memory held by long answers. Once in [`TRIAL_EVERY`] an
 //! idle deployment runs a request against the prediction: a speed learned wrongly as too low
-//! would otherwise refuse everything for good, and nothing would correct it.
+//! would otherwise refuse everything for good, and nothing would correct it. At a cold start, after
+//! all engines were replaced or after a restart there is no measure at all. [`FIRST_GUESS`] is too
+//! low for most engines, and a prompt refused by it could have been served; one trial at a time
+//! keeps all long prompts of that moment from going to the engines together.
+//!
+//! [`FIRST_GUESS`]: super::learn::FIRST_GUESS
 
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    Admission, FailCause, Ran, Refusal, RefusalReason, RequestSpec, Time, quarantine::Standing,
+    Admission, FailCause, Forecast, Ran, Refusal, RefusalReason, RequestSpec, Time, TokenRate,
+    Tokens, quarantine::Standing,
 };
 
 use super::{
     Trefoilhall,
     queue::WorkspaceIndex,
-    request::{Due, Entry, State},
+    request::{Basis, Due, Entry, State},
     seconds, span,
     workspaces::{HALF_LIFE, SPREAD},
 };
@@ -49,15 +57,17 @@
 /// Seconds until a first token.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Prediction {
-    /// The wait for others, and the request's own prefill.
+    /// The wait for others.
     others: f64,
+    /// The request's own prefill.
+    own: f64,
     /// The wait for its own workspace's turn.
     own_wait: f64,
 }
 
 impl Prediction {
     pub(super) fn seconds(self) -> f64 {
-        self.others + self.own_wait
+        self.others + self.own + self.own_wait
     }
 }
 
@@ -80,8 +90,7 @@
             return Err(self.refusal(RefusalReason::OverLimit, over));
         }
         if let Standing::Refused(left) = self.quarantine.standing(req.fingerprint, now) {
-            let refusal = Refusal { reason: RefusalReason::Quarantined, retry_after: left };
-            return Err(refusal);
+            return Err(Refusal::new(RefusalReason::Quarantined, left));
         }
         if self.fleet.usable == 0 {
             return Err(self.refusal(RefusalReason::NoEndpoint, 1.0));
@@ -94,15 +103,21 @@
         entry.predicted = prediction.seconds();
         entry.own_wait = prediction.own_wait;
         let turn_margin = self.workspaces.get(workspace).lines[entry.lane].margin.factor();
-        let promised = prediction.others * self.margins[entry.lane].factor(seconds(now))
+        let promised = (prediction.others + prediction.own)
+            * self.margins[entry.lane].factor(seconds(now))
             + prediction.own_wait * turn_margin;
         let allowed = entry.bound.since(now).as_secs_f64();
         if promised > allowed {
-            if !self.may_try(now) {
-                return Err(self.refusal(RefusalReason::TooLate, promised - allowed));
+            if !self.fleet.learned {
+                entry.basis = Basis::Assumption;
+            } else if self.may_try(now) {
+                entry.basis = Basis::Trial;
+                entry.bound = req.deadline;
+            } else {
+                let forecast = self.forecast(&entry, prediction, now);
+                let refusal = self.refusal(RefusalReason::TooLate, promised - allowed);
+                return Err(Refusal { forecast: Some(forecast), ..refusal });
             }
-            entry.is_trial = true;
-            entry.bound = req.deadline;
         }
         self.make_room(workspace, &entry, now)?;
         Ok(entry)
@@ -129,10 +144,10 @@
             tried: Vec::new(),
             silent: Vec::new(),
             may_have_run: false,
-            passed_on: crate::Tokens::ZERO,
+            passed_on: Tokens::ZERO,
             predicted: 0.0,
             own_wait: 0.0,
-            is_trial: false,
+            basis: Basis::Prediction,
             req,
         }
     }
@@ -155,6 +170,26 @@
         req.arrived + whole.saturating_sub(decode).max(whole / 2)
     }
 
+    /// What a prediction rests on.
+    fn forecast(&self, entry: &Entry, prediction: Prediction, now: Time) -> Forecast {
+        let bands = || 0..=entry.band.index();
+        let here: f64 = bands().map(|band| self.lanes[band].tokens()).sum();
+        let peers: f64 = bands().map(|band| self.peers.queued[band]).sum();
+        Forecast {
+            own_s: prediction.own,
+            others_s: prediction.others,
+            turn_s: prediction.own_wait,
+            margin: self.margins[entry.lane].factor(seconds(now)),
+            allowed_s: entry.bound.since(now).as_secs_f64(),
+            rate: TokenRate(self.fleet.typical_rate),
+            is_measured: self.fleet.learned,
+            in_flight: Tokens(self.inflight[entry.band.index()] as u64),
+            queued: Tokens((here + peers) as u64),
+            under_way: self.requests.len(),
+            heard: self.peers.age(now),
+        }
+    }
+
     fn insert(&mut self, entry: Entry, now: Time) {
         let at = seconds(now);
         self.bands.observe(entry.prompt());
@@ -163,27 +198,66 @@
         state.admitted(entry.cost, at);
         state.lines[entry.lane].demand.add(entry.prompt(), at, HALF_LIFE);
         let request = entry.req.id;
+        if entry.basis == Basis::Assumption {
+            self.assumed.insert(request);
+        }
         self.requests.insert(request, entry);
         self.enqueue(request);
     }
 
     /// Puts a request into its lane.
     pub(super) fn enqueue(&mut self, request: crate::RequestId) {
-        let fastest = self.fleet.fastest_rate;
         let Some(entry) = self.requests.get_mut(&request) else { return };
-        self.due.remove(&Due { at: entry.due, request });
         entry.state = State::Waiting;
-        // From here on it could not make its bound even on an idle engine.
-        let own = if entry.is_trial { 0.0 } else { entry.uncached / fastest };
-        let latest = Time(entry.bound.0.saturating_sub((own * 1e6) as u64));
-        entry.due = latest.min(entry.req.deadline);
-        self.due.insert(Due { at: entry.due, request });
+        self.set_due(request);
+        let Some(entry) = self.requests.get(&request) else { return };
         let share = self.workspaces.share(entry.workspace);
         let line = &mut self.workspaces.get_mut(entry.workspace).lines[entry.lane];
         self.lanes[entry.lane].push(share, line, entry.waiting(), entry.prompt());
         self.waiting += 1;
     }
 
+    /// Notes from when on a waiting request could not make its bound even on an idle engine.
+    fn set_due(&mut self, request: crate::RequestId) {
+        let fastest = self.fleet.fastest_rate;
+        let is_measured = self.fleet.learned;
+        let Some(entry) = self.requests.get_mut(&request) else { return };
+        self.due.remove(&Due { at: entry.due, request });
+        let own = match entry.basis {
+            Basis::Trial => 0.0,
+            Basis::Assumption if !is_measured => 0.0,
+            Basis::Assumption | Basis::Prediction => entry.uncached / fastest,
+        };
+        let latest = Time(entry.bound.0.saturating_sub((own * 1e6) as u64));
+        entry.due = latest.min(entry.req.deadline);
+        self.due.insert(Due { at: entry.due, request });
+    }
+
+    /// Looks again at the waiting requests that were admitted on an assumption, once speeds are
+    /// measured. Those that can't make their bound hear it at once.
+    pub(super) fn confirm_assumed(&mut self, now: Time) {
+        if !self.fleet.learned || self.assumed.is_empty() {
+            return;
+        }
+        for request in std::mem::take(&mut self.assumed) {
+            let Some(entry) = self.requests.get(&request) else { continue };
+            if !matches!(entry.state, State::Waiting) {
+                continue;
+            }
+            self.set_due(request);
+            if self.requests.get(&request).is_some_and(|entry| entry.due <= now) {
+                self.fail(request, FailCause::TooLate, now);
+            }
+        }
+    }
+
+    /// Whether a request admitted on an assumption has to wait: another one is trying the engines.
+    pub(super) fn must_wait_for_trial(&self, entry: &Entry) -> bool {
+        let tried = self.trying.and_then(|request| self.requests.get(&request));
+        let is_trying = tried.and_then(Entry::attempt).is_some_and(|a| a.first_token.is_none());
+        entry.basis == Basis::Assumption && !self.fleet.learned && is_trying
+    }
+
     /// Seconds until the first token of `entry`, if it is admitted now.
     pub(super) fn predict(&self, entry: &Entry, now: Time) -> Prediction {
         let band = entry.band.index();
@@ -196,10 +270,10 @@
         let wait = (self.inflight[band] + lower) / capacity;
         if queued > 0.0 || entry.needs_several() {
             let own_wait = self.wait_for_share(entry, capacity, now);
-            return Prediction { others: wait + own, own_wait };
+            return Prediction { others: wait, own, own_wait };
         }
         // Nobody waits: it goes to the engine that is free first.
-        Prediction { others: wait.min(self.least_wait[band] / slowed) + own, own_wait: 0.0 }
+        Prediction { others: wait.min(self.least_wait[band] / slowed), own, own_wait: 0.0 }
     }
 
     /// Seconds until its workspace's turn comes in the lane. The workspace can count on its share
@@ -253,7 +327,7 @@
     }
 
     fn refusal(&mut self, reason: RefusalReason, seconds: f64) -> Refusal {
-        Refusal { reason, retry_after: self.retry_after(seconds) }
+        Refusal::new(reason, self.retry_after(seconds))
     }
 
     /// What a caller is told for a wait of about `seconds`.
--- a/crates/policy/src/trefoilhall/answers.rs
+++ b/crates/policy/src/trefoilhall/answers.rs
@@ -16,7 +16,7 @@
 
 use super::{
     Trefoilhall,
-    request::{Attempt, Entry, State},
+    request::{Attempt, Basis, Entry, State},
     seconds, span,
     workspaces::SPREAD,
 };
@@ -82,7 +82,7 @@
         let is_long = entry.band.is_long();
         self.learn_of_endpoint(request, cached, now);
         let Some(entry) = self.requests.get(&request) else { return };
-        if entry.attempts == 1 && !entry.is_trial {
+        if entry.attempts == 1 && entry.basis == Basis::Prediction {
             let actual = seconds(now) - seconds(entry.req.arrived);
             self.learn_margin(request, actual, now);
         }
--- a/crates/policy/src/trefoilhall/dispatch.rs
+++ b/crates/policy/src/trefoilhall/dispatch.rs
@@ -33,7 +33,7 @@
     Trefoilhall,
     class::Band,
     endpoint::Endpoint,
-    request::{Attempt, Due, Entry, State},
+    request::{Attempt, Basis, Due, Entry, State},
     seconds,
     shortlist::Shortlist,
     span,
@@ -124,6 +124,9 @@
         if self.fleet.usable > 0 && entry.footprint() > self.fleet.largest_memory {
             return Place::Spread;
         }
+        if self.must_wait_for_trial(entry) {
+            return Place::Later;
+        }
         let ask = self.ask(entry);
         let listed = shortlist.indices().filter_map(|index| self.fleet.endpoints.get_index(index));
         let candidates: Vec<Candidate> =
@@ -133,7 +136,9 @@
         };
         let chosen = &candidates[index];
         let first_token = place::first_token(chosen, &ask);
-        if !entry.is_trial && now + first_token > entry.bound {
+        let is_assumed = entry.basis == Basis::Assumption && !self.fleet.learned;
+        let is_tried = is_assumed || entry.basis == Basis::Trial;
+        if !is_tried && now + first_token > entry.bound {
             return self.too_late(entry, &candidates, &ask, now);
         }
         Place::At(Chosen {
@@ -253,6 +258,9 @@
         entry.due = entry.req.deadline;
         self.due.insert(Due { at: entry.due, request });
         entry.attempts += 1;
+        if entry.basis == Basis::Assumption {
+            self.trying = Some(request);
+        }
         let band = entry.band;
         let prefill = (entry.req.prompt + entry.passed_on - cached).0.max(1) as f64;
         for shard in &shards {
--- a/crates/policy/src/trefoilhall/failover.rs
+++ b/crates/policy/src/trefoilhall/failover.rs
@@ -29,7 +29,7 @@
 use super::{
     Trefoilhall,
     endpoint::Endpoint,
-    request::{Due, Entry, State, Tried},
+    request::{Basis, Due, Entry, State, Tried},
 };
 
 /// Failed attempts after which a request is given up.
@@ -89,7 +89,7 @@
         let Some(entry) = self.requests.get(&request) else { return };
         let ran = Self::ran(entry);
         let predicted = self.predict(entry, now).seconds();
-        if cause == FailCause::Deadline && entry.attempts == 0 && !entry.is_trial {
+        if cause == FailCause::Deadline && entry.attempts == 0 && entry.basis == Basis::Prediction {
             let waited = now.since(entry.req.arrived).as_secs_f64();
             self.learn_margin(request, waited, now);
         }
@@ -108,6 +108,7 @@
             self.quarantine.stopped(entry.req.fingerprint);
         }
         let Some(entry) = self.requests.swap_remove(&request) else { return };
+        self.assumed.shift_remove(&request);
         self.due.remove(&Due { at: entry.due, request });
         if let State::BackingOff(at) = entry.state {
             self.later.remove(&Due { at, request });
--- a/crates/policy/src/trefoilhall/mod.rs
+++ b/crates/policy/src/trefoilhall/mod.rs
@@ -120,6 +120,10 @@
     unheard: f64,
     quarantine: Quarantine,
     last_trial: f64,
+    /// Requests admitted before any speed was measured.
+    assumed: IndexSet<RequestId>,
+    /// The last of them that was started.
+    trying: Option<RequestId>,
     /// Prompt tokens a second of all instances, by band.
     total_demand: ByBand,
     /// Prefill speed of the engines open to long prompts and with memory for them.
@@ -187,6 +191,8 @@
             budgets: Budgets::new(Limits::default().retry_share),
             quarantine: Quarantine::new(),
             last_trial: f64::NEG_INFINITY,
+            assumed: IndexSet::new(),
+            trying: None,
             total_demand: ByBand::default(),
             long_rate: 0.0,
             inflight: ByBand::default(),
@@ -302,6 +308,7 @@
             self.drop_stale_peers(now);
             self.look_at_fleet(now);
         }
+        self.confirm_assumed(now);
         self.expire(now);
         self.end_backoffs(now);
         self.dispatch_spread(now);
--- a/crates/policy/src/trefoilhall/request.rs
+++ b/crates/policy/src/trefoilhall/request.rs
@@ -43,8 +43,19 @@
     pub(super) predicted: f64,
     /// The part of it that is the wait for its own workspace's turn.
     pub(super) own_wait: f64,
-    /// Admitted to learn the engines' speed although the prediction said no.
-    pub(super) is_trial: bool,
+    pub(super) basis: Basis,
+}
+
+/// What an admission rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Basis {
+    /// A prediction that keeps the bound.
+    Prediction,
+    /// The prediction said no by speeds that nobody has measured. It waits until they are, or is
+    /// the one request that tries them.
+    Assumption,
+    /// The prediction said no by measured speeds, which may be wrong.
+    Trial,
 }
 
 /// What an admitted request is doing.
--- a/crates/policy/src/trefoilhall/reserve.rs
+++ b/crates/policy/src/trefoilhall/reserve.rs
@@ -54,6 +54,10 @@
     pub(super) fn dispatch_spread(&mut self, now: Time) {
         self.clear_drains();
         self.plan_first(now);
+        let planned = self.plan.as_ref().and_then(|plan| self.requests.get(&plan.request));
+        if planned.is_some_and(|entry| self.must_wait_for_trial(entry)) {
+            return;
+        }
         let is_first = self.is_first_wish(now);
         if !is_first {
             self.drain_for_peer(now);
