Answer requests that follow their connection in a planned stop

Cause: once the instance closes its connections, each is finished by the HTTP library, which closes at once where no request has begun. A connection accepted a moment before its first bytes was such a one.

Now a new connection is finished once its first request has begun or after a second without one.

--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -12,11 +12,14 @@
 };
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::{filter::AnswerBody, net, state::Lifecycle};
+use crate::{filter::AnswerBody, net, signal::Once, state::Lifecycle};
 
 /// Pause after a failed accept. The usual cause is that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a new connection may stay without its first request once connections are closed.
+const FIRST_REQUEST: Duration = Duration::from_secs(1);
+
 /// The least buffer that the HTTP library takes.
 const LEAST_BUFFER: usize = 8 << 10;
 
@@ -69,7 +72,9 @@
 async fn connection<S: Service>(stream: TcpStream, service: Arc<S>) {
     net::tune(&stream);
     let rules = service.rules();
+    let asked = Once::default();
     let answer = service_fn(|req| {
+        asked.reach();
         let service = service.clone();
         async move { Ok::<_, Infallible>(service.answer(req).await) }
     });
@@ -82,10 +87,15 @@
         .half_close(false)
         .serve_connection(FuturesIo::new(stream), answer);
     let mut serving = pin!(serving);
+    let patience = async {
+        Timer::after(FIRST_REQUEST).await;
+    };
     let lifecycle = service.lifecycle().clone();
     let ended = async { Some((&mut serving).await) };
     let closing = async {
         lifecycle.closing().await;
+        // A connection without a request would be closed at once, with the first one on its way.
+        asked.reached().or(patience).await;
         None
     };
     let served = match ended.or(closing).await {
