Avoid the engines that an overdue prompt may wait for

All instances know every split prompt and its first event, so the first one is known to be overdue a second before that. Traced: five dossiers take engine 0 between 4.6 and 5.5 s; the first is overdue at 4.3 s.

Now a split costs the chance that one of its engines is the one an overdue prompt waits for (arrange::overdue); engines that have read a later part, and those of prompts of which one engine is known to refuse, aren't blamed. No message was added.

--- a/crates/policy/src/arrange/awaited.rs
+++ b/crates/policy/src/arrange/awaited.rs
@@ -10,7 +10,8 @@
 //!
 //! **Rule.** A part counts until the first event of its request, of which its instance tells the
 //! others, however late that is. What is foretold to be over by then isn't counted ahead, but what is
-//! overdue is. A prompt that its engine reads alone and that is overdue shows for how long the engine
+//! overdue is. A part of a split prompt that is overdue may be what its request waits for
+//! ([`super::overdue`]), until a later part is known to have been read there. A prompt that its engine reads alone and that is overdue shows for how long the engine
 //! has stalled, and that it may go on for as long again. Where the word of a first event is lost, that
 //! of a later one clears it, or the end of any caller's patience.
 
@@ -37,6 +38,17 @@
     until: f64,
     /// When the engine is thought to have read it.
     read_at: Option<f64>,
+    /// A part that came later has been read.
+    is_cleared: bool,
+}
+
+/// A part of a split prompt whose first event isn't known.
+pub(super) struct SplitWait {
+    pub(super) key: PartKey,
+    /// Milliseconds since a first event should have been known, as far as this engine goes.
+    pub(super) overdue_ms: f64,
+    /// Whether the engine has read a later part.
+    pub(super) is_cleared: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,6 +77,7 @@
             arrives: part.arrives,
             until: part.ready,
             read_at: None,
+            is_cleared: false,
         });
     }
 
@@ -76,10 +89,14 @@
     }
 
     /// A request's first event came, or it is over; true where it was awaited. Whole prompts that came
-    /// before it have been read as well.
-    pub(super) fn over(&mut self, key: PartKey) -> bool {
+    /// before it have been read as well. Where its part `was_read`, the engine reads.
+    pub(super) fn over(&mut self, key: PartKey, was_read: bool) -> bool {
         let Some(index) = self.0.iter().position(|wait| wait.key == key) else { return false };
         let over = self.0.remove(index);
+        if was_read {
+            let before = self.0.iter_mut().filter(|wait| wait.arrives < over.arrives);
+            before.for_each(|wait| wait.is_cleared = true);
+        }
         if over.role == Role::Whole {
             self.0.retain(|wait| wait.role != Role::Whole || wait.arrives >= over.arrives);
         }
@@ -101,6 +118,16 @@
         self.0.iter().filter(counts).count()
     }
 
+    /// Parts of split prompts whose first events aren't known. Word of others' takes `told_after_ms`.
+    pub(super) fn split(&self, told_after_ms: f64, now: f64) -> impl Iterator<Item = SplitWait> {
+        self.0.iter().filter(|wait| wait.role != Role::Whole).map(move |wait| {
+            let told_after_ms = if wait.placed_by.is_some() { told_after_ms } else { 0.0 };
+            let read_at = wait.read_at.unwrap_or(f64::INFINITY);
+            let overdue_ms = now - wait.until.max(read_at) - told_after_ms;
+            SplitWait { key: wait.key, overdue_ms, is_cleared: wait.is_cleared }
+        })
+    }
+
     /// For how long the engine has stalled, in milliseconds. What others sent counts only after
     /// `told_after_ms`, which word of a first event may take.
     pub(super) fn stalled_ms(&self, told_after_ms: f64, now: f64) -> f64 {
--- a/crates/policy/src/arrange/mod.rs
+++ b/crates/policy/src/arrange/mod.rs
@@ -24,6 +24,7 @@
 mod decaying;
 mod herd;
 mod mean;
+mod overdue;
 mod pauses;
 mod reading;
 mod rules;
@@ -200,6 +201,9 @@
             for server in self.servers.values_mut() {
                 server.follow(rules, told_after, now);
             }
+            if rules.read_ms(ask.prompt) > self.short_ms() {
+                overdue::assess(&mut self.servers, self.placement.overdue_ms, told_after, now);
+            }
         }
         let chosen = match &self.rules {
             Some(rules) => self.choose_engine(rules, ask, spread, now),
@@ -249,7 +253,7 @@
         // Whatever was foretold, all of its parts have been read.
         for reader in known.endpoints() {
             if let Some(server) = self.servers.get_mut(reader) {
-                server.unread_own(known.key, now);
+                server.unread_own(known.key, true, now);
             }
         }
         self.health.answered(&known.endpoint, taken, predicted);
--- a/crates/policy/src/arrange/rules.rs
+++ b/crates/policy/src/arrange/rules.rs
@@ -88,6 +88,10 @@
     /// Milliseconds by which a prompt may be read later than predicted, because another instance chose the
     /// same engines, before another place is looked for.
     pub collision_ms: f64,
+    /// Milliseconds by which a split prompt is overdue once it certainly waits for one of its engines.
+    pub overdue_ms: f64,
+    /// What a prompt loses, in times its weight, if one of its engines doesn't read its part.
+    pub broken_loss: f64,
     /// Long prompts may be held until their engines have read what came before.
     pub holds: bool,
 }
@@ -119,6 +123,8 @@
             most_harm: 1.0,
             gathers: true,
             collision_ms: 300.0,
+            overdue_ms: 300.0,
+            broken_loss: 1.0,
             holds: true,
         }
     }
@@ -132,7 +138,11 @@
 impl PlacementRules {
     /// The name of a figure that makes no sense, if there is one.
     pub fn wrong(&self) -> Option<&'static str> {
-        let positive = [("unit_ms", self.unit_ms), ("idle_factor", self.idle_factor)];
+        let positive = [
+            ("unit_ms", self.unit_ms),
+            ("idle_factor", self.idle_factor),
+            ("overdue_ms", self.overdue_ms),
+        ];
         let others = [
             ("weight_power", self.weight_power),
             ("ramp_from", self.ramp_from),
@@ -152,6 +162,7 @@
             ("idle_slack_ms", self.idle_slack_ms),
             ("most_harm", self.most_harm),
             ("collision_ms", self.collision_ms),
+            ("broken_loss", self.broken_loss),
         ];
         let too_small = |(name, value): &(&'static str, f64)| (*value < 0.0).then_some(*name);
         let not_positive = positive.iter().find(|(_, value)| *value <= 0.0).map(|(name, _)| *name);
--- a/crates/policy/src/arrange/server.rs
+++ b/crates/policy/src/arrange/server.rs
@@ -24,7 +24,7 @@
 use super::{
     Member, PlacementRules,
     ask::Job,
-    awaited::Awaited,
+    awaited::{Awaited, SplitWait},
     backoff::HelperBackoff,
     herd::ROUND_TRIPS,
     mean::Mean,
@@ -51,6 +51,8 @@
     awaited: Awaited,
     /// For how long it had stalled when it was last followed.
     stalled_ms: f64,
+    /// The chance that it doesn't read; see [`super::overdue`].
+    pub(super) risk: f64,
     as_helper: HelperBackoff,
     pub(super) own: Level,
     peers: IndexMap<InstanceId, Level>,
@@ -103,6 +105,7 @@
             reading: Reading::new(millis(now)),
             awaited: Awaited::default(),
             stalled_ms: 0.0,
+            risk: 0.0,
             as_helper: HelperBackoff::default(),
             own: Level::default(),
             peers: IndexMap::new(),
@@ -204,6 +207,20 @@
         each.filter(|(bears_ms, _)| counts(*bears_ms)).map(|(_, weight)| weight).sum()
     }
 
+    /// Parts of split prompts there whose first events aren't known.
+    pub(super) fn split_waits(
+        &self,
+        told_after: Duration,
+        now: Time,
+    ) -> impl Iterator<Item = SplitWait> {
+        self.awaited.split(told_after.as_secs_f64() * 1000.0, millis(now))
+    }
+
+    /// Whether requests were refused for its sake of late.
+    pub(super) fn is_left_out(&self, now: Time) -> bool {
+        !self.as_helper.may_help(millis(now))
+    }
+
     /// Requests that run or wait there.
     pub(super) fn running(&self) -> u32 {
         self.all.running
@@ -245,14 +262,14 @@
     }
 
     /// A part waits no more, and nor does its request for a first event; true where either was thought.
-    pub(super) fn unread(&mut self, key: PartKey, now: Time) -> bool {
-        let was_awaited = self.awaited.over(key);
+    pub(super) fn unread(&mut self, key: PartKey, was_read: bool, now: Time) -> bool {
+        let was_awaited = self.awaited.over(key, was_read);
         self.reading.take_back(key, millis(now)) || was_awaited
     }
 
     /// The same for a part of this instance's own, of which the others have to hear.
-    pub(super) fn unread_own(&mut self, key: PartKey, now: Time) {
-        if !self.unread(key, now) {
+    pub(super) fn unread_own(&mut self, key: PartKey, was_read: bool, now: Time) {
+        if !self.unread(key, was_read, now) {
             return;
         }
         let untold = self.untold.len();
@@ -288,7 +305,7 @@
 
     pub(super) fn release(&mut self, job: &Job, is_head: bool, now: Time) {
         if job.began.is_none() {
-            self.unread_own(job.key, now);
+            self.unread_own(job.key, false, now);
         }
         let mut own = self.own;
         if let Some(reserved) = job.reserved_at(&self.member.endpoint) {
--- a/crates/policy/src/arrange/told.rs
+++ b/crates/policy/src/arrange/told.rs
@@ -171,6 +171,9 @@
     words: &[Told],
     now: Time,
 ) {
+    // Where a prompt runs, word of its first event comes with that of its parts.
+    let answered = words.iter().filter(|word| word.answered);
+    let read: Vec<PartKey> = answered.flat_map(|word| &word.gone).copied().collect();
     for word in words {
         let index = tags.get(&word.endpoint).copied();
         let Some((endpoint, server)) = index.and_then(|i| servers.get_index_mut(i)) else {
@@ -182,7 +185,7 @@
             }
         }
         for key in &word.gone {
-            server.unread(*key, now);
+            server.unread(*key, read.contains(key), now);
         }
         if word.answered {
             server.answered();
--- a/crates/policy/tests/stalls.rs
+++ b/crates/policy/tests/stalls.rs
@@ -216,3 +216,83 @@
     let next = two.place(&question_for(0, 1), now).unwrap();
     assert!(next.predicted_ms < 100.0);
 }
+
+/// An instance that places dossiers, and another one that hears of them.
+struct Pair {
+    one: Arranger,
+    two: Arranger,
+    first: Placement,
+}
+
+impl Pair {
+    /// The first of them has placed a dossier.
+    fn new() -> Pair {
+        let rules = PlacementRules::default();
+        let [mut one, two] = [1, 2].map(|seed| arranging::arranger(20, engine(), rules, seed));
+        let first = one.place(&ask(210_000, 1), Time::from_millis(1)).unwrap();
+        let mut pair = Pair { one, two, first };
+        pair.tell(Time::from_millis(1));
+        pair
+    }
+
+    fn tell(&mut self, now: Time) {
+        let peer = InstanceId::new("p-1").unwrap();
+        self.two.hear(&peer, &self.one.tell(true), now);
+    }
+
+    /// When the first dossier is overdue by `late_ms`.
+    fn overdue_by(&self, late_ms: u64) -> Time {
+        Time::from_millis(self.first.predicted_ms as u64 + late_ms)
+    }
+
+    /// How many of its engines the other instance takes for the next one.
+    fn shared(mut self, now: Time) -> usize {
+        self.tell(now);
+        let second = self.two.place(&ask(210_000, 2), now).unwrap();
+        let first = engines(&self.first);
+        engines(&second).iter().filter(|engine| first.contains(engine)).count()
+    }
+}
+
+fn engines(placement: &Placement) -> Vec<usize> {
+    let helpers = placement.helpers.iter().map(|helper| arranging::index(&helper.endpoint));
+    helpers.chain([arranging::index(&placement.endpoint)]).collect()
+}
+
+/// Names each case by what the first dossier's instance learns before the second one is placed.
+macro_rules! shares {
+    ($($(#[$line:meta])* $case:ident: $late_ms:expr, $then:expr, $expected:expr;)*) => {$(
+        $(#[$line])*
+        #[test]
+        fn $case() {
+            let mut pair = Pair::new();
+            let now = pair.overdue_by($late_ms);
+            let then: fn(&mut Pair, Time) = $then;
+            then(&mut pair, now);
+            let shared = pair.shared(now);
+            assert!($expected.contains(&shared), "{shared} engines");
+        }
+    )*};
+}
+
+shares! {
+    /// Guards against a helper that died without a word and is taken again for each dossier until the
+    /// first one breaks off.
+    dossiers_leave_the_engines_of_an_overdue_one: 1_000, |_, _| {}, (0..=2);
+    /// Guards against engines that are avoided because word of a first event takes its time.
+    dossiers_share_engines_before_word_is_due: 100, |_, _| {}, (8..);
+    /// Guards against engines that are avoided although they answered, if late.
+    dossiers_share_engines_that_read: 1_000, |pair, now| pair.one.began(pair.first.job, now), (8..);
+    /// Guards against engines that are avoided although they have read a later dossier.
+    dossiers_share_engines_that_read_a_later_one: 1_000, |pair, now| {
+        let soon = Time::from_millis(10);
+        let later = pair.one.place(&ask(210_000, 3), soon).unwrap();
+        pair.tell(soon);
+        pair.one.began(later.job, now);
+    }, (8..);
+    /// Guards against engines that are avoided after another one was named.
+    dossiers_share_engines_once_one_is_named: 1_000, |pair, now| {
+        pair.one.at_fault(&arranging::id(0), now);
+        pair.one.ended(pair.first.job, Some(FailCause::Rejected), now);
+    }, (8..);
+}
