Say what an instance that isn't ready waits for

cache_events_lost (KNOWN-RED.txt) failed once with NotReady, and nothing said why: a start looks the same whether the process couldn't listen, hears nothing of the log, or waits for an endpoint's load.

The cause isn't known; the entry stays.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -107,9 +107,9 @@
 }
 
 fn ready(shared: &Shared) -> Response {
-    match shared.is_ready() {
-        true => respond::text(StatusCode::Ok, "ready\n"),
-        false => respond::text(StatusCode::ServiceUnavailable, "not ready\n"),
+    match shared.unready() {
+        None => respond::text(StatusCode::Ok, "ready\n"),
+        Some(why) => respond::text(StatusCode::ServiceUnavailable, &format!("not ready: {why}\n")),
     }
 }
 
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -20,6 +20,7 @@
     clock, controller, drain, filter,
     metrics::Metrics,
     peer::{LOAD_BYTES_PER_SECOND, PeerConfig, PeerMesh},
+    readiness,
     server::{self, Audience, Service},
     settings::Settings,
     shared::Shared,
@@ -91,6 +92,7 @@
             shared.set_config(config, Version(1));
         }
         shared.follow_log();
+        shared.spawn(readiness::watch(Arc::downgrade(&shared)));
         let (stop, stopped) = bounded(1);
         let threads = start_threads(&shared, &executor, &stopped)?;
         log::info!(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod metrics;
 pub mod options;
 pub mod peer;
+mod readiness;
 pub mod record;
 mod routing;
 pub mod server;
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,6 +1,7 @@
 //! What all parts of an instance share.
 
 use std::{
+    fmt,
     future::Future,
     sync::{
         Arc, Mutex, OnceLock, PoisonError, RwLock, Weak,
@@ -9,7 +10,7 @@
 };
 
 use policy::{
-    AnyScheduler, Event, RequestId,
+    AnyScheduler, EndpointId, Event, RequestId,
     config::{Config, DeploymentRules, Version},
     ledger::Writer,
 };
@@ -34,6 +35,9 @@
     settings::Settings,
 };
 
+/// Endpoints named in the reason why an instance isn't ready.
+const NAMED: usize = 16;
+
 /// How far the instance is on its way to a stop. It only moves on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[repr(u8)]
@@ -46,6 +50,32 @@
     Refusing = 2,
 }
 
+/// Why an instance isn't ready.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Unready {
+    /// It is stopping.
+    Stopping,
+    /// No configuration is in force.
+    Configuration,
+    /// These endpoints were never asked for their load.
+    Endpoints(Vec<EndpointId>),
+}
+
+impl fmt::Display for Unready {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Unready::Stopping => write!(f, "the instance is stopping"),
+            Unready::Configuration => write!(f, "no configuration is in force"),
+            Unready::Endpoints(endpoints) => {
+                let names = endpoints.iter().take(NAMED).map(EndpointId::as_str);
+                let names: Vec<&str> = names.collect();
+                let count = endpoints.len();
+                write!(f, "endpoints not asked for their load ({count}): {}", names.join(" "))
+            }
+        }
+    }
+}
+
 /// What all parts of an instance share.
 pub struct Shared {
     /// The instance's settings.
@@ -210,19 +240,29 @@
         self.stage.fetch_max(stage as u8, Ordering::AcqRel);
     }
 
-    /// Whether the balancer may send callers here: there is a configuration, and every endpoint has
-    /// once been asked for its load. Before that the scheduler knows no engine's memory, and would
-    /// send prompts where they don't fit. Endpoints that come later change nothing.
+    /// Whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
+        self.unready().is_none()
+    }
+
+    /// Why the balancer may not send callers here: there is no configuration, or some endpoint was
+    /// never asked for its load. Before that the scheduler knows no engine's memory, and would
+    /// send prompts where they don't fit. Endpoints that come later change nothing.
+    pub fn unready(&self) -> Option<Unready> {
         if self.stage() != Stage::Serving {
-            return false;
+            return Some(Unready::Stopping);
         }
         let active = self.active();
-        let known = active.version > Version(0)
-            && (self.warm.load(Ordering::Relaxed)
-                || active.endpoints.values().all(|endpoint| endpoint.was_asked()));
-        self.warm.fetch_or(known, Ordering::Relaxed);
-        known
+        if active.version == Version(0) {
+            return Some(Unready::Configuration);
+        }
+        if self.warm.load(Ordering::Relaxed) {
+            return None;
+        }
+        let unknown = active.endpoints.values().filter(|endpoint| !endpoint.was_asked());
+        let unknown: Vec<EndpointId> = unknown.map(|endpoint| endpoint.place.id.clone()).collect();
+        self.warm.fetch_or(unknown.is_empty(), Ordering::Relaxed);
+        (!unknown.is_empty()).then_some(Unready::Endpoints(unknown))
     }
 
     /// Begins the record of a request.
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -110,15 +110,20 @@
 
     /// The same with further settings.
     pub fn start_with(name: &str, site: &Site, more: &str) -> Daemon {
+        let daemon = Daemon::begin(name, site, more);
+        wait_until("the daemon is ready", || daemon.get("/readyz").starts_with("HTTP/1.1 200"));
+        daemon
+    }
+
+    /// The same without waiting until it is ready.
+    pub fn begin(name: &str, site: &Site, more: &str) -> Daemon {
         let folder = Folder::new(name);
         folder.write("20-site.json", &site.config());
         let settings = format!(
             r#"{{"settings":{{"instance":"{name}","data_centre":"a","listen":"127.0.0.1:0","peer_listen":"127.0.0.1:0","threads":2,{more}}}}}"#
         );
         folder.write("10-settings.json", &settings);
-        let daemon = Daemon::spawn(folder);
-        wait_until("the daemon is ready", || daemon.get("/readyz").starts_with("HTTP/1.1 200"));
-        daemon
+        Daemon::spawn(folder)
     }
 
     /// Starts the daemon on a folder, and waits until it listens.
--- a/crates/standin/src/scenario/run/mod.rs
+++ b/crates/standin/src/scenario/run/mod.rs
@@ -40,6 +40,8 @@
     NoInstance,
     /// An instance didn't become ready; the end of its log.
     NotReady(String),
+    /// An instance's process ended before it was ready; the end of its log.
+    Ended(String),
     /// An instance that was told to stop didn't.
     NotStopped(String),
     /// A name of the scenario isn't one that the configuration takes.
@@ -52,6 +54,7 @@
             RunError::Io(err) => write!(f, "the site can't be set up: {err}"),
             RunError::NoInstance => write!(f, "the scenario has no instance"),
             RunError::NotReady(log) => write!(f, "an instance isn't ready; its log:\n{log}"),
+            RunError::Ended(log) => write!(f, "an instance ended at its start; its log:\n{log}"),
             RunError::NotStopped(name) => write!(f, "{name} was told to stop and didn't"),
             RunError::BadName => write!(f, "a name of the scenario can't be configured"),
         }
--- a/crates/standin/src/scenario/run/site.rs
+++ b/crates/standin/src/scenario/run/site.rs
@@ -161,12 +161,11 @@
         }
         let first = self.instances().next().ok_or(RunError::NoInstance)?;
         wait_for(READY_LIMIT, || smol::block_on(answers(first.listen, "/livez")))
-            .ok_or_else(|| RunError::NotReady(first.process.log_tail(20)))?;
-        wait_for(READY_LIMIT, || self.publish(first, 0, "first"))
-            .ok_or_else(|| RunError::NotReady(first.process.log_tail(20)))?;
+            .ok_or_else(|| unready(first))?;
+        wait_for(READY_LIMIT, || self.publish(first, 0, "first")).ok_or_else(|| unready(first))?;
         for instance in self.instances() {
             wait_for(READY_LIMIT, || smol::block_on(answers(instance.listen, "/readyz")))
-                .ok_or_else(|| RunError::NotReady(instance.process.log_tail(20)))?;
+                .ok_or_else(|| unready(instance))?;
             instance.in_service.store(true, Ordering::Relaxed);
         }
         Ok(())
@@ -231,7 +230,7 @@
                 instance.paused.store(false, Ordering::Relaxed);
                 self.list_instance(instance, ListedState::Live)?;
                 wait_for(READY_LIMIT, || smol::block_on(answers(instance.listen, "/readyz")))
-                    .ok_or_else(|| RunError::NotReady(instance.process.log_tail(20)))?;
+                    .ok_or_else(|| unready(instance))?;
                 instance.in_service.store(true, Ordering::Relaxed);
             }
             None => {}
@@ -429,6 +428,15 @@
 }
 
 /// Asks again and again until `done`, or gives up after `limit`.
+/// Why waiting for an instance was in vain.
+fn unready(instance: &Instance) -> RunError {
+    let log = instance.process.log_tail(20);
+    match instance.process.runs() {
+        true => RunError::NotReady(log),
+        false => RunError::Ended(log),
+    }
+}
+
 pub(super) fn wait_for(limit: Duration, mut done: impl FnMut() -> bool) -> Option<Duration> {
     let started = Instant::now();
     while started.elapsed() < limit {
