--- a/crates/policy/src/trefoilhall/reserve.rs
+++ b/crates/policy/src/trefoilhall/reserve.rs
@@ -55,13 +55,14 @@
         self.clear_drains();
         self.plan_first(now);
         let planned = self.plan.as_ref().and_then(|plan| self.requests.get(&plan.request));
-        if planned.is_some_and(|entry| self.must_wait_for_trial(entry)) {
-            return;
-        }
-        let is_first = self.is_first_wish(now);
+        let must_wait = planned.is_some_and(|entry| self.must_wait_for_trial(entry));
+        let is_first = !must_wait && self.is_first_wish(now);
         if !is_first {
             self.drain_for_peer(now);
         }
+        if must_wait {
+            return;
+        }
         let Some(plan) = &self.plan else { return };
         let fits = plan.parts.iter().all(|part| self.has_room(part, is_first, now));
         if !fits {
