--- a/crates/daemon/src/controller/memory.rs
+++ b/crates/daemon/src/controller/memory.rs
@@ -40,7 +40,7 @@
 const QUICK_SWEEPS: u32 = 20;
 
 /// Ids in one call. The engine's answer may name them all, and links can break long answers.
-const RELEASED_AT_ONCE: usize = 16;
+const IDS_AT_ONCE: usize = 16;
 
 /// Sweeps until the endpoint or the instance is gone.
 pub(super) async fn run(shared: Weak<Shared>, endpoint: Weak<Endpoint>) {
@@ -100,7 +100,7 @@
 async fn release(endpoint: &Endpoint, ids: &[String], by: &str) -> Result<(), EngineError> {
     let engine = endpoint.engine();
     let mut rest = ids;
-    let mut most = RELEASED_AT_ONCE;
+    let mut most = IDS_AT_ONCE;
     while !rest.is_empty() {
         let (some, others) = rest.split_at(most.min(rest.len()));
         match engine.release(some).await {
@@ -126,7 +126,7 @@
 async fn renew(shared: &Shared, endpoint: &Endpoint) {
     let ids = endpoint.holdings().renewed();
     let lease_ms = LEASE.as_millis() as u64;
-    for some in ids.chunks(RELEASED_AT_ONCE) {
+    for some in ids.chunks(IDS_AT_ONCE) {
         // The next sweep renews again.
         if let Err(e) = endpoint.engine().renew(&shared.owner, some, lease_ms).await {
             log::info!(endpoint = endpoint.place.id.as_str(), error:% = e, count = some.len(); "memory_not_renewed");
@@ -138,6 +138,8 @@
 fn left_over(shared: &Shared, endpoint: &Endpoint, page: &HeldPage) -> Vec<String> {
     let owner = &shared.owner;
     let foreign = super::chosen(shared, endpoint.place.id.as_str());
+    // What this life wants is noted before it is sent, so that nothing which is about to be wanted
+    // can look like something let go.
     let unwanted = |held: &&Held| match held.owner == *owner {
         true => !endpoint.holdings().wants(&held.id),
         false => is_predecessor(owner, &held.owner) || foreign && is_gone(shared, &held.owner),
--- a/crates/daemon/src/holdings.rs
+++ b/crates/daemon/src/holdings.rs
@@ -4,7 +4,10 @@
 //! is remembered by its id and released by it, until the engine confirms. Only reservations are
 //! renewed, each by its id, so that no renewal keeps memory that nobody wants.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexMap;
 use protocols::engine::wire::{HeldKind, HeldPage};
@@ -79,9 +82,8 @@
 
     /// Forgets what a listing that was asked for at `asked` proves to be gone.
     pub fn listed(&mut self, page: &HeldPage, asked: Instant) {
-        self.unwanted.retain(|id, unwanted| {
-            unwanted.since >= asked || page.held.iter().any(|held| held.id == *id)
-        });
+        let there: HashSet<&str> = page.held.iter().map(|held| held.id.as_str()).collect();
+        self.unwanted.retain(|id, unwanted| unwanted.since >= asked || there.contains(id.as_str()));
     }
 
     /// Forgets what was released so long ago that its lease has ended.
--- a/crates/daemon/src/readiness.rs
+++ b/crates/daemon/src/readiness.rs
@@ -13,7 +13,7 @@
 use crate::shared::{Shared, Unready};
 
 /// Time between two looks.
-const LOOK_PERIOD: Duration = Duration::from_millis(25);
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
 
 /// When it is told first what the instance waits for; then each time after twice as long.
 const FIRST_TOLD: Duration = Duration::from_secs(1);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -57,8 +57,13 @@
     Stopping,
     /// No configuration is in force.
     Configuration,
-    /// These endpoints were never asked for their load.
-    Endpoints(Vec<EndpointId>),
+    /// Endpoints were never asked for their load.
+    Endpoints {
+        /// How many.
+        count: usize,
+        /// Names of the first of them.
+        first: Vec<EndpointId>,
+    },
 }
 
 impl fmt::Display for Unready {
@@ -66,10 +71,8 @@
         match self {
             Unready::Stopping => write!(f, "the instance is stopping"),
             Unready::Configuration => write!(f, "no configuration is in force"),
-            Unready::Endpoints(endpoints) => {
-                let names = endpoints.iter().take(NAMED).map(EndpointId::as_str);
-                let names: Vec<&str> = names.collect();
-                let count = endpoints.len();
+            Unready::Endpoints { count, first } => {
+                let names: Vec<&str> = first.iter().map(EndpointId::as_str).collect();
                 write!(f, "endpoints not asked for their load ({count}): {}", names.join(" "))
             }
         }
@@ -259,10 +262,12 @@
         if self.warm.load(Ordering::Relaxed) {
             return None;
         }
-        let unknown = active.endpoints.values().filter(|endpoint| !endpoint.was_asked());
-        let unknown: Vec<EndpointId> = unknown.map(|endpoint| endpoint.place.id.clone()).collect();
-        self.warm.fetch_or(unknown.is_empty(), Ordering::Relaxed);
-        (!unknown.is_empty()).then_some(Unready::Endpoints(unknown))
+        let mut unknown = active.endpoints.values().filter(|endpoint| !endpoint.was_asked());
+        let first: Vec<EndpointId> =
+            unknown.by_ref().take(NAMED).map(|endpoint| endpoint.place.id.clone()).collect();
+        let count = first.len() + unknown.count();
+        self.warm.fetch_or(count == 0, Ordering::Relaxed);
+        (count > 0).then_some(Unready::Endpoints { count, first })
     }
 
     /// Begins the record of a request.
--- a/crates/policy/src/arrange/awaited.rs
+++ b/crates/policy/src/arrange/awaited.rs
@@ -11,9 +11,10 @@
 //! **Rule.** A part counts until the first event of its request, of which its instance tells the
 //! others, however late that is. What is foretold to be over by then isn't counted ahead, but what is
 //! overdue is. A part of a split prompt that is overdue may be what its request waits for
-//! ([`super::overdue`]), until a later part is known to have been read there. A prompt that its engine reads alone and that is overdue shows for how long the engine
-//! has stalled, and that it may go on for as long again. Where the word of a first event is lost, that
-//! of a later one clears it, or the end of any caller's patience.
+//! ([`super::overdue`]), until a later part is known to have been read there. A prompt that its engine
+//! reads alone and that is overdue shows for how long the engine has stalled, and that it may go on for
+//! as long again. Where the word of a first event is lost, that of a later one clears it, or the end of
+//! any caller's patience.
 
 use crate::InstanceId;
 
@@ -42,6 +43,13 @@
     is_cleared: bool,
 }
 
+impl Wait {
+    /// Milliseconds that word of its first event may take, where that of others takes so long.
+    fn told_after_ms(&self, of_others_ms: f64) -> f64 {
+        if self.placed_by.is_some() { of_others_ms } else { 0.0 }
+    }
+}
+
 /// A part of a split prompt whose first event isn't known.
 pub(super) struct SplitWait {
     pub(super) key: PartKey,
@@ -121,9 +129,8 @@
     /// Parts of split prompts whose first events aren't known. Word of others' takes `told_after_ms`.
     pub(super) fn split(&self, told_after_ms: f64, now: f64) -> impl Iterator<Item = SplitWait> {
         self.0.iter().filter(|wait| wait.role != Role::Whole).map(move |wait| {
-            let told_after_ms = if wait.placed_by.is_some() { told_after_ms } else { 0.0 };
             let read_at = wait.read_at.unwrap_or(f64::INFINITY);
-            let overdue_ms = now - wait.until.max(read_at) - told_after_ms;
+            let overdue_ms = now - wait.until.max(read_at) - wait.told_after_ms(told_after_ms);
             SplitWait { key: wait.key, overdue_ms, is_cleared: wait.is_cleared }
         })
     }
@@ -131,10 +138,11 @@
     /// For how long the engine has stalled, in milliseconds. What others sent counts only after
     /// `told_after_ms`, which word of a first event may take.
     pub(super) fn stalled_ms(&self, told_after_ms: f64, now: f64) -> f64 {
-        let stalled = self.0.iter().filter(|wait| wait.role == Role::Whole).filter_map(|wait| {
-            let told_after_ms = if wait.placed_by.is_some() { told_after_ms } else { 0.0 };
-            Some(now - wait.read_at? - told_after_ms)
-        });
+        let stalled = self
+            .0
+            .iter()
+            .filter(|wait| wait.role == Role::Whole)
+            .filter_map(|wait| Some(now - wait.read_at? - wait.told_after_ms(told_after_ms)));
         stalled.fold(0.0, f64::max)
     }
 }
--- a/crates/policy/src/arrange/overdue.rs
+++ b/crates/policy/src/arrange/overdue.rs
@@ -9,9 +9,9 @@
 //!
 //! **Rule.** All instances know each split prompt and its first event. One that is overdue waits for one of
 //! its engines, each of which is equally likely, or merely stands in queues: so the chance of each stays
-//! as it is when the others are cleared by having read a later part. Nothing is blamed where an engine is known to refuse already. A split costs the chance that one of
-//! its engines doesn't read, so new prompts are read by fewer engines, and by those that are proved to
-//! read.
+//! as it is when the others are cleared by having read a later part. Nothing is blamed where an engine is
+//! known to refuse already. A split costs the chance that one of its engines doesn't read, so new prompts
+//! are read by fewer engines, and by those that are proved to read.
 //!
 //! **Grounds.** No message is needed beyond what is told of placements and first events. A part that its
 //! engine is thought to be still reading isn't overdue, so a queue raises no risk.
@@ -49,7 +49,7 @@
             let prompt = prompts.get(&wait.key).filter(|prompt| !prompt.is_explained);
             let prompt = prompt.filter(|_| !wait.is_cleared)?;
             let certainty = (prompt.by_ms / certain_ms).clamp(0.0, 1.0);
-            Some(certainty / prompt.engines.max(1) as f64)
+            Some(certainty / prompt.engines as f64)
         };
         let risks = server.split_waits(told_after, now).filter_map(risk);
         server.risk = risks.fold(0.0, f64::max);
--- a/crates/policy/src/arrange/split.rs
+++ b/crates/policy/src/arrange/split.rs
@@ -193,7 +193,8 @@
         };
         let own = self.placement.lateness(predicted_ms, ask.goal_ms)
             + self.placement.miss(candidates[head].outlook.pause_ms, ask.pause_ms);
-        let broken = self.broken_cost(&candidates);
+        let risk = candidates.iter().map(|c| self.servers[c.index].risk).sum();
+        let broken = self.broken_cost(candidates.len(), risk);
         let total = tried.weight * (own + alone + broken) + harm;
         let mut servers: Vec<usize> = candidates.iter().map(|c| c.index).collect();
         servers.swap(0, head);
@@ -203,13 +204,9 @@
         Some((total, chosen))
     }
 
-    /// What a split costs its request by the chance that one of the engines doesn't read, in weights.
-    fn broken_cost(&self, candidates: &[&Candidate]) -> f64 {
-        if candidates.len() == 1 {
-            return 0.0;
-        }
-        let risk: f64 = candidates.iter().map(|c| self.servers[c.index].risk).sum();
-        self.placement.broken_loss * risk.min(1.0)
+    /// What a split costs its request by the chance that an engine doesn't read its part, in weights.
+    fn broken_cost(&self, parts: usize, risk: f64) -> f64 {
+        if parts > 1 { self.placement.broken_loss * risk.min(1.0) } else { 0.0 }
     }
 
     fn candidate(
@@ -227,8 +224,7 @@
         let first_ms = self.first_ms(rules, tried, server, &outlook);
         let own = tried.weight * self.placement.lateness(first_ms, ask.goal_ms);
         let harm = outlook.harm + self.delay_cost(std::iter::once(&outlook));
-        let risk = if parts > 1 { server.risk } else { 0.0 };
-        let broken = tried.weight * self.placement.broken_loss * risk;
+        let broken = tried.weight * self.broken_cost(parts, server.risk);
         let key = self.caution(server, now) * (own + harm + broken);
         Candidate { index: *index, outlook, first_ms, key }
     }
--- a/crates/policy/src/digest.rs
+++ b/crates/policy/src/digest.rs
@@ -9,14 +9,14 @@
 //!
 //! **Rule.** Only entries are told whose change could alter a peer's choice: their effect on the
 //! predicted wait, in seconds, since they were last told. The greatest effects go first, those
-//! of queues that have become shorter before others, as many as the byte budget allows; the others keep and grow. Entries whose change stays below
-//! [`SMALLEST`] are told again once they are [`REFRESH`] old. A new link begins with the whole, and
+//! of queues that have become shorter before others, as many as the byte budget allows; the others
+//! keep and grow. Entries whose change stays below [`SMALLEST`] are told again once they are [`REFRESH`] old. A new link begins with the whole, and
 //! at least an empty part goes out each [`CONFIRM`]. The idea to stay silent where the other side's
 //! choice can't change is taken from the paper named in `docs/decisions/pubsub-paper.md`.
 //!
 //! **Grounds.** A budget that can't follow every queue goes to those that were told: one that is told
-//! once and not again looks full for seconds, which is worse than silence. [`SMALLEST`] is what placement can't tell apart; `docs/decisions/membership.md`
-//! has the bytes measured with and without.
+//! once and not again looks full for seconds, which is worse than silence. [`SMALLEST`] is what
+//! placement can't tell apart; `docs/decisions/membership.md` has the bytes measured with and without.
 
 use std::time::Duration;
 
--- a/crates/policy/src/trefoilhall/admit.rs
+++ b/crates/policy/src/trefoilhall/admit.rs
@@ -207,10 +207,9 @@
 
     /// Puts a request into its lane.
     pub(super) fn enqueue(&mut self, request: crate::RequestId) {
+        self.set_due(request);
         let Some(entry) = self.requests.get_mut(&request) else { return };
         entry.state = State::Waiting;
-        self.set_due(request);
-        let Some(entry) = self.requests.get(&request) else { return };
         let share = self.workspaces.share(entry.workspace);
         let line = &mut self.workspaces.get_mut(entry.workspace).lines[entry.lane];
         self.lanes[entry.lane].push(share, line, entry.waiting(), entry.prompt());
@@ -219,15 +218,11 @@
 
     /// Notes from when on a waiting request could not make its bound even on an idle engine.
     fn set_due(&mut self, request: crate::RequestId) {
-        let fastest = self.fleet.fastest_rate;
-        let is_measured = self.fleet.learned;
+        let (fastest, is_measured) = (self.fleet.fastest_rate, self.fleet.learned);
         let Some(entry) = self.requests.get_mut(&request) else { return };
         self.due.remove(&Due { at: entry.due, request });
-        let own = match entry.basis {
-            Basis::Trial => 0.0,
-            Basis::Assumption if !is_measured => 0.0,
-            Basis::Assumption | Basis::Prediction => entry.uncached / fastest,
-        };
+        let goes_anyway = entry.basis.goes_anyway(is_measured);
+        let own = if goes_anyway { 0.0 } else { entry.uncached / fastest };
         let latest = Time(entry.bound.0.saturating_sub((own * 1e6) as u64));
         entry.due = latest.min(entry.req.deadline);
         self.due.insert(Due { at: entry.due, request });
@@ -253,9 +248,11 @@
 
     /// Whether a request admitted on an assumption has to wait: another one is trying the engines.
     pub(super) fn must_wait_for_trial(&self, entry: &Entry) -> bool {
+        if entry.basis != Basis::Assumption || self.fleet.learned {
+            return false;
+        }
         let tried = self.trying.and_then(|request| self.requests.get(&request));
-        let is_trying = tried.and_then(Entry::attempt).is_some_and(|a| a.first_token.is_none());
-        entry.basis == Basis::Assumption && !self.fleet.learned && is_trying
+        tried.and_then(Entry::attempt).is_some_and(|attempt| attempt.first_token.is_none())
     }
 
     /// Seconds until the first token of `entry`, if it is admitted now.
--- a/crates/policy/src/trefoilhall/dispatch.rs
+++ b/crates/policy/src/trefoilhall/dispatch.rs
@@ -136,9 +136,8 @@
         };
         let chosen = &candidates[index];
         let first_token = place::first_token(chosen, &ask);
-        let is_assumed = entry.basis == Basis::Assumption && !self.fleet.learned;
-        let is_tried = is_assumed || entry.basis == Basis::Trial;
-        if !is_tried && now + first_token > entry.bound {
+        let goes_anyway = entry.basis.goes_anyway(self.fleet.learned);
+        if !goes_anyway && now + first_token > entry.bound {
             return self.too_late(entry, &candidates, &ask, now);
         }
         Place::At(Chosen {
--- a/crates/policy/src/trefoilhall/request.rs
+++ b/crates/policy/src/trefoilhall/request.rs
@@ -58,6 +58,18 @@
     Trial,
 }
 
+impl Basis {
+    /// Whether it goes to an engine although the prediction says no; `is_measured` where any
+    /// engine's speed is.
+    pub(super) fn goes_anyway(self, is_measured: bool) -> bool {
+        match self {
+            Basis::Prediction => false,
+            Basis::Assumption => !is_measured,
+            Basis::Trial => true,
+        }
+    }
+}
+
 /// What an admitted request is doing.
 #[derive(Debug)]
 pub(super) enum State {
--- a/crates/protocols/src/engine/listing.rs
+++ b/crates/protocols/src/engine/listing.rs
@@ -4,7 +4,7 @@
 //! memory is left over nor whether a stream still runs. Where the whole listing breaks off, it is
 //! read in parts, and in smaller ones where those break off as well.
 
-use std::{collections::HashSet, time::Duration};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use smol::Timer;
@@ -35,12 +35,12 @@
 }
 
 async fn in_parts<E: Engine>(engine: &E) -> Result<HeldPage, EngineError> {
-    let mut listing: Option<HeldPage> = None;
-    let mut seen = HashSet::new();
     let mut sizes = PARTS.into_iter();
     let mut max = sizes.next().unwrap_or(1);
+    let mut held = Vec::new();
+    let mut after: Option<String> = None;
+    let mut life = None;
     loop {
-        let after = listing.as_ref().and_then(|listing| listing.next.clone());
         let part = engine.held_part(after.as_deref(), max).await;
         if is_too_long(&part)
             && let Some(smaller) = sizes.next()
@@ -48,23 +48,17 @@
             max = smaller;
             continue;
         }
-        let part = part?;
-        if listing.as_ref().is_some_and(|listing| listing.incarnation != part.incarnation) {
+        let HeldPage { incarnation, held: more, next } = part?;
+        // Parts of two lives make no listing, and an engine that goes back would never end one.
+        let is_other_life = *life.get_or_insert(incarnation) != incarnation;
+        if is_other_life || next.is_some() && next <= after {
             return Err(EngineError::BadAnswer);
         }
-        let listing = listing.get_or_insert(HeldPage {
-            incarnation: part.incarnation,
-            held: Vec::new(),
-            next: None,
-        });
-        listing.held.extend(part.held);
-        listing.next = part.next;
-        match &listing.next {
-            None => return Ok(listing.clone()),
-            // Repeated, it would never end.
-            Some(next) if !seen.insert(next.clone()) => return Err(EngineError::BadAnswer),
-            Some(_) => {}
+        held.extend(more);
+        if next.is_none() {
+            return Ok(HeldPage { incarnation, held, next });
         }
+        after = next;
     }
 }
 
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -177,9 +177,9 @@
         let mut held = self.listing(now);
         held.sort_by(|one, other| one.id.cmp(&other.id));
         held.retain(|entry| entry.id.as_str() > after);
-        let next = held.len() > max;
+        let has_more = held.len() > max;
         held.truncate(max);
-        let next = held.last().filter(|_| next).map(|entry| entry.id.clone());
+        let next = held.last().filter(|_| has_more).map(|entry| entry.id.clone());
         HeldPage { incarnation: self.incarnation, held, next }
     }
 
--- a/crates/standin/src/scenario/run/site.rs
+++ b/crates/standin/src/scenario/run/site.rs
@@ -427,7 +427,6 @@
     call.is_ok_and(|answer| answer.is_success())
 }
 
-/// Asks again and again until `done`, or gives up after `limit`.
 /// Why waiting for an instance was in vain.
 fn unready(instance: &Instance) -> RunError {
     let log = instance.process.log_tail(20);
@@ -437,6 +436,7 @@
     }
 }
 
+/// Asks again and again until `done`, or gives up after `limit`.
 pub(super) fn wait_for(limit: Duration, mut done: impl FnMut() -> bool) -> Option<Duration> {
     let started = Instant::now();
     while started.elapsed() < limit {
