Drain data centres, confine requests to homes, and spare cold endpoints

Cause: three demands of the new customers were read nowhere. A server that had just started, whose registration says how long it stays cold, looked empty and best to all instances at once. `AllowedRegions` of routes and tenants weren't decoded.

Endpoints of drained data centres are treated like leaving ones at every choice, and once more after a hold or a reservation. Cold endpoints come after all warm ones and get a quota that all known instances share; an instance that knows nobody sends them nothing. Homes of route and workspace intersect. A request for which nothing is left is refused at once (`drained`, `warming_up`), with a time to come back.

The three are one commit because all of them filter the same candidates.

--- a/crates/daemon/src/settings/routing.rs
+++ b/crates/daemon/src/settings/routing.rs
@@ -2,11 +2,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use indexmap::IndexMap;
 use policy::{
+    DataCentre, Region,
     config::{Findings, SETTINGS_MEMBER, fields::Fields, tree::Node},
     placement::PlacementRules,
 };
-use router::settings::Bounds;
+use router::settings::{Bounds, ColdTolerance};
 use serde::{Deserialize, Serialize};
 
 use super::{Settings, read::ADDRESS_FORMAT};
@@ -34,6 +36,16 @@
     pub retry_window_ms: u64,
     /// Retries in a window that are allowed in addition to the share, over all instances.
     pub retry_slack: f64,
+    /// Region of each data centre.
+    #[serde(default)]
+    pub regions: IndexMap<DataCentre, Region>,
+    /// Requests that a cold endpoint bears in a second, as a multiple of its configured rate; none
+    /// where endpoints need no warm-up.
+    #[serde(default)]
+    pub cold_factor: Option<f64>,
+    /// Requests in addition to that.
+    #[serde(default)]
+    pub cold_slack: Option<f64>,
     /// How endpoints are selected.
     #[serde(default)]
     pub placement: PlacementRules,
@@ -53,6 +65,9 @@
         let retry_window_ms = millis("retry_window_ms", DEFAULT_RETRY_WINDOW_MS);
         let retry_share = fields.optional("retry_share", "a number", findings);
         let retry_slack = fields.optional("retry_slack", "a number", findings);
+        let regions = fields.optional("regions", "regions by data centre", findings);
+        let cold_factor = fields.optional("cold_factor", "a number", findings);
+        let cold_slack = fields.optional("cold_slack", "a number", findings);
         let placement = read_placement_rules(&mut fields, findings);
         fields.close(findings);
         Some(RoutingSettings {
@@ -64,6 +79,9 @@
             retry_share: retry_share.unwrap_or(DEFAULT_RETRY_SHARE),
             retry_window_ms,
             retry_slack: retry_slack.unwrap_or(DEFAULT_RETRY_SLACK),
+            regions: regions.unwrap_or_default(),
+            cold_factor,
+            cold_slack,
             placement,
         })
     }
@@ -77,6 +95,9 @@
             retry_share: self.retry_share,
             retry_window: Duration::from_millis(self.retry_window_ms),
             retry_slack: self.retry_slack,
+            cold_tolerance: self
+                .cold_factor
+                .map(|factor| ColdTolerance { factor, slack: self.cold_slack.unwrap_or(0.0) }),
         }
     }
 }
@@ -98,6 +119,7 @@
         router::Settings {
             instance: self.instance.clone(),
             data_centre: self.data_centre.clone(),
+            regions: routing.regions.clone(),
             listen: self.listen,
             ready_listen: routing.ready_listen,
             link_listen: self.peer_listen,
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -4,10 +4,11 @@
 use std::{cmp::Ordering, collections::BinaryHeap, time::Duration};
 
 use policy::{
-    EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
+    DataCentre, EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
     placement::{
         EndpointUpdate, JobId, Member, PlacementRefusal, PlacementRequest, update_interval,
     },
+    routes::Homes,
 };
 
 use crate::{
@@ -158,11 +159,14 @@
     fn new(spec: &'a SiteSpec, trial: &Trial, seed: u64) -> Simulation<'a> {
         let calls = load::generate_calls(spec, seed);
         let member = |index| {
-            engine_id(index).map(|endpoint| Member {
-                endpoint,
+            Some(Member {
+                endpoint: engine_id(index)?,
                 incarnation: Incarnation(1),
                 slots: spec.engine.slots,
                 leaving: false,
+                data_centre: DataCentre::new("site").ok()?,
+                region: None,
+                cold_start: None,
             })
         };
         let members: Vec<Member> = (0..spec.engines).filter_map(member).collect();
@@ -278,6 +282,7 @@
             fingerprint: Fingerprint(index as u128),
             is_hedge: false,
             tried: tried.map(|endpoint| (endpoint, Incarnation(1))).collect(),
+            homes: Homes::everywhere(),
         };
         let now = self.time();
         match self.placers[call.instance].place(&request, now) {
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -104,6 +104,8 @@
     InstanceId,
     /// A data centre, such as `brasov-a`.
     DataCentre,
+    /// A region, which holds one or more data centres.
+    Region,
     /// A customer of the site, which has its own keys, share and limits.
     Workspace,
     /// A server that runs requests: an LLM engine or a server of a plain service.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod baseline;
 pub mod config;
 pub mod digest;
+pub mod drain;
 pub mod freshness;
 pub mod health;
 pub mod ids;
@@ -33,11 +34,12 @@
 pub mod selection;
 pub mod topology;
 pub mod units;
+pub mod warm_up;
 
 pub use any::AnyScheduler;
 pub use ids::{
     DataCentre, Deployment, EndpointGroup, EndpointId, EndpointTag, Fingerprint, GroupTag,
-    Incarnation, InstanceId, Model, RequestId, Workspace,
+    Incarnation, InstanceId, Model, Region, RequestId, Workspace,
 };
 pub use replay::Offset;
 pub use report::{
--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -9,6 +9,7 @@
 
 use super::{
     GroupScheduler, Helper, JobId, Placement, PlacementRequest, PlacementRules, PlacementStrategy,
+    Pool,
     prefill::{Part, PartCompletion, PartKey, Pass},
     request::Job,
     rules::LONG_RANK,
@@ -99,11 +100,12 @@
         &self,
         rules: &EngineRules,
         request: &PlacementRequest,
+        pool: Pool,
         skipped: usize,
         now: Time,
     ) -> Option<PlacementPlan> {
         if self.placement.choice != PlacementStrategy::Weighed {
-            return self.choose_baseline(request, now);
+            return self.choose_baseline(request, pool, now);
         }
         let prefill_ms = rules.prefill_ms(request.prompt_tokens);
         let short_prefill_ms = self.short_prefill_ms();
@@ -120,7 +122,7 @@
         };
         if prefill_ms <= short_prefill_ms {
             let (index, predicted_ms) =
-                self.choose_for_short(rules, request, &base, skipped, now)?;
+                self.choose_for_short(rules, request, &base, pool, skipped, now)?;
             return Some(PlacementPlan {
                 servers: vec![index],
                 waits_for_slot: Some(self.servers[index].running() >= rules.slots),
@@ -129,11 +131,16 @@
                 ..base
             });
         }
-        self.split(rules, request, base, prefill_ms, now)
+        self.split(rules, request, base, pool, prefill_ms, now)
     }
 
     /// The baseline strategies: least outstanding requests, or round robin.
-    fn choose_baseline(&self, request: &PlacementRequest, now: Time) -> Option<PlacementPlan> {
+    fn choose_baseline(
+        &self,
+        request: &PlacementRequest,
+        pool: Pool,
+        now: Time,
+    ) -> Option<PlacementPlan> {
         let next = usize::try_from(self.next_job).unwrap_or_default() % self.servers.len().max(1);
         let distance_from_next =
             |index: usize| (index + self.servers.len() - next) % self.servers.len();
@@ -142,7 +149,7 @@
             PlacementStrategy::RoundRobin | PlacementStrategy::Weighed => 0,
         };
         let least = self
-            .candidates(request, now)
+            .candidates(request, pool, now)
             .min_by_key(|(index, server)| (running(server), distance_from_next(*index)));
         let (index, _) = least?;
         Some(PlacementPlan {
@@ -158,12 +165,13 @@
         rules: &EngineRules,
         request: &PlacementRequest,
         base: &PlacementPlan,
+        pool: Pool,
         skipped: usize,
         now: Time,
     ) -> Option<(usize, f64)> {
         let placement = &self.placement;
         let mut places = Vec::new();
-        for (index, server) in self.candidates(request, now) {
+        for (index, server) in self.candidates(request, pool, now) {
             let part = candidate_part(base, server, 1, request, now);
             let completions = server.completions(rules, now);
             let estimate = server.estimate(rules, &self.placement, part, &completions, now);
@@ -194,10 +202,11 @@
     pub(super) fn choose_least_loaded(
         &self,
         request: &PlacementRequest,
+        pool: Pool,
         now: Time,
     ) -> Option<PlacementPlan> {
         let mut best = None;
-        for (index, server) in self.candidates(request, now) {
+        for (index, server) in self.candidates(request, pool, now) {
             let load = f64::from(server.running() + 1) / f64::from(server.member.slots.max(1));
             let cost = self.health_penalty(server, now) * load + server.one_way_ms() / 1000.0;
             if best.is_none_or(|(least, _)| cost < least) {
@@ -208,11 +217,13 @@
         Some(PlacementPlan::unpredicted(index, request))
     }
 
-    /// Endpoints that may run the request: those that aren't leaving, ejected, already tried, or
-    /// barred because the request is suspected of crashing endpoints.
+    /// Endpoints of the pool that may run the request: those in one of its homes that aren't
+    /// leaving, drained, ejected, already tried, or barred because the request is suspected of
+    /// crashing endpoints.
     pub(super) fn candidates<'a>(
         &'a self,
         request: &'a PlacementRequest,
+        pool: Pool,
         now: Time,
     ) -> impl Iterator<Item = (usize, &'a Server)> {
         let usable = self.usable_endpoints();
@@ -225,10 +236,19 @@
             let is_barred = is_suspect
                 && !self.quarantine.may_run(request.fingerprint, &member.endpoint, usable, now);
             let is_out = self.health.state(&member.endpoint, now) == health::HealthState::Ejected;
-            !member.leaving && !tried && !is_barred && (!is_out || server.is_next_probe)
+            server.accepts_requests()
+                && request.homes.allows(member.region.as_ref())
+                && self.is_in_pool(server, pool, now)
+                && !tried
+                && !is_barred
+                && (!is_out || server.is_next_probe)
         })
     }
 
+    fn is_in_pool(&self, server: &Server, pool: Pool, now: Time) -> bool {
+        !self.is_cold(server, now) || pool == Pool::All && self.may_send_cold(server, now)
+    }
+
     pub(super) fn health_penalty(&self, server: &Server, now: Time) -> f64 {
         match self.health.state(&server.member.endpoint, now) {
             health::HealthState::Usable(penalty) => penalty,
@@ -340,6 +360,7 @@
         }
         let head = &mut self.servers[plan.servers[0]];
         head.is_next_probe = false;
+        head.warm_up.record_sent(now + hold);
         let incarnation = head.member.incarnation;
         if plan.part_prefill_ms > self.short_prefill_ms() || !helpers.is_empty() {
             self.long_share.add(plan.part_prefill_ms * plan.servers.len() as f64, now);
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -52,12 +52,16 @@
 pub use updates::{EndpointLoad, EndpointUpdate, PartUpdate, update_interval};
 
 use crate::{
-    EndpointId, EndpointTag, FailCause, Fingerprint, Incarnation, InstanceId, Time,
+    DataCentre, EndpointId, EndpointTag, FailCause, Fingerprint, Incarnation, InstanceId, Region,
+    Time,
+    drain::DrainedDataCentres,
     health::Health,
     quarantine::{Quarantine, QuarantineState},
     routes::EngineRules,
+    warm_up::{self, ColdStart, Instances},
 };
 
+use choose::PlacementPlan;
 use decoding::whole_ms;
 use server::Server;
 
@@ -80,6 +84,15 @@
 /// within seconds.
 const BURST_HALF_LIFE: Duration = Duration::from_millis(1_500);
 
+/// The endpoints among which one is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Pool {
+    /// Those that aren't warming up.
+    Warm,
+    /// Also cold ones that may get a request now.
+    All,
+}
+
 /// An endpoint of the group, as configured or registered.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Member {
@@ -91,6 +104,12 @@
     pub slots: u32,
     /// Whether it finishes its running requests and accepts no new ones.
     pub leaving: bool,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// The region of its data centre, if known.
+    pub region: Option<Region>,
+    /// Its latest cold start, if it may not be over.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Places the requests of one endpoint group, from the view of one instance.
@@ -99,6 +118,13 @@
     rules: Option<EngineRules>,
     placement: PlacementRules,
     servers: IndexMap<EndpointId, Server>,
+    /// Data centres whose endpoints get no new requests.
+    drained: DrainedDataCentres,
+    /// Requests a second that a cold endpoint may get from all instances together; none where
+    /// endpoints of this group need no warm-up.
+    cold_limit_per_s: Option<f64>,
+    /// The instances that share this limit; none before any of them is known.
+    instances: Option<Instances>,
     /// Instances that have sent updates.
     peers: IndexSet<InstanceId>,
     /// Indices into `servers` by tag.
@@ -129,6 +155,9 @@
             rules: None,
             placement,
             servers: IndexMap::new(),
+            drained: DrainedDataCentres::default(),
+            cold_limit_per_s: None,
+            instances: None,
             peers: IndexSet::new(),
             tags: IndexMap::new(),
             jobs: IndexMap::new(),
@@ -156,8 +185,9 @@
         for member in members {
             let kept = old.swap_remove(&member.endpoint);
             let kept = kept.filter(|server| server.member.incarnation == member.incarnation);
-            let server = match kept {
+            let mut server = match kept {
                 Some(mut server) => {
+                    server.warm_up.record_start(member.cold_start, now);
                     server.member = member;
                     server
                 }
@@ -166,6 +196,7 @@
                     Server::new(member, now)
                 }
             };
+            server.is_drained = self.drained.contains(&server.member.data_centre);
             self.servers.insert(server.member.endpoint.clone(), server);
         }
         self.tags = self.servers.keys().enumerate().map(|(i, id)| (id.into(), i)).collect();
@@ -174,9 +205,28 @@
         }
     }
 
+    /// Replaces the data centres whose endpoints get no new requests. What runs there goes on.
+    pub fn set_drained(&mut self, drained: &DrainedDataCentres) {
+        self.drained = drained.clone();
+        for server in self.servers.values_mut() {
+            server.is_drained = drained.contains(&server.member.data_centre);
+        }
+    }
+
+    /// Sets how many requests a second a cold endpoint may get from all instances together; none
+    /// where endpoints of this group need no warm-up.
+    pub fn set_cold_limit(&mut self, per_s: Option<f64>) {
+        self.cold_limit_per_s = per_s;
+    }
+
+    /// Replaces the instances that share the limit of cold endpoints.
+    pub fn set_instances(&mut self, instances: Instances) {
+        self.instances = Some(instances);
+    }
+
     /// Number of endpoints that accept new requests.
     pub fn usable_endpoints(&self) -> usize {
-        self.servers.values().filter(|server| !server.member.leaving).count()
+        self.servers.values().filter(|server| server.accepts_requests()).count()
     }
 
     /// Typical total duration of a request, with a margin for a busy engine. Requests that decode
@@ -224,14 +274,43 @@
                 );
             }
         }
-        let plan = match &self.rules {
-            Some(rules) => self.choose_engine(rules, request, skipped, now),
-            None => self.choose_least_loaded(request, now),
-        };
-        let plan = plan.ok_or(PlacementRefusal::NoEndpoint)?;
-        if let Some(waits_for_slot) = plan.waits_for_slot {
+        let warm = self.choose(request, Pool::Warm, skipped, now);
+        let waits_for_slot = warm.as_ref().and_then(|plan| plan.waits_for_slot);
+        if let Some(waits_for_slot) = waits_for_slot {
             self.slot_usage.record_request(!waits_for_slot, now);
         }
+        let plan = match self.accept(warm, request, now) {
+            // Cold endpoints are slow and take few requests, so they come last.
+            Err(_) if self.has_cold(now) => {
+                let plan = self.choose(request, Pool::All, skipped, now);
+                self.accept(plan, request, now)
+            }
+            decision => decision,
+        };
+        Ok(self.commit(plan?, request, now))
+    }
+
+    fn choose(
+        &self,
+        request: &PlacementRequest,
+        pool: Pool,
+        skipped: usize,
+        now: Time,
+    ) -> Option<PlacementPlan> {
+        match &self.rules {
+            Some(rules) => self.choose_engine(rules, request, pool, skipped, now),
+            None => self.choose_least_loaded(request, pool, now),
+        }
+    }
+
+    /// Refuses a plan that is too late or too costly for others.
+    fn accept(
+        &self,
+        plan: Option<PlacementPlan>,
+        request: &PlacementRequest,
+        now: Time,
+    ) -> Result<PlacementPlan, PlacementRefusal> {
+        let plan = plan.ok_or_else(|| self.no_endpoint(request, now))?;
         let excess_ms =
             plan.excess_ms(request, &self.placement, self.slot_usage.is_overloaded(now));
         if excess_ms > 0.0 {
@@ -240,7 +319,42 @@
         if plan.costs_others_too_much(request, &self.placement) {
             return Err(PlacementRefusal::Crowded(choose::CROWDED_RETRY_DELAY));
         }
-        Ok(self.commit(plan, request, now))
+        Ok(plan)
+    }
+
+    /// Why no endpoint may run the request.
+    fn no_endpoint(&self, request: &PlacementRequest, now: Time) -> PlacementRefusal {
+        let is_present = |server: &&Server| {
+            !server.member.leaving && request.homes.allows(server.member.region.as_ref())
+        };
+        let present: Vec<&Server> = self.servers.values().filter(is_present).collect();
+        if present.is_empty() {
+            return PlacementRefusal::NoEndpoint;
+        }
+        if present.iter().all(|server| server.is_drained) {
+            return PlacementRefusal::Drained;
+        }
+        if present.iter().all(|server| server.is_drained || self.is_cold(server, now)) {
+            return PlacementRefusal::WarmingUp(warm_up::WINDOW);
+        }
+        PlacementRefusal::NoEndpoint
+    }
+
+    fn has_cold(&self, now: Time) -> bool {
+        self.servers.values().any(|server| self.is_cold(server, now))
+    }
+
+    /// Whether an endpoint is warming up and takes few requests meanwhile.
+    fn is_cold(&self, server: &Server, now: Time) -> bool {
+        self.cold_limit_per_s.is_some() && server.warm_up.is_cold(now)
+    }
+
+    /// Whether this instance may send a request to a cold endpoint now.
+    fn may_send_cold(&self, server: &Server, now: Time) -> bool {
+        let (Some(limit), Some(instances)) = (self.cold_limit_per_s, &self.instances) else {
+            return false;
+        };
+        server.warm_up.sent_within_window(now) < instances.quota(limit, &server.member.endpoint)
     }
 
     /// Number of the best endpoints to skip, drawn at random because other instances may just have
@@ -364,13 +478,21 @@
         job.endpoints().zip(&job.incarnations).all(|(endpoint, incarnation)| {
             let server = self.servers.get(endpoint);
             server.is_some_and(|server| {
-                !server.member.leaving
+                server.accepts_requests()
                     && server.member.incarnation == *incarnation
                     && !self.is_displaced(server, job, now)
             })
         })
     }
 
+    /// Whether all endpoints of a placed request still accept requests.
+    pub fn accepts(&self, job: JobId) -> bool {
+        let Some(job) = self.jobs.get(&job) else { return false };
+        job.endpoints().all(|endpoint| {
+            self.servers.get(endpoint).is_some_and(|server| server.accepts_requests())
+        })
+    }
+
     /// Whether a split prompt with a smaller key delays the job's part on this engine.
     fn is_displaced(&self, server: &Server, job: &Job, now: Time) -> bool {
         let Some(rules) = &self.rules else { return false };
@@ -421,7 +543,9 @@
 
     /// Removes another instance that has failed or left, and its work.
     pub fn remove_peer(&mut self, peer: &InstanceId) {
-        self.peers.swap_remove(peer);
+        if !self.peers.swap_remove(peer) {
+            return;
+        }
         for server in self.servers.values_mut() {
             server.remove_peer(peer);
         }
--- a/crates/policy/src/placement/request.rs
+++ b/crates/policy/src/placement/request.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time::Duration};
 
-use crate::{EndpointId, Fingerprint, Incarnation, Time};
+use crate::{EndpointId, Fingerprint, Incarnation, Time, routes::Homes};
 
 use super::{
     prefill::{Part, PartKey, Pass},
@@ -30,6 +30,8 @@
     pub is_hedge: bool,
     /// Incarnations of endpoints that have already had it.
     pub tried: Vec<(EndpointId, Incarnation)>,
+    /// Regions whose endpoints may run it.
+    pub homes: Homes,
 }
 
 /// Identifies a placed request until it ends.
@@ -75,6 +77,11 @@
 pub enum PlacementRefusal {
     /// No endpoint may run it.
     NoEndpoint,
+    /// All endpoints that might run it are in drained data centres.
+    Drained,
+    /// All endpoints that might run it are warming up, and this instance may send nothing there for
+    /// this long.
+    WarmingUp(Duration),
     /// Endpoints crashed while they ran it; it isn't run for this long.
     Quarantined(Duration),
     /// Its first event would be late; there may be room after this time.
--- a/crates/policy/src/placement/server.rs
+++ b/crates/policy/src/placement/server.rs
@@ -19,7 +19,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::{InstanceId, Time, routes::EngineRules};
+use crate::{InstanceId, Time, routes::EngineRules, warm_up::WarmUp};
 
 use super::{
     Member, PlacementRules,
@@ -47,6 +47,9 @@
 #[derive(Debug)]
 pub(super) struct Server {
     pub(super) member: Member,
+    /// Its data centre is drained.
+    pub(super) is_drained: bool,
+    pub(super) warm_up: WarmUp,
     prefill_queue: PrefillQueue,
     unanswered: UnansweredParts,
     /// Milliseconds for which it had stalled at the last `refresh`.
@@ -101,8 +104,12 @@
 
 impl Server {
     pub(super) fn new(member: Member, now: Time) -> Server {
+        let mut warm_up = WarmUp::default();
+        warm_up.record_start(member.cold_start, now);
         Server {
             member,
+            is_drained: false,
+            warm_up,
             prefill_queue: PrefillQueue::new(millis(now)),
             unanswered: UnansweredParts::default(),
             stalled_ms: 0.0,
@@ -127,6 +134,11 @@
         }
     }
 
+    /// Whether it may get new requests.
+    pub(super) fn accepts_requests(&self) -> bool {
+        !self.member.leaving && !self.is_drained
+    }
+
     fn speed<'a>(&self, rules: &'a EngineRules) -> EngineSpeed<'a> {
         EngineSpeed { rules, slowdown: self.slowdown, running: self.running() }
     }
--- a/crates/policy/src/placement/split.rs
+++ b/crates/policy/src/placement/split.rs
@@ -15,7 +15,7 @@
 use crate::{Time, routes::EngineRules};
 
 use super::{
-    GroupScheduler, PlacementRequest,
+    GroupScheduler, PlacementRequest, Pool,
     choose::{PlacementPlan, candidate_part},
     decoding::whole_ms,
     prefill::PartCompletion,
@@ -82,11 +82,12 @@
         rules: &EngineRules,
         request: &PlacementRequest,
         base: PlacementPlan,
+        pool: Pool,
         prefill_ms: f64,
         now: Time,
     ) -> Option<PlacementPlan> {
         let engines: Vec<Engine<'_>> = self
-            .candidates(request, now)
+            .candidates(request, pool, now)
             .map(|(index, server)| Engine {
                 index,
                 server,
@@ -139,7 +140,10 @@
     ) -> Vec<Candidate> {
         let max_helping = rules.slots.saturating_sub(self.placement.slots_left) as usize;
         let arrives_at = millis(now) + trial.hold_ms;
-        let may_help = |engine: &&Engine<'_>| engine.server.may_help(max_helping, arrives_at, now);
+        let may_help = |engine: &&Engine<'_>| {
+            engine.server.may_help(max_helping, arrives_at, now)
+                && !self.is_cold(engine.server, now)
+        };
         let eligible = engines.iter().filter(|engine| parts == 1 || may_help(engine));
         let candidates =
             eligible.map(|engine| self.candidate(rules, engine, parts, trial, request, now));
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -27,6 +27,11 @@
     xxh3_64_with_seed(name.as_bytes(), 0)
 }
 
+/// Combines two keys into a hash, for rendezvous hashing where the members' names aren't at hand.
+pub fn mix(member: u64, key: u64) -> u64 {
+    xxh3_64_with_seed(&member.to_le_bytes(), key)
+}
+
 /// Index of the member that owns `key`; none only if there are no members.
 pub fn owner<'a, M: AsRef<str> + 'a>(
     key: u64,
--- a/crates/policy/src/routes/keys.rs
+++ b/crates/policy/src/routes/keys.rs
@@ -4,6 +4,8 @@
 
 use crate::Workspace;
 
+use super::Homes;
+
 /// The workspace and priority that an API key grants.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeyOwner {
@@ -11,6 +13,8 @@
     pub workspace: Workspace,
     /// Priority of the workspace, which takes precedence over the route's; zero is the most urgent.
     pub priority: Option<u8>,
+    /// Regions whose endpoints may run the workspace's requests.
+    pub homes: Homes,
 }
 
 /// The API keys of one version of the configuration.
--- a/crates/policy/src/routes/mod.rs
+++ b/crates/policy/src/routes/mod.rs
@@ -5,6 +5,7 @@
 //! addition to the deployments of the project's own interface.
 
 mod engine;
+mod homes;
 mod keys;
 
 use std::{sync::Arc, time::Duration};
@@ -13,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use engine::EngineRules;
+pub use homes::Homes;
 pub use keys::{KeyOwner, KeyTable};
 
 use crate::{EndpointGroup, config::Version};
@@ -62,6 +64,8 @@
     pub is_public: bool,
     /// The endpoint groups that serve the route, with their weights.
     pub split: Vec<GroupShare>,
+    /// Regions whose endpoints may run its requests.
+    pub homes: Homes,
 }
 
 /// Minimum time that is assumed to be left until an event's deadline: a few passes of an engine,
@@ -119,6 +123,8 @@
 pub struct GroupRules {
     /// Speed and capacity of its engines; `None` for a plain service.
     pub engine: Option<EngineRules>,
+    /// Requests a second that an endpoint bears while it warms up; none where it needs no warm-up.
+    pub cold_requests_per_s: Option<f64>,
 }
 
 /// Limits on the size and the duration of callers' requests.
--- a/crates/policy/tests/arranging/mod.rs
+++ b/crates/policy/tests/arranging/mod.rs
@@ -4,9 +4,9 @@
 #![allow(dead_code, missing_docs, unreachable_pub, clippy::unwrap_used)]
 
 use policy::{
-    EndpointId, Fingerprint, Incarnation, Time,
+    DataCentre, EndpointId, Fingerprint, Incarnation, Time,
     placement::{GroupScheduler, Member, PlacementRequest, PlacementRules},
-    routes::EngineRules,
+    routes::{EngineRules, Homes},
 };
 
 pub fn id(index: usize) -> EndpointId {
@@ -19,7 +19,15 @@
 }
 
 pub fn member(index: usize, slots: u32, leaving: bool) -> Member {
-    Member { endpoint: id(index), incarnation: Incarnation(1), slots, leaving }
+    Member {
+        endpoint: id(index),
+        incarnation: Incarnation(1),
+        slots,
+        leaving,
+        data_centre: DataCentre::new("a").unwrap(),
+        region: None,
+        cold_start: None,
+    }
 }
 
 pub fn scheduler(
@@ -52,5 +60,6 @@
         fingerprint: Fingerprint(u128::from(prompt)),
         is_hedge: false,
         tried: Vec::new(),
+        homes: Homes::everywhere(),
     }
 }
--- a/crates/policy/tests/routes.rs
+++ b/crates/policy/tests/routes.rs
@@ -9,7 +9,7 @@
 use engines::engine;
 use policy::{
     EndpointGroup, Workspace,
-    routes::{GroupShare, KeyOwner, KeyTable, RetrySafety, Route, RouteTable},
+    routes::{GroupShare, Homes, KeyOwner, KeyTable, RetrySafety, Route, RouteTable},
 };
 
 fn group(name: &str) -> EndpointGroup {
@@ -32,6 +32,7 @@
             .iter()
             .map(|(name, weight)| GroupShare { group: group(name), weight: *weight })
             .collect(),
+        homes: Homes::everywhere(),
     })
 }
 
@@ -79,7 +80,11 @@
 #[test]
 fn keys_name_their_owner() {
     let mut keys = KeyTable::required();
-    let owner = KeyOwner { workspace: Workspace::new("counter").unwrap(), priority: Some(2) };
+    let owner = KeyOwner {
+        workspace: Workspace::new("counter").unwrap(),
+        priority: Some(2),
+        homes: Homes::everywhere(),
+    };
     keys.insert("k".to_owned(), owner.clone());
     assert_eq!(keys.owner("k"), Some(&owner));
     assert_eq!(keys.owner("K"), None);
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -24,6 +24,10 @@
 /// endpoints.
 pub(super) const ENDPOINTS_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// `Retry-After` of requests whose endpoints are all in drained data centres: a drain lasts for
+/// seconds at least.
+const DRAINED_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// Upper bound of `Retry-After` before randomisation. Bursts last for seconds, and capacity that
 /// becomes free before a caller returns is left unused.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(2_500);
@@ -233,6 +237,12 @@
                 Ok(placement)
             }
             Err(PlacementRefusal::NoEndpoint) => Err(self.give_up(Reason::NoEndpoint)),
+            Err(PlacementRefusal::Drained) => {
+                Err(self.refuse_with_retry_after(Reason::Drained, DRAINED_RETRY_AFTER))
+            }
+            Err(PlacementRefusal::WarmingUp(after)) => {
+                Err(self.refuse_with_retry_after(Reason::WarmingUp, after))
+            }
             Err(PlacementRefusal::Quarantined(_)) => Err(self.give_up(Reason::Quarantined)),
             Err(PlacementRefusal::TooLate(by)) => {
                 log::info!(id = self.id(), prompt = request.prompt_tokens,
@@ -263,6 +273,10 @@
             fingerprint: received.fingerprint,
             is_hedge: other == OtherAttempt::InFlight,
             tried: progress.tried.clone(),
+            homes: match &received.owner {
+                Some(owner) => received.route.homes.intersection(&owner.homes),
+                None => received.route.homes.clone(),
+            },
         }
     }
 
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -24,6 +24,10 @@
     ConfigurationStale,
     /// No endpoint may run the request now.
     NoEndpoint,
+    /// All endpoints that might run the request are in drained data centres.
+    Drained,
+    /// All endpoints that might run the request are warming up.
+    WarmingUp,
     /// The answer would miss the caller's deadline.
     TooLate,
     /// Admission control: running the request would cost other requests more than it is worth.
@@ -51,6 +55,8 @@
             Reason::NoKey => "no_key",
             Reason::ConfigurationStale => "configuration_stale",
             Reason::NoEndpoint => "no_endpoint",
+            Reason::Drained => "drained",
+            Reason::WarmingUp => "warming_up",
             Reason::TooLate => "too_late",
             Reason::Crowded => "crowded",
             Reason::Stopping => "stopping",
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -53,6 +53,11 @@
                 return None;
             }
         }
+        // Reservations take up to some hundred milliseconds.
+        if !lock(&self.group.scheduler).accepts(placement.job) {
+            log::info!(id = self.id(), endpoint = placement.endpoint.as_str(); "placed_anew");
+            return None;
+        }
         let req = self.endpoint_request(&placement, &helpers);
         {
             // Until there is proof of the opposite, the attempt may have run.
--- a/crates/router/src/follow/configuration.rs
+++ b/crates/router/src/follow/configuration.rs
@@ -3,6 +3,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use policy::{
+    DataCentre,
+    drain::DrainedDataCentres,
     freshness::{FreshnessCheck, Position},
     routes::RouteTable,
 };
@@ -11,7 +13,8 @@
 use crate::{
     clock::BootTime,
     freshness::{FreshnessTracker, QueryTarget, ReceivedReply, Source},
-    lock,
+    join_names, lock,
+    settings::ColdTolerance,
     snapshot::{SnapshotClient, Transfer},
     source::ConfigSource,
     state::{Configuration, Groups},
@@ -32,6 +35,7 @@
     source: S,
     configuration: Arc<Configuration>,
     groups: Arc<Groups>,
+    cold_tolerance: Option<ColdTolerance>,
     tracker: Arc<FreshnessTracker>,
     access: SourceAccess,
 }
@@ -42,11 +46,12 @@
         source: S,
         configuration: Arc<Configuration>,
         groups: Arc<Groups>,
+        cold_tolerance: Option<ColdTolerance>,
         tracker: Arc<FreshnessTracker>,
         snapshots: SnapshotClient,
     ) -> Self {
         let access = SourceAccess::new(Source::Configuration, tracker.clone(), snapshots);
-        Follower { source, configuration, groups, tracker, access }
+        Follower { source, configuration, groups, cold_tolerance, tracker, access }
     }
 
     /// Keeps the configuration up to date until it is dropped.
@@ -130,8 +135,8 @@
         let transfer = self.access.fetch_snapshot(peer, after).await;
         let Some(Transfer { position, as_of, content }) = transfer else { return false };
         match self.source.adopt(&content, position) {
-            Ok(table) => {
-                self.put_in_force(table);
+            Ok(published) => {
+                self.put_in_force(published.table, &published.drained);
                 self.configuration.confirm(as_of);
                 self.tracker.update_configuration(position, as_of, Some(content));
                 true
@@ -148,8 +153,9 @@
             Ok(read) => {
                 self.access.record_success();
                 let bytes = read.update.as_ref().map(|published| published.bytes.clone());
-                let is_newer =
-                    read.update.is_some_and(|published| self.put_in_force(published.table));
+                let is_newer = read.update.is_some_and(|published| {
+                    self.put_in_force(published.table, &published.drained)
+                });
                 self.access.log_read(read.position, is_newer);
                 self.configuration.confirm(read.as_of);
                 self.tracker.update_configuration(read.position, read.as_of, bytes);
@@ -166,17 +172,30 @@
         }
     }
 
-    fn put_in_force(&self, table: RouteTable) -> bool {
+    /// Returns whether anything has changed. Updates come in the order of their positions, so
+    /// the drained data centres of the latest one are the current ones.
+    fn put_in_force(&self, table: RouteTable, drained: &DrainedDataCentres) -> bool {
+        let is_drain_changed = self.groups.set_drained(drained);
+        if is_drain_changed {
+            let names = join_names(drained.iter().map(DataCentre::as_str));
+            log::info!(data_centres = names.as_str(); "drain_in_force");
+        }
         let version = table.version;
         let is_newer = self.configuration.replace_if_newer(table);
         if is_newer {
             log::info!(version = version.0; "config_in_force");
             for (name, rules) in &self.configuration.table().groups {
                 let group = self.groups.get_or_create(name);
-                lock(&group.scheduler).set_rules(rules.engine.clone());
+                let cold_limit = self
+                    .cold_tolerance
+                    .zip(rules.cold_requests_per_s)
+                    .map(|(tolerance, rate)| tolerance.limit_per_s(rate));
+                let mut scheduler = lock(&group.scheduler);
+                scheduler.set_rules(rules.engine.clone());
+                scheduler.set_cold_limit(cold_limit);
             }
         }
-        is_newer
+        is_newer || is_drain_changed
     }
 }
 
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -7,7 +7,10 @@
 };
 
 use indexmap::IndexMap;
-use policy::{EndpointGroup, EndpointId, freshness::Position, placement::Member, roster::Roster};
+use policy::{
+    DataCentre, EndpointGroup, EndpointId, Region, freshness::Position, placement::Member,
+    roster::Roster,
+};
 
 use super::SourceAccess;
 use crate::{
@@ -38,6 +41,7 @@
 pub struct Follower<S> {
     source: S,
     groups: Arc<Groups>,
+    regions: IndexMap<DataCentre, Region>,
     clock: Clock,
     /// A leaving endpoint gets no new requests after this time.
     leave_within: Duration,
@@ -52,6 +56,7 @@
     pub fn new(
         source: S,
         groups: Arc<Groups>,
+        regions: IndexMap<DataCentre, Region>,
         clock: Clock,
         leave_within: Duration,
         tracker: Arc<FreshnessTracker>,
@@ -60,6 +65,7 @@
         Follower {
             source,
             groups,
+            regions,
             clock,
             leave_within,
             access: SourceAccess::new(Source::Endpoints, tracker.clone(), snapshots),
@@ -249,10 +255,24 @@
 
     fn apply_registrations(&mut self) {
         if self.roster.update(&self.registered, self.clock.now()) {
-            update_groups(&self.groups, self.roster.entries(), self.clock);
+            self.update_groups();
         }
         self.groups.mark_endpoints_read();
     }
+
+    fn update_groups(&self) {
+        let mut by_group: IndexMap<EndpointGroup, Vec<&EndpointEntry>> = IndexMap::new();
+        for entry in self.roster.entries().values() {
+            by_group.entry(entry.group.clone()).or_default().push(entry);
+        }
+        // Groups whose last endpoint was removed have to be updated too.
+        for group in self.groups.all() {
+            by_group.entry(group.name.clone()).or_default();
+        }
+        for (name, entries) in by_group {
+            update_group(&self.groups.get_or_create(&name), &entries, &self.regions, self.clock);
+        }
+    }
 }
 
 /// What a peer has read of the registrations.
@@ -280,21 +300,12 @@
     }
 }
 
-fn update_groups(groups: &Groups, entries: &IndexMap<EndpointId, EndpointEntry>, clock: Clock) {
-    let mut by_group: IndexMap<EndpointGroup, Vec<&EndpointEntry>> = IndexMap::new();
-    for entry in entries.values() {
-        by_group.entry(entry.group.clone()).or_default().push(entry);
-    }
-    // Groups whose last endpoint was removed have to be updated too.
-    for group in groups.all() {
-        by_group.entry(group.name.clone()).or_default();
-    }
-    for (name, entries) in by_group {
-        update_group(&groups.get_or_create(&name), &entries, clock);
-    }
-}
-
-fn update_group(group: &Group, entries: &[&EndpointEntry], clock: Clock) {
+fn update_group(
+    group: &Group,
+    entries: &[&EndpointEntry],
+    regions: &IndexMap<DataCentre, Region>,
+    clock: Clock,
+) {
     let addresses = entries.iter().map(|entry| (entry.id.clone(), entry.address)).collect();
     let mut current = group.addresses.write().unwrap_or_else(PoisonError::into_inner);
     log_changes(group, &current, entries);
@@ -305,6 +316,9 @@
         incarnation: entry.incarnation,
         slots: entry.slots,
         leaving: entry.leaving,
+        data_centre: entry.data_centre.clone(),
+        region: regions.get(&entry.data_centre).cloned(),
+        cold_start: entry.cold_start,
     });
     lock(&group.scheduler).set_members(members.collect(), clock.now());
 }
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -181,6 +181,7 @@
             sources.configuration,
             configuration,
             groups.clone(),
+            bounds.cold_tolerance,
             tracker.clone(),
             snapshots.clone(),
         );
@@ -188,6 +189,7 @@
         let follower = follow::EndpointsFollower::new(
             sources.endpoints,
             groups,
+            settings.regions,
             clock,
             bounds.leave_within,
             tracker,
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -23,7 +23,7 @@
 use indexmap::IndexMap;
 use policy::{
     DataCentre, EndpointGroup, Incarnation, InstanceId, Time, freshness::retry_group_size,
-    placement::update_interval,
+    placement::update_interval, warm_up::Instances,
 };
 use smol::{
     Timer,
@@ -206,6 +206,7 @@
                     self.hello_rounds_left = MAX_HELLO_ROUNDS;
                     self.last_hello = Time::ZERO;
                     self.send_hellos().await;
+                    self.update_peer_counts();
                 }
                 Event::Received(datagram, from) => self.receive(datagram, from).await,
             }
@@ -443,6 +444,7 @@
     fn update_peer_counts(&self) {
         let live = self.live_peers();
         self.live_instances.store(live.len() + 1, Ordering::Relaxed);
+        self.groups.set_instances(Instances::new(&self.own_entry.instance, self.peers.keys()));
         self.tracker.set_retry_group_size(retry_group_size(
             &self.own_entry.instance,
             &self.data_centre,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use policy::{DataCentre, InstanceId, placement::PlacementRules, retry::RetryRules};
+use indexmap::IndexMap;
+use policy::{DataCentre, InstanceId, Region, placement::PlacementRules, retry::RetryRules};
 
 /// Settings of one instance.
 #[derive(Debug, Clone, PartialEq)]
@@ -11,6 +12,8 @@
     pub instance: InstanceId,
     /// Data centre that the instance runs in.
     pub data_centre: DataCentre,
+    /// Region of each data centre.
+    pub regions: IndexMap<DataCentre, Region>,
     /// Address for callers.
     pub listen: SocketAddr,
     /// Address of the balancer's readiness check.
@@ -42,6 +45,24 @@
     pub retry_window: Duration,
     /// Retries per window, over all instances, that are allowed beyond the share.
     pub retry_slack: f64,
+    /// What cold endpoints bear beyond their configured rate; none where they need no warm-up.
+    pub cold_tolerance: Option<ColdTolerance>,
+}
+
+/// Requests that a cold endpoint bears in a second, from all instances together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdTolerance {
+    /// Multiple of its configured rate.
+    pub factor: f64,
+    /// Requests in addition to that.
+    pub slack: f64,
+}
+
+impl ColdTolerance {
+    /// The limit for an endpoint with this configured rate.
+    pub fn limit_per_s(&self, rate_per_s: f64) -> f64 {
+        rate_per_s * self.factor + self.slack
+    }
 }
 
 impl Bounds {
--- a/crates/router/src/source.rs
+++ b/crates/router/src/source.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 use policy::{
-    DataCentre, EndpointGroup, EndpointId, Incarnation, InstanceId, freshness::Position,
-    routes::RouteTable,
+    DataCentre, EndpointGroup, EndpointId, Incarnation, InstanceId, drain::DrainedDataCentres,
+    freshness::Position, routes::RouteTable, warm_up::ColdStart,
 };
 use serde::{Deserialize, Serialize};
 
@@ -46,12 +46,14 @@
     pub position: Position,
 }
 
-/// A published configuration, decoded and as bytes.
+/// What operators have published, decoded and as bytes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PublishedConfig {
-    /// Its decoded content.
+    /// The newest configuration.
     pub table: RouteTable,
-    /// Its encoding, which is sent to peers.
+    /// Data centres whose endpoints get no new requests.
+    pub drained: DrainedDataCentres,
+    /// Encoding of both, which is sent to peers.
     pub bytes: Bytes,
 }
 
@@ -67,7 +69,7 @@
     /// # Errors
     ///
     /// [`SourceError::Malformed`] if the bytes can't be decoded; the position then stays unchanged.
-    fn adopt(&mut self, bytes: &[u8], position: Position) -> Result<RouteTable, SourceError>;
+    fn adopt(&mut self, bytes: &[u8], position: Position) -> Result<PublishedConfig, SourceError>;
 
     /// Position up to which the source has been read. `None` before the first read, and when that
     /// position is no longer useful to anyone.
@@ -91,6 +93,8 @@
     pub leaving: bool,
     /// Distinguishes successive processes under the same name.
     pub incarnation: Incarnation,
+    /// Its latest cold start; none where it isn't warming up.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// A source of the endpoints.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -12,9 +12,11 @@
 use indexmap::IndexMap;
 use policy::{
     EndpointGroup, EndpointId, GroupTag, Time,
+    drain::DrainedDataCentres,
     placement::{GroupScheduler, PlacementRules},
     retry::{RetryRules, RetryWindow},
     routes::RouteTable,
+    warm_up::Instances,
 };
 
 use crate::{clock::BootTime, lock, signal::OneShot};
@@ -210,10 +212,27 @@
     }
 }
 
+/// What all groups have in common.
+#[derive(Debug, Clone, Default)]
+struct SharedView {
+    drained: DrainedDataCentres,
+    instances: Option<Instances>,
+}
+
+impl SharedView {
+    fn apply(&self, scheduler: &mut GroupScheduler) {
+        scheduler.set_drained(&self.drained);
+        if let Some(instances) = &self.instances {
+            scheduler.set_instances(instances.clone());
+        }
+    }
+}
+
 /// All endpoint groups by name.
 #[derive(Debug, Default)]
 pub struct Groups {
     placement: PlacementRules,
+    shared: Mutex<SharedView>,
     groups: RwLock<IndexMap<EndpointGroup, Arc<Group>>>,
     /// Set once the endpoints have been read.
     endpoints_read: OneShot,
@@ -225,6 +244,33 @@
         Groups { placement, ..Groups::default() }
     }
 
+    /// Replaces the drained data centres; true if the set has changed.
+    pub fn set_drained(&self, drained: &DrainedDataCentres) -> bool {
+        self.update_shared(|shared| {
+            let is_changed = shared.drained != *drained;
+            shared.drained = drained.clone();
+            is_changed
+        })
+    }
+
+    /// Replaces the instances that share the limits of cold endpoints.
+    pub fn set_instances(&self, instances: Instances) {
+        self.update_shared(|shared| {
+            shared.instances = Some(instances);
+            true
+        });
+    }
+
+    /// Changes the shared view, and applies it to all groups if `update` returns true.
+    fn update_shared(&self, update: impl FnOnce(&mut SharedView) -> bool) -> bool {
+        let mut shared = lock(&self.shared);
+        let is_changed = update(&mut shared);
+        if is_changed {
+            self.all().iter().for_each(|group| shared.apply(&mut lock(&group.scheduler)));
+        }
+        is_changed
+    }
+
     /// Records that the endpoints have been read, by this instance or by a peer.
     pub fn mark_endpoints_read(&self) {
         self.endpoints_read.set();
@@ -251,8 +297,13 @@
         if let Some(group) = self.get(name) {
             return group;
         }
+        let shared = lock(&self.shared);
         let mut groups = self.groups.write().unwrap_or_else(PoisonError::into_inner);
-        let create = || Arc::new(Group::new(name.clone(), self.placement, fastrand::u64(..)));
+        let create = || {
+            let group = Group::new(name.clone(), self.placement, fastrand::u64(..));
+            shared.apply(&mut lock(&group.scheduler));
+            Arc::new(group)
+        };
         groups.entry(name.clone()).or_insert_with(create).clone()
     }
 
