Find peers by seeds and gossip; leave the directory to readers

All 985 registrations are appends to one partition of 2 ms; a call times out after 0.7 s and comes again after 0.5 s although it may still be queued, so the queue never empties. Without peers each instance reads the log itself, 1,100 times a second together. And were they to find each other, heartbeats from all to all, each with a scan of all peers at the receiver, would be next.

Change: `Links` drives `policy::gossip` instead of heartbeats and hellos; the sender of a datagram is looked up by its address; readers are computed when the membership changes and not for each query. Seeds come from the platform's settings (the role serves its control plane for that). An instance whose seeds answer doesn't use the directory unless it reads the log for its data centre; failed calls there are logged and repeated after a back-off that doubles. First reads follow `policy::first_read`. Instances that are silent still count where the limits of cold endpoints are shared. A platform without seeds works as before.

--- a/crates/daemon/src/settings/routing.rs
+++ b/crates/daemon/src/settings/routing.rs
@@ -24,6 +24,10 @@
     pub log_service: SocketAddr,
     /// The address for the balancer's readiness probes.
     pub ready_listen: SocketAddr,
+    /// Addresses of some instances, by which one that starts finds the others. Their ports are
+    /// ignored: all instances use the same one for messages between them.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Time after which a revoked key is refused by all instances, in milliseconds.
     pub revoke_ms: u64,
     /// Time after which a leaving endpoint gets no new requests, in milliseconds.
@@ -58,6 +62,7 @@
         let mut fields = Fields::open(node, &path, findings)?;
         let log_service = fields.required("log_service", ADDRESS_FORMAT, findings);
         let ready_listen = fields.required("ready_listen", ADDRESS_FORMAT, findings);
+        let seeds = fields.optional("seeds", "a list of addresses", findings);
         let mut millis = |name, default| fields.whole(name, 1..=MAX_DURATION_MS, default, findings);
         let revoke_ms = millis("revoke_ms", DEFAULT_REVOKE_MS);
         let leave_ms = millis("leave_ms", DEFAULT_LEAVE_MS);
@@ -73,6 +78,7 @@
         Some(RoutingSettings {
             log_service: log_service?,
             ready_listen: ready_listen?,
+            seeds: seeds.unwrap_or_default(),
             revoke_ms,
             leave_ms,
             stop_ms,
@@ -116,12 +122,15 @@
 impl Settings {
     /// Converts these settings and `routing` to the router's settings.
     pub fn router_settings(&self, routing: &RoutingSettings) -> router::Settings {
+        let link_port = self.peer_listen.port();
+        let seeds = routing.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), link_port));
         router::Settings {
             instance: self.instance.clone(),
             data_centre: self.data_centre.clone(),
             regions: routing.regions.clone(),
             listen: self.listen,
             ready_listen: routing.ready_listen,
+            seeds: seeds.collect(),
             link_listen: self.peer_listen,
             metrics_listen: self.admin_listen,
             threads: self.threads.unwrap_or(1),
--- a/crates/policy/src/backoff.rs
+++ b/crates/policy/src/backoff.rs
@@ -29,6 +29,12 @@
 /// lost, a change takes effect this much later.
 pub const MAX_BACKOFF: Duration = Duration::from_secs(8);
 
+/// Span of the first back-off where the number of callers isn't known.
+const FIRST_DIRECTORY_BACKOFF: Duration = Duration::from_millis(500);
+
+/// Maximum span of such a back-off.
+const MAX_DIRECTORY_BACKOFF: Duration = Duration::from_secs(16);
+
 /// Consecutive failures, which determine the next back-off.
 #[derive(Debug, Clone, Default)]
 pub struct Backoff {
@@ -65,6 +71,27 @@
     first.saturating_mul(1 << failures.min(16)).min(max_backoff).mul_f64(rng.f64())
 }
 
+/// Back-off of an instance that doesn't know how many others call the same store.
+///
+/// Guards against a retry storm after a simultaneous start: the spans double, so that the calls of
+/// any number of instances soon arrive at less than the store's rate. Half of each span is fixed,
+/// so that no call is repeated while the first may still be queued.
+#[derive(Debug, Clone, Default)]
+pub struct DirectoryBackoff {
+    failures: u32,
+}
+
+impl DirectoryBackoff {
+    /// Records a failure and returns the back-off.
+    pub fn record_failure(&mut self, rng: &mut Rng) -> Duration {
+        let span = FIRST_DIRECTORY_BACKOFF
+            .saturating_mul(1 << self.failures.min(16))
+            .min(MAX_DIRECTORY_BACKOFF);
+        self.failures += 1;
+        span.mul_f64(0.5 + 0.5 * rng.f64())
+    }
+}
+
 fn max_backoff(instances: usize) -> Duration {
     per_instance(MAX_BACKOFF_PER_INSTANCE, instances).min(MAX_BACKOFF)
 }
--- a/crates/router/src/follow/configuration.rs
+++ b/crates/router/src/follow/configuration.rs
@@ -69,6 +69,13 @@
         if self.query_readers().await && self.has_all_updates().await {
             return QUERY_INTERVAL;
         }
+        if self.source.position().is_none() {
+            let time_until_first_read = self.access.time_until_first_read();
+            if !time_until_first_read.is_zero() {
+                let is_known = self.query_any_peer().await;
+                return if is_known { QUERY_INTERVAL } else { time_until_first_read };
+            }
+        }
         let time_until_retry = self.access.time_until_retry();
         if time_until_retry.is_zero() {
             return self.read().await;
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -110,6 +110,13 @@
         if self.query_readers().await {
             return query_interval;
         }
+        if self.source.position().is_none() {
+            let time_until_first_read = self.access.time_until_first_read();
+            if !time_until_first_read.is_zero() {
+                let is_known = self.query(QueryTarget::AnyLive).await;
+                return if is_known { query_interval } else { time_until_first_read };
+            }
+        }
         let time_until_retry = self.access.time_until_retry();
         if time_until_retry.is_zero() {
             return self.read().await;
--- a/crates/router/src/follow/mod.rs
+++ b/crates/router/src/follow/mod.rs
@@ -11,7 +11,7 @@
 
 pub use configuration::Follower as ConfigurationFollower;
 pub use endpoints::Follower as EndpointsFollower;
-use policy::{backoff::Backoff, freshness::Position};
+use policy::{backoff::Backoff, first_read::StartView, freshness::Position};
 use smol::Timer;
 
 use crate::{
@@ -25,6 +25,9 @@
 /// in force.
 const MAX_UPDATE_DELAY: Duration = Duration::from_millis(60);
 
+/// Interval of queries to peers while an instance that starts waits for them.
+const START_QUERY_INTERVAL: Duration = Duration::from_millis(60);
+
 /// Access to one source: whether it can be reached, when it is retried, and snapshots of it from
 /// peers.
 #[derive(Debug)]
@@ -35,6 +38,7 @@
     is_unreachable: bool,
     backoff: Backoff,
     retry_at: Option<Instant>,
+    started_at: Instant,
 }
 
 impl SourceAccess {
@@ -50,6 +54,7 @@
             is_unreachable: false,
             backoff: Backoff::default(),
             retry_at: None,
+            started_at: Instant::now(),
         }
     }
 
@@ -94,7 +99,7 @@
 
     /// Whether no peer reads before this instance.
     fn is_first_reader(&self) -> bool {
-        self.tracker.retry_group_size() == 1
+        self.tracker.is_first_reader()
     }
 
     /// Whether this instance reads the source for its peers.
@@ -123,4 +128,16 @@
     fn time_until_retry(&self) -> Duration {
         self.retry_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()))
     }
+
+    /// How long to wait until this instance, which has nothing of the source yet, reads it itself;
+    /// zero if now.
+    fn time_until_first_read(&self) -> Duration {
+        let view = StartView {
+            since_start: self.started_at.elapsed(),
+            has_seeds: self.tracker.has_seeds(),
+            since_peers_changed: self.tracker.time_since_membership_change(),
+            is_first_reader: self.is_first_reader(),
+        };
+        view.time_until_read().min(START_QUERY_INTERVAL)
+    }
 }
--- a/crates/router/src/freshness.rs
+++ b/crates/router/src/freshness.rs
@@ -10,7 +10,7 @@
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -209,17 +209,30 @@
     announcement_requested: Signal,
     /// Number of instances that retry an unreachable source together.
     retry_group_size: AtomicUsize,
+    membership: Mutex<MembershipState>,
+    has_seeds: bool,
+}
+
+/// What the followers have to know of the links' membership.
+#[derive(Debug, Default)]
+struct MembershipState {
+    /// When the number of live peers last changed; none while nobody is known.
+    changed_at: Option<Instant>,
+    live_peers: usize,
 }
 
 impl FreshnessTracker {
     /// Creates a tracker at position zero, and the receiver of queries that the links send.
-    pub fn new() -> (FreshnessTracker, Receiver<FreshnessQuery>) {
+    /// `has_seeds` states whether the instance has addresses at which peers may be found.
+    pub fn new(has_seeds: bool) -> (FreshnessTracker, Receiver<FreshnessQuery>) {
         let (queries, query_rx) = bounded(CHANNEL_CAPACITY);
         let tracker = FreshnessTracker {
             state: Mutex::default(),
             queries,
             announcement_requested: Signal::default(),
             retry_group_size: AtomicUsize::new(1),
+            membership: Mutex::default(),
+            has_seeds,
         };
         (tracker, query_rx)
     }
@@ -311,9 +324,33 @@
         self.retry_group_size.load(Ordering::Relaxed)
     }
 
-    /// Sets the number that [`Self::retry_group_size`] returns.
-    pub fn set_retry_group_size(&self, retry_group_size: usize) {
+    /// Records the number of live peers, and of the instances that retry an unreachable source
+    /// together.
+    pub fn record_membership(&self, live_peers: usize, retry_group_size: usize) {
         self.retry_group_size.store(retry_group_size, Ordering::Relaxed);
+        let mut membership = lock(&self.membership);
+        membership.live_peers = live_peers;
+        membership.changed_at = Some(Instant::now());
+    }
+
+    /// Whether this instance has addresses at which peers may be found.
+    pub fn has_seeds(&self) -> bool {
+        self.has_seeds
+    }
+
+    /// Whether any peer is alive.
+    pub fn has_peers(&self) -> bool {
+        lock(&self.membership).live_peers > 0
+    }
+
+    /// Time since the live peers last changed; none while nobody has been known.
+    pub fn time_since_membership_change(&self) -> Option<Duration> {
+        lock(&self.membership).changed_at.map(|at| at.elapsed())
+    }
+
+    /// Whether no peer reads the log before this instance.
+    pub fn is_first_reader(&self) -> bool {
+        self.retry_group_size() == 1
     }
 
     /// Builds the reply to a peer that has the endpoints up to `endpoints_position`.
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -114,13 +114,17 @@
 
         let own_entry =
             PeerEntry { instance: settings.instance.clone(), address: settings.link_listen };
+        let seeds: Vec<_> =
+            settings.seeds.iter().copied().filter(|seed| *seed != settings.link_listen).collect();
         let (listed_tx, listed) = bounded(1);
         let urgent = Signal::default();
-        let (tracker, queries) = FreshnessTracker::new();
+        let (tracker, queries) = FreshnessTracker::new(!seeds.is_empty());
         let tracker = Arc::new(tracker);
         let links = Links::new(LinkParts {
-            own_entry: own_entry.clone(),
+            instance: settings.instance.clone(),
+            address: settings.link_listen,
             incarnation,
+            seeds,
             socket,
             groups: groups.clone(),
             clock,
@@ -176,7 +180,9 @@
         spawn.spawn(links.run()).detach();
         spawn.spawn(snapshot::serve(peers, tracker.clone(), executor.clone())).detach();
         let snapshots = SnapshotClient::new(executor);
-        spawn.spawn(links::follow_directory(sources.peers, own_entry, listed_tx)).detach();
+        let directory =
+            links::follow_directory(sources.peers, own_entry, tracker.clone(), listed_tx);
+        spawn.spawn(directory).detach();
         let follower = follow::ConfigurationFollower::new(
             sources.configuration,
             configuration,
--- a/crates/router/src/links/message.rs
+++ b/crates/router/src/links/message.rs
@@ -1,8 +1,7 @@
 //! Messages between instances.
 
 use policy::{
-    DataCentre, GroupTag, Incarnation, InstanceId, freshness::Position, placement::EndpointUpdate,
-    quarantine,
+    GroupTag, Incarnation, freshness::Position, gossip, placement::EndpointUpdate, quarantine,
 };
 use serde::{Deserialize, Serialize};
 
@@ -30,21 +29,10 @@
     }
 }
 
-/// Identifies the sender.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(super) struct Hello {
-    pub(super) instance: InstanceId,
-    pub(super) incarnation: Incarnation,
-    pub(super) data_centre: DataCentre,
-    /// The sender doesn't know the receiver, which has to reply with its own hello.
-    pub(super) wants_reply: bool,
-}
-
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) enum Body {
-    /// Identifies the sender and shows that it is alive. A receiver that doesn't know it yet
-    /// replies with a heartbeat of its own.
-    Heartbeat(Hello),
+    /// Membership.
+    Gossip(gossip::Message),
     /// Changed load on endpoints of one group.
     EndpointUpdates { group: GroupTag, updates: Vec<EndpointUpdate> },
     /// Requests suspected of crashing endpoints of one group.
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -1,52 +1,49 @@
-//! Datagrams between instances: updates on the work they have placed, heartbeats, and freshness
+//! Datagrams between instances: membership, updates on the work they have placed, and freshness
 //! queries.
 //!
 //! Every update states an absolute level or a short-lived addition, so only the latest one matters:
 //! the next update replaces a lost one, and none waits for another. A stream would deliver outdated
 //! updates late and in order (`docs/decisions/platform.md`). What peers send unasked only changes
 //! where this instance sends work, or wakes a follower to query; no guarantee depends on it.
-//! Replies to this instance's own queries ([`queries`]) are evaluated by [`policy::freshness`].
+//! [`policy::gossip`] decides who is a peer. Replies to this instance's own queries ([`queries`])
+//! are evaluated by [`policy::freshness`].
 
+mod directory;
 mod message;
 mod queries;
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
 };
 
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
 use policy::{
-    DataCentre, EndpointGroup, Incarnation, InstanceId, Time, freshness::retry_group_size,
-    placement::update_interval, warm_up::Instances,
-};
-use smol::{
-    Timer,
-    channel::{Receiver, Sender},
-    net::UdpSocket,
+    DataCentre, EndpointGroup, Incarnation, InstanceId, Time,
+    freshness::{query_targets, retry_group_size},
+    gossip::{Change, Entry, Gossip, Outgoing},
+    placement::update_interval,
+    warm_up::Instances,
 };
+use smol::{channel::Receiver, net::UdpSocket};
 
 use crate::{
     clock::Clock,
     freshness::{FreshnessQuery, FreshnessTracker},
     join_names, lock,
     signal::Signal,
-    source::{PeerDirectory, PeerEntry},
     state::{Group, Groups},
 };
 
-use message::{Body, Datagram, Hello, IncarnationTag};
+pub use directory::follow_directory;
+use message::{Body, Datagram, IncarnationTag};
 use queries::PendingQuery;
 
-/// Interval between retries of the directory. Instances that start together don't know each other
-/// yet, so none of them knows how many share the retries.
-const DIRECTORY_RETRY_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Maximum number of updates in one datagram, so that it fits into one packet: an update with a
 /// part takes about 40 bytes.
 const MAX_UPDATES_PER_DATAGRAM: usize = 24;
@@ -54,64 +51,25 @@
 /// Longer datagrams aren't decoded.
 const MAX_DATAGRAM_BYTES: usize = 4 << 10;
 
-/// An instance that has sent nothing else sends a heartbeat at this interval.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-
-/// An instance that was silent for this long, six heartbeats, is considered dead, and its work is
-/// discarded.
-const PEER_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Heartbeats are still sent to a silent instance's address for this long.
-const DEAD_PEER_RETENTION: Duration = Duration::from_secs(60);
-
-/// Time between two reads of the directory. An instance that starts sends hellos to all listed
-/// instances, and again to those that don't reply; later reads only recover what was lost beyond
-/// that.
-const DIRECTORY_POLL_INTERVAL: Duration = Duration::from_secs(45);
-
-/// Rounds of hellos to listed instances that haven't been seen. Most of them have stopped for good.
-const MAX_HELLO_ROUNDS: u32 = 5;
-
-#[derive(Debug)]
-struct Peer {
-    address: SocketAddr,
-    data_centre: DataCentre,
-    incarnation: Incarnation,
-    sequence: u64,
-    last_seen: Time,
-    is_live: bool,
-}
-
-impl Peer {
-    /// Whether this peer sends from `address` under `incarnation`.
-    fn is_sender(&self, address: SocketAddr, incarnation: IncarnationTag) -> bool {
-        self.is_live && self.address == address && incarnation == self.incarnation.into()
-    }
-}
-
-/// Exchanges datagrams with all other instances.
+/// Exchanges datagrams with other instances.
 pub struct Links {
-    own_entry: PeerEntry,
-    incarnation: Incarnation,
     socket: UdpSocket,
     groups: Arc<Groups>,
     clock: Clock,
-    peers: IndexMap<InstanceId, Peer>,
+    gossip: Gossip,
+    /// The latest datagram of each live peer.
+    latest: HashMap<SocketAddr, (IncarnationTag, u64)>,
+    /// Peers that this instance queries, in this order, before it reads the log itself.
+    readers: Vec<InstanceId>,
     /// Number of live instances, including this one.
     live_instances: Arc<AtomicUsize>,
     /// Raised for an update that can't wait for the next interval.
     urgent: Signal,
-    listed: Receiver<Vec<PeerEntry>>,
+    listed: Receiver<Vec<SocketAddr>>,
     sequence: u64,
-    last_sent: Time,
     /// Number of suspects per group at the last regular update. They are sent again only when it
     /// has grown.
     suspect_counts: IndexMap<EndpointGroup, usize>,
-    /// Listed instances that haven't been seen yet, and how many more rounds of hellos they get.
-    unseen_entries: Vec<PeerEntry>,
-    hello_rounds_left: u32,
-    last_hello: Time,
-    data_centre: DataCentre,
     tracker: Arc<FreshnessTracker>,
     queries: Receiver<FreshnessQuery>,
     pending_queries: IndexMap<u64, PendingQuery>,
@@ -125,18 +83,25 @@
 enum Event {
     UpdatesDue,
     UrgentUpdates,
+    GossipDue,
     Query(FreshnessQuery),
     AnnouncementRequested,
-    DirectoryListed(Vec<PeerEntry>),
+    DirectoryListed(Vec<SocketAddr>),
     Received(Datagram, SocketAddr),
 }
 
 /// Arguments of [`Links::new`].
 pub struct LinkParts {
-    /// This instance's entry in the directory.
-    pub own_entry: PeerEntry,
+    /// This instance's name.
+    pub instance: InstanceId,
+    /// The address of `socket`.
+    pub address: SocketAddr,
+    /// This instance's data centre.
+    pub data_centre: DataCentre,
     /// This instance's incarnation.
     pub incarnation: Incarnation,
+    /// Addresses at which other instances may be found.
+    pub seeds: Vec<SocketAddr>,
     /// Socket for all datagrams.
     pub socket: UdpSocket,
     /// All endpoint groups.
@@ -145,10 +110,8 @@
     pub clock: Clock,
     /// Receives the number of live instances, including this one.
     pub live_instances: Arc<AtomicUsize>,
-    /// Listings of the directory.
-    pub listed: Receiver<Vec<PeerEntry>>,
-    /// This instance's data centre.
-    pub data_centre: DataCentre,
+    /// Addresses listed in the directory.
+    pub listed: Receiver<Vec<SocketAddr>>,
     /// Records how far this instance has read.
     pub tracker: Arc<FreshnessTracker>,
     /// Queries to send to peers.
@@ -160,23 +123,19 @@
 impl Links {
     /// Creates links without any peer.
     pub fn new(parts: LinkParts) -> Links {
+        let own = Entry::new(parts.instance, parts.address, parts.data_centre, parts.incarnation);
         Links {
-            own_entry: parts.own_entry,
-            incarnation: parts.incarnation,
             socket: parts.socket,
             groups: parts.groups,
             clock: parts.clock,
-            peers: IndexMap::new(),
+            gossip: Gossip::new(own, parts.seeds, fastrand::u64(..)),
+            latest: HashMap::new(),
+            readers: Vec::new(),
             live_instances: parts.live_instances,
             urgent: parts.urgent,
             listed: parts.listed,
             sequence: 0,
-            last_sent: Time::ZERO,
             suspect_counts: IndexMap::new(),
-            unseen_entries: Vec::new(),
-            hello_rounds_left: 0,
-            last_hello: Time::ZERO,
-            data_centre: parts.data_centre,
             tracker: parts.tracker,
             queries: parts.queries,
             pending_queries: IndexMap::new(),
@@ -192,32 +151,38 @@
         loop {
             match self.next_event(next_update).await {
                 Event::UpdatesDue => {
-                    next_update = self.clock.now() + update_interval(self.peers.len());
+                    next_update = self.clock.now() + update_interval(self.gossip.live_count());
                     self.send_updates(true).await;
-                    self.send_hellos().await;
-                    self.expire_peers();
                     self.log_peer_changes();
                 }
                 Event::UrgentUpdates => self.send_updates(false).await,
+                Event::GossipDue => {
+                    let now = self.clock.now();
+                    self.pending_queries.retain(|_, query| query.is_open(now));
+                    let outgoing = self.gossip.tick(now);
+                    self.send_gossip(outgoing).await;
+                }
                 Event::Query(query) => self.send_query(query).await,
                 Event::AnnouncementRequested => self.send_announcement().await,
-                Event::DirectoryListed(entries) => {
-                    self.unseen_entries = entries;
-                    self.hello_rounds_left = MAX_HELLO_ROUNDS;
-                    self.last_hello = Time::ZERO;
-                    self.send_hellos().await;
-                    self.update_peer_counts();
+                Event::DirectoryListed(addresses) => {
+                    self.gossip.add_seeds(addresses, self.clock.now());
+                    self.share_instances();
                 }
                 Event::Received(datagram, from) => self.receive(datagram, from).await,
             }
+            self.apply_peer_changes();
         }
     }
 
     async fn next_event(&self, next_update: Time) -> Event {
         let due = async {
-            Timer::after(self.clock.until(next_update)).await;
+            self.clock.sleep_until(next_update).await;
             Event::UpdatesDue
         };
+        let gossip_due = async {
+            self.clock.sleep_until(self.gossip.next_tick()).await;
+            Event::GossipDue
+        };
         let urgent = async {
             self.urgent.raised().await;
             Event::UrgentUpdates
@@ -238,7 +203,7 @@
             self.tracker.wait_for_announcement_request().await;
             Event::AnnouncementRequested
         };
-        urgent.or(received).or(query).or(announcement).or(listed).or(due).await
+        urgent.or(gossip_due).or(received).or(query).or(announcement).or(listed).or(due).await
     }
 
     async fn send_updates(&mut self, is_due: bool) {
@@ -252,9 +217,6 @@
                 self.send_suspects(&group).await;
             }
         }
-        if is_due && self.clock.now().since(self.last_sent) >= HEARTBEAT_INTERVAL {
-            self.send_all(self.hello_body(false)).await;
-        }
     }
 
     async fn send_suspects(&mut self, group: &Group) {
@@ -268,22 +230,21 @@
     }
 
     async fn send_all(&mut self, body: Body) {
-        self.last_sent = self.clock.now();
-        let now = self.clock.now();
-        let recipients = self.peers.values().filter(|peer| {
-            peer.is_live
-                || now.since(peer.last_seen) < DEAD_PEER_RETENTION
-                    && matches!(body, Body::Heartbeat(_))
-        });
-        let addresses: Vec<_> = recipients.map(|peer| peer.address).collect();
+        let addresses: Vec<_> = self.gossip.all_live().map(|entry| entry.address).collect();
         self.send(body, &addresses).await;
     }
 
+    async fn send_gossip(&mut self, outgoing: Vec<Outgoing>) {
+        for (address, message) in outgoing {
+            self.send(Body::Gossip(message), &[address]).await;
+        }
+    }
+
     /// Sends one datagram, encoded once, to all `addresses`.
     async fn send(&mut self, body: Body, addresses: &[SocketAddr]) {
         self.sequence += 1;
-        let datagram =
-            Datagram { incarnation: self.incarnation.into(), sequence: self.sequence, body };
+        let incarnation = self.gossip.own().incarnation.into();
+        let datagram = Datagram { incarnation, sequence: self.sequence, body };
         // Encoding these types can't fail.
         let bytes = bincode::serde::encode_to_vec(&datagram, bincode::config::standard());
         let Ok(bytes) = bytes else { return };
@@ -294,23 +255,6 @@
         }
     }
 
-    /// Sends hellos to listed instances that haven't been seen yet.
-    async fn send_hellos(&mut self) {
-        let now = self.clock.now();
-        if self.hello_rounds_left == 0
-            || self.last_hello > Time::ZERO && now.since(self.last_hello) < HEARTBEAT_INTERVAL
-        {
-            return;
-        }
-        self.hello_rounds_left -= 1;
-        self.last_hello = now;
-        let (own_entry, peers) = (&self.own_entry, &self.peers);
-        self.unseen_entries
-            .retain(|e| e.instance != own_entry.instance && !peers.contains_key(&e.instance));
-        let addresses: Vec<_> = self.unseen_entries.iter().map(|entry| entry.address).collect();
-        self.send(self.hello_body(true), &addresses).await;
-    }
-
     async fn send_announcement(&mut self) {
         let (configuration, endpoints) = self.tracker.positions();
         self.send_all(Body::Positions { configuration, endpoints }).await;
@@ -318,64 +262,29 @@
 
     async fn receive(&mut self, datagram: Datagram, from: SocketAddr) {
         let Datagram { incarnation, sequence, body } = datagram;
-        if let Body::Heartbeat(hello) = body {
-            return self.handle_hello(hello, sequence, from).await;
+        if let Body::Gossip(message) = body {
+            let outgoing = self.gossip.receive(from, message, self.clock.now());
+            return self.send_gossip(outgoing).await;
         }
-        let now = self.clock.now();
-        let sender = self.peers.iter_mut().find(|(_, peer)| peer.is_sender(from, incarnation));
-        let Some((instance, peer)) = sender else {
-            return self.send(self.hello_body(true), &[from]).await;
+        let sender = self.gossip.live_at(from);
+        let sender = sender.filter(|entry| incarnation == entry.incarnation.into());
+        let Some(instance) = sender.map(|entry| entry.instance.clone()) else {
+            let greeting = self.gossip.greeting(from);
+            return self.send_gossip(vec![greeting]).await;
         };
-        peer.last_seen = now;
-        if sequence <= peer.sequence {
+        self.gossip.record_heard(&instance);
+        let latest = self.latest.entry(from).or_insert((incarnation, 0));
+        if latest.0 == incarnation && sequence <= latest.1 {
             return;
         }
-        peer.sequence = sequence;
-        let instance = instance.clone();
+        *latest = (incarnation, sequence);
         self.apply(instance, body, from).await;
     }
 
-    /// Adds or updates the peer that sent a hello.
-    async fn handle_hello(&mut self, hello: Hello, sequence: u64, from: SocketAddr) {
-        let Hello { instance, incarnation, data_centre, wants_reply } = hello;
-        if instance == self.own_entry.instance {
-            return;
-        }
-        let now = self.clock.now();
-        match self.peers.get_mut(&instance) {
-            Some(peer) if incarnation < peer.incarnation => return,
-            Some(peer) if peer.is_live && peer.is_sender(from, incarnation.into()) => {
-                peer.last_seen = now;
-                peer.sequence = peer.sequence.max(sequence);
-                if wants_reply {
-                    self.send(self.hello_body(false), &[from]).await;
-                }
-                return;
-            }
-            _ => {}
-        }
-        let (last_seen, address) = (now, from);
-        let peer = Peer { address, data_centre, incarnation, sequence, last_seen, is_live: true };
-        self.remove_from_schedulers(&instance);
-        self.discovered.push(instance.clone());
-        self.peers.insert(instance, peer);
-        self.update_peer_counts();
-        self.send(self.hello_body(false), &[from]).await;
-    }
-
-    fn hello_body(&self, wants_reply: bool) -> Body {
-        Body::Heartbeat(Hello {
-            instance: self.own_entry.instance.clone(),
-            incarnation: self.incarnation,
-            data_centre: self.data_centre.clone(),
-            wants_reply,
-        })
-    }
-
     async fn apply(&mut self, instance: InstanceId, body: Body, from: SocketAddr) {
         let now = self.clock.now();
         match body {
-            Body::Heartbeat(_) => {}
+            Body::Gossip(_) => {}
             Body::EndpointUpdates { group, updates } => {
                 if let Some(group) = self.groups.by_tag(group) {
                     lock(&group.scheduler).apply_updates(&instance, &updates, now);
@@ -398,16 +307,45 @@
         }
     }
 
-    fn expire_peers(&mut self) {
-        let now = self.clock.now();
-        self.pending_queries.retain(|_, query| query.is_open(now));
-        let silent =
-            self.peers.iter().filter(|(_, p)| p.is_live && now.since(p.last_seen) > PEER_TIMEOUT);
-        let silent: Vec<_> = silent.map(|(instance, _)| instance.clone()).collect();
-        for instance in silent {
-            self.mark_dead(&instance);
+    /// Applies the changes of the live peers since the last call.
+    fn apply_peer_changes(&mut self) {
+        let changes = self.gossip.take_changes();
+        if changes.is_empty() {
+            return;
         }
-        self.peers.retain(|_, peer| now.since(peer.last_seen) < DEAD_PEER_RETENTION);
+        for change in changes {
+            let (instance, list) = match change {
+                Change::Appeared(instance) => (instance, &mut self.discovered),
+                Change::Disappeared(instance) => (instance, &mut self.lost),
+            };
+            list.push(instance.clone());
+            for group in self.groups.all() {
+                lock(&group.scheduler).remove_peer(&instance);
+            }
+        }
+        self.update_readers();
+        self.share_instances();
+        let gossip = &self.gossip;
+        self.latest.retain(|address, _| gossip.live_at(*address).is_some());
+    }
+
+    fn update_readers(&mut self) {
+        let live: Vec<_> = self
+            .gossip
+            .all_live()
+            .map(|entry| (entry.instance.clone(), entry.data_centre.clone()))
+            .collect();
+        let own = self.gossip.own();
+        self.readers = query_targets(&own.instance, &own.data_centre, &live);
+        self.live_instances.store(live.len() + 1, Ordering::Relaxed);
+        let group_size = retry_group_size(&own.instance, &own.data_centre, &live);
+        self.tracker.record_membership(live.len(), group_size);
+    }
+
+    /// Tells the groups which instances share the limits of cold endpoints.
+    fn share_instances(&self) {
+        let instances = Instances::new(&self.gossip.own().instance, self.gossip.known());
+        self.groups.set_instances(instances);
     }
 
     /// Logs which peers appeared and disappeared in one line, however many there are.
@@ -417,40 +355,9 @@
             return;
         }
         let ids = |ids: &[InstanceId]| join_names(ids.iter().map(InstanceId::as_str));
-        log::info!(live = self.live_peers().len(), found = ids(&found).as_str(),
+        log::info!(live = self.gossip.live_count(), found = ids(&found).as_str(),
             lost = ids(&lost).as_str(); "peers_changed");
     }
-
-    fn mark_dead(&mut self, instance: &InstanceId) {
-        if let Some(peer) = self.peers.get_mut(instance) {
-            peer.is_live = false;
-        }
-        self.lost.push(instance.clone());
-        self.remove_from_schedulers(instance);
-        self.update_peer_counts();
-    }
-
-    fn remove_from_schedulers(&self, instance: &InstanceId) {
-        for group in self.groups.all() {
-            lock(&group.scheduler).remove_peer(instance);
-        }
-    }
-
-    fn live_peers(&self) -> Vec<(InstanceId, DataCentre)> {
-        let live = self.peers.iter().filter(|(_, peer)| peer.is_live);
-        live.map(|(instance, peer)| (instance.clone(), peer.data_centre.clone())).collect()
-    }
-
-    fn update_peer_counts(&self) {
-        let live = self.live_peers();
-        self.live_instances.store(live.len() + 1, Ordering::Relaxed);
-        self.groups.set_instances(Instances::new(&self.own_entry.instance, self.peers.keys()));
-        self.tracker.set_retry_group_size(retry_group_size(
-            &self.own_entry.instance,
-            &self.data_centre,
-            &live,
-        ));
-    }
 }
 
 /// Receives the next item; waits for ever once the channel is closed.
@@ -460,27 +367,3 @@
         Err(_) => std::future::pending().await,
     }
 }
-
-/// Registers this instance in the directory, then lists it periodically until it is dropped.
-pub async fn follow_directory(
-    mut directory: impl PeerDirectory,
-    own_entry: PeerEntry,
-    listed: Sender<Vec<PeerEntry>>,
-) {
-    while let Err(e) = directory.register(&own_entry).await {
-        log::debug!(cause:% = e; "not_registered");
-        Timer::after(DIRECTORY_RETRY_INTERVAL).await;
-    }
-    loop {
-        let pause = match directory.list().await {
-            Ok(entries) => {
-                if listed.send(entries).await.is_err() {
-                    return;
-                }
-                DIRECTORY_POLL_INTERVAL
-            }
-            Err(_) => DIRECTORY_RETRY_INTERVAL,
-        };
-        Timer::after(pause).await;
-    }
-}
--- a/crates/router/src/links/queries.rs
+++ b/crates/router/src/links/queries.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use policy::{InstanceId, Time, freshness::query_targets};
+use policy::{InstanceId, Time};
 use smol::channel::Sender;
 
 use super::{Body, Links};
@@ -51,26 +51,20 @@
     }
 
     fn target_addresses(&self, target: QueryTarget) -> Vec<SocketAddr> {
-        let address = |instance: &InstanceId| {
-            let peer = self.peers.get(instance).filter(|peer| peer.is_live);
-            peer.map(|peer| peer.address)
-        };
+        let address = |instance: &InstanceId| self.gossip.live(instance).map(|entry| entry.address);
         match target {
             QueryTarget::Reader(rank) => {
-                let readers =
-                    query_targets(&self.own_entry.instance, &self.data_centre, &self.live_peers());
-                readers.get(rank).and_then(address).into_iter().collect()
+                self.readers.get(rank).and_then(address).into_iter().collect()
             }
             QueryTarget::LastAnnouncer => {
                 self.last_announcer.as_ref().and_then(address).into_iter().collect()
             }
             QueryTarget::AnyLive => {
-                let mut addresses: Vec<_> =
-                    self.peers.values().filter(|p| p.is_live).map(|p| p.address).collect();
-                fastrand::shuffle(&mut addresses);
                 let last_announcer = self.last_announcer.as_ref().and_then(address);
-                addresses.retain(|address| Some(*address) != last_announcer);
-                last_announcer.into_iter().chain(addresses).take(MAX_ANY_TARGETS).collect()
+                let live = self.gossip.all_live().map(|entry| entry.address);
+                let others = live.filter(|address| Some(*address) != last_announcer);
+                let others = fastrand::choose_multiple(others, MAX_ANY_TARGETS);
+                last_announcer.into_iter().chain(others).take(MAX_ANY_TARGETS).collect()
             }
         }
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -18,6 +18,9 @@
     pub listen: SocketAddr,
     /// Address of the balancer's readiness check.
     pub ready_listen: SocketAddr,
+    /// Addresses for messages of some other instances, by which an instance that starts finds the
+    /// others. They may be out of date, and include this instance's own.
+    pub seeds: Vec<SocketAddr>,
     /// Address for other instances: UDP for datagrams, TCP for snapshots.
     pub link_listen: SocketAddr,
     /// Address of the metrics page; none disables it.
