--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -131,7 +131,7 @@
                 ..base
             });
         }
-        self.split(rules, request, base, pool, spread, prefill_ms, now)
+        self.split(rules, request, base, pool, spread, now)
     }
 
     /// The baseline strategies: least outstanding requests, or round robin.
--- a/crates/policy/src/placement/split.rs
+++ b/crates/policy/src/placement/split.rs
@@ -84,9 +84,9 @@
         base: PlacementPlan,
         pool: Pool,
         spread: Spread,
-        prefill_ms: f64,
         now: Time,
     ) -> Option<PlacementPlan> {
+        let prefill_ms = base.part_prefill_ms;
         let mut engines: Vec<Engine<'_>> = self
             .candidates(request, pool, now)
             .map(|(index, server)| Engine {
--- a/crates/router/src/follow/mod.rs
+++ b/crates/router/src/follow/mod.rs
@@ -15,8 +15,8 @@
 use smol::Timer;
 
 use crate::{
-    freshness::{FreshnessTracker, Source},
-    snapshot::{MAX_RELAYED_BYTES, SnapshotClient, Transfer},
+    freshness::{FreshnessTracker, QueryTarget, ReceivedReply, Source},
+    snapshot::{MAX_RELAYED_BYTES, SnapshotClient, Transfer, TransferError},
     source::SourceError,
 };
 
@@ -25,6 +25,12 @@
 /// in force.
 const MAX_UPDATE_DELAY: Duration = Duration::from_millis(60);
 
+/// Attempts to fetch a snapshot from peers that are busy, until it is read from the log instead.
+const MAX_TRANSFER_ATTEMPTS: u32 = 12;
+
+/// Average pause after a refusal by a busy peer: about the time of a few transfers.
+const BUSY_PEER_PAUSE: Duration = Duration::from_millis(50);
+
 /// Interval of queries to peers while an instance that starts waits for them.
 const START_QUERY_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -108,21 +114,44 @@
     }
 
     /// Fetches a snapshot of what `peer` has read beyond `after`; none where the transfer fails.
+    ///
+    /// **Load pattern.** A new version reaches hundreds of instances at once, all of which know it
+    /// from the same reader.
+    ///
+    /// **Rule.** A peer that sends to others already refuses. Then the instance takes the snapshot
+    /// from a neighbour that has it by now, so that every instance that has it passes it on, and
+    /// the time grows with the logarithm of their number.
     async fn fetch_snapshot(&self, peer: SocketAddr, after: Position) -> Option<Transfer> {
         let max_bytes = if self.is_unreachable { usize::MAX } else { MAX_RELAYED_BYTES };
         let source = self.source.as_str();
-        match self.snapshots.fetch(peer, self.source, after, max_bytes).await {
-            Ok(transfer) => {
-                log::info!(source, peer:% = peer, after = after.0, position = transfer.position.0,
-                    bytes = transfer.content.len(); "snapshot_taken");
-                Some(transfer)
-            }
-            Err(e) => {
-                log::info!(source, peer:% = peer, after = after.0, cause:% = e;
-                    "snapshot_not_taken");
-                None
+        let mut peer = peer;
+        for attempt in 1..=MAX_TRANSFER_ATTEMPTS {
+            match self.snapshots.fetch(peer, self.source, after, max_bytes).await {
+                Ok(transfer) => {
+                    log::info!(source, peer:% = peer, after = after.0, attempt,
+                        position = transfer.position.0, bytes = transfer.content.len();
+                        "snapshot_taken");
+                    return Some(transfer);
+                }
+                Err(TransferError::Busy) => {
+                    Timer::after(BUSY_PEER_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+                    let ahead = |received: ReceivedReply| {
+                        let freshness = received.reply.freshness(self.source)?;
+                        (freshness.position > after).then_some(received.from)
+                    };
+                    let neighbour = self.tracker.query_peers(QueryTarget::Neighbours, ahead).await;
+                    peer = neighbour.unwrap_or(peer);
+                }
+                Err(e) => {
+                    log::info!(source, peer:% = peer, after = after.0, attempt, cause:% = e;
+                        "snapshot_not_taken");
+                    return None;
+                }
             }
         }
+        log::info!(source, peer:% = peer, after = after.0, attempt = MAX_TRANSFER_ATTEMPTS;
+            "snapshot_not_taken");
+        None
     }
 
     fn time_until_retry(&self) -> Duration {
--- a/crates/router/src/freshness.rs
+++ b/crates/router/src/freshness.rs
@@ -64,6 +64,16 @@
     pub changes: Option<Vec<EndpointChange>>,
 }
 
+impl FreshnessReply {
+    /// How fresh the sender's knowledge of a source is.
+    pub fn freshness(&self, source: Source) -> Option<Freshness> {
+        match source {
+            Source::Configuration => self.configuration,
+            Source::Endpoints => self.endpoints,
+        }
+    }
+}
+
 /// A reply with its sender and the time of its query.
 #[derive(Debug, Clone)]
 pub struct ReceivedReply {
@@ -84,6 +94,8 @@
     LastAnnouncer,
     /// The last announcer and some other live peers, chosen at random.
     AnyLive,
+    /// Some live peers of this instance's data centre, chosen at random.
+    Neighbours,
 }
 
 /// A query that the links are to send.
--- a/crates/router/src/links/queries.rs
+++ b/crates/router/src/links/queries.rs
@@ -59,6 +59,11 @@
             QueryTarget::LastAnnouncer => {
                 self.last_announcer.as_ref().and_then(address).into_iter().collect()
             }
+            QueryTarget::Neighbours => {
+                let own = &self.gossip.own().data_centre;
+                let live = self.gossip.all_live().filter(|entry| entry.data_centre == *own);
+                fastrand::choose_multiple(live.map(|entry| entry.address), MAX_ANY_TARGETS)
+            }
             QueryTarget::AnyLive => {
                 let last_announcer = self.last_announcer.as_ref().and_then(address);
                 let live = self.gossip.all_live().map(|entry| entry.address);
--- a/crates/router/src/snapshot.rs
+++ b/crates/router/src/snapshot.rs
@@ -8,7 +8,16 @@
 //! Guards against an instance that the log refuses: it knows that its peers have a newer version
 //! which it can't read, and so refuses every request that needs a key.
 
-use std::{convert::Infallible, fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    fmt,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -30,7 +39,7 @@
 use crate::{
     clock::BootTime,
     freshness::{FreshnessTracker, Source},
-    net, serve,
+    lock, net, serve,
 };
 
 /// Time limit of a transfer. Within a data centre it takes milliseconds; a peer that takes longer
@@ -41,9 +50,18 @@
 const MAX_QUERY_BYTES: usize = 64;
 const MAX_SNAPSHOT_BYTES: usize = 8 << 20;
 
-/// Longer snapshots are read from the log unless that is unreachable: otherwise a data centre's
-/// reader would send them to all its peers over its own network link.
-pub const MAX_RELAYED_BYTES: usize = 64 << 10;
+/// Longer snapshots are read from the log unless that is unreachable: on a slow link they would
+/// exceed the time limit of a transfer.
+pub const MAX_RELAYED_BYTES: usize = 1 << 20;
+
+/// Bytes of snapshots that an instance sends at the same time. Peers that it refuses meanwhile take
+/// the snapshot from those that have it already.
+///
+/// Guards against a reader that sends a snapshot to hundreds of peers at once over its own link.
+const MAX_BYTES_IN_FLIGHT: usize = 512 << 10;
+
+/// Time limit of a connection, after which a peer that doesn't read no longer counts.
+const CONNECTION_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Asks for a snapshot.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
@@ -81,6 +99,8 @@
     Unreachable(String),
     /// The peer has nothing newer, or more bytes than the query allows.
     Refused(StatusCode),
+    /// The peer is sending to others.
+    Busy,
     /// The reply couldn't be decoded.
     Malformed(String),
     /// The transfer exceeded its time limit.
@@ -92,6 +112,7 @@
         match self {
             TransferError::Unreachable(cause) => write!(f, "no answer: {cause}"),
             TransferError::Refused(status) => write!(f, "answered with status {status}"),
+            TransferError::Busy => write!(f, "busy with other transfers"),
             TransferError::Malformed(what) => write!(f, "unreadable snapshot: {what}"),
             TransferError::TimedOut => write!(f, "no complete reply within {TRANSFER_TIMEOUT:?}"),
         }
@@ -158,54 +179,106 @@
             .body(Full::new(encode(query)))
             .map_err(|e| TransferError::Malformed(e.to_string()))?;
         let resp = sender.send_request(req).await.map_err(|e| unreachable(&e))?;
-        if resp.status() != StatusCode::OK {
-            return Err(TransferError::Refused(resp.status()));
+        match resp.status() {
+            StatusCode::OK => {}
+            StatusCode::SERVICE_UNAVAILABLE => return Err(TransferError::Busy),
+            status => return Err(TransferError::Refused(status)),
         }
         let body = Limited::new(resp.into_body(), MAX_SNAPSHOT_BYTES).collect().await;
         Ok(body.map_err(|e| unreachable(&e))?.to_bytes())
     }
 }
 
+/// Limits the bytes that are sent at the same time.
+#[derive(Debug, Default)]
+struct TransferBudget(AtomicUsize);
+
+/// Bytes being sent; they count until this is dropped.
+#[derive(Debug)]
+struct InFlight {
+    budget: Arc<TransferBudget>,
+    bytes: usize,
+}
+
+impl TransferBudget {
+    /// Reserves bytes; none if others are being sent and too few are left.
+    fn reserve(self: &Arc<Self>, bytes: usize) -> Option<InFlight> {
+        let before = self.0.fetch_add(bytes, Ordering::AcqRel);
+        let reserved = InFlight { budget: self.clone(), bytes };
+        (before == 0 || before + bytes <= MAX_BYTES_IN_FLIGHT).then_some(reserved)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.budget.0.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
+
 /// Serves snapshots to peers until it is dropped.
 pub async fn serve(
     listener: TcpListener,
     tracker: Arc<FreshnessTracker>,
     executor: Arc<Executor<'static>>,
 ) {
+    let budget = Arc::default();
     loop {
         let stream = serve::accept(&listener).await;
-        executor.spawn(connection(stream, tracker.clone(), executor.clone())).detach();
+        let connection = connection(stream, tracker.clone(), Arc::clone(&budget), executor.clone());
+        executor.spawn(connection).detach();
     }
 }
 
 async fn connection(
     stream: TcpStream,
     tracker: Arc<FreshnessTracker>,
+    budget: Arc<TransferBudget>,
     executor: Arc<Executor<'static>>,
 ) {
     net::set_connection_options(&stream);
+    // What the connection sends counts until it is closed.
+    let in_flight = Arc::new(Mutex::new(Vec::new()));
     let respond = service_fn(|req| {
-        let tracker = tracker.clone();
-        async move { Ok::<_, Infallible>(respond(req, &tracker).await) }
+        let (tracker, budget, in_flight) = (tracker.clone(), budget.clone(), in_flight.clone());
+        async move {
+            let (resp, reserved) = respond(req, &tracker, &budget).await;
+            lock(&in_flight).extend(reserved);
+            Ok::<_, Infallible>(resp)
+        }
     });
-    let served = server::Builder::new(SmolExecutor::new(executor))
-        .serve_connection(FuturesIo::new(stream), respond)
-        .await;
-    if let Err(e) = served {
+    let served = async {
+        server::Builder::new(SmolExecutor::new(executor))
+            .serve_connection(FuturesIo::new(stream), respond)
+            .await
+            .map_err(|e| e.to_string())
+    };
+    let timed_out = async {
+        Timer::after(CONNECTION_TIMEOUT).await;
+        Err(format!("still open after {CONNECTION_TIMEOUT:?}"))
+    };
+    if let Err(e) = served.or(timed_out).await {
         log::debug!(cause:% = e; "peer_connection_ended");
     }
 }
 
-async fn respond(req: Request<Incoming>, tracker: &FreshnessTracker) -> Response<Full<Bytes>> {
+async fn respond(
+    req: Request<Incoming>,
+    tracker: &FreshnessTracker,
+    budget: &Arc<TransferBudget>,
+) -> (Response<Full<Bytes>>, Option<InFlight>) {
     let body = Limited::new(req.into_body(), MAX_QUERY_BYTES).collect().await.ok();
     let query = body.and_then(|body| decode(&body.to_bytes()).ok());
-    let (status, body) = match query {
+    let (mut status, mut body) = match query {
         Some(query) => snapshot(&query, tracker),
         None => (StatusCode::BAD_REQUEST, Bytes::new()),
     };
+    let reserved = budget.reserve(body.len());
+    if reserved.is_none() {
+        (status, body) = (StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    }
     let mut resp = Response::new(Full::new(body));
     *resp.status_mut() = status;
-    resp
+    (resp, reserved)
 }
 
 fn snapshot(query: &SnapshotQuery, tracker: &FreshnessTracker) -> (StatusCode, Bytes) {
@@ -236,3 +309,29 @@
     let decoded = bincode::serde::decode_from_slice(bytes, config);
     decoded.map(|(value, _)| value).map_err(|e| TransferError::Malformed(e.to_string()))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a reader whose link is taken up by its peers' transfers.
+    #[test]
+    fn bytes_in_flight_are_limited() {
+        let budget: Arc<TransferBudget> = Arc::default();
+        let size = MAX_BYTES_IN_FLIGHT / 4;
+        let reserved: Vec<_> = (0..4).map(|_| budget.reserve(size)).collect();
+        assert!(reserved.iter().all(Option::is_some));
+        assert!(budget.reserve(size).is_none());
+        drop(reserved);
+        assert!(budget.reserve(size).is_some());
+    }
+
+    /// Guards against a snapshot that is longer than the limit and is sent to nobody.
+    #[test]
+    fn one_long_transfer_is_always_possible() {
+        let budget: Arc<TransferBudget> = Arc::default();
+        let long = budget.reserve(2 * MAX_BYTES_IN_FLIGHT);
+        assert!(long.is_some());
+        assert!(budget.reserve(1).is_none());
+    }
+}
