--- a/crates/policy/tests/unheard.rs
+++ b/crates/policy/tests/unheard.rs
@@ -65,7 +65,6 @@
     let on_endpoint = place(count, engines, prompt, rules);
     let most = *on_endpoint.iter().max().unwrap();
     let mean = on_endpoint.iter().sum::<usize>() as f64 / engines as f64;
-    println!("{count} instances, {engines} endpoints: {most} at most, {mean:.1} on average");
     assert!(mean >= 1.0, "{mean}");
     assert!(most as f64 <= 3.0 * mean, "{most} at most, {mean} on average");
 }
