Expect reports of first events at the interval at which peers send them

Cause: load updates are sent at an interval that grows with the live peers (6.2 s at 985), while the scheduler derived it from the peers that had reported something yet. In a large site with little traffic most haven't for the first seconds, so engines whose first events weren't due to be reported looked stalled.

Change: the scheduler knows how many instances are live and takes the larger number.

--- a/crates/policy/src/instances.rs
+++ b/crates/policy/src/instances.rs
@@ -28,21 +28,25 @@
 pub struct Instances {
     own: u64,
     others: Arc<[u64]>,
+    /// Number of others that it hears.
+    live_others: usize,
     /// Share of the others, and itself, that it hears.
     heard_share: f64,
 }
 
 impl Instances {
     /// The view of instance `own`. `others` includes instances that are silent but may still be
-    /// sending; `heard_share`, from 0 to 1, is the share of recently live instances that it hears.
+    /// sending; `live_others` of them are heard, and `heard_share`, from 0 to 1, is the share of
+    /// recently live instances that are, this one included.
     pub fn new<'a>(
         own: &InstanceId,
         others: impl IntoIterator<Item = &'a InstanceId>,
+        live_others: usize,
         heard_share: f64,
     ) -> Instances {
         let key = |instance: &InstanceId| rendezvous::key(instance.as_str());
         let others = others.into_iter().map(key).collect();
-        Instances { own: key(own), others, heard_share }
+        Instances { own: key(own), others, live_others, heard_share }
     }
 
     /// Requests that this instance may send to a cold endpoint within
@@ -61,6 +65,11 @@
         allotted / count + usize::from(rank < allotted % count)
     }
 
+    /// Number of other instances that it hears.
+    pub fn live_others(&self) -> usize {
+        self.live_others
+    }
+
     /// Share of instances that it hears, from 0 to 1.
     pub fn heard_share(&self) -> f64 {
         self.heard_share
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -279,7 +279,7 @@
         let spread = self.draw_spread(now);
         if let Some(rules) = &self.rules {
             // First events are reported with the peer's next periodic update.
-            let update_delay = updates::update_interval(self.peers.len()) + UPDATE_DELAY_MARGIN;
+            let update_delay = self.update_delay();
             for server in self.servers.values_mut() {
                 server.refresh(rules, update_delay, now);
             }
@@ -375,6 +375,15 @@
         server.warm_up.sent_within_window(now) < instances.quota(limit, &server.member.endpoint)
     }
 
+    /// How long after a first event at another instance its report is expected at the latest.
+    ///
+    /// Guards against engines that look stalled in a large site because most instances haven't
+    /// placed anything yet: all live ones determine the interval of the updates.
+    fn update_delay(&self) -> Duration {
+        let live = self.instances.as_ref().map_or(0, Instances::live_others);
+        updates::update_interval(self.peers.len().max(live)) + UPDATE_DELAY_MARGIN
+    }
+
     /// Draws how far this choice departs from the best endpoints, because other instances may just
     /// have chosen them.
     fn draw_spread(&mut self, now: Time) -> Spread {
--- a/crates/policy/tests/stalls.rs
+++ b/crates/policy/tests/stalls.rs
@@ -11,6 +11,7 @@
 use engines::engine;
 use policy::{
     EndpointId, FailCause, Fingerprint, Incarnation, InstanceId, Time,
+    instances::Instances,
     placement::{GroupScheduler, JobId, Placement, PlacementRequest, PlacementRules},
 };
 
@@ -135,6 +136,24 @@
     assert_eq!(place(&mut two, 11).endpoint, arranging::id(0));
 }
 
+/// Guards against engines that look stalled in a large site: an instance that has heard of few
+/// placements expects reports of first events as soon as in a site of few instances.
+#[test]
+fn a_report_that_isnt_due_yet_is_no_stall() {
+    let rules = PlacementRules::default();
+    let [mut one, mut two] = [1, 2].map(|seed| arranging::scheduler(2, engine(), rules, seed));
+    let peers: Vec<_> = (0..984).map(|i| InstanceId::new(&format!("p-{i}")).unwrap()).collect();
+    let own = InstanceId::new("own").unwrap();
+    two.set_instances(Instances::new(&own, &peers, peers.len(), 1.0));
+    let unanswered = one.place(&question_for(0, 0), Time::from_millis(1)).unwrap();
+    two.apply_updates(&peers[1], &one.take_updates(true), Time::from_millis(1));
+    let now = Time::from_millis(unanswered.predicted_ms as u64 + 700);
+    for index in 1..4 {
+        two.place(&question_for(1, index), now).unwrap();
+    }
+    assert_eq!(two.place(&request(5_000, 10), now).unwrap().endpoint, arranging::id(0));
+}
+
 /// Guards against a helper that refuses all requests and is used again by each instance and by each
 /// retry until the directory no longer lists it.
 #[test]
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -359,8 +359,12 @@
     fn share_instances(&mut self) {
         let heard_share = self.gossip.heard_share(self.clock.now());
         self.heard_share = Some(heard_share);
-        let instances =
-            Instances::new(&self.gossip.own().instance, self.gossip.known(), heard_share);
+        let instances = Instances::new(
+            &self.gossip.own().instance,
+            self.gossip.known(),
+            self.gossip.live_count(),
+            heard_share,
+        );
         self.groups.set_instances(instances);
     }
 
