--- a/crates/policy/src/gossip/mod.rs
+++ b/crates/policy/src/gossip/mod.rs
@@ -72,7 +72,7 @@
 pub const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1_800);
 
 /// How long a removed instance is remembered.
-pub const DEAD_RETENTION: Duration = Duration::from_secs(600);
+pub const REMOVED_RETENTION: Duration = Duration::from_secs(600);
 
 /// One in this many exchanges goes to an instance of any data centre, the others within the own.
 const EXCHANGES_PER_FOREIGN: u32 = 4;
@@ -237,7 +237,7 @@
         self.view.live_count()
     }
 
-    /// Names of all instances but this one that are alive or were within [`DEAD_RETENTION`].
+    /// Names of all instances but this one that are alive or were within [`REMOVED_RETENTION`].
     pub fn known(&self) -> impl Iterator<Item = &InstanceId> {
         self.view.others().map(|entry| &entry.instance)
     }
@@ -258,6 +258,7 @@
         self.view.take_changes()
     }
 
+    /// Opens an exchange with a live instance, which also probes it, and now and then with others.
     fn exchange(&mut self, now: Time, outgoing: &mut Vec<Outgoing>) {
         self.exchanges += 1;
         let target = match self.exchanges.is_multiple_of(EXCHANGES_PER_FOREIGN) {
@@ -298,6 +299,7 @@
         Message::Exchange { own: self.view.own().clone(), digest: self.view.digest() }
     }
 
+    /// Replies to an exchange that the instance at `from` has opened.
     fn answer(&mut self, from: SocketAddr, own: Entry, digest: &[u32], now: Time) -> Vec<Outgoing> {
         let mut outgoing = self.merge_all(from, own, Vec::new(), now);
         let difference = self.view.difference(digest, now, &mut self.rng);
@@ -368,20 +370,17 @@
         outgoing
     }
 
-    /// Tells an instance that asked for a probe of the one at `from` that it is alive.
+    /// Records that the instance at `from` is alive, and tells those that asked for a probe of it.
     fn forward_sign_of_life(&mut self, from: SocketAddr) -> Vec<Outgoing> {
         let Some(instance) = self.view.live_at(from).map(|entry| entry.instance.clone()) else {
             return Vec::new();
         };
         self.probes.swap_remove(&instance);
-        let (reached, waiting) =
-            std::mem::take(&mut self.relays).into_iter().partition(|relay| relay.target == from);
+        let relays = std::mem::take(&mut self.relays).into_iter();
+        let (answered, waiting): (Vec<_>, Vec<_>) = relays.partition(|relay| relay.target == from);
         self.relays = waiting;
-        let reached: Vec<Relay> = reached;
-        reached
-            .into_iter()
-            .map(|relay| (relay.asked_by, Message::Alive { instance: instance.clone() }))
-            .collect()
+        let alive = Message::Alive { instance };
+        answered.into_iter().map(|relay| (relay.asked_by, alive.clone())).collect()
     }
 
     /// Exchanges soon, because there is something to pass on.
@@ -391,6 +390,8 @@
         self.next_exchange = self.next_exchange.min(soon);
     }
 
+    /// Probes instances through others that haven't answered, and suspects those that don't answer
+    /// that way either.
     fn check_probes(&mut self, now: Time) -> Vec<Outgoing> {
         let mut outgoing = Vec::new();
         let mut unanswered = Vec::new();
--- a/crates/policy/src/gossip/view.rs
+++ b/crates/policy/src/gossip/view.rs
@@ -8,7 +8,7 @@
 use crate::{DataCentre, Incarnation, InstanceId, Time};
 
 use super::{
-    Change, DEAD_RETENTION, Entry, MAX_ENTRIES_PER_MESSAGE, MAX_MESSAGES_PER_REPLY,
+    Change, Entry, MAX_ENTRIES_PER_MESSAGE, MAX_MESSAGES_PER_REPLY, REMOVED_RETENTION,
     SUSPICION_TIMEOUT, Status,
     digest::{EntryHash, bucket_count, is_bucket_count},
 };
@@ -72,7 +72,7 @@
     /// Names of data centres, which the entries share.
     data_centres: IndexSet<DataCentre>,
     changes: Vec<Change>,
-    /// The time of the last call that had one, for digests.
+    /// The latest time that was passed in; digests leave out members removed long before.
     now: Time,
 }
 
@@ -148,6 +148,7 @@
         Difference { own_digest, entries }
     }
 
+    /// Replaces what is known of a member if the entry is newer.
     pub(super) fn merge(&mut self, mut entry: Entry, now: Time) -> Merged {
         self.now = self.now.max(now);
         if entry.instance == self.own.instance {
@@ -251,7 +252,7 @@
             }
         }
         self.others.retain(|_, known| {
-            known.entry.status.is_live() || now.since(known.since) < DEAD_RETENTION
+            known.entry.status.is_live() || now.since(known.since) < REMOVED_RETENTION
         });
         !over.is_empty()
     }
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -163,10 +163,7 @@
                     next_update = self.clock.now() + update_interval(self.gossip.live_count());
                     self.send_updates(true).await;
                     self.log_peer_changes();
-                    let heard_share = self.gossip.heard_share(self.clock.now());
-                    if self.heard_share.is_some_and(|shared| shared != heard_share) {
-                        self.share_instances();
-                    }
+                    self.share_instances_again();
                 }
                 Event::UrgentUpdates => self.send_updates(false).await,
                 Event::GossipDue => {
@@ -368,6 +365,15 @@
         self.groups.set_instances(instances);
     }
 
+    /// The same if the share of instances that are heard has changed, as it does once removed ones
+    /// no longer count.
+    fn share_instances_again(&mut self) {
+        let heard_share = self.gossip.heard_share(self.clock.now());
+        if self.heard_share.is_some_and(|shared| shared != heard_share) {
+            self.share_instances();
+        }
+    }
+
     /// Logs which peers appeared and disappeared in one line, however many there are.
     fn log_peer_changes(&mut self) {
         let (found, lost) = (std::mem::take(&mut self.discovered), std::mem::take(&mut self.lost));
