--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -394,7 +394,8 @@
             };
         }
         let unheard = self.instances.as_ref().map_or(0.0, Instances::spread);
-        let order = (self.rng.f64() < unheard).then(|| self.rng.u64(..));
+        let is_drawn = unheard > 0.0 && self.rng.f64() < unheard;
+        let order = is_drawn.then(|| self.rng.u64(..));
         let unreported = self.unreported.estimate(now) + self.rng.f64();
         let width = unreported + unheard * self.servers.len() as f64;
         Spread { skipped: self.rng.usize(0..=width as usize), order }
