Let the first reader read while requests of a start still wait

Change: the first reader reads 0.2 s after its start at the latest, and so does who knows nobody. Where a thousand start together some more instances read.

--- a/crates/policy/src/first_read.rs
+++ b/crates/policy/src/first_read.rs
@@ -11,19 +11,21 @@
 //! instance reads the source whatever it knows.
 //!
 //! **Grounds.** A new instance of a running fleet has an answer within two round trips, so it waits
-//! for none of these times. Requests meanwhile wait for the first state as long as that is worth
-//! it (`router::filter::start`).
+//! for none of these times. Where all have just started, the reader has read before requests that
+//! wait for the first state are refused (`router::filter::start`).
 
 use std::time::Duration;
 
-/// How long an instance waits for its first peer. All instances start within 0.3 s.
-const FIRST_PEER_TIMEOUT: Duration = Duration::from_millis(350);
+/// How long an instance waits for its first peer. Requests of the first moments wait for the first
+/// state only a little longer than this and a transfer.
+const FIRST_PEER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// How long the membership has to stay unchanged until the first reader reads.
 const SETTLING_TIME: Duration = Duration::from_millis(150);
 
-/// How long the first reader waits for that.
-const SETTLING_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long after its start the first reader waits for that. Where many start together, some read
+/// that don't know of an earlier reader yet; waiting for all of them would cost callers more.
+const SETTLING_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// How long the others wait for the first reader.
 const READER_TIMEOUT: Duration = Duration::from_millis(3_000);
--- a/crates/router/src/follow/mod.rs
+++ b/crates/router/src/follow/mod.rs
@@ -32,7 +32,7 @@
 const BUSY_PEER_PAUSE: Duration = Duration::from_millis(50);
 
 /// Interval of queries to peers while an instance that starts waits for them.
-const START_QUERY_INTERVAL: Duration = Duration::from_millis(60);
+const START_QUERY_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Access to one source: whether it can be reached, when it is retried, and snapshots of it from
 /// peers.
