Log the fingerprint of placed requests, and deaths with their suspects

The record of a prompt that crashed 54 endpoints can't tell whether the quarantine learned of a death, nor whether the copies had one fingerprint: no log line states either. `placed` now names the fingerprint, and `endpoint_died` how many requests became suspects by it. No decision changes.

--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -491,13 +491,14 @@
     }
 
     /// Records that an endpoint's incarnation ended. All requests that had been sent there are
-    /// suspected of having crashed it.
-    pub fn record_death(&mut self, endpoint: &EndpointId, now: Time) {
+    /// suspected of having crashed it. Returns their number.
+    pub fn record_death(&mut self, endpoint: &EndpointId, now: Time) -> usize {
         let ran = self.jobs.values().filter(|job| job.endpoint == *endpoint && job.is_sent);
         let present: Vec<Fingerprint> = ran.map(|job| job.fingerprint).collect();
         if !present.is_empty() {
             self.quarantine.record_death(endpoint, &present, now);
         }
+        present.len()
     }
 
     /// Whether a held request may still be sent as it was placed: none of its endpoints has begun
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -228,7 +228,8 @@
                     helpers = helper_names(&placement.helpers).as_str(),
                     predicted_ms = placement.predicted_ms as u64,
                     hold_ms = placement.hold.as_millis() as u64,
-                    attempt = request.tried.len() + 1;
+                    attempt = request.tried.len() + 1,
+                    fingerprint:% = request.fingerprint;
                     "placed"
                 );
                 if request.prompt_tokens > 0 {
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -81,8 +81,9 @@
                 log::info!(id = self.id(), endpoint = run.endpoint.as_str(), is_refused;
                     "not_sent");
                 if is_refused {
-                    lock(&self.group.scheduler)
+                    let suspects = lock(&self.group.scheduler)
                         .record_death(&run.endpoint, self.context.clock.now());
+                    log::info!(endpoint = run.endpoint.as_str(), suspects; "endpoint_died");
                 }
                 run.end(Some(FailCause::NotSent));
                 None
