--- a/crates/policy/src/adaptive/answers.rs
+++ b/crates/policy/src/adaptive/answers.rs
@@ -60,7 +60,7 @@
     fn finished(&mut self, request: RequestId, output: Tokens, now: Time) {
         let Some(entry) = self.requests.get(&request) else { return };
         let RequestState::Running(attempt) = &entry.state else { return };
-        self.quarantine.record_completion(entry.req.fingerprint);
+        self.quarantine.record_completion(entry.req.fingerprint, now);
         if let Some(shard) = attempt.shards.first() {
             self.budgets.record_success(&entry.req.workspace, &shard.endpoint, now);
         }
--- a/crates/policy/src/adaptive/failover.rs
+++ b/crates/policy/src/adaptive/failover.rs
@@ -206,7 +206,7 @@
         };
         let entries = self.requests.values().filter(ran_there);
         let present: Vec<Fingerprint> = entries.map(|entry| entry.req.fingerprint).collect();
-        self.quarantine.record_death(&shard.endpoint, &present, now);
+        self.quarantine.record_death(&shard.endpoint, shard.incarnation, &present, now);
     }
 
     fn block_endpoints(&mut self, shards: &[crate::Shard], cause: FailCause, now: Time) {
--- a/crates/policy/src/digest.rs
+++ b/crates/policy/src/digest.rs
@@ -20,13 +20,13 @@
 //! it. [`MIN_EFFECT`] is the difference that placement can't distinguish;
 //! `docs/decisions/membership.md` has the bytes measured with and without this selection.
 
-use std::time::Duration;
+use std::{mem::Discriminant, time::Duration};
 
 use indexmap::IndexMap;
 
 use crate::{
     EndpointId, Fingerprint, LoadDigest, Time, TokenRate, Tokens, Workspace,
-    quarantine::PEER_SUSPECT_TTL,
+    quarantine::{EntryStatus, PEER_SUSPECT_TTL},
     report::{EndpointShare, WorkspaceShare},
 };
 
@@ -285,12 +285,15 @@
 fn suspicion_keys(digest: &LoadDigest) -> Vec<SuspicionKey> {
     let entries = digest.suspicions.iter();
     entries
-        .map(|entry| SuspicionKey(entry.fingerprint, entry.deaths, entry.refused_ms > 0))
+        .map(|entry| {
+            let status = std::mem::discriminant(&entry.status);
+            SuspicionKey(entry.fingerprint, entry.deaths.len(), status)
+        })
         .collect()
 }
 
 #[derive(PartialEq)]
-struct SuspicionKey(Fingerprint, u32, bool);
+struct SuspicionKey(Fingerprint, usize, Discriminant<EntryStatus>);
 
 struct Change {
     effect: Duration,
--- a/crates/policy/src/instances.rs
+++ b/crates/policy/src/instances.rs
@@ -17,7 +17,7 @@
 
 use std::sync::Arc;
 
-use crate::{EndpointId, InstanceId, rendezvous};
+use crate::{EndpointId, Fingerprint, InstanceId, rendezvous};
 
 /// Share of a cold endpoint's limit that is handed out. The rest covers instances whose views of
 /// each other differ.
@@ -65,6 +65,13 @@
         allotted / count + usize::from(rank < allotted % count)
     }
 
+    /// Whether this instance is the one that all instances choose for a fingerprint.
+    pub fn is_first_for(&self, fingerprint: Fingerprint) -> bool {
+        let key = (fingerprint.0 >> 64) as u64 ^ fingerprint.0 as u64;
+        let own = rendezvous::mix(self.own, key);
+        self.others.iter().all(|other| rendezvous::mix(*other, key) >= own)
+    }
+
     /// Number of other instances that it hears.
     pub fn live_others(&self) -> usize {
         self.live_others
--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -232,24 +232,41 @@
         now: Time,
     ) -> impl Iterator<Item = (usize, &'a Server)> {
         let usable = self.usable_endpoints();
-        let is_suspect = self.quarantine.state(request.fingerprint, now) != QuarantineState::Clear;
+        let fingerprint = request.fingerprint;
+        let is_suspect = self.quarantine.state(fingerprint, now) != QuarantineState::Clear;
+        let may_run = move |server: &Server| {
+            !is_suspect
+                || self.quarantine.may_run(fingerprint, &server.member.endpoint, usable, now)
+        };
+        let is_candidate = move |server: &Server| self.is_candidate(server, request, pool, now);
+        let may_run_anywhere = is_suspect
+            && self.quarantine.has_one_death(fingerprint)
+            && !self.servers.values().any(|server| is_candidate(server) && may_run(server));
         self.servers.values().enumerate().filter(move |(_, server)| {
-            let member = &server.member;
-            let tried = request.tried.iter().any(|(id, incarnation)| {
-                *id == member.endpoint && *incarnation == member.incarnation
-            });
-            let is_barred = is_suspect
-                && !self.quarantine.may_run(request.fingerprint, &member.endpoint, usable, now);
-            let is_out = self.health.state(&member.endpoint, now) == health::HealthState::Ejected;
-            server.accepts_requests()
-                && request.homes.allows(member.region.as_ref())
-                && self.is_in_pool(server, pool, now)
-                && !tried
-                && !is_barred
-                && (!is_out || server.is_next_probe)
+            is_candidate(server) && (may_run_anywhere || may_run(server))
         })
     }
 
+    fn is_candidate(
+        &self,
+        server: &Server,
+        request: &PlacementRequest,
+        pool: Pool,
+        now: Time,
+    ) -> bool {
+        let member = &server.member;
+        let tried = request
+            .tried
+            .iter()
+            .any(|(id, incarnation)| *id == member.endpoint && *incarnation == member.incarnation);
+        let is_out = self.health.state(&member.endpoint, now) == health::HealthState::Ejected;
+        server.accepts_requests()
+            && request.homes.allows(member.region.as_ref())
+            && self.is_in_pool(server, pool, now)
+            && !tried
+            && (!is_out || server.is_next_probe)
+    }
+
     fn is_in_pool(&self, server: &Server, pool: Pool, now: Time) -> bool {
         !self.is_cold(server, now) || pool == Pool::All && self.may_send_cold(server, now)
     }
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -26,6 +26,7 @@
 mod choose;
 mod decaying;
 mod decoding;
+mod ended_runs;
 mod overdue;
 mod pauses;
 mod prefill;
@@ -52,12 +53,11 @@
 pub use updates::{EndpointLoad, EndpointUpdate, PartUpdate, update_interval};
 
 use crate::{
-    DataCentre, EndpointId, EndpointTag, FailCause, Fingerprint, Incarnation, InstanceId, Region,
-    Time,
+    DataCentre, EndpointId, EndpointTag, FailCause, Incarnation, InstanceId, Region, Time,
     drain::DrainedDataCentres,
     health::Health,
     instances::Instances,
-    quarantine::{Quarantine, QuarantineState},
+    quarantine::{self, DeathId, Quarantine},
     rendezvous,
     routes::EngineRules,
     warm_up::{self, ColdStart},
@@ -65,6 +65,7 @@
 
 use choose::PlacementPlan;
 use decoding::whole_ms;
+use ended_runs::{EndedRuns, ProvenDeath};
 use server::Server;
 
 /// Interval between two assessments of the endpoints' health. Bounds what a failing endpoint still
@@ -151,6 +152,7 @@
     next_job: u64,
     health: Health,
     quarantine: Quarantine,
+    ended_runs: EndedRuns,
     health_assessed_at: Time,
     rng: Rng,
     /// Recent prefill time, in milliseconds, of prompts too long to be prefilled on engines that
@@ -181,7 +183,8 @@
             jobs: IndexMap::new(),
             next_job: 0,
             health: Health::new(),
-            quarantine: Quarantine::new(),
+            quarantine: Quarantine::without_isolation(),
+            ended_runs: EndedRuns::default(),
             health_assessed_at: Time::ZERO,
             rng: Rng::with_seed(seed),
             long_share: decaying::DecayingSum::new(BURST_HALF_LIFE),
@@ -201,8 +204,11 @@
         let mut old = std::mem::take(&mut self.servers);
         self.health.configure(members.iter().map(|member| &member.endpoint));
         for member in members {
-            let kept = old.swap_remove(&member.endpoint);
-            let kept = kept.filter(|server| server.member.incarnation == member.incarnation);
+            let kept = old
+                .get(&member.endpoint)
+                .is_some_and(|server| server.member.incarnation == member.incarnation)
+                .then(|| old.swap_remove(&member.endpoint))
+                .flatten();
             let mut server = match kept {
                 Some(mut server) => {
                     server.warm_up.record_start(member.cold_start, now);
@@ -217,12 +223,24 @@
             server.is_drained = self.drained.contains(&server.member.data_centre);
             self.servers.insert(server.member.endpoint.clone(), server);
         }
+        for server in old.values().filter(|server| !server.member.leaving) {
+            self.record_lapse(&server.member, now);
+        }
         self.tags = self.servers.keys().enumerate().map(|(i, id)| (id.into(), i)).collect();
         if !self.servers.is_empty() {
             self.unreported.record_start(now);
         }
     }
 
+    /// Counts runs that were broken on an incarnation that is no longer registered as part of its
+    /// death. The registration alone is no proof: it also lapses where the endpoint can't reach the
+    /// log.
+    fn record_lapse(&mut self, member: &Member, now: Time) {
+        let id = DeathId::new(&member.endpoint, member.incarnation);
+        let death = self.ended_runs.death(id, now, now);
+        self.suspect(&death, now);
+    }
+
     /// Replaces the data centres whose endpoints get no new requests. What runs there goes on.
     pub fn set_drained(&mut self, drained: &DrainedDataCentres) {
         self.drained = drained.clone();
@@ -272,7 +290,8 @@
         now: Time,
     ) -> Result<Placement, PlacementRefusal> {
         self.assess_health(now);
-        if let QuarantineState::Refused(left) = self.quarantine.state(request.fingerprint, now) {
+        let refusal = self.quarantine.refusal(request.fingerprint, self.instances.as_ref(), now);
+        if let Some(left) = refusal {
             return Err(PlacementRefusal::Quarantined(left));
         }
         self.pause_goals.record(whole_ms(request.max_pause_ms), now);
@@ -417,6 +436,7 @@
             return;
         }
         job.first_event_at = Some(now);
+        self.ended_runs.record_answer(job.death_id(), job.placed_at);
         let taken = now.since(job.placed_at);
         let predicted = Duration::from_secs_f64(job.predicted_ms.max(0.0) / 1000.0);
         // The answer has begun, so all parts have been prefilled, whatever was predicted.
@@ -455,7 +475,8 @@
         }
         match failed {
             None => {
-                self.quarantine.record_completion(job.fingerprint);
+                self.quarantine.record_completion(job.fingerprint, now);
+                self.ended_runs.record_answer(job.death_id(), job.placed_at);
                 match job.first_event_at {
                     Some(began) => {
                         let decode_ms = now.since(began).as_secs_f64() * 1000.0;
@@ -473,6 +494,11 @@
             }
             Some(cause) => {
                 self.quarantine.record_stop(job.fingerprint);
+                if job.is_sent {
+                    for death in self.ended_runs.record_end(&job, cause, now) {
+                        self.suspect(&death, now);
+                    }
+                }
                 let cause = counted_cause(cause);
                 self.health.record_failure(&job.endpoint, cause);
                 if let Some(server) = self.servers.get_mut(&job.endpoint) {
@@ -490,15 +516,62 @@
         }
     }
 
-    /// Records that an endpoint's incarnation ended. All requests that had been sent there are
-    /// suspected of having crashed it. Returns their number.
-    pub fn record_death(&mut self, endpoint: &EndpointId, now: Time) -> usize {
-        let ran = self.jobs.values().filter(|job| job.endpoint == *endpoint && job.is_sent);
-        let present: Vec<Fingerprint> = ran.map(|job| job.fingerprint).collect();
-        if !present.is_empty() {
-            self.quarantine.record_death(endpoint, &present, now);
+    /// Whether it has to be checked if an endpoint lives, after a run was broken there; see
+    /// [`record_death`](Self::record_death).
+    pub fn begin_death_check(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        now: Time,
+    ) -> bool {
+        self.ended_runs.begin_check(DeathId::new(endpoint, incarnation), now)
+    }
+
+    /// Records that an endpoint's incarnation died, because connections there are refused. All
+    /// requests that it ended are suspected of having caused it. Returns their number.
+    pub fn record_death(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        now: Time,
+    ) -> usize {
+        let server = self.servers.get(endpoint);
+        let is_leaving = server.is_some_and(|server| {
+            server.member.leaving && server.member.incarnation == incarnation
+        });
+        if is_leaving {
+            return 0;
+        }
+        let death = self.ended_runs.record_death(DeathId::new(endpoint, incarnation), now, now);
+        self.suspect(&death, now);
+        death.present.len()
+    }
+
+    fn suspect(&mut self, death: &ProvenDeath, now: Time) {
+        self.quarantine.record_death_of(death.id, &death.present, death.at, now);
+    }
+
+    /// Takes what the other instances have to be told about suspects now.
+    pub fn take_quarantine_news(&mut self, now: Time) -> Vec<quarantine::Entry> {
+        self.quarantine.take_news(now)
+    }
+
+    /// All suspects and refused fingerprints, for an instance that has just started.
+    pub fn quarantine_entries(&self, now: Time) -> Vec<quarantine::Entry> {
+        self.quarantine.export(now)
+    }
+
+    /// Adds what another instance knows of suspects. Deaths that it reports are proven, so what
+    /// this instance ran there is suspected too.
+    pub fn apply_quarantine_news(&mut self, entries: &[quarantine::Entry], now: Time) {
+        self.quarantine.import(entries, now);
+        let suspects =
+            entries.iter().filter(|entry| entry.status == quarantine::EntryStatus::Suspect);
+        for report in suspects.flat_map(|entry| &entry.deaths) {
+            let at = quarantine::time_before(now, Duration::from_millis(report.age_ms));
+            let death = self.ended_runs.record_death(report.id, at, now);
+            self.suspect(&death, now);
         }
-        present.len()
     }
 
     /// Whether a held request may still be sent as it was placed: none of its endpoints has begun
@@ -586,11 +659,6 @@
         }
     }
 
-    /// The quarantine, whose entries instances exchange.
-    pub fn quarantine(&mut self) -> &mut Quarantine {
-        &mut self.quarantine
-    }
-
     /// Milliseconds of prefill up to which a prompt is short: it may be prefilled whole on an
     /// engine that decodes.
     fn short_prefill_ms(&self) -> f64 {
@@ -605,6 +673,7 @@
         let needed = self.servers.len().div_ceil(2);
         self.health.assess(needed, now, &mut self.rng);
         self.quarantine.expire(now);
+        self.ended_runs.expire(now);
         // The next regular request serves as the probe, because an endpoint's own health report may
         // be wrong.
         for endpoint in self.health.due_probes(now) {
--- a/crates/policy/src/placement/request.rs
+++ b/crates/policy/src/placement/request.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time::Duration};
 
-use crate::{EndpointId, Fingerprint, Incarnation, Time, routes::Homes};
+use crate::{EndpointId, Fingerprint, Incarnation, Time, quarantine::DeathId, routes::Homes};
 
 use super::{
     prefill::{Part, PartKey, Pass},
@@ -136,6 +136,17 @@
         std::iter::once(&self.endpoint).chain(self.helpers.iter().map(|h| &h.endpoint))
     }
 
+    /// The end of the incarnation that runs it.
+    pub(super) fn death_id(&self) -> DeathId {
+        DeathId::new(&self.endpoint, self.incarnations.first().copied().unwrap_or_default())
+    }
+
+    /// The ends of all incarnations that run a part of it.
+    pub(super) fn death_ids(&self) -> impl Iterator<Item = DeathId> {
+        let parts = self.endpoints().zip(&self.incarnations);
+        parts.map(|(endpoint, incarnation)| DeathId::new(endpoint, *incarnation))
+    }
+
     /// Its part on one engine.
     pub(super) fn part(&self, one_way_ms: f64, is_head: bool) -> Part {
         let placed_ms = millis(self.placed_at);
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -1,42 +1,59 @@
 //! Isolation of poison requests: those that crash the endpoints they run on.
 //!
 //! **Load pattern.** Occasionally a request crashes every endpoint that runs it, and its caller
-//! sends it again. Dozens of other requests run on the same endpoint at that moment.
+//! sends it again, several times a second and to any instance. Dozens of other requests run on the
+//! same endpoint at that moment.
 //!
 //! **Without it.** Retries carry the request from engine to engine. With four engines it takes the
 //! whole site down in four attempts, and again each time the caller retries.
 //!
 //! **Rule.** When an endpoint dies, every fingerprint that ran there becomes a suspect. Suspects
 //! are rerun isolated from each other (at most one per endpoint) and not on the last healthy
-//! endpoint, so that one more death identifies the cause: a suspect that ran at two deaths is
-//! confirmed and refused on every instance until its entry expires. A complete run clears a
-//! suspect.
+//! endpoint, so that one more death identifies the cause. A suspect is confirmed by two deaths that
+//! can't have the same cause, and refused on every instance until its entry expires. After
+//! [`DEATHS_TO_HOLD`] deaths that may have the same cause, a single instance may run it, once the
+//! endpoints have had [`COMMON_CAUSE_WINDOW`] to finish dying. A complete run clears a suspect on
+//! every instance.
 //!
 //! **Grounds.** Two deaths are the minimum that distinguishes a poison request from those that ran
-//! next to it. Deaths less than [`COMMON_CAUSE_WINDOW`] apart count once for a fingerprint, because
-//! a rack that fails takes all copies of a popular request with it. A suspect that ran isolated
-//! started after the previous death, so the rack isn't the cause and the death counts however soon
-//! it comes. An entry expires after [`FIRST_REFUSAL_PERIOD`], since a fixed engine may be able to
-//! run the request; if the request crashes endpoints again, the period doubles.
-
+//! next to it. Deaths less than [`COMMON_CAUSE_WINDOW`] apart may have one cause, because a rack
+//! that fails takes all copies of a popular request with it. A suspect that ran isolated started
+//! after the previous death, so the rack isn't the cause and the death counts however soon it
+//! comes. Instances add up what they have seen as sets of deaths, so that neither the order nor the
+//! repetition of their messages matters. An entry expires after [`FIRST_REFUSAL_PERIOD`], since a
+//! fixed engine may be able to run the request; if the request crashes endpoints again, the period
+//! doubles.
+
+mod news;
 mod table;
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 
-use crate::{EndpointId, Fingerprint, Time};
+use crate::{EndpointId, Fingerprint, Incarnation, Time, instances::Instances};
 
-use table::{Confirmed, Suspect, make_room};
-pub use table::{MAX_CONFIRMED, MAX_SUSPECTS};
+use news::News;
+pub use news::{DeathReport, Entry, EntryStatus};
+pub(crate) use table::time_before;
+use table::{Cleared, Confirmed, Death, Suspect, make_room};
+pub use table::{DeathId, MAX_CONFIRMED, MAX_DEATHS_PER_SUSPECT, MAX_SUSPECTS};
 
-/// Deaths closer together than this count as one for a fingerprint: a rack or a data centre takes
-/// its endpoints down within about a connection timeout.
+/// Deaths closer together than this may have one cause: a rack or a data centre takes its endpoints
+/// down within about a connection timeout.
 pub const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(2);
 
-/// Deaths that confirm a suspect.
-pub const DEATHS_TO_CONFIRM: u32 = 2;
+/// Deaths that confirm a suspect, if they can't have the same cause.
+pub const DEATHS_TO_CONFIRM: usize = 2;
+
+/// Deaths after which a suspect that isn't confirmed may run at one instance only.
+pub const DEATHS_TO_HOLD: usize = 3;
+
+/// Retry delay of a held suspect that is running: most answers end within seconds.
+const RUNNING_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// How long the other instances are told that a suspect has been cleared.
+const CLEARED_TTL: Duration = Duration::from_secs(60);
 
 /// Initial time for which a confirmed fingerprint is refused: longer than callers keep retrying by
 /// hand, short enough that a false positive ends within the hour.
@@ -69,30 +86,21 @@
     Refused(Duration),
 }
 
-/// A suspect or a refused fingerprint, as sent to other instances. Times are relative, because the
-/// instances' clocks aren't synchronised.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// The fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Deaths of endpoints at which it was running.
-    pub deaths: u32,
-    /// Milliseconds since the last of these deaths.
-    pub death_age_ms: u64,
-    /// Remaining milliseconds for which it is refused; zero for a suspect.
-    pub refused_ms: u64,
-}
-
 /// Suspects and refused fingerprints, as tracked by one instance.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: IndexMap<Fingerprint, Suspect>,
     confirmed: IndexMap<Fingerprint, Confirmed>,
+    cleared: IndexMap<Fingerprint, Cleared>,
     /// The suspect that this instance runs on each endpoint; keeps suspects isolated.
     running: IndexMap<EndpointId, Fingerprint>,
     /// Endpoints on which other instances reported a running suspect, with the time of the last
     /// report.
     peer_suspects: IndexMap<EndpointId, Time>,
+    /// Instances don't report on which endpoints they run suspects, so that a suspect that ran
+    /// isolated here may have shared its endpoint with another instance's.
+    ignores_isolation: bool,
+    news: News,
 }
 
 impl Quarantine {
@@ -101,27 +109,48 @@
         Quarantine::default()
     }
 
-    /// Records that an endpoint died while these fingerprints ran there. Returns the entries to
-    /// send to the other instances.
+    /// The same for instances that don't report on which endpoints they run suspects.
+    pub fn without_isolation() -> Quarantine {
+        Quarantine { ignores_isolation: true, ..Quarantine::default() }
+    }
+
+    /// Records that an incarnation of an endpoint died while these fingerprints ran there.
     pub fn record_death(
         &mut self,
         endpoint: &EndpointId,
+        incarnation: Incarnation,
         present: &[Fingerprint],
         now: Time,
-    ) -> Vec<Entry> {
-        let isolated = self.running.swap_remove(endpoint);
+    ) {
+        let isolated = self.running.swap_remove(endpoint).filter(|_| !self.ignores_isolation);
         self.peer_suspects.swap_remove(endpoint);
+        let id = DeathId::new(endpoint, incarnation);
+        for fingerprint in present {
+            let ran_isolated = isolated == Some(*fingerprint);
+            self.add_death(*fingerprint, Death { id, at: now, ran_isolated }, now);
+        }
+    }
+
+    /// Records a death at `at` that was learned of later, by its id.
+    pub fn record_death_of(&mut self, id: DeathId, present: &[Fingerprint], at: Time, now: Time) {
         for fingerprint in present {
-            self.add_suspect(*fingerprint, isolated == Some(*fingerprint), now);
+            self.add_death(*fingerprint, Death { id, at, ran_isolated: false }, now);
         }
-        present.iter().filter_map(|fingerprint| self.entry(fingerprint, now)).collect()
     }
 
-    /// Records a complete run. It clears a suspect, but doesn't lift a refusal, which expires by
-    /// itself.
-    pub fn record_completion(&mut self, fingerprint: Fingerprint) {
-        self.suspects.swap_remove(&fingerprint);
+    /// Records a complete run. It clears a suspect, and ends the refusal of a fingerprint that was
+    /// running when it was confirmed.
+    pub fn record_completion(&mut self, fingerprint: Fingerprint, now: Time) {
         self.record_stop(fingerprint);
+        let suspect = self.suspects.get(&fingerprint);
+        let is_refused = matches!(self.state(fingerprint, now), QuarantineState::Refused(_));
+        if suspect.is_none() && !is_refused {
+            return;
+        }
+        let deaths = suspect.map_or(&[][..], Suspect::deaths).iter().map(|death| death.id);
+        let cleared = Cleared { at: now, deaths: deaths.collect() };
+        self.clear(fingerprint, cleared);
+        self.news.add(fingerprint, now);
     }
 
     /// Quarantine state of a fingerprint.
@@ -136,6 +165,41 @@
         }
     }
 
+    /// How long a fingerprint must not start at this instance; `None` if it may start now.
+    ///
+    /// A suspect that is held after several deaths may run at one instance of the site, which all
+    /// of them choose alike. Others refuse it until that instance has cleared or confirmed it, or
+    /// for as long as if it were confirmed.
+    pub fn refusal(
+        &self,
+        fingerprint: Fingerprint,
+        instances: Option<&Instances>,
+        now: Time,
+    ) -> Option<Duration> {
+        if let QuarantineState::Refused(left) = self.state(fingerprint, now) {
+            return Some(left);
+        }
+        let suspect = self.suspects.get(&fingerprint)?;
+        if suspect.deaths().len() < DEATHS_TO_HOLD {
+            return None;
+        }
+        let is_chosen = instances.is_none_or(|instances| instances.is_first_for(fingerprint));
+        let hold = if is_chosen { COMMON_CAUSE_WINDOW } else { FIRST_REFUSAL_PERIOD };
+        let left = (suspect.last_death() + hold).since(now);
+        let is_running = self.running.values().any(|running| *running == fingerprint);
+        match left.is_zero() {
+            false => Some(left),
+            true => is_running.then_some(RUNNING_RETRY_DELAY),
+        }
+    }
+
+    /// Whether a fingerprint is a suspect by one death. It may run on any endpoint where
+    /// [`may_run`](Self::may_run) allows none: one death leaves dozens of suspects, most of them
+    /// harmless.
+    pub fn has_one_death(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.get(&fingerprint).is_some_and(|suspect| suspect.deaths().len() == 1)
+    }
+
     /// Whether a fingerprint may start on an endpoint now. A suspect must not share an endpoint
     /// with another one. Nor may it use the last healthy endpoint for some time: if it is the
     /// poison request, no endpoint would be left. After [`LAST_ENDPOINT_GRACE_PERIOD`] it may,
@@ -191,15 +255,21 @@
 
     /// All entries, for an instance that has just started.
     pub fn export(&self, now: Time) -> Vec<Entry> {
-        let fingerprints = self.suspects.keys().chain(self.confirmed.keys());
-        let mut entries: Vec<Entry> = fingerprints.filter_map(|key| self.entry(key, now)).collect();
+        let all = self.suspects.keys().chain(self.confirmed.keys()).chain(self.cleared.keys());
+        let mut entries: Vec<Entry> = all.filter_map(|key| self.entry(*key, now)).collect();
         entries.sort_by_key(|entry| entry.fingerprint);
         entries.dedup_by_key(|entry| entry.fingerprint);
         entries
     }
 
-    /// Merges another instance's entries; of two states of a fingerprint the more severe one is
-    /// kept.
+    /// Takes the entries that the other instances have to be told now. Each change is sent three
+    /// times.
+    pub fn take_news(&mut self, now: Time) -> Vec<Entry> {
+        let due = self.news.take_due(now);
+        due.into_iter().filter_map(|fingerprint| self.entry(fingerprint, now)).collect()
+    }
+
+    /// Adds what another instance knows.
     pub fn import(&mut self, entries: &[Entry], now: Time) {
         for entry in entries {
             self.import_one(entry, now);
@@ -210,67 +280,126 @@
     pub fn expire(&mut self, now: Time) {
         self.suspects.retain(|_, suspect| suspect.is_current(now));
         self.confirmed.retain(|_, confirmed| confirmed.is_needed(now));
+        self.cleared.retain(|_, cleared| now.since(cleared.at) < CLEARED_TTL);
         self.peer_suspects.retain(|_, at| now.since(*at) < PEER_SUSPECT_TTL);
     }
 
     fn grace_period_is_over(&self, fingerprint: Fingerprint, now: Time) -> bool {
         let suspect = self.suspects.get(&fingerprint);
-        suspect.is_none_or(|suspect| now.since(suspect.last_death) >= LAST_ENDPOINT_GRACE_PERIOD)
+        suspect.is_none_or(|suspect| now.since(suspect.last_death()) >= LAST_ENDPOINT_GRACE_PERIOD)
+    }
+
+    fn add_death(&mut self, fingerprint: Fingerprint, death: Death, now: Time) {
+        if self.merge_death(fingerprint, death, now) {
+            self.news.add(fingerprint, now);
+        }
     }
 
-    fn add_suspect(&mut self, fingerprint: Fingerprint, ran_isolated: bool, now: Time) {
-        make_room(&mut self.suspects, MAX_SUSPECTS, |suspect| suspect.last_death);
-        let suspect = self.suspects.entry(fingerprint).or_insert(Suspect::at(now));
-        suspect.add_death(ran_isolated, now);
-        if suspect.deaths >= DEATHS_TO_CONFIRM {
+    /// Adds a death to a suspect; true if that changed anything.
+    fn merge_death(&mut self, fingerprint: Fingerprint, death: Death, now: Time) -> bool {
+        let is_refused = matches!(self.state(fingerprint, now), QuarantineState::Refused(_));
+        let cleared = self.cleared.get(&fingerprint);
+        if is_refused || cleared.is_some_and(|cleared| cleared.covers(&death)) {
+            return false;
+        }
+        if !self.suspects.contains_key(&fingerprint) {
+            make_room(&mut self.suspects, MAX_SUSPECTS, Suspect::last_death);
+        }
+        let suspect = self.suspects.entry(fingerprint).or_default();
+        suspect.expire(now);
+        let before = suspect.deaths().to_vec();
+        suspect.add_death(death);
+        let is_changed = before != suspect.deaths();
+        if suspect.is_confirmed() {
             self.suspects.swap_remove(&fingerprint);
-            self.confirm(fingerprint, now);
+            make_room(&mut self.confirmed, MAX_CONFIRMED, |confirmed| confirmed.until);
+            self.confirmed.entry(fingerprint).or_insert(Confirmed::NEW).renew(now);
         }
+        is_changed
     }
 
-    fn confirm(&mut self, fingerprint: Fingerprint, now: Time) {
-        make_room(&mut self.confirmed, MAX_CONFIRMED, |confirmed| confirmed.until);
-        let confirmed = self.confirmed.entry(fingerprint).or_insert(Confirmed::NEW);
-        confirmed.renew(now);
+    /// Ends a suspicion, and a refusal that is older.
+    fn clear(&mut self, fingerprint: Fingerprint, cleared: Cleared) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            let later = suspect.deaths().iter().filter(|death| !cleared.covers(death));
+            let later: Vec<Death> = later.copied().collect();
+            self.suspects.swap_remove(&fingerprint);
+            if !later.is_empty() {
+                let suspect = self.suspects.entry(fingerprint).or_default();
+                later.into_iter().for_each(|death| suspect.add_death(death));
+            }
+        }
+        if self.confirmed.get(&fingerprint).is_some_and(|confirmed| confirmed.at <= cleared.at) {
+            self.confirmed.swap_remove(&fingerprint);
+        }
+        if !self.cleared.contains_key(&fingerprint) {
+            make_room(&mut self.cleared, MAX_SUSPECTS, |cleared| cleared.at);
+        }
+        let known = self.cleared.entry(fingerprint).or_insert_with(|| cleared.clone());
+        known.merge(cleared);
     }
 
-    fn entry(&self, fingerprint: &Fingerprint, now: Time) -> Option<Entry> {
-        if let QuarantineState::Refused(remaining) = self.state(*fingerprint, now) {
-            let refused_ms = millis(remaining);
-            let fingerprint = *fingerprint;
-            return Some(Entry {
-                fingerprint,
-                deaths: DEATHS_TO_CONFIRM,
-                death_age_ms: 0,
-                refused_ms,
-            });
+    fn entry(&self, fingerprint: Fingerprint, now: Time) -> Option<Entry> {
+        let age_ms = |at: Time| millis(now.since(at));
+        let report = |death: &Death| DeathReport {
+            id: death.id,
+            age_ms: age_ms(death.at),
+            ran_isolated: death.ran_isolated,
+        };
+        if let Some(confirmed) = self.confirmed.get(&fingerprint)
+            && let QuarantineState::Refused(left) = self.state(fingerprint, now)
+        {
+            let status =
+                EntryStatus::Refused { left_ms: millis(left), age_ms: age_ms(confirmed.at) };
+            return Some(Entry { fingerprint, deaths: Vec::new(), status });
+        }
+        if let Some(suspect) = self.suspects.get(&fingerprint).filter(|s| s.is_current(now)) {
+            let deaths = suspect.deaths().iter().map(report).collect();
+            return Some(Entry { fingerprint, deaths, status: EntryStatus::Suspect });
         }
-        let suspect = self.suspects.get(fingerprint).filter(|suspect| suspect.is_current(now))?;
-        Some(Entry {
-            fingerprint: *fingerprint,
-            deaths: suspect.deaths,
-            death_age_ms: millis(now.since(suspect.last_death)),
-            refused_ms: 0,
-        })
+        let cleared = self.cleared.get(&fingerprint)?;
+        if now.since(cleared.at) >= CLEARED_TTL {
+            return None;
+        }
+        let age_ms = age_ms(cleared.at);
+        let report = |id: &DeathId| DeathReport { id: *id, age_ms, ran_isolated: false };
+        let deaths = cleared.deaths.iter().map(report).collect();
+        Some(Entry { fingerprint, deaths, status: EntryStatus::Cleared { age_ms } })
     }
 
     fn import_one(&mut self, entry: &Entry, now: Time) {
-        if entry.refused_ms > 0 {
-            let remaining = Duration::from_millis(entry.refused_ms).min(MAX_REFUSAL_PERIOD);
-            make_room(&mut self.confirmed, MAX_CONFIRMED, |confirmed| confirmed.until);
-            let confirmed = self.confirmed.entry(entry.fingerprint).or_insert(Confirmed::NEW);
-            confirmed.extend(now + remaining);
-            self.suspects.swap_remove(&entry.fingerprint);
-            return;
-        }
-        let age = Duration::from_millis(entry.death_age_ms);
-        if self.state(entry.fingerprint, now) != QuarantineState::Clear || age >= SUSPICION_TTL {
-            return;
+        let before = |age_ms| time_before(now, Duration::from_millis(age_ms));
+        let fingerprint = entry.fingerprint;
+        let reports = entry.deaths.iter().take(MAX_DEATHS_PER_SUSPECT);
+        match entry.status {
+            EntryStatus::Suspect => {
+                for report in reports {
+                    if Duration::from_millis(report.age_ms) >= SUSPICION_TTL {
+                        continue;
+                    }
+                    let ran_isolated = report.ran_isolated && !self.ignores_isolation;
+                    let death = Death { id: report.id, at: before(report.age_ms), ran_isolated };
+                    self.merge_death(fingerprint, death, now);
+                }
+            }
+            EntryStatus::Refused { left_ms, age_ms } => {
+                let at = before(age_ms);
+                if self.cleared.get(&fingerprint).is_some_and(|cleared| at <= cleared.at) {
+                    return;
+                }
+                let left = Duration::from_millis(left_ms).min(MAX_REFUSAL_PERIOD);
+                make_room(&mut self.confirmed, MAX_CONFIRMED, |confirmed| confirmed.until);
+                let confirmed = self.confirmed.entry(fingerprint).or_insert(Confirmed::NEW);
+                confirmed.extend(at, now + left);
+                self.suspects.swap_remove(&fingerprint);
+            }
+            EntryStatus::Cleared { age_ms } => {
+                if Duration::from_millis(age_ms) < CLEARED_TTL {
+                    let deaths = reports.map(|report| report.id).collect();
+                    self.clear(fingerprint, Cleared { at: before(age_ms), deaths });
+                }
+            }
         }
-        make_room(&mut self.suspects, MAX_SUSPECTS, |suspect| suspect.last_death);
-        let last_death = table::time_before(now, age);
-        self.suspects
-            .insert(entry.fingerprint, Suspect { deaths: entry.deaths.max(1), last_death });
     }
 }
 
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -3,13 +3,17 @@
 use std::{hash::Hash, time::Duration};
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::{
-    Time,
-    quarantine::{COMMON_CAUSE_WINDOW, FIRST_REFUSAL_PERIOD, MAX_REFUSAL_PERIOD, SUSPICION_TTL},
+    EndpointId, EndpointTag, Incarnation, Time,
+    quarantine::{
+        COMMON_CAUSE_WINDOW, DEATHS_TO_CONFIRM, FIRST_REFUSAL_PERIOD, MAX_REFUSAL_PERIOD,
+        SUSPICION_TTL,
+    },
 };
 
-/// Maximum number of suspects kept, at about 60 bytes each: a hundred running requests at each of
+/// Maximum number of suspects kept, at about 300 bytes each: a hundred running requests at each of
 /// 40 deaths an hour.
 pub const MAX_SUSPECTS: usize = 4_096;
 
@@ -17,53 +21,105 @@
 /// this many can't come about by chance.
 pub const MAX_CONFIRMED: usize = 1_024;
 
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Suspect {
-    pub(super) deaths: u32,
-    pub(super) last_death: Time,
+/// Maximum number of deaths kept for a suspect; the earliest ones and the latest. More deaths don't
+/// change what is decided.
+pub const MAX_DEATHS_PER_SUSPECT: usize = 8;
+
+/// The end of one incarnation of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct DeathId {
+    /// The endpoint.
+    pub endpoint: EndpointTag,
+    /// The incarnation that ended.
+    pub incarnation: Incarnation,
 }
 
-impl Suspect {
-    /// A suspect before its first death is added.
-    pub(super) fn at(now: Time) -> Suspect {
-        Suspect { deaths: 0, last_death: now }
+impl DeathId {
+    /// The end of this incarnation of an endpoint.
+    pub fn new(endpoint: &EndpointId, incarnation: Incarnation) -> DeathId {
+        DeathId { endpoint: endpoint.into(), incarnation }
     }
+}
 
-    /// Adds a death at which the suspect was running. It counts if the suspect `ran_isolated`;
-    /// otherwise it counts only if it can't have the same cause as the previous one.
-    pub(super) fn add_death(&mut self, ran_isolated: bool, now: Time) {
-        if !self.is_current(now) {
-            self.deaths = 0;
+/// A death at which a suspect was running.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Death {
+    pub(super) id: DeathId,
+    pub(super) at: Time,
+    /// No other suspect ran on the endpoint.
+    pub(super) ran_isolated: bool,
+}
+
+/// The deaths at which a fingerprint was running, in the order of their times.
+///
+/// Adding deaths is commutative and idempotent, so that instances that have heard of the same
+/// deaths agree, in whatever order and however often they did.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Suspect {
+    deaths: Vec<Death>,
+}
+
+impl Suspect {
+    pub(super) fn add_death(&mut self, death: Death) {
+        match self.deaths.iter_mut().find(|known| known.id == death.id) {
+            Some(known) => {
+                known.at = known.at.min(death.at);
+                known.ran_isolated |= death.ran_isolated;
+            }
+            None => self.deaths.push(death),
         }
-        let is_separate_cause = ran_isolated || now.since(self.last_death) >= COMMON_CAUSE_WINDOW;
-        if self.deaths == 0 || is_separate_cause {
-            self.deaths += 1;
+        self.deaths.sort_by_key(|death| (death.at, death.id));
+        if self.deaths.len() > MAX_DEATHS_PER_SUSPECT {
+            self.deaths.remove(MAX_DEATHS_PER_SUSPECT - 1);
         }
-        self.last_death = self.last_death.max(now);
+    }
+
+    pub(super) fn deaths(&self) -> &[Death] {
+        &self.deaths
+    }
+
+    pub(super) fn last_death(&self) -> Time {
+        self.deaths.last().map_or(Time::ZERO, |death| death.at)
+    }
+
+    /// Whether two deaths can't have the same cause: they are far enough apart, or the suspect ran
+    /// isolated at the later one and therefore started after the earlier one.
+    pub(super) fn is_confirmed(&self) -> bool {
+        let [first, later @ ..] = &self.deaths[..] else { return false };
+        later.len() + 1 >= DEATHS_TO_CONFIRM
+            && (self.last_death().since(first.at) >= COMMON_CAUSE_WINDOW
+                || later.iter().any(|death| death.ran_isolated))
     }
 
     pub(super) fn is_current(&self, now: Time) -> bool {
-        now.since(self.last_death) < SUSPICION_TTL
+        now.since(self.last_death()) < SUSPICION_TTL
+    }
+
+    pub(super) fn expire(&mut self, now: Time) {
+        self.deaths.retain(|death| now.since(death.at) < SUSPICION_TTL);
     }
 }
 
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Confirmed {
+    pub(super) at: Time,
     pub(super) until: Time,
     next_period: Duration,
 }
 
 impl Confirmed {
     pub(super) const NEW: Confirmed =
-        Confirmed { until: Time::ZERO, next_period: FIRST_REFUSAL_PERIOD };
+        Confirmed { at: Time::ZERO, until: Time::ZERO, next_period: FIRST_REFUSAL_PERIOD };
 
     /// Starts the next refusal period, twice as long as the previous one.
     pub(super) fn renew(&mut self, now: Time) {
+        self.at = now;
         self.until = self.until.max(now + self.next_period);
         self.next_period = (self.next_period * 2).min(MAX_REFUSAL_PERIOD);
     }
 
-    pub(super) fn extend(&mut self, until: Time) {
+    pub(super) fn extend(&mut self, at: Time, until: Time) {
+        self.at = self.at.max(at);
         self.until = self.until.max(until);
     }
 
@@ -73,8 +129,29 @@
     }
 }
 
+/// A fingerprint that ran to its end after these deaths, which therefore don't count.
+#[derive(Debug, Clone)]
+pub(super) struct Cleared {
+    pub(super) at: Time,
+    pub(super) deaths: Vec<DeathId>,
+}
+
+impl Cleared {
+    pub(super) fn covers(&self, death: &Death) -> bool {
+        death.at <= self.at || self.deaths.contains(&death.id)
+    }
+
+    pub(super) fn merge(&mut self, other: Cleared) {
+        self.at = self.at.max(other.at);
+        let new = other.deaths.into_iter().filter(|id| !self.deaths.contains(id));
+        let new: Vec<DeathId> = new.collect();
+        self.deaths.extend(new);
+        self.deaths.truncate(MAX_DEATHS_PER_SUSPECT);
+    }
+}
+
 /// The time `age` before `now`.
-pub(super) fn time_before(now: Time, age: Duration) -> Time {
+pub(crate) fn time_before(now: Time, age: Duration) -> Time {
     Time(now.0.saturating_sub(u64::try_from(age.as_micros()).unwrap_or(u64::MAX)))
 }
 
--- /dev/null
+++ b/crates/policy/tests/crashing_requests.rs
@@ -0,0 +1,430 @@
+//! A request that crashes the endpoints that run it, sent again to any of the instances, which tell
+//! each other what they see.
+
+#![allow(clippy::unwrap_used)]
+
+mod arranging;
+mod engines;
+
+use std::time::Duration;
+
+use engines::engine;
+use fastrand::Rng;
+use policy::{
+    FailCause, Fingerprint, Incarnation, InstanceId, Time,
+    instances::Instances,
+    placement::{
+        GroupScheduler, JobId, Member, Placement, PlacementRefusal, PlacementRequest,
+        PlacementRules,
+    },
+    quarantine::Entry,
+};
+
+/// How long after a third crash the instances may take to stop sending the request.
+const CONTACT_MS: u64 = 3_000;
+
+/// Copies that may reach endpoints later than that.
+const MAX_LATE_COPIES: usize = 3;
+
+const ENDPOINTS: usize = 40;
+const POISON: Fingerprint = Fingerprint(0);
+const TICK_MS: usize = 10;
+const CRASH_DELAY_MS: u64 = 150;
+
+/// Time that a harmless request takes.
+const RUN_MS: u64 = 400;
+
+/// Time from a crash until the endpoint runs again under a new incarnation.
+const RESTART_MS: u64 = 3_200;
+
+fn at(ms: u64) -> Time {
+    Time((10_000 + ms) * 1_000)
+}
+
+/// What happens besides the crashes.
+#[derive(Debug, Clone, Copy, Default)]
+struct Conditions {
+    instances: usize,
+    /// Share of messages between instances that are lost, and that arrive two seconds late.
+    lost: f64,
+    late: f64,
+    /// Share of the instances with runs on a dead endpoint that find out by themselves.
+    unaware: f64,
+    /// A quarter of the endpoints fails within half a second.
+    rack_fails: bool,
+}
+
+struct Run {
+    instance: usize,
+    placement: Placement,
+    fingerprint: Fingerprint,
+    ends_at: u64,
+    attempts: u32,
+}
+
+struct Message {
+    to: usize,
+    arrives_at: u64,
+    entries: Vec<Entry>,
+}
+
+struct Site {
+    conditions: Conditions,
+    schedulers: Vec<GroupScheduler>,
+    incarnations: Vec<u64>,
+    down_until: Vec<u64>,
+    runs: Vec<Run>,
+    messages: Vec<Message>,
+    /// Times at which the poison request was sent to an endpoint, and at which it crashed one.
+    sent: Vec<u64>,
+    crashes: Vec<u64>,
+    harmless_refused: usize,
+    harmless_done: usize,
+    now: u64,
+    rng: Rng,
+}
+
+impl Site {
+    fn new(conditions: Conditions) -> Site {
+        let name = |index| InstanceId::new(&format!("entry-{index}")).unwrap();
+        let known: Vec<_> = (0..conditions.instances).map(name).collect();
+        let scheduler = |index: usize| {
+            let rules = PlacementRules::default();
+            let mut scheduler = arranging::scheduler(0, engine(), rules, index as u64);
+            scheduler.set_rules(None);
+            let others = known.iter().filter(|other| **other != known[index]);
+            let live = conditions.instances - 1;
+            scheduler.set_instances(Instances::new(&known[index], others, live, 1.0));
+            scheduler
+        };
+        let mut site = Site {
+            conditions,
+            schedulers: (0..conditions.instances).map(scheduler).collect(),
+            incarnations: vec![1; ENDPOINTS],
+            down_until: vec![0; ENDPOINTS],
+            runs: Vec::new(),
+            messages: Vec::new(),
+            sent: Vec::new(),
+            crashes: Vec::new(),
+            harmless_refused: 0,
+            harmless_done: 0,
+            now: 0,
+            rng: Rng::with_seed(43),
+        };
+        site.list_endpoints();
+        site
+    }
+
+    fn list_endpoints(&mut self) {
+        let listed = |index: &usize| self.down_until[*index] <= self.now;
+        let member = |index: usize| Member {
+            incarnation: Incarnation(self.incarnations[index]),
+            ..arranging::member(index, engine().slots, false)
+        };
+        let members: Vec<_> = (0..ENDPOINTS).filter(listed).map(member).collect();
+        for scheduler in &mut self.schedulers {
+            scheduler.set_members(members.clone(), at(self.now));
+        }
+    }
+
+    fn send(&mut self, instance: usize, fingerprint: Fingerprint, attempts: u32) {
+        let mut request = PlacementRequest { fingerprint, ..arranging::request(0) };
+        while let Some(placement) = self.place(instance, &request) {
+            let index = arranging::index(&placement.endpoint);
+            if self.down_until[index] <= self.now {
+                return self.start(instance, placement, fingerprint, attempts);
+            }
+            let scheduler = &mut self.schedulers[instance];
+            scheduler.finish(placement.job, Some(FailCause::NotSent), at(self.now));
+            scheduler.record_death(&placement.endpoint, placement.incarnation, at(self.now));
+            request.tried.push((placement.endpoint, placement.incarnation));
+        }
+    }
+
+    fn place(&mut self, instance: usize, request: &PlacementRequest) -> Option<Placement> {
+        let scheduler = &mut self.schedulers[instance];
+        let placed = scheduler.place(request, at(self.now));
+        let is_quarantined = matches!(placed, Err(PlacementRefusal::Quarantined(_)));
+        self.harmless_refused += usize::from(is_quarantined && request.fingerprint != POISON);
+        placed.ok()
+    }
+
+    fn start(
+        &mut self,
+        instance: usize,
+        placement: Placement,
+        fingerprint: Fingerprint,
+        attempts: u32,
+    ) {
+        self.schedulers[instance].mark_sent(placement.job);
+        let takes = if fingerprint == POISON { CRASH_DELAY_MS } else { RUN_MS };
+        if fingerprint == POISON {
+            self.sent.push(self.now);
+        }
+        let ends_at = self.now + takes;
+        self.runs.push(Run { instance, placement, fingerprint, ends_at, attempts });
+    }
+
+    /// An endpoint dies: its runs break, and the instances that ran something there find out.
+    fn crash(&mut self, index: usize) {
+        self.down_until[index] = self.now + RESTART_MS;
+        let now = at(self.now);
+        let is_here = |run: &Run| arranging::index(&run.placement.endpoint) == index;
+        let (broken, other): (Vec<_>, Vec<_>) = self.runs.drain(..).partition(is_here);
+        self.runs = other;
+        for run in broken {
+            let Run { instance, placement, fingerprint, attempts, .. } = run;
+            let scheduler = &mut self.schedulers[instance];
+            scheduler.finish(placement.job, Some(FailCause::Broken), now);
+            if self.rng.f64() >= self.conditions.unaware {
+                scheduler.record_death(&placement.endpoint, placement.incarnation, now);
+            }
+            if fingerprint != POISON && attempts < 3 {
+                let instance = self.rng.usize(0..self.schedulers.len());
+                self.send(instance, fingerprint, attempts + 1);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now;
+        let returns = |until: &u64| *until > 0 && *until <= now;
+        if self.down_until.iter().any(returns) {
+            for index in 0..ENDPOINTS {
+                if returns(&self.down_until[index]) {
+                    self.down_until[index] = 0;
+                    self.incarnations[index] += 1;
+                }
+            }
+            self.list_endpoints();
+        }
+        let (arrived, waiting): (Vec<_>, Vec<_>) =
+            self.messages.drain(..).partition(|message| message.arrives_at <= now);
+        self.messages = waiting;
+        for Message { to, entries, .. } in arrived {
+            self.schedulers[to].apply_quarantine_news(&entries, at(now));
+        }
+        while let Some(position) = self.runs.iter().position(|run| run.ends_at <= now) {
+            if self.runs[position].fingerprint == POISON {
+                self.crashes.push(now);
+                self.crash(arranging::index(&self.runs[position].placement.endpoint));
+                continue;
+            }
+            let run = self.runs.swap_remove(position);
+            let job: JobId = run.placement.job;
+            self.schedulers[run.instance].finish(job, None, at(now));
+            self.harmless_done += 1;
+        }
+        for from in 0..self.schedulers.len() {
+            let entries = self.schedulers[from].take_quarantine_news(at(now));
+            if entries.is_empty() {
+                continue;
+            }
+            for to in (0..self.schedulers.len()).filter(|to| *to != from) {
+                if self.rng.f64() < self.conditions.lost {
+                    continue;
+                }
+                let delay = if self.rng.f64() < self.conditions.late { 2_000 } else { 5 };
+                let arrives_at = now + delay;
+                self.messages.push(Message { to, arrives_at, entries: entries.clone() });
+            }
+        }
+    }
+
+    /// Plays 15 s: three copies at one instance, three at others, later one every 100 ms, and twice
+    /// one at every instance at once.
+    fn play(&mut self) {
+        let instances = self.schedulers.len();
+        let mut next_harmless = 1;
+        for ms in (0..15_000).step_by(TICK_MS) {
+            self.now = ms;
+            self.tick();
+            if ms % 20 == 0 {
+                let instance = self.rng.usize(0..instances);
+                self.send(instance, Fingerprint(next_harmless), 1);
+                next_harmless += 1;
+            }
+            match ms {
+                1_000 => (0..3).for_each(|_| self.send(0, POISON, 1)),
+                1_400 | 1_500 | 1_600 => self.send(ms as usize % instances, POISON, 1),
+                5_000 | 12_000 => (0..instances).for_each(|index| self.send(index, POISON, 1)),
+                6_000..10_000 if ms % 100 == 0 => {
+                    let instance = self.rng.usize(0..instances);
+                    self.send(instance, POISON, 1);
+                }
+                _ => {}
+            }
+            if self.conditions.rack_fails && (1_050..1_550).contains(&ms) && ms % 50 == 0 {
+                self.crash((ms as usize - 1_050) / 50);
+            }
+        }
+    }
+}
+
+fn plays(conditions: Conditions) {
+    let mut site = Site::new(conditions);
+    site.play();
+    // The rack may take the endpoints down before the request has.
+    let bound = site.crashes.get(2).map_or(u64::MAX, |third| third + CONTACT_MS);
+    let late = site.sent.iter().filter(|ms| **ms > bound).count();
+    assert!(late <= MAX_LATE_COPIES, "{late} late copies, {} crashes", site.crashes.len());
+    assert_eq!(site.harmless_refused, 0, "of {} done", site.harmless_done);
+    assert!(site.harmless_done > 600, "{}", site.harmless_done);
+}
+
+const CALM: Conditions =
+    Conditions { instances: 4, lost: 0.0, late: 0.0, unaware: 0.0, rack_fails: false };
+const ROUGH: Conditions = Conditions { lost: 0.1, late: 0.1, unaware: 0.5, ..CALM };
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $body:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { $body() })*
+    };
+}
+
+cases! {
+    /// Guards against a request that goes on crashing endpoints, however many instances share what
+    /// they see of it.
+    one_instance_stops_sending => || plays(Conditions { instances: 1, ..CALM });
+    four_instances_stop_sending => || plays(CALM);
+    instances_stop_sending_with_29 => || plays(Conditions { instances: 29, ..CALM });
+    instances_stop_sending_with_985 => || plays(Conditions { instances: 985, ..CALM });
+
+    /// Guards against deaths that some instances don't see and messages that are lost or late.
+    four_instances_stop_sending_on_rough_links => || plays(ROUGH);
+    instances_stop_sending_on_rough_links_with_29 => || plays(Conditions { instances: 29, ..ROUGH });
+
+    /// Guards against harmless requests that are refused because a rack fails at the same time.
+    a_rack_that_fails_beside_it_bars_no_other => || {
+        plays(Conditions { rack_fails: true, ..ROUGH });
+        plays(Conditions { rack_fails: true, instances: 29, ..ROUGH });
+    };
+
+    /// Guards against a suspicion that depends on the order or the repetition of messages.
+    deaths_add_up_in_any_order => || {
+        let mut seen: Vec<Vec<Entry>> = Vec::new();
+        for index in 0..3_u64 {
+            let mut scheduler = arranging::scheduler(0, engine(), PlacementRules::default(), index);
+            scheduler.set_members(vec![arranging::member(index as usize, 16, false)], at(0));
+            let sent = |ms| at(ms + index * 1_500);
+            let request = PlacementRequest { fingerprint: POISON, ..arranging::request(0) };
+            let placement = scheduler.place(&request, sent(0)).unwrap();
+            scheduler.mark_sent(placement.job);
+            scheduler.finish(placement.job, Some(FailCause::Broken), sent(150));
+            scheduler.record_death(&placement.endpoint, Incarnation(1), sent(160));
+            seen.push(scheduler.quarantine_entries(at(4_000)));
+        }
+        for order in [[0, 1, 2], [2, 1, 0], [1, 0, 2]] {
+            let mut scheduler = arranging::scheduler(3, engine(), PlacementRules::default(), 9);
+            for index in order.into_iter().chain(order) {
+                scheduler.apply_quarantine_news(&seen[index], at(4_000));
+            }
+            let request = PlacementRequest { fingerprint: POISON, ..arranging::request(0) };
+            let refused = scheduler.place(&request, at(4_000));
+            assert!(matches!(refused, Err(PlacementRefusal::Quarantined(_))), "{order:?}: {refused:?}");
+        }
+    };
+
+    /// Guards against a request that comes to every instance at once, seconds after it crashed three
+    /// endpoints in quick succession.
+    a_held_request_is_run_by_one_instance => || {
+        for instances in [1, 4, 29, 985] {
+            let mut site = Site::new(Conditions { instances, ..CALM });
+            for ms in (0..8_000).step_by(TICK_MS) {
+                site.now = ms;
+                site.tick();
+                match ms {
+                    1_000 | 1_300 | 1_600 => site.send(ms as usize % instances, POISON, 1),
+                    5_000 => (0..instances).for_each(|index| site.send(index, POISON, 1)),
+                    _ => {}
+                }
+            }
+            assert_eq!(site.sent.len(), 4, "{instances} instances");
+        }
+    };
+
+    /// Guards against requests that aren't suspected because another instance found out that their
+    /// endpoint died.
+    a_peers_proof_counts_for_requests_here => || {
+        let [mut here, mut there] =
+            [1, 2].map(|seed| arranging::scheduler(1, engine(), PlacementRules::default(), seed));
+        for (scheduler, fingerprint) in [(&mut here, POISON), (&mut there, Fingerprint(1))] {
+            let request = PlacementRequest { fingerprint, ..arranging::request(0) };
+            let placement = scheduler.place(&request, at(0)).unwrap();
+            scheduler.mark_sent(placement.job);
+            scheduler.finish(placement.job, Some(FailCause::Broken), at(100));
+        }
+        there.record_death(&arranging::id(0), Incarnation(1), at(110));
+        here.apply_quarantine_news(&there.take_quarantine_news(at(110)), at(115));
+        let known: Vec<_> = here.quarantine_entries(at(115)).iter().map(|e| e.fingerprint).collect();
+        assert_eq!(known, [POISON, Fingerprint(1)]);
+        assert_eq!(here.take_quarantine_news(at(115)).len(), 1, "only what the peer doesn't know");
+    };
+
+    /// Guards against an endpoint that vanishes without refusing a connection, as when its machine
+    /// loses power.
+    a_lapse_after_a_break_is_a_death => || {
+        let mut scheduler = arranging::scheduler(2, engine(), PlacementRules::default(), 1);
+        let request = PlacementRequest { fingerprint: POISON, ..arranging::request(0) };
+        let placement = scheduler.place(&request, at(0)).unwrap();
+        scheduler.mark_sent(placement.job);
+        scheduler.finish(placement.job, Some(FailCause::Silent), at(1_000));
+        let other = 1 - arranging::index(&placement.endpoint);
+        scheduler.set_members(vec![arranging::member(other, 16, false)], at(3_500));
+        assert_eq!(scheduler.quarantine_entries(at(3_500)).len(), 1);
+    };
+
+    /// Guards against a broken link that is taken for a death: the endpoint answers afterwards.
+    a_break_before_an_answer_is_no_death => || {
+        let mut scheduler = arranging::scheduler(1, engine(), PlacementRules::default(), 1);
+        let request = PlacementRequest { fingerprint: POISON, ..arranging::request(0) };
+        for ms in [0, 3_000, 6_000] {
+            let placement = scheduler.place(&request, at(ms)).unwrap();
+            scheduler.mark_sent(placement.job);
+            scheduler.finish(placement.job, Some(FailCause::Broken), at(ms + 100));
+            let other = PlacementRequest { fingerprint: Fingerprint(1), ..request.clone() };
+            let placement = scheduler.place(&other, at(ms + 200)).unwrap();
+            scheduler.mark_sent(placement.job);
+            scheduler.record_first_event(placement.job, at(ms + 300));
+            scheduler.finish(placement.job, None, at(ms + 400));
+            let suspects = scheduler.record_death(&placement.endpoint, Incarnation(1), at(ms + 500));
+            assert_eq!(suspects, 0);
+        }
+    };
+
+    /// Guards against a planned stop of an endpoint that is counted as a crash.
+    the_end_of_a_leaving_endpoint_is_no_crash => || {
+        let mut scheduler = arranging::scheduler(1, engine(), PlacementRules::default(), 1);
+        let request = PlacementRequest { fingerprint: POISON, ..arranging::request(0) };
+        let placement = scheduler.place(&request, at(0)).unwrap();
+        scheduler.mark_sent(placement.job);
+        scheduler.set_members(vec![arranging::member(0, 16, true)], at(50));
+        scheduler.finish(placement.job, Some(FailCause::Broken), at(100));
+        assert_eq!(scheduler.record_death(&placement.endpoint, Incarnation(1), at(110)), 0);
+        scheduler.set_members(Vec::new(), at(200));
+        assert_eq!(scheduler.quarantine_entries(at(200)), []);
+    };
+
+    /// Guards against a harmless request that stays suspected on other instances after it has run.
+    a_complete_run_clears_everywhere => || {
+        let schedulers = || arranging::scheduler(3, engine(), PlacementRules::default(), 1);
+        let (mut here, mut there) = (schedulers(), schedulers());
+        let request = PlacementRequest { fingerprint: POISON, ..arranging::request(0) };
+        let placement = here.place(&request, at(0)).unwrap();
+        here.mark_sent(placement.job);
+        here.finish(placement.job, Some(FailCause::Broken), at(100));
+        here.record_death(&placement.endpoint, Incarnation(1), at(110));
+        let suspected = here.take_quarantine_news(at(110));
+        there.apply_quarantine_news(&suspected, at(115));
+        assert_eq!(there.quarantine_entries(at(115)).len(), 1);
+        let placement = there.place(&request, at(200)).unwrap();
+        there.mark_sent(placement.job);
+        there.finish(placement.job, None, at(600));
+        here.apply_quarantine_news(&there.take_quarantine_news(at(600)), at(605));
+        there.apply_quarantine_news(&suspected, at(700));
+        for scheduler in [&here, &there] {
+            let left = scheduler.quarantine_entries(at(700) + Duration::from_secs(60));
+            assert_eq!(left, []);
+        }
+    };
+}
--- a/crates/policy/tests/digest.rs
+++ b/crates/policy/tests/digest.rs
@@ -9,7 +9,7 @@
     EndpointId, Fingerprint, Incarnation, InstanceId, LoadDigest, Time, TokenRate, Tokens,
     Workspace,
     digest::{DigestReceiver, DigestSender, ENTRY_BYTES, PART_OVERHEAD_BYTES, REFRESH_INTERVAL},
-    quarantine::Entry,
+    quarantine::{DeathId, DeathReport, Entry, EntryStatus},
     report::{EndpointShare, WorkspaceShare},
 };
 
@@ -156,18 +156,22 @@
 fn suspicions_are_sent_once_and_suspect_endpoints_repeatedly() {
     let mut sender = DigestSender::new(100_000, at(0));
     let mut suspecting = digest(1, vec![share(1, 9_000)]);
-    let suspicion =
-        Entry { fingerprint: Fingerprint(7), deaths: 1, death_age_ms: 5, refused_ms: 0 };
-    suspecting.suspicions = vec![suspicion];
+    let id = DeathId::new(&EndpointId::new("e2").unwrap(), Incarnation(1));
+    let suspicion = Entry {
+        fingerprint: Fingerprint(7),
+        deaths: vec![DeathReport { id, age_ms: 5, ran_isolated: false }],
+        status: EntryStatus::Suspect,
+    };
+    suspecting.suspicions = vec![suspicion.clone()];
     assert_eq!(sender.next_part(&suspecting, at(0)).unwrap().suspicions, [suspicion]);
-    suspecting.suspicions[0].death_age_ms = 505;
+    suspecting.suspicions[0].deaths[0].age_ms = 505;
     assert_eq!(sender.next_part(&suspecting, at(500)), None, "only its age has changed");
     suspecting.suspect_endpoints = vec![EndpointId::new("e1").unwrap()];
     for millis in [1_000, 2_000, 3_000] {
         let part = sender.next_part(&suspecting, at(millis)).unwrap();
         assert_eq!((part.suspect_endpoints.len(), part.suspicions.len()), (1, 0));
     }
-    suspecting.suspicions[0].refused_ms = 600_000;
+    suspecting.suspicions[0].status = EntryStatus::Refused { left_ms: 600_000, age_ms: 0 };
     assert_eq!(sender.next_part(&suspecting, at(3_500)).unwrap().suspicions.len(), 1);
 }
 
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -8,10 +8,10 @@
 
 use fastrand::Rng;
 use policy::{
-    EndpointId, Fingerprint, Time,
+    EndpointId, Fingerprint, Incarnation, Time,
     quarantine::{
-        Entry, FIRST_REFUSAL_PERIOD, LAST_ENDPOINT_GRACE_PERIOD, MAX_SUSPECTS, Quarantine,
-        QuarantineState, SUSPICION_TTL,
+        DeathId, DeathReport, Entry, EntryStatus, FIRST_REFUSAL_PERIOD, LAST_ENDPOINT_GRACE_PERIOD,
+        MAX_SUSPECTS, Quarantine, QuarantineState, SUSPICION_TTL,
     },
 };
 use quickcheck::quickcheck;
@@ -20,6 +20,16 @@
     EndpointId::new(&format!("e{n}")).unwrap()
 }
 
+/// Each death ends another incarnation.
+fn record_death(
+    quarantine: &mut Quarantine,
+    endpoint: &EndpointId,
+    present: &[Fingerprint],
+    now: Time,
+) {
+    quarantine.record_death(endpoint, Incarnation(now.0), present, now);
+}
+
 const POISON: Fingerprint = Fingerprint(0);
 
 fn at(seconds: u64) -> Time {
@@ -36,7 +46,7 @@
         let mut rng = Rng::with_seed(seed);
         let mut quarantine = Quarantine::new();
         let mut waiting: Vec<Fingerprint> = (0..40).map(Fingerprint).collect();
-        quarantine.record_death(&endpoint(0), &waiting, at(10));
+        record_death(&mut quarantine, &endpoint(0), &waiting, at(10));
         rng.shuffle(&mut waiting);
         let mut deaths = 1;
         let mut now = at(10);
@@ -47,9 +57,9 @@
             quarantine.record_start(fingerprint, &target, now);
             if fingerprint == POISON {
                 deaths += 1;
-                quarantine.record_death(&target, &[fingerprint, Fingerprint(100)], now);
+                record_death(&mut quarantine, &target, &[fingerprint, Fingerprint(100)], now);
             } else {
-                quarantine.record_completion(fingerprint);
+                quarantine.record_completion(fingerprint, now);
             }
         }
         assert_eq!(deaths, 2);
@@ -63,7 +73,7 @@
 fn suspects(numbers: &[u128]) -> Quarantine {
     let mut quarantine = Quarantine::new();
     let present: Vec<Fingerprint> = numbers.iter().copied().map(Fingerprint).collect();
-    quarantine.record_death(&endpoint(0), &present, at(10));
+    record_death(&mut quarantine, &endpoint(0), &present, at(10));
     quarantine
 }
 
@@ -97,7 +107,8 @@
 fn a_failed_rack_confirms_no_suspect() {
     let mut quarantine = Quarantine::new();
     for n in 0..3 {
-        quarantine.record_death(
+        record_death(
+            &mut quarantine,
             &endpoint(n),
             &[Fingerprint(1)],
             at(10) + Duration::from_millis(300 * n as u64),
@@ -114,7 +125,7 @@
     let mut quarantine = suspects(&[1, 2]);
     let now = at(10) + Duration::from_millis(50);
     quarantine.record_start(Fingerprint(1), &endpoint(1), now);
-    quarantine.record_death(&endpoint(1), &[Fingerprint(1)], now);
+    record_death(&mut quarantine, &endpoint(1), &[Fingerprint(1)], now);
     assert_eq!(
         quarantine.state(Fingerprint(1), now),
         QuarantineState::Refused(FIRST_REFUSAL_PERIOD)
@@ -125,15 +136,20 @@
 #[test]
 fn a_refusal_expires_and_the_next_lasts_twice_as_long() {
     let mut quarantine = suspects(&[1]);
-    quarantine.record_death(&endpoint(1), &[Fingerprint(1)], at(20));
+    record_death(&mut quarantine, &endpoint(1), &[Fingerprint(1)], at(20));
     assert_eq!(
         quarantine.state(Fingerprint(1), at(20)),
         QuarantineState::Refused(FIRST_REFUSAL_PERIOD)
     );
     let expiry = at(20) + FIRST_REFUSAL_PERIOD;
     assert_eq!(quarantine.state(Fingerprint(1), expiry), QuarantineState::Clear);
-    quarantine.record_death(&endpoint(1), &[Fingerprint(1)], expiry);
-    quarantine.record_death(&endpoint(2), &[Fingerprint(1)], expiry + Duration::from_secs(10));
+    record_death(&mut quarantine, &endpoint(1), &[Fingerprint(1)], expiry);
+    record_death(
+        &mut quarantine,
+        &endpoint(2),
+        &[Fingerprint(1)],
+        expiry + Duration::from_secs(10),
+    );
     let again = quarantine.state(Fingerprint(1), expiry + Duration::from_secs(10));
     assert_eq!(again, QuarantineState::Refused(FIRST_REFUSAL_PERIOD * 2));
 }
@@ -147,7 +163,7 @@
 #[test]
 fn other_instances_refuse_what_one_has_confirmed() {
     let mut here = suspects(&[1, 2]);
-    here.record_death(&endpoint(1), &[Fingerprint(1)], at(20));
+    record_death(&mut here, &endpoint(1), &[Fingerprint(1)], at(20));
     let mut there = Quarantine::new();
     // Instances' clocks differ, so only durations are sent.
     there.import(&here.export(at(30)), at(5_000));
@@ -160,7 +176,7 @@
 fn a_flood_of_suspects_stays_within_bounds() {
     let flood: Vec<Fingerprint> = (0..3 * MAX_SUSPECTS as u128).map(Fingerprint).collect();
     let mut quarantine = Quarantine::new();
-    quarantine.record_death(&endpoint(0), &flood, at(1));
+    record_death(&mut quarantine, &endpoint(0), &flood, at(1));
     assert_eq!(quarantine.export(at(1)).len(), MAX_SUSPECTS);
 }
 
@@ -168,8 +184,14 @@
     fn any_import_stays_within_bounds(entries: Vec<(u8, u32, u64, u64)>) -> bool {
         let entries: Vec<Entry> = entries
             .into_iter()
-            .map(|(f, deaths, death_age_ms, refused_ms)| {
-                Entry { fingerprint: Fingerprint(f.into()), deaths, death_age_ms, refused_ms }
+            .map(|(f, endpoint, age_ms, refused_ms)| {
+                let id = DeathId::new(&self::endpoint(endpoint as usize), Incarnation(1));
+                let status = match refused_ms {
+                    0 => EntryStatus::Suspect,
+                    left_ms => EntryStatus::Refused { left_ms, age_ms },
+                };
+                let deaths = vec![DeathReport { id, age_ms, ran_isolated: false }];
+                Entry { fingerprint: Fingerprint(f.into()), deaths, status }
             })
             .collect();
         let mut quarantine = Quarantine::new();
--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -22,7 +22,7 @@
 
 /// Two round trips between data centres and the endpoint's own work take a few milliseconds. A lost
 /// SYN is retransmitted only after a second, and trying another endpoint is faster than that.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// An endpoint that sends nothing for this long counts as silent. A shorter timeout says nothing
 /// about the endpoint, because routes may allow less time than their endpoints usually need.
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -12,7 +12,7 @@
 };
 
 use super::{
-    Received, Refusal, ResponseBody,
+    Received, Refusal, ResponseBody, death,
     dispatch::{CAPACITY_RETRY_AFTER, DispatchContext},
     hedge,
     refusal::Reason,
@@ -172,7 +172,11 @@
         log::info!(id = self.id(), endpoint = run.endpoint.as_str(), cause:? = cause,
             last_event:? = self.last_event_id(); "attempt_failed");
         self.context.metrics.failed(cause);
+        let (endpoint, incarnation) = (run.endpoint.clone(), run.incarnation);
         run.end(Some(cause));
+        if cause == FailCause::Broken {
+            death::check(&self.context, &self.group, endpoint, incarnation);
+        }
     }
 
     /// Ends the first attempt because the hedge that was sent later answered first.
@@ -244,7 +248,10 @@
             Err(PlacementRefusal::WarmingUp(after)) => {
                 Err(self.refuse_with_retry_after(Reason::WarmingUp, after))
             }
-            Err(PlacementRefusal::Quarantined(_)) => Err(self.give_up(Reason::Quarantined)),
+            Err(PlacementRefusal::Quarantined(left)) => Err(match self.may_have_run() {
+                true => Refusal::outcome_unknown(Reason::Quarantined),
+                false => Refusal::not_run(Reason::Quarantined, left),
+            }),
             Err(PlacementRefusal::TooLate(by)) => {
                 log::info!(id = self.id(), prompt = request.prompt_tokens,
                     late_ms = by.as_millis() as u64; "too_late");
--- a/crates/router/src/filter/run.rs
+++ b/crates/router/src/filter/run.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use policy::{
-    EndpointId, FailCause,
+    EndpointId, FailCause, Incarnation,
     placement::{JobId, Placement},
 };
 
@@ -31,6 +31,7 @@
     clock: Clock,
     job: JobId,
     pub(super) endpoint: EndpointId,
+    pub(super) incarnation: Incarnation,
     reservations: Option<Reservations<D>>,
     is_ended: bool,
 }
@@ -43,6 +44,7 @@
             clock,
             job: placement.job,
             endpoint: placement.endpoint.clone(),
+            incarnation: placement.incarnation,
             reservations: None,
             is_ended: false,
         }
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -13,6 +13,7 @@
 use super::{
     attempt::{self, AttemptError},
     call::Call,
+    death,
     dispatch::DispatchContext,
     reservations::{Reservation, Reservations},
     run::{ActiveResponse, Run, implies_not_run},
@@ -81,9 +82,8 @@
                 log::info!(id = self.id(), endpoint = run.endpoint.as_str(), is_refused;
                     "not_sent");
                 if is_refused {
-                    let suspects = lock(&self.group.scheduler)
-                        .record_death(&run.endpoint, self.context.clock.now());
-                    log::info!(endpoint = run.endpoint.as_str(), suspects; "endpoint_died");
+                    let DispatchContext { clock, urgent, .. } = &*self.context;
+                    death::record(&self.group, &run.endpoint, run.incarnation, *clock, urgent);
                 }
                 run.end(Some(FailCause::NotSent));
                 None
--- a/crates/router/src/links/message.rs
+++ b/crates/router/src/links/message.rs
@@ -35,8 +35,8 @@
     Gossip(gossip::Message),
     /// Changed load on endpoints of one group.
     EndpointUpdates { group: GroupTag, updates: Vec<EndpointUpdate> },
-    /// Requests suspected of crashing endpoints of one group.
-    Suspects { group: GroupTag, entries: Vec<quarantine::Entry> },
+    /// No longer sent, and ignored. It keeps the numbers by which versions tell the others apart.
+    Suspects,
     /// Asks how fresh the receiver's configuration and endpoints are, and which endpoints have
     /// changed since a position.
     Query { nonce: u64, endpoints_position: Position },
@@ -45,4 +45,6 @@
     /// Positions that the sender has read up to. They confirm nothing; an instance that has read
     /// less sends a query.
     Positions { configuration: Position, endpoints: Position },
+    /// Requests suspected of crashing endpoints of one group, refused or cleared.
+    Quarantine { group: GroupTag, entries: Vec<quarantine::Entry> },
 }
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -24,11 +24,12 @@
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
 use policy::{
-    DataCentre, EndpointGroup, Incarnation, InstanceId, Time,
+    DataCentre, Incarnation, InstanceId, Time,
     freshness::{query_targets, retry_group_size},
     gossip::{Change, Entry, Gossip, Outgoing},
     instances::Instances,
     placement::update_interval,
+    rendezvous,
 };
 use smol::{channel::Receiver, net::UdpSocket};
 
@@ -37,7 +38,7 @@
     freshness::{FreshnessQuery, FreshnessTracker},
     join_names, lock,
     signal::Signal,
-    state::{Group, Groups},
+    state::Groups,
 };
 
 pub use directory::follow_directory;
@@ -48,6 +49,14 @@
 /// part takes about 40 bytes.
 const MAX_UPDATES_PER_DATAGRAM: usize = 24;
 
+/// Maximum number of quarantine entries in one datagram: an entry with eight deaths takes about 140
+/// bytes.
+const MAX_QUARANTINE_ENTRIES_PER_DATAGRAM: usize = 8;
+
+/// Number of instances that send the quarantine to one that has appeared. One of them may have
+/// failed, and its datagram may be lost.
+const INFORMANTS_PER_NEWCOMER: usize = 3;
+
 /// Longer datagrams aren't decoded.
 const MAX_DATAGRAM_BYTES: usize = 4 << 10;
 
@@ -69,9 +78,6 @@
     urgent: Signal,
     listed: Receiver<Vec<SocketAddr>>,
     sequence: u64,
-    /// Number of suspects per group at the last regular update. They are sent again only when it
-    /// has grown.
-    suspect_counts: IndexMap<EndpointGroup, usize>,
     tracker: Arc<FreshnessTracker>,
     queries: Receiver<FreshnessQuery>,
     pending_queries: IndexMap<u64, PendingQuery>,
@@ -82,6 +88,8 @@
     /// Peers that appeared and disappeared since the last log line about them.
     discovered: Vec<InstanceId>,
     lost: Vec<InstanceId>,
+    /// Peers that appeared and may lack entries of the quarantine.
+    newcomers: Vec<InstanceId>,
 }
 
 enum Event {
@@ -140,7 +148,6 @@
             urgent: parts.urgent,
             listed: parts.listed,
             sequence: 0,
-            suspect_counts: IndexMap::new(),
             tracker: parts.tracker,
             queries: parts.queries,
             pending_queries: IndexMap::new(),
@@ -148,6 +155,7 @@
             heard_share: None,
             discovered: Vec::new(),
             lost: Vec::new(),
+            newcomers: Vec::new(),
         }
     }
 
@@ -171,6 +179,7 @@
                     self.pending_queries.retain(|_, query| query.is_open(now));
                     let outgoing = self.gossip.tick(now);
                     self.send_gossip(outgoing).await;
+                    self.send_quarantine_news().await;
                 }
                 Event::Query(query) => self.send_query(query).await,
                 Event::AnnouncementRequested => self.send_announcement().await,
@@ -181,6 +190,7 @@
                 Event::Received(datagram, from) => self.receive(datagram, from).await,
             }
             self.apply_peer_changes();
+            self.inform_newcomers().await;
         }
     }
 
@@ -223,19 +233,48 @@
                 let body = Body::EndpointUpdates { group: group.tag, updates: chunk.to_vec() };
                 self.send_all(body).await;
             }
-            if is_due {
-                self.send_suspects(&group).await;
+        }
+        self.send_quarantine_news().await;
+    }
+
+    async fn send_quarantine_news(&mut self) {
+        let now = self.clock.now();
+        for group in self.groups.all() {
+            let entries = lock(&group.scheduler).take_quarantine_news(now);
+            for chunk in entries.chunks(MAX_QUARANTINE_ENTRIES_PER_DATAGRAM) {
+                self.send_all(Body::Quarantine { group: group.tag, entries: chunk.to_vec() }).await;
             }
         }
     }
 
-    async fn send_suspects(&mut self, group: &Group) {
+    /// Sends all quarantine entries to instances that have appeared. Only a few instances do,
+    /// because all of them have the same entries.
+    async fn inform_newcomers(&mut self) {
+        if self.newcomers.is_empty() {
+            return;
+        }
+        let live = self.gossip.all_live().map(|entry| &entry.instance);
+        let own = self.gossip.own();
+        let members: Vec<_> = live.chain([&own.instance]).cloned().collect();
+        let own_index = members.len() - 1;
+        let is_informant = |newcomer: &InstanceId| {
+            let others: Vec<_> = members.iter().filter(|member| *member != newcomer).collect();
+            let key = rendezvous::key(newcomer.as_str());
+            let informants = rendezvous::owners(key, &others, INFORMANTS_PER_NEWCOMER);
+            informants.iter().any(|index| *others[*index] == members[own_index])
+        };
+        let newcomers = self.newcomers.iter().filter(|newcomer| is_informant(newcomer));
+        let addresses: Vec<_> = newcomers
+            .filter_map(|newcomer| self.gossip.live(newcomer).map(|entry| entry.address))
+            .collect();
+        self.newcomers.clear();
         let now = self.clock.now();
-        let entries = lock(&group.scheduler).quarantine().export(now);
-        let before = self.suspect_counts.insert(group.name.clone(), entries.len()).unwrap_or(0);
-        if entries.len() > before {
-            let body = Body::Suspects { group: group.tag, entries };
-            self.send_all(body).await;
+        for group in self.groups.all() {
+            let entries = lock(&group.scheduler).quarantine_entries(now);
+            for chunk in entries.chunks(MAX_QUARANTINE_ENTRIES_PER_DATAGRAM) {
+                let body = Body::Quarantine { group: group.tag, entries: chunk.to_vec() };
+                self.send(body, &addresses).await;
+            }
         }
     }
 
@@ -294,15 +333,15 @@
     async fn apply(&mut self, instance: InstanceId, body: Body, from: SocketAddr) {
         let now = self.clock.now();
         match body {
-            Body::Gossip(_) => {}
+            Body::Gossip(_) | Body::Suspects => {}
             Body::EndpointUpdates { group, updates } => {
                 if let Some(group) = self.groups.by_tag(group) {
                     lock(&group.scheduler).apply_updates(&instance, &updates, now);
                 }
             }
-            Body::Suspects { group, entries } => {
+            Body::Quarantine { group, entries } => {
                 if let Some(group) = self.groups.by_tag(group) {
-                    lock(&group.scheduler).quarantine().import(&entries, now);
+                    lock(&group.scheduler).apply_quarantine_news(&entries, now);
                 }
             }
             Body::Query { nonce, endpoints_position } => {
@@ -324,11 +363,15 @@
             return;
         }
         for change in changes {
-            let (instance, list) = match change {
-                Change::Appeared(instance) => (instance, &mut self.discovered),
-                Change::Disappeared(instance) => (instance, &mut self.lost),
+            let (instance, is_new) = match change {
+                Change::Appeared(instance) => (instance, true),
+                Change::Disappeared(instance) => (instance, false),
             };
+            let list = if is_new { &mut self.discovered } else { &mut self.lost };
             list.push(instance.clone());
+            if is_new {
+                self.newcomers.push(instance.clone());
+            }
             for group in self.groups.all() {
                 lock(&group.scheduler).remove_peer(&instance);
             }
