--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod adaptive;
 pub mod affinity;
+pub mod announcements;
 pub mod answers;
 pub mod any;
 pub mod backoff;
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -24,17 +24,18 @@
 //! fixed engine may be able to run the request; if the request crashes endpoints again, the period
 //! doubles.
 
-mod news;
+mod entry;
 mod table;
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
-use crate::{EndpointId, Fingerprint, Incarnation, Time, instances::Instances};
+use crate::{
+    EndpointId, Fingerprint, Incarnation, Time, announcements::Announcements, instances::Instances,
+};
 
-use news::News;
-pub use news::{DeathReport, Entry, EntryStatus};
+pub use entry::{DeathReport, Entry, EntryStatus};
 pub(crate) use table::time_before;
 use table::{Cleared, Confirmed, Death, Suspect, make_room};
 pub use table::{DeathId, MAX_CONFIRMED, MAX_DEATHS_PER_SUSPECT, MAX_SUSPECTS};
@@ -100,7 +101,7 @@
     /// Instances don't report on which endpoints they run suspects, so that a suspect that ran
     /// isolated here may have shared its endpoint with another instance's.
     ignores_isolation: bool,
-    news: News,
+    news: Announcements<Fingerprint>,
 }
 
 impl Quarantine {
