Keep the limits that endpoints name in their answers

The limit is now read from each answer and told to all instances at once. It is the same problem as that of cold endpoints, so both use one mechanism, `policy::shared_limit`: each instance sends its quota in any window, and what was sent before counts. A change carries a version; an answer counts only if its request was placed after the last change was known, so nothing late ends a limit or brings it back. Limited endpoints help no prompt. What no endpoint may take is refused at once as `limited`, with the time until there is quota. Zero lets one request through every 4.4 s. Invalid values are logged and ignored.

An instance's rank among all for an endpoint is kept until they change: comparing 985 names for each endpoint at each placement takes too long. Quotas of cold endpoints are as before; what was sent before a cold period now counts within its first 1.1 s.

--- a/crates/policy/src/instances.rs
+++ b/crates/policy/src/instances.rs
@@ -19,10 +19,6 @@
 
 use crate::{EndpointId, Fingerprint, InstanceId, rendezvous};
 
-/// Share of a cold endpoint's limit that is handed out. The rest covers instances whose views of
-/// each other differ.
-const ALLOTTED_SHARE: f64 = 0.8;
-
 /// The instances of a site, as one of them knows them.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Instances {
@@ -49,20 +45,22 @@
         Instances { own: key(own), others, live_others, heard_share }
     }
 
-    /// Requests that this instance may send to a cold endpoint within
-    /// [`WINDOW`](crate::warm_up::WINDOW), where all together may send `limit_per_s` a second. None while
-    /// it has never heard of others that there must be.
-    pub fn quota(&self, limit_per_s: f64, endpoint: &EndpointId) -> usize {
+    /// This instance's part of the `requests` that all instances together may send to an endpoint
+    /// for which it has this [rank](Self::rank). None while it has never heard of others that there
+    /// must be.
+    pub fn quota(&self, requests: usize, rank: usize) -> usize {
         if self.others.is_empty() && self.heard_share < 1.0 {
             return 0;
         }
-        let allotted = (limit_per_s * ALLOTTED_SHARE) as usize;
         let count = self.others.len() + 1;
+        requests / count + usize::from(rank < requests % count)
+    }
+
+    /// Number of instances that come before this one for an endpoint.
+    pub fn rank(&self, endpoint: &EndpointId) -> usize {
         let endpoint = rendezvous::key(endpoint.as_str());
         let own = rendezvous::mix(self.own, endpoint);
-        let before = |other: &&u64| rendezvous::mix(**other, endpoint) < own;
-        let rank = self.others.iter().filter(before).count();
-        allotted / count + usize::from(rank < allotted % count)
+        self.others.iter().filter(|other| rendezvous::mix(**other, endpoint) < own).count()
     }
 
     /// Whether this instance is the one that all instances choose for a fingerprint.
--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -268,7 +268,8 @@
     }
 
     fn is_in_pool(&self, server: &Server, pool: Pool, now: Time) -> bool {
-        !self.is_cold(server, now) || pool == Pool::All && self.may_send_cold(server, now)
+        let is_cold = self.is_cold(server, now);
+        (pool == Pool::All || !is_cold) && self.time_until_allowed(server, now).is_zero()
     }
 
     pub(super) fn health_penalty(&self, server: &Server, now: Time) -> f64 {
@@ -382,7 +383,7 @@
         }
         let head = &mut self.servers[plan.servers[0]];
         head.is_next_probe = false;
-        head.warm_up.record_sent(now + hold);
+        head.sent.record(now + hold, now);
         let incarnation = head.member.incarnation;
         if plan.part_prefill_ms > self.short_prefill_ms() || !helpers.is_empty() {
             self.long_share.add(plan.part_prefill_ms * plan.servers.len() as f64, now);
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -54,13 +54,16 @@
 
 use crate::{
     DataCentre, EndpointId, EndpointTag, FailCause, Incarnation, InstanceId, Region, Time,
+    announcements::Announcements,
     drain::DrainedDataCentres,
     health::Health,
     instances::Instances,
+    named_limit::LimitReport,
     quarantine::{self, DeathId, Quarantine},
     rendezvous,
     routes::EngineRules,
-    warm_up::{self, ColdStart},
+    shared_limit::SharedLimit,
+    warm_up::ColdStart,
 };
 
 use choose::PlacementPlan;
@@ -153,6 +156,7 @@
     health: Health,
     quarantine: Quarantine,
     ended_runs: EndedRuns,
+    limit_news: Announcements<EndpointId>,
     health_assessed_at: Time,
     rng: Rng,
     /// Recent prefill time, in milliseconds, of prompts too long to be prefilled on engines that
@@ -185,6 +189,7 @@
             health: Health::new(),
             quarantine: Quarantine::without_isolation(),
             ended_runs: EndedRuns::default(),
+            limit_news: Announcements::default(),
             health_assessed_at: Time::ZERO,
             rng: Rng::with_seed(seed),
             long_share: decaying::DecayingSum::new(BURST_HALF_LIFE),
@@ -258,6 +263,7 @@
     /// Replaces the instances that share the limit of cold endpoints.
     pub fn set_instances(&mut self, instances: Instances) {
         self.instances = Some(instances);
+        self.servers.values().for_each(Server::forget_rank);
     }
 
     /// Number of endpoints that accept new requests.
@@ -371,10 +377,16 @@
         if present.iter().all(|server| server.is_drained) {
             return PlacementRefusal::Drained;
         }
-        if present.iter().all(|server| server.is_drained || self.is_cold(server, now)) {
-            return PlacementRefusal::WarmingUp(warm_up::WINDOW);
+        let in_use = || present.iter().filter(|server| !server.is_drained);
+        let wait = in_use().map(|server| self.time_until_allowed(server, now)).min();
+        match wait {
+            Some(wait) if !wait.is_zero() => match in_use().all(|server| self.is_cold(server, now))
+            {
+                true => PlacementRefusal::WarmingUp(wait),
+                false => PlacementRefusal::Limited(wait),
+            },
+            _ => PlacementRefusal::NoEndpoint,
         }
-        PlacementRefusal::NoEndpoint
     }
 
     fn has_cold(&self, now: Time) -> bool {
@@ -386,12 +398,24 @@
         self.cold_limit_per_s.is_some() && server.warm_up.is_cold(now)
     }
 
-    /// Whether this instance may send a request to a cold endpoint now.
-    fn may_send_cold(&self, server: &Server, now: Time) -> bool {
-        let (Some(limit), Some(instances)) = (self.cold_limit_per_s, &self.instances) else {
-            return false;
+    /// The limits on an endpoint's requests that all instances share.
+    fn shared_limits(&self, server: &Server, now: Time) -> impl Iterator<Item = SharedLimit> {
+        let cold = self.cold_limit_per_s.filter(|_| self.is_cold(server, now));
+        let named = server.named_limit.per_s();
+        cold.map(SharedLimit::of_cold).into_iter().chain(named.map(SharedLimit::of_named))
+    }
+
+    /// How long until this instance may send a request to an endpoint under its limits; zero if it
+    /// may now.
+    fn time_until_allowed(&self, server: &Server, now: Time) -> Duration {
+        let wait = |SharedLimit { requests, window }: SharedLimit| {
+            let quota = self
+                .instances
+                .as_ref()
+                .map_or(0, |instances| instances.quota(requests, server.rank_among(instances)));
+            server.sent.time_until_allowed(quota, window, now)
         };
-        server.warm_up.sent_within_window(now) < instances.quota(limit, &server.member.endpoint)
+        self.shared_limits(server, now).map(wait).max().unwrap_or_default()
     }
 
     /// How long after a first event at another instance its report is expected at the latest.
@@ -551,6 +575,47 @@
         self.quarantine.record_death_of(death.id, &death.present, death.at, now);
     }
 
+    /// Records the limit that the answer to a request names, or that it names none; true if that
+    /// has changed.
+    pub fn record_named_limit(&mut self, job: JobId, per_s: Option<f64>, now: Time) -> bool {
+        let Some(job) = self.jobs.get(&job) else { return false };
+        let Some(server) = self.servers.get_mut(&job.endpoint) else { return false };
+        if job.incarnations.first() != Some(&server.member.incarnation) {
+            return false;
+        }
+        let is_changed = server.named_limit.record_answer(per_s, job.placed_at, now);
+        if is_changed {
+            self.limit_news.add(job.endpoint.clone(), now);
+        }
+        is_changed
+    }
+
+    /// Takes the limits that the other instances have to be told now.
+    pub fn take_limit_news(&mut self, now: Time) -> Vec<LimitReport> {
+        let due = self.limit_news.take_due(now);
+        let servers = due.iter().filter_map(|endpoint| self.servers.get(endpoint));
+        servers.filter_map(Server::limit_report).collect()
+    }
+
+    /// All limits that endpoints have named, for an instance that has just started.
+    pub fn limit_reports(&self) -> Vec<LimitReport> {
+        self.servers.values().filter_map(Server::limit_report).collect()
+    }
+
+    /// Takes over the limits that another instance knows.
+    pub fn apply_limit_reports(&mut self, reports: &[LimitReport], now: Time) {
+        for report in reports {
+            let index = self.tags.get(&report.endpoint).copied();
+            let server = index.and_then(|index| self.servers.get_index_mut(index));
+            let server = server.map(|(_, server)| server);
+            if let Some(server) =
+                server.filter(|server| server.member.incarnation == report.incarnation)
+            {
+                server.named_limit.merge(report, now);
+            }
+        }
+    }
+
     /// Takes what the other instances have to be told about suspects now.
     pub fn take_quarantine_news(&mut self, now: Time) -> Vec<quarantine::Entry> {
         self.quarantine.take_news(now)
--- a/crates/policy/src/placement/server.rs
+++ b/crates/policy/src/placement/server.rs
@@ -15,11 +15,18 @@
 //! with one pass in a hundred too long, a third of all answers are late. Prefill that is merely
 //! assumed to drain with time looks finished before its pass has begun.
 
-use std::time::Duration;
+use std::{cell::Cell, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::{InstanceId, Time, routes::EngineRules, warm_up::WarmUp};
+use crate::{
+    InstanceId, Time,
+    instances::Instances,
+    named_limit::{LimitReport, NamedLimit},
+    routes::EngineRules,
+    shared_limit::SentRequests,
+    warm_up::WarmUp,
+};
 
 use super::{
     Member, PlacementRules,
@@ -50,6 +57,11 @@
     /// Its data centre is drained.
     pub(super) is_drained: bool,
     pub(super) warm_up: WarmUp,
+    pub(super) named_limit: NamedLimit,
+    /// What this instance sends there; a limit counts what was sent before it was known.
+    pub(super) sent: SentRequests,
+    /// This instance's rank among all of them, once it has been needed.
+    rank: Cell<Option<usize>>,
     prefill_queue: PrefillQueue,
     unanswered: UnansweredParts,
     /// Milliseconds for which it had stalled at the last `refresh`.
@@ -110,6 +122,9 @@
             member,
             is_drained: false,
             warm_up,
+            named_limit: NamedLimit::default(),
+            sent: SentRequests::default(),
+            rank: Cell::new(None),
             prefill_queue: PrefillQueue::new(millis(now)),
             unanswered: UnansweredParts::default(),
             stalled_ms: 0.0,
@@ -139,6 +154,23 @@
         !self.member.leaving && !self.is_drained
     }
 
+    /// This instance's rank for it. Comparing a thousand names takes too long for each placement.
+    pub(super) fn rank_among(&self, instances: &Instances) -> usize {
+        let rank = self.rank.get().unwrap_or_else(|| instances.rank(&self.member.endpoint));
+        self.rank.set(Some(rank));
+        rank
+    }
+
+    /// Forgets the rank, because the instances have changed.
+    pub(super) fn forget_rank(&self) {
+        self.rank.set(None);
+    }
+
+    /// The limit that it names, for the other instances.
+    pub(super) fn limit_report(&self) -> Option<LimitReport> {
+        self.named_limit.report((&self.member.endpoint).into(), self.member.incarnation)
+    }
+
     fn speed<'a>(&self, rules: &'a EngineRules) -> EngineSpeed<'a> {
         EngineSpeed { rules, slowdown: self.slowdown, running: self.running() }
     }
--- a/crates/policy/src/placement/split.rs
+++ b/crates/policy/src/placement/split.rs
@@ -144,7 +144,7 @@
         let arrives_at = millis(now) + trial.hold_ms;
         let may_help = |engine: &&Engine<'_>| {
             engine.server.may_help(max_helping, arrives_at, now)
-                && !self.is_cold(engine.server, now)
+                && self.shared_limits(engine.server, now).next().is_none()
         };
         let eligible = engines.iter().filter(|engine| parts == 1 || may_help(engine));
         let candidates =
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -73,6 +73,20 @@
     pub is_sealed: bool,
     /// Address of another endpoint that caused the refusal.
     pub at_fault: Option<SocketAddr>,
+    /// The limit on requests that the endpoint names.
+    pub limit: StatedLimit,
+}
+
+/// What a response states about the requests that its endpoint takes from all instances together.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub enum StatedLimit {
+    /// There is no limit.
+    #[default]
+    None,
+    /// Requests a second.
+    PerSecond(f64),
+    /// A value that can't be a limit, as it was received.
+    Invalid(String),
 }
 
 /// A request header that can't be parsed.
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -248,6 +248,9 @@
             Err(PlacementRefusal::WarmingUp(after)) => {
                 Err(self.refuse_with_retry_after(Reason::WarmingUp, after))
             }
+            Err(PlacementRefusal::Limited(after)) => {
+                Err(self.refuse_with_retry_after(Reason::Limited, after))
+            }
             Err(PlacementRefusal::Quarantined(left)) => Err(match self.may_have_run() {
                 true => Refusal::outcome_unknown(Reason::Quarantined),
                 false => Refusal::not_run(Reason::Quarantined, left),
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -28,6 +28,8 @@
     Drained,
     /// All endpoints that might run the request are warming up.
     WarmingUp,
+    /// All endpoints that might run the request take only a limited number of requests.
+    Limited,
     /// The answer would miss the caller's deadline.
     TooLate,
     /// Admission control: running the request would cost other requests more than it is worth.
@@ -57,6 +59,7 @@
             Reason::NoEndpoint => "no_endpoint",
             Reason::Drained => "drained",
             Reason::WarmingUp => "warming_up",
+            Reason::Limited => "limited",
             Reason::TooLate => "too_late",
             Reason::Crowded => "crowded",
             Reason::Stopping => "stopping",
--- a/crates/router/src/filter/run.rs
+++ b/crates/router/src/filter/run.rs
@@ -71,6 +71,11 @@
         lock(&self.group.scheduler).record_pause(self.job, pause, self.clock.now());
     }
 
+    /// Reports the limit that the endpoint names to the scheduler; true if it has changed.
+    pub(super) fn record_named_limit(&self, per_s: Option<f64>) -> bool {
+        lock(&self.group.scheduler).record_named_limit(self.job, per_s, self.clock.now())
+    }
+
     /// Ends the run, with the cause if it failed.
     pub(super) fn end(mut self, failed: Option<FailCause>) {
         self.finish(failed);
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -19,7 +19,7 @@
     run::{ActiveResponse, Run, implies_not_run},
 };
 use crate::{
-    dialect::{AttemptMetadata, Dialect, HelperEngine, ResponseMetadata},
+    dialect::{AttemptMetadata, Dialect, HelperEngine, ResponseMetadata, StatedLimit},
     lock,
 };
 
@@ -183,6 +183,9 @@
             self.attempt_failed(active.into_run(), FailCause::BadAnswer);
             return None;
         }
+        if metadata.is_sealed || metadata.not_run && status != StatusCode::MISDIRECTED_REQUEST {
+            self.record_limit(&active.run, &metadata.limit);
+        }
         if metadata.not_run {
             self.record_not_run(active.into_run(), &metadata, status);
             return None;
@@ -205,6 +208,23 @@
         }
     }
 
+    /// Records the limit that an endpoint names, and has the other instances told of a change.
+    fn record_limit(&self, run: &Run<D>, limit: &StatedLimit) {
+        let per_s = match limit {
+            StatedLimit::None => None,
+            StatedLimit::PerSecond(per_s) => Some(*per_s),
+            StatedLimit::Invalid(value) => {
+                log::warn!(endpoint = run.endpoint.as_str(), value = value.as_str();
+                    "limit_ignored");
+                return;
+            }
+        };
+        if run.record_named_limit(per_s) {
+            log::info!(endpoint = run.endpoint.as_str(), per_s:? = per_s; "limit_changed");
+            self.context.urgent.raise();
+        }
+    }
+
     fn record_not_run(&self, run: Run<D>, metadata: &ResponseMetadata, status: StatusCode) {
         log::info!(id = self.id(), endpoint = run.endpoint.as_str(), status = status.as_u16(),
             at_fault:? = metadata.at_fault; "not_run");
--- a/crates/router/src/links/message.rs
+++ b/crates/router/src/links/message.rs
@@ -1,7 +1,8 @@
 //! Messages between instances.
 
 use policy::{
-    GroupTag, Incarnation, freshness::Position, gossip, placement::EndpointUpdate, quarantine,
+    GroupTag, Incarnation, freshness::Position, gossip, named_limit::LimitReport,
+    placement::EndpointUpdate, quarantine,
 };
 use serde::{Deserialize, Serialize};
 
@@ -47,4 +48,6 @@
     Positions { configuration: Position, endpoints: Position },
     /// Requests suspected of crashing endpoints of one group, refused or cleared.
     Quarantine { group: GroupTag, entries: Vec<quarantine::Entry> },
+    /// Limits that endpoints of one group name.
+    Limits { group: GroupTag, reports: Vec<LimitReport> },
 }
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -24,12 +24,13 @@
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
 use policy::{
-    DataCentre, Incarnation, InstanceId, Time,
+    DataCentre, GroupTag, Incarnation, InstanceId, Time,
     freshness::{query_targets, retry_group_size},
     gossip::{Change, Entry, Gossip, Outgoing},
     instances::Instances,
+    named_limit::LimitReport,
     placement::update_interval,
-    rendezvous,
+    quarantine, rendezvous,
 };
 use smol::{channel::Receiver, net::UdpSocket};
 
@@ -53,7 +54,10 @@
 /// bytes.
 const MAX_QUARANTINE_ENTRIES_PER_DATAGRAM: usize = 8;
 
-/// Number of instances that send the quarantine to one that has appeared. One of them may have
+/// Maximum number of limits in one datagram, at about 25 bytes each.
+const MAX_LIMITS_PER_DATAGRAM: usize = 48;
+
+/// Number of instances that send the quarantine and the limits to one that has appeared. One of them may have
 /// failed, and its datagram may be lost.
 const INFORMANTS_PER_NEWCOMER: usize = 3;
 
@@ -88,7 +92,7 @@
     /// Peers that appeared and disappeared since the last log line about them.
     discovered: Vec<InstanceId>,
     lost: Vec<InstanceId>,
-    /// Peers that appeared and may lack entries of the quarantine.
+    /// Peers that appeared and may not know the quarantine and the limits.
     newcomers: Vec<InstanceId>,
 }
 
@@ -179,7 +183,7 @@
                     self.pending_queries.retain(|_, query| query.is_open(now));
                     let outgoing = self.gossip.tick(now);
                     self.send_gossip(outgoing).await;
-                    self.send_quarantine_news().await;
+                    self.send_news().await;
                 }
                 Event::Query(query) => self.send_query(query).await,
                 Event::AnnouncementRequested => self.send_announcement().await,
@@ -234,21 +238,25 @@
                 self.send_all(body).await;
             }
         }
-        self.send_quarantine_news().await;
+        self.send_news().await;
     }
 
-    async fn send_quarantine_news(&mut self) {
+    /// Sends the changes that all instances have to act on at once; see [`policy::announcements`].
+    async fn send_news(&mut self) {
         let now = self.clock.now();
         for group in self.groups.all() {
-            let entries = lock(&group.scheduler).take_quarantine_news(now);
-            for chunk in entries.chunks(MAX_QUARANTINE_ENTRIES_PER_DATAGRAM) {
-                self.send_all(Body::Quarantine { group: group.tag, entries: chunk.to_vec() }).await;
+            let (entries, reports) = {
+                let mut scheduler = lock(&group.scheduler);
+                (scheduler.take_quarantine_news(now), scheduler.take_limit_news(now))
+            };
+            for body in news(group.tag, &entries, &reports) {
+                self.send_all(body).await;
             }
         }
     }
 
-    /// Sends all quarantine entries to instances that have appeared. Only a few instances do,
-    /// because all of them have the same entries.
+    /// Sends the whole quarantine and all limits to instances that have appeared. Only a few
+    /// instances do, because all of them know the same.
     async fn inform_newcomers(&mut self) {
         if self.newcomers.is_empty() {
             return;
@@ -270,9 +278,11 @@
         self.newcomers.clear();
         let now = self.clock.now();
         for group in self.groups.all() {
-            let entries = lock(&group.scheduler).quarantine_entries(now);
-            for chunk in entries.chunks(MAX_QUARANTINE_ENTRIES_PER_DATAGRAM) {
-                let body = Body::Quarantine { group: group.tag, entries: chunk.to_vec() };
+            let (entries, reports) = {
+                let scheduler = lock(&group.scheduler);
+                (scheduler.quarantine_entries(now), scheduler.limit_reports())
+            };
+            for body in news(group.tag, &entries, &reports) {
                 self.send(body, &addresses).await;
             }
         }
@@ -344,6 +354,11 @@
                     lock(&group.scheduler).apply_quarantine_news(&entries, now);
                 }
             }
+            Body::Limits { group, reports } => {
+                if let Some(group) = self.groups.by_tag(group) {
+                    lock(&group.scheduler).apply_limit_reports(&reports, now);
+                }
+            }
             Body::Query { nonce, endpoints_position } => {
                 let reply = self.tracker.reply(endpoints_position);
                 self.send(Body::Reply { nonce, reply }, &[from]).await;
@@ -436,3 +451,14 @@
         Err(_) => std::future::pending().await,
     }
 }
+
+/// Datagrams with these entries of the quarantine and these limits.
+fn news(group: GroupTag, entries: &[quarantine::Entry], reports: &[LimitReport]) -> Vec<Body> {
+    let quarantine = entries
+        .chunks(MAX_QUARANTINE_ENTRIES_PER_DATAGRAM)
+        .map(|entries| Body::Quarantine { group, entries: entries.to_vec() });
+    let limits = reports
+        .chunks(MAX_LIMITS_PER_DATAGRAM)
+        .map(|reports| Body::Limits { group, reports: reports.to_vec() });
+    quarantine.chain(limits).collect()
+}
