Drop changes of the quarantine that nobody takes

Found in reading: `daemon` exchanges whole digests and never takes the changes that collects, so each fingerprint of a death stayed in that table for good. They are dropped after ten seconds. The new test fails without the call.

--- a/crates/policy/src/announcements.rs
+++ b/crates/policy/src/announcements.rs
@@ -21,6 +21,9 @@
 /// Pauses after the first and the second time that a change is sent.
 const REPEAT_PAUSES: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(900)];
 
+/// How long a change that nobody takes is kept.
+const UNTAKEN_TTL: Duration = Duration::from_secs(10);
+
 /// Keys whose latest change hasn't been sent often enough.
 #[derive(Debug)]
 pub struct Announcements<K>(IndexMap<K, Announcement>);
@@ -58,4 +61,9 @@
         });
         due
     }
+
+    /// Drops changes that nobody takes, as where instances exchange their whole state instead.
+    pub fn expire(&mut self, now: Time) {
+        self.0.retain(|_, announcement| now.since(announcement.due_at) < UNTAKEN_TTL);
+    }
 }
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -283,6 +283,7 @@
         self.confirmed.retain(|_, confirmed| confirmed.is_needed(now));
         self.cleared.retain(|_, cleared| now.since(cleared.at) < CLEARED_TTL);
         self.peer_suspects.retain(|_, at| now.since(*at) < PEER_SUSPECT_TTL);
+        self.news.expire(now);
     }
 
     fn grace_period_is_over(&self, fingerprint: Fingerprint, now: Time) -> bool {
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -180,6 +180,18 @@
     assert_eq!(quarantine.export(at(1)).len(), MAX_SUSPECTS);
 }
 
+/// Guards against memory that grows with each death where instances exchange whole states, and
+/// nobody takes the changes.
+#[test]
+fn changes_that_nobody_takes_are_dropped() {
+    let mut quarantine = suspects(&[1]);
+    quarantine.expire(at(15));
+    assert_eq!(quarantine.take_news(at(15)).len(), 1);
+    let mut quarantine = suspects(&[1]);
+    quarantine.expire(at(21));
+    assert_eq!(quarantine.take_news(at(21)), []);
+}
+
 quickcheck! {
     fn any_import_stays_within_bounds(entries: Vec<(u8, u32, u64, u64)>) -> bool {
         let entries: Vec<Entry> = entries
