Inform instances that appear only where there is something to tell

When a fleet starts, each instance sees hundreds of others appear, and ranked all of them for each one although the quarantine was empty. It now looks first whether there is anything to send.

--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -258,34 +258,37 @@
     /// Sends the whole quarantine and all limits to instances that have appeared. Only a few
     /// instances do, because all of them know the same.
     async fn inform_newcomers(&mut self) {
-        if self.newcomers.is_empty() {
+        let newcomers = std::mem::take(&mut self.newcomers);
+        if newcomers.is_empty() {
             return;
         }
-        let live = self.gossip.all_live().map(|entry| &entry.instance);
-        let own = self.gossip.own();
-        let members: Vec<_> = live.chain([&own.instance]).cloned().collect();
-        let own_index = members.len() - 1;
-        let is_informant = |newcomer: &InstanceId| {
-            let others: Vec<_> = members.iter().filter(|member| *member != newcomer).collect();
-            let key = rendezvous::key(newcomer.as_str());
-            let informants = rendezvous::owners(key, &others, INFORMANTS_PER_NEWCOMER);
-            informants.iter().any(|index| *others[*index] == members[own_index])
-        };
-        let newcomers = self.newcomers.iter().filter(|newcomer| is_informant(newcomer));
-        let addresses: Vec<_> = newcomers
-            .filter_map(|newcomer| self.gossip.live(newcomer).map(|entry| entry.address))
-            .collect();
-        self.newcomers.clear();
         let now = self.clock.now();
+        let mut bodies = Vec::new();
         for group in self.groups.all() {
-            let (entries, reports) = {
-                let scheduler = lock(&group.scheduler);
-                (scheduler.quarantine_entries(now), scheduler.limit_reports())
-            };
-            for body in news(group.tag, &entries, &reports) {
-                self.send(body, &addresses).await;
-            }
+            let scheduler = lock(&group.scheduler);
+            let (entries, reports) = (scheduler.quarantine_entries(now), scheduler.limit_reports());
+            bodies.extend(news(group.tag, &entries, &reports));
+        }
+        // Usually there is nothing to send, and instances appear in hundreds when all of them start.
+        if bodies.is_empty() {
+            return;
         }
+        let newcomers = newcomers.iter().filter(|newcomer| self.is_informant_of(newcomer));
+        let entries = newcomers.filter_map(|newcomer| self.gossip.live(newcomer));
+        let addresses: Vec<_> = entries.map(|entry| entry.address).collect();
+        for body in bodies {
+            self.send(body, &addresses).await;
+        }
+    }
+
+    /// Whether this instance is one of the few that inform an instance that has appeared.
+    fn is_informant_of(&self, newcomer: &InstanceId) -> bool {
+        let own = &self.gossip.own().instance;
+        let others = self.gossip.all_live().map(|entry| &entry.instance);
+        let others = others.filter(|instance| *instance != newcomer);
+        let members: Vec<_> = std::iter::once(own).chain(others).collect();
+        let key = rendezvous::key(newcomer.as_str());
+        rendezvous::owners(key, &members, INFORMANTS_PER_NEWCOMER).contains(&0)
     }
 
     async fn send_all(&mut self, body: Body) {
