--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -22,6 +22,7 @@
 //! decoding requests together is nearly free. The measurements are in
 //! `docs/decisions/arrangement.md`.
 
+mod announce;
 mod backoff;
 mod choose;
 mod decaying;
@@ -54,21 +55,14 @@
 
 use crate::{
     DataCentre, EndpointId, EndpointTag, FailCause, Incarnation, InstanceId, Region, Time,
-    announcements::Announcements,
-    drain::DrainedDataCentres,
-    health::Health,
-    instances::Instances,
-    named_limit::LimitReport,
-    quarantine::{self, DeathId, Quarantine},
-    rendezvous,
-    routes::EngineRules,
-    shared_limit::SharedLimit,
+    announcements::Announcements, drain::DrainedDataCentres, health::Health, instances::Instances,
+    quarantine::Quarantine, rendezvous, routes::EngineRules, shared_limit::SharedLimit,
     warm_up::ColdStart,
 };
 
 use choose::PlacementPlan;
 use decoding::whole_ms;
-use ended_runs::{EndedRuns, ProvenDeath};
+use ended_runs::EndedRuns;
 use server::Server;
 
 /// Interval between two assessments of the endpoints' health. Bounds what a failing endpoint still
@@ -237,15 +231,6 @@
         }
     }
 
-    /// Counts runs that were broken on an incarnation that is no longer registered as part of its
-    /// death. The registration alone is no proof: it also lapses where the endpoint can't reach the
-    /// log.
-    fn record_lapse(&mut self, member: &Member, now: Time) {
-        let id = DeathId::new(&member.endpoint, member.incarnation);
-        let death = self.ended_runs.death(id, now, now);
-        self.suspect(&death, now);
-    }
-
     /// Replaces the data centres whose endpoints get no new requests. What runs there goes on.
     pub fn set_drained(&mut self, drained: &DrainedDataCentres) {
         self.drained = drained.clone();
@@ -540,105 +525,6 @@
         }
     }
 
-    /// Whether it has to be checked if an endpoint lives, after a run was broken there; see
-    /// [`record_death`](Self::record_death).
-    pub fn begin_death_check(
-        &mut self,
-        endpoint: &EndpointId,
-        incarnation: Incarnation,
-        now: Time,
-    ) -> bool {
-        self.ended_runs.begin_check(DeathId::new(endpoint, incarnation), now)
-    }
-
-    /// Records that an endpoint's incarnation died, because connections there are refused. All
-    /// requests that it ended are suspected of having caused it. Returns their number.
-    pub fn record_death(
-        &mut self,
-        endpoint: &EndpointId,
-        incarnation: Incarnation,
-        now: Time,
-    ) -> usize {
-        let server = self.servers.get(endpoint);
-        let is_leaving = server.is_some_and(|server| {
-            server.member.leaving && server.member.incarnation == incarnation
-        });
-        if is_leaving {
-            return 0;
-        }
-        let death = self.ended_runs.record_death(DeathId::new(endpoint, incarnation), now, now);
-        self.suspect(&death, now);
-        death.present.len()
-    }
-
-    fn suspect(&mut self, death: &ProvenDeath, now: Time) {
-        self.quarantine.record_death_of(death.id, &death.present, death.at, now);
-    }
-
-    /// Records the limit that the answer to a request names, or that it names none; true if that
-    /// has changed.
-    pub fn record_named_limit(&mut self, job: JobId, per_s: Option<f64>, now: Time) -> bool {
-        let Some(job) = self.jobs.get(&job) else { return false };
-        let Some(server) = self.servers.get_mut(&job.endpoint) else { return false };
-        if job.incarnations.first() != Some(&server.member.incarnation) {
-            return false;
-        }
-        let is_changed = server.named_limit.record_answer(per_s, job.placed_at, now);
-        if is_changed {
-            self.limit_news.add(job.endpoint.clone(), now);
-        }
-        is_changed
-    }
-
-    /// Takes the limits that the other instances have to be told now.
-    pub fn take_limit_news(&mut self, now: Time) -> Vec<LimitReport> {
-        let due = self.limit_news.take_due(now);
-        let servers = due.iter().filter_map(|endpoint| self.servers.get(endpoint));
-        servers.filter_map(Server::limit_report).collect()
-    }
-
-    /// All limits that endpoints have named, for an instance that has just started.
-    pub fn limit_reports(&self) -> Vec<LimitReport> {
-        self.servers.values().filter_map(Server::limit_report).collect()
-    }
-
-    /// Takes over the limits that another instance knows.
-    pub fn apply_limit_reports(&mut self, reports: &[LimitReport], now: Time) {
-        for report in reports {
-            let index = self.tags.get(&report.endpoint).copied();
-            let server = index.and_then(|index| self.servers.get_index_mut(index));
-            let server = server.map(|(_, server)| server);
-            if let Some(server) =
-                server.filter(|server| server.member.incarnation == report.incarnation)
-            {
-                server.named_limit.merge(report, now);
-            }
-        }
-    }
-
-    /// Takes what the other instances have to be told about suspects now.
-    pub fn take_quarantine_news(&mut self, now: Time) -> Vec<quarantine::Entry> {
-        self.quarantine.take_news(now)
-    }
-
-    /// All suspects and refused fingerprints, for an instance that has just started.
-    pub fn quarantine_entries(&self, now: Time) -> Vec<quarantine::Entry> {
-        self.quarantine.export(now)
-    }
-
-    /// Adds what another instance knows of suspects. Deaths that it reports are proven, so what
-    /// this instance ran there is suspected too.
-    pub fn apply_quarantine_news(&mut self, entries: &[quarantine::Entry], now: Time) {
-        self.quarantine.import(entries, now);
-        let suspects =
-            entries.iter().filter(|entry| entry.status == quarantine::EntryStatus::Suspect);
-        for report in suspects.flat_map(|entry| &entry.deaths) {
-            let at = quarantine::time_before(now, Duration::from_millis(report.age_ms));
-            let death = self.ended_runs.record_death(report.id, at, now);
-            self.suspect(&death, now);
-        }
-    }
-
     /// Whether a held request may still be sent as it was placed: none of its endpoints has begun
     /// to leave or has a new incarnation, and no other instance placed a long prompt on the same
     /// engines at the same moment.
