Answer requests that arrive in the last moments of a stop

Cause: with no request in flight the instance waited 150 ms for the last bytes of answers and then ended, also where a request had come meanwhile. It now ends once none has come for 150 ms, or when its time is over.

--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -222,11 +222,19 @@
         self.lifecycle.enter(Stage::Closing);
         log::info!(open = self.lifecycle.in_flight(); "closing");
         Timer::after(IDLE_CLOSE_GRACE_PERIOD).await;
-        while self.lifecycle.in_flight() > 0 && std::time::Instant::now() < end {
-            Timer::after(DRAIN_POLL_INTERVAL).await;
+        loop {
+            let accepted = self.lifecycle.accepted_requests();
+            // The last bytes of answers are still on their way to the callers.
+            Timer::after(IDLE_CLOSE_GRACE_PERIOD).await;
+            let is_idle =
+                self.lifecycle.in_flight() == 0 && self.lifecycle.accepted_requests() == accepted;
+            if is_idle || std::time::Instant::now() >= end {
+                break;
+            }
+            while self.lifecycle.in_flight() > 0 && std::time::Instant::now() < end {
+                Timer::after(DRAIN_POLL_INTERVAL).await;
+            }
         }
-        // The last bytes of answers are still on their way to the callers.
-        Timer::after(IDLE_CLOSE_GRACE_PERIOD).await;
         log::info!(open = self.lifecycle.in_flight(); "stopped");
     }
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -39,6 +39,7 @@
 pub struct Lifecycle {
     stage: AtomicU8,
     in_flight: AtomicUsize,
+    accepted: AtomicUsize,
     /// When requests that are still in flight are cut off.
     cutoff: OnceLock<Instant>,
     closing: OneShot,
@@ -49,6 +50,7 @@
         Lifecycle {
             stage: AtomicU8::new(0),
             in_flight: AtomicUsize::new(0),
+            accepted: AtomicUsize::new(0),
             cutoff: OnceLock::new(),
             closing: OneShot::default(),
         }
@@ -95,9 +97,15 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    /// Number of requests since the start.
+    pub fn accepted_requests(&self) -> usize {
+        self.accepted.load(Ordering::Acquire)
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
     pub fn count_request(self: &Arc<Self>) -> InFlightGuard {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
+        self.accepted.fetch_add(1, Ordering::AcqRel);
         InFlightGuard(self.clone())
     }
 }
