Repeat changes for longer than a cut that removes nobody

Found in reading: changes of the quarantine and of limits were sent three times within 1.2 s. An instance that is cut off for two seconds isn't removed, so it doesn't get the whole state afterwards, and would have sent a crashing request on until it had seen the deaths itself. They are now sent five times within 12 s; who is cut off for longer is removed and told when it appears again.

--- a/crates/policy/src/announcements.rs
+++ b/crates/policy/src/announcements.rs
@@ -6,11 +6,12 @@
 //! **Without it.** A change that is sent once is lost with its datagram; one that is repeated until
 //! it is acknowledged costs most while links are bad.
 //!
-//! **Rule.** Each change is sent at once and twice more. Only the instance that made the change
+//! **Rule.** Each change is sent at once and four times more, after growing pauses. Only the instance that made the change
 //! sends it. Receivers merge changes, so that order and repetition don't matter.
 //!
-//! **Grounds.** Datagrams are lost in bursts of some hundred milliseconds. An instance that misses
-//! all three gets the whole state when it appears again.
+//! **Grounds.** Datagrams are lost in bursts of some hundred milliseconds. An instance that is cut
+//! off for longer than the last repetition is removed meanwhile, and gets the whole state when it
+//! appears again.
 
 use std::{hash::Hash, time::Duration};
 
@@ -18,8 +19,14 @@
 
 use crate::Time;
 
-/// Pauses after the first and the second time that a change is sent.
-const REPEAT_PAUSES: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(900)];
+/// Pauses between the times that a change is sent. Together they are longer than it takes to remove
+/// an instance that is cut off.
+const REPEAT_PAUSES: [Duration; 4] = [
+    Duration::from_millis(300),
+    Duration::from_millis(900),
+    Duration::from_millis(2_700),
+    Duration::from_millis(8_100),
+];
 
 /// How long a change that nobody takes is kept.
 const UNTAKEN_TTL: Duration = Duration::from_secs(10);
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -263,8 +263,7 @@
         entries
     }
 
-    /// Takes the entries that the other instances have to be told now. Each change is sent three
-    /// times.
+    /// Takes the entries that the other instances have to be told now.
     pub fn take_news(&mut self, now: Time) -> Vec<Entry> {
         let due = self.news.take_due(now);
         due.into_iter().filter_map(|fingerprint| self.entry(fingerprint, now)).collect()
--- a/crates/policy/tests/named_limits.rs
+++ b/crates/policy/tests/named_limits.rs
@@ -332,6 +332,22 @@
         assert_eq!(fill(&mut scheduler, 9_000).0, ENDPOINTS);
     };
 
+    /// Guards against an instance that is cut off for two seconds, too short to be removed, and misses
+    /// a limit for good.
+    a_limit_is_told_after_a_short_cut => || {
+        let site = Site::new(CALM);
+        let (mut here, mut there) = (site.scheduler(0), site.scheduler(1));
+        let placement = place(&mut here, 1, 0).unwrap();
+        here.record_named_limit(placement.job, Some(2.0), at(60));
+        for ms in (60..5_060).step_by(10) {
+            let reports = here.take_limit_news(at(ms));
+            if ms >= 2_060 {
+                there.apply_limit_reports(&reports, at(ms));
+            }
+        }
+        assert_eq!(there.limit_reports(), here.limit_reports());
+    };
+
     /// Guards against instances that each have to get an answer before they know of a limit.
     a_limit_reaches_instances_that_got_no_answer => || {
         let site = Site::new(CALM);
@@ -339,13 +355,13 @@
         let placement = place(&mut here, 1, 0).unwrap();
         here.record_named_limit(placement.job, Some(2.0), at(60));
         let mut times_told = 0;
-        for ms in (60..2_000).step_by(10) {
+        for ms in (60..20_000).step_by(10) {
             let reports = here.take_limit_news(at(ms));
             times_told += usize::from(!reports.is_empty());
             there.apply_limit_reports(&reports, at(ms + 5));
         }
-        assert_eq!((times_told, there.limit_reports()), (3, here.limit_reports()));
-        assert_eq!(there.take_limit_news(at(2_000)), [], "only who learned it tells it");
+        assert_eq!((times_told, there.limit_reports()), (5, here.limit_reports()));
+        assert_eq!(there.take_limit_news(at(20_000)), [], "only who learned it tells it");
     };
 
     /// Guards against a limit that a late answer or a late message brings back.
