--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -57,8 +57,8 @@
 /// Maximum number of limits in one datagram, at about 25 bytes each.
 const MAX_LIMITS_PER_DATAGRAM: usize = 48;
 
-/// Number of instances that send the quarantine and the limits to one that has appeared. One of them may have
-/// failed, and its datagram may be lost.
+/// Number of instances that send the quarantine and the limits to one that has appeared. One of
+/// them may have failed, and its datagram may be lost.
 const INFORMANTS_PER_NEWCOMER: usize = 3;
 
 /// Longer datagrams aren't decoded.
