--- a/crates/policy/src/announcements.rs
+++ b/crates/policy/src/announcements.rs
@@ -6,8 +6,9 @@
 //! **Without it.** A change that is sent once is lost with its datagram; one that is repeated until
 //! it is acknowledged costs most while links are bad.
 //!
-//! **Rule.** Each change is sent at once and four times more, after growing pauses. Only the instance that made the change
-//! sends it. Receivers merge changes, so that order and repetition don't matter.
+//! **Rule.** Each change is sent at once and four times more, after growing pauses. Only the
+//! instance that made the change sends it. Receivers merge changes, so that order and repetition
+//! don't matter.
 //!
 //! **Grounds.** Datagrams are lost in bursts of some hundred milliseconds. An instance that is cut
 //! off for longer than the last repetition is removed meanwhile, and gets the whole state when it
--- a/crates/router/src/filter/mod.rs
+++ b/crates/router/src/filter/mod.rs
@@ -1,8 +1,8 @@
 //! The request path, one module per filter: [`start`] delays requests until the first configuration
 //! and endpoints are known, [`identify`] resolves route and workspace, [`receive`] reads the body,
 //! [`dispatch`] chooses an endpoint group, [`call`] and [`send`] place the request on endpoints,
-//! [`relay`] passes event streams to the caller, and [`death`]
-//! checks endpoints that broke an attempt.
+//! [`relay`] passes event streams to the caller, and [`death`] checks endpoints that broke an
+//! attempt.
 //!
 //! Each filter takes the output type of the one before it, so a request can't skip a filter. The
 //! chain is composed with generics only.
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -3,8 +3,10 @@
 //!
 //! Every update states an absolute level or a short-lived addition, so only the latest one matters:
 //! the next update replaces a lost one, and none waits for another. A stream would deliver outdated
-//! updates late and in order (`docs/decisions/platform.md`). What peers send unasked only changes
-//! where this instance sends work, or wakes a follower to query; no guarantee depends on it.
+//! updates late and in order (`docs/decisions/platform.md`). Load updates only change where this
+//! instance sends work, and positions wake a follower to query; no guarantee depends on them. What
+//! peers tell of suspects and limits also decides what is refused, and is repeated
+//! ([`policy::announcements`]).
 //! [`policy::gossip`] decides who is a peer. Replies to this instance's own queries ([`queries`])
 //! are evaluated by [`policy::freshness`].
 
