--- a/crates/policy/tests/crashing_requests.rs
+++ b/crates/policy/tests/crashing_requests.rs
@@ -374,6 +374,42 @@
         assert_eq!(scheduler.quarantine_entries(at(3_500)).len(), 1);
     };
 
+    /// Guards against several copies of a held request that run at once where they may.
+    a_held_request_runs_once_at_a_time => || {
+        let mut scheduler = arranging::scheduler(5, engine(), PlacementRules::default(), 1);
+        let request = PlacementRequest { fingerprint: POISON, ..arranging::request(0) };
+        for ms in [0, 200, 400] {
+            let placement = scheduler.place(&request, at(ms)).unwrap();
+            scheduler.mark_sent(placement.job);
+            scheduler.finish(placement.job, Some(FailCause::Broken), at(ms + 150));
+            scheduler.record_death(&placement.endpoint, Incarnation(1), at(ms + 155));
+        }
+        assert!(scheduler.place(&request, at(2_500)).is_err(), "endpoints may still be dying");
+        scheduler.place(&request, at(2_600)).unwrap();
+        let second = scheduler.place(&request, at(2_700));
+        assert!(matches!(second, Err(PlacementRefusal::Quarantined(_))), "{second:?}");
+    };
+
+    /// Guards against a harmless request that stays refused although a run of it completes.
+    a_complete_run_ends_a_refusal => || {
+        let mut scheduler = arranging::scheduler(5, engine(), PlacementRules::default(), 1);
+        let request = PlacementRequest { fingerprint: POISON, ..arranging::request(0) };
+        let under_way = scheduler.place(&request, at(0)).unwrap();
+        scheduler.mark_sent(under_way.job);
+        for ms in [100, 3_000] {
+            let tried = vec![(under_way.endpoint.clone(), under_way.incarnation)];
+            let placement =
+                scheduler.place(&PlacementRequest { tried, ..request.clone() }, at(ms)).unwrap();
+            scheduler.mark_sent(placement.job);
+            scheduler.finish(placement.job, Some(FailCause::Broken), at(ms + 150));
+            scheduler.record_death(&placement.endpoint, Incarnation(1), at(ms + 155));
+        }
+        let refused = scheduler.place(&request, at(4_000));
+        assert!(matches!(refused, Err(PlacementRefusal::Quarantined(_))), "{refused:?}");
+        scheduler.finish(under_way.job, None, at(5_000));
+        scheduler.place(&request, at(5_100)).unwrap();
+    };
+
     /// Guards against a broken link that is taken for a death: the endpoint answers afterwards.
     a_break_before_an_answer_is_no_death => || {
         let mut scheduler = arranging::scheduler(1, engine(), PlacementRules::default(), 1);
