--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -129,6 +129,12 @@
     /// Builds a request that releases a reservation.
     fn release(&self, endpoint: &EndpointId, id: &str) -> ReservationRequest;
 
+    /// Address at which this instance reaches an endpoint, from the registered one. They differ where
+    /// addresses are translated on the way.
+    fn endpoint_address(&self, registered: SocketAddr) -> SocketAddr {
+        registered
+    }
+
     /// Headers for the caller's response, from those of the endpoint's.
     fn response_headers(&self, answer: &HeaderMap) -> HeaderMap;
 
--- a/crates/router/src/filter/death.rs
+++ b/crates/router/src/filter/death.rs
@@ -16,10 +16,10 @@
 use policy::{EndpointId, Incarnation};
 
 use super::{attempt::CONNECT_TIMEOUT, dispatch::DispatchContext};
-use crate::{clock::Clock, lock, net, signal::Signal, state::Group};
+use crate::{clock::Clock, dialect::Dialect, lock, net, signal::Signal, state::Group};
 
 /// Checks in the background whether an endpoint has died, unless a check was made just now.
-pub(super) fn check<D>(
+pub(super) fn check<D: Dialect>(
     context: &DispatchContext<D>,
     group: &Arc<Group>,
     endpoint: EndpointId,
@@ -28,6 +28,7 @@
     let clock = context.clock;
     let is_new = lock(&group.scheduler).begin_death_check(&endpoint, incarnation, clock.now());
     let Some(address) = group.address(&endpoint).filter(|_| is_new) else { return };
+    let address = context.dialect.endpoint_address(address);
     let (group, urgent) = (group.clone(), context.urgent.clone());
     let check = async move {
         match net::connect(address, CONNECT_TIMEOUT).await {
--- a/crates/router/src/filter/reservations.rs
+++ b/crates/router/src/filter/reservations.rs
@@ -116,6 +116,7 @@
         let (dialect, executor, held) =
             (self.dialect.clone(), self.executor.clone(), self.held.clone());
         self._renewal = Some(self.executor.spawn(async move {
+            let runner = dialect.endpoint_address(runner);
             loop {
                 Timer::after(RENEWAL_INTERVAL).await;
                 if let Err(e) = net::connect(runner, LIVENESS_TIMEOUT).await {
@@ -153,7 +154,8 @@
         reservation.tokens,
         RESERVATION_LIFETIME,
     );
-    let status = send_request(&executor, reservation.address, request).await;
+    let address = dialect.endpoint_address(reservation.address);
+    let status = send_request(&executor, address, request).await;
     log::info!(endpoint = reservation.endpoint.as_str(), reservation = reservation.id.as_str(),
         tokens = reservation.tokens, status:? = status; "reserve");
     status == Some(StatusCode::OK)
@@ -162,7 +164,8 @@
 async fn release<D: Dialect>(dialect: Arc<D>, executor: SharedExecutor, reservation: Reservation) {
     for _ in 0..MAX_RELEASE_ATTEMPTS {
         let request = dialect.release(&reservation.endpoint, &reservation.id);
-        let status = send_request(&executor, reservation.address, request).await;
+        let address = dialect.endpoint_address(reservation.address);
+        let status = send_request(&executor, address, request).await;
         log::info!(endpoint = reservation.endpoint.as_str(), reservation = reservation.id.as_str(),
             status:? = status; "release");
         if status.is_some() {
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -73,9 +73,8 @@
             scheduler.record_connect_time(&placement.endpoint, connect_time);
             scheduler.mark_sent(placement.job);
         };
-        match attempt::send(&self.context.executor, address, req, self.time_left(), before_send)
-            .await
-        {
+        let address = dialect.endpoint_address(address);
+        match attempt::send(executor, address, req, self.time_left(), before_send).await {
             Ok(response) => self.check_response(ActiveResponse { response, run }).await,
             Err(AttemptError::NotSent { is_refused }) => {
                 self.mark_unsent();
