Pass requests on through a peer while no endpoint is reached

Cause: an instance has no way to an endpoint but its own connections. Ruled out: ejected endpoints (attempts in each second, success at once after the cut) and exhaustion (27 connections, 1% of a core).

Change: policy::forwarding decides whether the path is cut and which peer helps; filter::forward passes the request on, once. The peer treats it like one of its own callers'. Retries are earned where a request is first placed, so that one that is passed on doesn't earn them twice.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod digest;
 pub mod drain;
 pub mod first_read;
+pub mod forwarding;
 pub mod freshness;
 pub mod gossip;
 pub mod health;
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -41,6 +41,15 @@
     pub resume_after: Option<u64>,
 }
 
+/// What an instance changes in a caller's request that it passes on to a peer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ForwardMetadata {
+    /// How long the caller will still wait.
+    pub time_left: Duration,
+    /// Id of the last event that the caller has received, if the stream has to resume after it.
+    pub resume_after: Option<u64>,
+}
+
 /// An engine that prefills a part of the prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HelperEngine {
@@ -114,6 +123,10 @@
     /// connection or that endpoints must not get, and the attempt's metadata.
     fn write_attempt(&self, caller: &HeaderMap, attempt: &AttemptMetadata<'_>) -> HeaderMap;
 
+    /// Headers of a request that is passed on to a peer: those of the caller, without the ones that
+    /// concern only its connection, and with the metadata in place of the caller's.
+    fn write_forward(&self, caller: &HeaderMap, forward: &ForwardMetadata) -> HeaderMap;
+
     /// Reads the headers of a response.
     fn read_response(&self, head: &response::Parts) -> ResponseMetadata;
 
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     dialect::Dialect,
-    filter::{Handler, ResponseBody},
+    filter::{Handler, Refusal, ResponseBody},
     metrics::Metrics,
     serve::{ConnectionLimits, Service},
     state::{Configuration, Groups, Lifecycle, Stage},
@@ -27,12 +27,16 @@
     pub(crate) metrics: Arc<Metrics>,
 }
 
-impl<D: Dialect, H: Handler<Request<Incoming>>> Service for CallerService<D, H> {
-    async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+impl<D: Dialect, H: Handler<Request<Incoming>>> CallerService<D, H> {
+    /// Answers a request. Returns the refusal too where this is the instance's own.
+    pub(crate) async fn answer(
+        &self,
+        req: Request<Incoming>,
+    ) -> (Response<ResponseBody>, Option<Refusal>) {
         let guard = self.lifecycle.count_request();
         let request_id = self.dialect.request_id(req.headers());
-        let mut resp = match self.chain.handle(req).await {
-            Ok(resp) => resp,
+        let (mut resp, refused) = match self.chain.handle(req).await {
+            Ok(resp) => (resp, None),
             Err(refusal) => {
                 self.metrics.refused(refusal.reason.as_str());
                 log::info!(
@@ -42,13 +46,19 @@
                     config_age_ms = self.configuration.age().map_or(-1, |a| a.as_millis() as i64);
                     "refused"
                 );
-                refusal.response()
+                (refusal.response(), Some(refusal))
             }
         };
         if self.lifecycle.stage() == Stage::Closing {
             resp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
-        resp.map(|body| body.with_guard(guard))
+        (resp.map(|body| body.with_guard(guard)), refused)
+    }
+}
+
+impl<D: Dialect, H: Handler<Request<Incoming>>> Service for CallerService<D, H> {
+    async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+        self.answer(req).await.0
     }
 
     fn connection_limits(&self) -> ConnectionLimits {
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -8,6 +8,7 @@
 use http::{Response, StatusCode};
 use policy::{
     EndpointId, FailCause, Incarnation, Time,
+    forwarding::Peer,
     placement::{Helper, JobId, Placement, PlacementRefusal, PlacementRequest},
 };
 
@@ -54,6 +55,30 @@
     names.join(",")
 }
 
+/// Where the next attempt is sent.
+pub(super) enum Target {
+    Endpoint(Placement),
+    Peer(Peer),
+}
+
+impl Target {
+    /// Name of the endpoint or the peer.
+    pub(super) fn name(&self) -> &str {
+        match self {
+            Target::Endpoint(placement) => placement.endpoint.as_str(),
+            Target::Peer(peer) => peer.instance.as_str(),
+        }
+    }
+
+    /// The scheduler's job, on an endpoint.
+    pub(super) fn job(&self) -> Option<JobId> {
+        match self {
+            Target::Endpoint(placement) => Some(placement.job),
+            Target::Peer(_) => None,
+        }
+    }
+}
+
 /// Whether another attempt of the same request is in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum OtherAttempt {
@@ -71,6 +96,10 @@
     pub(super) sent: u32,
     /// Number of attempts at which nothing was sent, or another server had the endpoint's address.
     pub(super) not_sent: u32,
+    /// Number of attempts whose endpoint wasn't reached.
+    pub(super) unreached: u32,
+    /// Peers that the request was passed on to.
+    pub(super) peers_tried: Vec<Peer>,
     /// Number of attempts that may have run.
     pub(super) unknown_outcomes: u32,
     /// Id of the last event sent to the caller.
@@ -92,7 +121,6 @@
         group: Arc<Group>,
     ) -> Self {
         let last_event_id = received.caller.last_event_id;
-        group.record_first_attempt(context.clock.now());
         let progress = Mutex::new(Progress { last_event_id, ..Progress::default() });
         Call { context, received, group, progress }
     }
@@ -169,12 +197,22 @@
 
     /// Ends an attempt that failed after it was sent.
     pub(super) fn attempt_failed(&self, run: Run<D>, cause: FailCause) {
-        log::info!(id = self.id(), endpoint = run.endpoint.as_str(), cause:? = cause,
+        log::info!(id = self.id(), endpoint = run.name(), cause:? = cause,
             last_event:? = self.last_event_id(); "attempt_failed");
         self.context.metrics.failed(cause);
-        let (endpoint, incarnation) = (run.endpoint.clone(), run.incarnation);
+        let died = match &run {
+            Run::Endpoint(run) if cause == FailCause::Broken => {
+                Some((run.endpoint.clone(), run.incarnation))
+            }
+            Run::Endpoint(_) => None,
+            Run::Peer(run) => {
+                let now = self.context.clock.now();
+                self.context.groups.peers().record_decline(&run.peer, self.group.tag, now);
+                None
+            }
+        };
         run.end(Some(cause));
-        if cause == FailCause::Broken {
+        if let Some((endpoint, incarnation)) = died {
             death::check(&self.context, &self.group, endpoint, incarnation);
         }
     }
@@ -185,37 +223,70 @@
         lock(&self.group.scheduler).finish(job, Some(FailCause::Silent), now);
     }
 
-    /// Places the next attempt, if one more is allowed.
-    pub(super) fn next_placement(&self, other: OtherAttempt) -> Result<Placement, Refusal> {
+    /// Chooses where the next attempt is sent, if one more is allowed.
+    pub(super) fn next_target(&self, other: OtherAttempt) -> Result<Target, Refusal> {
         if self.time_left().is_zero() {
             return Err(self.give_up(Reason::Expired));
         }
-        if !self.may_send() {
-            let reason =
-                if self.may_have_run() { Reason::OutcomeUnknown } else { Reason::Rejected };
-            return Err(self.give_up(reason));
+        let prefers_peer = self.prefers_peer();
+        if prefers_peer && self.received.forwarded.is_some() {
+            return Err(self.give_up(Reason::Unreachable));
+        }
+        if prefers_peer && let Some(peer) = self.choose_peer() {
+            return Ok(Target::Peer(peer));
+        }
+        let refusal = match self.next_placement(other) {
+            Ok(placement) => return Ok(Target::Endpoint(placement)),
+            Err(refusal) => refusal,
+        };
+        match self.choose_peer().filter(|_| self.has_unreached()) {
+            Some(peer) => Ok(Target::Peer(peer)),
+            None => Err(refusal),
         }
-        self.place(other)
     }
 
-    fn may_have_run(&self) -> bool {
+    /// Places the next attempt on an endpoint, if one more is allowed.
+    fn next_placement(&self, other: OtherAttempt) -> Result<Placement, Refusal> {
+        if self.may_send() {
+            return self.place(other);
+        }
+        let reason = if self.may_have_run() { Reason::OutcomeUnknown } else { Reason::Rejected };
+        Err(self.give_up(reason))
+    }
+
+    pub(super) fn may_have_run(&self) -> bool {
         lock(&self.progress).unknown_outcomes > 0
     }
 
     /// Whether the request may be sent to one more endpoint.
     fn may_send(&self) -> bool {
-        let route = &self.received.route;
         let progress = lock(&self.progress);
-        if progress.not_sent > MAX_UNSENT_ATTEMPTS || progress.sent >= route.max_attempts {
+        if progress.not_sent > MAX_UNSENT_ATTEMPTS || !self.may_run_again(&progress) {
             return false;
         }
-        if progress.unknown_outcomes > 0 && !route.retry_safety.is_idempotent() {
-            return false;
+        if progress.sent + progress.not_sent == 0 {
+            self.group.record_first_attempt(self.context.clock.now());
+            return true;
         }
+        self.may_retry()
+    }
+
+    /// Whether the request may run once more, as far as its route says.
+    pub(super) fn may_run_again(&self, progress: &Progress) -> bool {
+        let is_idempotent = self.received.route.retry_safety.is_idempotent();
+        progress.sent < self.max_attempts() && (is_idempotent || progress.unknown_outcomes == 0)
+    }
+
+    /// Takes a retry from the budget, if there is one.
+    pub(super) fn may_retry(&self) -> bool {
         let instances = self.context.instances.load(Ordering::Relaxed);
-        let now = self.context.clock.now();
-        progress.sent + progress.not_sent == 0
-            || self.group.may_retry(&self.context.retry_rules, instances, now)
+        self.group.may_retry(&self.context.retry_rules, instances, self.context.clock.now())
+    }
+
+    /// Number of endpoints that may get the request.
+    pub(super) fn max_attempts(&self) -> u32 {
+        let of_route = self.received.route.max_attempts;
+        self.received.forwarded.map_or(of_route, |forwarded| forwarded.attempts.min(of_route))
     }
 
     fn place(&self, other: OtherAttempt) -> Result<Placement, Refusal> {
--- a/crates/router/src/filter/hedge.rs
+++ b/crates/router/src/filter/hedge.rs
@@ -15,12 +15,12 @@
 use std::{future::Future, pin::pin, time::Duration};
 
 use futures_lite::FutureExt;
-use policy::{FailCause, placement::Placement};
+use policy::FailCause;
 use smol::Timer;
 
 use super::{
     Refusal,
-    call::{Call, OtherAttempt},
+    call::{Call, OtherAttempt, Target},
     run::ActiveResponse,
 };
 use crate::dialect::Dialect;
@@ -55,16 +55,16 @@
     F: AsyncFn(&Call<D>, ActiveResponse<D>) -> Result<T, FailCause>,
 {
     loop {
-        let placement = call.next_placement(other)?;
-        let delay = call.hedge_delay(&placement);
-        let first_job = placement.job;
-        let mut first = pin!(attempt(call, placement, &accept));
+        let target = call.next_target(other)?;
+        let delay = call.hedge_delay(&target);
+        let first_job = target.job();
+        let mut first = pin!(attempt(call, target, &accept));
         match race(first.as_mut(), wait(delay)).await {
             Either::Left(Some(accepted)) => return Ok(accepted),
             Either::Left(None) => continue,
             Either::Right(()) => {}
         }
-        let Ok(placement) = call.next_placement(OtherAttempt::InFlight) else {
+        let Ok(target) = call.next_target(OtherAttempt::InFlight) else {
             // No other endpoint may get the request, so the first one gets all the remaining time.
             match first.await {
                 Some(accepted) => return Ok(accepted),
@@ -72,13 +72,15 @@
             }
         };
         call.context.metrics.hedged();
-        log::info!(id = call.id(), endpoint = placement.endpoint.as_str(),
+        log::info!(id = call.id(), endpoint = target.name(),
             after_ms = delay.as_millis() as u64; "hedged");
-        let mut second = pin!(attempt(call, placement, &accept));
+        let mut second = pin!(attempt(call, target, &accept));
         let accepted = match race(first.as_mut(), second.as_mut()).await {
             Either::Left(Some(accepted)) => Some(accepted),
             Either::Right(Some(accepted)) => {
-                call.hedge_won(first_job);
+                if let Some(job) = first_job {
+                    call.hedge_won(job);
+                }
                 Some(accepted)
             }
             Either::Left(None) => second.await,
@@ -90,12 +92,15 @@
     }
 }
 
-async fn attempt<D, T, F>(call: &Call<D>, placement: Placement, accept: &F) -> Option<T>
+async fn attempt<D, T, F>(call: &Call<D>, target: Target, accept: &F) -> Option<T>
 where
     D: Dialect,
     F: AsyncFn(&Call<D>, ActiveResponse<D>) -> Result<T, FailCause>,
 {
-    let active = call.attempt(placement).await?;
+    let active = match target {
+        Target::Endpoint(placement) => call.attempt(placement).await?,
+        Target::Peer(peer) => call.forward(peer).await?,
+    };
     accept(call, active).await.ok()
 }
 
--- a/crates/router/src/filter/mod.rs
+++ b/crates/router/src/filter/mod.rs
@@ -1,8 +1,8 @@
 //! The request path, one module per filter: [`start`] delays requests until the first configuration
 //! and endpoints are known, [`identify`] resolves route and workspace, [`receive`] reads the body,
 //! [`dispatch`] chooses an endpoint group, [`call`] and [`send`] place the request on endpoints,
-//! [`relay`] passes event streams to the caller, and [`death`] checks endpoints that broke an
-//! attempt.
+//! [`forward`] passes it on through a peer instead, [`relay`] passes event streams to the caller, and
+//! [`death`] checks endpoints that broke an attempt.
 //!
 //! Each filter takes the output type of the one before it, so a request can't skip a filter. The
 //! chain is composed with generics only.
@@ -12,6 +12,7 @@
 mod call;
 mod death;
 mod dispatch;
+mod forward;
 mod hedge;
 mod identify;
 mod receive;
@@ -28,6 +29,8 @@
 
 pub use body::ResponseBody;
 pub use dispatch::{Dispatch, DispatchContext};
+pub use forward::Forwarded;
+pub(crate) use forward::PeerService;
 pub use identify::{Identified, Identify};
 pub use receive::{Receive, Received};
 pub use refusal::Refusal;
--- a/crates/router/src/filter/receive.rs
+++ b/crates/router/src/filter/receive.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::{Handler, Identified, Refusal, ResponseBody, refusal::Reason};
+use super::{Forwarded, Handler, Identified, Refusal, ResponseBody, refusal::Reason};
 use crate::{clock::Clock, dialect::RequestMetadata};
 
 /// Timeout of requests whose caller states none.
@@ -41,6 +41,8 @@
     pub deadline: Time,
     /// Identifies the request when it is sent again.
     pub fingerprint: Fingerprint,
+    /// Set if a peer has passed the request on.
+    pub forwarded: Option<Forwarded>,
 }
 
 /// Filter that reads the body and sets the deadline.
@@ -78,8 +80,18 @@
         };
         let body = read.or(timed_out).await?;
         let fingerprint = fingerprint(&head, &owner, &body);
-        let received =
-            Received { head, body, caller, route, owner, arrived, deadline, fingerprint };
+        let forwarded = head.extensions.get().copied();
+        let received = Received {
+            head,
+            body,
+            caller,
+            route,
+            owner,
+            arrived,
+            deadline,
+            fingerprint,
+            forwarded,
+        };
         self.next.handle(received).await
     }
 }
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -40,6 +40,9 @@
     Quarantined,
     /// Endpoints refused the request without running it.
     Rejected,
+    /// A request that a peer passed on isn't taken: this instance reaches no endpoint either, is
+    /// stopping or is busy with others.
+    Unreachable,
     /// An endpoint failed, and it is unknown whether the request ran.
     OutcomeUnknown,
     /// The caller's deadline has passed.
@@ -65,12 +68,26 @@
             Reason::Stopping => "stopping",
             Reason::Quarantined => "quarantined",
             Reason::Rejected => "rejected",
+            Reason::Unreachable => "unreachable",
             Reason::OutcomeUnknown => "outcome_unknown",
             Reason::Expired => "expired",
         }
     }
 }
 
+impl Reason {
+    /// Whether another instance may be able to serve the request.
+    pub(super) fn is_local(self) -> bool {
+        matches!(
+            self,
+            Reason::ConfigurationStale
+                | Reason::NoEndpoint
+                | Reason::Stopping
+                | Reason::Unreachable
+        )
+    }
+}
+
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
--- a/crates/router/src/filter/run.rs
+++ b/crates/router/src/filter/run.rs
@@ -1,17 +1,22 @@
-//! A request that occupies an endpoint, and how its end is reported to the scheduler.
+//! A request that occupies an endpoint or a peer, and how its end is reported.
 
 use std::{sync::Arc, time::Duration};
 
 use http::StatusCode;
 use policy::{
-    EndpointId, FailCause, Incarnation,
+    EndpointId, FailCause, Incarnation, InstanceId,
     placement::{JobId, Placement},
 };
 
 use super::{attempt::EndpointResponse, reservations::Reservations};
-use crate::{clock::Clock, dialect::Dialect, lock, state::Group};
+use crate::{
+    clock::Clock,
+    dialect::Dialect,
+    lock,
+    state::{Group, Groups},
+};
 
-/// An endpoint's response together with the run that produces it.
+/// A response together with the run that produces it.
 pub(super) struct ActiveResponse<D: Dialect> {
     pub(super) response: EndpointResponse,
     pub(super) run: Run<D>,
@@ -24,9 +29,67 @@
     }
 }
 
+/// Where a request runs, as far as this instance sees.
+pub(super) enum Run<D: Dialect> {
+    Endpoint(EndpointRun<D>),
+    Peer(PeerRun),
+}
+
+impl<D: Dialect> Run<D> {
+    /// Name of the endpoint or the peer.
+    pub(super) fn name(&self) -> &str {
+        match self {
+            Run::Endpoint(run) => run.endpoint.as_str(),
+            Run::Peer(run) => run.peer.as_str(),
+        }
+    }
+
+    /// Reports the first event to the scheduler.
+    pub(super) fn first_event_received(&self) {
+        if let Run::Endpoint(run) = self {
+            lock(&run.group.scheduler).record_first_event(run.job, run.clock.now());
+        }
+    }
+
+    /// Reports a pause between two events to the scheduler.
+    pub(super) fn record_pause(&self, pause: Duration) {
+        if let Run::Endpoint(run) = self {
+            lock(&run.group.scheduler).record_pause(run.job, pause, run.clock.now());
+        }
+    }
+
+    /// Ends the run, with the cause if it failed.
+    pub(super) fn end(self, failed: Option<FailCause>) {
+        match self {
+            Run::Endpoint(run) => run.end(failed),
+            Run::Peer(run) => drop(run),
+        }
+    }
+}
+
+/// A request that was passed on to a peer. Dropping it ends it.
+pub(super) struct PeerRun {
+    groups: Arc<Groups>,
+    pub(super) peer: InstanceId,
+}
+
+impl PeerRun {
+    /// Counts a request that is about to be passed on.
+    pub(super) fn new(groups: &Arc<Groups>, peer: InstanceId) -> PeerRun {
+        groups.peers().record_start(&peer);
+        PeerRun { groups: groups.clone(), peer }
+    }
+}
+
+impl Drop for PeerRun {
+    fn drop(&mut self) {
+        self.groups.peers().record_end(&self.peer);
+    }
+}
+
 /// A request's place on an endpoint, with the reservations it holds on helpers. Both are released
 /// when the run is ended or dropped.
-pub(super) struct Run<D: Dialect> {
+pub(super) struct EndpointRun<D: Dialect> {
     group: Arc<Group>,
     clock: Clock,
     job: JobId,
@@ -36,10 +99,10 @@
     is_ended: bool,
 }
 
-impl<D: Dialect> Run<D> {
+impl<D: Dialect> EndpointRun<D> {
     /// Creates the run of a placed request.
-    pub(super) fn new(group: &Arc<Group>, clock: Clock, placement: &Placement) -> Run<D> {
-        Run {
+    pub(super) fn new(group: &Arc<Group>, clock: Clock, placement: &Placement) -> EndpointRun<D> {
+        EndpointRun {
             group: group.clone(),
             clock,
             job: placement.job,
@@ -61,16 +124,6 @@
         self.reservations = None;
     }
 
-    /// Reports the first event to the scheduler.
-    pub(super) fn first_event_received(&self) {
-        lock(&self.group.scheduler).record_first_event(self.job, self.clock.now());
-    }
-
-    /// Reports a pause between two events to the scheduler.
-    pub(super) fn record_pause(&self, pause: Duration) {
-        lock(&self.group.scheduler).record_pause(self.job, pause, self.clock.now());
-    }
-
     /// Reports the limit that the endpoint names to the scheduler; true if it has changed.
     pub(super) fn record_named_limit(&self, per_s: Option<f64>) -> bool {
         lock(&self.group.scheduler).record_named_limit(self.job, per_s, self.clock.now())
@@ -88,7 +141,7 @@
     }
 }
 
-impl<D: Dialect> Drop for Run<D> {
+impl<D: Dialect> Drop for EndpointRun<D> {
     fn drop(&mut self) {
         // The caller closed the connection, which says nothing about the endpoint.
         self.finish(Some(FailCause::Deadline));
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -4,19 +4,19 @@
 //! connection, or a response that says so. In all other failures the outcome is unknown, and the
 //! caller is told so instead of "not run".
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use policy::{FailCause, placement::Placement};
 use smol::Timer;
 
 use super::{
-    attempt::{self, AttemptError},
-    call::Call,
+    attempt::{self, AttemptError, EndpointResponse},
+    call::{Call, Target},
     death,
     dispatch::DispatchContext,
     reservations::{Reservation, Reservations},
-    run::{ActiveResponse, Run, implies_not_run},
+    run::{ActiveResponse, EndpointRun, Run, implies_not_run},
 };
 use crate::{
     dialect::{AttemptMetadata, Dialect, HelperEngine, ResponseMetadata, StatedLimit},
@@ -27,13 +27,17 @@
 /// calls take that long, and the hedge's response is still on time.
 const HEDGE_DELAY_GOAL_SHARE: f64 = 0.5;
 
+/// A connection that is closed sooner than this after it was opened says nothing about the request:
+/// endpoints take longer to run anything.
+const EARLIEST_CRASH: Duration = Duration::from_millis(20);
+
 /// Time beyond three times the predicted time to the first event after which a hedge is sent.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(900);
 
 impl<D: Dialect> Call<D> {
     /// Sends one attempt. Returns `None` unless the response may be passed on to the caller.
     pub(super) async fn attempt(&self, placement: Placement) -> Option<ActiveResponse<D>> {
-        let mut run = Run::new(&self.group, self.context.clock, &placement);
+        let mut run = EndpointRun::new(&self.group, self.context.clock, &placement);
         if !self.wait_out_hold(&placement).await {
             return None;
         }
@@ -68,16 +72,22 @@
         }
         self.context.metrics.sent();
         let group = self.group.clone();
+        let mut sent_at = None;
         let before_send = |connect_time| {
+            sent_at = Some(Instant::now());
             let mut scheduler = lock(&group.scheduler);
             scheduler.record_connect_time(&placement.endpoint, connect_time);
             scheduler.mark_sent(placement.job);
         };
         let address = dialect.endpoint_address(address);
         match attempt::send(executor, address, req, self.time_left(), before_send).await {
-            Ok(response) => self.check_response(ActiveResponse { response, run }).await,
+            Ok(response) => {
+                lock(&self.group.path).record_answer();
+                self.check_response(response, run).await
+            }
             Err(AttemptError::NotSent { is_refused }) => {
                 self.mark_unsent();
+                self.record_unreached(&placement.endpoint);
                 log::info!(id = self.id(), endpoint = run.endpoint.as_str(), is_refused;
                     "not_sent");
                 if is_refused {
@@ -88,7 +98,11 @@
                 None
             }
             Err(AttemptError::Unknown(cause)) => {
-                self.attempt_failed(run, cause);
+                let is_early = sent_at.is_some_and(|at| at.elapsed() < EARLIEST_CRASH);
+                if cause == FailCause::Broken && is_early {
+                    self.record_unreached(&placement.endpoint);
+                }
+                self.attempt_failed(Run::Endpoint(run), cause);
                 None
             }
         }
@@ -154,7 +168,7 @@
     }
 
     /// Corrects the counters for an attempt that turned out not to have been sent.
-    fn mark_unsent(&self) {
+    pub(super) fn mark_unsent(&self) {
         let mut progress = lock(&self.progress);
         progress.sent -= 1;
         progress.unknown_outcomes -= 1;
@@ -162,11 +176,13 @@
     }
 
     /// How long to wait for an attempt before a hedge is sent.
-    pub(super) fn hedge_delay(&self, placement: &Placement) -> Duration {
+    pub(super) fn hedge_delay(&self, target: &Target) -> Duration {
         let route = &self.received.route;
         if !route.retry_safety.is_idempotent() {
             return Duration::MAX;
         }
+        // A peer hedges by its own prediction, and a hedge here is for the peer's own failure.
+        let Target::Endpoint(placement) = target else { return route.goal + FIRST_EVENT_SLACK };
         if route.is_streaming {
             let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1000.0);
             return 3 * predicted + FIRST_EVENT_SLACK;
@@ -175,32 +191,36 @@
     }
 
     /// Returns the response if it may be passed on to the caller, and otherwise ends the attempt.
-    async fn check_response(&self, active: ActiveResponse<D>) -> Option<ActiveResponse<D>> {
-        let metadata = self.context.dialect.read_response(&active.response.head);
-        let status = active.response.head.status;
+    async fn check_response(
+        &self,
+        response: EndpointResponse,
+        run: EndpointRun<D>,
+    ) -> Option<ActiveResponse<D>> {
+        let metadata = self.context.dialect.read_response(&response.head);
+        let status = response.head.status;
         if !self.matches_request(&metadata) {
-            self.attempt_failed(active.into_run(), FailCause::BadAnswer);
+            self.attempt_failed(Run::Endpoint(run), FailCause::BadAnswer);
             return None;
         }
         if metadata.is_sealed || metadata.not_run && status != StatusCode::MISDIRECTED_REQUEST {
-            self.record_limit(&active.run, &metadata.limit);
+            self.record_limit(&run, &metadata.limit);
         }
         if metadata.not_run {
-            self.record_not_run(active.into_run(), &metadata, status);
+            self.record_not_run(run, &metadata, status);
             return None;
         }
         if status.is_success() && !metadata.is_sealed {
-            self.attempt_failed(active.into_run(), FailCause::BadAnswer);
+            self.attempt_failed(Run::Endpoint(run), FailCause::BadAnswer);
             return None;
         }
         if status.is_server_error() || implies_not_run(status) {
-            self.endpoint_error(active).await;
+            self.endpoint_error(response, run).await;
             return None;
         }
-        Some(active)
+        Some(ActiveResponse { response, run: Run::Endpoint(run) })
     }
 
-    fn matches_request(&self, metadata: &ResponseMetadata) -> bool {
+    pub(super) fn matches_request(&self, metadata: &ResponseMetadata) -> bool {
         match (&metadata.request_id, &self.received.caller.request_id) {
             (Some(echoed), Some(sent)) => echoed == sent,
             _ => true,
@@ -208,7 +228,7 @@
     }
 
     /// Records the limit that an endpoint names, and has the other instances told of a change.
-    fn record_limit(&self, run: &Run<D>, limit: &StatedLimit) {
+    fn record_limit(&self, run: &EndpointRun<D>, limit: &StatedLimit) {
         let per_s = match limit {
             StatedLimit::None => None,
             StatedLimit::PerSecond(per_s) => Some(*per_s),
@@ -224,7 +244,7 @@
         }
     }
 
-    fn record_not_run(&self, run: Run<D>, metadata: &ResponseMetadata, status: StatusCode) {
+    fn record_not_run(&self, run: EndpointRun<D>, metadata: &ResponseMetadata, status: StatusCode) {
         log::info!(id = self.id(), endpoint = run.endpoint.as_str(), status = status.as_u16(),
             at_fault:? = metadata.at_fault; "not_run");
         if status == StatusCode::MISDIRECTED_REQUEST {
@@ -244,13 +264,13 @@
 
     /// Handles an error of the endpoint itself. The request ran; it is retried on another endpoint
     /// where that is allowed, and otherwise this response is passed on.
-    async fn endpoint_error(&self, mut active: ActiveResponse<D>) {
-        active.run.release_reservations();
-        let head = active.response.head.clone();
-        log::info!(id = self.id(), endpoint = active.run.endpoint.as_str(),
+    async fn endpoint_error(&self, response: EndpointResponse, mut run: EndpointRun<D>) {
+        run.release_reservations();
+        let head = response.head.clone();
+        log::info!(id = self.id(), endpoint = run.endpoint.as_str(),
             status = head.status.as_u16(); "endpoint_error");
-        let body = active.response.collect(self.time_left()).await;
-        active.run.end(Some(FailCause::EndpointError));
+        let body = response.collect(self.time_left()).await;
+        run.end(Some(FailCause::EndpointError));
         if let Ok(body) = body
             && !implies_not_run(head.status)
         {
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -14,14 +14,16 @@
     clock::{self, Clock},
     dialect::Dialect,
     entry::{CallerService, ReadinessService},
-    filter::{Dispatch, DispatchContext, Identify, Receive, ReservationIds, StartupGate},
+    filter::{
+        Dispatch, DispatchContext, Identify, PeerService, Receive, ReservationIds, StartupGate,
+    },
     follow,
     freshness::FreshnessTracker,
     links::{self, LinkParts, Links},
     metrics::{Metrics, MetricsError, MetricsPage},
-    net, serve,
+    net, peer_listener, serve,
     signal::Signal,
-    snapshot::{self, SnapshotClient},
+    snapshot::{SnapshotClient, SnapshotServer},
     source::{ConfigSource, EndpointSource, PeerDirectory, PeerEntry},
     state::{Configuration, Groups, Lifecycle, Stage},
 };
@@ -155,13 +157,14 @@
             Receive::new(clock, dispatch),
         );
         let chain = StartupGate::new(configuration.clone(), groups.clone(), identify);
-        let entry = CallerService {
+        let entry = Arc::new(CallerService {
             chain,
             dialect: dialect.clone(),
             configuration: configuration.clone(),
             lifecycle: lifecycle.clone(),
             metrics: metrics.clone(),
-        };
+        });
+        let forwarded = Arc::new(PeerService::new(entry.clone()));
         let readiness = ReadinessService {
             path: dialect.ready_path(),
             configuration: configuration.clone(),
@@ -174,10 +177,11 @@
             let metrics_page = Arc::new(MetricsPage { metrics, lifecycle: lifecycle.clone() });
             spawn.spawn(serve::serve(listener, metrics_page, executor.clone())).detach();
         }
-        spawn.spawn(serve::serve(callers, Arc::new(entry), executor.clone())).detach();
+        spawn.spawn(serve::serve(callers, entry, executor.clone())).detach();
         spawn.spawn(serve::serve(ready, Arc::new(readiness), executor.clone())).detach();
         spawn.spawn(links.run()).detach();
-        spawn.spawn(snapshot::serve(peers, tracker.clone(), executor.clone())).detach();
+        let snapshots = SnapshotServer::new(tracker.clone(), executor.clone());
+        spawn.spawn(peer_listener::serve(peers, snapshots, forwarded, executor.clone())).detach();
         let snapshots = SnapshotClient::new(executor);
         let directory =
             links::follow_directory(sources.peers, own_entry, tracker.clone(), listed_tx);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod links;
 pub mod metrics;
 pub mod net;
+mod peer_listener;
 pub mod serve;
 pub mod settings;
 pub mod signal;
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -27,6 +27,7 @@
 use indexmap::IndexMap;
 use policy::{
     DataCentre, GroupTag, Incarnation, InstanceId, Time,
+    forwarding::Peer,
     freshness::{query_targets, retry_group_size},
     gossip::{Change, Entry, Gossip, Outgoing},
     instances::Instances,
@@ -350,6 +351,9 @@
         match body {
             Body::Gossip(_) | Body::Suspects => {}
             Body::EndpointUpdates { group, updates } => {
+                if updates.iter().any(|update| update.answered) {
+                    self.groups.peers().record_answer(&instance, group, now);
+                }
                 if let Some(group) = self.groups.by_tag(group) {
                     lock(&group.scheduler).apply_updates(&instance, &updates, now);
                 }
@@ -392,6 +396,14 @@
             if is_new {
                 self.newcomers.push(instance.clone());
             }
+            self.groups.peers().remove(&instance);
+            if let Some(entry) = self.gossip.live(&instance) {
+                self.groups.peers().add(Peer {
+                    instance: instance.clone(),
+                    address: entry.address,
+                    data_centre: entry.data_centre.clone(),
+                });
+            }
             for group in self.groups.all() {
                 lock(&group.scheduler).remove_peer(&instance);
             }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -49,6 +49,7 @@
     attempts: Counter<u64>,
     failures: Counter<u64>,
     hedges: Counter<u64>,
+    forwards: Counter<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
     registry: Registry,
@@ -79,6 +80,7 @@
             attempts: counter(&meter, "trefoilhall_attempts", "requests sent to endpoints"),
             failures: counter(&meter, "trefoilhall_attempt_failures", "failed attempts, by cause"),
             hedges: counter(&meter, "trefoilhall_hedges", "attempts beside a slow one"),
+            forwards: counter(&meter, "trefoilhall_forwards", "requests passed on to peers"),
             first_byte: seconds_histogram(
                 &meter,
                 "trefoilhall_first_byte",
@@ -122,6 +124,11 @@
         self.hedges.add(1, &[]);
     }
 
+    /// Counts a request that is passed on to a peer.
+    pub fn forwarded(&self) {
+        self.forwards.add(1, &[]);
+    }
+
     /// Records the time to the first byte of an answer.
     pub fn first_byte_received(&self, prompt: Option<u64>, elapsed: Duration) {
         let labels = [KeyValue::new("prompt", prompt_band(prompt))];
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -8,6 +8,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use smol::{
     Executor, Timer,
+    io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
 };
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -56,7 +57,8 @@
 ) {
     loop {
         let stream = accept(&listener).await;
-        executor.spawn(serve_connection(stream, service.clone())).detach();
+        net::set_connection_options(&stream);
+        executor.spawn(serve_stream(stream, service.clone())).detach();
     }
 }
 
@@ -73,8 +75,12 @@
     }
 }
 
-async fn serve_connection<S: Service>(stream: TcpStream, service: Arc<S>) {
-    net::set_connection_options(&stream);
+/// Serves the requests of one connection.
+pub(crate) async fn serve_stream<S, T>(stream: T, service: Arc<S>)
+where
+    S: Service,
+    T: AsyncRead + AsyncWrite + Unpin,
+{
     let limits = service.connection_limits();
     let first_request = OneShot::default();
     let handler = service_fn(|req| {
--- a/crates/router/src/snapshot.rs
+++ b/crates/router/src/snapshot.rs
@@ -31,7 +31,7 @@
 use serde::{Deserialize, Serialize};
 use smol::{
     Executor, Timer,
-    net::{TcpListener, TcpStream},
+    io::{AsyncRead, AsyncWrite},
 };
 use smol_hyper::rt::{FuturesIo, SmolExecutor};
 use xxhash_rust::xxh3::xxh3_64;
@@ -39,7 +39,7 @@
 use crate::{
     clock::BootTime,
     freshness::{FreshnessTracker, Source},
-    lock, net, serve,
+    lock, net,
 };
 
 /// Time limit of a transfer. Within a data centre it takes milliseconds; a peer that takes longer
@@ -215,49 +215,50 @@
     }
 }
 
-/// Serves snapshots to peers until it is dropped.
-pub async fn serve(
-    listener: TcpListener,
+/// Serves snapshots to peers.
+pub(crate) struct SnapshotServer {
     tracker: Arc<FreshnessTracker>,
+    budget: Arc<TransferBudget>,
     executor: Arc<Executor<'static>>,
-) {
-    let budget = Arc::default();
-    loop {
-        let stream = serve::accept(&listener).await;
-        let connection = connection(stream, tracker.clone(), Arc::clone(&budget), executor.clone());
-        executor.spawn(connection).detach();
-    }
 }
 
-async fn connection(
-    stream: TcpStream,
-    tracker: Arc<FreshnessTracker>,
-    budget: Arc<TransferBudget>,
-    executor: Arc<Executor<'static>>,
-) {
-    net::set_connection_options(&stream);
-    // What the connection sends counts until it is closed.
-    let in_flight = Arc::new(Mutex::new(Vec::new()));
-    let respond = service_fn(|req| {
-        let (tracker, budget, in_flight) = (tracker.clone(), budget.clone(), in_flight.clone());
-        async move {
-            let (resp, reserved) = respond(req, &tracker, &budget).await;
-            lock(&in_flight).extend(reserved);
-            Ok::<_, Infallible>(resp)
+impl SnapshotServer {
+    pub(crate) fn new(
+        tracker: Arc<FreshnessTracker>,
+        executor: Arc<Executor<'static>>,
+    ) -> SnapshotServer {
+        SnapshotServer { tracker, budget: Arc::default(), executor }
+    }
+
+    /// Serves one connection.
+    pub(crate) async fn serve<T>(&self, stream: T)
+    where
+        T: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        // What the connection sends counts until it is closed.
+        let in_flight = Arc::new(Mutex::new(Vec::new()));
+        let respond = service_fn(|req| {
+            let (tracker, budget) = (self.tracker.clone(), self.budget.clone());
+            let in_flight = in_flight.clone();
+            async move {
+                let (resp, reserved) = respond(req, &tracker, &budget).await;
+                lock(&in_flight).extend(reserved);
+                Ok::<_, Infallible>(resp)
+            }
+        });
+        let served = async {
+            server::Builder::new(SmolExecutor::new(self.executor.clone()))
+                .serve_connection(FuturesIo::new(stream), respond)
+                .await
+                .map_err(|e| e.to_string())
+        };
+        let timed_out = async {
+            Timer::after(CONNECTION_TIMEOUT).await;
+            Err(format!("still open after {CONNECTION_TIMEOUT:?}"))
+        };
+        if let Err(e) = served.or(timed_out).await {
+            log::debug!(cause:% = e; "peer_connection_ended");
         }
-    });
-    let served = async {
-        server::Builder::new(SmolExecutor::new(executor))
-            .serve_connection(FuturesIo::new(stream), respond)
-            .await
-            .map_err(|e| e.to_string())
-    };
-    let timed_out = async {
-        Timer::after(CONNECTION_TIMEOUT).await;
-        Err(format!("still open after {CONNECTION_TIMEOUT:?}"))
-    };
-    if let Err(e) = served.or(timed_out).await {
-        log::debug!(cause:% = e; "peer_connection_ended");
     }
 }
 
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, OnceLock, PoisonError, RwLock,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock,
         atomic::{AtomicU8, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -13,6 +13,7 @@
 use policy::{
     EndpointGroup, EndpointId, GroupTag, Time,
     drain::DrainedDataCentres,
+    forwarding::{Path, Peers},
     instances::Instances,
     placement::{GroupScheduler, PlacementRules},
     retry::{RetryRules, RetryWindow},
@@ -181,6 +182,8 @@
     pub scheduler: Mutex<GroupScheduler>,
     /// Addresses of the endpoints.
     pub addresses: RwLock<IndexMap<EndpointId, SocketAddr>>,
+    /// This instance's own path to the endpoints.
+    pub path: Mutex<Path>,
     retries: Mutex<RetryWindow>,
 }
 
@@ -192,6 +195,7 @@
             name,
             scheduler: Mutex::new(GroupScheduler::with_rules(placement, seed)),
             addresses: RwLock::default(),
+            path: Mutex::default(),
             retries: Mutex::default(),
         }
     }
@@ -202,6 +206,13 @@
         addresses.get(endpoint).copied()
     }
 
+    /// Address of a random endpoint; `None` if the group has none.
+    pub fn random_address(&self) -> Option<SocketAddr> {
+        let addresses = self.addresses.read().unwrap_or_else(PoisonError::into_inner);
+        let index = (!addresses.is_empty()).then(|| fastrand::usize(..addresses.len()))?;
+        addresses.get_index(index).map(|(_, address)| *address)
+    }
+
     /// The endpoint with this address.
     pub fn endpoint_at(&self, address: SocketAddr) -> Option<EndpointId> {
         let addresses = self.addresses.read().unwrap_or_else(PoisonError::into_inner);
@@ -241,6 +252,8 @@
 pub struct Groups {
     placement: PlacementRules,
     shared: Mutex<SharedView>,
+    /// Peers through which requests may be passed on.
+    peers: Mutex<Peers>,
     groups: RwLock<IndexMap<EndpointGroup, Arc<Group>>>,
     /// Set once the endpoints have been read.
     endpoints_read: OneShot,
@@ -252,6 +265,11 @@
         Groups { placement, ..Groups::default() }
     }
 
+    /// Peers through which requests may be passed on.
+    pub fn peers(&self) -> MutexGuard<'_, Peers> {
+        lock(&self.peers)
+    }
+
     /// Replaces the drained data centres; true if the set has changed.
     pub fn set_drained(&self, drained: &DrainedDataCentres) -> bool {
         self.update_shared(|shared| {
