Have peers prove that an endpoint has died

A refused connection was taken for proof that its endpoint had ended. Class: a conclusion that one instance draws from its own view alone and tells others.

Now two peers, of different data centres where possible, are asked to connect. One that isn't connected while another endpoint takes its connection proves the death; one that is connected disproves it. An instance without peers proves it the same way itself. Nothing is asked while the path is known to be cut.

--- a/crates/policy/src/forwarding/peers.rs
+++ b/crates/policy/src/forwarding/peers.rs
@@ -72,6 +72,11 @@
         self.0.swap_remove(peer);
     }
 
+    /// Whether there is no live peer.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Chooses a peer for a request to a group that `tried` have declined: of two random ones the
     /// one with fewer requests. Those of other data centres come first, then those that have just
     /// reported an answer. None if nobody is left.
--- a/crates/policy/src/placement/announce.rs
+++ b/crates/policy/src/placement/announce.rs
@@ -23,8 +23,14 @@
         self.ended_runs.begin_check(DeathId::new(endpoint, incarnation), now)
     }
 
-    /// Records that an endpoint's incarnation died, because connections there are refused. All
-    /// requests that it ended are suspected of having caused it. Returns their number.
+    /// The registered incarnation of an endpoint.
+    pub fn incarnation(&self, endpoint: &EndpointId) -> Option<Incarnation> {
+        self.servers.get(endpoint).map(|server| server.member.incarnation)
+    }
+
+    /// Records that an endpoint's incarnation has died, which has to be proved: connections that are
+    /// refused here may be refused because this instance is cut off. All requests that it ended are
+    /// suspected of having caused it. Returns their number.
     pub fn record_death(
         &mut self,
         endpoint: &EndpointId,
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -8,6 +8,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use policy::{
     EndpointId, FailCause,
@@ -19,6 +20,7 @@
     Handler, Refusal, ResponseBody,
     attempt::{self, AttemptError, CONNECT_TIMEOUT},
     call::Call,
+    death::{self, MAX_EXAMINATION_BYTES},
     dispatch::CAPACITY_RETRY_AFTER,
     refusal::Reason,
     run::{ActiveResponse, PeerRun, Run},
@@ -28,7 +30,8 @@
     entry::CallerService,
     lock, net,
     serve::{ConnectionLimits, Service},
-    state::{Lifecycle, Stage},
+    snapshot::{decode, encode},
+    state::{Groups, Lifecycle, Stage},
 };
 
 /// Number of endpoints that may get a request that is passed on.
@@ -90,7 +93,7 @@
 
     /// Finds out in the background whether the path works again.
     fn probe_path(&self) {
-        let Some(address) = self.group.random_address() else { return };
+        let Some(address) = self.group.random_addresses(1, None).pop() else { return };
         let address = self.context.dialect.endpoint_address(address);
         let (group, clock) = (self.group.clone(), self.context.clock);
         let probe = async move {
@@ -201,15 +204,31 @@
     closed.or(held).await
 }
 
-/// Serves requests that peers pass on.
+fn malformed() -> Response<ResponseBody> {
+    Refusal::client_error(Reason::Malformed, StatusCode::BAD_REQUEST).response()
+}
+
+/// Serves requests that peers pass on, and their questions about endpoints.
 pub(crate) struct PeerService<D, H> {
     callers: Arc<CallerService<D, H>>,
+    groups: Arc<Groups>,
 }
 
 impl<D, H> PeerService<D, H> {
     /// Creates the service; requests take the same path as those of `callers`.
-    pub(crate) fn new(callers: Arc<CallerService<D, H>>) -> PeerService<D, H> {
-        PeerService { callers }
+    pub(crate) fn new(callers: Arc<CallerService<D, H>>, groups: Arc<Groups>) -> PeerService<D, H> {
+        PeerService { callers, groups }
+    }
+
+    /// Answers a question about an endpoint; none if it can't be read.
+    async fn answer_examination(&self, req: Request<Incoming>) -> Option<Response<ResponseBody>>
+    where
+        D: Dialect,
+    {
+        let body = Limited::new(req.into_body(), MAX_EXAMINATION_BYTES).collect().await.ok()?;
+        let examination = decode(&body.to_bytes()).ok()?;
+        let verdict = death::examine(&*self.callers.dialect, &self.groups, &examination).await;
+        Some(Response::new(ResponseBody::whole(encode(&verdict))))
     }
 
     fn takes_requests(&self) -> bool {
@@ -224,12 +243,11 @@
     H: Handler<Request<Incoming>>,
 {
     async fn respond(&self, mut req: Request<Incoming>) -> Response<ResponseBody> {
-        let attempts = req.headers_mut().remove(ATTEMPTS);
-        let attempts = attempts.and_then(|attempts| attempts.to_str().ok()?.parse().ok());
-        let Some(attempts) = attempts else {
-            let status = StatusCode::BAD_REQUEST;
-            return Refusal::client_error(Reason::Malformed, status).response();
+        let Some(attempts) = req.headers_mut().remove(ATTEMPTS) else {
+            return self.answer_examination(req).await.unwrap_or_else(malformed);
         };
+        let attempts = attempts.to_str().ok().and_then(|attempts| attempts.parse().ok());
+        let Some(attempts) = attempts else { return malformed() };
         let (mut resp, refused) = match self.takes_requests() {
             true => {
                 req.extensions_mut().insert(Forwarded { attempts });
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -90,11 +90,11 @@
                 self.record_unreached(&placement.endpoint);
                 log::info!(id = self.id(), endpoint = run.endpoint.as_str(), is_refused;
                     "not_sent");
+                let (endpoint, incarnation) = (run.endpoint.clone(), run.incarnation);
+                run.end(Some(FailCause::NotSent));
                 if is_refused {
-                    let DispatchContext { clock, urgent, .. } = &*self.context;
-                    death::record(&self.group, &run.endpoint, run.incarnation, *clock, urgent);
+                    death::check_refused(&self.context, &self.group, endpoint, incarnation);
                 }
-                run.end(Some(FailCause::NotSent));
                 None
             }
             Err(AttemptError::Unknown(cause)) => {
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -164,7 +164,7 @@
             lifecycle: lifecycle.clone(),
             metrics: metrics.clone(),
         });
-        let forwarded = Arc::new(PeerService::new(entry.clone()));
+        let forwarded = Arc::new(PeerService::new(entry.clone(), groups.clone()));
         let readiness = ReadinessService {
             path: dialect.ready_path(),
             configuration: configuration.clone(),
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -206,11 +206,11 @@
         addresses.get(endpoint).copied()
     }
 
-    /// Address of a random endpoint; `None` if the group has none.
-    pub fn random_address(&self) -> Option<SocketAddr> {
+    /// Addresses of up to `count` random endpoints other than the one at `excluded`.
+    pub fn random_addresses(&self, count: usize, excluded: Option<SocketAddr>) -> Vec<SocketAddr> {
         let addresses = self.addresses.read().unwrap_or_else(PoisonError::into_inner);
-        let index = (!addresses.is_empty()).then(|| fastrand::usize(..addresses.len()))?;
-        addresses.get_index(index).map(|(_, address)| *address)
+        let others = addresses.values().copied().filter(|address| Some(*address) != excluded);
+        fastrand::choose_multiple(others, count)
     }
 
     /// The endpoint with this address.
