Tell failed connections only once another endpoint was reached

Instances tell each other at which endpoints they fail, and three failures in a row eject an endpoint.

Class: a conclusion that one instance draws from its own view alone and tells others.

--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -151,6 +151,8 @@
     quarantine: Quarantine,
     ended_runs: EndedRuns,
     limit_news: Announcements<EndpointId>,
+    /// Whether any endpoint has an unconfirmed failure.
+    has_unconfirmed_failures: bool,
     health_assessed_at: Time,
     rng: Rng,
     /// Recent prefill time, in milliseconds, of prompts too long to be prefilled on engines that
@@ -184,6 +186,7 @@
             quarantine: Quarantine::without_isolation(),
             ended_runs: EndedRuns::default(),
             limit_news: Announcements::default(),
+            has_unconfirmed_failures: false,
             health_assessed_at: Time::ZERO,
             rng: Rng::with_seed(seed),
             long_share: decaying::DecayingSum::new(BURST_HALF_LIFE),
@@ -436,6 +439,24 @@
         if let Some(server) = self.servers.get_mut(endpoint) {
             server.record_round_trip(ms);
         }
+        self.confirm_failures(endpoint);
+    }
+
+    /// Has the other instances told of failures at endpoints other than `reached`.
+    ///
+    /// Guards against an instance that is cut off, fails everywhere, and has endpoints that serve
+    /// all others ejected by them.
+    fn confirm_failures(&mut self, reached: &EndpointId) {
+        if !std::mem::take(&mut self.has_unconfirmed_failures) {
+            return;
+        }
+        for (endpoint, server) in &mut self.servers {
+            if endpoint == reached {
+                self.has_unconfirmed_failures |= server.unconfirmed_failure;
+            } else {
+                server.unsent_failure |= std::mem::take(&mut server.unconfirmed_failure);
+            }
+        }
     }
 
     /// Records the first byte of an answer.
@@ -511,7 +532,14 @@
                 let cause = counted_cause(cause);
                 self.health.record_failure(&job.endpoint, cause);
                 if let Some(server) = self.servers.get_mut(&job.endpoint) {
-                    server.unsent_failure |= is_endpoint_failure(cause);
+                    match failure_scope(cause) {
+                        FailureScope::Endpoint => server.unsent_failure = true,
+                        FailureScope::Connection => {
+                            server.unconfirmed_failure = true;
+                            self.has_unconfirmed_failures = true;
+                        }
+                        FailureScope::Request => {}
+                    }
                 }
             }
         }
@@ -645,14 +673,22 @@
     }
 }
 
-/// Whether a failure counts against the endpoint at all instances.
-fn is_endpoint_failure(cause: FailCause) -> bool {
-    matches!(
-        cause,
-        FailCause::NotSent
-            | FailCause::Broken
-            | FailCause::EndpointError
-            | FailCause::BadAnswer
-            | FailCause::EndpointDied
-    )
+/// What a failure says something about.
+enum FailureScope {
+    /// The endpoint.
+    Endpoint,
+    /// The endpoint, or this instance's path to it.
+    Connection,
+    /// The request.
+    Request,
+}
+
+fn failure_scope(cause: FailCause) -> FailureScope {
+    match cause {
+        FailCause::EndpointError | FailCause::BadAnswer => FailureScope::Endpoint,
+        FailCause::NotSent | FailCause::Broken | FailCause::EndpointDied => {
+            FailureScope::Connection
+        }
+        _ => FailureScope::Request,
+    }
 }
--- a/crates/policy/src/placement/server.rs
+++ b/crates/policy/src/placement/server.rs
@@ -81,6 +81,9 @@
     pub(super) sent_load: EndpointLoad,
     /// A request failed, or was answered, since the last update.
     pub(super) unsent_failure: bool,
+    /// A connection or a run failed there, and it isn't known yet whether this instance reaches any
+    /// other endpoint.
+    pub(super) unconfirmed_failure: bool,
     pub(super) unsent_answer: bool,
     /// A request was refused because of it since the last update.
     pub(super) unsent_refusal: bool,
@@ -137,6 +140,7 @@
             unsent_removals: Vec::new(),
             sent_load: EndpointLoad::default(),
             unsent_failure: false,
+            unconfirmed_failure: false,
             unsent_answer: false,
             unsent_refusal: false,
             failing_peers: IndexSet::new(),
