Outlast sound machines that are silent for a moment

TCP_USER_TIMEOUT was 2 s with keep-alive probes each second. Linux then closes a connection as soon as 2 s have passed since the last byte and a probe is unanswered, whatever the number of probes; the last answered probe may be a second old when a silence begins. An endpoint, peer or caller that is silent for a little over a second and goes on thus lost its connections, and what ran there.

Now 4 s, so that silences of up to 3 s are outlasted.

--- a/crates/router/src/net.rs
+++ b/crates/router/src/net.rs
@@ -14,8 +14,10 @@
 const ACCEPT_BACKLOG: i32 = 4096;
 
 /// A connection whose data stays unacknowledged for this long is closed. A machine that has lost
-/// power or its network sends no reset, and the operating system's own timeout takes minutes.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// power or its network sends no reset, and the operating system's own timeout takes minutes. It also
+/// ends a connection whose keep-alive probe is unanswered, counted from the last byte received, and so
+/// has to exceed the probes' interval by more than a sound machine may be silent.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(4_000);
 
 /// Idle time before a connection is probed, and between two probes; the shortest that can be set.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
