Read the parts of prompts, and name them in the log

The record of second1 can't tell which part its crashing requests share: the log names a request by a hash of its whole content. `placed` now names the parts but the last. Nothing is decided by them yet.

--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -141,6 +141,26 @@
 #[serde(transparent)]
 pub struct Fingerprint(pub u128);
 
+impl Fingerprint {
+    /// Set in fingerprints of parts of prompts, and clear in those of whole requests.
+    const PART: u128 = 1 << 127;
+
+    /// Fingerprint of a whole request, from a hash of its content.
+    pub fn of_request(hash: u128) -> Fingerprint {
+        Fingerprint(hash & !Self::PART)
+    }
+
+    /// Fingerprint of a part that several prompts may share, from a hash of its id.
+    pub fn of_part(hash: u128) -> Fingerprint {
+        Fingerprint(hash | Self::PART)
+    }
+
+    /// Whether this is a part of prompts, not a whole request.
+    pub fn is_part(self) -> bool {
+        self.0 & Self::PART != 0
+    }
+}
+
 macro_rules! number_ids {
     ($($name:ident),*) => {$(
         impl fmt::Display for $name {
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -20,10 +20,28 @@
     pub api_key: Option<String>,
     /// Tokens of the prompt, and the maximum of the answer, if the caller states them.
     pub tokens: Option<(u64, u64)>,
+    /// Parts of the prompt that other prompts may share.
+    pub parts: StatedParts,
     /// Id of the last event received of a stream that the caller resumes.
     pub last_event_id: Option<u64>,
 }
 
+/// What a caller states of the parts of its prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StatedParts {
+    /// Ids of the parts that other prompts may share, in their order. The last part of a prompt belongs
+    /// to its request or session alone.
+    Shared(Vec<String>),
+    /// A list that can't be read; the request is served without it.
+    Invalid,
+}
+
+impl Default for StatedParts {
+    fn default() -> StatedParts {
+        StatedParts::Shared(Vec::new())
+    }
+}
+
 /// What the router tells an endpoint in addition to the caller's request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AttemptMetadata<'a> {
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -7,7 +7,7 @@
 
 use http::{Response, StatusCode};
 use policy::{
-    EndpointId, FailCause, Incarnation, Time,
+    EndpointId, FailCause, Fingerprint, Incarnation, Time,
     forwarding::Peer,
     placement::{Helper, JobId, Placement, PlacementRefusal, PlacementRequest},
 };
@@ -55,6 +55,12 @@
     names.join(",")
 }
 
+/// Formats fingerprints of parts for a log line, shortened to what tells them apart.
+fn part_names(parts: &[Fingerprint]) -> String {
+    let names: Vec<String> = parts.iter().map(|part| format!("{:08x}", part.0 as u32)).collect();
+    names.join(",")
+}
+
 /// Where the next attempt is sent.
 pub(super) enum Target {
     Endpoint(Placement),
@@ -304,7 +310,8 @@
                     predicted_ms = placement.predicted_ms as u64,
                     hold_ms = placement.hold.as_millis() as u64,
                     attempt = request.tried.len() + 1,
-                    fingerprint:% = request.fingerprint;
+                    fingerprint:% = request.fingerprint,
+                    parts = part_names(&self.received.parts).as_str();
                     "placed"
                 );
                 if request.prompt_tokens > 0 {
--- a/crates/router/src/filter/receive.rs
+++ b/crates/router/src/filter/receive.rs
@@ -14,10 +14,13 @@
 };
 use smol::{Timer, future::FutureExt};
 use std::sync::Arc;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_128};
 
 use super::{Forwarded, Handler, Identified, Refusal, ResponseBody, refusal::Reason};
-use crate::{clock::Clock, dialect::RequestMetadata};
+use crate::{
+    clock::Clock,
+    dialect::{RequestMetadata, StatedParts},
+};
 
 /// Timeout of requests whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -41,6 +44,8 @@
     pub deadline: Time,
     /// Identifies the request when it is sent again.
     pub fingerprint: Fingerprint,
+    /// Fingerprints of the parts that other prompts may share, in their order.
+    pub parts: Arc<[Fingerprint]>,
     /// Set if a peer has passed the request on.
     pub forwarded: Option<Forwarded>,
 }
@@ -80,6 +85,7 @@
         };
         let body = read.or(timed_out).await?;
         let fingerprint = fingerprint(&head, &owner, &body);
+        let parts = part_fingerprints(&caller);
         let forwarded = head.extensions.get().copied();
         let received = Received {
             head,
@@ -90,6 +96,7 @@
             arrived,
             deadline,
             fingerprint,
+            parts,
             forwarded,
         };
         self.next.handle(received).await
@@ -103,5 +110,18 @@
     hash.update(head.uri.query().unwrap_or_default().as_bytes());
     hash.update(owner.as_ref().map_or("", |owner| owner.workspace.as_str()).as_bytes());
     hash.update(body);
-    Fingerprint(hash.digest128())
+    Fingerprint::of_request(hash.digest128())
+}
+
+fn part_fingerprints(caller: &RequestMetadata) -> Arc<[Fingerprint]> {
+    match &caller.parts {
+        StatedParts::Shared(ids) => {
+            ids.iter().map(|id| Fingerprint::of_part(xxh3_128(id.as_bytes()))).collect()
+        }
+        StatedParts::Invalid => {
+            let id = caller.request_id.as_deref().unwrap_or("-");
+            log::info!(id; "parts_ignored");
+            Arc::default()
+        }
+    }
 }
