Pass on only what a peer may decide otherwise

Found in reading: after an endpoint that wasn't reached, any refusal led to a peer, also one that all instances decide alike (quarantined, too late), and asking for a peer took a retry from the budget before it was known whether one would be asked.

--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -245,10 +245,15 @@
             Ok(placement) => return Ok(Target::Endpoint(placement)),
             Err(refusal) => refusal,
         };
-        match self.choose_peer().filter(|_| self.has_unreached()) {
-            Some(peer) => Ok(Target::Peer(peer)),
-            None => Err(refusal),
+        // A peer may reach endpoints, but decides everything else alike.
+        let may_help = matches!(refusal.reason, Reason::Rejected | Reason::NoEndpoint);
+        if may_help
+            && self.has_unreached()
+            && let Some(peer) = self.choose_peer()
+        {
+            return Ok(Target::Peer(peer));
         }
+        Err(refusal)
     }
 
     /// Places the next attempt on an endpoint, if one more is allowed.
