Go on asking peers whose callers' time ran out

Found in reading: a peer counted as unable to help for a second after any failed request, also one whose caller's time had ended. Now only a broken or silent connection counts.

--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -210,12 +210,12 @@
             Run::Endpoint(run) if cause == FailCause::Broken => {
                 Some((run.endpoint.clone(), run.incarnation))
             }
-            Run::Endpoint(_) => None,
-            Run::Peer(run) => {
+            Run::Peer(run) if matches!(cause, FailCause::Broken | FailCause::Silent) => {
                 let now = self.context.clock.now();
                 self.context.groups.peers().record_decline(&run.peer, self.group.tag, now);
                 None
             }
+            _ => None,
         };
         run.end(Some(cause));
         if let Some((endpoint, incarnation)) = died {
