Say what a quarantined request was refused for

The log of a refusal by the quarantine named neither the fingerprint nor the parts, so that it couldn't be told which of them was suspected. Lines that come with each request while a path is cut or a part is refused are routine, and are left out first when the reader of the logs is too slow.

--- a/crates/daemon/src/logging/mod.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -51,9 +51,19 @@
     Ok(Logging { _handle: handle, _writer: writer })
 }
 
-/// Events that occur at least once per request. Their lines are the first to be dropped when the
+/// Events that may occur with each request. Their lines are the first to be dropped when the
 /// queue fills up.
-const ROUTINE_EVENTS: [&str; 5] = ["request", "placed", "refused", "hedged", "reserve"];
+const ROUTINE_EVENTS: [&str; 9] = [
+    "request",
+    "placed",
+    "refused",
+    "hedged",
+    "reserve",
+    "forwarded",
+    "forward_declined",
+    "quarantined",
+    "parts_ignored",
+];
 
 struct QueueLogWriter {
     queue: LineQueue,
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -334,10 +334,15 @@
             Err(PlacementRefusal::Limited(after)) => {
                 Err(self.refuse_with_retry_after(Reason::Limited, after))
             }
-            Err(PlacementRefusal::Quarantined(left)) => Err(match self.may_have_run() {
-                true => Refusal::outcome_unknown(Reason::Quarantined),
-                false => Refusal::not_run(Reason::Quarantined, left),
-            }),
+            Err(PlacementRefusal::Quarantined(left)) => {
+                log::info!(id = self.id(), fingerprint:% = request.fingerprint,
+                    parts = part_names(&request.parts).as_str(),
+                    left_ms = left.as_millis() as u64; "quarantined");
+                Err(match self.may_have_run() {
+                    true => Refusal::outcome_unknown(Reason::Quarantined),
+                    false => Refusal::not_run(Reason::Quarantined, left),
+                })
+            }
             Err(PlacementRefusal::TooLate(by)) => {
                 log::info!(id = self.id(), prompt = request.prompt_tokens,
                     late_ms = by.as_millis() as u64; "too_late");
