--- a/crates/policy/tests/crashing_parts.rs
+++ b/crates/policy/tests/crashing_parts.rs
@@ -9,8 +9,13 @@
 
 use std::sync::Arc;
 
-use crash_site::{Conditions, Sent, Site, TICK_MS};
-use policy::Fingerprint;
+use crash_site::{Conditions, Sent, Site, TICK_MS, at};
+use engines::engine;
+use policy::{
+    FailCause, Fingerprint, InstanceId,
+    instances::Instances,
+    placement::{GroupScheduler, Placement, PlacementRefusal, PlacementRequest, PlacementRules},
+};
 
 /// How long after the fifth crash the instances may take to stop sending requests with a part.
 const CONTACT_MS: u64 = 3_000;
@@ -120,6 +125,61 @@
     assert!(site.harmless_done.len() > 700, "{} done", site.harmless_done.len());
 }
 
+fn request(parts: &[Fingerprint], index: u128) -> PlacementRequest {
+    PlacementRequest {
+        fingerprint: Fingerprint(index),
+        parts: parts.into(),
+        ..arranging::request(0)
+    }
+}
+
+/// The last of `instances` in the order for the parts of these tests.
+fn one_of_a_fleet(instances: usize) -> GroupScheduler {
+    let mut scheduler = arranging::scheduler(12, engine(), PlacementRules::default(), 1);
+    scheduler.set_rules(None);
+    let names: Vec<_> =
+        (0..instances).map(|n| InstanceId::new(&format!("entry-{n}")).unwrap()).collect();
+    let view = |own: usize| {
+        let others = names.iter().filter(|other| **other != names[own]);
+        Instances::new(&names[own], others, instances - 1, 1.0)
+    };
+    let order =
+        |own: &usize| [part(1), deadly(0)].map(|part| view(*own).preceding(part)).into_iter().min();
+    let last = (0..instances).max_by_key(order).unwrap();
+    scheduler.set_instances(view(last));
+    scheduler
+}
+
+/// Endpoints die, 10 ms apart until 100 ms, each with a request that has these parts.
+fn die(scheduler: &mut GroupScheduler, parts: &[Fingerprint], deaths: u64) {
+    let mut placed = Vec::new();
+    for index in 0..deaths {
+        let tried = placed
+            .iter()
+            .map(|placement: &Placement| (placement.endpoint.clone(), placement.incarnation));
+        let tried = tried.collect();
+        let request = PlacementRequest { tried, ..request(parts, 1_000 + u128::from(index)) };
+        let placement = scheduler.place(&request, at(0)).unwrap();
+        scheduler.mark_sent(placement.job);
+        placed.push(placement);
+    }
+    for (placement, index) in placed.into_iter().zip(0..) {
+        let now = at(110 + 10 * index - 10 * deaths);
+        scheduler.finish(placement.job, Some(FailCause::Broken), now);
+        scheduler.record_death(&placement.endpoint, placement.incarnation, now);
+    }
+}
+
+fn is_refused(scheduler: &mut GroupScheduler, parts: &[Fingerprint], ms: u64) -> bool {
+    match scheduler.place(&request(parts, 1), at(ms)) {
+        Ok(placement) => {
+            scheduler.finish(placement.job, Some(FailCause::Deadline), at(ms));
+            false
+        }
+        Err(refusal) => matches!(refusal, PlacementRefusal::Quarantined(_)),
+    }
+}
+
 macro_rules! cases {
     ($($(#[$doc:meta])* $name:ident => $body:expr;)*) => {
         $($(#[$doc])* #[test] fn $name() { $body() })*
@@ -163,4 +223,62 @@
 
     /// Guards against parts that are refused because a rack fails at the same time.
     a_rack_that_fails_beside_it => || plays(with(Conditions { rack_fails: true, ..ROUGH }));
+
+    /// Guards against a fleet in which the one instance that may try a part gets no request with it.
+    a_part_is_tried_by_more_instances_with_time => || {
+        let parts = [part(1), deadly(0)];
+        let mut scheduler = one_of_a_fleet(985);
+        die(&mut scheduler, &parts, 3);
+        assert!(is_refused(&mut scheduler, &parts, 1_000));
+        assert!(!is_refused(&mut scheduler, &parts, 12_000));
+    };
+
+    /// Guards against a part that is tried at once after each of many deaths.
+    pauses_between_trials_grow => || {
+        for (deaths, pause_ms) in [(3, 0), (5, 2_000), (6, 8_000), (7, 32_000)] {
+            let mut scheduler = one_of_a_fleet(1);
+            die(&mut scheduler, &[deadly(0)], deaths);
+            if pause_ms > 0 {
+                assert!(is_refused(&mut scheduler, &[deadly(0)], pause_ms - 100), "{deaths} deaths");
+            }
+            assert!(!is_refused(&mut scheduler, &[deadly(0)], pause_ms + 200), "{deaths} deaths");
+        }
+    };
+
+    /// Guards against sound requests that are refused for a part that was merely present.
+    parts_are_told_apart_by_requests_that_hold_some => || {
+        let mut scheduler = one_of_a_fleet(985);
+        die(&mut scheduler, &[part(1), deadly(0)], 5);
+        assert!(is_refused(&mut scheduler, &[part(1), deadly(0)], 300));
+        let sound = scheduler.place(&request(&[part(1)], 1), at(300)).unwrap();
+        let beside = scheduler.place(&request(&[part(1)], 2), at(310));
+        assert!(matches!(beside, Err(PlacementRefusal::Quarantined(_))), "one at a time");
+        scheduler.finish(sound.job, None, at(600));
+        scheduler.place(&request(&[part(1)], 3), at(610)).unwrap();
+        assert!(is_refused(&mut scheduler, &[part(1), deadly(0)], 620));
+    };
+
+    /// Guards against a prompt that was placed before its part was suspected, and is sent afterwards.
+    a_held_prompt_is_not_sent => || {
+        let mut scheduler = one_of_a_fleet(985);
+        let held = scheduler.place(&request(&[deadly(0)], 1), at(0)).unwrap();
+        assert!(scheduler.accepts(held.job, at(10)));
+        let mut other = one_of_a_fleet(985);
+        die(&mut other, &[deadly(0)], 5);
+        scheduler.apply_quarantine_news(&other.take_quarantine_news(at(200)), at(210));
+        assert!(!scheduler.accepts(held.job, at(220)));
+    };
+
+    /// Guards against an instance that learns of a part by its own deaths only.
+    deaths_at_several_instances_add_up => || {
+        let mut scheduler = one_of_a_fleet(985);
+        for seed in 0..5 {
+            let mut other = one_of_a_fleet(985);
+            // Each of them sees another endpoint die.
+            other.set_members(vec![arranging::member(seed, 16, false)], at(0));
+            die(&mut other, &[deadly(0)], 1);
+            scheduler.apply_quarantine_news(&other.take_quarantine_news(at(200)), at(210));
+        }
+        assert!(is_refused(&mut scheduler, &[deadly(0)], 300));
+    };
 }
