--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -28,6 +28,7 @@
 mod decaying;
 mod decoding;
 mod ended_runs;
+mod failures;
 mod overdue;
 mod pauses;
 mod prefill;
@@ -40,6 +41,7 @@
 mod unanswered;
 mod unreported;
 mod updates;
+mod validity;
 mod wire;
 
 use std::time::Duration;
@@ -54,8 +56,7 @@
 pub use updates::{EndpointLoad, EndpointUpdate, PartUpdate, update_interval};
 
 use crate::{
-    DataCentre, EndpointId, EndpointTag, FailCause, Fingerprint, Incarnation, InstanceId, Region,
-    Time,
+    DataCentre, EndpointId, EndpointTag, FailCause, Incarnation, InstanceId, Region, Time,
     announcements::Announcements,
     drain::DrainedDataCentres,
     health::Health,
@@ -328,19 +329,6 @@
         Ok(self.commit(plan?, request, now))
     }
 
-    /// How long a request with these parts must not start; `own` is its job where it is placed
-    /// already.
-    fn part_refusal(
-        &self,
-        parts: &[Fingerprint],
-        own: Option<JobId>,
-        now: Time,
-    ) -> Option<Duration> {
-        let is_running =
-            |part| self.jobs.iter().any(|(id, job)| Some(*id) != own && job.parts.contains(&part));
-        self.quarantine.part_refusal(parts, is_running, self.instances.as_ref(), now)
-    }
-
     fn choose(
         &self,
         request: &PlacementRequest,
@@ -462,23 +450,6 @@
         self.confirm_failures(endpoint);
     }
 
-    /// Has the other instances told of failures at endpoints other than `reached`.
-    ///
-    /// Guards against an instance that is cut off, fails everywhere, and has endpoints that serve
-    /// all others ejected by them.
-    fn confirm_failures(&mut self, reached: &EndpointId) {
-        if !std::mem::take(&mut self.has_unconfirmed_failures) {
-            return;
-        }
-        for (endpoint, server) in &mut self.servers {
-            if endpoint == reached {
-                self.has_unconfirmed_failures |= server.unconfirmed_failure;
-            } else {
-                server.unsent_failure |= std::mem::take(&mut server.unconfirmed_failure);
-            }
-        }
-    }
-
     /// Records the first byte of an answer.
     pub fn record_first_event(&mut self, job: JobId, now: Time) {
         let Some(job) = self.jobs.get_mut(&job) else { return };
@@ -546,26 +517,7 @@
                     server.unsent_answer = true;
                 }
             }
-            Some(cause) => {
-                self.quarantine.record_stop(job.fingerprint);
-                if job.is_sent {
-                    for death in self.ended_runs.record_end(&job, cause, now) {
-                        self.suspect(&death, now);
-                    }
-                }
-                let cause = counted_cause(cause);
-                self.health.record_failure(&job.endpoint, cause);
-                if let Some(server) = self.servers.get_mut(&job.endpoint) {
-                    match failure_scope(cause) {
-                        FailureScope::Endpoint => server.unsent_failure = true,
-                        FailureScope::Connection => {
-                            server.unconfirmed_failure = true;
-                            self.has_unconfirmed_failures = true;
-                        }
-                        FailureScope::Request => {}
-                    }
-                }
-            }
+            Some(cause) => self.record_failure(&job, cause, now),
         }
     }
 
@@ -577,48 +529,6 @@
         }
     }
 
-    /// Whether a held request may still be sent as it was placed: none of its endpoints has begun
-    /// to leave or has a new incarnation, and no other instance placed a long prompt on the same
-    /// engines at the same moment.
-    ///
-    /// Guards against two instances that choose the same idle engines before either receives the
-    /// other's update: one prompt would wait for the other's parts, which its prediction left out.
-    /// Both instances compare the same two keys, so exactly one of them looks for another place.
-    pub fn is_still_valid(&self, job: JobId, now: Time) -> bool {
-        let Some(job) = self.jobs.get(&job) else { return false };
-        job.endpoints().zip(&job.incarnations).all(|(endpoint, incarnation)| {
-            let server = self.servers.get(endpoint);
-            server.is_some_and(|server| {
-                server.accepts_requests()
-                    && server.member.incarnation == *incarnation
-                    && !self.is_displaced(server, job, now)
-            })
-        })
-    }
-
-    /// Whether a placed request may still be sent: all its endpoints accept requests, and no part of
-    /// its prompt has come under suspicion.
-    pub fn accepts(&self, id: JobId, now: Time) -> bool {
-        let Some(job) = self.jobs.get(&id) else { return false };
-        let is_refused = self.part_refusal(&job.parts, Some(id), now).is_some();
-        !is_refused
-            && job.endpoints().all(|endpoint| {
-                self.servers.get(endpoint).is_some_and(|server| server.accepts_requests())
-            })
-    }
-
-    /// Whether a split prompt with a smaller key delays the job's part on this engine.
-    fn is_displaced(&self, server: &Server, job: &Job, now: Time) -> bool {
-        let Some(rules) = &self.rules else { return false };
-        let expected_at = server::millis(job.placed_at) + job.prefilled_in_ms;
-        let completions = server.completions(rules, now);
-        let mine = completions.iter().find(|completion| completion.part.key == job.key);
-        mine.is_some_and(|mine| mine.done_at > expected_at + self.placement.collision_ms)
-            && completions
-                .iter()
-                .any(|completion| completion.part.is_split && completion.part.key < job.key)
-    }
-
     /// Records that a request was handed to its endpoint.
     pub fn mark_sent(&mut self, job: JobId) {
         if let Some(job) = self.jobs.get_mut(&job) {
@@ -689,33 +599,3 @@
         }
     }
 }
-
-/// Counts a silence that ended a run as a failure: it was longer than another endpoint took to
-/// answer. Health alone ignores silence, because a connection may go silent while its endpoint is
-/// alive; here each run has a fresh connection.
-fn counted_cause(cause: FailCause) -> FailCause {
-    match cause {
-        FailCause::Silent => FailCause::Broken,
-        other => other,
-    }
-}
-
-/// What a failure says something about.
-enum FailureScope {
-    /// The endpoint.
-    Endpoint,
-    /// The endpoint, or this instance's path to it.
-    Connection,
-    /// The request.
-    Request,
-}
-
-fn failure_scope(cause: FailCause) -> FailureScope {
-    match cause {
-        FailCause::EndpointError | FailCause::BadAnswer => FailureScope::Endpoint,
-        FailCause::NotSent | FailCause::Broken | FailCause::EndpointDied => {
-            FailureScope::Connection
-        }
-        _ => FailureScope::Request,
-    }
-}
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -85,25 +85,32 @@
                 lock(&self.group.path).record_answer();
                 self.check_response(response, run).await
             }
-            Err(AttemptError::NotSent { is_refused }) => {
+            Err(e) => {
+                self.record_error(e, run, sent_at);
+                None
+            }
+        }
+    }
+
+    /// Ends an attempt that has no response. `sent_at` is when its connection was open.
+    fn record_error(&self, error: AttemptError, run: EndpointRun<D>, sent_at: Option<Instant>) {
+        let (endpoint, incarnation) = (run.endpoint.clone(), run.incarnation);
+        match error {
+            AttemptError::NotSent { is_refused } => {
                 self.mark_unsent();
-                self.record_unreached(&placement.endpoint);
-                log::info!(id = self.id(), endpoint = run.endpoint.as_str(), is_refused;
-                    "not_sent");
-                let (endpoint, incarnation) = (run.endpoint.clone(), run.incarnation);
+                self.record_unreached(&endpoint);
+                log::info!(id = self.id(), endpoint = endpoint.as_str(), is_refused; "not_sent");
                 run.end(Some(FailCause::NotSent));
                 if is_refused {
                     death::check_refused(&self.context, &self.group, endpoint, incarnation);
                 }
-                None
             }
-            Err(AttemptError::Unknown(cause)) => {
+            AttemptError::Unknown(cause) => {
                 let is_early = sent_at.is_some_and(|at| at.elapsed() < EARLIEST_CRASH);
                 if cause == FailCause::Broken && is_early {
-                    self.record_unreached(&placement.endpoint);
+                    self.record_unreached(&endpoint);
                 }
                 self.attempt_failed(Run::Endpoint(run), cause);
-                None
             }
         }
     }
