Count endpoints that crash together as one failed trial of a part

Found in reading: the pause before the next trial of a part grew with each death beyond five. Where all endpoints of a group crash at once, each shared part has eight deaths and was refused for 128 s after the endpoints were back.

--- a/crates/policy/src/quarantine/parts.rs
+++ b/crates/policy/src/quarantine/parts.rs
@@ -29,11 +29,12 @@
 /// Deaths from which on a part is tried after pauses only.
 const DEATHS_TO_REFUSE: usize = 5;
 
-/// Pause before the first such trial: endpoints of a rack that fails may still be dying.
-const FIRST_TRIAL_PAUSE: Duration = COMMON_CAUSE_WINDOW;
+/// Shortest pause before such a trial: endpoints of a rack that fails may still be dying.
+const MIN_TRIAL_PAUSE: Duration = COMMON_CAUSE_WINDOW;
 
-/// Factor by which the pause grows with each further death.
-const TRIAL_PAUSE_FACTOR: u32 = 4;
+/// The pause, as a multiple of the time between the death from which on a part is refused and the
+/// latest one. Deaths at the same time may have one cause, and don't make it longer.
+const TRIAL_PAUSE_FACTOR: u32 = 3;
 
 /// Time in which twice as many instances may try a part.
 const TRIAL_SPREAD_INTERVAL: Duration = Duration::from_secs(1);
@@ -101,9 +102,10 @@
     instances: Option<&Instances>,
     now: Time,
 ) -> Duration {
-    let further = suspect.deaths().len().checked_sub(DEATHS_TO_REFUSE);
-    let factor = |further| TRIAL_PAUSE_FACTOR.saturating_pow(u32::try_from(further).unwrap_or(0));
-    let pause = further.map_or(Duration::ZERO, |further| FIRST_TRIAL_PAUSE * factor(further));
+    let refused_from = suspect.deaths().get(DEATHS_TO_REFUSE - 1);
+    let pause = refused_from.map_or(Duration::ZERO, |death| {
+        MIN_TRIAL_PAUSE.max(suspect.last_death().since(death.at) * TRIAL_PAUSE_FACTOR)
+    });
     let preceding = instances.map_or(0, |instances| instances.preceding(part));
     // One instance may try at once, two after an interval, four after two.
     let doublings = (preceding + 1).next_power_of_two().trailing_zeros();
