Prove deaths while the path counts as cut, too

Found in reading: no death was checked while the path counted as cut. Refused connections to endpoints that really crashed, three in a row, make it count as cut for a moment, so that a crash in that moment wasn't counted against the part that caused it. Peers' proof is right in either case, so they are asked.

--- a/crates/router/src/filter/death.rs
+++ b/crates/router/src/filter/death.rs
@@ -109,16 +109,13 @@
     executor.spawn(check).detach();
 }
 
-/// The endpoint's address, unless it was checked just now or the whole path is cut.
+/// The endpoint's address, unless it was checked just now.
 fn begin<D: Dialect>(
     context: &DispatchContext<D>,
     group: &Group,
     endpoint: &EndpointId,
     incarnation: Incarnation,
 ) -> Option<SocketAddr> {
-    if lock(&group.path).is_cut() {
-        return None;
-    }
     let address = context.dialect.endpoint_address(group.address(endpoint)?);
     let now = context.clock.now();
     lock(&group.scheduler).begin_death_check(endpoint, incarnation, now).then_some(address)
