Let the sound instances of a test reach another engine

Three instances fail once at one engine and tell a fourth. In the test none of them ever connects anywhere else, which is just what an instance that is cut off looks like, and such failures aren't told any more. A sound instance's next attempt reaches another engine; the test now says so. What it asks for is as before: after three failures nobody chooses the engine.

--- a/crates/policy/tests/arrange.rs
+++ b/crates/policy/tests/arrange.rs
@@ -325,6 +325,8 @@
     for (index, now) in (0..3).map(|i| (i, at(i * 20))) {
         let mut other = scheduler(6);
         fail_at(&mut other, 6, &id(2), now);
+        // Its next attempt reaches another engine.
+        other.record_connect_time(&id(3), Duration::from_millis(2));
         let peer = InstanceId::new(&format!("entry-{index}")).unwrap();
         here.apply_updates(&peer, &other.take_updates(true), now);
     }
