Let operators say which groups are scheduled for contention

The components for contended engines act only where a site's settings ask for them and its published engines call for it: requests of usual length in all slots would fill routing.contention.memory_share of the memory. Nothing depends on it yet.

--- a/crates/daemon/src/settings/routing.rs
+++ b/crates/daemon/src/settings/routing.rs
@@ -6,9 +6,13 @@
 use policy::{
     DataCentre, Region,
     config::{Findings, SETTINGS_MEMBER, fields::Fields, tree::Node},
+    contention::MemoryShare,
     placement::PlacementRules,
 };
-use router::settings::{Bounds, ColdTolerance};
+use router::{
+    settings::{Bounds, ColdTolerance},
+    state::Scheduling,
+};
 use serde::{Deserialize, Serialize};
 
 use super::{Settings, read::ADDRESS_FORMAT};
@@ -53,6 +57,17 @@
     /// How endpoints are selected.
     #[serde(default)]
     pub placement: PlacementRules,
+    /// Scheduling of groups whose requests compete for memory; none where no group needs it.
+    #[serde(default)]
+    pub contention: Option<ContentionSettings>,
+}
+
+/// Settings of the scheduling of groups whose requests compete for memory.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ContentionSettings {
+    /// Share of an engine's memory that requests of usual length in all slots fill in such a group.
+    pub memory_share: MemoryShare,
 }
 
 impl RoutingSettings {
@@ -74,6 +89,8 @@
         let cold_factor = fields.optional("cold_factor", "a number", findings);
         let cold_slack = fields.optional("cold_slack", "a number", findings);
         let placement = read_placement_rules(&mut fields, findings);
+        let contention =
+            fields.optional("contention", "`memory_share`, a number from 0 to 1", findings);
         fields.close(findings);
         Some(RoutingSettings {
             log_service: log_service?,
@@ -89,6 +106,7 @@
             cold_factor,
             cold_slack,
             placement,
+            contention,
         })
     }
 
@@ -135,7 +153,10 @@
             metrics_listen: self.admin_listen,
             threads: self.threads.unwrap_or(1),
             bounds: routing.bounds(),
-            placement: routing.placement,
+            scheduling: Scheduling {
+                placement: routing.placement,
+                contended_from: routing.contention.map(|contention| contention.memory_share),
+            },
         }
     }
 }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,4 +1,4 @@
-//! Placement rules in the settings: defaults, and errors that name the invalid member.
+//! Placement rules and contention in the settings: defaults, and errors that name the invalid member.
 
 #![allow(clippy::unwrap_used)]
 
@@ -42,18 +42,25 @@
 }
 
 macro_rules! refused {
-    ($($case:ident: $placement:expr => $($part:expr),+;)*) => {$(
+    ($($case:ident: $member:expr => $($part:expr),+;)*) => {$(
         #[test]
         fn $case() {
-            let findings = read_placement(&format!(", \"placement\": {}", $placement)).unwrap_err();
+            let findings = read_placement(&format!(", {}", $member)).unwrap_err();
             $(assert!(findings.contains($part), "{findings}");)+
         }
     )*};
 }
 
 refused! {
-    unknown_rule: r#"{"aparts": 1}"# => "settings.routing.placement", "aparts";
-    value_out_of_range: r#"{"unit_ms": 0}"# => "settings.routing.placement.unit_ms", "larger";
-    unknown_choice: r#"{"choice": "best"}"# => "settings.routing.placement", "best";
-    no_object: "3" => "settings.routing.placement", "rules of placement";
+    unknown_rule: r#""placement": {"aparts": 1}"# => "settings.routing.placement", "aparts";
+    value_out_of_range: r#""placement": {"unit_ms": 0}"# => "settings.routing.placement.unit_ms", "larger";
+    unknown_choice: r#""placement": {"choice": "best"}"# => "settings.routing.placement", "best";
+    no_object: r#""placement": 3"# => "settings.routing.placement", "rules of placement";
+    share_above_one: r#""contention": {"memory_share": 1.5}"# =>
+        "settings.routing.contention", "memory_share", "from 0 to 1";
+    negative_share: r#""contention": {"memory_share": -0.1}"# =>
+        "settings.routing.contention", "from 0 to 1";
+    share_missing: r#""contention": {}"# => "settings.routing.contention", "memory_share";
+    unknown_member_of_contention: r#""contention": {"memory_share": 1, "slots": 2}"# =>
+        "settings.routing.contention";
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod backoff;
 pub mod baseline;
 pub mod config;
+pub mod contention;
 pub mod digest;
 pub mod drain;
 pub mod first_read;
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -58,6 +58,7 @@
 use crate::{
     DataCentre, EndpointId, EndpointTag, FailCause, Incarnation, InstanceId, Region, Time,
     announcements::Announcements,
+    contention::MemoryShare,
     drain::DrainedDataCentres,
     health::Health,
     instances::Instances,
@@ -140,6 +141,8 @@
 #[derive(Debug)]
 pub struct GroupScheduler {
     rules: Option<EngineRules>,
+    /// Share of memory from which on the group is scheduled for contention; none if it never is.
+    contended_from: Option<MemoryShare>,
     placement: PlacementRules,
     servers: IndexMap<EndpointId, Server>,
     /// Data centres whose endpoints get no new requests.
@@ -181,6 +184,7 @@
     pub fn with_rules(placement: PlacementRules, seed: u64) -> GroupScheduler {
         GroupScheduler {
             rules: None,
+            contended_from: None,
             placement,
             servers: IndexMap::new(),
             drained: DrainedDataCentres::default(),
@@ -209,6 +213,19 @@
         self.rules = rules;
     }
 
+    /// Sets the share of memory from which on the group is scheduled for contention; none if it
+    /// never is. See [`crate::contention`].
+    pub fn set_contention(&mut self, from: Option<MemoryShare>) {
+        self.contended_from = from;
+    }
+
+    /// Whether the group is scheduled for contention.
+    pub fn is_contended(&self) -> bool {
+        self.contended_from
+            .zip(self.rules.as_ref())
+            .is_some_and(|(from, rules)| from.is_reached(rules))
+    }
+
     /// Replaces the group's endpoints. Nothing is carried over to a new incarnation.
     pub fn set_members(&mut self, members: Vec<Member>, now: Time) {
         let mut old = std::mem::take(&mut self.servers);
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -101,7 +101,7 @@
         let incarnation = clock::incarnation();
         let dialect = Arc::new(dialect);
         let configuration = Arc::new(Configuration::default());
-        let groups = Arc::new(Groups::new(settings.placement));
+        let groups = Arc::new(Groups::new(settings.scheduling));
         let lifecycle = Arc::new(Lifecycle::default());
         let live_instances = Arc::new(AtomicUsize::new(1));
         let bind_error = |address| move |e| StartError::Bind(address, e);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use indexmap::IndexMap;
-use policy::{DataCentre, InstanceId, Region, placement::PlacementRules, retry::RetryRules};
+use policy::{DataCentre, InstanceId, Region, retry::RetryRules};
+
+use crate::state::Scheduling;
 
 /// Settings of one instance.
 #[derive(Debug, Clone, PartialEq)]
@@ -29,8 +31,8 @@
     pub threads: usize,
     /// Limits that the operators set.
     pub bounds: Bounds,
-    /// Rules by which endpoints are chosen.
-    pub placement: PlacementRules,
+    /// How requests are scheduled on endpoints.
+    pub scheduling: Scheduling,
 }
 
 /// Limits that the operators set.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexMap;
 use policy::{
     EndpointGroup, EndpointId, GroupTag, Time,
+    contention::MemoryShare,
     drain::DrainedDataCentres,
     forwarding::{Path, Peers},
     instances::Instances,
@@ -171,6 +172,15 @@
     }
 }
 
+/// How requests are scheduled on the endpoints of all groups.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Scheduling {
+    /// Rules by which endpoints are chosen.
+    pub placement: PlacementRules,
+    /// Share of memory from which on a group is contended; none if no group is.
+    pub contended_from: Option<MemoryShare>,
+}
+
 /// An endpoint group: its scheduler, its endpoints' addresses and its retry budget.
 #[derive(Debug)]
 pub struct Group {
@@ -189,11 +199,13 @@
 
 impl Group {
     /// Creates a group without endpoints. `seed` is for the scheduler's random choices.
-    pub fn new(name: EndpointGroup, placement: PlacementRules, seed: u64) -> Group {
+    pub fn new(name: EndpointGroup, scheduling: Scheduling, seed: u64) -> Group {
+        let mut scheduler = GroupScheduler::with_rules(scheduling.placement, seed);
+        scheduler.set_contention(scheduling.contended_from);
         Group {
             tag: GroupTag::from(&name),
             name,
-            scheduler: Mutex::new(GroupScheduler::with_rules(placement, seed)),
+            scheduler: Mutex::new(scheduler),
             addresses: RwLock::default(),
             path: Mutex::default(),
             retries: Mutex::default(),
@@ -250,7 +262,7 @@
 /// All endpoint groups by name.
 #[derive(Debug, Default)]
 pub struct Groups {
-    placement: PlacementRules,
+    scheduling: Scheduling,
     shared: Mutex<SharedView>,
     /// Peers through which requests may be passed on.
     peers: Mutex<Peers>,
@@ -260,9 +272,9 @@
 }
 
 impl Groups {
-    /// Creates an empty set whose groups will use these placement rules.
-    pub fn new(placement: PlacementRules) -> Groups {
-        Groups { placement, ..Groups::default() }
+    /// Creates an empty set whose groups will be scheduled like this.
+    pub fn new(scheduling: Scheduling) -> Groups {
+        Groups { scheduling, ..Groups::default() }
     }
 
     /// Peers through which requests may be passed on.
@@ -326,7 +338,7 @@
         let shared = lock(&self.shared);
         let mut groups = self.groups.write().unwrap_or_else(PoisonError::into_inner);
         let create = || {
-            let group = Group::new(name.clone(), self.placement, fastrand::u64(..));
+            let group = Group::new(name.clone(), self.scheduling, fastrand::u64(..));
             shared.apply(&mut lock(&group.scheduler));
             Arc::new(group)
         };
