--- a/crates/policy/tests/contention.rs
+++ b/crates/policy/tests/contention.rs
@@ -1,5 +1,7 @@
 //! Which groups are scheduled for contention.
 
+#![allow(clippy::unwrap_used)]
+
 use policy::{contention::MemoryShare, placement::GroupScheduler, routes::EngineRules};
 
 fn engine(usual_context: u64) -> EngineRules {
