Keep engines for short prompts, and let requests wait for room

In a contended group, long prompts that need all prefill time left short ones refused or late, although those need a fiftieth of it: with 60 engines and 40 long prompts a second, 391 of 500 short ones were in time; 500 with engines kept for them (policy/tests/short_pool.rs). The pool follows the slots that short prompts hold and is the same on all instances by an order of hashes.

What finds no room waits at its instance: on-time before late, refused before first, by usage, then by the caller's end of patience; late ones run only where engines are idle. 14 tests of the line, 4 with a real instance (waits, is refused without the setting, leaves with its caller, a stop).

--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -282,6 +282,7 @@
             fingerprint: Fingerprint(index as u128),
             parts: Default::default(),
             is_hedge: false,
+            is_late: false,
             tried: tried.map(|endpoint| (endpoint, Incarnation(1))).collect(),
             homes: Homes::everywhere(),
         };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod shared_limit;
 pub mod topology;
 pub mod units;
+pub mod waiting;
 pub mod warm_up;
 
 pub use any::AnyScheduler;
--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -12,7 +12,7 @@
     Pool, Spread,
     prefill::{Part, PartCompletion, PartKey, Pass},
     request::Job,
-    rules::LONG_RANK,
+    rules::{LONG_RANK, SHORT_RANK},
     server::{PartEstimate, Server, millis},
 };
 
@@ -79,8 +79,11 @@
         let part = placement.bound(self.rank);
         let part = if is_overloaded { part.min(1.0) } else { part };
         let idle_bound = placement.idle_factor * self.idle_prefill_ms + placement.idle_slack_ms;
-        let bound =
-            if request.is_hedge { idle_bound } else { idle_bound.max(part * request.goal_ms) };
+        let bound = if request.only_if_idle() {
+            idle_bound
+        } else {
+            idle_bound.max(part * request.goal_ms)
+        };
         self.predicted_ms - bound.min(request.remaining_ms)
     }
 
@@ -176,7 +179,7 @@
             let completions = server.completions(rules, now);
             let estimate = server.estimate(rules, &self.placement, part, &completions, now);
             let predicted = self.first_event_ms(rules, base, server, &estimate);
-            let isolation_cost = self.isolation_cost(base.base_isolation_cost, server);
+            let isolation_cost = self.short_isolation_cost(base.base_isolation_cost, index);
             let own = placement.lateness_cost(predicted, request.goal_ms)
                 + placement.miss_probability(estimate.pause_ms, request.max_pause_ms);
             let cost_to_others =
@@ -188,11 +191,24 @@
         places.sort_unstable_by(|a, b| {
             a.0.total_cmp(&b.0).then_with(|| spread.rank(a.1).cmp(&spread.rank(b.1)))
         });
-        let least = places.first()?.0;
-        let near = places.iter().take_while(|(cost, ..)| *cost <= least + base.weight);
+        let (least, best, _) = *places.first()?;
+        let is_in_pool = self.short_pool.contains(best);
+        let near = places
+            .iter()
+            .take_while(|(cost, ..)| *cost <= least + base.weight)
+            .filter(|(_, index, _)| self.short_pool.contains(*index) == is_in_pool);
         near.take(spread.skipped + 1).last().map(|(_, index, predicted)| (*index, *predicted))
     }
 
+    /// Cost, in weights, of placing a short prompt on an engine that long prompts may need.
+    fn short_isolation_cost(&self, base_isolation_cost: f64, index: usize) -> f64 {
+        match self.short_pool.is_active() {
+            true if self.short_pool.contains(index) => 0.0,
+            true => self.placement.most_apart,
+            false => self.isolation_cost(base_isolation_cost, &self.servers[index]),
+        }
+    }
+
     /// The present cost, to a short prompt, of an engine where nothing else decodes.
     fn base_isolation_cost(&self, now: Time) -> f64 {
         let engines = self.usable_endpoints().max(1) as f64;
@@ -386,6 +402,9 @@
         head.is_next_probe = false;
         head.sent.record(now + hold, now);
         let incarnation = head.member.incarnation;
+        if plan.rank == SHORT_RANK {
+            self.short_pool.record_placed(1, now);
+        }
         if plan.part_prefill_ms > self.short_prefill_ms() || !helpers.is_empty() {
             self.long_share.add(plan.part_prefill_ms * plan.servers.len() as f64, now);
         }
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -36,6 +36,7 @@
 mod rules;
 mod running_mean;
 mod server;
+mod short_pool;
 mod slots;
 mod split;
 mod unanswered;
@@ -60,12 +61,13 @@
     announcements::Announcements,
     contention::MemoryShare,
     drain::DrainedDataCentres,
-    health::Health,
+    health::{Health, HealthState},
     instances::Instances,
     quarantine::{Quarantine, SOUND_AFTER},
     rendezvous,
     routes::EngineRules,
     shared_limit::SharedLimit,
+    waiting::Class,
     warm_up::ColdStart,
 };
 
@@ -73,6 +75,7 @@
 use decoding::whole_ms;
 use ended_runs::EndedRuns;
 use server::Server;
+use short_pool::{PoolDemand, ShortPool};
 
 /// Interval between two assessments of the endpoints' health. Bounds what a failing endpoint still
 /// receives.
@@ -89,6 +92,9 @@
 /// most: one pass plus the network delay.
 const UPDATE_DELAY_MARGIN: Duration = Duration::from_millis(50);
 
+/// Milliseconds for which an answer holds its slot, before any has ended.
+const DEFAULT_HELD_MS: f64 = 1_500.0;
+
 /// Half-life of the share of long prompts and of the queueing statistics: bursts begin and end
 /// within seconds.
 const BURST_HALF_LIFE: Duration = Duration::from_millis(1_500);
@@ -171,6 +177,7 @@
     long_share: decaying::DecayingSum,
     pause_goals: pauses::PauseGoals,
     slot_usage: slots::SlotUsage,
+    short_pool: ShortPool,
     unreported: unreported::UnreportedPlacements,
 }
 
@@ -204,6 +211,7 @@
             long_share: decaying::DecayingSum::new(BURST_HALF_LIFE),
             pause_goals: pauses::PauseGoals::default(),
             slot_usage: slots::SlotUsage::default(),
+            short_pool: ShortPool::default(),
             unreported: unreported::UnreportedPlacements::default(),
         }
     }
@@ -226,6 +234,16 @@
             .is_some_and(|(from, rules)| from.is_reached(rules))
     }
 
+    /// What a prompt of this length competes for.
+    pub fn class(&self, prompt_tokens: u64) -> Class {
+        let prefill_ms = self.rules.as_ref().map_or(0.0, |rules| rules.prefill_ms(prompt_tokens));
+        match self.placement.rank(prefill_ms, self.short_prefill_ms()) {
+            rules::SHORT_RANK => Class::Short,
+            rules::MIDDLE_RANK => Class::Middle,
+            _ => Class::Long,
+        }
+    }
+
     /// Replaces the group's endpoints. Nothing is carried over to a new incarnation.
     pub fn set_members(&mut self, members: Vec<Member>, now: Time) {
         let mut old = std::mem::take(&mut self.servers);
@@ -253,6 +271,7 @@
         for server in old.values().filter(|server| !server.member.leaving) {
             self.record_lapse(&server.member, now);
         }
+        self.short_pool.set_endpoints(self.servers.keys());
         self.tags = self.servers.keys().enumerate().map(|(i, id)| (id.into(), i)).collect();
         if !self.servers.is_empty() {
             self.unreported.record_start(now);
@@ -330,6 +349,7 @@
                 );
             }
         }
+        self.update_short_pool(now);
         let warm = self.choose(request, Pool::Warm, spread, now);
         let waits_for_slot = warm.as_ref().and_then(|plan| plan.waits_for_slot);
         if let Some(waits_for_slot) = waits_for_slot {
@@ -346,6 +366,28 @@
         Ok(self.commit(plan?, request, now))
     }
 
+    /// Computes the engines that are kept for short prompts, in a contended group.
+    fn update_short_pool(&mut self, now: Time) {
+        let Some(rules) = self.rules.as_ref().filter(|_| self.is_contended()) else { return };
+        let shortest = self.pause_goals.shortest();
+        // A short prompt's weight is about one, so the sum of weights stands for their number.
+        let weight = |server: &Server| server.decoding_weight(|goal| f64::from(goal) <= shortest);
+        let demand = PoolDemand {
+            slots: rules.slots,
+            held_ms: self.slot_usage.held_ms().unwrap_or(DEFAULT_HELD_MS),
+            held_slots: self.servers.values().map(weight).sum(),
+            long_engines: self.long_share.rate(now) / 1000.0,
+            heard_share: self.instances.as_ref().map_or(1.0, Instances::heard_share),
+        };
+        let (servers, health) = (&self.servers, &self.health);
+        let is_usable = |index: usize| {
+            let server = &servers[index];
+            server.accepts_requests()
+                && health.state(&server.member.endpoint, now) != HealthState::Ejected
+        };
+        self.short_pool.update(&demand, is_usable, now);
+    }
+
     fn choose(
         &self,
         request: &PlacementRequest,
@@ -367,8 +409,10 @@
         now: Time,
     ) -> Result<PlacementPlan, PlacementRefusal> {
         let plan = plan.ok_or_else(|| self.no_endpoint(request, now))?;
-        let excess_ms =
-            plan.excess_ms(request, &self.placement, self.slot_usage.is_overloaded(now));
+        // In a contended group short prompts gather on few engines, so that finding no free slot
+        // there doesn't show that all slots are taken.
+        let is_overloaded = !self.is_contended() && self.slot_usage.is_overloaded(now);
+        let excess_ms = plan.excess_ms(request, &self.placement, is_overloaded);
         if excess_ms > 0.0 {
             return Err(PlacementRefusal::TooLate(Duration::from_secs_f64(excess_ms / 1000.0)));
         }
@@ -578,6 +622,10 @@
             self.pause_goals.record(pause_ms, now);
         }
         let heads = updates.iter().flat_map(|update| &update.placed).filter(|part| part.is_head);
+        let short_prefill_ms = self.short_prefill_ms();
+        let is_short =
+            |part: &&PartUpdate| !part.is_split && f64::from(part.prefill_ms) <= short_prefill_ms;
+        self.short_pool.record_placed(heads.clone().filter(is_short).count(), now);
         self.unreported.record(heads.count(), now);
         self.long_share.add(updates::long_prefill_ms(updates, self.short_prefill_ms()), now);
     }
--- a/crates/policy/src/placement/request.rs
+++ b/crates/policy/src/placement/request.rs
@@ -30,12 +30,21 @@
     pub parts: Arc<[Fingerprint]>,
     /// An earlier attempt is still in flight.
     pub is_hedge: bool,
+    /// It is late already, and is placed only where that delays no other request.
+    pub is_late: bool,
     /// Incarnations of endpoints that have already had it.
     pub tried: Vec<(EndpointId, Incarnation)>,
     /// Regions whose endpoints may run it.
     pub homes: Homes,
 }
 
+impl PlacementRequest {
+    /// Whether it is placed only if its first event is due as soon as on idle engines.
+    pub(super) fn only_if_idle(&self) -> bool {
+        self.is_hedge || self.is_late
+    }
+}
+
 /// Identifies a placed request until it ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct JobId(pub u64);
--- a/crates/policy/src/placement/split.rs
+++ b/crates/policy/src/placement/split.rs
@@ -19,6 +19,7 @@
     choose::{PlacementPlan, candidate_part},
     decoding::whole_ms,
     prefill::PartCompletion,
+    rules::LONG_RANK,
     server::{PartEstimate, Server, millis},
 };
 
@@ -89,6 +90,7 @@
         let prefill_ms = base.part_prefill_ms;
         let mut engines: Vec<Engine<'_>> = self
             .candidates(request, pool, now)
+            .filter(|(index, _)| base.rank != LONG_RANK || self.short_pool.admits_long(*index))
             .map(|(index, server)| Engine {
                 index,
                 server,
--- a/crates/policy/tests/arranging/mod.rs
+++ b/crates/policy/tests/arranging/mod.rs
@@ -60,6 +60,7 @@
         fingerprint: Fingerprint(u128::from(prompt)),
         parts: Default::default(),
         is_hedge: false,
+        is_late: false,
         tried: Vec::new(),
         homes: Homes::everywhere(),
     }
--- a/crates/policy/tests/drain.rs
+++ b/crates/policy/tests/drain.rs
@@ -89,6 +89,7 @@
     /// Guards against hedges there.
     a_hedge_avoids_a_drained_data_centre => || avoids(&[1], |i| PlacementRequest {
         is_hedge: true,
+        is_late: false,
         tried: vec![(arranging::id(0), Incarnation(1))],
         ..request(5_000, i)
     });
--- a/crates/policy/tests/homes.rs
+++ b/crates/policy/tests/homes.rs
@@ -74,6 +74,7 @@
     /// Guards against hedges and retries elsewhere.
     a_hedge_stays_at_home => || stay_in(2, &homes(&[2]), |i| PlacementRequest {
         is_hedge: true,
+        is_late: false,
         tried: vec![(arranging::id(2), Incarnation(1))],
         ..request(5_000, i)
     });
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -10,6 +10,7 @@
     EndpointId, FailCause, Fingerprint, Incarnation, Time,
     forwarding::Peer,
     placement::{Helper, JobId, Placement, PlacementRefusal, PlacementRequest},
+    waiting::Class,
 };
 
 use super::{
@@ -98,6 +99,10 @@
 #[derive(Default)]
 pub(super) struct Progress {
     pub(super) tried: Vec<(EndpointId, Incarnation)>,
+    /// It has waited until it could only be late.
+    is_late: bool,
+    /// Its first attempt has earned retry budget.
+    is_counted: bool,
     /// Number of attempts that were sent to an endpoint.
     pub(super) sent: u32,
     /// Number of attempts at which nothing was sent, or another server had the endpoint's address.
@@ -271,15 +276,37 @@
 
     /// Whether the request may be sent to one more endpoint.
     fn may_send(&self) -> bool {
-        let progress = lock(&self.progress);
+        let mut progress = lock(&self.progress);
         if progress.not_sent > MAX_UNSENT_ATTEMPTS || !self.may_run_again(&progress) {
             return false;
         }
-        if progress.sent + progress.not_sent == 0 {
+        if progress.sent + progress.not_sent > 0 {
+            return self.may_retry();
+        }
+        // A request that waits for room is placed more than once until it is sent.
+        if !std::mem::replace(&mut progress.is_counted, true) {
             self.group.record_first_attempt(self.context.clock.now());
-            return true;
         }
-        self.may_retry()
+        true
+    }
+
+    /// Whether nothing was sent or passed on yet.
+    pub(super) fn is_first_attempt(&self) -> bool {
+        let progress = lock(&self.progress);
+        progress.sent + progress.not_sent == 0
+            && progress.tried.is_empty()
+            && progress.peers_tried.is_empty()
+            && progress.last_event_id.is_none()
+    }
+
+    /// Sets whether the request can only be late.
+    pub(super) fn set_late(&self, is_late: bool) {
+        lock(&self.progress).is_late = is_late;
+    }
+
+    /// What the request competes for.
+    pub(super) fn class(&self) -> Class {
+        lock(&self.group.scheduler).class(self.prompt_tokens().unwrap_or_default())
     }
 
     /// Whether the request may run once more, as far as its route says.
@@ -372,6 +399,7 @@
             fingerprint: received.fingerprint,
             parts: received.parts.clone(),
             is_hedge: other == OtherAttempt::InFlight,
+            is_late: progress.is_late,
             tried: progress.tried.clone(),
             homes: match &received.owner {
                 Some(owner) => received.route.homes.intersection(&owner.homes),
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -60,15 +60,7 @@
     pub answer_times: Mutex<AnswerTimes>,
 }
 
-/// The last filter: sends requests to endpoints.
-pub struct Dispatch<D>(Arc<DispatchContext<D>>);
-
-impl<D> Dispatch<D> {
-    /// Creates the filter.
-    pub fn new(context: DispatchContext<D>) -> Self {
-        Dispatch(Arc::new(context))
-    }
-
+impl<D> DispatchContext<D> {
     /// Refuses a request that is expected to outlast a stop in progress.
     ///
     /// Guards against a planned stop that cuts answers off: requests keep arriving long after the
@@ -76,8 +68,12 @@
     /// stopping too. A caller that learns at once that its request hasn't run can retry elsewhere
     /// with all its time left. Requests that would finish in time are served, since the other
     /// instances may be stopping as well ([`policy::answers`]).
-    fn check_stop_deadline(&self, received: &Received, group: &Group) -> Result<(), Refusal> {
-        let Some(left) = self.0.lifecycle.time_until_cutoff() else { return Ok(()) };
+    pub(super) fn check_stop_deadline(
+        &self,
+        received: &Received,
+        group: &Group,
+    ) -> Result<(), Refusal> {
+        let Some(left) = self.lifecycle.time_until_cutoff() else { return Ok(()) };
         let needed = match received.caller.tokens {
             Some(tokens) => self.expected_duration(&received.route.name, tokens, group),
             None => received.route.goal * PLAIN_CALL_GOAL_MULTIPLE,
@@ -96,7 +92,7 @@
         (prompt, output): (u64, u64),
         group: &Group,
     ) -> Duration {
-        let decode_bound = lock(&self.0.answer_times).upper_bound(route);
+        let decode_bound = lock(&self.answer_times).upper_bound(route);
         let scheduler = lock(&group.scheduler);
         match decode_bound {
             Some(decode_time) => scheduler.typical_duration(prompt, 0) + decode_time,
@@ -105,6 +101,16 @@
     }
 }
 
+/// The last filter: sends requests to endpoints.
+pub struct Dispatch<D>(Arc<DispatchContext<D>>);
+
+impl<D> Dispatch<D> {
+    /// Creates the filter.
+    pub fn new(context: DispatchContext<D>) -> Self {
+        Dispatch(Arc::new(context))
+    }
+}
+
 impl<D: Dialect> Handler<Received> for Dispatch<D> {
     async fn handle(&self, received: Received) -> Result<Response<ResponseBody>, Refusal> {
         let draw = fastrand::f64();
@@ -112,7 +118,7 @@
         let name =
             name.ok_or_else(|| Refusal::not_run(Reason::NoEndpoint, ENDPOINTS_RETRY_AFTER))?;
         let group = self.0.groups.get_or_create(&name);
-        self.check_stop_deadline(&received, &group)?;
+        self.0.check_stop_deadline(&received, &group)?;
         let call = Call::new(self.0.clone(), received, group);
         if call.received.route.is_streaming {
             return relay::stream(call).await;
--- a/crates/router/src/filter/hedge.rs
+++ b/crates/router/src/filter/hedge.rs
@@ -55,7 +55,7 @@
     F: AsyncFn(&Call<D>, ActiveResponse<D>) -> Result<T, FailCause>,
 {
     loop {
-        let target = call.next_target(other)?;
+        let target = call.target_or_wait(other).await?;
         let delay = call.hedge_delay(&target);
         let first_job = target.job();
         let mut first = pin!(attempt(call, target, &accept));
--- a/crates/router/src/filter/mod.rs
+++ b/crates/router/src/filter/mod.rs
@@ -22,6 +22,7 @@
 mod run;
 mod send;
 mod start;
+mod wait;
 
 use std::future::Future;
 
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -13,7 +13,7 @@
     metrics::{Counter, Histogram, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use policy::FailCause;
+use policy::{FailCause, waiting::Class};
 use prometheus::{Registry, TextEncoder};
 
 use crate::{
@@ -50,6 +50,7 @@
     failures: Counter<u64>,
     hedges: Counter<u64>,
     forwards: Counter<u64>,
+    waited: Histogram<f64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
     registry: Registry,
@@ -81,6 +82,7 @@
             failures: counter(&meter, "trefoilhall_attempt_failures", "failed attempts, by cause"),
             hedges: counter(&meter, "trefoilhall_hedges", "attempts beside a slow one"),
             forwards: counter(&meter, "trefoilhall_forwards", "requests passed on to peers"),
+            waited: seconds_histogram(&meter, "trefoilhall_waited", "time spent waiting for room"),
             first_byte: seconds_histogram(
                 &meter,
                 "trefoilhall_first_byte",
@@ -129,6 +131,12 @@
         self.forwards.add(1, &[]);
     }
 
+    /// Records how long a request waited for room, and what ended that.
+    pub fn waited(&self, class: Class, outcome: &'static str, waited: Duration) {
+        let labels = [KeyValue::new("class", class.as_str()), KeyValue::new("outcome", outcome)];
+        self.waited.record(waited.as_secs_f64(), &labels);
+    }
+
     /// Records the time to the first byte of an answer.
     pub fn first_byte_received(&self, prompt: Option<u64>, elapsed: Duration) {
         let labels = [KeyValue::new("prompt", prompt_band(prompt))];
@@ -182,6 +190,23 @@
     open.with_description("requests under way")
         .with_callback(move |gauge| gauge.observe(lifecycle.in_flight() as u64, &[]))
         .build();
+    let waiting_groups = groups.clone();
+    let waiting = meter.u64_observable_gauge("trefoilhall_waiting");
+    waiting
+        .with_description("requests that wait for room, by group and class")
+        .with_callback(move |gauge| {
+            for group in waiting_groups.all() {
+                let line = crate::lock(&group.waiting);
+                for class in [Class::Short, Class::Middle, Class::Long] {
+                    let labels = [
+                        KeyValue::new("group", group.name.as_str().to_owned()),
+                        KeyValue::new("class", class.as_str()),
+                    ];
+                    gauge.observe(line.count(class) as u64, &labels);
+                }
+            }
+        })
+        .build();
     let groups = groups.clone();
     let usable = meter.u64_observable_gauge("trefoilhall_endpoints_usable");
     usable
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -19,6 +19,7 @@
     placement::{GroupScheduler, PlacementRules},
     retry::{RetryRules, RetryWindow},
     routes::RouteTable,
+    waiting::WaitingLine,
 };
 
 use crate::{clock::BootTime, lock, signal::OneShot};
@@ -192,6 +193,8 @@
     pub scheduler: Mutex<GroupScheduler>,
     /// Addresses of the endpoints.
     pub addresses: RwLock<IndexMap<EndpointId, SocketAddr>>,
+    /// Requests that wait here until an endpoint has room.
+    pub waiting: Mutex<WaitingLine>,
     /// This instance's own path to the endpoints.
     pub path: Mutex<Path>,
     retries: Mutex<RetryWindow>,
@@ -207,6 +210,7 @@
             name,
             scheduler: Mutex::new(scheduler),
             addresses: RwLock::default(),
+            waiting: Mutex::default(),
             path: Mutex::default(),
             retries: Mutex::default(),
         }
