Add the shares of workspaces in the engines' time

Cause: where engines can't serve everything, whoever asks most often gets most, and callers that repeat refused requests gain by it.

`GroupScheduler::cost` tells what a placed request takes.

--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -228,4 +228,9 @@
     EndpointTag of EndpointId;
     /// Short identifier of an endpoint group in messages between instances.
     GroupTag of EndpointGroup;
+    /// Short identifier of a workspace in messages between instances.
+    ///
+    /// Two of 2,300 workspaces have the same tag in one of 1,600 sites. They are then charged for
+    /// what both of them use, so each is served after workspaces that use as much as it alone.
+    WorkspaceTag of Workspace;
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod scheduler;
 pub mod selection;
 pub mod shared_limit;
+pub mod shares;
 pub mod topology;
 pub mod units;
 pub mod warm_up;
@@ -47,7 +48,7 @@
 pub use any::AnyScheduler;
 pub use ids::{
     DataCentre, Deployment, EndpointGroup, EndpointId, EndpointTag, Fingerprint, GroupTag,
-    Incarnation, InstanceId, Model, Region, RequestId, Workspace,
+    Incarnation, InstanceId, Model, Region, RequestId, Workspace, WorkspaceTag,
 };
 pub use replay::Offset;
 pub use report::{
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -25,7 +25,7 @@
 mod announce;
 mod backoff;
 mod choose;
-mod decaying;
+pub(crate) mod decaying;
 mod decoding;
 mod ended_runs;
 mod failures;
@@ -51,7 +51,7 @@
 
 pub use decoding::DecodingLoad;
 pub use prefill::PartKey;
-pub use request::{Helper, Job, JobId, Placement, PlacementRefusal, PlacementRequest};
+pub use request::{Helper, Job, JobCost, JobId, Placement, PlacementRefusal, PlacementRequest};
 pub use rules::{PlacementRules, PlacementStrategy};
 pub use updates::{EndpointLoad, EndpointUpdate, PartUpdate, update_interval};
 
@@ -506,6 +506,13 @@
         }
     }
 
+    /// What a placed request takes of its engines, until now; none if the group isn't scheduled for
+    /// contention.
+    pub fn cost(&self, job: JobId, now: Time) -> Option<JobCost> {
+        let rules = self.rules.as_ref().filter(|_| self.is_contended())?;
+        self.jobs.get(&job).map(|job| job.cost(rules, now))
+    }
+
     /// Removes a request that ended on its endpoint, successfully or not.
     pub fn finish(&mut self, job: JobId, failed: Option<FailCause>, now: Time) {
         let Some(job) = self.jobs.swap_remove(&job) else { return };
--- a/crates/policy/src/placement/request.rs
+++ b/crates/policy/src/placement/request.rs
@@ -2,7 +2,11 @@
 
 use std::{fmt, sync::Arc, time::Duration};
 
-use crate::{EndpointId, Fingerprint, Incarnation, Time, quarantine::DeathId, routes::Homes};
+use crate::{
+    EndpointId, Fingerprint, Incarnation, Time,
+    quarantine::DeathId,
+    routes::{EngineRules, Homes},
+};
 
 use super::{
     prefill::{Part, PartKey, Pass},
@@ -137,7 +141,31 @@
     pub first_event_at: Option<Time>,
 }
 
+/// What a request takes of its engines, in milliseconds of one engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct JobCost {
+    /// Prefill of all its parts; nothing was prefilled if it wasn't sent.
+    pub prefill_ms: f64,
+    /// Its part of the time that the answers on its engine took so far.
+    pub slot_ms: f64,
+    /// When it was placed.
+    pub placed_at: Time,
+    /// It was handed to the endpoint.
+    pub is_sent: bool,
+}
+
 impl Job {
+    /// What it takes of its engines until now.
+    pub(super) fn cost(&self, rules: &EngineRules, now: Time) -> JobCost {
+        let decoded = self.first_event_at.map_or(Duration::ZERO, |began| now.since(began));
+        JobCost {
+            prefill_ms: self.part_prefill_ms * self.incarnations.len() as f64,
+            slot_ms: decoded.as_secs_f64() * 1000.0 / f64::from(rules.slots.max(1)),
+            placed_at: self.placed_at,
+            is_sent: self.is_sent,
+        }
+    }
+
     /// The engine that runs it, and its helpers.
     pub fn endpoints(&self) -> impl Iterator<Item = &EndpointId> {
         std::iter::once(&self.endpoint).chain(self.helpers.iter().map(|h| &h.endpoint))
