Charge workspaces for what their requests use, and report it to peers

Cause: the order of waiting requests needs the usage of each workspace, at all instances.

Change: in groups that are scheduled for contention, a request's prefill is charged when it is placed and taken back if it is never sent, and the time of its slot is charged when its run ends. The gauge `trefoilhall_workspace_usage` shows the 16 largest workspaces of a group. Elsewhere nothing is recorded or sent.

Result: `cargo test -p router` passes, with new tests of the charges and of the message (257 bytes at most).

--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -226,7 +226,7 @@
     /// Ends the first attempt because the hedge that was sent later answered first.
     pub(super) fn hedge_won(&self, job: JobId) {
         let now = self.context.clock.now();
-        lock(&self.group.scheduler).finish(job, Some(FailCause::Silent), now);
+        self.group.finish(self.received.workspace(), job, Some(FailCause::Silent), now);
     }
 
     /// Chooses where the next attempt is sent, if one more is allowed.
@@ -306,6 +306,7 @@
         let placed = lock(&self.group.scheduler).place(&request, now);
         match placed {
             Ok(placement) => {
+                self.group.charge_prefill(self.received.workspace(), placement.job, now);
                 log::info!(
                     id = self.id(),
                     route = self.received.route.name.as_str(),
--- a/crates/router/src/filter/receive.rs
+++ b/crates/router/src/filter/receive.rs
@@ -9,7 +9,7 @@
 use http::{Response, StatusCode, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use policy::{
-    Fingerprint, Time,
+    Fingerprint, Time, Workspace,
     routes::{KeyOwner, Route},
 };
 use smol::{Timer, future::FutureExt};
@@ -50,6 +50,13 @@
     pub forwarded: Option<Forwarded>,
 }
 
+impl Received {
+    /// Workspace of the API key; `None` where no key is required.
+    pub fn workspace(&self) -> Option<&Workspace> {
+        self.owner.as_ref().map(|owner| &owner.workspace)
+    }
+}
+
 /// Filter that reads the body and sets the deadline.
 pub struct Receive<N> {
     clock: Clock,
--- a/crates/router/src/filter/run.rs
+++ b/crates/router/src/filter/run.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use policy::{
-    EndpointId, FailCause, Incarnation, InstanceId,
+    EndpointId, FailCause, Incarnation, InstanceId, Workspace,
     placement::{JobId, Placement},
 };
 
@@ -93,6 +93,8 @@
     group: Arc<Group>,
     clock: Clock,
     job: JobId,
+    /// Charged for the time of the slot.
+    workspace: Option<Workspace>,
     pub(super) endpoint: EndpointId,
     pub(super) incarnation: Incarnation,
     reservations: Option<Reservations<D>>,
@@ -101,11 +103,17 @@
 
 impl<D: Dialect> EndpointRun<D> {
     /// Creates the run of a placed request.
-    pub(super) fn new(group: &Arc<Group>, clock: Clock, placement: &Placement) -> EndpointRun<D> {
+    pub(super) fn new(
+        group: &Arc<Group>,
+        clock: Clock,
+        placement: &Placement,
+        workspace: Option<&Workspace>,
+    ) -> EndpointRun<D> {
         EndpointRun {
             group: group.clone(),
             clock,
             job: placement.job,
+            workspace: workspace.cloned(),
             endpoint: placement.endpoint.clone(),
             incarnation: placement.incarnation,
             reservations: None,
@@ -136,7 +144,7 @@
 
     fn finish(&mut self, failed: Option<FailCause>) {
         if !std::mem::replace(&mut self.is_ended, true) {
-            lock(&self.group.scheduler).finish(self.job, failed, self.clock.now());
+            self.group.finish(self.workspace.as_ref(), self.job, failed, self.clock.now());
         }
     }
 }
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -37,7 +37,12 @@
 impl<D: Dialect> Call<D> {
     /// Sends one attempt. Returns `None` unless the response may be passed on to the caller.
     pub(super) async fn attempt(&self, placement: Placement) -> Option<ActiveResponse<D>> {
-        let mut run = EndpointRun::new(&self.group, self.context.clock, &placement);
+        let mut run = EndpointRun::new(
+            &self.group,
+            self.context.clock,
+            &placement,
+            self.received.workspace(),
+        );
         if !self.wait_out_hold(&placement).await {
             return None;
         }
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -105,7 +105,7 @@
         let lifecycle = Arc::new(Lifecycle::default());
         let live_instances = Arc::new(AtomicUsize::new(1));
         let bind_error = |address| move |e| StartError::Bind(address, e);
-        let metrics = Metrics::new(&configuration, &groups, &lifecycle);
+        let metrics = Metrics::new(&configuration, &groups, &lifecycle, clock);
         let metrics = Arc::new(metrics.map_err(StartError::Metrics)?);
         let callers = net::listen(settings.listen).map_err(bind_error(settings.listen))?;
         let ready =
--- a/crates/router/src/links/message.rs
+++ b/crates/router/src/links/message.rs
@@ -2,7 +2,7 @@
 
 use policy::{
     GroupTag, Incarnation, freshness::Position, gossip, named_limit::LimitReport,
-    placement::EndpointUpdate, quarantine,
+    placement::EndpointUpdate, quarantine, shares::WorkspaceUsage,
 };
 use serde::{Deserialize, Serialize};
 
@@ -50,4 +50,40 @@
     Quarantine { group: GroupTag, entries: Vec<quarantine::Entry> },
     /// Limits that endpoints of one group name.
     Limits { group: GroupTag, reports: Vec<LimitReport> },
+    /// The sender's own usage of one group's engines, by workspace.
+    Usage { group: GroupTag, usage: Vec<WorkspaceUsage> },
+}
+
+#[cfg(test)]
+mod tests {
+    #![allow(clippy::unwrap_used)]
+
+    use policy::{EndpointGroup, Workspace, shares::MAX_REPORTED};
+
+    use super::*;
+
+    /// Guards against reports of usage that take more traffic than instances may use for control, and
+    /// against a new message that changes the numbers of the others.
+    #[test]
+    fn a_report_of_usage_takes_few_bytes() {
+        let group = GroupTag::from(&EndpointGroup::new("engines").unwrap());
+        let usage = |index: usize| WorkspaceUsage {
+            workspace: (&Workspace::new(&format!("workspace-{index}")).unwrap()).into(),
+            used_ms: 100_000_000,
+            is_active: true,
+        };
+        let datagram = Datagram {
+            incarnation: IncarnationTag(u32::MAX),
+            sequence: u64::from(u32::MAX),
+            body: Body::Usage { group, usage: (0..MAX_REPORTED).map(usage).collect() },
+        };
+        let config = bincode::config::standard();
+        let bytes = bincode::serde::encode_to_vec(&datagram, config).unwrap();
+        assert!(bytes.len() <= 257, "{} bytes", bytes.len());
+        // After the incarnation and the sequence, five bytes each.
+        assert_eq!(bytes[10], 8);
+        let (decoded, _) =
+            bincode::serde::decode_from_slice::<Datagram, _>(&bytes, config).unwrap();
+        assert_eq!(decoded, datagram);
+    }
 }
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -34,6 +34,7 @@
     named_limit::LimitReport,
     placement::update_interval,
     quarantine, rendezvous,
+    shares::{REPORT_INTERVAL, report_recipients},
 };
 use smol::{channel::Receiver, net::UdpSocket};
 
@@ -97,6 +98,10 @@
     lost: Vec<InstanceId>,
     /// Peers that appeared and may not know the quarantine and the limits.
     newcomers: Vec<InstanceId>,
+    /// When the next report of usage is due.
+    next_report: Time,
+    /// Number of reports of usage sent.
+    reports_sent: usize,
 }
 
 enum Event {
@@ -163,6 +168,8 @@
             discovered: Vec::new(),
             lost: Vec::new(),
             newcomers: Vec::new(),
+            next_report: Time::ZERO,
+            reports_sent: 0,
         }
     }
 
@@ -177,6 +184,7 @@
                 Event::UpdatesDue => {
                     next_update = self.clock.now() + update_interval(self.gossip.live_count());
                     self.send_updates(true).await;
+                    self.report_usage().await;
                     self.log_peer_changes();
                     self.share_instances_again();
                 }
@@ -244,6 +252,29 @@
         self.send_news().await;
     }
 
+    /// Reports what workspaces use of one contended group to a few random peers. Groups take turns,
+    /// so the number of reports doesn't grow with them.
+    async fn report_usage(&mut self) {
+        let now = self.clock.now();
+        if now < self.next_report {
+            return;
+        }
+        let peers = self.gossip.live_count();
+        let interval = REPORT_INTERVAL.max(update_interval(peers));
+        self.next_report = now + interval;
+        let mut groups = self.groups.all();
+        groups.retain(|group| lock(&group.scheduler).is_contended());
+        if groups.is_empty() {
+            return;
+        }
+        self.reports_sent += 1;
+        let group = &groups[self.reports_sent % groups.len()];
+        let Some(usage) = lock(&group.shares).report(now) else { return };
+        let addresses = self.gossip.all_live().map(|entry| entry.address);
+        let recipients = fastrand::choose_multiple(addresses, report_recipients(peers, interval));
+        self.send(Body::Usage { group: group.tag, usage }, &recipients).await;
+    }
+
     /// Sends the changes that all instances have to act on at once; see [`policy::announcements`].
     async fn send_news(&mut self) {
         let now = self.clock.now();
@@ -368,6 +399,12 @@
                     lock(&group.scheduler).apply_limit_reports(&reports, now);
                 }
             }
+            Body::Usage { group, usage } => {
+                let group = self.groups.by_tag(group);
+                if let Some(group) = group.filter(|group| lock(&group.scheduler).is_contended()) {
+                    lock(&group.shares).apply_report(&instance, &usage, now);
+                }
+            }
             Body::Query { nonce, endpoints_position } => {
                 let reply = self.tracker.reply(endpoints_position);
                 self.send(Body::Reply { nonce, reply }, &[from]).await;
@@ -386,6 +423,7 @@
         if changes.is_empty() {
             return;
         }
+        let now = self.clock.now();
         for change in changes {
             let (instance, is_new) = match change {
                 Change::Appeared(instance) => (instance, true),
@@ -406,6 +444,7 @@
             }
             for group in self.groups.all() {
                 lock(&group.scheduler).remove_peer(&instance);
+                lock(&group.shares).remove_peer(&instance, now);
             }
         }
         self.update_readers();
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -2,7 +2,7 @@
 //!
 //! Each label has few values. There are hundreds of routes and thousands of workspaces, and each
 //! series costs memory on every instance, so requests are distinguished only by prompt length and
-//! outcome.
+//! outcome, and usage is shown for the largest workspaces only.
 
 use std::{fmt, sync::Arc, time::Duration};
 
@@ -17,6 +17,7 @@
 use prometheus::{Registry, TextEncoder};
 
 use crate::{
+    clock::Clock,
     filter::ResponseBody,
     serve::{ConnectionLimits, Service},
     state::{Configuration, Groups, Lifecycle},
@@ -26,6 +27,9 @@
 const HISTOGRAM_BOUNDS_S: [f64; 14] =
     [0.001, 0.005, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 5.0, 10.0, 15.0];
 
+/// Number of workspaces per group whose usage is shown.
+const SHOWN_WORKSPACES: usize = 16;
+
 /// Idle timeout of a collector's connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -67,6 +71,7 @@
         configuration: &Arc<Configuration>,
         groups: &Arc<Groups>,
         lifecycle: &Arc<Lifecycle>,
+        clock: Clock,
     ) -> Result<Metrics, MetricsError> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone());
@@ -74,6 +79,7 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("trefoilhall");
         register_gauges(&meter, configuration, groups, lifecycle);
+        register_usage(&meter, groups, clock);
         Ok(Metrics {
             requests: counter(&meter, "trefoilhall_requests", "requests that ended, by outcome"),
             refusals: counter(&meter, "trefoilhall_refusals", "own answers, by reason"),
@@ -195,6 +201,27 @@
         .build();
 }
 
+/// Registers the recent usage of the largest workspaces. All of them would be too many series.
+fn register_usage(meter: &Meter, groups: &Arc<Groups>, clock: Clock) {
+    let groups = groups.clone();
+    let usage = meter.f64_observable_gauge("trefoilhall_workspace_usage");
+    usage
+        .with_description("recent milliseconds of engines' time, by group and workspace")
+        .with_callback(move |gauge| {
+            for group in groups.all() {
+                let largest = crate::lock(&group.shares).largest(SHOWN_WORKSPACES, clock.now());
+                for (workspace, used_ms) in largest {
+                    let labels = [
+                        KeyValue::new("group", group.name.as_str().to_owned()),
+                        KeyValue::new("workspace", workspace.as_str().to_owned()),
+                    ];
+                    gauge.observe(used_ms, &labels);
+                }
+            }
+        })
+        .build();
+}
+
 fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
     meter.u64_counter(name).with_description(description).build()
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -11,14 +11,15 @@
 
 use indexmap::IndexMap;
 use policy::{
-    EndpointGroup, EndpointId, GroupTag, Time,
+    EndpointGroup, EndpointId, FailCause, GroupTag, Time, Workspace,
     contention::MemoryShare,
     drain::DrainedDataCentres,
     forwarding::{Path, Peers},
     instances::Instances,
-    placement::{GroupScheduler, PlacementRules},
+    placement::{GroupScheduler, JobId, PlacementRules},
     retry::{RetryRules, RetryWindow},
     routes::RouteTable,
+    shares::Shares,
 };
 
 use crate::{clock::BootTime, lock, signal::OneShot};
@@ -194,6 +195,8 @@
     pub addresses: RwLock<IndexMap<EndpointId, SocketAddr>>,
     /// This instance's own path to the endpoints.
     pub path: Mutex<Path>,
+    /// What each workspace uses of the engines; empty unless the group is scheduled for contention.
+    pub shares: Mutex<Shares>,
     retries: Mutex<RetryWindow>,
 }
 
@@ -208,6 +211,7 @@
             scheduler: Mutex::new(scheduler),
             addresses: RwLock::default(),
             path: Mutex::default(),
+            shares: Mutex::default(),
             retries: Mutex::default(),
         }
     }
@@ -232,6 +236,36 @@
         entry.map(|(endpoint, _)| endpoint.clone())
     }
 
+    /// Charges a workspace for the prefill of a request that was placed.
+    pub fn charge_prefill(&self, workspace: Option<&Workspace>, job: JobId, now: Time) {
+        let Some(workspace) = workspace else { return };
+        let cost = lock(&self.scheduler).cost(job, now);
+        if let Some(cost) = cost {
+            lock(&self.shares).record(workspace, cost.prefill_ms, now);
+        }
+    }
+
+    /// Ends a request on its endpoint, and charges its workspace for the time of its slot. The
+    /// prefill of a request that wasn't sent is taken back.
+    pub fn finish(
+        &self,
+        workspace: Option<&Workspace>,
+        job: JobId,
+        failed: Option<FailCause>,
+        now: Time,
+    ) {
+        let mut scheduler = lock(&self.scheduler);
+        let cost = scheduler.cost(job, now);
+        scheduler.finish(job, failed, now);
+        drop(scheduler);
+        let Some((workspace, cost)) = workspace.zip(cost) else { return };
+        let mut shares = lock(&self.shares);
+        match cost.is_sent {
+            true => shares.record(workspace, cost.slot_ms, now),
+            false => shares.refund(workspace, cost.prefill_ms, cost.placed_at, now),
+        }
+    }
+
     /// Counts a request's first attempt, which earns retry budget.
     pub fn record_first_attempt(&self, now: Time) {
         lock(&self.retries).record_first_attempt(now);
