Order the wait queue by the shares of workspaces

Between instances the shares decide nothing yet: a request that finds room is placed whatever its workspace used.

--- a/crates/policy/src/shares.rs
+++ b/crates/policy/src/shares.rs
@@ -100,7 +100,7 @@
 }
 
 /// Place of a workspace in the order of service; the lowest goes first.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Rank(f64);
 
 impl Eq for Rank {}
--- a/crates/policy/src/waiting.rs
+++ b/crates/policy/src/waiting.rs
@@ -9,8 +9,9 @@
 //!
 //! **Rule.** A request that finds no room waits at its instance. Those that can still be on time
 //! come before those that are late already, which only run where engines are idle. Among equals,
-//! requests that were refused before come first, then those of the workspace that has used least,
-//! and then the one whose caller leaves first. Only the first of each class tries to be placed, so a
+//! workspaces within their share come before those that have used more, requests that were refused
+//! before come before new ones, then those of the workspace that has used least, and then the one
+//! whose caller leaves first. Only the first of each class tries to be placed, so a
 //! long line costs no more than a short one. A full line keeps the requests that lose most by
 //! being refused.
 //!
@@ -22,7 +23,10 @@
 
 use indexmap::IndexMap;
 
-use crate::{Time, Workspace};
+use crate::{
+    Time, Workspace,
+    shares::{Rank as ShareRank, Shares},
+};
 
 /// Requests of one class that wait at most.
 pub const MAX_WAITING: usize = 64;
@@ -83,6 +87,25 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct WaiterId(u64);
 
+/// How a workspace stands in relation to the others that want room.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Default)]
+pub struct Standing {
+    /// It has used more than its share while others want capacity.
+    pub is_over_share: bool,
+    /// The one with the lowest rank goes first.
+    pub rank: ShareRank,
+}
+
+impl Standing {
+    /// The standing of a request's workspace; requests without one stand first.
+    pub fn of(shares: &mut Shares, workspace: Option<&Workspace>, now: Time) -> Standing {
+        workspace.map_or(Standing::default(), |workspace| Standing {
+            is_over_share: shares.is_over_share(workspace, now),
+            rank: shares.rank(workspace, now),
+        })
+    }
+}
+
 /// What a waiting request does next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Turn {
@@ -109,19 +132,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct Rank {
     is_late: bool,
+    is_over_share: bool,
     is_new: bool,
-    usage: f64,
+    share: ShareRank,
     useful_until: Time,
     id: WaiterId,
 }
 
 impl WaitingLine {
-    /// Adds a request. `usage` tells how much a workspace has used. None if the line is full of
-    /// requests that come before it.
+    /// Adds a request. `standing` tells how a workspace stands. None if the line is full of requests
+    /// that come before it.
     pub fn enter(
         &mut self,
         entry: Entry,
-        usage: impl Fn(Option<&Workspace>) -> f64,
+        mut standing: impl FnMut(Option<&Workspace>) -> Standing,
         now: Time,
     ) -> Option<WaiterId> {
         if entry.useful_until <= now || entry.bytes > MAX_WAITING_BYTES {
@@ -133,23 +157,28 @@
         self.bytes += entry.bytes;
         self.entries.insert(id, entry);
         while self.count(class) > MAX_WAITING || self.bytes > MAX_WAITING_BYTES {
-            let last = self.last(self.count(class) > MAX_WAITING, class, &usage, now)?;
+            let last = self.last(self.count(class) > MAX_WAITING, class, &mut standing, now)?;
             self.leave(last);
         }
         self.entries.contains_key(&id).then_some(id)
     }
 
     /// What a waiting request does at `now`.
-    pub fn turn(&self, id: WaiterId, usage: impl Fn(Option<&Workspace>) -> f64, now: Time) -> Turn {
+    pub fn turn(
+        &self,
+        id: WaiterId,
+        mut standing: impl FnMut(Option<&Workspace>) -> Standing,
+        now: Time,
+    ) -> Turn {
         let Some(entry) = self.entries.get(&id).filter(|entry| entry.useful_until > now) else {
             return Turn::GiveUp;
         };
-        let own = rank(id, entry, &usage, now);
+        let own = rank(id, entry, &mut standing, now);
         let is_first = self
             .entries
             .iter()
             .filter(|(_, other)| other.class == entry.class && other.useful_until > now)
-            .all(|(other_id, other)| own <= rank(*other_id, other, &usage, now));
+            .all(|(other_id, other)| own <= rank(*other_id, other, &mut standing, now));
         match is_first {
             true => Turn::Try { is_late: own.is_late },
             false => Turn::Wait,
@@ -173,12 +202,12 @@
         &self,
         is_class_full: bool,
         class: Class,
-        usage: &impl Fn(Option<&Workspace>) -> f64,
+        standing: &mut impl FnMut(Option<&Workspace>) -> Standing,
         now: Time,
     ) -> Option<WaiterId> {
         let candidates =
             self.entries.iter().filter(|(_, entry)| !is_class_full || entry.class == class);
-        let ranked = candidates.map(|(id, entry)| rank(*id, entry, usage, now));
+        let ranked = candidates.map(|(id, entry)| rank(*id, entry, standing, now));
         let last = ranked.max_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
         last.map(|rank| rank.id)
     }
@@ -187,13 +216,15 @@
 fn rank(
     id: WaiterId,
     entry: &Entry,
-    usage: &impl Fn(Option<&Workspace>) -> f64,
+    standing: &mut impl FnMut(Option<&Workspace>) -> Standing,
     now: Time,
 ) -> Rank {
+    let standing = standing(entry.workspace.as_ref());
     Rank {
         is_late: entry.on_time_until <= now,
+        is_over_share: standing.is_over_share,
         is_new: entry.refusals == 0,
-        usage: usage(entry.workspace.as_ref()),
+        share: standing.rank,
         useful_until: entry.useful_until,
         id,
     }
--- a/crates/policy/tests/waiting.rs
+++ b/crates/policy/tests/waiting.rs
@@ -6,7 +6,10 @@
 
 use policy::{
     Time, Workspace,
-    waiting::{Class, Entry, MAX_WAITING, MAX_WAITING_BYTES, Turn, WaiterId, WaitingLine},
+    shares::Shares,
+    waiting::{
+        Class, Entry, MAX_WAITING, MAX_WAITING_BYTES, Standing, Turn, WaiterId, WaitingLine,
+    },
 };
 
 const NOW: Time = Time::from_millis(10_000);
@@ -31,22 +34,29 @@
     Entry { workspace: Some(Workspace::new(workspace).unwrap()), ..entry(Class::Short) }
 }
 
-fn no_usage(_: Option<&Workspace>) -> f64 {
-    0.0
+fn no_usage(_: Option<&Workspace>) -> Standing {
+    Standing::default()
 }
 
-fn usage_of_large(workspace: Option<&Workspace>) -> f64 {
-    if workspace.is_some_and(|workspace| workspace.as_str() == "large") { 10.0 } else { 1.0 }
+/// `large` has used most, and more than its share.
+fn usage() -> Shares {
+    let mut shares = Shares::default();
+    for (name, used_ms) in [("large", 900.0), ("middle", 200.0), ("small", 100.0)] {
+        shares.record(&Workspace::new(name).unwrap(), used_ms, NOW);
+    }
+    shares
 }
 
 /// Index of the entry whose turn it is at `now`.
 fn first_of(entries: &[Entry], now: Time) -> usize {
     let mut line = WaitingLine::default();
-    let ids: Vec<WaiterId> = entries
-        .iter()
-        .map(|entry| line.enter(entry.clone(), usage_of_large, NOW).unwrap())
-        .collect();
-    let is_first = |id: &WaiterId| matches!(line.turn(*id, usage_of_large, now), Turn::Try { .. });
+    let mut shares = usage();
+    let ids: Vec<WaiterId> =
+        entries.iter().map(|entry| line.enter(entry.clone(), no_usage, NOW).unwrap()).collect();
+    let mut is_first = |id: &WaiterId| {
+        let standing = |workspace: Option<&_>| Standing::of(&mut shares, workspace, now);
+        matches!(line.turn(*id, standing, now), Turn::Try { .. })
+    };
     let firsts: Vec<usize> = (0..ids.len()).filter(|index| is_first(&ids[*index])).collect();
     assert_eq!(firsts.len(), 1, "one request of a class tries at a time: {firsts:?}");
     firsts[0]
@@ -79,7 +89,12 @@
         entry(Class::Short),
     ], after(1) => 1;
     /// Guards against a workspace that takes all room because it sends most.
-    least_used_workspace_first: [owned_by("large"), owned_by("small")], NOW => 1;
+    over_share_after_others: [
+        Entry { refusals: 1, ..owned_by("large") },
+        owned_by("middle"),
+    ], NOW => 1;
+    /// Guards against a workspace within its share that waits for one that has used more.
+    least_used_workspace_first: [owned_by("middle"), owned_by("small")], NOW => 1;
     /// Guards against callers that leave while others with more time are placed.
     caller_that_leaves_first: [
         entry(Class::Short),
--- a/crates/router/src/filter/wait.rs
+++ b/crates/router/src/filter/wait.rs
@@ -11,7 +11,7 @@
 
 use policy::{
     Time,
-    waiting::{Entry, Turn, WaiterId},
+    waiting::{Entry, Standing, Turn, WaiterId},
 };
 use smol::Timer;
 
@@ -37,7 +37,9 @@
 
 impl Place {
     fn turn(&self, now: Time) -> Turn {
-        lock(&self.group.waiting).turn(self.id, |_| 0.0, now)
+        let mut shares = lock(&self.group.shares);
+        let standing = |workspace: Option<&_>| Standing::of(&mut shares, workspace, now);
+        lock(&self.group.waiting).turn(self.id, standing, now)
     }
 }
 
@@ -114,14 +116,16 @@
         let patience = route.gap_timeout.saturating_sub(FIRST_EVENT_MARGIN);
         let entry = Entry {
             class: self.class(),
-            workspace: received.owner.as_ref().map(|owner| owner.workspace.clone()),
+            workspace: received.workspace().cloned(),
             refusals: 0,
             on_time_until: received.arrived + route.goal,
             useful_until: received.arrived + patience.min(total.mul_f64(MAX_WAIT_SHARE)),
             bytes: received.body.len(),
         };
         let now = self.context.clock.now();
-        let id = lock(&self.group.waiting).enter(entry, |_| 0.0, now)?;
+        let mut shares = lock(&self.group.shares);
+        let standing = |workspace: Option<&_>| Standing::of(&mut shares, workspace, now);
+        let id = lock(&self.group.waiting).enter(entry, standing, now)?;
         Some(Place { group: self.group.clone(), id })
     }
 }
