--- a/crates/router/src/freshness.rs
+++ b/crates/router/src/freshness.rs
@@ -120,7 +120,7 @@
 }
 
 /// A source that instances follow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Source {
     /// The operators' configuration.
     Configuration,
