--- a/crates/router/src/snapshot/compression.rs
+++ b/crates/router/src/snapshot/compression.rs
@@ -44,6 +44,11 @@
         by_source.insert(source, Compressed { checksum, content: compressed.clone() });
         compressed
     }
+
+    #[cfg(test)]
+    pub(super) fn has(&self, source: Source) -> bool {
+        lock(&self.0).contains_key(&source)
+    }
 }
 
 /// Decompresses a content that is `len` bytes long.
--- a/crates/router/src/snapshot/tests.rs
+++ b/crates/router/src/snapshot/tests.rs
@@ -62,9 +62,17 @@
 /// An instance that serves its snapshot on a thread of its own, until it is dropped.
 struct Server {
     address: SocketAddr,
+    content: Arc<SnapshotContent>,
     _stop: Sender<()>,
 }
 
+impl Server {
+    /// Whether a peer has asked for the compressed content.
+    fn has_compressed(&self) -> bool {
+        self.content.compressed.has(Source::Configuration)
+    }
+}
+
 impl Server {
     fn start(content: &Bytes) -> Server {
         let listener = net::listen(([127, 0, 0, 1], 0).into()).unwrap();
@@ -72,7 +80,7 @@
         let (stop, stopped) = bounded::<()>(1);
         let executor = Arc::new(Executor::new());
         let server = Arc::new(SnapshotServer::new(tracker(content), executor.clone()));
-        let spawn = executor.clone();
+        let (spawn, served) = (executor.clone(), server.content.clone());
         let accept = async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
@@ -86,7 +94,7 @@
             };
             smol::block_on(executor.run(stopped.or(accept)))
         });
-        Server { address, _stop: stop }
+        Server { address, content: served, _stop: stop }
     }
 }
 
@@ -178,6 +186,7 @@
                 MAX_RELAYED_BYTES,
             )));
             assert_eq!(transfer.unwrap().content, content);
+            assert_eq!(server.has_compressed(), content.len() >= MIN_COMPRESSED_BYTES);
         }
     };
 
