Reserve capacity for the retries of refused requests

Callers of refused requests are told the time until there may be room for one request, so dozens return together and are refused again. policy::returns reserves spans of 250 ms within what the instance has placed lately, by class, and recognises requests that were refused before, here or at a peer. Nothing uses it yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod report;
 pub mod request;
 pub mod retry;
+pub mod returns;
 pub mod roster;
 pub mod routes;
 pub mod scheduler;
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -49,6 +49,7 @@
 use fastrand::Rng;
 use indexmap::{IndexMap, IndexSet};
 
+pub(crate) use decaying::DecayingSum;
 pub use decoding::DecodingLoad;
 pub use prefill::PartKey;
 pub use request::{Helper, Job, JobId, Placement, PlacementRefusal, PlacementRequest};
@@ -226,6 +227,12 @@
             .is_some_and(|(from, rules)| from.is_reached(rules))
     }
 
+    /// Whether a prompt may be prefilled whole on an engine that decodes.
+    pub fn is_short_prompt(&self, prompt_tokens: u64) -> bool {
+        let prefill_ms = self.rules.as_ref().map_or(0.0, |rules| rules.prefill_ms(prompt_tokens));
+        prefill_ms <= self.short_prefill_ms()
+    }
+
     /// Replaces the group's endpoints. Nothing is carried over to a new incarnation.
     pub fn set_members(&mut self, members: Vec<Member>, now: Time) {
         let mut old = std::mem::take(&mut self.servers);
