Merge retries after refusal

A refusal is counted and capacity booked once, when the caller is told, not at each try of a waiting request; the wait queue orders by earlier refusals and counts the caller's goal from the first one. router, platform (returns, waiting, starts) and policy (returns, waiting, shares, short_pool) tests pass.

--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -50,6 +50,7 @@
 use fastrand::Rng;
 use indexmap::{IndexMap, IndexSet};
 
+pub(crate) use decaying::DecayingSum;
 pub use decoding::DecodingLoad;
 pub use prefill::PartKey;
 pub use request::{Helper, Job, JobCost, JobId, Placement, PlacementRefusal, PlacementRequest};
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -121,6 +121,8 @@
     pub(super) first_byte_after: Option<Duration>,
     /// The longest pause between two events of the stream.
     pub(super) longest_pause: Duration,
+    /// The request has been placed.
+    pub(super) is_placed: bool,
     /// The last response that reported an error of the endpoint itself.
     pub(super) endpoint_failure: Option<Response<ResponseBody>>,
 }
@@ -350,6 +352,7 @@
                 if request.prompt_tokens > 0 {
                     self.context.urgent.raise();
                 }
+                self.record_placed();
                 Ok(placement)
             }
             Err(PlacementRefusal::NoEndpoint) => Err(self.give_up(Reason::NoEndpoint)),
@@ -448,6 +451,7 @@
         let elapsed = self.context.clock.now().since(self.received.arrived);
         lock(&self.progress).first_byte_after = Some(elapsed);
         self.context.metrics.first_byte_received(self.prompt_tokens(), elapsed);
+        self.record_served();
     }
 
     /// Records a pause between two events.
--- a/crates/router/src/filter/wait.rs
+++ b/crates/router/src/filter/wait.rs
@@ -53,12 +53,14 @@
     /// Chooses where the next attempt is sent. A first attempt for which there is no room waits for
     /// it, unless that is useless to its caller.
     pub(super) async fn target_or_wait(&self, other: OtherAttempt) -> Result<Target, Refusal> {
-        match self.next_target(other) {
-            Err(refusal) if other == OtherAttempt::None && self.may_wait(refusal.reason) => {
-                self.wait_for_room(refusal).await
-            }
-            decision => decision,
+        if other == OtherAttempt::InFlight {
+            return self.next_target(other);
         }
+        let decision = match self.next_target(other) {
+            Err(refusal) if self.may_wait(refusal.reason) => self.wait_for_room(refusal).await,
+            decision => decision,
+        };
+        decision.map_err(|refusal| self.promise_capacity(refusal))
     }
 
     fn may_wait(&self, reason: Reason) -> bool {
@@ -113,12 +115,15 @@
         let received = &self.received;
         let route = &received.route;
         let total = received.deadline.since(received.arrived);
+        let earlier = self.earlier_refusals();
+        // Callers count from their first attempt.
+        let waited = earlier.map_or(Duration::ZERO, |earlier| earlier.first_refused_ago);
         let patience = route.gap_timeout.saturating_sub(FIRST_EVENT_MARGIN);
         let entry = Entry {
             class: self.class(),
             workspace: received.workspace().cloned(),
-            refusals: 0,
-            on_time_until: received.arrived + route.goal,
+            refusals: earlier.map_or(0, |earlier| earlier.refusals),
+            on_time_until: received.arrived + route.goal.saturating_sub(waited),
             useful_until: received.arrived + patience.min(total.mul_f64(MAX_WAIT_SHARE)),
             bytes: received.body.len(),
         };
--- a/crates/router/src/links/message.rs
+++ b/crates/router/src/links/message.rs
@@ -2,7 +2,7 @@
 
 use policy::{
     GroupTag, Incarnation, freshness::Position, gossip, named_limit::LimitReport,
-    placement::EndpointUpdate, quarantine, shares::WorkspaceUsage,
+    placement::EndpointUpdate, quarantine, returns::RefusalReport, shares::WorkspaceUsage,
 };
 use serde::{Deserialize, Serialize};
 
@@ -52,13 +52,19 @@
     Limits { group: GroupTag, reports: Vec<LimitReport> },
     /// The sender's own usage of one group's engines, by workspace.
     Usage { group: GroupTag, usage: Vec<WorkspaceUsage> },
+    /// Requests of one group that the sender has refused for lack of capacity.
+    Returns { group: GroupTag, reports: Vec<RefusalReport> },
 }
 
 #[cfg(test)]
 mod tests {
     #![allow(clippy::unwrap_used)]
 
-    use policy::{EndpointGroup, Workspace, shares::MAX_REPORTED};
+    use policy::{
+        EndpointGroup, Workspace,
+        returns::{DATAGRAM_BYTES, MAX_REPORTS, REPORT_BYTES},
+        shares::MAX_REPORTED,
+    };
 
     use super::*;
 
@@ -86,4 +92,26 @@
             bincode::serde::decode_from_slice::<Datagram, _>(&bytes, config).unwrap();
         assert_eq!(decoded, datagram);
     }
+
+    /// Guards against refusals that take more bytes than the bound on news of them assumes, and
+    /// against messages that older versions take for others.
+    #[test]
+    fn refusals_take_no_more_bytes_than_assumed() {
+        let report = RefusalReport { fingerprint: u64::MAX, age_ms: u16::MAX, refusals: u8::MAX };
+        let group = GroupTag::from(&EndpointGroup::new("desk").expect("valid"));
+        for count in [0, 1, MAX_REPORTS] {
+            let datagram = Datagram {
+                incarnation: IncarnationTag(u32::MAX),
+                sequence: u64::from(u32::MAX),
+                body: Body::Returns { group, reports: vec![report; count] },
+            };
+            let config = bincode::config::standard();
+            let bytes = bincode::serde::encode_to_vec(&datagram, config).expect("encodes");
+            assert!(bytes.len() <= DATAGRAM_BYTES + REPORT_BYTES * count, "{}", bytes.len());
+            let decoded = bincode::serde::decode_from_slice(&bytes, config).expect("decodes");
+            assert_eq!(decoded, (datagram, bytes.len()));
+            // The number of the variant, after 5 bytes each of incarnation and sequence.
+            assert_eq!(bytes[10], 9);
+        }
+    }
 }
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -185,6 +185,7 @@
                     next_update = self.clock.now() + update_interval(self.gossip.live_count());
                     self.send_updates(true).await;
                     self.report_usage().await;
+                    self.send_returns().await;
                     self.log_peer_changes();
                     self.share_instances_again();
                 }
@@ -275,6 +276,21 @@
         self.send(Body::Usage { group: group.tag, usage }, &recipients).await;
     }
 
+    /// Sends the refusals by which other instances recognise retries; see [`policy::returns`].
+    async fn send_returns(&mut self) {
+        let now = self.clock.now();
+        let groups: Vec<_> =
+            self.groups.all().into_iter().filter(|group| group.is_contended()).collect();
+        // Each group has its own queue, and all of them share what may be received.
+        let senders = self.gossip.live_count() * groups.len();
+        for group in groups {
+            let reports = lock(&group.returns).take_news(senders, now);
+            if !reports.is_empty() {
+                self.send_all(Body::Returns { group: group.tag, reports }).await;
+            }
+        }
+    }
+
     /// Sends the changes that all instances have to act on at once; see [`policy::announcements`].
     async fn send_news(&mut self) {
         let now = self.clock.now();
@@ -405,6 +421,12 @@
                     lock(&group.shares).apply_report(&instance, &usage, now);
                 }
             }
+            Body::Returns { group, reports } => {
+                let group = self.groups.by_tag(group).filter(|group| group.is_contended());
+                if let Some(group) = group {
+                    lock(&group.returns).apply_news(&reports, now);
+                }
+            }
             Body::Query { nonce, endpoints_position } => {
                 let reply = self.tracker.reply(endpoints_position);
                 self.send(Body::Reply { nonce, reply }, &[from]).await;
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -18,6 +18,7 @@
     instances::Instances,
     placement::{GroupScheduler, JobId, PlacementRules},
     retry::{RetryRules, RetryWindow},
+    returns::Returns,
     routes::RouteTable,
     shares::Shares,
     waiting::WaitingLine,
@@ -200,6 +201,8 @@
     pub path: Mutex<Path>,
     /// What each workspace uses of the engines; empty unless the group is scheduled for contention.
     pub shares: Mutex<Shares>,
+    /// Retries of refused requests, where the group is contended.
+    pub returns: Mutex<Returns>,
     retries: Mutex<RetryWindow>,
 }
 
@@ -216,10 +219,16 @@
             waiting: Mutex::default(),
             path: Mutex::default(),
             shares: Mutex::default(),
+            returns: Mutex::new(Returns::new(seed)),
             retries: Mutex::default(),
         }
     }
 
+    /// Whether the group is scheduled for contention.
+    pub fn is_contended(&self) -> bool {
+        lock(&self.scheduler).is_contended()
+    }
+
     /// Address of an endpoint; `None` if it isn't in the group.
     pub fn address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
         let addresses = self.addresses.read().unwrap_or_else(PoisonError::into_inner);
--- a/crates/router/tests/shares.rs
+++ b/crates/router/tests/shares.rs
@@ -56,6 +56,7 @@
         priority: 1,
         fingerprint: Fingerprint(1),
         parts: Default::default(),
+        is_late: false,
         is_hedge: false,
         tried: Vec::new(),
         homes: Homes::everywhere(),
