--- a/crates/router/src/snapshot/tests.rs
+++ b/crates/router/src/snapshot/tests.rs
@@ -24,8 +24,8 @@
 fn repetitive(routes: usize) -> Bytes {
     let route = |i| {
         format!(
-            r#"{{"Name":"more-{i}","Host":"desk.example","PathPrefix":"/more-{i}/","Kind":"idempotent",
-            "TimeoutMs":4000,"GoalMs":300,"Priority":1,"Service":"desk","MaxAttempts":2}},"#
+            r#"{{"name":"more-{i}","host":"desk.example","path":"/more-{i}/","kind":"idempotent",
+            "timeout":4000,"goal":300,"priority":1,"group":"desk","attempts":2}},"#
         )
     };
     (0..routes).map(route).collect::<String>().into()
