Open all engines once a group isn't contended any more

Found in reading: a change of the configuration that ended contention left the engines that were kept for short prompts closed to long ones for good. The test fails without the change.

--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -369,7 +369,9 @@
 
     /// Computes the engines that are kept for short prompts, in a contended group.
     fn update_short_pool(&mut self, now: Time) {
-        let Some(rules) = self.rules.as_ref().filter(|_| self.is_contended()) else { return };
+        let Some(rules) = self.rules.as_ref().filter(|_| self.is_contended()) else {
+            return self.short_pool.clear();
+        };
         let shortest = self.pause_goals.shortest();
         // A short prompt's weight is about one, so the sum of weights stands for their number.
         let weight = |server: &Server| server.decoding_weight(|goal| f64::from(goal) <= shortest);
--- a/crates/policy/src/placement/short_pool.rs
+++ b/crates/policy/src/placement/short_pool.rs
@@ -158,6 +158,14 @@
         }
     }
 
+    /// Leaves all engines to prompts of all lengths, because the group isn't contended any more.
+    pub(super) fn clear(&mut self) {
+        if std::mem::take(&mut self.is_active) {
+            self.uses.fill(Use::General);
+            self.computed_at = None;
+        }
+    }
+
     /// Slots that short prompts hold or are about to hold.
     fn slots_needed(&self, demand: &PoolDemand, now: Time) -> f64 {
         let rate = self.placed.rate(now).max(self.placed_lately.rate(now));
--- a/crates/policy/tests/short_pool.rs
+++ b/crates/policy/tests/short_pool.rs
@@ -197,6 +197,26 @@
     assert_eq!(engines(true), engines(false));
 }
 
+/// Guards against engines that stay closed to long prompts after a change of the configuration: the
+/// group isn't contended any more.
+#[test]
+fn nothing_is_kept_once_the_group_isnt_contended() {
+    let mut play = Play::new(1, true);
+    let outcome = play.run(10);
+    let long_after_ms = 60_000;
+    play.advance(long_after_ms);
+    let scheduler = &mut play.instances[0];
+    scheduler.set_contention(None);
+    let now = Time::from_millis(long_after_ms);
+    let mut used = BTreeSet::new();
+    for prompt in [LONG; 12] {
+        let Ok(placed) = scheduler.place(&request(prompt), now) else { continue };
+        used.insert(placed.endpoint);
+        used.extend(placed.helpers.into_iter().map(|helper| helper.endpoint));
+    }
+    assert!(!used.is_disjoint(&outcome.short_engines), "{} engines used", used.len());
+}
+
 /// Guards against a pool whose engines leave together: the next ones replace them at once.
 #[test]
 fn engines_that_leave_are_replaced() {
