Test that long prompts keep off the engines of short ones

The mutation that takes the exclusion away was missed by the test named before, too: placement's cost alone keeps parts away from engines that decode. The new test places a long prompt while nothing decodes.

--- a/crates/policy/tests/short_pool.rs
+++ b/crates/policy/tests/short_pool.rs
@@ -197,6 +197,22 @@
     assert_eq!(engines(true), engines(false));
 }
 
+/// Guards against long prompts on engines that short ones are about to need: at this moment nothing
+/// runs anywhere, so all engines look alike.
+#[test]
+fn long_prompts_keep_off_engines_of_short_ones() {
+    let mut play = Play::new(1, true);
+    let outcome = play.run(10);
+    let now = Time::from_millis(15_000);
+    for run in std::mem::take(&mut play.running) {
+        play.instances[run.from].finish(run.job, None, now);
+    }
+    let placed = play.instances[0].place(&request(LONG), now).unwrap();
+    let helpers = placed.helpers.into_iter().map(|helper| helper.endpoint);
+    let engines: BTreeSet<_> = std::iter::once(placed.endpoint).chain(helpers).collect();
+    assert!(engines.is_disjoint(&outcome.short_engines), "{engines:?}");
+}
+
 /// Guards against engines that stay closed to long prompts after a change of the configuration: the
 /// group isn't contended any more.
 #[test]
