Compare the engines of long and short prompts at one moment

The test of the commit before failed on its own code: it compared with engines of the last second, and the pool had shrunk since. Two instances that have seen the same now place short and long prompts at the same moment.

--- a/crates/policy/tests/short_pool.rs
+++ b/crates/policy/tests/short_pool.rs
@@ -198,19 +198,22 @@
 }
 
 /// Guards against long prompts on engines that short ones are about to need: at this moment nothing
-/// runs anywhere, so all engines look alike.
+/// runs anywhere, so all engines look alike. Short and long prompts are placed by two instances that
+/// have seen the same.
 #[test]
 fn long_prompts_keep_off_engines_of_short_ones() {
-    let mut play = Play::new(1, true);
-    let outcome = play.run(10);
-    let now = Time::from_millis(15_000);
-    for run in std::mem::take(&mut play.running) {
-        play.instances[run.from].finish(run.job, None, now);
-    }
-    let placed = play.instances[0].place(&request(LONG), now).unwrap();
-    let helpers = placed.helpers.into_iter().map(|helper| helper.endpoint);
-    let engines: BTreeSet<_> = std::iter::once(placed.endpoint).chain(helpers).collect();
-    assert!(engines.is_disjoint(&outcome.short_engines), "{engines:?}");
+    let engines_of = |prompts: &[u64]| {
+        let mut play = Play::new(1, true);
+        play.run(10);
+        let now = Time::from_millis(15_000);
+        for run in std::mem::take(&mut play.running) {
+            play.instances[run.from].finish(run.job, None, now);
+        }
+        let placed = prompts.iter().map(|prompt| play.place(*prompt, 15_000).unwrap().1);
+        placed.flatten().collect::<BTreeSet<_>>()
+    };
+    let (short, long) = (engines_of(&[SHORT; 20]), engines_of(&[LONG; 3]));
+    assert!(short.is_disjoint(&long), "{short:?} and {long:?}");
 }
 
 /// Guards against engines that stay closed to long prompts after a change of the configuration: the
