--- a/crates/router/src/filter/death.rs
+++ b/crates/router/src/filter/death.rs
@@ -130,27 +130,29 @@
 ) {
     let examination = Examination { group: group.name.clone(), endpoint, incarnation };
     let has_peers = !context.groups.peers().is_empty();
-    let verdict = match has_peers {
+    let (verdict, asked) = match has_peers {
         true => ask_peers(context, group, &examination).await,
-        false => examine(&*context.dialect, &context.groups, &examination).await,
+        false => (examine(&*context.dialect, &context.groups, &examination).await, 0),
     };
     let Examination { endpoint, .. } = examination;
     if verdict != Verdict::Dead {
-        log::info!(endpoint = endpoint.as_str(), verdict:? = verdict; "death_not_proved");
+        log::info!(group = group.name.as_str(), endpoint = endpoint.as_str(),
+            verdict:? = verdict, asked; "death_not_proved");
         return;
     }
     let now = context.clock.now();
     let suspects = lock(&group.scheduler).record_death(&endpoint, incarnation, now);
-    log::info!(endpoint = endpoint.as_str(), suspects; "endpoint_died");
+    log::info!(group = group.name.as_str(), endpoint = endpoint.as_str(), suspects, asked;
+        "endpoint_died");
     context.urgent.raise();
 }
 
-/// The first verdict of a peer that can tell.
+/// The first verdict of a peer that can tell, and the number of peers that were asked.
 async fn ask_peers<D: Dialect>(
     context: &DispatchContext<D>,
     group: &Group,
     examination: &Examination,
-) -> Verdict {
+) -> (Verdict, usize) {
     let mut asked: Vec<Peer> = Vec::new();
     let now = context.clock.now();
     let mut rng = fastrand::Rng::new();
@@ -159,6 +161,7 @@
         let Some(peer) = peer else { break };
         asked.push(peer);
     }
+    let count = asked.len();
     let (tx, rx) = smol::channel::bounded(PEERS_ASKED);
     for Peer { address, .. } in asked {
         let (tx, executor, body) = (tx.clone(), context.executor.clone(), encode(examination));
@@ -171,10 +174,10 @@
     drop(tx);
     while let Ok(verdict) = rx.recv().await {
         if verdict != Verdict::Unknown {
-            return verdict;
+            return (verdict, count);
         }
     }
-    Verdict::Unknown
+    (Verdict::Unknown, count)
 }
 
 async fn ask(executor: &attempt::SharedExecutor, address: SocketAddr, body: Bytes) -> Verdict {
