Prove deaths in a group of which no endpoint is left

Callers saw that a request which had crashed three endpoints of a service of three went on being sent: nine times more, 13 endpoints ended.

Cause: a peer proved a death only by comparing the endpoint with another one of its group that accepts connections. Once the last endpoint of a small group has ended there is none, and the death stays Unknown until the registration lapses. Besides, peers that had declined a request of the group in the last second weren't asked at all, and in a group that is down all of them have.

Change: where no endpoint of the group is reached, one that refuses connections while an endpoint of another group in its data centre accepts one has died, if none of up to eight instances is connected to it. Peers that declined are asked, too. policy::examination decides; death.rs asks.

--- a/crates/policy/src/forwarding/peers.rs
+++ b/crates/policy/src/forwarding/peers.rs
@@ -87,11 +87,33 @@
         now: Time,
         rng: &mut Rng,
     ) -> Option<Peer> {
-        let is_candidate = |record: &&Record| {
-            let is_tried = tried.iter().any(|peer| peer.instance == record.peer.instance);
-            !is_tried && !record.has_declined(group, now)
-        };
-        let candidates: Vec<_> = self.0.values().filter(is_candidate).collect();
+        self.draw(group, tried, now, rng, |record| !record.has_declined(group, now))
+    }
+
+    /// Chooses a peer to ask about an endpoint of a group, in the same way. A peer that can't help
+    /// with requests may still tell whether endpoints refuse connections.
+    pub fn choose_witness(
+        &self,
+        group: GroupTag,
+        asked: &[Peer],
+        now: Time,
+        rng: &mut Rng,
+    ) -> Option<Peer> {
+        self.draw(group, asked, now, rng, |_| true)
+    }
+
+    fn draw(
+        &self,
+        group: GroupTag,
+        tried: &[Peer],
+        now: Time,
+        rng: &mut Rng,
+        is_candidate: impl Fn(&Record) -> bool,
+    ) -> Option<Peer> {
+        let is_tried =
+            |record: &Record| tried.iter().any(|peer| peer.instance == record.peer.instance);
+        let is_left = |record: &&Record| !is_tried(record) && is_candidate(record);
+        let candidates: Vec<_> = self.0.values().filter(is_left).collect();
         let is_elsewhere =
             |record: &&Record| tried.iter().all(|peer| peer.data_centre != record.peer.data_centre);
         let candidates = prefer(candidates, is_elsewhere);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod contention;
 pub mod digest;
 pub mod drain;
+pub mod examination;
 pub mod first_read;
 pub mod forwarding;
 pub mod freshness;
--- a/crates/policy/src/placement/announce.rs
+++ b/crates/policy/src/placement/announce.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::{
-    EndpointId, Incarnation, Time,
+    DataCentre, EndpointId, Incarnation, Time,
     named_limit::LimitReport,
     quarantine::{self, DeathId},
 };
@@ -30,6 +30,17 @@
         self.servers.get(endpoint).map(|server| server.member.incarnation)
     }
 
+    /// The data centre of an endpoint.
+    pub fn data_centre(&self, endpoint: &EndpointId) -> Option<&DataCentre> {
+        self.servers.get(endpoint).map(|server| &server.member.data_centre)
+    }
+
+    /// The endpoints in a data centre.
+    pub fn endpoints_in(&self, data_centre: &DataCentre) -> impl Iterator<Item = &EndpointId> {
+        let is_there = move |server: &&Server| server.member.data_centre == *data_centre;
+        self.servers.values().filter(is_there).map(|server| &server.member.endpoint)
+    }
+
     /// Records that an endpoint's incarnation has died, which has to be proved: connections that are
     /// refused here may be refused because this instance is cut off. All requests that it ended are
     /// suspected of having caused it. Returns their number.
--- a/crates/policy/tests/crash_site/mod.rs
+++ b/crates/policy/tests/crash_site/mod.rs
@@ -36,6 +36,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Conditions {
     pub instances: usize,
+    pub endpoints: usize,
     /// Share of messages between instances that are lost, and that arrive two seconds late.
     pub lost: f64,
     pub late: f64,
@@ -102,8 +103,8 @@
         let mut site = Site {
             conditions,
             schedulers: (0..conditions.instances).map(scheduler).collect(),
-            incarnations: vec![1; ENDPOINTS],
-            down_until: vec![0; ENDPOINTS],
+            incarnations: vec![1; conditions.endpoints],
+            down_until: vec![0; conditions.endpoints],
             runs: Vec::new(),
             messages: Vec::new(),
             sent: Vec::new(),
@@ -123,7 +124,8 @@
             incarnation: Incarnation(self.incarnations[index]),
             ..arranging::member(index, engine().slots, false)
         };
-        let members: Vec<_> = (0..ENDPOINTS).filter(listed).map(member).collect();
+        let endpoints = 0..self.conditions.endpoints;
+        let members: Vec<_> = endpoints.filter(listed).map(member).collect();
         // Idle endpoints are chosen in the order in which they are listed. Instances know each other's
         // load, which these aren't told of, and so choose different ones.
         for (index, scheduler) in self.schedulers.iter_mut().enumerate() {
@@ -199,7 +201,7 @@
         let now = self.now;
         let returns = |until: &u64| *until > 0 && *until <= now;
         if self.down_until.iter().any(returns) {
-            for index in 0..ENDPOINTS {
+            for index in 0..self.conditions.endpoints {
                 if returns(&self.down_until[index]) {
                     self.down_until[index] = 0;
                     self.incarnations[index] += 1;
--- a/crates/policy/tests/crashing_parts.rs
+++ b/crates/policy/tests/crashing_parts.rs
@@ -9,7 +9,7 @@
 
 use std::sync::Arc;
 
-use crash_site::{Conditions, Sent, Site, TICK_MS, at};
+use crash_site::{Conditions, ENDPOINTS, Sent, Site, TICK_MS, at};
 use engines::engine;
 use policy::{
     FailCause, Fingerprint, Incarnation, InstanceId,
@@ -60,8 +60,14 @@
     shared_every: u64,
 }
 
-const CALM: Conditions =
-    Conditions { instances: 4, lost: 0.0, late: 0.0, unaware: 0.0, rack_fails: false };
+const CALM: Conditions = Conditions {
+    instances: 4,
+    endpoints: ENDPOINTS,
+    lost: 0.0,
+    late: 0.0,
+    unaware: 0.0,
+    rack_fails: false,
+};
 const ROUGH: Conditions = Conditions { lost: 0.1, late: 0.1, unaware: 0.5, ..CALM };
 const USUAL: Variant =
     Variant { conditions: CALM, deadly: 1, is_first: false, shared: 2, shared_every: 0 };
--- a/crates/policy/tests/crashing_requests.rs
+++ b/crates/policy/tests/crashing_requests.rs
@@ -9,7 +9,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crash_site::{Conditions, Sent, Site, TICK_MS, at};
+use crash_site::{Conditions, ENDPOINTS, Sent, Site, TICK_MS, at};
 use engines::engine;
 use policy::{
     FailCause, Fingerprint, Incarnation,
@@ -61,19 +61,30 @@
     }
 }
 
+/// Copies that were sent to endpoints later than `CONTACT_MS` after the third crash. A rack that fails
+/// may take the endpoints down before the request has.
+fn late_copies(site: &Site) -> usize {
+    let bound = site.crashes.get(2).map_or(u64::MAX, |third| third + CONTACT_MS);
+    site.sent.iter().filter(|ms| **ms > bound).count()
+}
+
 fn plays(conditions: Conditions) {
     let mut site = Site::new(conditions);
     play(&mut site);
-    // The rack may take the endpoints down before the request has.
-    let bound = site.crashes.get(2).map_or(u64::MAX, |third| third + CONTACT_MS);
-    let late = site.sent.iter().filter(|ms| **ms > bound).count();
+    let late = late_copies(&site);
     assert!(late <= MAX_LATE_COPIES, "{late} late copies, {} crashes", site.crashes.len());
     assert_eq!(site.harmless_refused.len(), 0, "of {} done", site.harmless_done.len());
     assert!(site.harmless_done.len() > 600, "{}", site.harmless_done.len());
 }
 
-const CALM: Conditions =
-    Conditions { instances: 4, lost: 0.0, late: 0.0, unaware: 0.0, rack_fails: false };
+const CALM: Conditions = Conditions {
+    instances: 4,
+    endpoints: ENDPOINTS,
+    lost: 0.0,
+    late: 0.0,
+    unaware: 0.0,
+    rack_fails: false,
+};
 const ROUGH: Conditions = Conditions { lost: 0.1, late: 0.1, unaware: 0.5, ..CALM };
 
 macro_rules! cases {
@@ -90,6 +101,25 @@
     instances_stop_sending_with_29 => || plays(Conditions { instances: 29, ..CALM });
     instances_stop_sending_with_985 => || plays(Conditions { instances: 985, ..CALM });
 
+    /// Guards against copies that crash each new life of a group which they have crashed whole.
+    small_groups_stop_crashing => || {
+        for instances in [1, 4, 86, 985] {
+            for endpoints in 1..=3 {
+                let mut site = Site::new(Conditions { instances, endpoints, ..CALM });
+                for ms in (0..20_000).step_by(TICK_MS) {
+                    site.now = ms;
+                    site.tick();
+                    if ms >= 1_000 && ms % 100 == 0 {
+                        let instance = site.rng.usize(0..instances);
+                        site.send(instance, &request(POISON), 1);
+                    }
+                }
+                let late = late_copies(&site);
+                assert!(late <= MAX_LATE_COPIES, "{late} of {instances} instances at {endpoints}");
+            }
+        }
+    };
+
     /// Guards against deaths that some instances don't see and messages that are lost or late.
     four_instances_stop_sending_on_rough_links => || plays(ROUGH);
     instances_stop_sending_on_rough_links_with_29 => || plays(Conditions { instances: 29, ..ROUGH });
--- a/crates/policy/tests/forwarding.rs
+++ b/crates/policy/tests/forwarding.rs
@@ -219,6 +219,20 @@
     /// Guards against the same in a larger fleet.
     a_data_centre_of_2000 => || cut_off(2_000, 667);
 
+    /// Guards against deaths that stay unproved because all peers have just declined requests.
+    peers_that_declined_can_be_asked_about_endpoints => || {
+        let mut site = Site::new(4);
+        let (group, now) = (site.group, at(0));
+        let peers = &mut site.peers[0];
+        (1..4).for_each(|peer| peers.record_decline(&name(peer), group, now));
+        assert_eq!(peers.choose(group, &[], now, &mut site.rng), None);
+        let mut asked = Vec::new();
+        while let Some(peer) = peers.choose_witness(group, &asked, now, &mut site.rng) {
+            asked.push(peer);
+        }
+        assert_eq!(asked.len(), 3);
+    };
+
     /// Guards against an instance that has no peers and tries nothing any more.
     a_single_instance_tries_its_own_path => || {
         let mut site = Site::new(1);
--- a/crates/router/src/filter/death.rs
+++ b/crates/router/src/filter/death.rs
@@ -8,20 +8,22 @@
 //! instance that is cut off has harmless requests refused by all instances.
 //!
 //! **Rule.** After a broken attempt the instance opens a connection to the endpoint and closes it.
-//! Where connections are refused, it asks two peers to try ([`examine`]). A peer that isn't
-//! connected either, while another endpoint accepts its connection, proves that the incarnation
-//! ended; one that is connected disproves it. An instance without peers proves it the same way.
+//! Where connections are refused, it asks peers to try ([`examine`]), and [`Inquiry`] decides by what
+//! they find. An instance without peers goes by what it finds itself.
 //!
-//! **Grounds.** A connection breaks, or is refused, without any death where a path fails. A process
-//! that has ended refuses connections for as long as it isn't started again, which takes seconds.
-//! Asking takes two round trips.
+//! **Grounds.** A connection breaks, or is refused, without any death where a path fails. Asking
+//! takes two round trips.
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, header};
 use http_body_util::Full;
-use policy::{EndpointGroup, EndpointId, Incarnation, forwarding::Peer};
+use policy::{
+    EndpointGroup, EndpointId, Incarnation,
+    examination::{Finding, Inquiry, MAX_WITNESSES, Verdict},
+    forwarding::Peer,
+};
 use serde::{Deserialize, Serialize};
 use smol::{Timer, future::FutureExt};
 
@@ -36,11 +38,8 @@
     state::{Group, Groups},
 };
 
-/// Peers that are asked about an endpoint. One of them may be cut off or frozen.
-const PEERS_ASKED: usize = 2;
-
-/// Other endpoints that are tried to tell a dead endpoint from a path that is cut. Some of them may
-/// have died together with it.
+/// Other endpoints that are tried, of the same group and of others, to tell a dead endpoint from a
+/// path that is cut. Some of them may have died together with it.
 const MAX_CONTROLS: usize = 3;
 
 /// Time limit of a peer's answer: two connections that hang, and a round trip.
@@ -60,17 +59,6 @@
     incarnation: Incarnation,
 }
 
-/// What an instance finds out about an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) enum Verdict {
-    /// It accepts connections.
-    Alive,
-    /// It doesn't, while another endpoint does; or a later incarnation has registered.
-    Dead,
-    /// This instance can't tell.
-    Unknown,
-}
-
 /// Checks in the background whether an endpoint has died, after it broke an attempt.
 pub(super) fn check<D: Dialect>(
     context: &Arc<DispatchContext<D>>,
@@ -132,7 +120,11 @@
     let has_peers = !context.groups.peers().is_empty();
     let (verdict, asked) = match has_peers {
         true => ask_peers(context, group, &examination).await,
-        false => (examine(&*context.dialect, &context.groups, &examination).await, 0),
+        false => {
+            let mut inquiry = Inquiry::default();
+            let finding = examine(&*context.dialect, &context.groups, &examination).await;
+            (inquiry.record(finding).unwrap_or_else(|| inquiry.close()), 0)
+        }
     };
     let Examination { endpoint, .. } = examination;
     if verdict != Verdict::Dead {
@@ -147,40 +139,44 @@
     context.urgent.raise();
 }
 
-/// The first verdict of a peer that can tell, and the number of peers that were asked.
+/// What the findings of peers prove, and the number of peers that were asked.
 async fn ask_peers<D: Dialect>(
     context: &DispatchContext<D>,
     group: &Group,
     examination: &Examination,
 ) -> (Verdict, usize) {
+    let mut inquiry = Inquiry::default();
     let mut asked: Vec<Peer> = Vec::new();
-    let now = context.clock.now();
+    let mut outstanding = 0;
     let mut rng = fastrand::Rng::new();
-    while asked.len() < PEERS_ASKED {
-        let peer = context.groups.peers().choose(group.tag, &asked, now, &mut rng);
-        let Some(peer) = peer else { break };
-        asked.push(peer);
-    }
-    let count = asked.len();
-    let (tx, rx) = smol::channel::bounded(PEERS_ASKED);
-    for Peer { address, .. } in asked {
-        let (tx, executor, body) = (tx.clone(), context.executor.clone(), encode(examination));
-        let question = async move {
-            // The receiver is dropped after the first verdict.
-            tx.send(ask(&executor, address, body).await).await.ok();
-        };
-        context.executor.spawn(question).detach();
-    }
-    drop(tx);
-    while let Ok(verdict) = rx.recv().await {
-        if verdict != Verdict::Unknown {
-            return (verdict, count);
+    let (tx, rx) = smol::channel::bounded(MAX_WITNESSES);
+    loop {
+        while asked.len() < inquiry.witnesses() {
+            let now = context.clock.now();
+            let peer = context.groups.peers().choose_witness(group.tag, &asked, now, &mut rng);
+            let Some(peer) = peer else { break };
+            let address = peer.address;
+            asked.push(peer);
+            outstanding += 1;
+            let (tx, executor, body) = (tx.clone(), context.executor.clone(), encode(examination));
+            let question = async move {
+                // The receiver is dropped after the first proof.
+                tx.send(ask(&executor, address, body).await).await.ok();
+            };
+            context.executor.spawn(question).detach();
+        }
+        if outstanding == 0 {
+            return (inquiry.close(), asked.len());
+        }
+        outstanding -= 1;
+        let finding = rx.recv().await.unwrap_or(Finding::Unknown);
+        if let Some(verdict) = inquiry.record(finding) {
+            return (verdict, asked.len());
         }
     }
-    (Verdict::Unknown, count)
 }
 
-async fn ask(executor: &attempt::SharedExecutor, address: SocketAddr, body: Bytes) -> Verdict {
+async fn ask(executor: &attempt::SharedExecutor, address: SocketAddr, body: Bytes) -> Finding {
     let mut req = Request::new(Full::new(body));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = http::Uri::from_static(EXAMINATION_PATH);
@@ -198,7 +194,7 @@
         Timer::after(EXAMINATION_TIMEOUT).await;
         None
     };
-    answer.or(timed_out).await.unwrap_or(Verdict::Unknown)
+    answer.or(timed_out).await.unwrap_or(Finding::Unknown)
 }
 
 /// Finds out whether an endpoint has died.
@@ -206,28 +202,42 @@
     dialect: &D,
     groups: &Groups,
     Examination { group, endpoint, incarnation }: &Examination,
-) -> Verdict {
-    let Some(group) = groups.get(group) else { return Verdict::Unknown };
-    let registered = lock(&group.scheduler).incarnation(endpoint);
+) -> Finding {
+    let Some(group) = groups.get(group) else { return Finding::Unknown };
+    let (registered, data_centre) = {
+        let scheduler = lock(&group.scheduler);
+        (scheduler.incarnation(endpoint), scheduler.data_centre(endpoint).cloned())
+    };
     let address = group.address(endpoint).filter(|_| registered == Some(*incarnation));
     let Some(address) = address else {
         let is_replaced = registered.is_some_and(|registered| registered > *incarnation);
-        return if is_replaced { Verdict::Dead } else { Verdict::Unknown };
+        return if is_replaced { Finding::Dead } else { Finding::Unknown };
     };
-    let is_connected = async |address| {
-        net::connect(dialect.endpoint_address(address), CONNECT_TIMEOUT).await.is_ok()
+    let address_of = |address| dialect.endpoint_address(address);
+    let is_refused = match net::connect(address_of(address), CONNECT_TIMEOUT).await {
+        Ok(_) => return Finding::Alive,
+        Err(e) => e.kind() == io::ErrorKind::ConnectionRefused,
     };
-    if is_connected(address).await {
-        return Verdict::Alive;
+    let is_any_reached = async |controls: &[SocketAddr]| {
+        for control in controls {
+            if net::connect(address_of(*control), CONNECT_TIMEOUT).await.is_ok() {
+                return true;
+            }
+        }
+        false
+    };
+    let of_group = group.random_addresses(MAX_CONTROLS, Some(address));
+    if is_any_reached(&of_group).await {
+        return Finding::Dead;
     }
-    let controls = group.random_addresses(MAX_CONTROLS, Some(address));
-    if controls.is_empty() {
-        return Verdict::Dead;
+    let beside = data_centre.map_or_else(Vec::new, |data_centre| {
+        groups.random_addresses_beside(&group.name, &data_centre, MAX_CONTROLS)
+    });
+    if of_group.is_empty() && beside.is_empty() {
+        return Finding::Dead;
     }
-    for control in controls {
-        if is_connected(control).await {
-            return Verdict::Dead;
-        }
+    match is_refused && is_any_reached(&beside).await {
+        true => Finding::Refused,
+        false => Finding::Unknown,
     }
-    Verdict::Unknown
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -11,7 +11,7 @@
 
 use indexmap::IndexMap;
 use policy::{
-    EndpointGroup, EndpointId, FailCause, GroupTag, Time, Workspace,
+    DataCentre, EndpointGroup, EndpointId, FailCause, GroupTag, Time, Workspace,
     contention::MemoryShare,
     drain::DrainedDataCentres,
     forwarding::{Path, Peers},
@@ -392,6 +392,22 @@
         groups.entry(name.clone()).or_insert_with(create).clone()
     }
 
+    /// Addresses of up to `count` random endpoints of other groups in a data centre.
+    pub fn random_addresses_beside(
+        &self,
+        group: &EndpointGroup,
+        data_centre: &DataCentre,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        let others = self.all().into_iter().filter(|other| other.name != *group);
+        let addresses = others.flat_map(|other| {
+            let scheduler = lock(&other.scheduler);
+            let endpoints = scheduler.endpoints_in(data_centre);
+            endpoints.filter_map(|endpoint| other.address(endpoint)).collect::<Vec<_>>()
+        });
+        fastrand::choose_multiple(addresses, count)
+    }
+
     /// All groups.
     pub fn all(&self) -> Vec<Arc<Group>> {
         self.groups.read().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
