Check a placed request against the quarantine before it is sent

A copy of a crashing request that was placed before its deaths were known, and waits for its engines or for reservations, was sent all the same: only the parts of its prompt were looked at again.

accepts() now asks for the request's own refusal as well. Another run of it at the same instance is no reason there, since that may be this very one.

Result: a_placed_copy_is_not_sent_once_it_is_refused failed before, and passes; its mutation is caught.

--- a/crates/policy/src/placement/validity.rs
+++ b/crates/policy/src/placement/validity.rs
@@ -26,11 +26,14 @@
         })
     }
 
-    /// Whether a placed request may still be sent: all its endpoints accept requests, and no part of
-    /// its prompt has come under suspicion.
+    /// Whether a placed request may still be sent: all its endpoints accept requests, and neither it
+    /// nor a part of its prompt has come under suspicion.
     pub fn accepts(&self, id: JobId, now: Time) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
-        let is_refused = self.part_refusal(&job.parts, Some(id), now).is_some();
+        let of_parts = self.part_refusal(&job.parts, Some(id), now);
+        let instances = self.instances.as_ref();
+        let is_refused = of_parts.is_some()
+            || self.quarantine.refusal_period(job.fingerprint, instances, now).is_some();
         !is_refused
             && job.endpoints().all(|endpoint| {
                 self.servers.get(endpoint).is_some_and(|server| server.accepts_requests())
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -179,21 +179,30 @@
         instances: Option<&Instances>,
         now: Time,
     ) -> Option<Duration> {
-        if let QuarantineState::Refused(left) = self.state(fingerprint, now) {
+        if let Some(left) = self.refusal_period(fingerprint, instances, now) {
             return Some(left);
         }
-        let suspect = self.suspects.get(&fingerprint)?;
-        if suspect.deaths().len() < DEATHS_TO_HOLD {
-            return None;
+        let is_held = self.suspects.get(&fingerprint).is_some_and(Suspect::is_held);
+        let is_running = || self.running.values().any(|running| *running == fingerprint);
+        (is_held && is_running()).then_some(RUNNING_RETRY_DELAY)
+    }
+
+    /// The same for a request that is about to be sent: another run of it at this instance isn't a
+    /// reason to wait.
+    pub fn refusal_period(
+        &self,
+        fingerprint: Fingerprint,
+        instances: Option<&Instances>,
+        now: Time,
+    ) -> Option<Duration> {
+        if let QuarantineState::Refused(left) = self.state(fingerprint, now) {
+            return Some(left);
         }
+        let suspect = self.suspects.get(&fingerprint).filter(|suspect| suspect.is_held())?;
         let is_chosen = instances.is_none_or(|instances| instances.is_first_for(fingerprint));
         let hold = if is_chosen { COMMON_CAUSE_WINDOW } else { FIRST_REFUSAL_PERIOD };
         let left = (suspect.last_death() + hold).since(now);
-        let is_running = self.running.values().any(|running| *running == fingerprint);
-        match left.is_zero() {
-            false => Some(left),
-            true => is_running.then_some(RUNNING_RETRY_DELAY),
-        }
+        (!left.is_zero()).then_some(left)
     }
 
     /// Whether a fingerprint is a suspect by one death. It may run on any endpoint where
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -8,8 +8,8 @@
 use crate::{
     EndpointId, EndpointTag, Incarnation, Time,
     quarantine::{
-        COMMON_CAUSE_WINDOW, DEATHS_TO_CONFIRM, FIRST_REFUSAL_PERIOD, MAX_REFUSAL_PERIOD,
-        SUSPICION_TTL,
+        COMMON_CAUSE_WINDOW, DEATHS_TO_CONFIRM, DEATHS_TO_HOLD, FIRST_REFUSAL_PERIOD,
+        MAX_REFUSAL_PERIOD, SUSPICION_TTL,
     },
 };
 
@@ -91,6 +91,11 @@
                 || later.iter().any(|death| death.ran_isolated))
     }
 
+    /// Whether so many endpoints died under it that a single instance may run it.
+    pub(super) fn is_held(&self) -> bool {
+        self.deaths.len() >= DEATHS_TO_HOLD
+    }
+
     pub(super) fn is_current(&self, now: Time) -> bool {
         now.since(self.last_death()) < SUSPICION_TTL
     }
--- a/crates/policy/tests/crashing_requests.rs
+++ b/crates/policy/tests/crashing_requests.rs
@@ -220,6 +220,28 @@
         assert!(matches!(second, Err(PlacementRefusal::Quarantined(_))), "{second:?}");
     };
 
+    /// Guards against copies that were placed before the request came under suspicion, wait for their
+    /// engines or reservations, and are sent all the same.
+    a_placed_copy_is_not_sent_once_it_is_refused => || {
+        for apart_ms in [100, 3_000] {
+            let mut scheduler = arranging::scheduler(6, engine(), PlacementRules::default(), 1);
+            let request = PlacementRequest { fingerprint: POISON, ..arranging::request(0) };
+            let waiting = scheduler.place(&request, at(0)).unwrap();
+            let other = PlacementRequest { fingerprint: Fingerprint(1), ..request.clone() };
+            let harmless = scheduler.place(&other, at(0)).unwrap();
+            let mut now = 0;
+            for _ in 0..3 {
+                let Ok(placement) = scheduler.place(&request, at(now)) else { break };
+                scheduler.mark_sent(placement.job);
+                scheduler.finish(placement.job, Some(FailCause::Broken), at(now + 50));
+                scheduler.record_death(&placement.endpoint, Incarnation(1), at(now + 55));
+                now += apart_ms;
+            }
+            assert!(!scheduler.accepts(waiting.job, at(now)), "{apart_ms} ms apart");
+            assert!(scheduler.accepts(harmless.job, at(now)));
+        }
+    };
+
     /// Guards against a harmless request that stays refused although a run of it completes.
     a_complete_run_ends_a_refusal => || {
         let mut scheduler = arranging::scheduler(5, engine(), PlacementRules::default(), 1);
