Ask peers for suspects and limits once a group is known

Cause: an instance that appears is told the quarantine by three others as soon as they see it. Class of fault: news that arrives before the state it refers to is lost.

Change: an instance asks three peers about each group that it knows, until one has answered (policy::catch_up). Those that are told as before are instances that come back from a cut.

The telling of instances that come back from a cut has no test.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod any;
 pub mod backoff;
 pub mod baseline;
+pub mod catch_up;
 pub mod config;
 pub mod contention;
 pub mod digest;
--- a/crates/router/src/links/message.rs
+++ b/crates/router/src/links/message.rs
@@ -54,6 +54,10 @@
     Usage { group: GroupTag, usage: Vec<WorkspaceUsage> },
     /// Requests of one group that the sender has refused for lack of capacity.
     Returns { group: GroupTag, reports: Vec<RefusalReport> },
+    /// Asks for the quarantine and the limits of these groups.
+    NewsRequest { groups: Vec<GroupTag> },
+    /// The sender has told the receiver all that it knows of these groups.
+    NewsSent { groups: Vec<GroupTag> },
 }
 
 #[cfg(test)]
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -27,6 +27,7 @@
 use indexmap::IndexMap;
 use policy::{
     DataCentre, GroupTag, Incarnation, InstanceId, Time,
+    catch_up::{CatchUp, PEERS_ASKED},
     forwarding::Peer,
     freshness::{query_targets, retry_group_size},
     gossip::{Change, Entry, Gossip, Outgoing},
@@ -43,7 +44,7 @@
     freshness::{FreshnessQuery, FreshnessTracker},
     join_names, lock,
     signal::Signal,
-    state::Groups,
+    state::{Group, Groups},
 };
 
 pub use directory::follow_directory;
@@ -61,6 +62,9 @@
 /// Maximum number of limits in one datagram, at about 25 bytes each.
 const MAX_LIMITS_PER_DATAGRAM: usize = 48;
 
+/// Maximum number of groups in one datagram, at up to nine bytes each.
+const MAX_GROUPS_PER_DATAGRAM: usize = 100;
+
 /// Number of instances that send the quarantine and the limits to one that has appeared. One of
 /// them may have failed, and its datagram may be lost.
 const INFORMANTS_PER_NEWCOMER: usize = 3;
@@ -98,6 +102,8 @@
     lost: Vec<InstanceId>,
     /// Peers that appeared and may not know the quarantine and the limits.
     newcomers: Vec<InstanceId>,
+    /// Which groups this instance has asked its peers about.
+    catch_up: CatchUp,
     /// When the next report of usage is due.
     next_report: Time,
     /// Number of reports of usage sent.
@@ -168,6 +174,7 @@
             discovered: Vec::new(),
             lost: Vec::new(),
             newcomers: Vec::new(),
+            catch_up: CatchUp::default(),
             next_report: Time::ZERO,
             reports_sent: 0,
         }
@@ -188,6 +195,7 @@
                     self.send_returns().await;
                     self.log_peer_changes();
                     self.share_instances_again();
+                    self.request_news().await;
                 }
                 Event::UrgentUpdates => self.send_updates(false).await,
                 Event::GossipDue => {
@@ -196,6 +204,7 @@
                     let outgoing = self.gossip.tick(now);
                     self.send_gossip(outgoing).await;
                     self.send_news().await;
+                    self.request_news().await;
                 }
                 Event::Query(query) => self.send_query(query).await,
                 Event::AnnouncementRequested => self.send_announcement().await,
@@ -305,20 +314,52 @@
         }
     }
 
-    /// Sends the whole quarantine and all limits to instances that have appeared. Only a few
-    /// instances do, because all of them know the same.
+    /// Asks a few peers for the quarantine and the limits of groups that are new to this instance.
+    async fn request_news(&mut self) {
+        if self.gossip.live_count() == 0 {
+            return;
+        }
+        let groups = self.groups.all().into_iter().map(|group| group.tag);
+        let due = self.catch_up.take_due(groups, self.clock.now());
+        if due.is_empty() {
+            return;
+        }
+        let addresses = self.gossip.all_live().map(|entry| entry.address);
+        let peers = fastrand::choose_multiple(addresses, PEERS_ASKED);
+        for chunk in due.chunks(MAX_GROUPS_PER_DATAGRAM) {
+            self.send(Body::NewsRequest { groups: chunk.to_vec() }, &peers).await;
+        }
+    }
+
+    /// Answers a peer's request for the quarantine and the limits of groups.
+    async fn send_requested_news(&mut self, groups: Vec<GroupTag>, to: SocketAddr) {
+        let now = self.clock.now();
+        let groups = groups.into_iter().take(MAX_GROUPS_PER_DATAGRAM);
+        let groups = groups.filter(|group| self.catch_up.has_caught_up(*group));
+        let known: Vec<_> = groups.filter_map(|tag| self.groups.by_tag(tag)).collect();
+        if known.is_empty() {
+            return;
+        }
+        for group in &known {
+            for body in all_news(group, now) {
+                self.send(body, &[to]).await;
+            }
+        }
+        let groups = known.iter().map(|group| group.tag).collect();
+        self.send(Body::NewsSent { groups }, &[to]).await;
+    }
+
+    /// Sends the whole quarantine and all limits to instances that have appeared: one that was cut
+    /// off has missed what the others told meanwhile. Only a few instances do, because all of them
+    /// know the same. One that has just started asks by itself; see [`policy::catch_up`].
     async fn inform_newcomers(&mut self) {
         let newcomers = std::mem::take(&mut self.newcomers);
         if newcomers.is_empty() {
             return;
         }
         let now = self.clock.now();
-        let mut bodies = Vec::new();
-        for group in self.groups.all() {
-            let scheduler = lock(&group.scheduler);
-            let (entries, reports) = (scheduler.quarantine_entries(now), scheduler.limit_reports());
-            bodies.extend(news(group.tag, &entries, &reports));
-        }
+        let bodies: Vec<_> =
+            self.groups.all().iter().flat_map(|group| all_news(group, now)).collect();
         // Usually there is nothing to send, and instances appear in hundreds when all of them start.
         if bodies.is_empty() {
             return;
@@ -415,6 +456,10 @@
                     lock(&group.scheduler).apply_limit_reports(&reports, now);
                 }
             }
+            Body::NewsRequest { groups } => self.send_requested_news(groups, from).await,
+            Body::NewsSent { groups } => {
+                groups.into_iter().for_each(|group| self.catch_up.record_answer(group));
+            }
             Body::Usage { group, usage } => {
                 let group = self.groups.by_tag(group);
                 if let Some(group) = group.filter(|group| lock(&group.scheduler).is_contended()) {
@@ -530,6 +575,13 @@
     }
 }
 
+/// Datagrams with the whole quarantine and all limits of a group.
+fn all_news(group: &Group, now: Time) -> Vec<Body> {
+    let scheduler = lock(&group.scheduler);
+    let (entries, reports) = (scheduler.quarantine_entries(now), scheduler.limit_reports());
+    news(group.tag, &entries, &reports)
+}
+
 /// Datagrams with these entries of the quarantine and these limits.
 fn news(group: GroupTag, entries: &[quarantine::Entry], reports: &[LimitReport]) -> Vec<Body> {
     let quarantine = entries
