Take news of a peer that a later datagram has overtaken

Cause: an instance drops each datagram of a peer that arrives after a later one. That is right for load, which is a level. Quarantine, limits and refusals are merged in any order, but were dropped as well, and the small datagram that ends such news overtakes the larger ones before it. So does any second datagram of a long quarantine.

Change: links::order keeps the rule for levels only.

--- a/crates/router/src/links/message.rs
+++ b/crates/router/src/links/message.rs
@@ -14,7 +14,7 @@
 pub(super) struct Datagram {
     /// The sender's incarnation.
     pub(super) incarnation: IncarnationTag,
-    /// Counts the sender's datagrams; one that arrives after a later one is dropped.
+    /// Counts the sender's datagrams; see [`super::order`].
     pub(super) sequence: u64,
     pub(super) body: Body,
 }
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -12,10 +12,10 @@
 
 mod directory;
 mod message;
+mod order;
 mod queries;
 
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc,
@@ -48,7 +48,8 @@
 };
 
 pub use directory::follow_directory;
-use message::{Body, Datagram, IncarnationTag};
+use message::{Body, Datagram};
+use order::Order;
 use queries::PendingQuery;
 
 /// Maximum number of updates in one datagram, so that it fits into one packet: an update with a
@@ -80,8 +81,8 @@
     gossip: Gossip,
     /// Addresses at which other instances may be found were configured.
     has_seeds: bool,
-    /// The latest datagram of each live peer.
-    latest: HashMap<SocketAddr, (IncarnationTag, u64)>,
+    /// Which datagrams of each live peer are outdated.
+    order: Order,
     /// Peers that this instance queries, in this order, before it reads the log itself.
     readers: Vec<InstanceId>,
     /// Number of live instances, including this one.
@@ -160,7 +161,7 @@
             clock: parts.clock,
             has_seeds: !parts.seeds.is_empty(),
             gossip: Gossip::new(own, parts.seeds, fastrand::u64(..)),
-            latest: HashMap::new(),
+            order: Order::default(),
             readers: Vec::new(),
             live_instances: parts.live_instances,
             urgent: parts.urgent,
@@ -414,24 +415,20 @@
     }
 
     async fn receive(&mut self, datagram: Datagram, from: SocketAddr) {
-        let Datagram { incarnation, sequence, body } = datagram;
-        if let Body::Gossip(message) = body {
+        if let Body::Gossip(message) = datagram.body {
             let outgoing = self.gossip.receive(from, message, self.clock.now());
             return self.send_gossip(outgoing).await;
         }
         let sender = self.gossip.live_at(from);
-        let sender = sender.filter(|entry| incarnation == entry.incarnation.into());
+        let sender = sender.filter(|entry| datagram.incarnation == entry.incarnation.into());
         let Some(instance) = sender.map(|entry| entry.instance.clone()) else {
             let greeting = self.gossip.greeting(from);
             return self.send_gossip(vec![greeting]).await;
         };
         self.gossip.record_heard(&instance);
-        let latest = self.latest.entry(from).or_insert((incarnation, 0));
-        if latest.0 == incarnation && sequence <= latest.1 {
-            return;
+        if self.order.accepts(from, &datagram) {
+            self.apply(instance, datagram.body, from).await;
         }
-        *latest = (incarnation, sequence);
-        self.apply(instance, body, from).await;
     }
 
     async fn apply(&mut self, instance: InstanceId, body: Body, from: SocketAddr) {
@@ -517,7 +514,7 @@
         self.update_readers();
         self.share_instances();
         let gossip = &self.gossip;
-        self.latest.retain(|address, _| gossip.live_at(*address).is_some());
+        self.order.retain(|address| gossip.live_at(address).is_some());
     }
 
     fn update_readers(&mut self) {
