Try a held request at one endpoint at a time

Cause: the one instance that may try it sends the attempt that broke to a second endpoint in the same millisecond, and the death of the first one is proved some milliseconds later.

Change: while a request is held, a run of it that breaks keeps it from being tried for as long as a death would.

--- a/crates/policy/src/placement/failures.rs
+++ b/crates/policy/src/placement/failures.rs
@@ -9,6 +9,9 @@
     pub(super) fn record_failure(&mut self, job: &Job, cause: FailCause, now: Time) {
         self.quarantine.record_stop(job.fingerprint);
         if job.is_sent {
+            if matches!(cause, FailCause::Broken | FailCause::EndpointDied | FailCause::Silent) {
+                self.quarantine.record_break(job.fingerprint, now);
+            }
             for death in self.ended_runs.record_end(job, cause, now) {
                 self.suspect(&death, now);
             }
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -200,8 +200,11 @@
         }
         let suspect = self.suspects.get(&fingerprint).filter(|suspect| suspect.is_held())?;
         let is_chosen = instances.is_none_or(|instances| instances.is_first_for(fingerprint));
-        let hold = if is_chosen { COMMON_CAUSE_WINDOW } else { FIRST_REFUSAL_PERIOD };
-        let left = (suspect.last_death() + hold).since(now);
+        let until = match is_chosen {
+            true => suspect.trial_from(),
+            false => suspect.last_death() + FIRST_REFUSAL_PERIOD,
+        };
+        let left = until.since(now);
         (!left.is_zero()).then_some(left)
     }
 
@@ -265,6 +268,14 @@
         self.running.retain(|_, suspect| *suspect != fingerprint);
     }
 
+    /// Records that a run of a request broke. A held one isn't tried again before it is known
+    /// whether its endpoint died.
+    pub fn record_break(&mut self, fingerprint: Fingerprint, now: Time) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.record_break(now);
+        }
+    }
+
     /// All entries, for an instance that has just started.
     pub fn export(&self, now: Time) -> Vec<Entry> {
         let all = self.suspects.keys().chain(self.confirmed.keys()).chain(self.cleared.keys());
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -57,6 +57,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Suspect {
     deaths: Vec<Death>,
+    /// When a run broke here while it was held.
+    trial_broke_at: Option<Time>,
 }
 
 impl Suspect {
@@ -96,6 +98,18 @@
         self.deaths.len() >= DEATHS_TO_HOLD
     }
 
+    /// Records that a run of it broke, which may turn out to be one more death.
+    pub(super) fn record_break(&mut self, now: Time) {
+        if self.is_held() {
+            self.trial_broke_at = Some(now);
+        }
+    }
+
+    /// From when on this instance may run it, if it is the one that may.
+    pub(super) fn trial_from(&self) -> Time {
+        self.last_death().max(self.trial_broke_at.unwrap_or_default()) + COMMON_CAUSE_WINDOW
+    }
+
     pub(super) fn is_current(&self, now: Time) -> bool {
         now.since(self.last_death()) < SUSPICION_TTL
     }
--- a/crates/policy/tests/crashing_requests.rs
+++ b/crates/policy/tests/crashing_requests.rs
@@ -242,6 +242,27 @@
         }
     };
 
+    /// Guards against a held request whose trial breaks, and is sent to a second endpoint before the
+    /// death of the first one is proved.
+    a_trial_that_breaks_is_not_repeated_at_once => || {
+        let mut scheduler = arranging::scheduler(6, engine(), PlacementRules::default(), 1);
+        let mut request = PlacementRequest { fingerprint: POISON, ..arranging::request(0) };
+        for ms in [0, 100, 200] {
+            let placement = scheduler.place(&request, at(ms)).unwrap();
+            scheduler.mark_sent(placement.job);
+            scheduler.finish(placement.job, Some(FailCause::Broken), at(ms + 50));
+            scheduler.record_death(&placement.endpoint, Incarnation(1), at(ms + 55));
+        }
+        let trial = scheduler.place(&request, at(3_000)).unwrap();
+        scheduler.mark_sent(trial.job);
+        scheduler.finish(trial.job, Some(FailCause::Broken), at(3_100));
+        request.tried.push((trial.endpoint.clone(), trial.incarnation));
+        let again = scheduler.place(&request, at(3_101));
+        assert!(matches!(again, Err(PlacementRefusal::Quarantined(_))), "{again:?}");
+        // No death was found, so that a link has broken.
+        scheduler.place(&request, at(5_200)).unwrap();
+    };
+
     /// Guards against a harmless request that stays refused although a run of it completes.
     a_complete_run_ends_a_refusal => || {
         let mut scheduler = arranging::scheduler(5, engine(), PlacementRules::default(), 1);
