--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -102,6 +102,8 @@
     pub at_fault: Option<SocketAddr>,
     /// The limit on requests that the endpoint names.
     pub limit: StatedLimit,
+    /// How long the endpoint wants no further request from this instance.
+    pub rest: StatedRest,
 }
 
 /// What a response states about the requests that its endpoint takes from all instances together.
@@ -116,6 +118,18 @@
     Invalid(String),
 }
 
+/// What a response states about the time for which its endpoint wants no request from the receiver.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub enum StatedRest {
+    /// Nothing.
+    #[default]
+    None,
+    /// From the response on.
+    For(Duration),
+    /// A value that can't be a time, as it was received.
+    Invalid(String),
+}
+
 /// A request header that can't be parsed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InvalidHeader {
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -19,7 +19,7 @@
     run::{ActiveResponse, EndpointRun, Run, implies_not_run},
 };
 use crate::{
-    dialect::{AttemptMetadata, Dialect, HelperEngine, ResponseMetadata, StatedLimit},
+    dialect::{AttemptMetadata, Dialect, HelperEngine, ResponseMetadata, StatedLimit, StatedRest},
     lock,
 };
 
@@ -34,6 +34,14 @@
 /// Time beyond three times the predicted time to the first event after which a hedge is sent.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(900);
 
+/// Formats a stated rest for a log line; -1 without one.
+fn rest_ms(rest: &StatedRest) -> i64 {
+    match rest {
+        StatedRest::For(rest) => rest.as_millis() as i64,
+        StatedRest::None | StatedRest::Invalid(_) => -1,
+    }
+}
+
 impl<D: Dialect> Call<D> {
     /// Sends one attempt. Returns `None` unless the response may be passed on to the caller.
     pub(super) async fn attempt(&self, placement: Placement) -> Option<ActiveResponse<D>> {
@@ -258,7 +266,7 @@
 
     fn record_not_run(&self, run: EndpointRun<D>, metadata: &ResponseMetadata, status: StatusCode) {
         log::info!(id = self.id(), endpoint = run.endpoint.as_str(), status = status.as_u16(),
-            at_fault:? = metadata.at_fault; "not_run");
+            at_fault:? = metadata.at_fault, rest_ms = rest_ms(&metadata.rest); "not_run");
         if status == StatusCode::MISDIRECTED_REQUEST {
             // Another server has the endpoint's address, so the endpoint hasn't received the
             // request.
