Give endpoints the rest that they ask for

Callers saw requests refused, or late, that had gone one after the other to engines which turn part of their requests away: up to 16 requests of one instance to an engine that had asked it for 3 s without any.

No code reads the Retry-After of an endpoint's 503. A refused request ends within a millisecond, so the engine looks idle and is chosen next. Class of fault: a wish of an endpoint that is read nowhere.

Change: placement::rest. Until the time is over the endpoint gets neither requests nor parts of prompts of this instance, and what was placed there before is placed anew. Of two times the later holds; a new incarnation starts without. Where all endpoints rest, callers are refused at once with the time until the first of them takes requests again. Other instances aren't told, as the endpoint asks one sender, and nothing is ejected for it. The log line endpoint_rests takes the place of the field in not_run.

--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -276,7 +276,7 @@
             .iter()
             .any(|(id, incarnation)| *id == member.endpoint && *incarnation == member.incarnation);
         let is_out = self.health.state(&member.endpoint, now) == health::HealthState::Ejected;
-        server.accepts_requests()
+        server.may_be_sent_to(now)
             && request.homes.allows(member.region.as_ref())
             && self.is_in_pool(server, pool, now)
             && !tried
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -33,6 +33,7 @@
 mod pauses;
 mod prefill;
 mod request;
+mod rest;
 mod rules;
 mod running_mean;
 mod server;
@@ -385,7 +386,7 @@
         let (servers, health) = (&self.servers, &self.health);
         let is_usable = |index: usize| {
             let server = &servers[index];
-            server.accepts_requests()
+            server.may_be_sent_to(now)
                 && health.state(&server.member.endpoint, now) != HealthState::Ejected
         };
         self.short_pool.update(&demand, is_usable, now);
@@ -437,6 +438,9 @@
         if present.iter().all(|server| server.is_drained) {
             return PlacementRefusal::Drained;
         }
+        if let Some(refusal) = self.all_rest(request, now) {
+            return refusal;
+        }
         let in_use = || present.iter().filter(|server| !server.is_drained);
         let wait = in_use().map(|server| self.time_until_allowed(server, now)).min();
         match wait {
--- a/crates/policy/src/placement/request.rs
+++ b/crates/policy/src/placement/request.rs
@@ -100,6 +100,9 @@
     /// All endpoints that might run it take only a limited number of requests, and this instance may
     /// send nothing there for this long.
     Limited(Duration),
+    /// All endpoints that might run it have asked this instance for rest, the first of them for this
+    /// long.
+    Resting(Duration),
     /// Endpoints crashed while they ran it; it isn't run for this long.
     Quarantined(Duration),
     /// Its first event would be late; there may be room after this time.
--- a/crates/policy/src/placement/server.rs
+++ b/crates/policy/src/placement/server.rs
@@ -58,6 +58,8 @@
     pub(super) is_drained: bool,
     pub(super) warm_up: WarmUp,
     pub(super) named_limit: NamedLimit,
+    /// It wants no request of this instance before; see [`super::rest`].
+    pub(super) rests_until: Time,
     /// What this instance sends there; a limit counts what was sent before it was known.
     pub(super) sent: SentRequests,
     /// This instance's rank among all of them, once it has been needed.
@@ -126,6 +128,7 @@
             is_drained: false,
             warm_up,
             named_limit: NamedLimit::default(),
+            rests_until: Time::ZERO,
             sent: SentRequests::default(),
             rank: Cell::new(None),
             prefill_queue: PrefillQueue::new(millis(now)),
--- a/crates/policy/src/placement/validity.rs
+++ b/crates/policy/src/placement/validity.rs
@@ -8,7 +8,7 @@
 
 impl GroupScheduler {
     /// Whether a held request may still be sent as it was placed: none of its endpoints has begun
-    /// to leave or has a new incarnation, and no other instance placed a long prompt on the same
+    /// to leave or to rest or has a new incarnation, and no other instance placed a long prompt on the same
     /// engines at the same moment.
     ///
     /// Guards against two instances that choose the same idle engines before either receives the
@@ -19,14 +19,14 @@
         job.endpoints().zip(&job.incarnations).all(|(endpoint, incarnation)| {
             let server = self.servers.get(endpoint);
             server.is_some_and(|server| {
-                server.accepts_requests()
+                server.may_be_sent_to(now)
                     && server.member.incarnation == *incarnation
                     && !self.is_displaced(server, job, now)
             })
         })
     }
 
-    /// Whether a placed request may still be sent: all its endpoints accept requests, and neither it
+    /// Whether a placed request may still be sent: all its endpoints accept requests now, and neither it
     /// nor a part of its prompt has come under suspicion.
     pub fn accepts(&self, id: JobId, now: Time) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
@@ -36,7 +36,7 @@
             || self.quarantine.refusal_period(job.fingerprint, instances, now).is_some();
         !is_refused
             && job.endpoints().all(|endpoint| {
-                self.servers.get(endpoint).is_some_and(|server| server.accepts_requests())
+                self.servers.get(endpoint).is_some_and(|server| server.may_be_sent_to(now))
             })
     }
 
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -365,6 +365,11 @@
             Err(PlacementRefusal::Limited(after)) => {
                 Err(self.refuse_with_retry_after(Reason::Limited, after))
             }
+            // Sooner than after the rest, the caller would only be refused again.
+            Err(PlacementRefusal::Resting(left)) => Err(match self.may_have_run() {
+                true => Refusal::outcome_unknown(Reason::Resting),
+                false => Refusal::not_run(Reason::Resting, left),
+            }),
             Err(PlacementRefusal::Quarantined(left)) => {
                 log::info!(id = self.id(), fingerprint:% = request.fingerprint,
                     parts = part_names(&request.parts).as_str(),
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -30,6 +30,8 @@
     WarmingUp,
     /// All endpoints that might run the request take only a limited number of requests.
     Limited,
+    /// All endpoints have asked this instance for rest.
+    Resting,
     /// The answer would miss the caller's deadline.
     TooLate,
     /// Admission control: running the request would cost other requests more than it is worth.
@@ -63,6 +65,7 @@
             Reason::Drained => "drained",
             Reason::WarmingUp => "warming_up",
             Reason::Limited => "limited",
+            Reason::Resting => "resting",
             Reason::TooLate => "too_late",
             Reason::Crowded => "crowded",
             Reason::Stopping => "stopping",
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -34,14 +34,6 @@
 /// Time beyond three times the predicted time to the first event after which a hedge is sent.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(900);
 
-/// Formats a stated rest for a log line; -1 without one.
-fn rest_ms(rest: &StatedRest) -> i64 {
-    match rest {
-        StatedRest::For(rest) => rest.as_millis() as i64,
-        StatedRest::None | StatedRest::Invalid(_) => -1,
-    }
-}
-
 impl<D: Dialect> Call<D> {
     /// Sends one attempt. Returns `None` unless the response may be passed on to the caller.
     pub(super) async fn attempt(&self, placement: Placement) -> Option<ActiveResponse<D>> {
@@ -225,6 +217,7 @@
         if metadata.is_sealed || metadata.not_run && status != StatusCode::MISDIRECTED_REQUEST {
             self.record_limit(&run, &metadata.limit);
         }
+        self.record_rest(&run, &metadata.rest);
         if metadata.not_run {
             self.record_not_run(run, &metadata, status);
             return None;
@@ -264,9 +257,26 @@
         }
     }
 
+    /// Records the rest that an endpoint asks for.
+    fn record_rest(&self, run: &EndpointRun<D>, rest: &StatedRest) {
+        match rest {
+            StatedRest::None => {}
+            StatedRest::For(rest) => {
+                if run.record_rest(*rest) {
+                    log::info!(endpoint = run.endpoint.as_str(), rest_ms = rest.as_millis() as u64;
+                        "endpoint_rests");
+                }
+            }
+            StatedRest::Invalid(value) => {
+                log::warn!(endpoint = run.endpoint.as_str(), value = value.as_str();
+                    "rest_ignored");
+            }
+        }
+    }
+
     fn record_not_run(&self, run: EndpointRun<D>, metadata: &ResponseMetadata, status: StatusCode) {
         log::info!(id = self.id(), endpoint = run.endpoint.as_str(), status = status.as_u16(),
-            at_fault:? = metadata.at_fault, rest_ms = rest_ms(&metadata.rest); "not_run");
+            at_fault:? = metadata.at_fault; "not_run");
         if status == StatusCode::MISDIRECTED_REQUEST {
             // Another server has the endpoint's address, so the endpoint hasn't received the
             // request.
