Take the word of endpoints that say they are leaving

No code read it, so an instance knew of leaving only from registrations, up to two seconds later, or not at all where it hears nothing of the store.

Change: placement::leaving. Such an endpoint gets nothing new, what was placed there is placed anew, and its end is no death. All instances are told at once, so that an answer that came through a peer counts as well.

--- a/crates/policy/src/placement/announce.rs
+++ b/crates/policy/src/placement/announce.rs
@@ -50,11 +50,7 @@
         incarnation: Incarnation,
         now: Time,
     ) -> usize {
-        let server = self.servers.get(endpoint);
-        let is_leaving = server.is_some_and(|server| {
-            server.member.leaving && server.member.incarnation == incarnation
-        });
-        if is_leaving {
+        if self.is_leaving(endpoint, incarnation) {
             return 0;
         }
         let death = self.ended_runs.record_death(DeathId::new(endpoint, incarnation), now, now);
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -29,6 +29,7 @@
 mod decoding;
 mod ended_runs;
 mod failures;
+mod leaving;
 mod overdue;
 mod pauses;
 mod prefill;
@@ -53,6 +54,7 @@
 
 pub(crate) use decaying::DecayingSum;
 pub use decoding::DecodingLoad;
+pub use leaving::{LEAVING_TTL, LeavingReport};
 pub use prefill::PartKey;
 pub use request::{Helper, Job, JobCost, JobId, Placement, PlacementRefusal, PlacementRequest};
 pub use rules::{PlacementRules, PlacementStrategy};
@@ -170,6 +172,7 @@
     quarantine: Quarantine,
     ended_runs: EndedRuns,
     limit_news: Announcements<EndpointId>,
+    leaving_news: Announcements<EndpointId>,
     /// Whether any endpoint has an unconfirmed failure.
     has_unconfirmed_failures: bool,
     health_assessed_at: Time,
@@ -207,6 +210,7 @@
             quarantine: Quarantine::without_isolation(),
             ended_runs: EndedRuns::default(),
             limit_news: Announcements::default(),
+            leaving_news: Announcements::default(),
             has_unconfirmed_failures: false,
             health_assessed_at: Time::ZERO,
             rng: Rng::with_seed(seed),
@@ -259,6 +263,9 @@
             let mut server = match kept {
                 Some(mut server) => {
                     server.warm_up.record_start(member.cold_start, now);
+                    if server.member.leaving && !member.leaving {
+                        server.said_leaving_at = None;
+                    }
                     server.member = member;
                     server
                 }
@@ -270,7 +277,7 @@
             server.is_drained = self.drained.contains(&server.member.data_centre);
             self.servers.insert(server.member.endpoint.clone(), server);
         }
-        for server in old.values().filter(|server| !server.member.leaving) {
+        for server in old.values().filter(|server| !server.is_leaving()) {
             self.record_lapse(&server.member, now);
         }
         self.short_pool.set_endpoints(self.servers.keys());
@@ -429,7 +436,7 @@
     /// Why no endpoint may run the request.
     fn no_endpoint(&self, request: &PlacementRequest, now: Time) -> PlacementRefusal {
         let is_present = |server: &&Server| {
-            !server.member.leaving && request.homes.allows(server.member.region.as_ref())
+            !server.is_leaving() && request.homes.allows(server.member.region.as_ref())
         };
         let present: Vec<&Server> = self.servers.values().filter(is_present).collect();
         if present.is_empty() {
@@ -669,6 +676,7 @@
         self.health.assess(needed, now, &mut self.rng);
         self.quarantine.expire(now);
         self.ended_runs.expire(now);
+        self.expire_leaving(now);
         // The next regular request serves as the probe, because an endpoint's own health report may
         // be wrong.
         for endpoint in self.health.due_probes(now) {
--- a/crates/policy/src/placement/server.rs
+++ b/crates/policy/src/placement/server.rs
@@ -58,6 +58,8 @@
     pub(super) is_drained: bool,
     pub(super) warm_up: WarmUp,
     pub(super) named_limit: NamedLimit,
+    /// When it was first known to have said that it is leaving; see [`super::leaving`].
+    pub(super) said_leaving_at: Option<Time>,
     /// It wants no request of this instance before; see [`super::rest`].
     pub(super) rests_until: Time,
     /// What this instance sends there; a limit counts what was sent before it was known.
@@ -128,6 +130,7 @@
             is_drained: false,
             warm_up,
             named_limit: NamedLimit::default(),
+            said_leaving_at: None,
             rests_until: Time::ZERO,
             sent: SentRequests::default(),
             rank: Cell::new(None),
@@ -158,7 +161,7 @@
 
     /// Whether it may get new requests.
     pub(super) fn accepts_requests(&self) -> bool {
-        !self.member.leaving && !self.is_drained
+        !self.is_leaving() && !self.is_drained
     }
 
     /// This instance's rank for it. Comparing a thousand names takes too long for each placement.
--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -104,6 +104,8 @@
     pub limit: StatedLimit,
     /// How long the endpoint wants no further request from this instance.
     pub rest: StatedRest,
+    /// Whether the endpoint is leaving.
+    pub is_leaving: bool,
 }
 
 /// What a response states about the requests that its endpoint takes from all instances together.
--- a/crates/router/src/filter/run.rs
+++ b/crates/router/src/filter/run.rs
@@ -137,6 +137,11 @@
         lock(&self.group.scheduler).record_named_limit(self.job, per_s, self.clock.now())
     }
 
+    /// Records that the endpoint says it is leaving. Returns whether that wasn't known.
+    pub(super) fn record_leaving(&self) -> bool {
+        lock(&self.group.scheduler).record_leaving(self.job, self.clock.now())
+    }
+
     /// Records the rest that the endpoint asks for. Returns whether it is longer than was known.
     pub(super) fn record_rest(&self, rest: Duration) -> bool {
         lock(&self.group.scheduler).record_rest(self.job, rest, self.clock.now())
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -218,6 +218,12 @@
             self.record_limit(&run, &metadata.limit);
         }
         self.record_rest(&run, &metadata.rest);
+        // Another server at the address speaks for itself.
+        if metadata.is_leaving && status != StatusCode::MISDIRECTED_REQUEST && run.record_leaving()
+        {
+            log::info!(endpoint = run.endpoint.as_str(); "endpoint_leaving");
+            self.context.urgent.raise();
+        }
         if metadata.not_run {
             self.record_not_run(run, &metadata, status);
             return None;
--- a/crates/router/src/links/message.rs
+++ b/crates/router/src/links/message.rs
@@ -1,8 +1,14 @@
 //! Messages between instances.
 
 use policy::{
-    GroupTag, Incarnation, freshness::Position, gossip, named_limit::LimitReport,
-    placement::EndpointUpdate, quarantine, returns::RefusalReport, shares::WorkspaceUsage,
+    GroupTag, Incarnation,
+    freshness::Position,
+    gossip,
+    named_limit::LimitReport,
+    placement::{EndpointUpdate, LeavingReport},
+    quarantine,
+    returns::RefusalReport,
+    shares::WorkspaceUsage,
 };
 use serde::{Deserialize, Serialize};
 
@@ -58,6 +64,8 @@
     NewsRequest { groups: Vec<GroupTag> },
     /// The sender has told the receiver all that it knows of these groups.
     NewsSent { groups: Vec<GroupTag> },
+    /// Endpoints of one group that said they are leaving.
+    Leaving { group: GroupTag, reports: Vec<LeavingReport> },
 }
 
 #[cfg(test)]
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -33,7 +33,7 @@
     gossip::{Change, Entry, Gossip, Outgoing},
     instances::Instances,
     named_limit::LimitReport,
-    placement::update_interval,
+    placement::{LeavingReport, update_interval},
     quarantine, rendezvous,
     shares::{REPORT_INTERVAL, report_recipients},
 };
@@ -63,6 +63,9 @@
 /// Maximum number of limits in one datagram, at about 25 bytes each.
 const MAX_LIMITS_PER_DATAGRAM: usize = 48;
 
+/// Maximum number of leaving endpoints in one datagram, at up to 14 bytes each.
+const MAX_LEAVING_PER_DATAGRAM: usize = 80;
+
 /// Maximum number of groups in one datagram, at up to nine bytes each.
 const MAX_GROUPS_PER_DATAGRAM: usize = 100;
 
@@ -305,11 +308,15 @@
     async fn send_news(&mut self) {
         let now = self.clock.now();
         for group in self.groups.all() {
-            let (entries, reports) = {
+            let news = {
                 let mut scheduler = lock(&group.scheduler);
-                (scheduler.take_quarantine_news(now), scheduler.take_limit_news(now))
+                News {
+                    suspects: scheduler.take_quarantine_news(now),
+                    limits: scheduler.take_limit_news(now),
+                    leaving: scheduler.take_leaving_news(now),
+                }
             };
-            for body in news(group.tag, &entries, &reports) {
+            for body in news.datagrams(group.tag) {
                 self.send_all(body).await;
             }
         }
@@ -453,6 +460,11 @@
                     lock(&group.scheduler).apply_limit_reports(&reports, now);
                 }
             }
+            Body::Leaving { group, reports } => {
+                if let Some(group) = self.groups.by_tag(group) {
+                    lock(&group.scheduler).apply_leaving_reports(&reports, now);
+                }
+            }
             Body::NewsRequest { groups } => self.send_requested_news(groups, from).await,
             Body::NewsSent { groups } => {
                 groups.into_iter().for_each(|group| self.catch_up.record_answer(group));
@@ -572,20 +584,38 @@
     }
 }
 
-/// Datagrams with the whole quarantine and all limits of a group.
+/// Datagrams with all that the scheduler of a group knows of suspects and of what endpoints say.
 fn all_news(group: &Group, now: Time) -> Vec<Body> {
     let scheduler = lock(&group.scheduler);
-    let (entries, reports) = (scheduler.quarantine_entries(now), scheduler.limit_reports());
-    news(group.tag, &entries, &reports)
+    let news = News {
+        suspects: scheduler.quarantine_entries(now),
+        limits: scheduler.limit_reports(),
+        leaving: scheduler.leaving_reports(),
+    };
+    news.datagrams(group.tag)
+}
+
+/// What instances merge with what they know of a group.
+struct News {
+    suspects: Vec<quarantine::Entry>,
+    limits: Vec<LimitReport>,
+    leaving: Vec<LeavingReport>,
 }
 
-/// Datagrams with these entries of the quarantine and these limits.
-fn news(group: GroupTag, entries: &[quarantine::Entry], reports: &[LimitReport]) -> Vec<Body> {
-    let quarantine = entries
-        .chunks(MAX_QUARANTINE_ENTRIES_PER_DATAGRAM)
-        .map(|entries| Body::Quarantine { group, entries: entries.to_vec() });
-    let limits = reports
-        .chunks(MAX_LIMITS_PER_DATAGRAM)
-        .map(|reports| Body::Limits { group, reports: reports.to_vec() });
-    quarantine.chain(limits).collect()
+impl News {
+    fn datagrams(self, group: GroupTag) -> Vec<Body> {
+        let suspects = self
+            .suspects
+            .chunks(MAX_QUARANTINE_ENTRIES_PER_DATAGRAM)
+            .map(|entries| Body::Quarantine { group, entries: entries.to_vec() });
+        let limits = self
+            .limits
+            .chunks(MAX_LIMITS_PER_DATAGRAM)
+            .map(|reports| Body::Limits { group, reports: reports.to_vec() });
+        let leaving = self
+            .leaving
+            .chunks(MAX_LEAVING_PER_DATAGRAM)
+            .map(|reports| Body::Leaving { group, reports: reports.to_vec() });
+        suspects.chain(limits).chain(leaving).collect()
+    }
 }
--- a/crates/router/src/links/order.rs
+++ b/crates/router/src/links/order.rs
@@ -38,7 +38,8 @@
         | Body::Limits { .. }
         | Body::Returns { .. }
         | Body::NewsRequest { .. }
-        | Body::NewsSent { .. } => true,
+        | Body::NewsSent { .. }
+        | Body::Leaving { .. } => true,
         Body::Gossip(_)
         | Body::EndpointUpdates { .. }
         | Body::Suspects
--- a/crates/router/src/links/order/tests.rs
+++ b/crates/router/src/links/order/tests.rs
@@ -20,7 +20,7 @@
     Body::EndpointUpdates { group: group(), updates: Vec::new() }
 }
 
-fn news() -> [Body; 5] {
+fn news() -> [Body; 6] {
     let group = group();
     [
         Body::Quarantine { group, entries: Vec::new() },
@@ -28,6 +28,7 @@
         Body::Returns { group, reports: Vec::new() },
         Body::NewsRequest { groups: vec![group] },
         Body::NewsSent { groups: vec![group] },
+        Body::Leaving { group, reports: Vec::new() },
     ]
 }
 
