Answer for suspects after having been alone

Found in reading: an instance without peers asked nobody, so it never counted as caught up, and answered the next one that started only four seconds later. It answers now for all groups that it has known for four seconds, and asks all the same once it has a peer.

What is told to a newcomer as soon as it is seen covered this before as well, where it knew its groups.

--- a/crates/policy/src/examination.rs
+++ b/crates/policy/src/examination.rs
@@ -30,7 +30,8 @@
 pub enum Finding {
     /// It accepts connections.
     Alive,
-    /// It doesn't, while another endpoint of its group does; or a later incarnation has registered.
+    /// It doesn't, while another endpoint of its group does, or there is no other endpoint to compare
+    /// it with; or a later incarnation has registered.
     Dead,
     /// This instance can't tell.
     Unknown,
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -324,11 +324,9 @@
 
     /// Asks a few peers for the quarantine and the limits of groups that are new to this instance.
     async fn request_news(&mut self) {
-        if self.gossip.live_count() == 0 {
-            return;
-        }
         let groups = self.groups.all().into_iter().map(|group| group.tag);
-        let due = self.catch_up.take_due(groups, self.clock.now());
+        let has_peers = self.gossip.live_count() > 0;
+        let due = self.catch_up.take_due(groups, has_peers, self.clock.now());
         if due.is_empty() {
             return;
         }
@@ -343,7 +341,7 @@
     async fn send_requested_news(&mut self, groups: Vec<GroupTag>, to: SocketAddr) {
         let now = self.clock.now();
         let groups = groups.into_iter().take(MAX_GROUPS_PER_DATAGRAM);
-        let groups = groups.filter(|group| self.catch_up.has_caught_up(*group));
+        let groups = groups.filter(|group| self.catch_up.may_answer(*group, now));
         let known: Vec<_> = groups.filter_map(|tag| self.groups.by_tag(tag)).collect();
         if known.is_empty() {
             return;
