--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -277,6 +277,8 @@
         self.runs = []
         self.orders = []
         self.writers = set()
+        # Leaves no channel that the other side has closed in TIME_WAIT, which `owner_of` would read.
+        self.forgets_channels = False
 
     async def start(self, address=("127.0.0.1", 0)):
         self.server = await asyncio.start_server(self.serve, *address, limit=4 << 20)
@@ -324,6 +326,9 @@
                     await asyncio.sleep(self.work_s)
                     writer.write(response(200, self.seal(message), b"x" * 800))
                 await writer.drain()
+            if self.forgets_channels:
+                linger = struct.pack("ii", 1, 0)
+                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -331,58 +336,6 @@
             writer.close()
 
 
-class Engine(Server):
-    """A model server. A request begins to run with its first token; a stream may be resumed."""
-
-    PASS_S = 0.043      # Stride 46 steps of 0.925 ms
-    READ_S = 0.0207     # 4,960 tokens at 256 a ms, and their pairs
-
-    def __init__(self, *args, pieces=10, hangs=lambda message: False, reaches=lambda port: True, **more):
-        super().__init__(*args, slots=16, **more)
-        self.pieces, self.hangs, self.reaches = pieces, hangs, reaches
-
-    async def serve(self, reader, writer):
-        if not self.reaches(writer.get_extra_info("peername")[1]):
-            writer.transport.abort()
-            return
-        self.writers.add(writer)
-        try:
-            message = await read_head(reader)
-            if message is None:
-                return
-            message.body = await read_body(reader, message)
-            if message.get("trefoilhall-expect-instance") not in (None, self.name):
-                writer.write(response(421, {"Trefoilhall-Instance-Id": self.name}))
-                return await writer.drain()
-            gone = asyncio.create_task(reader.read(1))
-            stream = asyncio.create_task(self.stream(message, writer))
-            await asyncio.wait([gone, stream], return_when=asyncio.FIRST_COMPLETED)
-            gone.cancel()
-            stream.cancel()
-            await asyncio.gather(gone, stream, return_exceptions=True)
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
-
-    async def stream(self, message, writer):
-        hangs = self.hangs(message)
-        await asyncio.sleep(self.READ_S + random.uniform(0, self.PASS_S) + self.PASS_S)
-        self.ran(message, answers="no" if hangs else "yes")
-        if hangs:
-            await asyncio.sleep(60)
-        head = self.seal(message) | {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
-        writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in head.items()) + "\r\n").encode())
-        for piece in range(int(message.get("last-event-id") or 0) + 1, self.pieces + 1):
-            event = f"id: {piece}\ndata: {message.get('trefoilhall-attempt-id')}-{piece}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await writer.drain()
-            await asyncio.sleep(self.PASS_S)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-
-
 def owner_of(port, machines):
     """The machine of this test whose channel has this local port."""
     with open("/proc/net/tcp") as f:
