--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -326,7 +326,7 @@
                     await asyncio.sleep(self.work_s)
                     writer.write(response(200, self.seal(message), b"x" * 800))
                 await writer.drain()
-            if self.forgets_channels:
+            if self.forgets_channels and not writer.is_closing():
                 linger = struct.pack("ii", 1, 0)
                 writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -343,7 +343,11 @@
     inodes = {line[9] for line in lines if int(line[1].split(":")[1], 16) == port}
     for machine in machines:
         folder = f"/proc/{machine.process.pid}/fd"
-        for fd in os.listdir(folder):
+        try:
+            fds = os.listdir(folder)
+        except OSError:
+            continue
+        for fd in fds:
             try:
                 link = os.readlink(f"{folder}/{fd}")
             except OSError:
