--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -336,11 +336,16 @@
             writer.close()
 
 
-def owner_of(port, machines):
-    """The machine of this test whose channel has this local port."""
+def owner_of(writer, machines):
+    """The machine of this test at the other end of a server's channel. Both ends are compared: two
+    machines may use the same local port at once."""
+    def end(address):
+        return f"{int.from_bytes(socket.inet_aton(address[0]), 'little'):08X}:{address[1]:04X}"
+
+    theirs, ours = end(writer.get_extra_info("peername")), end(writer.get_extra_info("sockname"))
     with open("/proc/net/tcp") as f:
         lines = [line.split() for line in f.readlines()[1:]]
-    inodes = {line[9] for line in lines if int(line[1].split(":")[1], 16) == port}
+    inodes = {line[9] for line in lines if line[1] == theirs and line[2] == ours}
     for machine in machines:
         folder = f"/proc/{machine.process.pid}/fd"
         try:
