Count and log the retries that a budget denies

Whether an instance was short of retries, and by how many instances it divided the constant allowance, stood in no log line and no metric.

Adds the metric trefoilhall_retries by outcome and the routine log line retry_denied.

--- a/crates/daemon/src/logging/mod.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -53,11 +53,12 @@
 
 /// Events that may occur with each request. Their lines are the first to be dropped when the
 /// queue fills up.
-const ROUTINE_EVENTS: [&str; 9] = [
+const ROUTINE_EVENTS: [&str; 10] = [
     "request",
     "placed",
     "refused",
     "hedged",
+    "retry_denied",
     "reserve",
     "forwarded",
     "forward_declined",
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -320,7 +320,14 @@
     /// Takes a retry from the budget, if there is one.
     pub(super) fn may_retry(&self) -> bool {
         let instances = self.context.instances.load(Ordering::Relaxed);
-        self.group.may_retry(&self.context.retry_rules, instances, self.context.clock.now())
+        let now = self.context.clock.now();
+        let is_allowed = self.group.may_retry(&self.context.retry_rules, instances, now);
+        self.context.metrics.retry_decided(is_allowed);
+        if !is_allowed {
+            log::info!(id = self.id(), group = self.group.name.as_str(), instances;
+                "retry_denied");
+        }
+        is_allowed
     }
 
     /// Number of endpoints that may get the request.
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -53,6 +53,7 @@
     attempts: Counter<u64>,
     failures: Counter<u64>,
     hedges: Counter<u64>,
+    retries: Counter<u64>,
     forwards: Counter<u64>,
     waited: Histogram<f64>,
     returns_promised: Counter<u64>,
@@ -89,6 +90,11 @@
             attempts: counter(&meter, "trefoilhall_attempts", "requests sent to endpoints"),
             failures: counter(&meter, "trefoilhall_attempt_failures", "failed attempts, by cause"),
             hedges: counter(&meter, "trefoilhall_hedges", "attempts beside a slow one"),
+            retries: counter(
+                &meter,
+                "trefoilhall_retries",
+                "retries taken from the budget or denied, by outcome",
+            ),
             forwards: counter(&meter, "trefoilhall_forwards", "requests passed on to peers"),
             waited: seconds_histogram(&meter, "trefoilhall_waited", "time spent waiting for room"),
             returns_promised: counter(
@@ -135,6 +141,12 @@
         self.failures.add(1, &[KeyValue::new("cause", format!("{cause:?}"))]);
     }
 
+    /// Counts a retry that the budget allows or denies.
+    pub fn retry_decided(&self, is_allowed: bool) {
+        let outcome = if is_allowed { "allowed" } else { "denied" };
+        self.retries.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a hedge: another attempt while the first one is slow.
     pub fn hedged(&self) {
         self.hedges.add(1, &[]);
