--- a/crates/policy/tests/retry_window.rs
+++ b/crates/policy/tests/retry_window.rs
@@ -52,3 +52,35 @@
         assert!(within as f64 <= 0.2 * 200.0 + 25.0, "{within}");
     }
 }
+
+/// Number of times that an instance is started in the test below, and the time between.
+const LIVES: u64 = 5;
+const LIFE_MS: u64 = 3_000;
+
+/// Four instances are killed and started again every few seconds while each request fails once.
+/// Guards against lives that spend the allowance which earlier ones have spent in the same window.
+#[test]
+fn restarted_instances_stay_within_the_budget_of_all() {
+    let mut requests = Vec::new();
+    let mut retries = Vec::new();
+    for _ in 0..4 {
+        for life in 0..LIVES {
+            let mut window = RetryWindow::default();
+            for ms in (life * LIFE_MS..(life + 1) * LIFE_MS).step_by(100) {
+                let now = Time::from_millis(ms);
+                window.record_first_attempt(now);
+                requests.push(ms);
+                if window.try_retry(&RULES, 4, now) {
+                    retries.push(ms);
+                }
+            }
+        }
+    }
+    for start in &retries {
+        let span = *start..start + 10_000;
+        let retried = retries.iter().filter(|ms| span.contains(ms)).count();
+        let requested = requests.iter().filter(|ms| span.contains(ms)).count();
+        let allowed = 0.2 * requested as f64 + 100.0;
+        assert!(retried as f64 <= allowed, "{retried} of {allowed} from {start} ms on");
+    }
+}
