Give restarted instances the constant retry allowance little by little

Cause: an instance counts its retries in memory of its process, so each life had a whole part of the constant allowance, whatever earlier ones had spent in the same window. Logs show three peers known 0.05 to 0.1 s after each start, so it wasn't a too large part. By reading, the allowance was also divided by the instances heard, so that a cut between instances multiplied it; no run has shown that.

Now the part grows over the first window to what earlier lives can't have used, and is divided by the instances that are known, heard or not. Retries earned by first attempts go on as before.

Existing cases of retry_window.rs are of an instance that has run for longer than a window: their times move by 20 s, their bounds stay.

--- a/crates/policy/src/instances.rs
+++ b/crates/policy/src/instances.rs
@@ -56,6 +56,15 @@
         requests / count + usize::from(rank < requests % count)
     }
 
+    /// This instance's part of what all instances have together, from 0 to 1. Where it has never
+    /// heard of others, the addresses at which it looks for them count as instances.
+    pub fn part(&self) -> f64 {
+        match self.others.len() {
+            0 => self.heard_share,
+            others => 1.0 / (others + 1) as f64,
+        }
+    }
+
     /// Number of instances that come before this one for an endpoint.
     pub fn rank(&self, endpoint: &EndpointId) -> usize {
         let endpoint = rendezvous::key(endpoint.as_str());
--- a/crates/policy/src/retry/window.rs
+++ b/crates/policy/src/retry/window.rs
@@ -7,19 +7,30 @@
 //!
 //! **Rule.** An instance may retry a share of the first attempts that it made itself in the window,
 //! plus its part of the constant allowance that operators grant to all instances. Both are counted
-//! per second, and a second counts until it has left the window completely.
+//! per second, and a second counts until it has left the window completely. In its first window an
+//! instance gets its part of the constant allowance little by little.
 //!
 //! **Grounds.** Shares of each instance's own traffic add up to the share of all traffic without
-//! any communication. [`SAFETY_RATIO`] leaves room for instances that have just started and don't
-//! see the others yet.
+//! any communication. The constant allowance is divided by the instances that are known, heard or
+//! not, since those behind a cut go on retrying. An instance doesn't know what earlier processes
+//! of its name have spent: they may have used [`SAFETY_RATIO`] of its part, and what is left is
+//! spread over the window, so that any number of restarts adds up to one part.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use crate::Time;
 
 /// Fraction of the permitted retries that is used.
 const SAFETY_RATIO: f64 = 0.6;
 
+/// Fraction of the constant allowance that all starts of an instance within one window may use.
+const STARTUP_RATIO: f64 = 1.0 - SAFETY_RATIO;
+
+/// Fraction of the constant allowance that is permitted right after a start, and at least one retry:
+/// without any, the first caller whose attempt fails gets an error. The unused part of the share,
+/// 1 - [`SAFETY_RATIO`], covers them.
+const FIRST_RATIO: f64 = 0.04;
+
 #[derive(Debug, Clone, Copy)]
 struct SecondCounts {
     number: u64,
@@ -27,9 +38,12 @@
     retries: u32,
 }
 
-/// Counts one endpoint group's first attempts and retries per second.
+/// Counts one endpoint group's first attempts and retries per second. Times are since the start of
+/// the instance.
 #[derive(Debug, Default)]
 pub struct RetryWindow {
+    /// This instance's part of the constant allowance, from 0 to 1.
+    part: f64,
     seconds: VecDeque<SecondCounts>,
 }
 
@@ -50,24 +64,39 @@
         self.second(now).first_attempts += 1;
     }
 
-    /// Counts a retry and returns true, if it is permitted; `instances` share the constant
-    /// allowance.
-    pub fn try_retry(&mut self, rules: &RetryRules, instances: usize, now: Time) -> bool {
+    /// Sets this instance's part of the constant allowance, from 0 to 1. It is 0 until then.
+    pub fn set_part(&mut self, part: f64) {
+        self.part = part;
+    }
+
+    /// Counts a retry and returns true, if it is permitted.
+    pub fn try_retry(&mut self, rules: &RetryRules, now: Time) -> bool {
         let oldest = (now.0 / 1_000_000).saturating_sub(rules.window_s);
         while self.seconds.front().is_some_and(|second| second.number < oldest) {
             self.seconds.pop_front();
         }
-        let first_attempts: u32 = self.seconds.iter().map(|second| second.first_attempts).sum();
         let retries: u32 = self.seconds.iter().map(|second| second.retries).sum();
-        let allowed =
-            rules.share * f64::from(first_attempts) + rules.slack / instances.max(1) as f64;
-        if f64::from(retries + 1) > SAFETY_RATIO * allowed {
+        if f64::from(retries + 1) > self.allowed(rules, now) {
             return false;
         }
         self.second(now).retries += 1;
         true
     }
 
+    /// Number of retries that are permitted in the window that ends now.
+    fn allowed(&self, rules: &RetryRules, now: Time) -> f64 {
+        let first_attempts: u32 = self.seconds.iter().map(|second| second.first_attempts).sum();
+        let earned = SAFETY_RATIO * rules.share * f64::from(first_attempts);
+        let constant = rules.slack * self.part;
+        let window = Duration::from_secs(rules.window_s);
+        let age = now.since(Time::ZERO);
+        if age >= window {
+            return earned + SAFETY_RATIO * constant;
+        }
+        let elapsed_ratio = age.as_secs_f64() / window.as_secs_f64();
+        (earned + STARTUP_RATIO * elapsed_ratio * constant).max((FIRST_RATIO * constant).max(1.0))
+    }
+
     fn second(&mut self, now: Time) -> &mut SecondCounts {
         let number = now.0 / 1_000_000;
         if self.seconds.back().is_none_or(|second| second.number != number) {
--- a/crates/policy/tests/retry_window.rs
+++ b/crates/policy/tests/retry_window.rs
@@ -7,20 +7,30 @@
 
 const RULES: RetryRules = RetryRules { share: 0.2, slack: 100.0, window_s: 10 };
 
-fn allowed(window: &mut RetryWindow, instances: usize, at: Time) -> usize {
-    (0..1_000).take_while(|_| window.try_retry(&RULES, instances, at)).count()
+/// Part of one of four instances.
+const QUARTER: f64 = 0.25;
+
+/// The window of an instance with this part of the constant allowance.
+fn window_with(part: f64) -> RetryWindow {
+    let mut window = RetryWindow::default();
+    window.set_part(part);
+    window
+}
+
+fn allowed(window: &mut RetryWindow, at: Time) -> usize {
+    (0..1_000).take_while(|_| window.try_retry(&RULES, at)).count()
 }
 
 /// An engine dies under the requests of four instances at once, and each retries what it may.
 /// Together they stay within the operators' limit.
 #[test]
 fn four_instances_stay_within_the_budget_of_all() {
-    let now = Time::from_millis(5_000);
+    let now = Time::from_millis(25_000);
     let mut sum = 0;
     for _ in 0..4 {
-        let mut window = RetryWindow::default();
+        let mut window = window_with(QUARTER);
         (0..50).for_each(|_| window.record_first_attempt(now));
-        sum += allowed(&mut window, 4, now);
+        sum += allowed(&mut window, now);
     }
     assert!(sum as f64 <= 0.2 * 200.0 + 100.0, "{sum}");
     assert!(sum >= 70, "{sum}");
@@ -28,22 +38,22 @@
 
 #[test]
 fn repeats_come_back_when_the_window_has_passed() {
-    let mut window = RetryWindow::default();
-    let first = allowed(&mut window, 4, Time::from_millis(1_000));
+    let mut window = window_with(QUARTER);
+    let first = allowed(&mut window, Time::from_millis(21_000));
     assert!(first > 0);
-    assert_eq!(allowed(&mut window, 4, Time::from_millis(10_000)), 0);
-    assert_eq!(allowed(&mut window, 4, Time::from_millis(13_000)), first);
+    assert_eq!(allowed(&mut window, Time::from_millis(30_000)), 0);
+    assert_eq!(allowed(&mut window, Time::from_millis(33_000)), first);
 }
 
 /// A second counts for a whole window, so no position of the sliding window over two bursts
 /// contains more retries than permitted.
 #[test]
 fn no_span_of_a_window_holds_more() {
-    let mut window = RetryWindow::default();
+    let mut window = window_with(QUARTER);
     let mut times = Vec::new();
     for ms in (0..40_000).step_by(50) {
         window.record_first_attempt(Time::from_millis(ms));
-        if window.try_retry(&RULES, 4, Time::from_millis(ms)) {
+        if window.try_retry(&RULES, Time::from_millis(ms)) {
             times.push(ms);
         }
     }
@@ -53,26 +63,33 @@
     }
 }
 
-/// Number of times that an instance is started in the test below, and the time between.
-const LIVES: u64 = 5;
-const LIFE_MS: u64 = 3_000;
-
-/// Four instances are killed and started again every few seconds while each request fails once.
-/// Guards against lives that spend the allowance which earlier ones have spent in the same window.
+/// An instance that has just started may retry some requests before a window has passed.
 #[test]
-fn restarted_instances_stay_within_the_budget_of_all() {
+fn the_allowance_grows_from_the_start_on() {
+    let per_s: Vec<_> = (1..=9)
+        .map(|s| allowed(&mut window_with(QUARTER), Time::from_millis(s * 1_000 + 50)))
+        .collect();
+    assert_eq!(per_s, [1, 2, 3, 4, 5, 6, 7, 8, 9]);
+}
+
+/// Four instances are killed and started again each `life_ms` while each request fails once.
+fn restart_each(life_ms: u64) {
     let mut requests = Vec::new();
     let mut retries = Vec::new();
     for _ in 0..4 {
-        for life in 0..LIVES {
-            let mut window = RetryWindow::default();
-            for ms in (life * LIFE_MS..(life + 1) * LIFE_MS).step_by(100) {
-                let now = Time::from_millis(ms);
-                window.record_first_attempt(now);
-                requests.push(ms);
-                if window.try_retry(&RULES, 4, now) {
-                    retries.push(ms);
-                }
+        let mut window = window_with(QUARTER);
+        let mut started = 0;
+        for ms in (0..45_000).step_by(100) {
+            // The first life has lasted for a window when failures begin.
+            if ms > 12_000 && ms - started >= life_ms {
+                window = window_with(QUARTER);
+                started = ms;
+            }
+            let now = Time::from_millis(ms - started);
+            window.record_first_attempt(now);
+            requests.push(ms);
+            if ms >= 11_000 && window.try_retry(&RULES, now) {
+                retries.push(ms);
             }
         }
     }
@@ -84,3 +101,21 @@
         assert!(retried as f64 <= allowed, "{retried} of {allowed} from {start} ms on");
     }
 }
+
+/// Defines one test function per named case.
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $body:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { $body })*
+    };
+}
+
+cases! {
+    /// Guards against lives that spend the allowance which earlier ones have spent in the same window.
+    restarted_instances_stay_within_the_budget_of_all => restart_each(3_000);
+
+    /// The same where no life lasts for a second.
+    instances_that_restart_again_and_again_stay_within_the_budget => restart_each(500);
+
+    /// The same where each life lasts for most of a window.
+    instances_that_restart_once_a_window_stay_within_the_budget => restart_each(9_500);
+}
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -1,7 +1,7 @@
 //! One call: where the request may be sent next, and how it ends.
 
 use std::{
-    sync::{Arc, Mutex, atomic::Ordering},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -319,13 +319,11 @@
 
     /// Takes a retry from the budget, if there is one.
     pub(super) fn may_retry(&self) -> bool {
-        let instances = self.context.instances.load(Ordering::Relaxed);
         let now = self.context.clock.now();
-        let is_allowed = self.group.may_retry(&self.context.retry_rules, instances, now);
+        let is_allowed = self.group.may_retry(&self.context.retry_rules, now);
         self.context.metrics.retry_decided(is_allowed);
         if !is_allowed {
-            log::info!(id = self.id(), group = self.group.name.as_str(), instances;
-                "retry_denied");
+            log::info!(id = self.id(), group = self.group.name.as_str(); "retry_denied");
         }
         is_allowed
     }
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -48,7 +48,7 @@
     pub lifecycle: Arc<Lifecycle>,
     /// The operators' limits on retries.
     pub retry_rules: RetryRules,
-    /// Number of instances that share the retry budget, including this one.
+    /// Number of live instances, including this one.
     pub instances: Arc<AtomicUsize>,
     /// Wakes the links to report new work to other instances immediately.
     pub urgent: Signal,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -285,8 +285,8 @@
     }
 
     /// Counts a retry and returns true, if the retry budget allows one.
-    pub fn may_retry(&self, rules: &RetryRules, instances: usize, now: Time) -> bool {
-        lock(&self.retries).try_retry(rules, instances, now)
+    pub fn may_retry(&self, rules: &RetryRules, now: Time) -> bool {
+        lock(&self.retries).try_retry(rules, now)
     }
 }
 
@@ -298,10 +298,12 @@
 }
 
 impl SharedView {
-    fn apply(&self, scheduler: &mut GroupScheduler) {
+    fn apply(&self, group: &Group) {
+        let mut scheduler = lock(&group.scheduler);
         scheduler.set_drained(&self.drained);
         if let Some(instances) = &self.instances {
             scheduler.set_instances(instances.clone());
+            lock(&group.retries).set_part(instances.part());
         }
     }
 }
@@ -338,7 +340,7 @@
         })
     }
 
-    /// Replaces the instances that share the limits of cold endpoints.
+    /// Replaces the instances that share the limits of endpoints and the retry budgets.
     pub fn set_instances(&self, instances: Instances) {
         self.update_shared(|shared| {
             shared.instances = Some(instances);
@@ -351,7 +353,7 @@
         let mut shared = lock(&self.shared);
         let is_changed = update(&mut shared);
         if is_changed {
-            self.all().iter().for_each(|group| shared.apply(&mut lock(&group.scheduler)));
+            self.all().iter().for_each(|group| shared.apply(group));
         }
         is_changed
     }
@@ -386,7 +388,7 @@
         let mut groups = self.groups.write().unwrap_or_else(PoisonError::into_inner);
         let create = || {
             let group = Group::new(name.clone(), self.scheduling, fastrand::u64(..));
-            shared.apply(&mut lock(&group.scheduler));
+            shared.apply(&group);
             Arc::new(group)
         };
         groups.entry(name.clone()).or_insert_with(create).clone()
