--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -107,8 +107,6 @@
     pub(super) sent: u32,
     /// Number of attempts at which nothing was sent, or another server had the endpoint's address.
     pub(super) not_sent: u32,
-    /// Number of those at which another server had the address, and got the request.
-    pub(super) misdirected: u32,
     /// Number of attempts whose endpoint wasn't reached.
     pub(super) unreached: u32,
     /// Peers that the request was passed on to.
@@ -284,8 +282,7 @@
         if progress.not_sent > MAX_UNSENT_ATTEMPTS || !self.may_run_again(&progress) {
             return false;
         }
-        // An endpoint that wasn't reached has no load of an attempt.
-        if progress.sent + progress.misdirected > 0 {
+        if progress.sent + progress.not_sent > 0 {
             return self.may_retry();
         }
         // A request that waits for room is placed more than once until it is sent.
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -287,7 +287,6 @@
             // Another server has the endpoint's address, so the endpoint hasn't received the
             // request.
             self.mark_unsent();
-            lock(&self.progress).misdirected += 1;
             return run.end(Some(FailCause::NotSent));
         }
         lock(&self.progress).unknown_outcomes -= 1;
