--- a/crates/policy/src/retry/window.rs
+++ b/crates/policy/src/retry/window.rs
@@ -14,7 +14,8 @@
 //! any communication. The constant allowance is divided by the instances that are known, heard or
 //! not, since those behind a cut go on retrying. An instance doesn't know what earlier processes
 //! of its name have spent: they may have used [`SAFETY_RATIO`] of its part, and what is left is
-//! spread over the window, so that any number of restarts adds up to one part.
+//! spread over the window. Any number of restarts therefore adds up to one part, but for the first
+//! retries of each start ([`FIRST_RATIO`]).
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -27,8 +28,7 @@
 const STARTUP_RATIO: f64 = 1.0 - SAFETY_RATIO;
 
 /// Fraction of the constant allowance that is permitted right after a start, and at least one retry:
-/// without any, the first caller whose attempt fails gets an error. The unused part of the share,
-/// 1 - [`SAFETY_RATIO`], covers them.
+/// without any, the first caller whose attempt fails gets an error.
 const FIRST_RATIO: f64 = 0.04;
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/policy/tests/retry_window.rs
+++ b/crates/policy/tests/retry_window.rs
@@ -1,7 +1,8 @@
 //! Limit of the retries that one instance adds within a sliding window.
 
 use policy::{
-    Time,
+    InstanceId, Time,
+    instances::Instances,
     retry::{RetryRules, RetryWindow},
 };
 
@@ -72,23 +73,35 @@
     assert_eq!(per_s, [1, 2, 3, 4, 5, 6, 7, 8, 9]);
 }
 
+/// When attempts begin to fail, and how long the first life of each instance lasts at least.
+#[derive(Clone, Copy)]
+struct Begin {
+    failures_ms: u64,
+    first_life_ms: u64,
+}
+
+/// From the first start on.
+const AT_ONCE: Begin = Begin { failures_ms: 0, first_life_ms: 0 };
+
+/// Once the first lives have the whole allowance.
+const AFTER_A_WINDOW: Begin = Begin { failures_ms: 11_000, first_life_ms: 12_000 };
+
 /// Four instances are killed and started again each `life_ms` while each request fails once.
-fn restart_each(life_ms: u64) {
+fn restart_each(life_ms: u64, begin: Begin) {
     let mut requests = Vec::new();
     let mut retries = Vec::new();
     for _ in 0..4 {
         let mut window = window_with(QUARTER);
         let mut started = 0;
         for ms in (0..45_000).step_by(100) {
-            // The first life has lasted for a window when failures begin.
-            if ms > 12_000 && ms - started >= life_ms {
+            if ms > begin.first_life_ms && ms - started >= life_ms {
                 window = window_with(QUARTER);
                 started = ms;
             }
             let now = Time::from_millis(ms - started);
             window.record_first_attempt(now);
             requests.push(ms);
-            if ms >= 11_000 && window.try_retry(&RULES, now) {
+            if ms >= begin.failures_ms && window.try_retry(&RULES, now) {
                 retries.push(ms);
             }
         }
@@ -111,11 +124,33 @@
 
 cases! {
     /// Guards against lives that spend the allowance which earlier ones have spent in the same window.
-    restarted_instances_stay_within_the_budget_of_all => restart_each(3_000);
+    restarted_instances_stay_within_the_budget_of_all => restart_each(3_000, AT_ONCE);
+
+    /// The same where the first lives have spent a whole part.
+    restarts_after_a_whole_window_stay_within_the_budget => restart_each(3_000, AFTER_A_WINDOW);
 
     /// The same where no life lasts for a second.
-    instances_that_restart_again_and_again_stay_within_the_budget => restart_each(500);
+    instances_that_restart_again_and_again_stay_within_the_budget => restart_each(500, AFTER_A_WINDOW);
 
     /// The same where each life lasts for most of a window.
-    instances_that_restart_once_a_window_stay_within_the_budget => restart_each(9_500);
+    instances_that_restart_once_a_window_stay_within_the_budget => restart_each(9_500, AFTER_A_WINDOW);
+}
+
+/// Part of an instance that knows `others`, hears `live_others` of them, and hears this share of all.
+fn part(others: usize, live_others: usize, heard_share: f64) -> f64 {
+    let own = InstanceId::new("entry-0").unwrap();
+    let others: Vec<_> =
+        (1..=others).map(|n| InstanceId::new(&format!("entry-{n}")).unwrap()).collect();
+    Instances::new(&own, &others, live_others, heard_share).part()
+}
+
+/// Guards against instances behind a cut that each take the allowance of those they don't hear.
+#[test]
+fn instances_behind_a_cut_keep_their_parts() {
+    assert_eq!(part(3, 3, 1.0), 0.25);
+    assert_eq!(part(3, 1, 0.5), 0.25);
+    assert_eq!(part(3, 0, 0.25), 0.25);
+    // Started behind the cut: three addresses of others that don't answer.
+    assert_eq!(part(0, 0, 0.25), 0.25);
+    assert_eq!(part(0, 0, 1.0), 1.0);
 }
