--- a/crates/policy/tests/retry_window.rs
+++ b/crates/policy/tests/retry_window.rs
@@ -1,5 +1,7 @@
 //! Limit of the retries that one instance adds within a sliding window.
 
+#![allow(clippy::unwrap_used)]
+
 use policy::{
     InstanceId, Time,
     instances::Instances,
