Answer requests that outlast a stop

Callers saw: their connection closed without any answer 7.66 s after the SIGTERM of an instance, although an endpoint ran the request (LOST). Cause: a stop ended the process at the end of its time whatever was in flight, and admitted requests until then by a prediction of their usual time. Where endpoints were slower than usual, they were cut. Change: at the end of a stop each request whose answer hasn't begun is answered with 502, which promises nothing; streams under way are ended and logged as cut_off. Requests that come during a stop get no more time than is left of it, endpoints included. A stream that comes once connections are being closed is refused unless it would end in time at a quarter of the usual speed, or its own time limit ends before.

--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -23,7 +23,7 @@
     lock,
     metrics::Metrics,
     signal::Signal,
-    state::{Group, Groups, Lifecycle},
+    state::{Group, Groups, Lifecycle, Stage},
 };
 
 /// `Retry-After` of requests that endpoints refused for lack of capacity: about the time of a few
@@ -34,6 +34,10 @@
 /// goal. Used to decide whether the call fits in before a stop.
 const PLAIN_CALL_GOAL_MULTIPLE: u32 = 3;
 
+/// How much slower than predicted a stream may be that begins after connections are being closed.
+/// Engines slow down under load and after faults of their neighbours.
+const MAX_STREAM_SLOWDOWN: u32 = 4;
+
 /// State of the instance that dispatching shares with its other tasks.
 pub struct DispatchContext<D> {
     /// Reads and writes the headers of the outside system.
@@ -74,10 +78,17 @@
         group: &Group,
     ) -> Result<(), Refusal> {
         let Some(left) = self.lifecycle.time_until_cutoff() else { return Ok(()) };
-        let needed = match received.caller.tokens {
+        let expected = match received.caller.tokens {
             Some(tokens) => self.expected_duration(&received.route.name, tokens, group),
             None => received.route.goal * PLAIN_CALL_GOAL_MULTIPLE,
         };
+        // A stream can't be ended by an answer once it has begun. Before connections are closed, few
+        // instances are left out by callers that are refused.
+        let may_be_cut = received.route.is_streaming && self.lifecycle.stage() == Stage::Closing;
+        let needed = match may_be_cut {
+            true => self.clock.until(received.deadline).min(expected * MAX_STREAM_SLOWDOWN),
+            false => expected,
+        };
         match needed > left {
             true => Err(Refusal::not_run(Reason::Stopping, CAPACITY_RETRY_AFTER)),
             false => Ok(()),
@@ -112,13 +123,16 @@
 }
 
 impl<D: Dialect> Handler<Received> for Dispatch<D> {
-    async fn handle(&self, received: Received) -> Result<Response<ResponseBody>, Refusal> {
+    async fn handle(&self, mut received: Received) -> Result<Response<ResponseBody>, Refusal> {
         let draw = fastrand::f64();
         let name = received.route.group(draw).cloned();
         let name =
             name.ok_or_else(|| Refusal::not_run(Reason::NoEndpoint, ENDPOINTS_RETRY_AFTER))?;
         let group = self.0.groups.get_or_create(&name);
         self.0.check_stop_deadline(&received, &group)?;
+        if let Some(left) = self.0.lifecycle.time_until_cutoff() {
+            received.deadline = received.deadline.min(self.0.clock.now() + left);
+        }
         let call = Call::new(self.0.clone(), received, group);
         if call.received.route.is_streaming {
             return relay::stream(call).await;
--- a/crates/router/src/filter/mod.rs
+++ b/crates/router/src/filter/mod.rs
@@ -38,7 +38,7 @@
 pub use identify::{Identified, Identify};
 pub use read_ahead::ReadAhead;
 pub use receive::{Receive, Received};
-pub use refusal::Refusal;
+pub use refusal::{Reason, Refusal};
 pub use reservations::ReservationIds;
 pub use start::{Admitted, StartupGate};
 
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -12,6 +12,7 @@
 use std::{pin::pin, time::Duration};
 
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use http::{Response, response};
 use http_body_util::BodyExt;
 use policy::{FailCause, routes::RetrySafety};
@@ -71,6 +72,8 @@
     Expired,
     Broken,
     CallerLeft,
+    /// The instance stops.
+    CutOff,
 }
 
 type EventSender = Sender<Result<Bytes, TruncatedResponse>>;
@@ -130,11 +133,16 @@
 }
 
 async fn feed_body<D: Dialect>(call: Call<D>, stream: EventStream<D>, tx: EventSender) {
-    let (outcome, is_cut) = match relay_events(&call, stream, &tx).await {
+    let cut_off = async {
+        call.context.lifecycle.wait_for_cutoff().await;
+        Err(StreamError::CutOff)
+    };
+    let (outcome, is_cut) = match relay_events(&call, stream, &tx).or(cut_off).await {
         Ok(()) => (OUTCOME_FINISHED, false),
         Err(StreamError::Expired) => ("expired", true),
         Err(StreamError::Broken) => ("broken_off", true),
         Err(StreamError::CallerLeft) => ("caller_left", false),
+        Err(StreamError::CutOff) => ("cut_off", true),
     };
     call.record_end(outcome, http::StatusCode::OK);
     if is_cut {
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -32,7 +32,7 @@
 /// second and reacts to the second failed check.
 const BALANCER_GRACE_PERIOD: Duration = Duration::from_millis(2_600);
 
-/// Requests that are still in flight this long before the end of the time for a stop are cut:
+/// Requests that are still in flight this long before the end of the time for a stop are ended:
 /// enough for an orderly end, and less than the last sixth of that time, in which cuts are
 /// expected.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
@@ -217,7 +217,8 @@
     }
 
     /// Stops gracefully: waits until the balancer sends nothing new, finishes all requests and
-    /// closes idle connections. Only requests that exceed the time for a stop are cut.
+    /// closes idle connections. Requests that exceed the time for a stop are answered as having an
+    /// unknown outcome, or cut if their answer has begun.
     pub async fn close(self) {
         let end = std::time::Instant::now() + self.stop_within.saturating_sub(STOP_MARGIN);
         self.lifecycle.begin_stop(end);
@@ -226,19 +227,24 @@
         self.lifecycle.enter(Stage::Closing);
         log::info!(open = self.lifecycle.in_flight(); "closing");
         Timer::after(IDLE_CLOSE_GRACE_PERIOD).await;
-        loop {
+        while std::time::Instant::now() < end {
             let accepted = self.lifecycle.accepted_requests();
             // The last bytes of answers are still on their way to the callers.
             Timer::after(IDLE_CLOSE_GRACE_PERIOD).await;
             let is_idle =
                 self.lifecycle.in_flight() == 0 && self.lifecycle.accepted_requests() == accepted;
-            if is_idle || std::time::Instant::now() >= end {
+            if is_idle {
                 break;
             }
             while self.lifecycle.in_flight() > 0 && std::time::Instant::now() < end {
                 Timer::after(DRAIN_POLL_INTERVAL).await;
             }
         }
-        log::info!(open = self.lifecycle.in_flight(); "stopped");
+        let cut_off = self.lifecycle.in_flight();
+        if cut_off > 0 {
+            self.lifecycle.cut_off();
+            Timer::after(IDLE_CLOSE_GRACE_PERIOD).await;
+        }
+        log::info!(cut_off, open = self.lifecycle.in_flight(); "stopped");
     }
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -48,6 +48,7 @@
     /// When requests that are still in flight are cut off.
     cutoff: OnceLock<Instant>,
     closing: OneShot,
+    cut_off: OneShot,
 }
 
 impl Default for Lifecycle {
@@ -58,6 +59,7 @@
             accepted: AtomicUsize::new(0),
             cutoff: OnceLock::new(),
             closing: OneShot::default(),
+            cut_off: OneShot::default(),
         }
     }
 }
@@ -97,6 +99,16 @@
         self.closing.wait().await;
     }
 
+    /// Ends the requests that are still in flight.
+    pub fn cut_off(&self) {
+        self.cut_off.set();
+    }
+
+    /// Waits until requests in flight have to end.
+    pub async fn wait_for_cutoff(&self) {
+        self.cut_off.wait().await;
+    }
+
     /// Number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Acquire)
