Answer requests that follow an answer in a stop

Callers saw: their next request, sent as soon as they had an answer, ended with a closed connection and nothing else, at almost each stop. Cause: once an instance closed its connections, the HTTP library closed each one right behind the answer in flight, and a stream whose head had been sent before couldn't have announced that. Change: a connection is closed when no request has been in flight on it for 100 ms (a second for a new one), so a request in transit is still answered, with the announcement; streams that begin after the stop signal announce the close in their head; an instance ends once its connections are closed, not merely its requests.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -57,7 +57,13 @@
                 (refusal.response(), Some(refusal))
             }
         };
-        if self.lifecycle.stage() == Stage::Closing {
+        let announces_close = match self.lifecycle.stage() {
+            Stage::Serving => false,
+            // A stream may end after connections have begun to be closed.
+            Stage::Leaving => matches!(resp.body(), ResponseBody::Events(_)),
+            Stage::Closing => true,
+        };
+        if announces_close {
             resp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         (resp.map(|body| body.with_guard(guard)), refused)
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -40,7 +40,7 @@
 /// Interval at which a stopping instance checks for requests in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time for idle connections to close once no request is in flight.
+/// Time without requests and open connections after which a stopping instance ends.
 const IDLE_CLOSE_GRACE_PERIOD: Duration = Duration::from_millis(150);
 
 /// Why an instance can't start.
@@ -231,12 +231,10 @@
             let accepted = self.lifecycle.accepted_requests();
             // The last bytes of answers are still on their way to the callers.
             Timer::after(IDLE_CLOSE_GRACE_PERIOD).await;
-            let is_idle =
-                self.lifecycle.in_flight() == 0 && self.lifecycle.accepted_requests() == accepted;
-            if is_idle {
+            if !self.is_in_use() && self.lifecycle.accepted_requests() == accepted {
                 break;
             }
-            while self.lifecycle.in_flight() > 0 && std::time::Instant::now() < end {
+            while self.is_in_use() && std::time::Instant::now() < end {
                 Timer::after(DRAIN_POLL_INTERVAL).await;
             }
         }
@@ -245,6 +243,16 @@
             self.lifecycle.cut_off();
             Timer::after(IDLE_CLOSE_GRACE_PERIOD).await;
         }
-        log::info!(cut_off, open = self.lifecycle.in_flight(); "stopped");
+        log::info!(
+            cut_off,
+            open = self.lifecycle.in_flight(),
+            connections = self.lifecycle.open_connections();
+            "stopped"
+        );
+    }
+
+    /// Whether requests are in flight or may still come on open connections.
+    fn is_in_use(&self) -> bool {
+        self.lifecycle.in_flight() > 0 || self.lifecycle.open_connections() > 0
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 //! for the design.
 
 pub mod clock;
+mod connection_use;
 pub mod dialect;
 mod entry;
 pub mod events;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -3,7 +3,6 @@
 use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
 
 use futures_lite::FutureExt;
-
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use smol::{
@@ -13,7 +12,12 @@
 };
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::{filter::ResponseBody, net, signal::OneShot, state::Lifecycle};
+use crate::{
+    connection_use::{ConnectionUse, TrackedBody},
+    filter::ResponseBody,
+    net,
+    state::Lifecycle,
+};
 
 /// Delay after a failed accept, whose usual cause is that file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -22,6 +26,10 @@
 /// closed.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a connection may stay open after a response that didn't announce its close while
+/// connections are being closed: a round trip to a distant caller that continues at once.
+const NEXT_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -82,11 +90,15 @@
     T: AsyncRead + AsyncWrite + Unpin,
 {
     let limits = service.connection_limits();
-    let first_request = OneShot::default();
+    let _open = service.lifecycle().count_connection();
+    let connection_use = ConnectionUse::new(FIRST_REQUEST_TIMEOUT, NEXT_REQUEST_TIMEOUT);
     let handler = service_fn(|req| {
-        first_request.set();
         let service = service.clone();
-        async move { Ok::<_, Infallible>(service.respond(req).await) }
+        let in_use = connection_use.begin();
+        async move {
+            let resp = service.respond(req).await;
+            Ok::<_, Infallible>(resp.map(|body| TrackedBody::new(body, in_use)))
+        }
     });
     // hyper keeps reading while a response is being produced, so a caller's disconnect ends the
     // connection's future and with it the work on the request.
@@ -97,21 +109,17 @@
         .half_close(false)
         .serve_connection(FuturesIo::new(stream), handler);
     let mut serving = pin!(serving);
-    let timeout = async {
-        Timer::after(FIRST_REQUEST_TIMEOUT).await;
-    };
     let lifecycle = service.lifecycle().clone();
     let ended = async { Some((&mut serving).await) };
     let closing = async {
         lifecycle.wait_for_closing().await;
-        // Without this wait a new connection would be closed while its first request is in transit.
-        first_request.wait().or(timeout).await;
+        // Without this wait a connection would be closed while a request is in transit.
+        connection_use.unused().await;
         None
     };
     let result = match ended.or(closing).await {
         Some(result) => result,
         None => {
-            // Finishes the request in flight and closes the connection, at once if it is idle.
             serving.as_mut().graceful_shutdown();
             serving.await
         }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -45,6 +45,7 @@
     stage: AtomicU8,
     in_flight: AtomicUsize,
     accepted: AtomicUsize,
+    connections: AtomicUsize,
     /// When requests that are still in flight are cut off.
     cutoff: OnceLock<Instant>,
     closing: OneShot,
@@ -57,6 +58,7 @@
             stage: AtomicU8::new(0),
             in_flight: AtomicUsize::new(0),
             accepted: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             cutoff: OnceLock::new(),
             closing: OneShot::default(),
             cut_off: OneShot::default(),
@@ -119,6 +121,17 @@
         self.accepted.load(Ordering::Acquire)
     }
 
+    /// Number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.connections.load(Ordering::Acquire)
+    }
+
+    /// Counts a connection as open until the returned guard is dropped.
+    pub fn count_connection(self: &Arc<Self>) -> ConnectionGuard {
+        self.connections.fetch_add(1, Ordering::AcqRel);
+        ConnectionGuard(self.clone())
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
     pub fn count_request(self: &Arc<Self>) -> InFlightGuard {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
@@ -196,6 +209,16 @@
     pub contended_from: Option<MemoryShare>,
 }
 
+/// Counts one connection as open until it is dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard(Arc<Lifecycle>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// An endpoint group: its scheduler, its endpoints' addresses and its retry budget.
 #[derive(Debug)]
 pub struct Group {
