Close the gaps that the review of the stops found

A peer that stops answered 502 for a request that was passed on to it, which its sender took for an answer instead of a failed attempt: it now says that it was cut off (no test of its own). A stop shorter than the balancer's period overran its end.

--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -312,6 +312,11 @@
         self.servers.values().filter(|server| server.accepts_requests()).count()
     }
 
+    /// Whether the engines' figures are known, by which durations are predicted.
+    pub fn has_engine_rules(&self) -> bool {
+        self.rules.is_some()
+    }
+
     /// Typical total duration of a request, with a margin for a busy engine. Requests that decode
     /// alongside are assumed to have a similar context, but no longer than the group's usual one:
     /// short requests are placed with short ones.
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -82,12 +82,15 @@
             Some(tokens) => self.expected_duration(&received.route.name, tokens, group),
             None => received.route.goal * PLAIN_CALL_GOAL_MULTIPLE,
         };
-        // A stream can't be ended by an answer once it has begun. Before connections are closed, few
-        // instances are left out by callers that are refused.
+        // A stream can't be ended by an answer once it has begun.
         let may_be_cut = received.route.is_streaming && self.lifecycle.stage() == Stage::Closing;
-        let needed = match may_be_cut {
-            true => self.clock.until(received.deadline).min(expected * MAX_STREAM_SLOWDOWN),
-            false => expected,
+        let is_predicted =
+            received.caller.tokens.is_some() && lock(&group.scheduler).has_engine_rules();
+        let time_limit = self.clock.until(received.deadline);
+        let needed = match (may_be_cut, is_predicted) {
+            (true, true) => time_limit.min(expected * MAX_STREAM_SLOWDOWN),
+            (true, false) => time_limit,
+            (false, _) => expected,
         };
         match needed > left {
             true => Err(Refusal::not_run(Reason::Stopping, CAPACITY_RETRY_AFTER)),
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -46,6 +46,9 @@
 /// The request hasn't run, and another instance may serve it.
 const OUTCOME_DECLINED: &str = "declined";
 
+/// The peer has stopped before it had an answer; the request may have run.
+const OUTCOME_CUT_OFF: &str = "cut_off";
+
 /// Bytes that these headers add to a request's head.
 const ADDED_HEAD_BYTES: usize = 256;
 
@@ -160,6 +163,10 @@
                         self.record_decline(&peer, "declined");
                         None
                     }
+                    Some(OUTCOME_CUT_OFF) => {
+                        self.attempt_failed(run, FailCause::Broken);
+                        None
+                    }
                     _ => {
                         self.attempt_failed(run, FailCause::BadAnswer);
                         None
@@ -258,10 +265,16 @@
                 (refusal.response(), Some(refusal))
             }
         };
-        let is_declined = refused.is_some_and(|refusal| {
-            refusal.reason.is_local() && refusal.status == StatusCode::SERVICE_UNAVAILABLE
-        });
-        let outcome = if is_declined { OUTCOME_DECLINED } else { OUTCOME_ANSWERED };
+        let outcome = match refused {
+            Some(refusal) if refusal.is_cut_off() => OUTCOME_CUT_OFF,
+            Some(refusal)
+                if refusal.reason.is_local()
+                    && refusal.status == StatusCode::SERVICE_UNAVAILABLE =>
+            {
+                OUTCOME_DECLINED
+            }
+            _ => OUTCOME_ANSWERED,
+        };
         resp.headers_mut().insert(OUTCOME, HeaderValue::from_static(outcome));
         resp
     }
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -131,6 +131,11 @@
         Refusal { reason, status, retry_after: None, returned: None }
     }
 
+    /// Whether the instance has stopped before it had an answer.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.reason == Reason::Stopping && self.status == StatusCode::BAD_GATEWAY
+    }
+
     /// Builds the HTTP response.
     pub fn response(self) -> Response<ResponseBody> {
         let text = format!("{{\"error\":\"{}\"}}", self.reason);
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -223,7 +223,7 @@
         let end = std::time::Instant::now() + self.stop_within.saturating_sub(STOP_MARGIN);
         self.lifecycle.begin_stop(end);
         log::info!(open = self.lifecycle.in_flight(); "leaving");
-        Timer::after(BALANCER_GRACE_PERIOD).await;
+        Timer::at(end.min(std::time::Instant::now() + BALANCER_GRACE_PERIOD)).await;
         self.lifecycle.enter(Stage::Closing);
         log::info!(open = self.lifecycle.in_flight(); "closing");
         Timer::after(IDLE_CLOSE_GRACE_PERIOD).await;
@@ -239,7 +239,7 @@
             }
         }
         let cut_off = self.lifecycle.in_flight();
-        if cut_off > 0 {
+        if self.is_in_use() {
             self.lifecycle.cut_off();
             Timer::after(IDLE_CLOSE_GRACE_PERIOD).await;
         }
