Bound the slots that an endpoint is believed to have

Cause: calls to plain groups go to the endpoint with the least load, requests over stated slots. The stated number had no bound, so that load was about zero, and the penalty of failures, which is a factor of the load, had no effect until the endpoint was ejected.

Change: StatedSlots gives its number to no decision except through SlotCap: at most four times the lower median of the group. Groups whose endpoints state equal slots, or within four times the median, are placed as before. The factor was chosen, not tuned.

Alone the ejection after three failures hides the fault, so the test is one of the scheduler.

--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -227,7 +227,8 @@
     ) -> Option<PlacementPlan> {
         let mut best = None;
         for (index, server) in self.candidates(request, pool, now) {
-            let load = f64::from(server.running() + 1) / f64::from(server.member.slots.max(1));
+            let load = f64::from(server.running() + 1)
+                / f64::from(self.slot_cap.apply(server.member.slots));
             let cost = self.health_penalty(server, now) * load + server.one_way_ms() / 1000.0;
             let rank = spread.rank(index);
             if best.is_none_or(|(least, least_rank, _)| (cost, rank) < (least, least_rank)) {
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -41,6 +41,7 @@
 mod short_pool;
 mod slots;
 mod split;
+mod stated_slots;
 mod unanswered;
 mod unreported;
 mod updates;
@@ -58,6 +59,7 @@
 pub use prefill::PartKey;
 pub use request::{Helper, Job, JobCost, JobId, Placement, PlacementRefusal, PlacementRequest};
 pub use rules::{PlacementRules, PlacementStrategy};
+pub use stated_slots::StatedSlots;
 pub use updates::{EndpointLoad, EndpointUpdate, PartUpdate, update_interval};
 
 use crate::{
@@ -80,6 +82,7 @@
 use ended_runs::EndedRuns;
 use server::Server;
 use short_pool::{PoolDemand, ShortPool};
+use stated_slots::SlotCap;
 
 /// Interval between two assessments of the endpoints' health. Bounds what a failing endpoint still
 /// receives.
@@ -136,7 +139,7 @@
     /// Its current incarnation.
     pub incarnation: Incarnation,
     /// Requests that it runs concurrently.
-    pub slots: u32,
+    pub slots: StatedSlots,
     /// Whether it finishes its running requests and accepts no new ones.
     pub leaving: bool,
     /// Its data centre.
@@ -155,6 +158,7 @@
     contended_from: Option<MemoryShare>,
     placement: PlacementRules,
     servers: IndexMap<EndpointId, Server>,
+    slot_cap: SlotCap,
     /// Data centres whose endpoints get no new requests.
     drained: DrainedDataCentres,
     /// Requests a second that a cold endpoint may get from all instances together; none where
@@ -199,6 +203,7 @@
             contended_from: None,
             placement,
             servers: IndexMap::new(),
+            slot_cap: SlotCap::default(),
             drained: DrainedDataCentres::default(),
             cold_limit_per_s: None,
             instances: None,
@@ -253,6 +258,7 @@
     /// Replaces the group's endpoints. Nothing is carried over to a new incarnation.
     pub fn set_members(&mut self, members: Vec<Member>, now: Time) {
         let mut old = std::mem::take(&mut self.servers);
+        self.slot_cap = SlotCap::of(&members);
         self.health.configure(members.iter().map(|member| &member.endpoint));
         for member in members {
             let kept = old
--- a/crates/policy/tests/arranging/mod.rs
+++ b/crates/policy/tests/arranging/mod.rs
@@ -22,7 +22,7 @@
     Member {
         endpoint: id(index),
         incarnation: Incarnation(1),
-        slots,
+        slots: slots.into(),
         leaving,
         data_centre: DataCentre::new("a").unwrap(),
         region: None,
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -321,7 +321,7 @@
     let members = entries.iter().map(|entry| Member {
         endpoint: entry.id.clone(),
         incarnation: entry.incarnation,
-        slots: entry.slots,
+        slots: entry.slots.into(),
         leaving: entry.leaving,
         data_centre: entry.data_centre.clone(),
         region: regions.get(&entry.data_centre).cloned(),
--- a/crates/router/tests/shares.rs
+++ b/crates/router/tests/shares.rs
@@ -33,7 +33,7 @@
     let member = Member {
         endpoint: EndpointId::new("i-1").unwrap(),
         incarnation: Incarnation(1),
-        slots: ENGINE.slots,
+        slots: ENGINE.slots.into(),
         leaving: false,
         data_centre: DataCentre::new("a").unwrap(),
         region: None,
