Check for 200 ms whether an endpoint that broke an attempt has died

Callers of a small group whose endpoints a request crashes saw the group go down again after each restart: the request was sent 4 to 15 times more where three are allowed (platform/tests/whole_groups.rs).

Cause: an endpoint that ends closes its sockets one after another. The check that follows a broken attempt opened one connection, in the same millisecond, and took the endpoint for alive if that was accepted, or gave up if it was reset. A later refusal within 200 ms began no new check. The death was never recorded at the instance whose request had run there, only two of three deaths were known, and the request wasn't held.

Change: the check keeps its connection open, and opens another one if it is closed, until connections are refused or the interval between two checks is over. So whatever is noticed within the interval is covered by the running check. What proves a death hasn't changed. New log line no_death_seen.

--- a/crates/policy/src/placement/ended_runs.rs
+++ b/crates/policy/src/placement/ended_runs.rs
@@ -33,9 +33,9 @@
 /// How long a proven death is remembered, for runs whose end is noticed later.
 const DEATH_TTL: Duration = Duration::from_secs(30);
 
-/// Time between two checks of one endpoint: breaks of one endpoint's connections are noticed within
-/// milliseconds of each other.
-const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two checks of one endpoint, and the longest that one may take: breaks of one endpoint's
+/// connections are noticed within milliseconds of each other.
+pub const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Maximum number of runs remembered: what 60 endpoints run.
 const MAX_RUNS: usize = 1_024;
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -54,6 +54,7 @@
 
 pub(crate) use decaying::DecayingSum;
 pub use decoding::DecodingLoad;
+pub use ended_runs::CHECK_INTERVAL;
 pub use leaving::{LEAVING_TTL, LeavingReport};
 pub use prefill::PartKey;
 pub use request::{Helper, Job, JobCost, JobId, Placement, PlacementRefusal, PlacementRequest};
--- a/crates/router/src/filter/death.rs
+++ b/crates/router/src/filter/death.rs
@@ -7,12 +7,14 @@
 //! its registration lapses seconds later. Where a refused connection alone counts as a death, an
 //! instance that is cut off has harmless requests refused by all instances.
 //!
-//! **Rule.** After a broken attempt the instance opens a connection to the endpoint and closes it.
-//! Where connections are refused, it asks peers to try ([`examine`]), and [`Inquiry`] decides by what
-//! they find. An instance without peers goes by what it finds itself.
+//! **Rule.** After a broken attempt the instance opens a connection to the endpoint, and another one
+//! whenever it is closed, for [`CHECK_INTERVAL`]. Where connections are refused, it asks peers to try
+//! ([`examine`]), and [`Inquiry`] decides by what they find. An instance without peers goes by what it
+//! finds itself.
 //!
 //! **Grounds.** A connection breaks, or is refused, without any death where a path fails. Asking
-//! takes two round trips.
+//! takes two round trips. A process that ends closes its sockets one after another, so the first
+//! connection after a break may still be accepted.
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -23,9 +25,10 @@
     EndpointGroup, EndpointId, Incarnation,
     examination::{Finding, Inquiry, MAX_WITNESSES, Verdict},
     forwarding::Peer,
+    placement::CHECK_INTERVAL,
 };
 use serde::{Deserialize, Serialize};
-use smol::{Timer, future::FutureExt};
+use smol::{Timer, future::FutureExt, io::AsyncReadExt};
 
 use super::{
     attempt::{self, CONNECT_TIMEOUT},
@@ -45,6 +48,9 @@
 /// Time limit of a peer's answer: two connections that hang, and a round trip.
 const EXAMINATION_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Pause before a check opens its next connection, so that a path that resets each of them gets few.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Path of requests for an examination.
 const EXAMINATION_PATH: &str = "/examine";
 
@@ -70,13 +76,10 @@
     let (context, group) = (context.clone(), group.clone());
     let executor = context.executor.clone();
     let check = async move {
-        match net::connect(address, CONNECT_TIMEOUT).await {
-            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-                confirm(&context, &group, endpoint, incarnation).await;
-            }
-            Err(e) => log::debug!(endpoint = endpoint.as_str(), cause:% = e; "death_not_checked"),
-            Ok(_) => {}
+        if refuses_connections(address).await {
+            return confirm(&context, &group, endpoint, incarnation).await;
         }
+        log::info!(group = group.name.as_str(), endpoint = endpoint.as_str(); "no_death_seen");
     };
     executor.spawn(check).detach();
 }
@@ -97,6 +100,27 @@
     executor.spawn(check).detach();
 }
 
+/// Whether connections are refused at an address, now or before the next check may begin.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    let refused = async {
+        loop {
+            match net::connect(address, CONNECT_TIMEOUT).await {
+                Ok(mut stream) => {
+                    stream.read(&mut [0]).await.ok();
+                }
+                Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => return true,
+                Err(e) => log::debug!(address:% = address, cause:% = e; "death_check_failed"),
+            }
+            Timer::after(RECONNECT_PAUSE).await;
+        }
+    };
+    let timed_out = async {
+        Timer::after(CHECK_INTERVAL).await;
+        false
+    };
+    refused.or(timed_out).await
+}
+
 /// The endpoint's address, unless it was checked just now.
 fn begin<D: Dialect>(
     context: &DispatchContext<D>,
