Earn retry budget only where a caller's request came in

Operators permit retries of a fifth of the requests of a group, summed over all instances. An instance takes 0.12 of those it counts. A request that was tried at one instance and then passed on counted at both, 0.24 together, and again at each further peer that placed it. Callers saw nothing; endpoints could get more repeats than operators allow.

Cause: Call::may_send recorded a first attempt for each request it saw, those of peers included, and passing on recorded none by itself.

Change: the instance whose caller sent the request counts it, when it is first placed or passed on. A peer that takes it earns nothing, and takes its retries of it from its own budget, as before. So each request earns once, and the shares of all instances add up to 0.12 of the requests. A peer without callers of its own has only its part of the constant allowance for such retries.

--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -285,11 +285,17 @@
         if progress.sent + progress.not_sent > 0 {
             return self.may_retry();
         }
-        // A request that waits for room is placed more than once until it is sent.
-        if !std::mem::replace(&mut progress.is_counted, true) {
+        self.count_first_attempt(&mut progress);
+        true
+    }
+
+    /// Has the request's first attempt earn retry budget, once: it may be placed more than once until
+    /// it is sent, and be passed on after that. A peer's request has earned there.
+    pub(super) fn count_first_attempt(&self, progress: &mut Progress) {
+        let is_counted = std::mem::replace(&mut progress.is_counted, true);
+        if !is_counted && self.received.forwarded.is_none() {
             self.group.record_first_attempt(self.context.clock.now());
         }
-        true
     }
 
     /// Whether nothing was sent or passed on yet.
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -3,7 +3,9 @@
 //!
 //! Guards against requests that run twice or travel in circles: a request that a peer passed on is
 //! never passed on again, and one whose outcome is unknown only where it may run twice. The peer
-//! treats it like one of its own callers', so keys, routes, limits and the quarantine hold there.
+//! treats it like one of its own callers', so keys, routes, limits and the quarantine hold there. Only
+//! the instance that passes it on earns retry budget for it; each takes the retries that it sends from
+//! its own.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -130,6 +132,7 @@
         let attempts = {
             let mut progress = lock(&self.progress);
             progress.peers_tried.push(peer.clone());
+            self.count_first_attempt(&mut progress);
             let left = self.max_attempts() - progress.sent;
             progress.sent += 1;
             progress.unknown_outcomes += 1;
