Answer requests that state token counts beyond any prompt

Nothing had been passed on.

Cause: predictions were turned into a `Duration` by `from_secs_f64`, which panics beyond 1.8e19 s; the time for a prompt grows with its square. Token counts were added without a bound, too: that panics in a build with overflow checks, and wraps to a small number without them, so that a huge prompt counted as fitting an engine's memory.

Evidence: `odd_prompts`, six cases, of which all failed before (run in the dev profile): five panics were looked at, four at an addition in `choose.rs` and `placement/mod.rs`, one in `Duration::from_secs_f64` during a stop. The backtrace passes `async_task::RawTask::run`, which catches the panic: it ends the caller's connection. Whether the process lives on wasn't checked before the change, nor was the release build played with such requests.

--- a/crates/policy/src/placement/choose.rs
+++ b/crates/policy/src/placement/choose.rs
@@ -119,7 +119,7 @@
             weight: self.placement.weight(prefill_ms),
             base_isolation_cost: self.base_isolation_cost(now),
             slot_wait_ms: self.slot_wait_ms(rules, request),
-            memory_tokens: request.prompt_tokens + request.max_output_tokens,
+            memory_tokens: request.prompt_tokens.saturating_add(request.max_output_tokens),
             rank: self.placement.rank(prefill_ms, short_prefill_ms),
             ..PlacementPlan::default()
         };
@@ -156,7 +156,7 @@
             .min_by_key(|(index, server)| (running(server), distance_from_next(*index)));
         let (index, _) = least?;
         Some(PlacementPlan {
-            memory_tokens: request.prompt_tokens + request.max_output_tokens,
+            memory_tokens: request.prompt_tokens.saturating_add(request.max_output_tokens),
             ..PlacementPlan::unpredicted(index, request)
         })
     }
@@ -374,7 +374,7 @@
         let incarnations =
             plan.servers.iter().map(|index| self.servers[*index].member.incarnation).collect();
         let least_hold = if plan.rank == LONG_RANK { self.placement.heard_ms } else { 0.0 };
-        let hold = Duration::from_secs_f64(plan.hold_ms.max(least_hold) / 1000.0);
+        let hold = super::predicted_duration(plan.hold_ms.max(least_hold));
         let job = Job {
             key: PartKey::from(self.rng.u32(1..)),
             endpoint: endpoint.clone(),
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -103,6 +103,17 @@
 /// within seconds.
 const BURST_HALF_LIFE: Duration = Duration::from_millis(1_500);
 
+/// The longest predicted duration. Callers state token counts without a bound, and sums of
+/// predictions must not overflow.
+const MAX_PREDICTION: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// A prediction of `ms` milliseconds, at most [`MAX_PREDICTION`].
+fn predicted_duration(ms: f64) -> Duration {
+    let max_ms = MAX_PREDICTION.as_secs_f64() * 1000.0;
+    // `min` and `max` return the bound for a prediction that isn't a number.
+    Duration::from_secs_f64(ms.min(max_ms).max(0.0) / 1000.0)
+}
+
 /// How far a choice departs from the best endpoints.
 #[derive(Debug, Clone, Copy)]
 struct Spread {
@@ -318,11 +329,11 @@
     pub fn typical_duration(&self, prompt_tokens: u64, output_tokens: u64) -> Duration {
         let Some(rules) = &self.rules else { return Duration::ZERO };
         let passes = output_tokens.div_ceil(u64::from(rules.stride.max(1))) as f64;
-        let context = rules.usual_context.min(prompt_tokens + output_tokens / 2);
+        let context = rules.usual_context.min(prompt_tokens.saturating_add(output_tokens / 2));
         let decode_passes_ms = passes * rules.pass_ms(rules.slots, context);
         let ms =
             BUSY_SLOWDOWN * (rules.prefill_ms(prompt_tokens) + decode_passes_ms) + START_DELAY_MS;
-        Duration::from_secs_f64(ms / 1000.0)
+        predicted_duration(ms)
     }
 
     /// Chooses endpoints for a request and records it as placed there.
@@ -425,7 +436,7 @@
         let is_overloaded = !self.is_contended() && self.slot_usage.is_overloaded(now);
         let excess_ms = plan.excess_ms(request, &self.placement, is_overloaded);
         if excess_ms > 0.0 {
-            return Err(PlacementRefusal::TooLate(Duration::from_secs_f64(excess_ms / 1000.0)));
+            return Err(PlacementRefusal::TooLate(predicted_duration(excess_ms)));
         }
         if plan.costs_others_too_much(request, &self.placement) {
             return Err(PlacementRefusal::Crowded(choose::CROWDED_RETRY_DELAY));
@@ -534,7 +545,7 @@
         job.first_event_at = Some(now);
         self.ended_runs.record_answer(job.death_id(), job.placed_at);
         let taken = now.since(job.placed_at);
-        let predicted = Duration::from_secs_f64(job.predicted_ms.max(0.0) / 1000.0);
+        let predicted = predicted_duration(job.predicted_ms);
         // The answer has begun, so all parts have been prefilled, whatever was predicted.
         for endpoint in job.endpoints() {
             if let Some(server) = self.servers.get_mut(endpoint) {
--- a/crates/policy/src/placement/server.rs
+++ b/crates/policy/src/placement/server.rs
@@ -367,11 +367,11 @@
         }
         let mut own_load = self.own_load;
         if let Some(reserved) = job.reserved_tokens(&self.member.endpoint) {
-            own_load.memory_tokens += reserved;
+            own_load.memory_tokens = own_load.memory_tokens.saturating_add(reserved);
         }
         if is_head {
             own_load.running = own_load.running.saturating_add(1);
-            own_load.memory_tokens += job.memory_tokens;
+            own_load.memory_tokens = own_load.memory_tokens.saturating_add(job.memory_tokens);
             own_load.decoding.add(job.max_pause_ms, job.weight);
         }
         self.set_own_load(own_load);
@@ -466,7 +466,7 @@
 impl TotalLoad {
     fn add(&mut self, load: &EndpointLoad) {
         self.running += u32::from(load.running);
-        self.memory_tokens += load.memory_tokens;
+        self.memory_tokens = self.memory_tokens.saturating_add(load.memory_tokens);
         self.decoding.add(&load.decoding);
     }
 
