Refuse answers in a transfer coding other than chunked

A caller got a 200 framed as whole with part of the body, or with its coded bytes, if the endpoint named another transfer coding than chunked: with "identity" and a length of 100, seven bytes and a close counted as the whole body; with "gzip" or "gzip, chunked" the coded bytes were passed on without the header that says so. The HTTP library reads such a body until the connection ends and ignores its length, and the router drops the header.

Such an answer is now no answer: 502 for a request that may not run again, another endpoint's answer otherwise.

--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, response};
+use http::{HeaderMap, Request, header, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1};
 use policy::FailCause;
@@ -87,9 +87,25 @@
         Err(AttemptError::Unknown(timeout_cause(timeout)))
     };
     let (head, body) = response.or(timed_out).await?.into_parts();
+    if !has_readable_body(&head.headers) {
+        return Err(AttemptError::Unknown(FailCause::BadAnswer));
+    }
     Ok(EndpointResponse { head, body, _connection: connection_task })
 }
 
+/// Whether the body has no transfer coding but chunked. Others aren't decoded here, and some hide a
+/// body that ends early.
+fn has_readable_body(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    match codings.next() {
+        Some(coding) => {
+            coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked")
+                && codings.next().is_none()
+        }
+        None => true,
+    }
+}
+
 impl EndpointResponse {
     /// Reads the whole body.
     pub(super) async fn collect(self, timeout: Duration) -> Result<Bytes, FailCause> {
