Take a change of protocol for no answer

An endpoint that answered 101 had its status passed on: the caller got "101 Switching Protocols" on a connection that it hadn't asked to change, for a request that may have run. The HTTP library treats 101 as a final answer, unlike other interim ones. Now the caller gets 502, or another endpoint's answer where the request may run again. The test failed before on each kind of route that it reached (101 to a plain call).

--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -87,7 +87,8 @@
         Err(AttemptError::Unknown(timeout_cause(timeout)))
     };
     let (head, body) = response.or(timed_out).await?.into_parts();
-    if !has_readable_body(&head.headers) {
+    // No attempt asks for another protocol, and other interim heads are skipped.
+    if head.status.is_informational() || !has_readable_body(&head.headers) {
         return Err(AttemptError::Unknown(FailCause::BadAnswer));
     }
     Ok(EndpointResponse { head, body, _connection: connection_task })
