Take a stream that is only a head for broken

An endpoint sent the whole head of a stream without a length and closed: the caller got a 200 with an empty body that ended as whole.

An answer without a length may end with its connection, so its end alone doesn't say that the endpoint has finished. One without any now counts as broken: another endpoint is asked, or the caller gets 502 or a stream without its last chunk. A caller that itself resumes may have all events, so its empty rest stays whole, as does an empty stream with a length or a last chunk.

--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -12,7 +12,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, header, response};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::{
+    body::{Body, Incoming},
+    client::conn::http1,
+};
 use policy::FailCause;
 use smol::{Executor, Task, Timer, future::FutureExt};
 use smol_hyper::rt::FuturesIo;
@@ -36,6 +39,9 @@
 pub(super) struct EndpointResponse {
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
+    /// Whether the end of the body is that of its connection, so that it doesn't tell a whole body
+    /// from one whose endpoint has stopped.
+    pub(super) ends_with_connection: bool,
     _connection: Task<()>,
 }
 
@@ -91,7 +97,11 @@
     if head.status.is_informational() || !has_readable_body(&head.headers) {
         return Err(AttemptError::Unknown(FailCause::BadAnswer));
     }
-    Ok(EndpointResponse { head, body, _connection: connection_task })
+    let is_framed = head.headers.contains_key(header::TRANSFER_ENCODING)
+        || head.headers.contains_key(header::CONTENT_LENGTH)
+        || body.is_end_stream();
+    let ends_with_connection = !is_framed;
+    Ok(EndpointResponse { head, body, ends_with_connection, _connection: connection_task })
 }
 
 /// Whether the body has no transfer coding but chunked. Others aren't decoded here, and some hide a
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -3,7 +3,7 @@
 //! Guards against streams that break in the middle: only whole events are passed on, the next
 //! endpoint is asked to resume after the last one, and events that it repeats are dropped. If the
 //! stream can't be resumed, the caller's connection is cut, so that a partial answer never looks
-//! complete.
+//! complete. A stream without a length may end with its connection, unless it has no event at all.
 //!
 //! An endpoint that merely falls silent isn't given up. Another one is asked to resume the stream
 //! concurrently, and keeps it from its first event on. An engine that prefills a long prompt is
@@ -119,6 +119,13 @@
         StreamStep::Failed(FailCause::Deadline)
     };
     let next = match race(next_event(&mut active, &mut events), timed_out).await {
+        // Only a caller that resumes a stream may already have all of its events.
+        Either::Left(StreamStep::End)
+            if active.response.ends_with_connection
+                && call.received.caller.last_event_id.is_none() =>
+        {
+            StreamStep::Failed(FailCause::Broken)
+        }
         Either::Left(next) | Either::Right(next) => next,
     };
     if let StreamStep::Failed(cause) = next {
