--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -162,7 +162,7 @@
             Some(Member {
                 endpoint: engine_id(index)?,
                 incarnation: Incarnation(1),
-                slots: spec.engine.slots,
+                slots: spec.engine.slots.into(),
                 leaving: false,
                 data_centre: DataCentre::new("site").ok()?,
                 region: None,
