Log why a process can't start

An operator saw: a process that ends again and again with status 1 and an empty log, here for an address that was in use. Cause: main logged the report after run had dropped the logger. Change: run logs it while the logger lives. Result: start_faults.rs passes; the same folder prints stopped_by_fault with every finding.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -62,6 +62,13 @@
 pub fn run() -> Result<(), Report<RunError>> {
     let args = Args::parse();
     let _logger = logging::start(args.log_level).change_context(RunError)?;
+    // Logged here, because the logger ends with this function.
+    run_instance(args).inspect_err(|report| {
+        log::error!(cause:% = format!("{report:#}"); "stopped_by_fault");
+    })
+}
+
+fn run_instance(args: Args) -> Result<(), Report<RunError>> {
     let Options { settings, config } = Options::read(&args).change_context(RunError)?;
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).change_context(RunError)?;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,9 +5,6 @@
 fn main() -> ExitCode {
     match daemon::run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            log::error!(cause:% = format!("{report:#}"); "stopped_by_fault");
-            ExitCode::FAILURE
-        }
+        Err(_) => ExitCode::FAILURE,
     }
 }
