--- a/crates/daemon/src/logging/mod.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -53,7 +53,7 @@
 
 /// Events that may occur with each request. Their lines are the first to be dropped when the
 /// queue fills up.
-const ROUTINE_EVENTS: [&str; 10] = [
+const ROUTINE_EVENTS: [&str; 11] = [
     "request",
     "placed",
     "refused",
@@ -64,6 +64,7 @@
     "forward_declined",
     "quarantined",
     "parts_ignored",
+    "no_death_seen",
 ];
 
 struct QueueLogWriter {
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -290,7 +290,7 @@
     }
 
     /// Has the request's first attempt earn retry budget, once: it may be placed more than once until
-    /// it is sent, and be passed on after that. A peer's request has earned there.
+    /// it is sent, and be passed on after that. A request that a peer passed on has earned at the peer.
     pub(super) fn count_first_attempt(&self, progress: &mut Progress) {
         let is_counted = std::mem::replace(&mut progress.is_counted, true);
         if !is_counted && self.received.forwarded.is_none() {
