Answer 421 to attempts that an instance sends to itself

Cause: the instance sent attempts to itself. An attempt carries no API key, so the instance refused it, and the sender passed that refusal on like an endpoint's. On a public route the instance placed its own attempt again.

Change: an attempt names its endpoint. A request without a key that names one gets 421 where it would get 401, and on any route if the endpoint that it names is registered at the address where it was accepted. The sender takes 421 for another server's answer, as before, and retries.

An answer that is neither sealed nor repeats the request's id isn't passed on. PROTOCOL.md says that servers repeat the id; it doesn't say that they seal their errors, so a missing seal alone proves nothing. This covers the ports for probes, for metrics and for other instances, which answer 400 or 404.

--- a/crates/router/src/dialect.rs
+++ b/crates/router/src/dialect.rs
@@ -18,6 +18,8 @@
     pub timeout: Option<Duration>,
     /// The API key.
     pub api_key: Option<String>,
+    /// The endpoint that the request is meant for. Attempts name one, callers have no reason to.
+    pub endpoint: Option<EndpointId>,
     /// Tokens of the prompt, and the maximum of the answer, if the caller states them.
     pub tokens: Option<(u64, u64)>,
     /// Parts of the prompt that other prompts may share.
--- a/crates/router/src/filter/identify.rs
+++ b/crates/router/src/filter/identify.rs
@@ -1,6 +1,6 @@
 //! Resolves a request's route and workspace.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -12,7 +12,8 @@
 use super::{Admitted, Handler, ReadAhead, Refusal, ResponseBody, refusal::Reason};
 use crate::{
     dialect::{Dialect, RequestMetadata},
-    state::Configuration,
+    serve::LocalAddress,
+    state::{Configuration, Group, Groups},
 };
 
 /// Maximum age of the configuration at which a missing route or key is reported as such. With an
@@ -56,6 +57,7 @@
 pub struct Identify<D, N> {
     dialect: Arc<D>,
     configuration: Arc<Configuration>,
+    groups: Arc<Groups>,
     /// How long a revoked key may still be accepted.
     max_revoke_delay: Duration,
     next: N,
@@ -66,10 +68,26 @@
     pub fn new(
         dialect: Arc<D>,
         configuration: Arc<Configuration>,
+        groups: Arc<Groups>,
         max_revoke_delay: Duration,
         next: N,
     ) -> Self {
-        Identify { dialect, configuration, max_revoke_delay, next }
+        Identify { dialect, configuration, groups, max_revoke_delay, next }
+    }
+
+    /// Whether the request is an attempt for an endpoint whose registered address is the one at
+    /// which this instance accepted it.
+    ///
+    /// Guards against attempts that are placed again and again: routes without API keys would accept
+    /// them like requests of callers.
+    fn is_misdirected(&self, caller: &RequestMetadata, local_address: Option<SocketAddr>) -> bool {
+        // Attempts carry no key.
+        let RequestMetadata { api_key: None, endpoint: Some(endpoint), .. } = caller else {
+            return false;
+        };
+        let is_here =
+            |group: &Group| local_address.is_some_and(|at| group.address(endpoint) == Some(at));
+        self.groups.all().iter().any(|group| is_here(group))
     }
 
     /// Refuses with `status`, unless the configuration is too old to be sure that the route or key
@@ -85,7 +103,7 @@
         &self,
         table: &RouteTable,
         route: &Route,
-        key: Option<&str>,
+        caller: &RequestMetadata,
     ) -> Result<Option<KeyOwner>, Refusal> {
         if !table.keys.is_required() || route.is_public {
             return Ok(None);
@@ -97,14 +115,19 @@
         {
             return Err(Refusal::not_run(Reason::ConfigurationStale, CONFIGURATION_RETRY_AFTER));
         }
-        let owner = key.and_then(|key| table.keys.owner(key));
-        owner
-            .cloned()
-            .map(Some)
-            .ok_or_else(|| self.not_found_or_stale(Reason::NoKey, StatusCode::UNAUTHORIZED))
+        let owner = caller.api_key.as_deref().and_then(|key| table.keys.owner(key));
+        owner.cloned().map(Some).ok_or_else(|| match caller {
+            // The sender of an attempt takes this response for another server's.
+            RequestMetadata { api_key: None, endpoint: Some(_), .. } => misdirected(),
+            _ => self.not_found_or_stale(Reason::NoKey, StatusCode::UNAUTHORIZED),
+        })
     }
 }
 
+fn misdirected() -> Refusal {
+    Refusal::client_error(Reason::Misdirected, StatusCode::MISDIRECTED_REQUEST)
+}
+
 impl<D: Dialect, N: Handler<Identified>> Handler<Admitted> for Identify<D, N> {
     async fn handle(&self, input: Admitted) -> Result<Response<ResponseBody>, Refusal> {
         let Admitted { req, arrived } = input;
@@ -113,6 +136,10 @@
             .dialect
             .read_request(&head)
             .map_err(|_| Refusal::client_error(Reason::Malformed, StatusCode::BAD_REQUEST))?;
+        let local_address = head.extensions.get().map(|LocalAddress(address)| *address);
+        if self.is_misdirected(&caller, local_address) {
+            return Err(misdirected());
+        }
         let table = self.configuration.table();
         if table.version.0 == 0 {
             return Err(Refusal::not_run(Reason::ConfigurationStale, CONFIGURATION_RETRY_AFTER));
@@ -120,7 +147,7 @@
         let route = table.find(&caller.host, head.uri.path()).cloned();
         let route =
             route.ok_or_else(|| self.not_found_or_stale(Reason::NoRoute, StatusCode::NOT_FOUND))?;
-        let owner = self.owner(&table, &route, caller.api_key.as_deref())?;
+        let owner = self.owner(&table, &route, &caller)?;
         let req = Request::from_parts(head, body);
         self.next.handle(Identified { req, arrived, caller, table, route, owner }).await
     }
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -20,6 +20,8 @@
     NoRoute,
     /// The API key is missing or unknown.
     NoKey,
+    /// An attempt that is meant for an endpoint, at whose registered address this instance listens.
+    Misdirected,
     /// No configuration is known yet, or it is too old to accept or reject the request by it.
     ConfigurationStale,
     /// No endpoint may run the request now.
@@ -60,6 +62,7 @@
             Reason::BodyTimeout => "slow_body",
             Reason::NoRoute => "no_route",
             Reason::NoKey => "no_key",
+            Reason::Misdirected => "misdirected",
             Reason::ConfigurationStale => "configuration_stale",
             Reason::NoEndpoint => "no_endpoint",
             Reason::Drained => "drained",
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -236,6 +236,10 @@
             self.endpoint_error(response, run).await;
             return None;
         }
+        if !metadata.is_sealed && !self.is_echoed(&metadata) {
+            self.attempt_failed(Run::Endpoint(run), FailCause::BadAnswer);
+            return None;
+        }
         Some(ActiveResponse { response, run: Run::Endpoint(run) })
     }
 
@@ -246,6 +250,12 @@
         }
     }
 
+    /// Whether the response repeats the id of the request. Endpoints do so where there is one; other
+    /// servers at a registered address, such as a port of an instance, don't.
+    fn is_echoed(&self, metadata: &ResponseMetadata) -> bool {
+        self.received.caller.request_id.is_none() || metadata.request_id.is_some()
+    }
+
     /// Records the limit that an endpoint names, and has the other instances told of a change.
     fn record_limit(&self, run: &EndpointRun<D>, limit: &StatedLimit) {
         let per_s = match limit {
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -153,6 +153,7 @@
         let identify = Identify::new(
             dialect.clone(),
             configuration.clone(),
+            groups.clone(),
             bounds.revoke_within,
             Receive::new(clock, dispatch),
         );
--- a/crates/router/src/peer_listener.rs
+++ b/crates/router/src/peer_listener.rs
@@ -43,7 +43,7 @@
             net::set_connection_options(&stream);
             match first_bytes(stream).await {
                 Ok(stream) if stream.first == HTTP2_PREFACE => snapshots.serve(stream).await,
-                Ok(stream) => serve::serve_stream(stream, requests).await,
+                Ok(stream) => serve::serve_stream(stream, None, requests).await,
                 Err(e) => log::debug!(cause:% = e; "peer_connection_ended"),
             }
         };
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,6 +1,8 @@
 //! Accepts HTTP connections and serves requests on them.
 
-use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible, future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration,
+};
 
 use futures_lite::FutureExt;
 use http::{Request, Response};
@@ -57,6 +59,10 @@
     fn lifecycle(&self) -> &Arc<Lifecycle>;
 }
 
+/// The address at which a request's connection was accepted, as an extension of the request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LocalAddress(pub(crate) SocketAddr);
+
 /// Accepts connections until the future is dropped.
 pub async fn serve<S: Service>(
     listener: TcpListener,
@@ -66,7 +72,8 @@
     loop {
         let stream = accept(&listener).await;
         net::set_connection_options(&stream);
-        executor.spawn(serve_stream(stream, service.clone())).detach();
+        let local_address = stream.local_addr().ok().map(LocalAddress);
+        executor.spawn(serve_stream(stream, local_address, service.clone())).detach();
     }
 }
 
@@ -84,17 +91,23 @@
 }
 
 /// Serves the requests of one connection.
-pub(crate) async fn serve_stream<S, T>(stream: T, service: Arc<S>)
-where
+pub(crate) async fn serve_stream<S, T>(
+    stream: T,
+    local_address: Option<LocalAddress>,
+    service: Arc<S>,
+) where
     S: Service,
     T: AsyncRead + AsyncWrite + Unpin,
 {
     let limits = service.connection_limits();
     let _open = service.lifecycle().count_connection();
     let connection_use = ConnectionUse::new(FIRST_REQUEST_TIMEOUT, NEXT_REQUEST_TIMEOUT);
-    let handler = service_fn(|req| {
+    let handler = service_fn(|mut req: Request<Incoming>| {
         let service = service.clone();
         let in_use = connection_use.begin();
+        if let Some(address) = local_address {
+            req.extensions_mut().insert(address);
+        }
         async move {
             let resp = service.respond(req).await;
             Ok::<_, Infallible>(resp.map(|body| TrackedBody::new(body, in_use)))
