Answer what a stop ends before it was sent with 503

Callers saw 502, an unknown outcome, for requests that certainly hadn't run when the time of a stop was over: their body was still being received, or they waited for room or for their engine. Whoever mustn't repeat such a call had lost it, although another instance could have run it at once.

Cause: the cut-off was raced around the whole chain of filters, where nothing is known of attempts.

Evidence: a_request_whose_body_is_incomplete_at_the_end_hasnt_run failed before with "/o/entry: HTTP/1.1 502 Bad Gateway".

Change: the filter that receives the body and the call itself wait for the cut-off. The call decides by its attempts, as for every other end: once one was sent and there is no proof of the opposite, 502 stays. The filters before them end their wait for the first state. There is no second race around the chain: it could overtake the call's own on another thread and say something else.

Measured: the 7 cases of platform/tests/stops.rs pass, among them a_call_that_outlasts_a_stop_is_answered, which keeps 502 for calls that were sent. Requests that are held or wait in line at the cut-off have no test of their own.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -2,13 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use futures_lite::FutureExt;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
 use crate::{
     dialect::Dialect,
-    filter::{Handler, Reason, Refusal, ResponseBody},
+    filter::{Handler, Refusal, ResponseBody},
     metrics::Metrics,
     serve::{ConnectionLimits, Service},
     state::{Configuration, Groups, Lifecycle, Stage},
@@ -36,12 +35,7 @@
     ) -> (Response<ResponseBody>, Option<Refusal>) {
         let guard = self.lifecycle.count_request();
         let request_id = self.dialect.request_id(req.headers());
-        // Without an answer of the instance, the end of the process would be the only one.
-        let cut_off = async {
-            self.lifecycle.wait_for_cutoff().await;
-            Err(Refusal::outcome_unknown(Reason::Stopping))
-        };
-        let (mut resp, refused) = match self.chain.handle(req).or(cut_off).await {
+        let (mut resp, refused) = match self.chain.handle(req).await {
             Ok(resp) => (resp, None),
             Err(refusal) => {
                 self.metrics.refused(refusal.reason.as_str());
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use futures_lite::FutureExt;
 use http::{Response, StatusCode};
 use policy::{
     EndpointId, FailCause, Fingerprint, Incarnation, Time,
@@ -161,7 +162,7 @@
     /// Collects the whole response before any of it goes to the caller, so that a request whose
     /// response breaks off can be retried.
     pub(super) async fn respond_buffered(self) -> Result<Response<ResponseBody>, Refusal> {
-        let outcome = hedge::first_accepted(
+        let outcome = self.until_cut_off(hedge::first_accepted(
             &self,
             OtherAttempt::None,
             async |call, active: ActiveResponse<D>| {
@@ -177,7 +178,7 @@
                     }
                 }
             },
-        );
+        ));
         match outcome.await {
             Ok((head, body)) => {
                 self.record_first_byte();
@@ -188,6 +189,19 @@
         }
     }
 
+    /// Waits for a response until a stop cuts the request off. Without an answer of the instance,
+    /// the end of the process would be the only one.
+    pub(super) async fn until_cut_off<T>(
+        &self,
+        response: impl Future<Output = Result<T, Refusal>>,
+    ) -> Result<T, Refusal> {
+        let cut_off = async {
+            self.context.lifecycle.wait_for_cutoff().await;
+            Err(self.give_up(Reason::Stopping))
+        };
+        response.or(cut_off).await
+    }
+
     /// Builds the caller's response from an endpoint's head and a complete body.
     pub(super) fn response(
         &self,
@@ -446,7 +460,7 @@
             return Refusal::outcome_unknown(reason);
         }
         let after = match reason {
-            Reason::Rejected => CAPACITY_RETRY_AFTER,
+            Reason::Rejected | Reason::Stopping => CAPACITY_RETRY_AFTER,
             _ => ENDPOINTS_RETRY_AFTER,
         };
         Refusal::not_run(reason, after)
--- a/crates/router/src/filter/receive.rs
+++ b/crates/router/src/filter/receive.rs
@@ -16,10 +16,14 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3::{Xxh3, xxh3_128};
 
-use super::{Forwarded, Handler, Identified, Refusal, ResponseBody, refusal::Reason};
+use super::{
+    Forwarded, Handler, Identified, Refusal, ResponseBody, dispatch::CAPACITY_RETRY_AFTER,
+    refusal::Reason,
+};
 use crate::{
     clock::Clock,
     dialect::{RequestMetadata, StatedParts},
+    state::Lifecycle,
 };
 
 /// Timeout of requests whose caller states none.
@@ -60,13 +64,14 @@
 /// Filter that reads the body and sets the deadline.
 pub struct Receive<N> {
     clock: Clock,
+    lifecycle: Arc<Lifecycle>,
     next: N,
 }
 
 impl<N> Receive<N> {
     /// Creates the filter in front of `next`.
-    pub fn new(clock: Clock, next: N) -> Self {
-        Receive { clock, next }
+    pub fn new(clock: Clock, lifecycle: Arc<Lifecycle>, next: N) -> Self {
+        Receive { clock, lifecycle, next }
     }
 }
 
@@ -89,7 +94,11 @@
             Timer::after(self.clock.until(deadline)).await;
             Err(Refusal::client_error(Reason::BodyTimeout, StatusCode::REQUEST_TIMEOUT))
         };
-        let body = read.or(timed_out).await?;
+        let cut_off = async {
+            self.lifecycle.wait_for_cutoff().await;
+            Err(Refusal::not_run(Reason::Stopping, CAPACITY_RETRY_AFTER))
+        };
+        let body = read.or(timed_out).or(cut_off).await?;
         let fingerprint = fingerprint(&head, &owner, &body);
         let parts = part_fingerprints(&caller);
         let forwarded = head.extensions.get().copied();
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -80,7 +80,8 @@
 
 /// Responds with an event stream.
 pub(super) async fn stream<D: Dialect>(call: Call<D>) -> Result<Response<ResponseBody>, Refusal> {
-    let stream = match hedge::first_accepted(&call, OtherAttempt::None, open_stream).await {
+    let first = hedge::first_accepted(&call, OtherAttempt::None, open_stream);
+    let stream = match call.until_cut_off(first).await {
         Ok(ResponseStart::Stream(stream)) => *stream,
         Ok(ResponseStart::Whole(head, body)) => {
             call.record_end("answered", head.status);
--- a/crates/router/src/filter/start.rs
+++ b/crates/router/src/filter/start.rs
@@ -26,7 +26,7 @@
 use super::{Handler, ReadAhead, Refusal, ResponseBody};
 use crate::{
     clock::Clock,
-    state::{Configuration, Groups},
+    state::{Configuration, Groups, Lifecycle},
 };
 
 /// How long after its start an instance delays requests. Callers give up an attempt that isn't taken
@@ -51,6 +51,7 @@
 pub struct StartupGate<N> {
     configuration: Arc<Configuration>,
     groups: Arc<Groups>,
+    lifecycle: Arc<Lifecycle>,
     clock: Clock,
     wait_until: Instant,
     next: N,
@@ -61,11 +62,12 @@
     pub fn new(
         configuration: Arc<Configuration>,
         groups: Arc<Groups>,
+        lifecycle: Arc<Lifecycle>,
         clock: Clock,
         next: N,
     ) -> Self {
         let wait_until = Instant::now() + STARTUP_WAIT;
-        StartupGate { configuration, groups, clock, wait_until, next }
+        StartupGate { configuration, groups, lifecycle, clock, wait_until, next }
     }
 
     async fn wait_for_first_state(&self) {
@@ -76,7 +78,7 @@
         let timeout = async {
             Timer::at(self.wait_until).await;
         };
-        known.or(timeout).await;
+        known.or(timeout).or(self.lifecycle.wait_for_cutoff()).await;
     }
 }
 
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -154,9 +154,15 @@
             dialect.clone(),
             configuration.clone(),
             bounds.revoke_within,
-            Receive::new(clock, dispatch),
+            Receive::new(clock, lifecycle.clone(), dispatch),
+        );
+        let chain = StartupGate::new(
+            configuration.clone(),
+            groups.clone(),
+            lifecycle.clone(),
+            clock,
+            identify,
         );
-        let chain = StartupGate::new(configuration.clone(), groups.clone(), clock, identify);
         let entry = Arc::new(CallerService {
             chain,
             dialect: dialect.clone(),
@@ -217,8 +223,8 @@
     }
 
     /// Stops gracefully: waits until the balancer sends nothing new, finishes all requests and
-    /// closes idle connections. Requests that exceed the time for a stop are answered as having an
-    /// unknown outcome, or cut if their answer has begun.
+    /// closes idle connections. Requests that exceed the time for a stop are answered as not run or
+    /// as having an unknown outcome, or cut if their answer has begun.
     pub async fn close(self) {
         let end = std::time::Instant::now() + self.stop_within.saturating_sub(STOP_MARGIN);
         self.lifecycle.begin_stop(end);
