Log what a stop ends as cut_off

Operators saw `expired`, a caller whose time was over, for streams and calls that came during a stop and were ended with it; calls got 504. The metrics counted them alike. How much a stop cuts couldn't be told.

Cause: such a request gets the end of the stop as its deadline, and the end of the deadline was always taken for the caller's.

Evidence: what_a_stop_ends_is_logged_as_cut_off failed before: the stream's `request` line had outcome "expired" after 7,499 ms of the 14 s that its caller gave it.

Change: a call knows whether its deadline is that of a stop. Its end is `cut_off` then, in logs, metrics and the answer: 502 if it may have run, 503 if it hasn't. `stopping` remains for what is refused at once. An instance that passed such a request on learns by it that its peer has stopped, and not that the caller's time is over.

The test reads the log lines; the metrics take the same text and have no test.

--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -47,6 +47,8 @@
 pub(super) struct Call<D> {
     pub(super) context: Arc<DispatchContext<D>>,
     pub(super) received: Received,
+    /// The deadline is the end of a stop, which is earlier than the caller's.
+    ends_with_stop: bool,
     pub(super) group: Arc<Group>,
     pub(super) progress: Mutex<Progress>,
 }
@@ -131,12 +133,15 @@
 impl<D: Dialect> Call<D> {
     pub(super) fn new(
         context: Arc<DispatchContext<D>>,
-        received: Received,
+        mut received: Received,
         group: Arc<Group>,
     ) -> Self {
+        let stop = context.lifecycle.time_until_cutoff().map(|left| context.clock.now() + left);
+        let stop = stop.filter(|stop| *stop < received.deadline);
+        received.deadline = stop.unwrap_or(received.deadline);
         let last_event_id = received.caller.last_event_id;
         let progress = Mutex::new(Progress { last_event_id, ..Progress::default() });
-        Call { context, received, group, progress }
+        Call { context, received, ends_with_stop: stop.is_some(), group, progress }
     }
 
     pub(super) fn id(&self) -> &str {
@@ -147,6 +152,11 @@
         self.context.clock.until(self.received.deadline)
     }
 
+    /// Why the call ends when no time is left.
+    pub(super) fn timeout_reason(&self) -> Reason {
+        if self.ends_with_stop { Reason::CutOff } else { Reason::Expired }
+    }
+
     /// Id of the last event sent to the caller.
     pub(super) fn last_event_id(&self) -> Option<u64> {
         lock(&self.progress).last_event_id
@@ -197,7 +207,7 @@
     ) -> Result<T, Refusal> {
         let cut_off = async {
             self.context.lifecycle.wait_for_cutoff().await;
-            Err(self.give_up(Reason::Stopping))
+            Err(self.give_up(Reason::CutOff))
         };
         response.or(cut_off).await
     }
@@ -253,7 +263,7 @@
     /// Chooses where the next attempt is sent, if one more is allowed.
     pub(super) fn next_target(&self, other: OtherAttempt) -> Result<Target, Refusal> {
         if self.time_left().is_zero() {
-            return Err(self.give_up(Reason::Expired));
+            return Err(self.give_up(self.timeout_reason()));
         }
         let prefers_peer = self.prefers_peer();
         if prefers_peer && self.received.forwarded.is_some() {
@@ -460,7 +470,7 @@
             return Refusal::outcome_unknown(reason);
         }
         let after = match reason {
-            Reason::Rejected | Reason::Stopping => CAPACITY_RETRY_AFTER,
+            Reason::Rejected | Reason::CutOff => CAPACITY_RETRY_AFTER,
             _ => ENDPOINTS_RETRY_AFTER,
         };
         Refusal::not_run(reason, after)
--- a/crates/router/src/filter/dispatch.rs
+++ b/crates/router/src/filter/dispatch.rs
@@ -126,16 +126,13 @@
 }
 
 impl<D: Dialect> Handler<Received> for Dispatch<D> {
-    async fn handle(&self, mut received: Received) -> Result<Response<ResponseBody>, Refusal> {
+    async fn handle(&self, received: Received) -> Result<Response<ResponseBody>, Refusal> {
         let draw = fastrand::f64();
         let name = received.route.group(draw).cloned();
         let name =
             name.ok_or_else(|| Refusal::not_run(Reason::NoEndpoint, ENDPOINTS_RETRY_AFTER))?;
         let group = self.0.groups.get_or_create(&name);
         self.0.check_stop_deadline(&received, &group)?;
-        if let Some(left) = self.0.lifecycle.time_until_cutoff() {
-            received.deadline = received.deadline.min(self.0.clock.now() + left);
-        }
         let call = Call::new(self.0.clone(), received, group);
         if call.received.route.is_streaming {
             return relay::stream(call).await;
--- a/crates/router/src/filter/receive.rs
+++ b/crates/router/src/filter/receive.rs
@@ -96,7 +96,7 @@
         };
         let cut_off = async {
             self.lifecycle.wait_for_cutoff().await;
-            Err(Refusal::not_run(Reason::Stopping, CAPACITY_RETRY_AFTER))
+            Err(Refusal::not_run(Reason::CutOff, CAPACITY_RETRY_AFTER))
         };
         let body = read.or(timed_out).or(cut_off).await?;
         let fingerprint = fingerprint(&head, &owner, &body);
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -38,6 +38,8 @@
     Crowded,
     /// The instance will stop before the request would be finished.
     Stopping,
+    /// The instance has stopped before the request was finished.
+    CutOff,
     /// The request is quarantined, because endpoints died while running it.
     Quarantined,
     /// Endpoints refused the request without running it.
@@ -69,6 +71,7 @@
             Reason::TooLate => "too_late",
             Reason::Crowded => "crowded",
             Reason::Stopping => "stopping",
+            Reason::CutOff => "cut_off",
             Reason::Quarantined => "quarantined",
             Reason::Rejected => "rejected",
             Reason::Unreachable => "unreachable",
@@ -86,6 +89,7 @@
             Reason::ConfigurationStale
                 | Reason::NoEndpoint
                 | Reason::Stopping
+                | Reason::CutOff
                 | Reason::Unreachable
         )
     }
@@ -131,9 +135,9 @@
         Refusal { reason, status, retry_after: None, returned: None }
     }
 
-    /// Whether the instance has stopped before it had an answer.
+    /// Whether the instance has stopped before it had an answer, and the request may have run.
     pub(super) fn is_cut_off(&self) -> bool {
-        self.reason == Reason::Stopping && self.status == StatusCode::BAD_GATEWAY
+        self.reason == Reason::CutOff && self.status == StatusCode::BAD_GATEWAY
     }
 
     /// Builds the HTTP response.
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -26,6 +26,7 @@
     body::{EventBody, TruncatedResponse},
     call::{Call, OUTCOME_FINISHED, OtherAttempt},
     hedge::{self, Either, race},
+    refusal::Reason,
     run::ActiveResponse,
 };
 use crate::{
@@ -147,10 +148,10 @@
     };
     let (outcome, is_cut) = match relay_events(&call, stream, &tx).or(cut_off).await {
         Ok(()) => (OUTCOME_FINISHED, false),
-        Err(StreamError::Expired) => ("expired", true),
+        Err(StreamError::Expired) => (call.timeout_reason().as_str(), true),
         Err(StreamError::Broken) => ("broken_off", true),
         Err(StreamError::CallerLeft) => ("caller_left", false),
-        Err(StreamError::CutOff) => ("cut_off", true),
+        Err(StreamError::CutOff) => (Reason::CutOff.as_str(), true),
     };
     call.record_end(outcome, http::StatusCode::OK);
     if is_cut {
