--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use futures_lite::FutureExt;
 use http::{Response, StatusCode};
 use policy::{
     EndpointId, FailCause, Fingerprint, Incarnation, Time,
@@ -46,6 +47,8 @@
 pub(super) struct Call<D> {
     pub(super) context: Arc<DispatchContext<D>>,
     pub(super) received: Received,
+    /// The deadline is the end of a stop, which is earlier than the caller's.
+    ends_with_stop: bool,
     pub(super) group: Arc<Group>,
     pub(super) progress: Mutex<Progress>,
 }
@@ -130,12 +133,15 @@
 impl<D: Dialect> Call<D> {
     pub(super) fn new(
         context: Arc<DispatchContext<D>>,
-        received: Received,
+        mut received: Received,
         group: Arc<Group>,
     ) -> Self {
+        let stop = context.lifecycle.time_until_cutoff().map(|left| context.clock.now() + left);
+        let stop = stop.filter(|stop| *stop < received.deadline);
+        received.deadline = stop.unwrap_or(received.deadline);
         let last_event_id = received.caller.last_event_id;
         let progress = Mutex::new(Progress { last_event_id, ..Progress::default() });
-        Call { context, received, group, progress }
+        Call { context, received, ends_with_stop: stop.is_some(), group, progress }
     }
 
     pub(super) fn id(&self) -> &str {
@@ -146,6 +152,11 @@
         self.context.clock.until(self.received.deadline)
     }
 
+    /// Why the call ends when no time is left.
+    pub(super) fn timeout_reason(&self) -> Reason {
+        if self.ends_with_stop { Reason::CutOff } else { Reason::Expired }
+    }
+
     /// Id of the last event sent to the caller.
     pub(super) fn last_event_id(&self) -> Option<u64> {
         lock(&self.progress).last_event_id
@@ -161,7 +172,7 @@
     /// Collects the whole response before any of it goes to the caller, so that a request whose
     /// response breaks off can be retried.
     pub(super) async fn respond_buffered(self) -> Result<Response<ResponseBody>, Refusal> {
-        let outcome = hedge::first_accepted(
+        let outcome = self.until_cut_off(hedge::first_accepted(
             &self,
             OtherAttempt::None,
             async |call, active: ActiveResponse<D>| {
@@ -177,7 +188,7 @@
                     }
                 }
             },
-        );
+        ));
         match outcome.await {
             Ok((head, body)) => {
                 self.record_first_byte();
@@ -188,6 +199,19 @@
         }
     }
 
+    /// Waits for a response until a stop cuts the request off. Without an answer of the instance,
+    /// the end of the process would be the only one.
+    pub(super) async fn until_cut_off<T>(
+        &self,
+        response: impl Future<Output = Result<T, Refusal>>,
+    ) -> Result<T, Refusal> {
+        let cut_off = async {
+            self.context.lifecycle.wait_for_cutoff().await;
+            Err(self.give_up(Reason::CutOff))
+        };
+        response.or(cut_off).await
+    }
+
     /// Builds the caller's response from an endpoint's head and a complete body.
     pub(super) fn response(
         &self,
@@ -239,7 +263,7 @@
     /// Chooses where the next attempt is sent, if one more is allowed.
     pub(super) fn next_target(&self, other: OtherAttempt) -> Result<Target, Refusal> {
         if self.time_left().is_zero() {
-            return Err(self.give_up(Reason::Expired));
+            return Err(self.give_up(self.timeout_reason()));
         }
         let prefers_peer = self.prefers_peer();
         if prefers_peer && self.received.forwarded.is_some() {
@@ -446,7 +470,7 @@
             return Refusal::outcome_unknown(reason);
         }
         let after = match reason {
-            Reason::Rejected => CAPACITY_RETRY_AFTER,
+            Reason::Rejected | Reason::CutOff => CAPACITY_RETRY_AFTER,
             _ => ENDPOINTS_RETRY_AFTER,
         };
         Refusal::not_run(reason, after)
