Receive the rest of a body whose request is refused

What callers saw: a request with a long body that was refused by its head (unknown key or route, too old a configuration, a peer that declines) got its refusal, but the connection was then closed without having announced it, with unread input, so that it was reset. The next request on it was lost, and a caller that still wrote could lose the refusal too.

Cause: the handler drops a body that it hasn't read. hyper then writes the response with keep-alive on, tries one buffered read of the rest and closes.

Change: what a handler hasn't read of a body is received before the response is sent, up to 1 MB and 500 ms; beyond them, where the caller waits to be asked for its body, and at the end of a stop, the response says Connection: close.

What a caller loses that writes for longer than 500 ms wasn't played.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -3,12 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 
 use crate::{
     dialect::Dialect,
     filter::{Handler, Refusal, ResponseBody},
     metrics::Metrics,
+    request_body::RequestBody,
     serve::{ConnectionLimits, Service},
     state::{Configuration, Groups, Lifecycle, Stage},
 };
@@ -27,11 +27,11 @@
     pub(crate) metrics: Arc<Metrics>,
 }
 
-impl<D: Dialect, H: Handler<Request<Incoming>>> CallerService<D, H> {
+impl<D: Dialect, H: Handler<Request<RequestBody>>> CallerService<D, H> {
     /// Answers a request. Returns the refusal too where this is the instance's own.
     pub(crate) async fn answer(
         &self,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> (Response<ResponseBody>, Option<Refusal>) {
         let guard = self.lifecycle.count_request();
         let request_id = self.dialect.request_id(req.headers());
@@ -64,8 +64,8 @@
     }
 }
 
-impl<D: Dialect, H: Handler<Request<Incoming>>> Service for CallerService<D, H> {
-    async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+impl<D: Dialect, H: Handler<Request<RequestBody>>> Service for CallerService<D, H> {
+    async fn respond(&self, req: Request<RequestBody>) -> Response<ResponseBody> {
         self.answer(req).await.0
     }
 
@@ -105,7 +105,7 @@
 }
 
 impl Service for ReadinessService {
-    async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+    async fn respond(&self, req: Request<RequestBody>) -> Response<ResponseBody> {
         let mut resp = Response::new(ResponseBody::whole(bytes::Bytes::new()));
         *resp.status_mut() = match req.method() == Method::GET && req.uri().path() == self.path {
             false => StatusCode::NOT_FOUND,
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -11,7 +11,6 @@
 
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use policy::{
     EndpointId, FailCause,
     forwarding::{MAX_PEERS_PER_REQUEST, PathState, Peer, UNREACHED_UNTIL_FORWARDED},
@@ -31,6 +30,7 @@
     dialect::{Dialect, ForwardMetadata},
     entry::CallerService,
     lock, net,
+    request_body::RequestBody,
     serve::{ConnectionLimits, Service},
     snapshot::{decode, encode},
     state::{Groups, Lifecycle, Stage},
@@ -231,7 +231,7 @@
     }
 
     /// Answers a question about an endpoint; none if it can't be read.
-    async fn answer_examination(&self, req: Request<Incoming>) -> Option<Response<ResponseBody>>
+    async fn answer_examination(&self, req: Request<RequestBody>) -> Option<Response<ResponseBody>>
     where
         D: Dialect,
     {
@@ -250,9 +250,9 @@
 impl<D, H> Service for PeerService<D, H>
 where
     D: Dialect,
-    H: Handler<Request<Incoming>>,
+    H: Handler<Request<RequestBody>>,
 {
-    async fn respond(&self, mut req: Request<Incoming>) -> Response<ResponseBody> {
+    async fn respond(&self, mut req: Request<RequestBody>) -> Response<ResponseBody> {
         let Some(attempts) = req.headers_mut().remove(ATTEMPTS) else {
             return self.answer_examination(req).await.unwrap_or_else(malformed);
         };
--- a/crates/router/src/filter/identify.rs
+++ b/crates/router/src/filter/identify.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use policy::{
     Time, Workspace,
     routes::{KeyOwner, Route, RouteTable},
@@ -12,6 +11,7 @@
 use super::{Admitted, Handler, ReadAhead, Refusal, ResponseBody, refusal::Reason};
 use crate::{
     dialect::{Dialect, RequestMetadata},
+    request_body::RequestBody,
     serve::LocalAddress,
     state::{Configuration, Group, Groups},
 };
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 pub struct Identified {
     /// The request.
-    pub req: Request<ReadAhead<Incoming>>,
+    pub req: Request<ReadAhead<RequestBody>>,
     /// When the head had been received.
     pub arrived: Time,
     /// What the caller's headers state.
--- a/crates/router/src/filter/start.rs
+++ b/crates/router/src/filter/start.rs
@@ -19,13 +19,13 @@
 
 use futures_lite::{FutureExt, future};
 use http::{Request, Response};
-use hyper::body::Incoming;
 use policy::Time;
 use smol::Timer;
 
 use super::{Handler, ReadAhead, Refusal, ResponseBody};
 use crate::{
     clock::Clock,
+    request_body::RequestBody,
     state::{Configuration, Groups, Lifecycle},
 };
 
@@ -42,7 +42,7 @@
 #[derive(Debug)]
 pub struct Admitted {
     /// The request.
-    pub req: Request<ReadAhead<Incoming>>,
+    pub req: Request<ReadAhead<RequestBody>>,
     /// When the head had been received.
     pub arrived: Time,
 }
@@ -82,8 +82,8 @@
     }
 }
 
-impl<N: Handler<Admitted>> Handler<Request<Incoming>> for StartupGate<N> {
-    async fn handle(&self, req: Request<Incoming>) -> Result<Response<ResponseBody>, Refusal> {
+impl<N: Handler<Admitted>> Handler<Request<RequestBody>> for StartupGate<N> {
+    async fn handle(&self, req: Request<RequestBody>) -> Result<Response<ResponseBody>, Refusal> {
         let arrived = self.clock.now();
         let (head, body) = req.into_parts();
         let mut body = ReadAhead::new(body);
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -7,7 +7,6 @@
 use std::{fmt, sync::Arc, time::Duration};
 
 use http::{Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Histogram, Meter, MeterProvider},
@@ -19,6 +18,7 @@
 use crate::{
     clock::Clock,
     filter::ResponseBody,
+    request_body::RequestBody,
     serve::{ConnectionLimits, Service},
     state::{Configuration, Groups, Lifecycle},
 };
@@ -298,7 +298,7 @@
 }
 
 impl Service for MetricsPage {
-    async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+    async fn respond(&self, req: Request<RequestBody>) -> Response<ResponseBody> {
         if req.method() != Method::GET || req.uri().path() != "/metrics" {
             let mut resp = Response::new(ResponseBody::whole(bytes::Bytes::new()));
             *resp.status_mut() = StatusCode::NOT_FOUND;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -5,7 +5,7 @@
 };
 
 use futures_lite::FutureExt;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use smol::{
     Executor, Timer,
@@ -18,6 +18,7 @@
     connection_use::{ConnectionUse, TrackedBody},
     filter::ResponseBody,
     net,
+    request_body::{RequestBody, UnreadBody},
     state::Lifecycle,
 };
 
@@ -49,7 +50,7 @@
     /// Handles one request.
     fn respond(
         &self,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> impl Future<Output = Response<ResponseBody>> + Send;
 
     /// Limits of connections accepted from now on.
@@ -109,7 +110,15 @@
             req.extensions_mut().insert(address);
         }
         async move {
-            let resp = service.respond(req).await;
+            let (req, unread) = UnreadBody::track(req);
+            let mut resp = service.respond(req).await;
+            let cut_off = async {
+                service.lifecycle().wait_for_cutoff().await;
+                false
+            };
+            if !unread.discard().or(cut_off).await {
+                resp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok::<_, Infallible>(resp.map(|body| TrackedBody::new(body, in_use)))
         }
     });
