Refuse streams that have waited until connections are closed

Callers whose stream came early in a stop and waited for room got it late: placed once connections were being closed, where a stream that arrives is refused unless it ends in time at a quarter of its speed. If its engine is slow, such a stream is cut off.

Cause: a request that comes during a stop got the end of the stop as its deadline. The check while it waits took that for its caller's time limit, which fits in the time left by definition.

Evidence: a_stop_refuses_what_has_waited_until_connections_are_closed failed before: a stream sent 1.5 s into a stop got 200 after the slot had become free, 2.9 s into it.

Change: the call keeps its own deadline beside the caller's.

--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -47,8 +47,8 @@
 pub(super) struct Call<D> {
     pub(super) context: Arc<DispatchContext<D>>,
     pub(super) received: Received,
-    /// The deadline is the end of a stop, which is earlier than the caller's.
-    ends_with_stop: bool,
+    /// The caller's deadline, or the end of a stop if that is earlier.
+    deadline: Time,
     pub(super) group: Arc<Group>,
     pub(super) progress: Mutex<Progress>,
 }
@@ -133,15 +133,14 @@
 impl<D: Dialect> Call<D> {
     pub(super) fn new(
         context: Arc<DispatchContext<D>>,
-        mut received: Received,
+        received: Received,
         group: Arc<Group>,
     ) -> Self {
         let stop = context.lifecycle.time_until_cutoff().map(|left| context.clock.now() + left);
-        let stop = stop.filter(|stop| *stop < received.deadline);
-        received.deadline = stop.unwrap_or(received.deadline);
+        let deadline = stop.map_or(received.deadline, |stop| stop.min(received.deadline));
         let last_event_id = received.caller.last_event_id;
         let progress = Mutex::new(Progress { last_event_id, ..Progress::default() });
-        Call { context, received, ends_with_stop: stop.is_some(), group, progress }
+        Call { context, received, deadline, group, progress }
     }
 
     pub(super) fn id(&self) -> &str {
@@ -149,12 +148,12 @@
     }
 
     pub(super) fn time_left(&self) -> Duration {
-        self.context.clock.until(self.received.deadline)
+        self.context.clock.until(self.deadline)
     }
 
     /// Why the call ends when no time is left.
     pub(super) fn timeout_reason(&self) -> Reason {
-        if self.ends_with_stop { Reason::CutOff } else { Reason::Expired }
+        if self.deadline < self.received.deadline { Reason::CutOff } else { Reason::Expired }
     }
 
     /// Id of the last event sent to the caller.
