--- a/crates/policy/src/routes/mod.rs
+++ b/crates/policy/src/routes/mod.rs
@@ -106,8 +106,8 @@
     /// Selects the endpoint group of one request by weight. `draw` is a uniform random number from
     /// 0 to 1. Groups with weight zero receive no requests, unless all weights are zero.
     pub fn group(&self, draw: f64) -> Option<&EndpointGroup> {
-        let total: u32 = self.split.iter().map(|share| share.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let total: f64 = self.split.iter().map(|share| f64::from(share.weight)).sum();
+        let mut remaining = draw * total;
         for share in self.split.iter().filter(|share| share.weight > 0) {
             remaining -= f64::from(share.weight);
             if remaining < 0.0 {
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -284,7 +284,8 @@
 
     fn connection_limits(&self) -> ConnectionLimits {
         let limits = self.callers.connection_limits();
-        ConnectionLimits { max_head_bytes: limits.max_head_bytes + ADDED_HEAD_BYTES, ..limits }
+        let max_head_bytes = limits.max_head_bytes.saturating_add(ADDED_HEAD_BYTES);
+        ConnectionLimits { max_head_bytes, ..limits }
     }
 
     fn lifecycle(&self) -> &Arc<Lifecycle> {
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -196,8 +196,9 @@
         // A peer hedges by its own prediction, and a hedge here is for the peer's own failure.
         let Target::Endpoint(placement) = target else { return route.goal + FIRST_EVENT_SLACK };
         if route.is_streaming {
-            let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1000.0);
-            return 3 * predicted + FIRST_EVENT_SLACK;
+            let seconds = 3.0 * placement.predicted_ms.max(0.0) / 1000.0;
+            let predicted = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+            return predicted.saturating_add(FIRST_EVENT_SLACK);
         }
         route.goal.mul_f64(HEDGE_DELAY_GOAL_SHARE)
     }
