Count headers by the limit of the head's size

By reading, a limit under 8 KB wasn't kept: heads up to the size of hyper's smallest buffer were served.

Cause: hyper takes 100 headers, and the limit was only that of the buffer.

Change: as many headers are taken as fit into the limit, at least 100 and at most 16,384, and hyper checks the size of the head itself, with its first line as before. The readiness and metrics ports keep 8 KB.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -10,7 +10,7 @@
     dialect::Dialect,
     filter::{Handler, Reason, Refusal, ResponseBody},
     metrics::Metrics,
-    serve::{ConnectionLimits, Service},
+    serve::{ConnectionLimits, MIN_BUFFER_BYTES, Service},
     state::{Configuration, Groups, Lifecycle, Stage},
 };
 
@@ -122,7 +122,7 @@
     }
 
     fn connection_limits(&self) -> ConnectionLimits {
-        ConnectionLimits { max_head_bytes: 0, idle_timeout: Duration::from_secs(15) }
+        ConnectionLimits { max_head_bytes: MIN_BUFFER_BYTES, idle_timeout: Duration::from_secs(15) }
     }
 
     fn lifecycle(&self) -> &Arc<Lifecycle> {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -19,7 +19,7 @@
 use crate::{
     clock::Clock,
     filter::ResponseBody,
-    serve::{ConnectionLimits, Service},
+    serve::{ConnectionLimits, MIN_BUFFER_BYTES, Service},
     state::{Configuration, Groups, Lifecycle},
 };
 
@@ -308,7 +308,7 @@
     }
 
     fn connection_limits(&self) -> ConnectionLimits {
-        ConnectionLimits { max_head_bytes: 0, idle_timeout: IDLE_TIMEOUT }
+        ConnectionLimits { max_head_bytes: MIN_BUFFER_BYTES, idle_timeout: IDLE_TIMEOUT }
     }
 
     fn lifecycle(&self) -> &Arc<Lifecycle> {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -32,8 +32,16 @@
 /// connections are being closed: a round trip to a distant caller that continues at once.
 const NEXT_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The smallest read buffer that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// The smallest read buffer that hyper accepts, and the limit of services without one of their own.
+pub(crate) const MIN_BUFFER_BYTES: usize = 8 << 10;
+
+/// Bytes of the shortest header: a name of one byte, a colon and the end of the line.
+const MIN_HEADER_BYTES: usize = 4;
+
+/// Numbers of headers between which the limit is that of the head's size. Common callers send up to
+/// the smaller one; a map of headers holds little more than the larger one.
+const MIN_MAX_HEADERS: usize = 100;
+const MAX_MAX_HEADERS: usize = 16 << 10;
 
 /// Limits of a connection.
 #[derive(Debug, Clone, Copy)]
@@ -44,6 +52,12 @@
     pub idle_timeout: Duration,
 }
 
+impl ConnectionLimits {
+    fn max_headers(&self) -> usize {
+        (self.max_head_bytes / MIN_HEADER_BYTES).clamp(MIN_MAX_HEADERS, MAX_MAX_HEADERS)
+    }
+}
+
 /// An HTTP service.
 pub trait Service: Send + Sync + 'static {
     /// Handles one request.
@@ -119,6 +133,8 @@
         .timer(SmolTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
+        .max_header_size(limits.max_head_bytes)
+        .max_headers(limits.max_headers())
         .half_close(false)
         .serve_connection(FuturesIo::new(stream), handler);
     let mut serving = pin!(serving);
