Keep the timeouts of heads and idle connections apart, and current

Cause: hyper has one timeout from the end of the previous response to the end of the next head, and it is set once.

Change: the instance keeps the time itself. A wrapper of the connection notes the first bytes of a head, ConnectionUse knows when the last response ended, and a change of the limits wakes the wait, which reads them anew. An idle connection is closed gracefully, so that a response still being written isn't cut.

--- a/crates/router/src/connection_use.rs
+++ b/crates/router/src/connection_use.rs
@@ -1,6 +1,8 @@
-//! Whether a connection is in use, so that it isn't closed while a request may be in transit.
+//! How a connection is used, so that it isn't closed while a request may be in transit, and is closed
+//! where its caller takes too long.
 
 use std::{
+    io,
     pin::Pin,
     sync::{Arc, Mutex},
     task::{Context, Poll},
@@ -8,7 +10,10 @@
 };
 
 use http_body::{Body, Frame, SizeHint};
-use smol::Timer;
+use smol::{
+    Timer,
+    io::{AsyncRead, AsyncWrite},
+};
 
 use crate::{lock, signal::Signal};
 
@@ -17,43 +22,68 @@
 pub(crate) struct ConnectionUse {
     state: Arc<Mutex<State>>,
     ended: Arc<Signal>,
-    /// How long to wait for a request after the previous response.
-    next_request_timeout: Duration,
+    /// Raised when a head begins or a request ends.
+    changed: Arc<Signal>,
 }
 
 #[derive(Debug)]
 struct State {
     in_flight: usize,
-    /// Until when a request may be in transit.
-    unused_from: Instant,
+    has_served: bool,
+    /// When the connection was opened or its last response ended.
+    idle_from: Instant,
+    /// When the first bytes of a head arrived whose request isn't in flight yet.
+    head_from: Option<Instant>,
+}
+
+/// How long callers may keep a connection waiting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct CallerTimeouts {
+    /// From the first bytes of a head to its end.
+    pub(crate) head: Duration,
+    /// Without any byte of a head.
+    pub(crate) idle: Duration,
+}
+
+/// What a caller has taken too long for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Overdue {
+    /// To complete a head.
+    Head,
+    /// To begin one.
+    Idle,
 }
 
 impl ConnectionUse {
     /// Starts with a new connection.
-    pub(crate) fn new(
-        first_request_timeout: Duration,
-        next_request_timeout: Duration,
-    ) -> ConnectionUse {
-        let unused_from = Instant::now() + first_request_timeout;
+    pub(crate) fn new() -> ConnectionUse {
+        let state =
+            State { in_flight: 0, has_served: false, idle_from: Instant::now(), head_from: None };
         ConnectionUse {
-            state: Arc::new(Mutex::new(State { in_flight: 0, unused_from })),
+            state: Arc::new(Mutex::new(state)),
             ended: Arc::default(),
-            next_request_timeout,
+            changed: Arc::default(),
         }
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn begin(&self) -> InUse {
-        lock(&self.state).in_flight += 1;
+        let mut state = lock(&self.state);
+        state.in_flight += 1;
+        state.has_served = true;
+        state.head_from = None;
+        drop(state);
         InUse(self.clone())
     }
 
-    /// Waits until no request is in flight and none has come for the timeout.
-    pub(crate) async fn unused(&self) {
+    /// Waits until no request is in flight and none has come for `next_request`, or for
+    /// `first_request` on a new connection.
+    pub(crate) async fn unused(&self, first_request: Duration, next_request: Duration) {
         loop {
             let unused_from = {
                 let state = lock(&self.state);
-                (state.in_flight == 0).then_some(state.unused_from)
+                let wait = if state.has_served { next_request } else { first_request };
+                (state.in_flight == 0).then(|| state.idle_from + wait)
             };
             match unused_from {
                 Some(at) if at <= Instant::now() => return,
@@ -64,6 +94,30 @@
             }
         }
     }
+
+    /// When the caller is overdue unless it sends more; none while a request is in flight.
+    pub(crate) fn overdue_at(&self, timeouts: CallerTimeouts) -> Option<(Instant, Overdue)> {
+        let state = lock(&self.state);
+        match state.head_from {
+            _ if state.in_flight > 0 => None,
+            Some(from) => Some((from + timeouts.head, Overdue::Head)),
+            None => Some((state.idle_from + timeouts.idle, Overdue::Idle)),
+        }
+    }
+
+    /// Waits until a head begins or a request ends.
+    pub(crate) async fn changed(&self) {
+        self.changed.raised().await;
+    }
+
+    fn record_bytes(&self) {
+        let mut state = lock(&self.state);
+        if state.in_flight == 0 && state.head_from.is_none() {
+            state.head_from = Some(Instant::now());
+            drop(state);
+            self.changed.raise();
+        }
+    }
 }
 
 /// Counts one request as in flight on its connection until it is dropped.
@@ -74,9 +128,64 @@
     fn drop(&mut self) {
         let mut state = lock(&self.0.state);
         state.in_flight -= 1;
-        state.unused_from = Instant::now() + self.0.next_request_timeout;
+        state.idle_from = Instant::now();
         drop(state);
         self.0.ended.raise();
+        self.0.changed.raise();
+    }
+}
+
+/// A connection that records when its caller sends something.
+#[derive(Debug)]
+pub(crate) struct TrackedStream<T> {
+    stream: T,
+    connection_use: ConnectionUse,
+}
+
+impl<T> TrackedStream<T> {
+    /// Records what is read from `stream`.
+    pub(crate) fn new(stream: T, connection_use: ConnectionUse) -> TrackedStream<T> {
+        TrackedStream { stream, connection_use }
+    }
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for TrackedStream<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(len)) if len > 0) {
+            self.connection_use.record_bytes();
+        }
+        read
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for TrackedStream<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
     }
 }
 
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -11,6 +11,7 @@
     filter::{Handler, Reason, Refusal, ResponseBody},
     metrics::Metrics,
     serve::{ConnectionLimits, MIN_BUFFER_BYTES, Service},
+    signal::OneShot,
     state::{Configuration, Groups, Lifecycle, Stage},
 };
 
@@ -19,6 +20,9 @@
 /// and one failed read.
 const MAX_READY_CONFIGURATION_AGE: Duration = Duration::from_millis(3_700);
 
+/// How long the balancer may keep a connection without a probe, or take for one.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Serves callers.
 pub(crate) struct CallerService<D, H> {
     pub(crate) chain: H,
@@ -79,10 +83,15 @@
         let limits = self.configuration.table().limits;
         ConnectionLimits {
             max_head_bytes: limits.head_bytes,
-            idle_timeout: limits.idle_timeout.max(limits.head_timeout),
+            head_timeout: limits.head_timeout,
+            idle_timeout: limits.idle_timeout,
         }
     }
 
+    fn limits_changed(&self) -> Arc<OneShot> {
+        self.configuration.limits_changed()
+    }
+
     fn lifecycle(&self) -> &Arc<Lifecycle> {
         &self.lifecycle
     }
@@ -122,7 +131,11 @@
     }
 
     fn connection_limits(&self) -> ConnectionLimits {
-        ConnectionLimits { max_head_bytes: MIN_BUFFER_BYTES, idle_timeout: Duration::from_secs(15) }
+        ConnectionLimits {
+            max_head_bytes: MIN_BUFFER_BYTES,
+            head_timeout: IDLE_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+        }
     }
 
     fn lifecycle(&self) -> &Arc<Lifecycle> {
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -32,6 +32,7 @@
     entry::CallerService,
     lock, net,
     serve::{ConnectionLimits, Service},
+    signal::OneShot,
     snapshot::{decode, encode},
     state::{Groups, Lifecycle, Stage},
 };
@@ -288,6 +289,10 @@
         ConnectionLimits { max_head_bytes, ..limits }
     }
 
+    fn limits_changed(&self) -> Arc<OneShot> {
+        self.callers.limits_changed()
+    }
+
     fn lifecycle(&self) -> &Arc<Lifecycle> {
         &self.callers.lifecycle
     }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -308,7 +308,11 @@
     }
 
     fn connection_limits(&self) -> ConnectionLimits {
-        ConnectionLimits { max_head_bytes: MIN_BUFFER_BYTES, idle_timeout: IDLE_TIMEOUT }
+        ConnectionLimits {
+            max_head_bytes: MIN_BUFFER_BYTES,
+            head_timeout: IDLE_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+        }
     }
 
     fn lifecycle(&self) -> &Arc<Lifecycle> {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,7 +1,12 @@
 //! Accepts HTTP connections and serves requests on them.
 
 use std::{
-    convert::Infallible, future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration,
+    convert::Infallible,
+    future::Future,
+    net::SocketAddr,
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
 use futures_lite::FutureExt;
@@ -15,9 +20,10 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{
-    connection_use::{ConnectionUse, TrackedBody},
+    connection_use::{CallerTimeouts, ConnectionUse, Overdue, TrackedBody, TrackedStream},
     filter::ResponseBody,
     net,
+    signal::OneShot,
     state::Lifecycle,
 };
 
@@ -44,11 +50,13 @@
 const MAX_MAX_HEADERS: usize = 16 << 10;
 
 /// Limits of a connection.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimits {
     /// Maximum size of a request head, in bytes.
     pub max_head_bytes: usize,
-    /// How long a connection may take to send a complete head; also the idle time between requests.
+    /// How long a caller may take for a head from its first byte on.
+    pub head_timeout: Duration,
+    /// How long a connection may stay open without any byte of a head.
     pub idle_timeout: Duration,
 }
 
@@ -56,6 +64,10 @@
     fn max_headers(&self) -> usize {
         (self.max_head_bytes / MIN_HEADER_BYTES).clamp(MIN_MAX_HEADERS, MAX_MAX_HEADERS)
     }
+
+    fn timeouts(&self) -> CallerTimeouts {
+        CallerTimeouts { head: self.head_timeout, idle: self.idle_timeout }
+    }
 }
 
 /// An HTTP service.
@@ -66,9 +78,14 @@
         req: Request<Incoming>,
     ) -> impl Future<Output = Response<ResponseBody>> + Send;
 
-    /// Limits of connections accepted from now on.
+    /// The current limits of connections.
     fn connection_limits(&self) -> ConnectionLimits;
 
+    /// A flag that is set when the limits change next; never, by default.
+    fn limits_changed(&self) -> Arc<OneShot> {
+        Arc::default()
+    }
+
     /// Lifecycle that says when connections have to be closed.
     fn lifecycle(&self) -> &Arc<Lifecycle>;
 }
@@ -115,7 +132,7 @@
 {
     let limits = service.connection_limits();
     let _open = service.lifecycle().count_connection();
-    let connection_use = ConnectionUse::new(FIRST_REQUEST_TIMEOUT, NEXT_REQUEST_TIMEOUT);
+    let connection_use = ConnectionUse::new();
     let handler = service_fn(|mut req: Request<Incoming>| {
         let service = service.clone();
         let in_use = connection_use.begin();
@@ -128,10 +145,12 @@
         }
     });
     // hyper keeps reading while a response is being produced, so a caller's disconnect ends the
-    // connection's future and with it the work on the request.
+    // connection's future and with it the work on the request. Its only timeout covers both heads and
+    // idle connections, and can't change.
+    let stream = TrackedStream::new(stream, connection_use.clone());
     let serving = http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(limits.idle_timeout)
+        .header_read_timeout(None)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .max_header_size(limits.max_head_bytes)
         .max_headers(limits.max_headers())
@@ -139,16 +158,21 @@
         .serve_connection(FuturesIo::new(stream), handler);
     let mut serving = pin!(serving);
     let lifecycle = service.lifecycle().clone();
-    let ended = async { Some((&mut serving).await) };
+    let ended = async { Event::Ended((&mut serving).await) };
     let closing = async {
         lifecycle.wait_for_closing().await;
         // Without this wait a connection would be closed while a request is in transit.
-        connection_use.unused().await;
-        None
+        connection_use.unused(FIRST_REQUEST_TIMEOUT, NEXT_REQUEST_TIMEOUT).await;
+        Event::Unused
     };
-    let result = match ended.or(closing).await {
-        Some(result) => result,
-        None => {
+    let overdue = async { Event::Overdue(wait_until_overdue(&*service, &connection_use).await) };
+    let result = match ended.or(closing).or(overdue).await {
+        Event::Ended(result) => result,
+        Event::Overdue(Overdue::Head) => {
+            log::debug!("head_overdue");
+            return;
+        }
+        Event::Unused | Event::Overdue(Overdue::Idle) => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
@@ -157,3 +181,28 @@
         log::debug!(cause:% = e; "connection_ended");
     }
 }
+
+/// What ends the service of a connection.
+enum Event {
+    Ended(hyper::Result<()>),
+    /// The connection has to be closed, and no request is in transit.
+    Unused,
+    Overdue(Overdue),
+}
+
+/// Waits until a caller has taken too long by the current limits.
+async fn wait_until_overdue<S: Service>(service: &S, connection_use: &ConnectionUse) -> Overdue {
+    loop {
+        let changed = service.limits_changed();
+        match connection_use.overdue_at(service.connection_limits().timeouts()) {
+            Some((at, overdue)) if at <= Instant::now() => return overdue,
+            Some((at, _)) => {
+                let at = async {
+                    Timer::at(at).await;
+                };
+                at.or(connection_use.changed()).or(changed.wait()).await;
+            }
+            None => connection_use.changed().await,
+        }
+    }
+}
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -157,6 +157,8 @@
     as_of: Mutex<Option<BootTime>>,
     /// Set once a table with a known age is in force.
     is_known: OneShot,
+    /// Set and replaced when the limits change.
+    limits_changed: Mutex<Arc<OneShot>>,
 }
 
 impl Configuration {
@@ -172,10 +174,20 @@
         if table.version <= current.version {
             return false;
         }
+        let has_other_limits = table.limits != current.limits;
         *current = Arc::new(table);
+        drop(current);
+        if has_other_limits {
+            std::mem::take(&mut *lock(&self.limits_changed)).set();
+        }
         true
     }
 
+    /// A flag that is set when the limits change next.
+    pub fn limits_changed(&self) -> Arc<OneShot> {
+        lock(&self.limits_changed).clone()
+    }
+
     /// Confirms that every change acknowledged before `as_of` is in the current table.
     pub fn confirm(&self, as_of: BootTime) {
         let mut current = lock(&self.as_of);
