Close connections whose limit on heads has changed

Change: a change of the limits wakes each connection. Where heads have another limit, it is closed within a second and a little more, spread at random so that callers don't all connect at once: a connection without a request for 300 ms is closed gracefully, and one in use announces Connection: close on its next response. An answer under way ends first. Timeouts need no close.

Bodies were judged by the current limit before.

--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -5,12 +5,15 @@
     future::Future,
     net::SocketAddr,
     pin::pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use futures_lite::FutureExt;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use smol::{
     Executor, Timer,
@@ -38,6 +41,14 @@
 /// connections are being closed: a round trip to a distant caller that continues at once.
 const NEXT_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Connections whose limit on heads has changed are closed over this time, so that their callers
+/// don't all connect at once.
+const MAX_OUTDATED_TIME: Duration = Duration::from_secs(1);
+
+/// How long such a connection may stay open without a request. Where requests come more often, a
+/// response announces the close.
+const OUTDATED_UNUSED_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The smallest read buffer that hyper accepts, and the limit of services without one of their own.
 pub(crate) const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -133,14 +144,19 @@
     let limits = service.connection_limits();
     let _open = service.lifecycle().count_connection();
     let connection_use = ConnectionUse::new();
+    let is_outdated = AtomicBool::new(false);
     let handler = service_fn(|mut req: Request<Incoming>| {
         let service = service.clone();
         let in_use = connection_use.begin();
         if let Some(address) = local_address {
             req.extensions_mut().insert(address);
         }
+        let is_outdated = &is_outdated;
         async move {
-            let resp = service.respond(req).await;
+            let mut resp = service.respond(req).await;
+            if is_outdated.load(Ordering::Relaxed) {
+                resp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok::<_, Infallible>(resp.map(|body| TrackedBody::new(body, in_use)))
         }
     });
@@ -160,9 +176,19 @@
     let lifecycle = service.lifecycle().clone();
     let ended = async { Event::Ended((&mut serving).await) };
     let closing = async {
-        lifecycle.wait_for_closing().await;
+        let stopping = async {
+            lifecycle.wait_for_closing().await;
+            NEXT_REQUEST_TIMEOUT
+        };
+        let outdated = async {
+            wait_for_other_head_limit(&*service, &limits).await;
+            Timer::after(MAX_OUTDATED_TIME.mul_f64(fastrand::f64())).await;
+            is_outdated.store(true, Ordering::Relaxed);
+            OUTDATED_UNUSED_TIMEOUT
+        };
+        let next_request = stopping.or(outdated).await;
         // Without this wait a connection would be closed while a request is in transit.
-        connection_use.unused(FIRST_REQUEST_TIMEOUT, NEXT_REQUEST_TIMEOUT).await;
+        connection_use.unused(FIRST_REQUEST_TIMEOUT, next_request).await;
         Event::Unused
     };
     let overdue = async { Event::Overdue(wait_until_overdue(&*service, &connection_use).await) };
@@ -190,6 +216,17 @@
     Overdue(Overdue),
 }
 
+/// Waits until heads have another limit than the one that a connection was accepted with.
+async fn wait_for_other_head_limit<S: Service>(service: &S, accepted: &ConnectionLimits) {
+    loop {
+        let changed = service.limits_changed();
+        if service.connection_limits().max_head_bytes != accepted.max_head_bytes {
+            return;
+        }
+        changed.wait().await;
+    }
+}
+
 /// Waits until a caller has taken too long by the current limits.
 async fn wait_until_overdue<S: Service>(service: &S, connection_use: &ConnectionUse) -> Overdue {
     loop {
