Announce the close to callers with pauses of up to 800 ms

A connection with another limit on heads was closed after 300 ms without a request. Closes are now spread over 600 ms and wait for 800 ms without a request; with the query for changes (500 ms) that stays below the two seconds of a change.

--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -43,11 +43,12 @@
 
 /// Connections whose limit on heads has changed are closed over this time, so that their callers
 /// don't all connect at once.
-const MAX_OUTDATED_TIME: Duration = Duration::from_secs(1);
+const MAX_OUTDATED_TIME: Duration = Duration::from_millis(600);
 
 /// How long such a connection may stay open without a request. Where requests come more often, a
-/// response announces the close.
-const OUTDATED_UNUSED_TIMEOUT: Duration = Duration::from_millis(300);
+/// response announces the close. Both times and that of a query for changes are below the two
+/// seconds within which a change has to be in force.
+const OUTDATED_UNUSED_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// The smallest read buffer that hyper accepts, and the limit of services without one of their own.
 pub(crate) const MIN_BUFFER_BYTES: usize = 8 << 10;
