--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -9,7 +9,8 @@
     filter::{Handler, Refusal, ResponseBody},
     metrics::Metrics,
     request_body::RequestBody,
-    serve::{ConnectionLimits, Service},
+    serve::{ConnectionLimits, MIN_BUFFER_BYTES, Service},
+    signal::OneShot,
     state::{Configuration, Groups, Lifecycle, Stage},
 };
 
@@ -18,6 +19,9 @@
 /// and one failed read.
 const MAX_READY_CONFIGURATION_AGE: Duration = Duration::from_millis(3_700);
 
+/// How long the balancer may keep a connection without a probe, or take for one.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Serves callers.
 pub(crate) struct CallerService<D, H> {
     pub(crate) chain: H,
@@ -73,10 +77,15 @@
         let limits = self.configuration.table().limits;
         ConnectionLimits {
             max_head_bytes: limits.head_bytes,
-            idle_timeout: limits.idle_timeout.max(limits.head_timeout),
+            head_timeout: limits.head_timeout,
+            idle_timeout: limits.idle_timeout,
         }
     }
 
+    fn limits_changed(&self) -> Arc<OneShot> {
+        self.configuration.limits_changed()
+    }
+
     fn lifecycle(&self) -> &Arc<Lifecycle> {
         &self.lifecycle
     }
@@ -116,7 +125,11 @@
     }
 
     fn connection_limits(&self) -> ConnectionLimits {
-        ConnectionLimits { max_head_bytes: 0, idle_timeout: Duration::from_secs(15) }
+        ConnectionLimits {
+            max_head_bytes: MIN_BUFFER_BYTES,
+            head_timeout: IDLE_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+        }
     }
 
     fn lifecycle(&self) -> &Arc<Lifecycle> {
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -32,6 +32,7 @@
     lock, net,
     request_body::RequestBody,
     serve::{ConnectionLimits, Service},
+    signal::OneShot,
     snapshot::{decode, encode},
     state::{Groups, Lifecycle, Stage},
 };
@@ -284,7 +285,12 @@
 
     fn connection_limits(&self) -> ConnectionLimits {
         let limits = self.callers.connection_limits();
-        ConnectionLimits { max_head_bytes: limits.max_head_bytes + ADDED_HEAD_BYTES, ..limits }
+        let max_head_bytes = limits.max_head_bytes.saturating_add(ADDED_HEAD_BYTES);
+        ConnectionLimits { max_head_bytes, ..limits }
+    }
+
+    fn limits_changed(&self) -> Arc<OneShot> {
+        self.callers.limits_changed()
     }
 
     fn lifecycle(&self) -> &Arc<Lifecycle> {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -1,7 +1,15 @@
 //! Accepts HTTP connections and serves requests on them.
 
 use std::{
-    convert::Infallible, future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration,
+    convert::Infallible,
+    future::Future,
+    net::SocketAddr,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use futures_lite::FutureExt;
@@ -15,10 +23,11 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{
-    connection_use::{ConnectionUse, TrackedBody},
+    connection_use::{CallerTimeouts, ConnectionUse, Overdue, TrackedBody, TrackedStream},
     filter::ResponseBody,
     net,
     request_body::{RequestBody, UnreadBody},
+    signal::OneShot,
     state::Lifecycle,
 };
 
@@ -33,18 +42,47 @@
 /// connections are being closed: a round trip to a distant caller that continues at once.
 const NEXT_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The smallest read buffer that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Connections whose limit on heads has changed are closed over this time, so that their callers
+/// don't all connect at once.
+const MAX_OUTDATED_TIME: Duration = Duration::from_millis(600);
+
+/// How long such a connection may stay open without a request. Where requests come more often, a
+/// response announces the close. Both times and that of a query for changes are below the two
+/// seconds within which a change has to be in force.
+const OUTDATED_UNUSED_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The smallest read buffer that hyper accepts, and the limit of services without one of their own.
+pub(crate) const MIN_BUFFER_BYTES: usize = 8 << 10;
+
+/// Bytes of the shortest header: a name of one byte, a colon and the end of the line.
+const MIN_HEADER_BYTES: usize = 4;
+
+/// Numbers of headers between which the limit is that of the head's size. Common callers send up to
+/// the smaller one; a map of headers holds little more than the larger one.
+const MIN_MAX_HEADERS: usize = 100;
+const MAX_MAX_HEADERS: usize = 16 << 10;
 
 /// Limits of a connection.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimits {
     /// Maximum size of a request head, in bytes.
     pub max_head_bytes: usize,
-    /// How long a connection may take to send a complete head; also the idle time between requests.
+    /// How long a caller may take for a head from its first byte on.
+    pub head_timeout: Duration,
+    /// How long a connection may stay open without any byte of a head.
     pub idle_timeout: Duration,
 }
 
+impl ConnectionLimits {
+    fn max_headers(&self) -> usize {
+        (self.max_head_bytes / MIN_HEADER_BYTES).clamp(MIN_MAX_HEADERS, MAX_MAX_HEADERS)
+    }
+
+    fn timeouts(&self) -> CallerTimeouts {
+        CallerTimeouts { head: self.head_timeout, idle: self.idle_timeout }
+    }
+}
+
 /// An HTTP service.
 pub trait Service: Send + Sync + 'static {
     /// Handles one request.
@@ -53,9 +91,14 @@
         req: Request<RequestBody>,
     ) -> impl Future<Output = Response<ResponseBody>> + Send;
 
-    /// Limits of connections accepted from now on.
+    /// The current limits of connections.
     fn connection_limits(&self) -> ConnectionLimits;
 
+    /// A flag that is set when the limits change next; never, by default.
+    fn limits_changed(&self) -> Arc<OneShot> {
+        Arc::default()
+    }
+
     /// Lifecycle that says when connections have to be closed.
     fn lifecycle(&self) -> &Arc<Lifecycle>;
 }
@@ -102,13 +145,15 @@
 {
     let limits = service.connection_limits();
     let _open = service.lifecycle().count_connection();
-    let connection_use = ConnectionUse::new(FIRST_REQUEST_TIMEOUT, NEXT_REQUEST_TIMEOUT);
+    let connection_use = ConnectionUse::new();
+    let is_outdated = AtomicBool::new(false);
     let handler = service_fn(|mut req: Request<Incoming>| {
         let service = service.clone();
         let in_use = connection_use.begin();
         if let Some(address) = local_address {
             req.extensions_mut().insert(address);
         }
+        let is_outdated = &is_outdated;
         async move {
             let (req, unread) = UnreadBody::track(req);
             let mut resp = service.respond(req).await;
@@ -116,32 +161,52 @@
                 service.lifecycle().wait_for_cutoff().await;
                 false
             };
-            if !unread.discard().or(cut_off).await {
+            let is_reusable = unread.discard().or(cut_off).await;
+            if !is_reusable || is_outdated.load(Ordering::Relaxed) {
                 resp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(resp.map(|body| TrackedBody::new(body, in_use)))
         }
     });
     // hyper keeps reading while a response is being produced, so a caller's disconnect ends the
-    // connection's future and with it the work on the request.
+    // connection's future and with it the work on the request. Its only timeout covers both heads and
+    // idle connections, and can't change.
+    let stream = TrackedStream::new(stream, connection_use.clone());
     let serving = http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(limits.idle_timeout)
+        .header_read_timeout(None)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
+        .max_header_size(limits.max_head_bytes)
+        .max_headers(limits.max_headers())
         .half_close(false)
         .serve_connection(FuturesIo::new(stream), handler);
     let mut serving = pin!(serving);
     let lifecycle = service.lifecycle().clone();
-    let ended = async { Some((&mut serving).await) };
+    let ended = async { Event::Ended((&mut serving).await) };
     let closing = async {
-        lifecycle.wait_for_closing().await;
+        let stopping = async {
+            lifecycle.wait_for_closing().await;
+            NEXT_REQUEST_TIMEOUT
+        };
+        let outdated = async {
+            wait_for_other_head_limit(&*service, &limits).await;
+            Timer::after(MAX_OUTDATED_TIME.mul_f64(fastrand::f64())).await;
+            is_outdated.store(true, Ordering::Relaxed);
+            OUTDATED_UNUSED_TIMEOUT
+        };
+        let next_request = stopping.or(outdated).await;
         // Without this wait a connection would be closed while a request is in transit.
-        connection_use.unused().await;
-        None
+        connection_use.unused(FIRST_REQUEST_TIMEOUT, next_request).await;
+        Event::Unused
     };
-    let result = match ended.or(closing).await {
-        Some(result) => result,
-        None => {
+    let overdue = async { Event::Overdue(wait_until_overdue(&*service, &connection_use).await) };
+    let result = match ended.or(closing).or(overdue).await {
+        Event::Ended(result) => result,
+        Event::Overdue(Overdue::Head) => {
+            log::debug!("head_overdue");
+            return;
+        }
+        Event::Unused | Event::Overdue(Overdue::Idle) => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
@@ -150,3 +215,39 @@
         log::debug!(cause:% = e; "connection_ended");
     }
 }
+
+/// What ends the service of a connection.
+enum Event {
+    Ended(hyper::Result<()>),
+    /// The connection has to be closed, and no request is in transit.
+    Unused,
+    Overdue(Overdue),
+}
+
+/// Waits until heads have another limit than the one that a connection was accepted with.
+async fn wait_for_other_head_limit<S: Service>(service: &S, accepted: &ConnectionLimits) {
+    loop {
+        let changed = service.limits_changed();
+        if service.connection_limits().max_head_bytes != accepted.max_head_bytes {
+            return;
+        }
+        changed.wait().await;
+    }
+}
+
+/// Waits until a caller has taken too long by the current limits.
+async fn wait_until_overdue<S: Service>(service: &S, connection_use: &ConnectionUse) -> Overdue {
+    loop {
+        let changed = service.limits_changed();
+        match connection_use.overdue_at(service.connection_limits().timeouts()) {
+            Some((at, overdue)) if at <= Instant::now() => return overdue,
+            Some((at, _)) => {
+                let at = async {
+                    Timer::at(at).await;
+                };
+                at.or(connection_use.changed()).or(changed.wait()).await;
+            }
+            None => connection_use.changed().await,
+        }
+    }
+}
