Answer a request whose work panics

What callers saw: where the work on a request panics, the connection closes without an answer. Where the task that passes a stream on panics, the stream ends with its last chunk, so a part of it looks complete. No log line names the request.

Cause: the executor ends the task alone. hyper closes the connection with it; for a stream the sender of its events is dropped, which is also how a whole stream ends.

Evidence: platform/tests/panics.rs, whose dialect panics at an attempt or at a resumption.

Change: the work on a request, and the task that passes its events on, catch a panic, log `request_panicked` with the request's id, and answer 502 with reason `fault`, or cut the stream. 503 would claim that nothing ran, which a panic doesn't prove.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -10,6 +10,7 @@
     dialect::Dialect,
     filter::{Handler, Reason, Refusal, ResponseBody},
     metrics::Metrics,
+    panic::{self, Panic},
     serve::{ConnectionLimits, Service},
     state::{Configuration, Groups, Lifecycle, Stage},
 };
@@ -41,7 +42,13 @@
             self.lifecycle.wait_for_cutoff().await;
             Err(Refusal::outcome_unknown(Reason::Stopping))
         };
-        let (mut resp, refused) = match self.chain.handle(req).or(cut_off).await {
+        let handled = panic::catch(self.chain.handle(req).or(cut_off)).await;
+        let handled = handled.unwrap_or_else(|Panic(cause)| {
+            let id = request_id.as_deref().unwrap_or("-");
+            log::error!(id, cause = cause.as_str(); "request_panicked");
+            Err(Refusal::outcome_unknown(Reason::Fault))
+        });
+        let (mut resp, refused) = match handled {
             Ok(resp) => (resp, None),
             Err(refusal) => {
                 self.metrics.refused(refusal.reason.as_str());
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -49,6 +49,8 @@
     OutcomeUnknown,
     /// The caller's deadline has passed.
     Expired,
+    /// A fault of this instance ended the work on the request.
+    Fault,
 }
 
 impl Reason {
@@ -74,6 +76,7 @@
             Reason::Unreachable => "unreachable",
             Reason::OutcomeUnknown => "outcome_unknown",
             Reason::Expired => "expired",
+            Reason::Fault => "fault",
         }
     }
 }
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -31,6 +31,7 @@
 use crate::{
     dialect::Dialect,
     events::{Event, EventParser},
+    panic::{self, Panic},
 };
 
 /// Capacity of the queue of events for a slow caller. When it is full, the endpoint's stream isn't
@@ -74,6 +75,8 @@
     CallerLeft,
     /// The instance stops.
     CutOff,
+    /// The task that passes the events on has panicked.
+    Fault,
 }
 
 type EventSender = Sender<Result<Bytes, TruncatedResponse>>;
@@ -144,12 +147,18 @@
         call.context.lifecycle.wait_for_cutoff().await;
         Err(StreamError::CutOff)
     };
-    let (outcome, is_cut) = match relay_events(&call, stream, &tx).or(cut_off).await {
+    let relayed = panic::catch(relay_events(&call, stream, &tx).or(cut_off)).await;
+    let relayed = relayed.unwrap_or_else(|Panic(cause)| {
+        log::error!(id = call.id(), cause = cause.as_str(); "request_panicked");
+        Err(StreamError::Fault)
+    });
+    let (outcome, is_cut) = match relayed {
         Ok(()) => (OUTCOME_FINISHED, false),
         Err(StreamError::Expired) => ("expired", true),
         Err(StreamError::Broken) => ("broken_off", true),
         Err(StreamError::CallerLeft) => ("caller_left", false),
         Err(StreamError::CutOff) => ("cut_off", true),
+        Err(StreamError::Fault) => ("fault", true),
     };
     call.record_end(outcome, http::StatusCode::OK);
     if is_cut {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod links;
 pub mod metrics;
 pub mod net;
+mod panic;
 mod peer_listener;
 pub mod serve;
 pub mod settings;
