Start an instance's tasks anew when they panic

What callers saw: nothing at first. An instance whose follower of the configuration or of the endpoints panics goes on with what it knew: new keys are refused, taken-away ones stay valid until the configuration is too old, endpoints that came later get nothing. An instance whose listener panics accepts nothing, while its process lives.

Cause: the tasks are spawned and detached, so a panic ends them without a line in the log.

Followers and the directory start with a new copy of their source, as after a start of the process: nothing that a panic left halfway is kept, and the content comes from a peer or the log. The links keep their state, since peers drop datagrams that are numbered anew. Sources can be cloned for that.

Not tested: the listeners and the links, in which no test can cause a panic without a hook in the product.

--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -25,7 +25,7 @@
 pub const REGISTRATION_GRACE_PERIOD: Duration = Duration::from_millis(2_300);
 
 /// Registrations of the last read, including those kept from before an outage.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Roster<K, V> {
     entries: IndexMap<K, V>,
     /// Time of the first successful read after a failure.
--- a/crates/router/src/follow/configuration.rs
+++ b/crates/router/src/follow/configuration.rs
@@ -31,6 +31,7 @@
 const MAX_PEER_AGE: Duration = Duration::from_millis(1_100);
 
 /// Follows the configuration by queries to peers and, where none of them is up to date, by the log.
+#[derive(Clone)]
 pub struct Follower<S> {
     source: S,
     configuration: Arc<Configuration>,
@@ -56,6 +57,7 @@
 
     /// Keeps the configuration up to date until it is dropped.
     pub async fn run(mut self) {
+        self.access.begin();
         loop {
             let pause = self.refresh().await;
             if self.tracker.wait_for_announcement(Source::Configuration, pause).await {
--- a/crates/router/src/follow/endpoints.rs
+++ b/crates/router/src/follow/endpoints.rs
@@ -38,6 +38,7 @@
 const SETTLING_READ_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Follows the registrations by queries to peers and, where none of them is up to date, by the log.
+#[derive(Clone)]
 pub struct Follower<S> {
     source: S,
     groups: Arc<Groups>,
@@ -77,6 +78,7 @@
 
     /// Keeps the endpoints up to date until it is dropped.
     pub async fn run(mut self) {
+        self.access.begin();
         loop {
             let pause = self.refresh().await;
             // Registrations kept after an outage are dropped by the next read, so it has to come
--- a/crates/router/src/follow/mod.rs
+++ b/crates/router/src/follow/mod.rs
@@ -36,7 +36,7 @@
 
 /// Access to one source: whether it can be reached, when it is retried, and snapshots of it from
 /// peers.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct SourceAccess {
     source: Source,
     tracker: Arc<FreshnessTracker>,
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Forgets an outage that a follower recorded before it ended by a panic.
+    fn begin(&self) {
+        self.tracker.set_unreachable(self.source, false);
+    }
+
     fn record_failure(&mut self, e: &SourceError) {
         if !std::mem::replace(&mut self.is_unreachable, true) {
             log::warn!(source = self.source.as_str(), cause:% = e; "source_lost");
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use smol::{Executor, Timer, channel::bounded};
+use smol::{Executor, Timer, channel::bounded, net::TcpListener};
 
 use crate::{
     Settings,
@@ -21,11 +21,13 @@
     freshness::FreshnessTracker,
     links::{self, LinkParts, Links},
     metrics::{Metrics, MetricsError, MetricsPage},
-    net, peer_listener, serve,
+    net, peer_listener,
+    serve::{self, Service},
     signal::Signal,
     snapshot::{SnapshotClient, SnapshotServer},
     source::{ConfigSource, EndpointSource, PeerDirectory, PeerEntry},
     state::{Configuration, Groups, Lifecycle, Stage},
+    supervise::supervise,
 };
 
 /// How long a stopping instance continues to serve as before: the balancer checks readiness every
@@ -73,6 +75,18 @@
     pub peers: P,
 }
 
+/// Accepts the connections of a service as long as the executor runs.
+fn spawn_listener<S: Service>(
+    name: &'static str,
+    listener: TcpListener,
+    service: Arc<S>,
+    executor: &Arc<Executor<'static>>,
+) {
+    let spawner = executor.clone();
+    let serve = async move || serve::serve(&listener, &service, &spawner).await;
+    executor.spawn(supervise(name, serve)).detach();
+}
+
 /// A running instance.
 pub struct Instance {
     lifecycle: Arc<Lifecycle>,
@@ -93,9 +107,9 @@
     ) -> Result<Instance, StartError>
     where
         D: Dialect,
-        C: ConfigSource + 'static,
-        E: EndpointSource + 'static,
-        P: PeerDirectory + 'static,
+        C: ConfigSource + Clone + 'static,
+        E: EndpointSource + Clone + 'static,
+        P: PeerDirectory + Clone + 'static,
     {
         let clock = Clock::start();
         let incarnation = clock::incarnation();
@@ -121,7 +135,7 @@
         let urgent = Signal::default();
         let (tracker, queries) = FreshnessTracker::new(has_other_seeds);
         let tracker = Arc::new(tracker);
-        let links = Links::new(LinkParts {
+        let mut links = Links::new(LinkParts {
             instance: settings.instance.clone(),
             address: settings.link_listen,
             incarnation,
@@ -171,30 +185,36 @@
             groups: groups.clone(),
             lifecycle: lifecycle.clone(),
         };
-        let spawn = executor.clone();
         if let Some(address) = settings.metrics_listen {
             let listener = net::listen(address).map_err(bind_error(address))?;
-            let metrics_page = Arc::new(MetricsPage { metrics, lifecycle: lifecycle.clone() });
-            spawn.spawn(serve::serve(listener, metrics_page, executor.clone())).detach();
+            let page = Arc::new(MetricsPage { metrics, lifecycle: lifecycle.clone() });
+            spawn_listener("metrics", listener, page, &executor);
         }
-        spawn.spawn(serve::serve(callers, entry, executor.clone())).detach();
-        spawn.spawn(serve::serve(ready, Arc::new(readiness), executor.clone())).detach();
-        spawn.spawn(links.run()).detach();
-        let snapshots = SnapshotServer::new(tracker.clone(), executor.clone());
-        spawn.spawn(peer_listener::serve(peers, snapshots, forwarded, executor.clone())).detach();
-        let snapshots = SnapshotClient::new(executor);
-        let directory =
-            links::follow_directory(sources.peers, own_entry, tracker.clone(), listed_tx);
-        spawn.spawn(directory).detach();
+        spawn_listener("callers", callers, entry, &executor);
+        spawn_listener("readiness", ready, Arc::new(readiness), &executor);
+        executor.spawn(supervise("links", async move || links.run().await)).detach();
+        let snapshots = Arc::new(SnapshotServer::new(tracker.clone(), executor.clone()));
+        let spawner = executor.clone();
+        let serve_peers = async move || {
+            peer_listener::serve(&peers, &snapshots, &forwarded, &spawner).await;
+        };
+        executor.spawn(supervise("peers", serve_peers)).detach();
+        let known = tracker.clone();
+        let follow_directory = move || {
+            let (directory, entry) = (sources.peers.clone(), own_entry.clone());
+            links::follow_directory(directory, entry, known.clone(), listed_tx.clone())
+        };
+        executor.spawn(supervise("directory", follow_directory)).detach();
         let follower = follow::ConfigurationFollower::new(
             sources.configuration,
             configuration,
             groups.clone(),
             bounds.cold_tolerance,
             tracker.clone(),
-            snapshots.clone(),
+            SnapshotClient::new(executor.clone()),
         );
-        spawn.spawn(follower.run()).detach();
+        let follow = move || follower.clone().run();
+        executor.spawn(supervise("configuration", follow)).detach();
         let follower = follow::EndpointsFollower::new(
             sources.endpoints,
             groups,
@@ -202,9 +222,10 @@
             clock,
             bounds.leave_within,
             tracker,
-            snapshots,
+            SnapshotClient::new(executor.clone()),
         );
-        spawn.spawn(follower.run()).detach();
+        let follow = move || follower.clone().run();
+        executor.spawn(supervise("endpoints", follow)).detach();
         log::info!(
             instance = settings.instance.as_str(),
             incarnation = incarnation.0,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod snapshot;
 pub mod source;
 pub mod state;
+mod supervise;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/router/src/links/mod.rs
+++ b/crates/router/src/links/mod.rs
@@ -184,8 +184,9 @@
         }
     }
 
-    /// Sends and receives datagrams until it is dropped.
-    pub async fn run(mut self) {
+    /// Sends and receives datagrams until it is dropped. May be called again after a panic: peers drop
+    /// datagrams that are numbered anew, so what is known has to stay.
+    pub async fn run(&mut self) {
         let mut next_update = self.clock.now();
         if self.has_seeds {
             self.share_instances();
--- a/crates/router/src/peer_listener.rs
+++ b/crates/router/src/peer_listener.rs
@@ -30,14 +30,13 @@
 
 /// Accepts connections until it is dropped.
 pub(crate) async fn serve<S: Service>(
-    listener: TcpListener,
-    snapshots: SnapshotServer,
-    requests: Arc<S>,
-    executor: Arc<Executor<'static>>,
+    listener: &TcpListener,
+    snapshots: &Arc<SnapshotServer>,
+    requests: &Arc<S>,
+    executor: &Executor<'static>,
 ) {
-    let snapshots = Arc::new(snapshots);
     loop {
-        let stream = serve::accept(&listener).await;
+        let stream = serve::accept(listener).await;
         let (snapshots, requests) = (snapshots.clone(), requests.clone());
         let connection = async move {
             net::set_connection_options(&stream);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -59,12 +59,12 @@
 
 /// Accepts connections until the future is dropped.
 pub async fn serve<S: Service>(
-    listener: TcpListener,
-    service: Arc<S>,
-    executor: Arc<Executor<'static>>,
+    listener: &TcpListener,
+    service: &Arc<S>,
+    executor: &Executor<'static>,
 ) {
     loop {
-        let stream = accept(&listener).await;
+        let stream = accept(listener).await;
         net::set_connection_options(&stream);
         executor.spawn(serve_stream(stream, service.clone())).detach();
     }
