--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     dialect::Dialect,
-    filter::{Handler, Refusal, ResponseBody},
+    filter::{Handler, Reason, Refusal, ResponseBody},
     metrics::Metrics,
+    panic::{self, Panic},
     request_body::RequestBody,
     serve::{ConnectionLimits, MIN_BUFFER_BYTES, Service},
     signal::OneShot,
@@ -39,7 +40,13 @@
     ) -> (Response<ResponseBody>, Option<Refusal>) {
         let guard = self.lifecycle.count_request();
         let request_id = self.dialect.request_id(req.headers());
-        let (mut resp, refused) = match self.chain.handle(req).await {
+        let handled = panic::catch(self.chain.handle(req)).await;
+        let handled = handled.unwrap_or_else(|Panic(cause)| {
+            let id = request_id.as_deref().unwrap_or("-");
+            log::error!(id, cause = cause.as_str(); "request_panicked");
+            Err(Refusal::outcome_unknown(Reason::Fault))
+        });
+        let (mut resp, refused) = match handled {
             Ok(resp) => (resp, None),
             Err(refusal) => {
                 self.metrics.refused(refusal.reason.as_str());
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -53,6 +53,8 @@
     OutcomeUnknown,
     /// The caller's deadline has passed.
     Expired,
+    /// A fault of this instance ended the work on the request.
+    Fault,
 }
 
 impl Reason {
@@ -80,6 +82,7 @@
             Reason::Unreachable => "unreachable",
             Reason::OutcomeUnknown => "outcome_unknown",
             Reason::Expired => "expired",
+            Reason::Fault => "fault",
         }
     }
 }
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -32,6 +32,7 @@
 use crate::{
     dialect::Dialect,
     events::{Event, EventParser},
+    panic::{self, Panic},
 };
 
 /// Capacity of the queue of events for a slow caller. When it is full, the endpoint's stream isn't
@@ -75,6 +76,8 @@
     CallerLeft,
     /// The instance stops.
     CutOff,
+    /// The task that passes the events on has panicked.
+    Fault,
 }
 
 type EventSender = Sender<Result<Bytes, TruncatedResponse>>;
@@ -146,12 +149,18 @@
         call.context.lifecycle.wait_for_cutoff().await;
         Err(StreamError::CutOff)
     };
-    let (outcome, is_cut) = match relay_events(&call, stream, &tx).or(cut_off).await {
+    let relayed = panic::catch(relay_events(&call, stream, &tx).or(cut_off)).await;
+    let relayed = relayed.unwrap_or_else(|Panic(cause)| {
+        log::error!(id = call.id(), cause = cause.as_str(); "request_panicked");
+        Err(StreamError::Fault)
+    });
+    let (outcome, is_cut) = match relayed {
         Ok(()) => (OUTCOME_FINISHED, false),
         Err(StreamError::Expired) => (call.timeout_reason().as_str(), true),
         Err(StreamError::Broken) => ("broken_off", true),
         Err(StreamError::CallerLeft) => ("caller_left", false),
         Err(StreamError::CutOff) => (Reason::CutOff.as_str(), true),
+        Err(StreamError::Fault) => (Reason::Fault.as_str(), true),
     };
     call.record_end(outcome, http::StatusCode::OK);
     if is_cut {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod links;
 pub mod metrics;
 pub mod net;
+mod panic;
 mod peer_listener;
 pub mod request_body;
 pub mod serve;
@@ -25,6 +26,7 @@
 pub mod snapshot;
 pub mod source;
 pub mod state;
+mod supervise;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -109,12 +109,12 @@
 
 /// Accepts connections until the future is dropped.
 pub async fn serve<S: Service>(
-    listener: TcpListener,
-    service: Arc<S>,
-    executor: Arc<Executor<'static>>,
+    listener: &TcpListener,
+    service: &Arc<S>,
+    executor: &Executor<'static>,
 ) {
     loop {
-        let stream = accept(&listener).await;
+        let stream = accept(listener).await;
         net::set_connection_options(&stream);
         let local_address = stream.local_addr().ok().map(LocalAddress);
         executor.spawn(serve_stream(stream, local_address, service.clone())).detach();
