Hand attempts over to peers instead of copying them

Cause: an instance that passed a request on gave the peer all attempts that were left and counted them as one. The peer hedged or resumed with its second one, and the instance, after the goal and 0.9 s, asked a second peer too. The peer's response never told what it had used.

Change: what a peer is given is spent until its response says how many attempts it has used; a stream keeps what it may still use. One is kept where another peer could use it. A peer whose endpoints failed says so, and the kept attempt goes through another peer; where there is none, the failure is passed on, and no retry is spent on the path that is cut. A retry comes from the budget of the instance that sends it to an endpoint. An attempt that was placed is counted again when it is sent.

Two forms were tried before. With the retry taken from the budget of the cut instance, cut_off a_stream_is_resumed_when_its_endpoint_breaks_it failed (5 of 5), and with own attempts after a peer's failure, retry_budget a_request_that_is_passed_on_earns_once (16 retries left where more than 50 are expected). Both tests are unchanged and pass.

--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -103,7 +103,9 @@
     is_late: bool,
     /// Its first attempt has earned retry budget.
     is_counted: bool,
-    /// Number of attempts that were sent to an endpoint.
+    /// A retry was taken from the budget: the first attempt takes none again when it is placed anew.
+    is_paid: bool,
+    /// Number of attempts that were sent to an endpoint, or given to a peer.
     pub(super) sent: u32,
     /// Number of attempts at which nothing was sent, or another server had the endpoint's address.
     pub(super) not_sent: u32,
@@ -111,6 +113,8 @@
     pub(super) unreached: u32,
     /// Peers that the request was passed on to.
     pub(super) peers_tried: Vec<Peer>,
+    /// The endpoints that a peer asked have failed, or refused the request.
+    pub(super) has_failed_at_peer: bool,
     /// Number of attempts that may have run.
     pub(super) unknown_outcomes: u32,
     /// Id of the last event sent to the caller.
@@ -217,7 +221,10 @@
             Run::Endpoint(run) if cause == FailCause::Broken => {
                 Some((run.endpoint.clone(), run.incarnation))
             }
-            Run::Peer(run) if matches!(cause, FailCause::Broken | FailCause::Silent) => {
+            // With a single attempt, the failure may be that of the peer's endpoint.
+            Run::Peer(run)
+                if run.attempts > 1 && matches!(cause, FailCause::Broken | FailCause::Silent) =>
+            {
                 let now = self.context.clock.now();
                 self.context.groups.peers().record_decline(&run.peer, self.group.tag, now);
                 None
@@ -248,6 +255,10 @@
         if prefers_peer && let Some(peer) = self.choose_peer() {
             return Ok(Target::Peer(peer));
         }
+        // The path on which that peer's endpoints failed works, unlike this instance's own.
+        if prefers_peer && lock(&self.progress).has_failed_at_peer {
+            return Err(self.give_up_after_failures());
+        }
         let refusal = match self.next_placement(other) {
             Ok(placement) => return Ok(Target::Endpoint(placement)),
             Err(refusal) => refusal,
@@ -268,8 +279,12 @@
         if self.may_send() {
             return self.place(other);
         }
+        Err(self.give_up_after_failures())
+    }
+
+    fn give_up_after_failures(&self) -> Refusal {
         let reason = if self.may_have_run() { Reason::OutcomeUnknown } else { Reason::Rejected };
-        Err(self.give_up(reason))
+        self.give_up(reason)
     }
 
     pub(super) fn may_have_run(&self) -> bool {
@@ -282,8 +297,13 @@
         if progress.not_sent > MAX_UNSENT_ATTEMPTS || !self.may_run_again(&progress) {
             return false;
         }
-        if progress.sent + progress.not_sent > 0 {
-            return self.may_retry();
+        let is_first = progress.sent + progress.not_sent == 0;
+        let forwarded = self.received.forwarded.as_ref();
+        let is_repeated = forwarded.is_some_and(|forwarded| forwarded.is_repeated);
+        if !is_first || is_repeated && !progress.is_paid {
+            let is_allowed = self.may_retry();
+            progress.is_paid |= is_allowed;
+            return is_allowed;
         }
         self.count_first_attempt(&mut progress);
         true
@@ -337,7 +357,10 @@
     /// Number of endpoints that may get the request.
     pub(super) fn max_attempts(&self) -> u32 {
         let of_route = self.received.route.max_attempts;
-        self.received.forwarded.map_or(of_route, |forwarded| forwarded.attempts.min(of_route))
+        self.received
+            .forwarded
+            .as_ref()
+            .map_or(of_route, |forwarded| forwarded.attempts.min(of_route))
     }
 
     fn place(&self, other: OtherAttempt) -> Result<Placement, Refusal> {
@@ -458,7 +481,7 @@
     }
 
     /// Prompt length, if the caller stated it.
-    fn prompt_tokens(&self) -> Option<u64> {
+    pub(super) fn prompt_tokens(&self) -> Option<u64> {
         self.received.caller.tokens.map(|(prompt, _)| prompt)
     }
 
@@ -501,3 +524,11 @@
         );
     }
 }
+
+impl<D> Drop for Call<D> {
+    fn drop(&mut self) {
+        if let Some(forwarded) = &self.received.forwarded {
+            forwarded.set_spent(lock(&self.progress).sent);
+        }
+    }
+}
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -4,10 +4,20 @@
 //! Guards against requests that run twice or travel in circles: a request that a peer passed on is
 //! never passed on again, and one whose outcome is unknown only where it may run twice. The peer
 //! treats it like one of its own callers', so keys, routes, limits and the quarantine hold there. Only
-//! the instance that passes it on earns retry budget for it; each takes the retries that it sends from
-//! its own.
+//! the instance that passes it on earns retry budget for it; each takes the retries that it sends to
+//! endpoints from its own.
+//!
+//! Attempts are handed over: those that a peer was given are spent until its response says how many it
+//! has left, so that all instances together keep to the route's number.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -20,8 +30,8 @@
 
 use super::{
     Handler, Refusal, ResponseBody,
-    attempt::{self, AttemptError, CONNECT_TIMEOUT},
-    call::Call,
+    attempt::{self, AttemptError, CONNECT_TIMEOUT, EndpointResponse},
+    call::{Call, Progress},
     death::{self, MAX_EXAMINATION_BYTES},
     dispatch::CAPACITY_RETRY_AFTER,
     refusal::Reason,
@@ -39,12 +49,23 @@
 /// Number of endpoints that may get a request that is passed on.
 const ATTEMPTS: HeaderName = HeaderName::from_static("forwarded-attempts");
 
+/// Present where endpoints may have run the request before.
+const REPEATED: HeaderName = HeaderName::from_static("forwarded-repeated");
+
+/// Number of these endpoints that got it, or may still get it while the response is a stream. What is
+/// left of them is the sender's again.
+const SPENT: HeaderName = HeaderName::from_static("forwarded-spent");
+
 /// How a peer's response came about: one of the values below.
 const OUTCOME: HeaderName = HeaderName::from_static("forwarded-outcome");
 
 /// The response is an endpoint's, or the peer's own for this request.
 const OUTCOME_ANSWERED: &str = "answered";
 
+/// An endpoint's failure, or the peer's own answer after failures or refusals of all endpoints that
+/// it might ask. Another endpoint may serve the request.
+const OUTCOME_FAILED: &str = "failed";
+
 /// The request hasn't run, and another instance may serve it.
 const OUTCOME_DECLINED: &str = "declined";
 
@@ -62,10 +83,25 @@
 const PROBE_HOLD: Duration = Duration::from_millis(50);
 
 /// A request that a peer has passed on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub struct Forwarded {
     /// Number of endpoints that may get it.
     pub attempts: u32,
+    /// Whether the first attempt here is a retry.
+    pub is_repeated: bool,
+    /// Number of endpoints that got it, once its call has ended.
+    spent: Arc<AtomicU32>,
+}
+
+impl Forwarded {
+    fn new(attempts: u32, is_repeated: bool) -> Forwarded {
+        Forwarded { attempts, is_repeated, spent: Arc::default() }
+    }
+
+    /// Sets the number of endpoints that got the request.
+    pub(super) fn set_spent(&self, spent: u32) {
+        self.spent.store(spent, Ordering::Relaxed);
+    }
 }
 
 impl<D: Dialect> Call<D> {
@@ -115,52 +151,82 @@
         if self.received.forwarded.is_some() {
             return None;
         }
-        let (tried, is_repeat) = {
+        let tried = {
             let progress = lock(&self.progress);
             if progress.peers_tried.len() >= MAX_PEERS_PER_REQUEST || !self.may_run_again(&progress)
             {
                 return None;
             }
-            (progress.peers_tried.clone(), progress.sent > 0)
+            progress.peers_tried.clone()
         };
+        self.untried_peer(&tried)
+    }
+
+    fn untried_peer(&self, tried: &[Peer]) -> Option<Peer> {
         let now = self.context.clock.now();
         let mut rng = fastrand::Rng::new();
-        let peer = self.context.groups.peers().choose(self.group.tag, &tried, now, &mut rng);
-        peer.filter(|_| !is_repeat || self.may_retry())
+        self.context.groups.peers().choose(self.group.tag, tried, now, &mut rng)
+    }
+
+    /// Number of attempts that a peer gets. One is kept where the request may be sent to another peer,
+    /// because a peer may be lost with all that it was given.
+    pub(super) fn attempts_for_peer(&self, peer: &Peer, progress: &Progress) -> u32 {
+        let left = self.max_attempts().saturating_sub(progress.sent);
+        let tried = [&progress.peers_tried[..], std::slice::from_ref(peer)].concat();
+        let may_use_another = self.received.route.retry_safety.is_idempotent()
+            && tried.len() < MAX_PEERS_PER_REQUEST
+            && self.untried_peer(&tried).is_some();
+        if may_use_another && left > 1 { left - 1 } else { left }
     }
 
     /// Passes the request on to a peer. Returns `None` unless the response may be passed on to the
     /// caller.
     pub(super) async fn forward(&self, peer: Peer) -> Option<ActiveResponse<D>> {
-        let attempts = {
+        let (attempts, is_repeated) = {
             let mut progress = lock(&self.progress);
-            progress.peers_tried.push(peer.clone());
+            // Another attempt may have been sent since the peer was chosen.
+            if !self.may_run_again(&progress) {
+                return None;
+            }
             self.count_first_attempt(&mut progress);
-            let left = self.max_attempts() - progress.sent;
-            progress.sent += 1;
+            let (attempts, is_repeated) =
+                (self.attempts_for_peer(&peer, &progress), progress.sent > 0);
+            progress.peers_tried.push(peer.clone());
+            // The peer's until it says otherwise: it may be lost after any number of them.
+            progress.sent += attempts;
             progress.unknown_outcomes += 1;
-            left
+            (attempts, is_repeated)
         };
         log::info!(id = self.id(), peer = peer.instance.as_str(); "forwarded");
         self.context.metrics.forwarded();
-        let run = Run::Peer(PeerRun::new(&self.context.groups, peer.instance.clone()));
+        let run = Run::Peer(PeerRun::new(&self.context.groups, peer.instance.clone(), attempts));
         let metadata =
             ForwardMetadata { time_left: self.time_left(), resume_after: self.last_event_id() };
         let received = &self.received;
         let mut headers = self.context.dialect.write_forward(&received.head.headers, &metadata);
         headers.insert(ATTEMPTS, HeaderValue::from(attempts));
+        if is_repeated {
+            headers.insert(REPEATED, HeaderValue::from(1));
+        }
         let req = attempt::request(&received.head, headers, &received.body);
         let executor = &self.context.executor;
         match attempt::send(executor, peer.address, req, self.time_left(), |_| {}).await {
             Ok(mut response) => {
+                let spent =
+                    response.head.headers.remove(SPENT).and_then(|spent| read_count(&spent));
+                self.take_back(attempts.saturating_sub(spent.unwrap_or(attempts)));
                 let outcome = response.head.headers.remove(OUTCOME);
                 let outcome = outcome.as_ref().and_then(|outcome| outcome.to_str().ok());
+                if matches!(outcome, Some(OUTCOME_ANSWERED | OUTCOME_FAILED))
+                    && lock(&self.group.path).record_help(self.context.clock.now())
+                {
+                    self.log_cut();
+                }
                 match outcome {
-                    Some(OUTCOME_ANSWERED) => {
-                        if lock(&self.group.path).record_help(self.context.clock.now()) {
-                            self.log_cut();
-                        }
-                        Some(ActiveResponse { response, run })
+                    Some(OUTCOME_ANSWERED) => Some(ActiveResponse { response, run }),
+                    Some(OUTCOME_FAILED) => {
+                        self.record_failure(&peer, response).await;
+                        None
                     }
                     Some(OUTCOME_DECLINED) => {
                         self.record_decline(&peer, "declined");
@@ -177,24 +243,47 @@
                 }
             }
             Err(AttemptError::NotSent { .. }) => {
+                self.take_back(attempts);
                 self.record_decline(&peer, "not_sent");
                 None
             }
             Err(AttemptError::Unknown(cause)) => {
+                if cause == FailCause::Broken {
+                    self.avoid(&peer);
+                }
                 self.attempt_failed(run, cause);
                 None
             }
         }
     }
 
+    /// Counts attempts that a peer was given and hasn't spent as left again.
+    fn take_back(&self, attempts: u32) {
+        lock(&self.progress).sent -= attempts;
+    }
+
+    /// Records that the endpoints which a peer has asked failed, or refused the request.
+    async fn record_failure(&self, peer: &Peer, response: EndpointResponse) {
+        let head = response.head.clone();
+        log::info!(id = self.id(), peer = peer.instance.as_str(), status = head.status.as_u16();
+            "forward_failed");
+        lock(&self.progress).has_failed_at_peer = true;
+        if head.status == StatusCode::SERVICE_UNAVAILABLE {
+            lock(&self.progress).unknown_outcomes -= 1;
+        } else if let Ok(body) = response.collect(self.time_left()).await {
+            lock(&self.progress).endpoint_failure = Some(self.response(&head, body));
+        }
+    }
+
     /// Records that a peer hasn't run the request.
     fn record_decline(&self, peer: &Peer, cause: &str) {
         log::info!(id = self.id(), peer = peer.instance.as_str(), cause; "forward_declined");
-        {
-            let mut progress = lock(&self.progress);
-            progress.sent -= 1;
-            progress.unknown_outcomes -= 1;
-        }
+        lock(&self.progress).unknown_outcomes -= 1;
+        self.avoid(peer);
+    }
+
+    /// Has the next requests go through other peers.
+    fn avoid(&self, peer: &Peer) {
         let now = self.context.clock.now();
         self.context.groups.peers().record_decline(&peer.instance, self.group.tag, now);
     }
@@ -214,6 +303,10 @@
     closed.or(held).await
 }
 
+fn read_count(value: &HeaderValue) -> Option<u32> {
+    value.to_str().ok()?.parse().ok()
+}
+
 fn malformed() -> Response<ResponseBody> {
     Refusal::client_error(Reason::Malformed, StatusCode::BAD_REQUEST).response()
 }
@@ -256,11 +349,12 @@
         let Some(attempts) = req.headers_mut().remove(ATTEMPTS) else {
             return self.answer_examination(req).await.unwrap_or_else(malformed);
         };
-        let attempts = attempts.to_str().ok().and_then(|attempts| attempts.parse().ok());
-        let Some(attempts) = attempts else { return malformed() };
+        let Some(attempts) = read_count(&attempts) else { return malformed() };
+        let is_repeated = req.headers_mut().remove(REPEATED).is_some();
+        let forwarded = Forwarded::new(attempts, is_repeated);
         let (mut resp, refused) = match self.takes_requests() {
             true => {
-                req.extensions_mut().insert(Forwarded { attempts });
+                req.extensions_mut().insert(forwarded.clone());
                 self.callers.answer(req).await
             }
             false => {
@@ -276,8 +370,18 @@
             {
                 OUTCOME_DECLINED
             }
+            Some(Refusal { reason: Reason::Rejected | Reason::OutcomeUnknown, .. }) => {
+                OUTCOME_FAILED
+            }
+            None if resp.status().is_server_error() => OUTCOME_FAILED,
             _ => OUTCOME_ANSWERED,
         };
+        let spent = match resp.body() {
+            // It may be resumed.
+            ResponseBody::Events(_) => attempts,
+            _ => forwarded.spent.load(Ordering::Relaxed),
+        };
+        resp.headers_mut().insert(SPENT, HeaderValue::from(spent));
         resp.headers_mut().insert(OUTCOME, HeaderValue::from_static(outcome));
         resp
     }
--- a/crates/router/src/filter/receive.rs
+++ b/crates/router/src/filter/receive.rs
@@ -92,7 +92,7 @@
         let body = read.or(timed_out).await?;
         let fingerprint = fingerprint(&head, &owner, &body);
         let parts = part_fingerprints(&caller);
-        let forwarded = head.extensions.get().copied();
+        let forwarded = head.extensions.get().cloned();
         let received = Received {
             head,
             body,
--- a/crates/router/src/filter/run.rs
+++ b/crates/router/src/filter/run.rs
@@ -71,13 +71,15 @@
 pub(super) struct PeerRun {
     groups: Arc<Groups>,
     pub(super) peer: InstanceId,
+    /// Number of endpoints that the peer may ask.
+    pub(super) attempts: u32,
 }
 
 impl PeerRun {
     /// Counts a request that is about to be passed on.
-    pub(super) fn new(groups: &Arc<Groups>, peer: InstanceId) -> PeerRun {
+    pub(super) fn new(groups: &Arc<Groups>, peer: InstanceId, attempts: u32) -> PeerRun {
         groups.peers().record_start(&peer);
-        PeerRun { groups: groups.clone(), peer }
+        PeerRun { groups: groups.clone(), peer, attempts }
     }
 }
 
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -70,8 +70,12 @@
         }
         let req = self.endpoint_request(&placement, &helpers);
         {
-            // Until there is proof of the opposite, the attempt may have run.
             let mut progress = lock(&self.progress);
+            // Another attempt may have been sent since this one was placed.
+            if !self.may_run_again(&progress) {
+                return None;
+            }
+            // Until there is proof of the opposite, the attempt may have run.
             progress.sent += 1;
             progress.unknown_outcomes += 1;
         }
@@ -193,10 +197,21 @@
         if !route.retry_safety.is_idempotent() {
             return Duration::MAX;
         }
-        // A peer hedges by its own prediction, and a hedge here is for the peer's own failure.
-        let Target::Endpoint(placement) = target else { return route.goal + FIRST_EVENT_SLACK };
+        let predicted = match target {
+            Target::Endpoint(placement) => {
+                Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1000.0)
+            }
+            // With several attempts a peer hedges by its own prediction, and a hedge here is for the
+            // peer's own failure.
+            Target::Peer(peer) if self.attempts_for_peer(peer, &lock(&self.progress)) > 1 => {
+                return route.goal + FIRST_EVENT_SLACK;
+            }
+            Target::Peer(_) => {
+                let prompt = self.prompt_tokens().unwrap_or_default();
+                lock(&self.group.scheduler).typical_duration(prompt, 0)
+            }
+        };
         if route.is_streaming {
-            let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1000.0);
             return 3 * predicted + FIRST_EVENT_SLACK;
         }
         route.goal.mul_f64(HEDGE_DELAY_GOAL_SHARE)
