--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -35,7 +35,7 @@
     /// Reports that it isn't ready, so that the balancer sends new connections elsewhere; still
     /// serves all requests.
     Leaving = 1,
-    /// Closes each connection after its current response.
+    /// Closes each connection after its current response, or once it is unused.
     Closing = 2,
 }
 
