--- a/crates/daemon/src/logging/mod.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -53,7 +53,7 @@
 
 /// Events that may occur with each request. Their lines are the first to be dropped when the
 /// queue fills up.
-const ROUTINE_EVENTS: [&str; 11] = [
+const ROUTINE_EVENTS: [&str; 12] = [
     "request",
     "placed",
     "refused",
@@ -62,6 +62,7 @@
     "reserve",
     "forwarded",
     "forward_declined",
+    "forward_failed",
     "quarantined",
     "parts_ignored",
     "no_death_seen",
--- a/crates/router/src/connection_use.rs
+++ b/crates/router/src/connection_use.rs
@@ -1,5 +1,5 @@
-//! How a connection is used, so that it isn't closed while a request may be in transit, and is closed
-//! where its caller takes too long.
+//! How a connection is used, so that it stays open for a while after a response, when a request may be in
+//! transit, and is closed where its caller takes too long.
 
 use std::{
     io,
