Copy bodies into segments of a fixed size

What callers saw: one request within the limits, sent in chunks of one byte, took up a multiple of its size, and a crowd of them ended a process.

Cause: a body was collected as a list of its frames. Each chunk cost an entry and kept the read buffer alive that it was a slice of, and the whole list was copied once more at the end. Answers were handed to a connection in one frame, which it copied into a write buffer that kept its size.

Bodies of requests and answers are now copied into segments of 16 KB and sent one segment at a time.

--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -9,9 +9,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use http::{HeaderMap, Request, header, response};
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::{Body, Incoming},
     client::conn::http1,
@@ -21,7 +19,10 @@
 use smol_hyper::rt::FuturesIo;
 use std::sync::Arc;
 
-use crate::net;
+use crate::{
+    net,
+    payload::{Payload, PayloadBody},
+};
 
 /// Two round trips between data centres and the endpoint's own work take a few milliseconds. A lost
 /// SYN is retransmitted only after a second, and trying another endpoint is faster than that.
@@ -62,7 +63,7 @@
 pub(super) async fn send(
     executor: &Executor<'static>,
     address: SocketAddr,
-    req: Request<Full<Bytes>>,
+    req: Request<PayloadBody>,
     timeout: Duration,
     before_send: impl FnOnce(Duration),
 ) -> Result<EndpointResponse, AttemptError> {
@@ -119,10 +120,10 @@
 
 impl EndpointResponse {
     /// Reads the whole body.
-    pub(super) async fn collect(self, timeout: Duration) -> Result<Bytes, FailCause> {
+    pub(super) async fn collect(self, timeout: Duration) -> Result<Payload, FailCause> {
         let whole = async {
-            let body = Limited::new(self.body, MAX_RESPONSE_BYTES).collect().await;
-            body.map(|body| body.to_bytes()).map_err(|_| FailCause::Broken)
+            let body = Payload::receive(self.body, MAX_RESPONSE_BYTES).await;
+            body.map_err(|_| FailCause::Broken)
         };
         let timed_out = async {
             Timer::after(timeout).await;
@@ -141,9 +142,9 @@
 pub(super) fn request(
     caller: &http::request::Parts,
     headers: HeaderMap,
-    body: &Bytes,
-) -> Request<Full<Bytes>> {
-    let mut req = Request::new(Full::new(body.clone()));
+    body: &Payload,
+) -> Request<PayloadBody> {
+    let mut req = Request::new(PayloadBody::from(body.clone()));
     *req.method_mut() = caller.method.clone();
     *req.uri_mut() = caller.uri.clone();
     *req.headers_mut() = headers;
--- a/crates/router/src/filter/body.rs
+++ b/crates/router/src/filter/body.rs
@@ -11,7 +11,7 @@
 use http_body::{Body, Frame, SizeHint};
 use smol::{Task, channel::Receiver};
 
-use crate::state::InFlightGuard;
+use crate::{payload::PayloadBody, state::InFlightGuard};
 
 /// A response that broke off. Its connection to the caller is cut, so that the caller can't take it
 /// for complete.
@@ -30,7 +30,7 @@
 #[derive(Debug)]
 pub enum ResponseBody {
     /// A complete body, until it has been sent.
-    Whole(Option<Bytes>, Option<InFlightGuard>),
+    Whole(PayloadBody, Option<InFlightGuard>),
     /// A body that arrives event by event.
     Events(EventBody),
 }
@@ -46,14 +46,14 @@
 
 impl ResponseBody {
     /// A complete body.
-    pub fn whole(bytes: Bytes) -> ResponseBody {
-        ResponseBody::Whole(Some(bytes), None)
+    pub fn whole(body: impl Into<PayloadBody>) -> ResponseBody {
+        ResponseBody::Whole(body.into(), None)
     }
 
     /// Attaches the guard that counts the request as in flight until the body is sent or dropped.
     pub fn with_guard(self, guard: InFlightGuard) -> ResponseBody {
         match self {
-            ResponseBody::Whole(bytes, _) => ResponseBody::Whole(bytes, Some(guard)),
+            ResponseBody::Whole(body, _) => ResponseBody::Whole(body, Some(guard)),
             ResponseBody::Events(body) => {
                 ResponseBody::Events(EventBody { _guard: Some(guard), ..body })
             }
@@ -70,7 +70,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
         match &mut *self {
-            ResponseBody::Whole(bytes, _) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            ResponseBody::Whole(body, _) => {
+                let Poll::Ready(next) = Pin::new(body).poll_frame(cx) else { return Poll::Pending };
+                Poll::Ready(next.map(|frame| frame.map_err(|never| match never {})))
+            }
             ResponseBody::Events(body) => {
                 body.events.as_mut().poll_next(cx).map(|next| next.map(|e| e.map(Frame::data)))
             }
@@ -78,14 +81,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, ResponseBody::Whole(None, _))
+        matches!(self, ResponseBody::Whole(body, _) if body.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            ResponseBody::Whole(bytes, _) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            ResponseBody::Whole(body, _) => body.size_hint(),
             ResponseBody::Events(_) => SizeHint::default(),
         }
     }
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -21,7 +21,7 @@
     refusal::Reason,
     run::{ActiveResponse, Run},
 };
-use crate::{dialect::Dialect, lock, state::Group};
+use crate::{dialect::Dialect, lock, payload::Payload, state::Group};
 
 /// `Retry-After` of requests that no endpoint may run now: the time it takes to learn of new
 /// endpoints.
@@ -219,7 +219,7 @@
     pub(super) fn response(
         &self,
         head: &http::response::Parts,
-        body: bytes::Bytes,
+        body: Payload,
     ) -> Response<ResponseBody> {
         self.response_with_body(head, ResponseBody::whole(body))
     }
--- a/crates/router/src/filter/death.rs
+++ b/crates/router/src/filter/death.rs
@@ -20,7 +20,6 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, header};
-use http_body_util::Full;
 use policy::{
     EndpointGroup, EndpointId, Incarnation,
     examination::{Finding, Inquiry, MAX_WITNESSES, Verdict},
@@ -37,6 +36,7 @@
 use crate::{
     dialect::Dialect,
     lock, net,
+    payload::PayloadBody,
     snapshot::{decode, encode},
     state::{Group, Groups},
 };
@@ -201,7 +201,7 @@
 }
 
 async fn ask(executor: &attempt::SharedExecutor, address: SocketAddr, body: Bytes) -> Finding {
-    let mut req = Request::new(Full::new(body));
+    let mut req = Request::new(PayloadBody::from(body));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = http::Uri::from_static(EXAMINATION_PATH);
     let mut headers = HeaderMap::new();
@@ -212,7 +212,7 @@
     let answer = async {
         let response = attempt::send(executor, address, req, EXAMINATION_TIMEOUT, |_| {}).await;
         let body = response.ok()?.collect(EXAMINATION_TIMEOUT).await.ok()?;
-        decode(&body).ok()
+        decode(&body.to_bytes()).ok()
     };
     let timed_out = async {
         Timer::after(EXAMINATION_TIMEOUT).await;
--- a/crates/router/src/filter/receive.rs
+++ b/crates/router/src/filter/receive.rs
@@ -5,9 +5,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Response, StatusCode, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use policy::{
     Fingerprint, Time, Workspace,
     routes::{KeyOwner, Route},
@@ -23,6 +21,7 @@
 use crate::{
     clock::Clock,
     dialect::{RequestMetadata, StatedParts},
+    payload::{Payload, ReceiveError},
     state::Lifecycle,
 };
 
@@ -35,7 +34,7 @@
     /// Method, URI and headers as received.
     pub head: request::Parts,
     /// The whole body.
-    pub body: Bytes,
+    pub body: Payload,
     /// What the caller's headers state.
     pub caller: RequestMetadata,
     /// The route that matches host and path.
@@ -82,13 +81,14 @@
         let deadline = arrived + timeout.min(route.timeout);
         let (head, body) = req.into_parts();
         let read = async {
-            match Limited::new(body, table.limits.body_bytes).collect().await {
-                Ok(body) => Ok(body.to_bytes()),
-                Err(e) if e.is::<LengthLimitError>() => {
-                    Err(Refusal::client_error(Reason::TooLarge, StatusCode::PAYLOAD_TOO_LARGE))
+            Payload::receive(body, table.limits.body_bytes).await.map_err(|e| match e {
+                ReceiveError::TooLarge => {
+                    Refusal::client_error(Reason::TooLarge, StatusCode::PAYLOAD_TOO_LARGE)
                 }
-                Err(_) => Err(Refusal::client_error(Reason::Malformed, StatusCode::BAD_REQUEST)),
-            }
+                ReceiveError::Body(_) => {
+                    Refusal::client_error(Reason::Malformed, StatusCode::BAD_REQUEST)
+                }
+            })
         };
         let timed_out = async {
             Timer::after(self.clock.until(deadline)).await;
@@ -118,13 +118,13 @@
     }
 }
 
-fn fingerprint(head: &request::Parts, owner: &Option<KeyOwner>, body: &[u8]) -> Fingerprint {
+fn fingerprint(head: &request::Parts, owner: &Option<KeyOwner>, body: &Payload) -> Fingerprint {
     let mut hash = Xxh3::new();
     hash.update(head.method.as_str().as_bytes());
     hash.update(head.uri.path().as_bytes());
     hash.update(head.uri.query().unwrap_or_default().as_bytes());
     hash.update(owner.as_ref().map_or("", |owner| owner.workspace.as_str()).as_bytes());
-    hash.update(body);
+    body.segments().for_each(|segment| hash.update(segment));
     Fingerprint::of_request(hash.digest128())
 }
 
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -33,6 +33,7 @@
     dialect::Dialect,
     events::{Event, EventParser},
     panic::{self, Panic},
+    payload::Payload,
 };
 
 /// Capacity of the queue of events for a slow caller. When it is full, the endpoint's stream isn't
@@ -66,7 +67,7 @@
 enum ResponseStart<D: Dialect> {
     Stream(Box<EventStream<D>>),
     /// A complete response that isn't a stream, such as an error.
-    Whole(response::Parts, Bytes),
+    Whole(response::Parts, Payload),
 }
 
 /// Why a stream ends before it is complete.
--- a/crates/router/src/filter/reservations.rs
+++ b/crates/router/src/filter/reservations.rs
@@ -18,9 +18,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::{Method, Request, StatusCode, Uri, header};
-use http_body_util::Full;
 use policy::EndpointId;
 use smol::{Task, Timer};
 
@@ -28,6 +26,7 @@
 use crate::{
     dialect::{Dialect, ReservationRequest},
     net,
+    payload::{Payload, PayloadBody},
 };
 
 /// Lifetime of a reservation that isn't renewed. Long enough for two lost renewals, and short
@@ -180,7 +179,7 @@
     address: SocketAddr,
     request: ReservationRequest,
 ) -> Option<StatusCode> {
-    let mut req = Request::new(Full::new(request.body));
+    let mut req = Request::new(PayloadBody::from(request.body));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = Uri::from_static(request.path);
     *req.headers_mut() = request.headers;
@@ -189,6 +188,6 @@
     let response = attempt::send(executor, address, req, REQUEST_TIMEOUT, |_| {}).await.ok()?;
     let status = response.head.status;
     // The body states the free memory, which is out of date by the next request.
-    let _: Option<Bytes> = response.collect(REQUEST_TIMEOUT).await.ok();
+    let _: Option<Payload> = response.collect(REQUEST_TIMEOUT).await.ok();
     Some(status)
 }
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -21,6 +21,7 @@
 use crate::{
     dialect::{AttemptMetadata, Dialect, HelperEngine, ResponseMetadata, StatedLimit, StatedRest},
     lock,
+    payload::PayloadBody,
 };
 
 /// Share of a non-streaming call's goal after which a hedge is sent. Two in a hundred ordinary
@@ -169,7 +170,7 @@
         &self,
         placement: &Placement,
         helpers: &[HelperEngine],
-    ) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+    ) -> http::Request<PayloadBody> {
         let received = &self.received;
         let metadata = AttemptMetadata {
             time_left: self.time_left(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 pub mod net;
 mod panic;
+pub mod payload;
 mod peer_listener;
 pub mod request_body;
 pub mod serve;
