Refuse bodies over the limit by the length that they announce

What callers saw: clients that announced bodies over the limit and sent on made a process buffer each of them up to the limit.

Cause: the body that may have been read ahead during a start didn't pass on the stated length, so that it was read until it exceeded the limit. After that up to 1 MiB more were received to keep the connection, even where more was announced.

The stated length is passed on now, and a rest that announces more than would be received isn't read.

--- a/crates/router/src/filter/read_ahead.rs
+++ b/crates/router/src/filter/read_ahead.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use http_body::{Body, Frame};
+use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 
 /// A body whose first frames may have been read already. They are yielded first.
@@ -62,6 +62,18 @@
             None => Poll::Ready(None),
         }
     }
+
+    fn size_hint(&self) -> SizeHint {
+        let read: usize =
+            self.frames.iter().flatten().filter_map(Frame::data_ref).map(Bytes::len).sum();
+        let rest = self.rest.as_ref().map_or(SizeHint::with_exact(0), Body::size_hint);
+        let mut hint = SizeHint::new();
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + read as u64);
+        }
+        hint.set_lower(rest.lower() + read as u64);
+        hint
+    }
 }
 
 #[cfg(test)]
@@ -103,6 +115,16 @@
             assert_eq!(body.frames.len(), 10);
         };
 
+        /// Guards against a body over the limit that is read because its stated length is lost.
+        the_stated_length_is_kept => || {
+            let content = Bytes::from(vec![7; 10 * FRAME_BYTES]);
+            let mut body = ReadAhead::new(http_body_util::Full::new(content));
+            for read in [0, 1] {
+                smol::block_on(body.read_ahead(read));
+                assert_eq!(body.size_hint().exact(), Some(10 * FRAME_BYTES as u64));
+            }
+        };
+
         /// Guards against a body of which a part is lost or repeated.
         every_frame_is_yielded_once => || {
             for read in [0, 1, 10 * FRAME_BYTES, usize::MAX] {
--- a/crates/router/src/payload.rs
+++ b/crates/router/src/payload.rs
@@ -113,7 +113,7 @@
     /// Size of the next segment.
     fn next_size(&self) -> usize {
         match self.stated_len {
-            Some(len) => (len - self.len).min(SEGMENT_BYTES),
+            Some(len) => len.saturating_sub(self.len).min(SEGMENT_BYTES),
             None if self.len == 0 => FIRST_SEGMENT_BYTES,
             None => SEGMENT_BYTES,
         }
--- a/crates/router/src/request_body.rs
+++ b/crates/router/src/request_body.rs
@@ -8,7 +8,7 @@
 //! is lost.
 //!
 //! **Rule.** The rest is received within [`MAX_UNREAD_BYTES`] and [`UNREAD_TIMEOUT`]. Beyond them, and
-//! where the caller waits to be asked for its body, the response announces the close.
+//! where the caller announces more or waits to be asked for its body, the response announces the close.
 
 use std::{
     pin::Pin,
@@ -96,7 +96,8 @@
     /// Receives the rest and drops it. Returns whether the connection can be used again.
     pub(crate) async fn discard(self) -> bool {
         let Some(mut rest) = lock(&self.rest).take() else { return true };
-        if self.is_expected {
+        let announced = usize::try_from(rest.size_hint().lower()).unwrap_or(usize::MAX);
+        if self.is_expected || announced > MAX_UNREAD_BYTES {
             return false;
         }
         let received = async {
