Bound the connections of callers by the machine

What callers saw: 7,000 connections without a request took up all descriptors of a process, and ordinary callers' requests failed.

Cause: the router accepted every connection; only the project's own interface had a limit.

The number of open connections is bounded now by the settings, by the machine's descriptors and by a quarter of its memory. Where it is reached, the connection is closed that has kept the instance waiting longest for its caller without progress; a request whose body was due is refused as not run with Retry-After. Connections that are being served stay open, and a new one is refused where there are only these. The listeners for probes, metrics and peers may open some more. The settings take the machine's memory and descriptors, and the template passes them on; without them the process asks the system.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -258,6 +258,8 @@
         threads: Some(threads),
         balancer_wait_ms: BALANCER_WAIT_MS,
         max_connections: CONNECTIONS,
+        memory_mb: None,
+        open_files: None,
         max_body: BODY,
         routing: None,
     })
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -11,6 +11,7 @@
 use crate::{
     cli::Args,
     instance::run_tasks,
+    limits,
     options::Options,
     settings::{RoutingSettings, Settings},
 };
@@ -35,7 +36,7 @@
     }
     let sources = platform::sources(routing.log_service, &executor);
     let dialect = platform::PlatformDialect;
-    let router_settings = settings.router_settings(routing);
+    let router_settings = settings.router_settings(routing, limits::of_machine(settings));
     let main = async {
         let started = Instance::start(router_settings, dialect, sources, executor.clone()).await;
         let instance = started.map_err(Report::from).attach("the instance can't start")?;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -50,6 +50,12 @@
     /// Maximum number of open connections of callers.
     #[serde(default = "max_connections")]
     pub max_connections: usize,
+    /// Memory of the machine in megabytes; what the system reports if absent.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+    /// Descriptors that the process may open; what the system allows if absent.
+    #[serde(default)]
+    pub open_files: Option<u64>,
     /// Maximum size of a request's body, in bytes.
     #[serde(default = "max_body")]
     pub max_body: usize,
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -9,6 +9,10 @@
 
 /// Maximum value of `threads`.
 const MAX_THREADS: u64 = 1_024;
+/// Maximum value of `memory_mb`: 16 terabytes.
+const MAX_MEMORY_MB: u64 = 16 << 20;
+/// Maximum value of `open_files`.
+const MAX_OPEN_FILES: u64 = 1 << 30;
 /// Maximum value of `balancer_wait_ms`: ten minutes.
 const MAX_BALANCER_WAIT_MS: u64 = 600_000;
 /// Maximum value of `max_connections`; the ports and file descriptors of an instance don't suffice
@@ -44,6 +48,8 @@
             max_connections(),
             findings,
         );
+        let memory_mb = fields.optional_whole("memory_mb", 1..=MAX_MEMORY_MB, findings);
+        let open_files = fields.optional_whole("open_files", 1..=MAX_OPEN_FILES, findings);
         let max_body =
             size_or_default(&mut fields, "max_body", MAX_BODY_LIMIT_BYTES, max_body(), findings);
         let routing = fields.node("routing");
@@ -62,6 +68,8 @@
             threads: threads.and_then(|threads| usize::try_from(threads).ok()),
             balancer_wait_ms,
             max_connections,
+            memory_mb,
+            open_files,
             max_body,
             routing,
         })
--- a/crates/daemon/src/settings/routing.rs
+++ b/crates/daemon/src/settings/routing.rs
@@ -10,6 +10,7 @@
     placement::PlacementRules,
 };
 use router::{
+    resources::ResourceLimits,
     settings::{Bounds, ColdTolerance},
     state::Scheduling,
 };
@@ -139,7 +140,11 @@
 
 impl Settings {
     /// Converts these settings and `routing` to the router's settings.
-    pub fn router_settings(&self, routing: &RoutingSettings) -> router::Settings {
+    pub fn router_settings(
+        &self,
+        routing: &RoutingSettings,
+        resources: ResourceLimits,
+    ) -> router::Settings {
         let link_port = self.peer_listen.port();
         let seeds = routing.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), link_port));
         router::Settings {
@@ -153,6 +158,7 @@
             metrics_listen: self.admin_listen,
             threads: self.threads.unwrap_or(1),
             bounds: routing.bounds(),
+            resources,
             scheduling: Scheduling {
                 placement: routing.placement,
                 contended_from: routing.contention.map(|contention| contention.memory_share),
--- a/crates/router/src/connection_use.rs
+++ b/crates/router/src/connection_use.rs
@@ -15,7 +15,7 @@
     io::{AsyncRead, AsyncWrite},
 };
 
-use crate::{lock, signal::Signal};
+use crate::{lock, resources::Holder, signal::Signal};
 
 /// The use of one connection.
 #[derive(Debug, Clone)]
@@ -24,6 +24,7 @@
     ended: Arc<Signal>,
     /// Raised when a head begins or a request ends.
     changed: Arc<Signal>,
+    holder: Arc<Holder>,
 }
 
 #[derive(Debug)]
@@ -56,16 +57,22 @@
 
 impl ConnectionUse {
     /// Starts with a new connection.
-    pub(crate) fn new() -> ConnectionUse {
+    pub(crate) fn new(holder: Arc<Holder>) -> ConnectionUse {
         let state =
             State { in_flight: 0, has_served: false, idle_from: Instant::now(), head_from: None };
         ConnectionUse {
             state: Arc::new(Mutex::new(state)),
             ended: Arc::default(),
             changed: Arc::default(),
+            holder,
         }
     }
 
+    /// Whether a request is in flight.
+    pub(crate) fn is_in_flight(&self) -> bool {
+        lock(&self.state).in_flight > 0
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn begin(&self) -> InUse {
         let mut state = lock(&self.state);
@@ -73,6 +80,7 @@
         state.has_served = true;
         state.head_from = None;
         drop(state);
+        self.holder.await_caller();
         InUse(self.clone())
     }
 
@@ -110,11 +118,19 @@
         self.changed.raised().await;
     }
 
+    fn record_written(&self, written: &Poll<io::Result<usize>>) {
+        self.holder.record_sent(match written {
+            Poll::Pending => None,
+            Poll::Ready(written) => Some(*written.as_ref().unwrap_or(&0)),
+        });
+    }
+
     fn record_bytes(&self) {
         let mut state = lock(&self.state);
         if state.in_flight == 0 && state.head_from.is_none() {
             state.head_from = Some(Instant::now());
             drop(state);
+            self.holder.await_caller();
             self.changed.raise();
         }
     }
@@ -130,6 +146,7 @@
         state.in_flight -= 1;
         state.idle_from = Instant::now();
         drop(state);
+        self.0.holder.await_caller();
         self.0.ended.raise();
         self.0.changed.raise();
     }
@@ -156,8 +173,11 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if matches!(read, Poll::Ready(Ok(len)) if len > 0) {
+        if let Poll::Ready(Ok(len)) = read
+            && len > 0
+        {
             self.connection_use.record_bytes();
+            self.connection_use.holder.record_received(len);
         }
         read
     }
@@ -169,7 +189,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.connection_use.record_written(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -177,7 +199,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.connection_use.record_written(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -10,6 +10,7 @@
     metrics::Metrics,
     panic::{self, Panic},
     request_body::RequestBody,
+    resources::Resources,
     serve::{ConnectionLimits, MIN_BUFFER_BYTES, Service},
     signal::OneShot,
     state::{Configuration, Groups, Lifecycle, Stage},
@@ -89,6 +90,10 @@
         }
     }
 
+    fn max_connections(&self, resources: &Resources) -> usize {
+        resources.limits().connections(self.connection_limits().max_head_bytes)
+    }
+
     fn limits_changed(&self) -> Arc<OneShot> {
         self.configuration.limits_changed()
     }
--- a/crates/router/src/filter/receive.rs
+++ b/crates/router/src/filter/receive.rs
@@ -22,12 +22,17 @@
     clock::Clock,
     dialect::{RequestMetadata, StatedParts},
     payload::{Payload, ReceiveError},
+    resources::Holder,
     state::Lifecycle,
 };
 
 /// Timeout of requests whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// `Retry-After` of requests for which an instance has no memory: most answers that take up the rest
+/// have been read by then.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// A request with its whole body.
 #[derive(Debug)]
 pub struct Received {
@@ -79,7 +84,9 @@
         let Identified { req, arrived, caller, table, route, owner } = input;
         let timeout = caller.timeout.unwrap_or(DEFAULT_TIMEOUT);
         let deadline = arrived + timeout.min(route.timeout);
-        let (head, body) = req.into_parts();
+        let (mut head, body) = req.into_parts();
+        let holder: Arc<Holder> =
+            head.extensions.remove().ok_or_else(|| Refusal::outcome_unknown(Reason::Fault))?;
         let read = async {
             Payload::receive(body, table.limits.body_bytes).await.map_err(|e| match e {
                 ReceiveError::TooLarge => {
@@ -98,7 +105,12 @@
             self.lifecycle.wait_for_cutoff().await;
             Err(Refusal::not_run(Reason::CutOff, CAPACITY_RETRY_AFTER))
         };
-        let body = read.or(timed_out).or(cut_off).await?;
+        let evicted = async {
+            holder.evicted().await;
+            Err(Refusal::not_run(Reason::Overloaded, OVERLOAD_RETRY_AFTER))
+        };
+        let body = read.or(timed_out).or(cut_off).or(evicted).await?;
+        holder.begin_service();
         let fingerprint = fingerprint(&head, &owner, &body);
         let parts = part_fingerprints(&caller);
         let forwarded = head.extensions.get().cloned();
--- a/crates/router/src/filter/refusal.rs
+++ b/crates/router/src/filter/refusal.rs
@@ -36,6 +36,8 @@
     Resting,
     /// The answer would miss the caller's deadline.
     TooLate,
+    /// The instance has no memory for the request, or closes its connection for others.
+    Overloaded,
     /// Admission control: running the request would cost other requests more than it is worth.
     Crowded,
     /// The instance will stop before the request would be finished.
@@ -74,6 +76,7 @@
             Reason::Limited => "limited",
             Reason::Resting => "resting",
             Reason::TooLate => "too_late",
+            Reason::Overloaded => "overloaded",
             Reason::Crowded => "crowded",
             Reason::Stopping => "stopping",
             Reason::CutOff => "cut_off",
@@ -97,6 +100,7 @@
                 | Reason::Stopping
                 | Reason::CutOff
                 | Reason::Unreachable
+                | Reason::Overloaded
         )
     }
 }
--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -22,6 +22,7 @@
     links::{self, LinkParts, Links},
     metrics::{Metrics, MetricsError, MetricsPage},
     net, peer_listener,
+    resources::Resources,
     serve::{self, Service},
     signal::Signal,
     snapshot::{SnapshotClient, SnapshotServer},
@@ -80,10 +81,11 @@
     name: &'static str,
     listener: TcpListener,
     service: Arc<S>,
+    resources: &Arc<Resources>,
     executor: &Arc<Executor<'static>>,
 ) {
-    let spawner = executor.clone();
-    let serve = async move || serve::serve(&listener, &service, &spawner).await;
+    let (resources, spawner) = (resources.clone(), executor.clone());
+    let serve = async move || serve::serve(&listener, &service, &resources, &spawner).await;
     executor.spawn(supervise(name, serve)).detach();
 }
 
@@ -116,10 +118,11 @@
         let dialect = Arc::new(dialect);
         let configuration = Arc::new(Configuration::default());
         let groups = Arc::new(Groups::new(settings.scheduling));
+        let resources = Resources::new(settings.resources);
         let lifecycle = Arc::new(Lifecycle::default());
         let live_instances = Arc::new(AtomicUsize::new(1));
         let bind_error = |address| move |e| StartError::Bind(address, e);
-        let metrics = Metrics::new(&configuration, &groups, &lifecycle, clock);
+        let metrics = Metrics::new(&configuration, &groups, &lifecycle, &resources, clock);
         let metrics = Arc::new(metrics.map_err(StartError::Metrics)?);
         let callers = net::listen(settings.listen).map_err(bind_error(settings.listen))?;
         let ready =
@@ -195,15 +198,15 @@
         if let Some(address) = settings.metrics_listen {
             let listener = net::listen(address).map_err(bind_error(address))?;
             let page = Arc::new(MetricsPage { metrics, lifecycle: lifecycle.clone() });
-            spawn_listener("metrics", listener, page, &executor);
+            spawn_listener("metrics", listener, page, &resources, &executor);
         }
-        spawn_listener("callers", callers, entry, &executor);
-        spawn_listener("readiness", ready, Arc::new(readiness), &executor);
+        spawn_listener("callers", callers, entry, &resources, &executor);
+        spawn_listener("readiness", ready, Arc::new(readiness), &resources, &executor);
         executor.spawn(supervise("links", async move || links.run().await)).detach();
         let snapshots = Arc::new(SnapshotServer::new(tracker.clone(), executor.clone()));
         let spawner = executor.clone();
         let serve_peers = async move || {
-            peer_listener::serve(&peers, &snapshots, &forwarded, &spawner).await;
+            peer_listener::serve(&peers, &snapshots, &forwarded, &resources, &spawner).await;
         };
         executor.spawn(supervise("peers", serve_peers)).detach();
         let known = tracker.clone();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod payload;
 mod peer_listener;
 pub mod request_body;
+pub mod resources;
 pub mod serve;
 pub mod settings;
 pub mod signal;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -19,6 +19,7 @@
     clock::Clock,
     filter::ResponseBody,
     request_body::RequestBody,
+    resources::Resources,
     serve::{ConnectionLimits, MIN_BUFFER_BYTES, Service},
     state::{Configuration, Groups, Lifecycle},
 };
@@ -75,6 +76,7 @@
         configuration: &Arc<Configuration>,
         groups: &Arc<Groups>,
         lifecycle: &Arc<Lifecycle>,
+        resources: &Arc<Resources>,
         clock: Clock,
     ) -> Result<Metrics, MetricsError> {
         let registry = Registry::new();
@@ -84,6 +86,7 @@
         let meter = provider.meter("trefoilhall");
         register_gauges(&meter, configuration, groups, lifecycle);
         register_usage(&meter, groups, clock);
+        register_resources(&meter, resources);
         Ok(Metrics {
             requests: counter(&meter, "trefoilhall_requests", "requests that ended, by outcome"),
             refusals: counter(&meter, "trefoilhall_refusals", "own answers, by reason"),
@@ -257,6 +260,37 @@
         .build();
 }
 
+/// Registers what callers make the instance hold, and how often room was short.
+fn register_resources(meter: &Meter, resources: &Arc<Resources>) {
+    let used = resources.clone();
+    let connections = meter.u64_observable_gauge("trefoilhall_connections");
+    connections
+        .with_description("open connections of all listeners")
+        .with_callback(move |gauge| gauge.observe(used.usage().connections as u64, &[]))
+        .build();
+    let used = resources.clone();
+    let buffered = meter.u64_observable_gauge("trefoilhall_buffered_bytes");
+    buffered
+        .with_description("bytes buffered for callers")
+        .with_callback(move |gauge| gauge.observe(used.usage().buffered_bytes as u64, &[]))
+        .build();
+    let used = resources.clone();
+    let closed = meter.u64_observable_counter("trefoilhall_connections_closed");
+    closed
+        .with_description("connections closed or refused because room was short, by cause")
+        .with_callback(move |counter| {
+            let totals = used.usage().totals;
+            for (cause, count) in [
+                ("connections", totals.evicted_for_connections),
+                ("memory", totals.evicted_for_memory),
+                ("refused", totals.refused_connections),
+            ] {
+                counter.observe(count, &[KeyValue::new("cause", cause)]);
+            }
+        })
+        .build();
+}
+
 /// Registers the recent usage of the largest workspaces. All of them would be too many series.
 fn register_usage(meter: &Meter, groups: &Arc<Groups>, clock: Clock) {
     let groups = groups.clone();
--- a/crates/router/src/peer_listener.rs
+++ b/crates/router/src/peer_listener.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     net,
+    resources::Resources,
     serve::{self, Service},
     snapshot::SnapshotServer,
 };
@@ -33,16 +34,21 @@
     listener: &TcpListener,
     snapshots: &Arc<SnapshotServer>,
     requests: &Arc<S>,
+    resources: &Arc<Resources>,
     executor: &Executor<'static>,
 ) {
     loop {
-        let stream = serve::accept(listener).await;
+        let max = requests.max_connections(resources);
+        let (stream, registration) = serve::admit(listener, resources, max).await;
         let (snapshots, requests) = (snapshots.clone(), requests.clone());
         let connection = async move {
             net::set_connection_options(&stream);
             match first_bytes(stream).await {
-                Ok(stream) if stream.first == HTTP2_PREFACE => snapshots.serve(stream).await,
-                Ok(stream) => serve::serve_stream(stream, None, requests).await,
+                Ok(stream) if stream.first == HTTP2_PREFACE => {
+                    registration.holder().begin_service();
+                    snapshots.serve(stream).await;
+                }
+                Ok(stream) => serve::serve_stream(stream, None, requests, registration).await,
                 Err(e) => log::debug!(cause:% = e; "peer_connection_ended"),
             }
         };
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -3,7 +3,8 @@
 use std::{
     convert::Infallible,
     future::Future,
-    net::SocketAddr,
+    io::Write,
+    net::{Shutdown, SocketAddr},
     pin::pin,
     sync::{
         Arc,
@@ -16,7 +17,7 @@
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use smol::{
-    Executor, Timer,
+    Async, Executor, Timer,
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
 };
@@ -27,6 +28,7 @@
     filter::ResponseBody,
     net,
     request_body::{RequestBody, UnreadBody},
+    resources::{Registration, Resources},
     signal::OneShot,
     state::Lifecycle,
 };
@@ -51,6 +53,17 @@
 /// seconds within which a change has to be in force.
 const OUTDATED_UNUSED_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long a connection that makes room for others may take to send a response.
+const EVICTION_GRACE_PERIOD: Duration = Duration::from_millis(100);
+
+/// Connections beyond those of callers that the other listeners may accept, so that probes, metrics
+/// and peers are served when callers use all of theirs.
+const RESERVED_CONNECTIONS: usize = 64;
+
+/// Sent without reading a request where no connection can be closed for a new one.
+const CONNECTION_REFUSED: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// The smallest read buffer that hyper accepts, and the limit of services without one of their own.
 pub(crate) const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -94,6 +107,12 @@
     /// The current limits of connections.
     fn connection_limits(&self) -> ConnectionLimits;
 
+    /// Maximum number of open connections, of all listeners, at which this one accepts another.
+    fn max_connections(&self, resources: &Resources) -> usize {
+        let max_head_bytes = self.connection_limits().max_head_bytes;
+        resources.limits().connections(max_head_bytes) + RESERVED_CONNECTIONS
+    }
+
     /// A flag that is set when the limits change next; never, by default.
     fn limits_changed(&self) -> Arc<OneShot> {
         Arc::default()
@@ -111,13 +130,42 @@
 pub async fn serve<S: Service>(
     listener: &TcpListener,
     service: &Arc<S>,
+    resources: &Arc<Resources>,
     executor: &Executor<'static>,
 ) {
     loop {
-        let stream = accept(listener).await;
+        let max = service.max_connections(resources);
+        let (stream, registration) = admit(listener, resources, max).await;
         net::set_connection_options(&stream);
         let local_address = stream.local_addr().ok().map(LocalAddress);
-        executor.spawn(serve_stream(stream, local_address, service.clone())).detach();
+        let served = serve_stream(stream, local_address, service.clone(), registration);
+        executor.spawn(served).detach();
+    }
+}
+
+/// Accepts connections until there is room for one, where at most `max` may be open.
+pub(crate) async fn admit(
+    listener: &TcpListener,
+    resources: &Arc<Resources>,
+    max: usize,
+) -> (TcpStream, Registration) {
+    loop {
+        let stream = accept(listener).await;
+        match resources.admit(max).await {
+            Some(registration) => return (stream, registration),
+            None => refuse(&stream),
+        }
+    }
+}
+
+/// Refuses a connection whose request hasn't been read.
+fn refuse(stream: &TcpStream) {
+    let stream: Arc<Async<std::net::TcpStream>> = stream.clone().into();
+    // The answer fits the buffer of a new connection; one that takes nothing is just closed.
+    let sent = (&mut stream.get_ref()).write(CONNECTION_REFUSED);
+    let closed = sent.and_then(|_| stream.get_ref().shutdown(Shutdown::Write));
+    if let Err(e) = closed {
+        log::debug!(cause:% = e; "refusal_not_sent");
     }
 }
 
@@ -139,29 +187,33 @@
     stream: T,
     local_address: Option<LocalAddress>,
     service: Arc<S>,
+    registration: Registration,
 ) where
     S: Service,
     T: AsyncRead + AsyncWrite + Unpin,
 {
     let limits = service.connection_limits();
     let _open = service.lifecycle().count_connection();
-    let connection_use = ConnectionUse::new();
+    let holder = registration.holder().clone();
+    let connection_use = ConnectionUse::new(holder.clone());
     let is_outdated = AtomicBool::new(false);
     let handler = service_fn(|mut req: Request<Incoming>| {
         let service = service.clone();
         let in_use = connection_use.begin();
+        req.extensions_mut().insert(holder.clone());
         if let Some(address) = local_address {
             req.extensions_mut().insert(address);
         }
-        let is_outdated = &is_outdated;
+        let (is_outdated, holder) = (&is_outdated, &holder);
         async move {
             let (req, unread) = UnreadBody::track(req);
             let mut resp = service.respond(req).await;
-            let cut_off = async {
-                service.lifecycle().wait_for_cutoff().await;
+            let ended = async {
+                service.lifecycle().wait_for_cutoff().or(holder.evicted()).await;
                 false
             };
-            let is_reusable = unread.discard().or(cut_off).await;
+            let is_reusable = unread.discard().or(ended).await;
+            holder.begin_service();
             if !is_reusable || is_outdated.load(Ordering::Relaxed) {
                 resp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
@@ -200,8 +252,24 @@
         Event::Unused
     };
     let overdue = async { Event::Overdue(wait_until_overdue(&*service, &connection_use).await) };
-    let result = match ended.or(closing).or(overdue).await {
+    let evicted = async {
+        holder.evicted().await;
+        Event::Evicted
+    };
+    let result = match ended.or(closing).or(overdue).or(evicted).await {
         Event::Ended(result) => result,
+        Event::Evicted => {
+            // A request whose body was due is refused, and its response announces the close.
+            let is_due = connection_use.is_in_flight() && holder.awaits_caller();
+            let grace = if is_due { EVICTION_GRACE_PERIOD } else { Duration::ZERO };
+            let closed = async {
+                serving.await.ok();
+            };
+            let timed_out = async {
+                Timer::after(grace).await;
+            };
+            return closed.or(timed_out).await;
+        }
         Event::Overdue(Overdue::Head) => {
             log::debug!("head_overdue");
             return;
@@ -222,6 +290,8 @@
     /// The connection has to be closed, and no request is in transit.
     Unused,
     Overdue(Overdue),
+    /// The connection makes room for others.
+    Evicted,
 }
 
 /// Waits until heads have another limit than the one that a connection was accepted with.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use policy::{DataCentre, InstanceId, Region, retry::RetryRules};
 
-use crate::state::Scheduling;
+use crate::{resources::ResourceLimits, state::Scheduling};
 
 /// Settings of one instance.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,6 +31,8 @@
     pub threads: usize,
     /// Limits that the operators set.
     pub bounds: Bounds,
+    /// What callers may make the instance hold.
+    pub resources: ResourceLimits,
     /// How requests are scheduled on endpoints.
     pub scheduling: Scheduling,
 }
