Bound the bodies that all requests buffer together

What callers saw: many bodies, each within its limit and most of them stopping just short of their end, ended a process, which ran out of memory.

Cause: bodies were bounded one by one, never together.

A body takes its part as it arrives, not as it is announced, and keeps it until its request has ended.

The tests now state the memory and the descriptors of their machine in the settings, which didn't take them before; crowd and bounds are unchanged.

--- a/crates/daemon/tests/misbehaving_clients.rs
+++ b/crates/daemon/tests/misbehaving_clients.rs
@@ -133,7 +133,10 @@
 
 /// Settings of the machine that both interfaces take.
 fn machine_settings() -> Value {
-    json!({"max_connections": MAX_CONNECTIONS, "max_body": MAX_BODY, "threads": 1})
+    json!({
+        "max_connections": MAX_CONNECTIONS, "max_body": MAX_BODY, "threads": 1,
+        "memory_mb": MACHINE_MB, "open_files": MACHINE_FILES,
+    })
 }
 
 /// A process that forwards requests by the sites' own routes.
--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -122,7 +122,7 @@
     /// Reads the whole body.
     pub(super) async fn collect(self, timeout: Duration) -> Result<Payload, FailCause> {
         let whole = async {
-            let body = Payload::receive(self.body, MAX_RESPONSE_BYTES).await;
+            let body = Payload::receive(self.body, MAX_RESPONSE_BYTES, None).await;
             body.map_err(|_| FailCause::Broken)
         };
         let timed_out = async {
--- a/crates/router/src/filter/receive.rs
+++ b/crates/router/src/filter/receive.rs
@@ -1,7 +1,8 @@
 //! Reads the body of a request, within its limits.
 //!
 //! The whole body is buffered, because it may have to be sent to a second endpoint, and because
-//! requests that crash endpoints are recognised by it.
+//! requests that crash endpoints are recognised by it. It counts towards the buffers of all
+//! connections ([`crate::resources`]) until its request has ended.
 
 use std::time::Duration;
 
@@ -54,6 +55,8 @@
     pub fingerprint: Fingerprint,
     /// Fingerprints of the parts that other prompts may share, in their order.
     pub parts: Arc<[Fingerprint]>,
+    /// The caller's connection, for what is buffered for it.
+    pub holder: Arc<Holder>,
     /// Set if a peer has passed the request on.
     pub forwarded: Option<Forwarded>,
 }
@@ -88,10 +91,15 @@
         let holder: Arc<Holder> =
             head.extensions.remove().ok_or_else(|| Refusal::outcome_unknown(Reason::Fault))?;
         let read = async {
-            Payload::receive(body, table.limits.body_bytes).await.map_err(|e| match e {
+            let received =
+                Payload::receive(body, table.limits.body_bytes, Some(holder.permit())).await;
+            received.map_err(|e| match e {
                 ReceiveError::TooLarge => {
                     Refusal::client_error(Reason::TooLarge, StatusCode::PAYLOAD_TOO_LARGE)
                 }
+                ReceiveError::Exhausted => {
+                    Refusal::not_run(Reason::Overloaded, OVERLOAD_RETRY_AFTER)
+                }
                 ReceiveError::Body(_) => {
                     Refusal::client_error(Reason::Malformed, StatusCode::BAD_REQUEST)
                 }
@@ -124,6 +132,7 @@
             deadline,
             fingerprint,
             parts,
+            holder,
             forwarded,
         };
         self.next.handle(received).await
--- a/crates/router/src/payload.rs
+++ b/crates/router/src/payload.rs
@@ -19,6 +19,8 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 
+use crate::resources::{Exhausted, Permit};
+
 /// Size of a segment: what a connection's buffers hold of a body that is sent on.
 const SEGMENT_BYTES: usize = 16 << 10;
 
@@ -30,6 +32,8 @@
 pub struct Payload {
     segments: Arc<[Bytes]>,
     len: usize,
+    /// Room for the segments, in the buffers of the connection that they are for.
+    _permit: Option<Arc<Permit>>,
 }
 
 /// Why a body can't be received as a whole.
@@ -37,17 +41,24 @@
 pub enum ReceiveError<E> {
     /// It is longer than allowed.
     TooLarge,
+    /// There is no room for it.
+    Exhausted,
     /// It broke off, or isn't framed as its head says.
     Body(E),
 }
 
 impl Payload {
-    /// Receives a body of at most `max_len` bytes. One whose stated length is larger isn't read.
+    /// Receives a body of at most `max_len` bytes, for which a permit grows as it arrives. One whose
+    /// stated length is larger isn't read.
     ///
     /// # Errors
     ///
     /// See [`ReceiveError`].
-    pub async fn receive<B>(mut body: B, max_len: usize) -> Result<Payload, ReceiveError<B::Error>>
+    pub async fn receive<B>(
+        mut body: B,
+        max_len: usize,
+        permit: Option<Permit>,
+    ) -> Result<Payload, ReceiveError<B::Error>>
     where
         B: Body<Data = Bytes> + Unpin,
     {
@@ -56,13 +67,13 @@
         if stated_len.is_some_and(|len| len > max_len) {
             return Err(ReceiveError::TooLarge);
         }
-        let mut segments = Segments::new(stated_len);
+        let mut segments = Segments::new(stated_len, permit);
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(ReceiveError::Body)?.into_data() else { continue };
             if segments.len + data.len() > max_len {
                 return Err(ReceiveError::TooLarge);
             }
-            segments.push(&data);
+            segments.push(&data).await.map_err(|Exhausted| ReceiveError::Exhausted)?;
         }
         Ok(segments.finish())
     }
@@ -93,7 +104,7 @@
 
 impl From<Bytes> for Payload {
     fn from(bytes: Bytes) -> Payload {
-        Payload { len: bytes.len(), segments: Arc::new([bytes]) }
+        Payload { len: bytes.len(), segments: Arc::new([bytes]), _permit: None }
     }
 }
 
@@ -103,11 +114,12 @@
     last: BytesMut,
     len: usize,
     stated_len: Option<usize>,
+    permit: Option<Permit>,
 }
 
 impl Segments {
-    fn new(stated_len: Option<usize>) -> Segments {
-        Segments { full: Vec::new(), last: BytesMut::new(), len: 0, stated_len }
+    fn new(stated_len: Option<usize>, permit: Option<Permit>) -> Segments {
+        Segments { full: Vec::new(), last: BytesMut::new(), len: 0, stated_len, permit }
     }
 
     /// Size of the next segment.
@@ -119,11 +131,14 @@
         }
     }
 
-    fn push(&mut self, mut data: &[u8]) {
+    async fn push(&mut self, mut data: &[u8]) -> Result<(), Exhausted> {
         while !data.is_empty() {
             if self.last.len() == self.last.capacity() {
                 // The body of a stated length may be longer only if its framing is broken.
                 let size = self.next_size().max(1);
+                if let Some(permit) = &mut self.permit {
+                    permit.grow_to(self.len + size).await?;
+                }
                 let full = std::mem::replace(&mut self.last, BytesMut::with_capacity(size));
                 self.full.extend((!full.is_empty()).then(|| full.freeze()));
             }
@@ -133,11 +148,12 @@
             self.len += now.len();
             data = later;
         }
+        Ok(())
     }
 
     fn finish(mut self) -> Payload {
         self.full.extend((!self.last.is_empty()).then(|| self.last.freeze()));
-        Payload { segments: self.full.into(), len: self.len }
+        Payload { segments: self.full.into(), len: self.len, _permit: self.permit.map(Arc::new) }
     }
 }
 
--- a/crates/router/src/resources.rs
+++ b/crates/router/src/resources.rs
@@ -437,10 +437,15 @@
         Ok(())
     }
 
-    /// Adds `bytes` as soon as there is room. Whoever waits must hold nothing that others wait for.
-    pub async fn wait_to_grow(&mut self, bytes: usize) {
-        while self.grow(bytes).await.is_err() {
-            self.holder.resources.released.raised_within(ROOM_POLL_INTERVAL).await;
+    /// Adds what is missing to `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Permit::grow`].
+    pub async fn grow_to(&mut self, bytes: usize) -> Result<(), Exhausted> {
+        match bytes.saturating_sub(self.bytes) {
+            0 => Ok(()),
+            missing => self.grow(missing).await,
         }
     }
 
--- a/crates/router/tests/payload.rs
+++ b/crates/router/tests/payload.rs
@@ -31,7 +31,7 @@
 }
 
 fn receive<B: Body<Data = Bytes> + Unpin>(body: B) -> Result<Payload, ReceiveError<B::Error>> {
-    smol::block_on(Payload::receive(body, LEN))
+    smol::block_on(Payload::receive(body, LEN, None))
 }
 
 fn bytes_of(payload: &Payload) -> Vec<u8> {
