Bound the answers that wait for their callers

What callers saw: clients that read long answers slowly or not at all ended a process, which ran out of memory.

Cause: an answer is read whole before any of it is passed on, and then waits for its caller. Nothing bounded all of them together, and a caller that reads a few bytes a second keeps its connection alive.

An answer takes its part of the buffers before it is read, and keeps it until the connection has taken its last byte. An answer for which no room becomes free stays with its endpoint until the request's time has passed, which isn't held against the endpoint.

--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -21,7 +21,8 @@
 
 use crate::{
     net,
-    payload::{Payload, PayloadBody},
+    payload::{Payload, PayloadBody, ReceiveError},
+    resources::Holder,
 };
 
 /// Two round trips between data centres and the endpoint's own work take a few milliseconds. A lost
@@ -119,7 +120,7 @@
 }
 
 impl EndpointResponse {
-    /// Reads the whole body.
+    /// Reads the whole body of a response that isn't for a caller.
     pub(super) async fn collect(self, timeout: Duration) -> Result<Payload, FailCause> {
         let whole = async {
             let body = Payload::receive(self.body, MAX_RESPONSE_BYTES, None).await;
@@ -131,6 +132,45 @@
         };
         whole.or(timed_out).await
     }
+
+    /// Reads the whole body, for which there has to be room in the caller's buffers. A body of a
+    /// stated length waits for all of its room before any of it is read, so that bodies which have
+    /// come in part don't wait for each other.
+    pub(super) async fn receive(
+        self,
+        timeout: Duration,
+        holder: &Arc<Holder>,
+    ) -> Result<Payload, FailCause> {
+        let started = Instant::now();
+        let mut permit = holder.permit();
+        let stated_len = self.body.size_hint().exact().and_then(|len| usize::try_from(len).ok());
+        if let Some(len) = stated_len.filter(|len| *len <= MAX_RESPONSE_BYTES) {
+            let room = async {
+                permit.wait_to_grow(len).await;
+                true
+            };
+            let timed_out = async {
+                Timer::after(timeout).await;
+                false
+            };
+            if !room.or(timed_out).await {
+                // It says nothing about the endpoint.
+                return Err(FailCause::Deadline);
+            }
+        }
+        let whole = async {
+            let body = Payload::receive(self.body, MAX_RESPONSE_BYTES, Some(permit)).await;
+            body.map_err(|e| match e {
+                ReceiveError::Exhausted => FailCause::Deadline,
+                ReceiveError::TooLarge | ReceiveError::Body(_) => FailCause::Broken,
+            })
+        };
+        let timed_out = async {
+            Timer::after(timeout.saturating_sub(started.elapsed())).await;
+            Err(timeout_cause(timeout))
+        };
+        whole.or(timed_out).await
+    }
 }
 
 /// Failure cause of an attempt that got no response within `waited`.
--- a/crates/router/src/filter/call.rs
+++ b/crates/router/src/filter/call.rs
@@ -180,7 +180,7 @@
             OtherAttempt::None,
             async |call, active: ActiveResponse<D>| {
                 let head = active.response.head.clone();
-                match active.response.collect(call.time_left()).await {
+                match active.response.receive(call.time_left(), &call.received.holder).await {
                     Ok(body) => {
                         active.run.end(None);
                         Ok((head, body))
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -271,7 +271,7 @@
         lock(&self.progress).has_failed_at_peer = true;
         if head.status == StatusCode::SERVICE_UNAVAILABLE {
             lock(&self.progress).unknown_outcomes -= 1;
-        } else if let Ok(body) = response.collect(self.time_left()).await {
+        } else if let Ok(body) = response.receive(self.time_left(), &self.received.holder).await {
             lock(&self.progress).endpoint_failure = Some(self.response(&head, body));
         }
     }
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -111,7 +111,7 @@
 ) -> Result<ResponseStart<D>, FailCause> {
     let head = active.response.head.clone();
     if !head.status.is_success() {
-        return match active.response.collect(call.time_left()).await {
+        return match active.response.receive(call.time_left(), &call.received.holder).await {
             Ok(body) => {
                 active.run.end(None);
                 Ok(ResponseStart::Whole(head, body))
--- a/crates/router/src/filter/send.rs
+++ b/crates/router/src/filter/send.rs
@@ -332,7 +332,7 @@
         let head = response.head.clone();
         log::info!(id = self.id(), endpoint = run.endpoint.as_str(),
             status = head.status.as_u16(); "endpoint_error");
-        let body = response.collect(self.time_left()).await;
+        let body = response.receive(self.time_left(), &self.received.holder).await;
         run.end(Some(FailCause::EndpointError));
         if let Ok(body) = body
             && !implies_not_run(head.status)
--- a/crates/router/src/resources.rs
+++ b/crates/router/src/resources.rs
@@ -449,6 +449,13 @@
         }
     }
 
+    /// Adds `bytes` as soon as there is room. Who waits must hold nothing that others wait for.
+    pub async fn wait_to_grow(&mut self, bytes: usize) {
+        while self.grow(bytes).await.is_err() {
+            self.holder.resources.released.raised_within(ROOM_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns all but `bytes`.
     pub fn shrink_to(&mut self, bytes: usize) {
         let excess = self.bytes.saturating_sub(bytes);
