Bound the events that wait for their callers

What callers saw: clients that don't read streams of long events made a process use up its memory.

Cause: each stream queues up to 16 events of up to 1 MiB, and nothing bounded all streams together. Beside that, an event was a slice that kept its parser's buffer alive, a long one was copied into the connection's write buffer as a whole, and the buffers of a connection to an endpoint grew to 400 KB each.

An event has its room in the buffers before it is parsed, and keeps it until its connection has taken it. It is copied out of the parser's buffer and sent in frames of 16 KB. The buffers of a connection to an endpoint, and so the head of a response, are bounded by 16 KB.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -11,6 +11,9 @@
 /// not use up all memory.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// The buffer of a longer event isn't kept for the next one, which may be long in coming.
+const MAX_KEPT_BYTES: usize = 8 << 10;
+
 /// One whole event, including the blank line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
@@ -41,6 +44,12 @@
         if self.buf.len() + bytes.len() > MAX_EVENT_BYTES {
             return Err(EventTooLong);
         }
+        let len = self.buf.len() + bytes.len();
+        if len > MAX_KEPT_BYTES && len > self.buf.capacity() {
+            // Growing in place would double the buffer.
+            let part = std::mem::replace(&mut self.buf, BytesMut::with_capacity(len));
+            self.buf.extend_from_slice(&part);
+        }
         self.buf.extend_from_slice(bytes);
         Ok(())
     }
@@ -56,12 +65,17 @@
             }
         };
         self.searched_bytes = 0;
-        let bytes = self.buf.split_to(end).freeze();
+        // A slice would keep the whole buffer alive, and have it allocated anew.
+        let bytes = Bytes::copy_from_slice(&self.buf[..end]);
+        self.buf.advance(end);
+        if end > MAX_KEPT_BYTES {
+            self.buf = BytesMut::from(&self.buf[..]);
+        }
         let id = event_id(&bytes);
         Some(Event { bytes, id })
     }
 
-    /// Number of buffered bytes after the last whole event.
+    /// Number of buffered bytes, which are those after the last whole event once all were returned.
     pub fn remaining(&self) -> usize {
         self.buf.remaining()
     }
--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -33,6 +33,10 @@
 /// about the endpoint, because routes may allow less time than their endpoints usually need.
 const SILENCE_THRESHOLD: Duration = Duration::from_millis(600);
 
+/// The largest buffer for reading from an endpoint, and so the largest head of a response. Both
+/// buffers of a connection would otherwise grow to 400 KB each.
+const MAX_CONNECTION_BUFFER_BYTES: usize = 16 << 10;
+
 /// The largest response body that is buffered as a whole.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -74,7 +78,9 @@
         AttemptError::NotSent { is_refused }
     })?;
     let connect_time = started.elapsed();
-    let (mut sender, connection) = http1::handshake(FuturesIo::new(stream))
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_CONNECTION_BUFFER_BYTES)
+        .handshake(FuturesIo::new(stream))
         .await
         .map_err(|_| AttemptError::NotSent { is_refused: false })?;
     let connection_task = executor.spawn(async move {
@@ -146,7 +152,7 @@
         let stated_len = self.body.size_hint().exact().and_then(|len| usize::try_from(len).ok());
         if let Some(len) = stated_len.filter(|len| *len <= MAX_RESPONSE_BYTES) {
             let room = async {
-                permit.wait_to_grow(len).await;
+                permit.wait_to_grow_to(len).await;
                 true
             };
             let timed_out = async {
--- a/crates/router/src/filter/body.rs
+++ b/crates/router/src/filter/body.rs
@@ -3,7 +3,7 @@
 use std::{
     fmt,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
@@ -11,7 +11,11 @@
 use http_body::{Body, Frame, SizeHint};
 use smol::{Task, channel::Receiver};
 
-use crate::{payload::PayloadBody, state::InFlightGuard};
+use crate::{
+    payload::{MAX_FRAME_BYTES, PayloadBody},
+    resources::Permit,
+    state::InFlightGuard,
+};
 
 /// A response that broke off. Its connection to the caller is cut, so that the caller can't take it
 /// for complete.
@@ -39,9 +43,45 @@
 /// is how a caller's disconnect ends the run.
 #[derive(Debug)]
 pub struct EventBody {
-    pub(super) events: Pin<Box<Receiver<Result<Bytes, TruncatedResponse>>>>,
-    pub(super) _feeder: Task<()>,
-    pub(super) _guard: Option<InFlightGuard>,
+    events: Pin<Box<Receiver<Result<QueuedEvent, TruncatedResponse>>>>,
+    /// The event that is being sent.
+    current: Option<QueuedEvent>,
+    _feeder: Task<()>,
+    _guard: Option<InFlightGuard>,
+}
+
+/// An event that waits for its caller, with its room in the buffers.
+#[derive(Debug)]
+pub(super) struct QueuedEvent {
+    pub(super) bytes: Bytes,
+    pub(super) _permit: Permit,
+}
+
+impl EventBody {
+    /// A body of the events that `feeder` sends.
+    pub(super) fn new(
+        events: Receiver<Result<QueuedEvent, TruncatedResponse>>,
+        feeder: Task<()>,
+    ) -> EventBody {
+        EventBody { events: Box::pin(events), current: None, _feeder: feeder, _guard: None }
+    }
+
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
+        let mut event = match self.current.take() {
+            Some(event) => event,
+            None => match ready!(self.events.as_mut().poll_next(cx)) {
+                Some(Ok(event)) => event,
+                Some(Err(e)) => return Poll::Ready(Some(Err(e))),
+                None => return Poll::Ready(None),
+            },
+        };
+        let frame = event.bytes.split_to(event.bytes.len().min(MAX_FRAME_BYTES));
+        self.current = (!event.bytes.is_empty()).then_some(event);
+        Poll::Ready(Some(Ok(Frame::data(frame))))
+    }
 }
 
 impl ResponseBody {
@@ -74,9 +114,7 @@
                 let Poll::Ready(next) = Pin::new(body).poll_frame(cx) else { return Poll::Pending };
                 Poll::Ready(next.map(|frame| frame.map_err(|never| match never {})))
             }
-            ResponseBody::Events(body) => {
-                body.events.as_mut().poll_next(cx).map(|next| next.map(|e| e.map(Frame::data)))
-            }
+            ResponseBody::Events(body) => body.poll_frame(cx),
         }
     }
 
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -9,7 +9,7 @@
 //! concurrently, and keeps it from its first event on. An engine that prefills a long prompt is
 //! silent too, and cutting it off would lose an answer that was about to continue.
 
-use std::{pin::pin, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
@@ -23,7 +23,7 @@
 
 use super::{
     Refusal, ResponseBody,
-    body::{EventBody, TruncatedResponse},
+    body::{EventBody, QueuedEvent, TruncatedResponse},
     call::{Call, OUTCOME_FINISHED, OtherAttempt},
     hedge::{self, Either, race},
     refusal::Reason,
@@ -31,9 +31,10 @@
 };
 use crate::{
     dialect::Dialect,
-    events::{Event, EventParser},
+    events::{Event, EventParser, EventTooLong},
     panic::{self, Panic},
     payload::Payload,
+    resources::{Holder, Permit},
 };
 
 /// Capacity of the queue of events for a slow caller. When it is full, the endpoint's stream isn't
@@ -50,7 +51,7 @@
 
 /// The next item of a stream.
 enum StreamStep {
-    Event(Event),
+    Event(ReceivedEvent),
     /// The stream is complete.
     End,
     Failed(FailCause),
@@ -59,7 +60,7 @@
 /// An open stream with its next item.
 struct EventStream<D: Dialect> {
     active: ActiveResponse<D>,
-    events: EventParser,
+    events: EventReader,
     next: StreamStep,
 }
 
@@ -70,6 +71,54 @@
     Whole(response::Parts, Payload),
 }
 
+/// An event with its room in the caller's buffers.
+struct ReceivedEvent {
+    event: Event,
+    permit: Permit,
+}
+
+/// Splits a response into events, with room in the caller's buffers for what it has read.
+struct EventReader {
+    parser: EventParser,
+    /// Received bytes for which there is no room in the parser yet.
+    unparsed: Bytes,
+    permit: Permit,
+}
+
+impl EventReader {
+    fn new(holder: &Arc<Holder>) -> EventReader {
+        EventReader {
+            parser: EventParser::default(),
+            unparsed: Bytes::new(),
+            permit: holder.permit(),
+        }
+    }
+
+    /// The next whole event that has been received. Nothing is lost if the future is dropped.
+    async fn next_event(&mut self) -> Result<Option<ReceivedEvent>, EventTooLong> {
+        if let Some(event) = self.parse() {
+            return Ok(Some(event));
+        }
+        if self.unparsed.is_empty() {
+            return Ok(None);
+        }
+        self.permit.wait_to_grow_to(self.parser.remaining() + self.unparsed.len()).await;
+        self.parser.push(&std::mem::take(&mut self.unparsed))?;
+        Ok(self.parse())
+    }
+
+    fn parse(&mut self) -> Option<ReceivedEvent> {
+        let event = self.parser.next_event()?;
+        let permit = self.permit.split(event.bytes.len());
+        Some(ReceivedEvent { event, permit })
+    }
+
+    /// Whether a part of an event has been received.
+    fn has_partial_event(&self) -> bool {
+        self.parser.remaining() + self.unparsed.len() > 0
+    }
+}
+
 /// Why a stream ends before it is complete.
 enum StreamError {
     Expired,
@@ -81,7 +130,7 @@
     Fault,
 }
 
-type EventSender = Sender<Result<Bytes, TruncatedResponse>>;
+type EventSender = Sender<Result<QueuedEvent, TruncatedResponse>>;
 
 /// Responds with an event stream.
 pub(super) async fn stream<D: Dialect>(call: Call<D>) -> Result<Response<ResponseBody>, Refusal> {
@@ -100,8 +149,7 @@
     let resp =
         call.response_with_body(&stream.active.response.head, ResponseBody::whole(Bytes::new()));
     let feeder = executor.spawn(feed_body(call, stream, tx));
-    let body = EventBody { events: Box::pin(rx), _feeder: feeder, _guard: None };
-    Ok(resp.map(|_| ResponseBody::Events(body)))
+    Ok(resp.map(|_| ResponseBody::Events(EventBody::new(rx, feeder))))
 }
 
 /// Waits for the first event of a response.
@@ -122,7 +170,7 @@
             }
         };
     }
-    let mut events = EventParser::default();
+    let mut events = EventReader::new(&call.received.holder);
     let timed_out = async {
         Timer::after(call.time_left()).await;
         StreamStep::Failed(FailCause::Deadline)
@@ -181,9 +229,7 @@
         let EventStream { active, events, next } = stream;
         match next {
             StreamStep::Event(event) => {
-                if !forward_event(call, event, tx).await {
-                    return Err(StreamError::CallerLeft);
-                }
+                forward_event(call, event, tx).await?;
             }
             StreamStep::End => {
                 active.run.end(None);
@@ -220,7 +266,8 @@
     Stream(Box<EventStream<D>>),
     /// The stream failed, and no other endpoint has resumed it.
     Failed,
-    CallerLeft,
+    /// An event couldn't be passed on.
+    NotForwarded(StreamError),
 }
 
 /// Waits for the next item until the caller's deadline, and resumes elsewhere if the endpoint is
@@ -228,7 +275,7 @@
 async fn next_before_deadline<D: Dialect>(
     call: &Call<D>,
     active: ActiveResponse<D>,
-    events: EventParser,
+    events: EventReader,
     silence_limit: Duration,
     tx: &EventSender,
 ) -> Result<EventStream<D>, StreamError> {
@@ -238,7 +285,7 @@
     match race(next_or_takeover(call, active, events, silence_limit, tx), timed_out).await {
         Either::Left(WaitOutcome::Stream(stream)) => Ok(*stream),
         Either::Left(WaitOutcome::Failed) => resume_after_failure(call).await,
-        Either::Left(WaitOutcome::CallerLeft) => Err(StreamError::CallerLeft),
+        Either::Left(WaitOutcome::NotForwarded(e)) => Err(e),
         Either::Right(()) => Err(StreamError::Expired),
     }
 }
@@ -251,7 +298,7 @@
 async fn next_or_takeover<D: Dialect>(
     call: &Call<D>,
     mut active: ActiveResponse<D>,
-    mut events: EventParser,
+    mut events: EventReader,
     silence_limit: Duration,
     tx: &EventSender,
 ) -> WaitOutcome<D> {
@@ -265,8 +312,8 @@
     let next = loop {
         match race(next_event(&mut active, &mut events), resumed.as_mut()).await {
             Either::Left(StreamStep::Event(event)) => {
-                if !forward_event(call, event, tx).await {
-                    return WaitOutcome::CallerLeft;
+                if let Err(e) = forward_event(call, event, tx).await {
+                    return WaitOutcome::NotForwarded(e);
                 }
             }
             Either::Left(StreamStep::Failed(cause)) => {
@@ -289,15 +336,21 @@
     WaitOutcome::Stream(Box::new(EventStream { active, events, next }))
 }
 
-/// Passes an event on, unless the caller already has it. Returns false if the caller has left.
-async fn forward_event<D: Dialect>(call: &Call<D>, event: Event, tx: &EventSender) -> bool {
+/// Passes an event on, unless the caller already has it.
+async fn forward_event<D: Dialect>(
+    call: &Call<D>,
+    received: ReceivedEvent,
+    tx: &EventSender,
+) -> Result<(), StreamError> {
+    let ReceivedEvent { event, permit } = received;
     if let Some(id) = event.id {
         if call.last_event_id().is_some_and(|last| id <= last) {
-            return true;
+            return Ok(());
         }
         call.set_last_event_id(id);
     }
-    tx.send(Ok(event.bytes)).await.is_ok()
+    let event = QueuedEvent { bytes: event.bytes, _permit: permit };
+    tx.send(Ok(event)).await.map_err(|_| StreamError::CallerLeft)
 }
 
 /// Resumes the stream at another endpoint. Returns `None` if the route doesn't allow that or no
@@ -318,21 +371,21 @@
 /// Reads the next whole event, or the end of the stream.
 async fn next_event<D: Dialect>(
     active: &mut ActiveResponse<D>,
-    events: &mut EventParser,
+    events: &mut EventReader,
 ) -> StreamStep {
     loop {
-        if let Some(event) = events.next_event() {
-            return StreamStep::Event(event);
+        match events.next_event().await {
+            Ok(Some(event)) => return StreamStep::Event(event),
+            Ok(None) => {}
+            Err(EventTooLong) => return StreamStep::Failed(FailCause::BadAnswer),
         }
         match active.response.body.frame().await {
             Some(Ok(frame)) => {
                 let Ok(bytes) = frame.into_data() else { continue };
-                if events.push(&bytes).is_err() {
-                    return StreamStep::Failed(FailCause::BadAnswer);
-                }
+                events.unparsed = bytes;
             }
             Some(Err(_)) => return StreamStep::Failed(FailCause::Broken),
-            None if events.remaining() > 0 => return StreamStep::Failed(FailCause::Broken),
+            None if events.has_partial_event() => return StreamStep::Failed(FailCause::Broken),
             None => return StreamStep::End,
         }
     }
--- a/crates/router/src/payload.rs
+++ b/crates/router/src/payload.rs
@@ -21,8 +21,11 @@
 
 use crate::resources::{Exhausted, Permit};
 
-/// Size of a segment: what a connection's buffers hold of a body that is sent on.
-const SEGMENT_BYTES: usize = 16 << 10;
+/// Largest frame of a body that is sent: a connection copies it into a buffer that keeps its size.
+pub const MAX_FRAME_BYTES: usize = 16 << 10;
+
+/// Size of a segment.
+const SEGMENT_BYTES: usize = MAX_FRAME_BYTES;
 
 /// Size of the first segment of a body whose length isn't known.
 const FIRST_SEGMENT_BYTES: usize = 2 << 10;
@@ -157,10 +160,7 @@
     }
 }
 
-/// Sends a [`Payload`], segment by segment.
-///
-/// A connection copies each frame into its write buffer, which keeps its size. Frames of the size of a
-/// segment bound it.
+/// Sends a [`Payload`] in frames of at most [`MAX_FRAME_BYTES`].
 #[derive(Debug)]
 pub struct PayloadBody {
     payload: Payload,
@@ -185,7 +185,7 @@
     /// The next frame; none at the end.
     fn next_frame(&mut self) -> Option<Bytes> {
         let segment = self.payload.segments.get(self.next)?;
-        let end = segment.len().min(self.sent + SEGMENT_BYTES);
+        let end = segment.len().min(self.sent + MAX_FRAME_BYTES);
         let frame = segment.slice(self.sent..end);
         self.sent = end;
         if end == segment.len() {
--- a/crates/router/src/resources.rs
+++ b/crates/router/src/resources.rs
@@ -44,9 +44,13 @@
 /// Descriptors of a request: its own connection and the one to an endpoint.
 const FILES_PER_CONNECTION: usize = 2;
 
+/// Memory of a request in service beside its head and its bodies: its tasks, and the buffers of the
+/// connection to its endpoint.
+pub(crate) const REQUEST_BYTES: usize = 64 << 10;
+
 /// A connection that holds at most this much may use the share of the buffers that is kept for small
 /// requests.
-const SMALL_BYTES: usize = 32 << 10;
+const SMALL_BYTES: usize = REQUEST_BYTES + (32 << 10);
 
 /// Divisor of the buffers that gives the share kept for small requests.
 const SMALL_SHARE_DIVISOR: usize = 4;
@@ -437,6 +441,22 @@
         Ok(())
     }
 
+    /// Adds `bytes` of what is held already, without waiting for room. Connections are closed for the
+    /// next ones if need be.
+    ///
+    /// # Errors
+    ///
+    /// [`Exhausted`] where there is no room now.
+    pub fn try_grow(&mut self, bytes: usize) -> Result<(), Exhausted> {
+        let resources = &self.holder.resources;
+        if !resources.try_acquire(&self.holder, bytes) {
+            resources.evict_for_memory(bytes);
+            return Err(Exhausted);
+        }
+        self.bytes += bytes;
+        Ok(())
+    }
+
     /// Adds what is missing to `bytes`.
     ///
     /// # Errors
@@ -449,13 +469,20 @@
         }
     }
 
-    /// Adds `bytes` as soon as there is room. Who waits must hold nothing that others wait for.
-    pub async fn wait_to_grow(&mut self, bytes: usize) {
-        while self.grow(bytes).await.is_err() {
+    /// Adds what is missing to `bytes` as soon as there is room.
+    pub async fn wait_to_grow_to(&mut self, bytes: usize) {
+        while self.grow_to(bytes).await.is_err() {
             self.holder.resources.released.raised_within(ROOM_POLL_INTERVAL).await;
         }
     }
 
+    /// Takes `bytes` out of this permit, or all where it has less.
+    pub fn split(&mut self, bytes: usize) -> Permit {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        Permit { holder: self.holder.clone(), bytes }
+    }
+
     /// Returns all but `bytes`.
     pub fn shrink_to(&mut self, bytes: usize) {
         let excess = self.bytes.saturating_sub(bytes);
