Count what a request takes up beside its bodies

What callers saw: heads of many short headers took up many times their size, and each request in service holds buffers that nothing bounded.

Cause: an entry in a map of headers takes 100 bytes and more, so that a head of 16 KB becomes 0.4 MB, twice with the copy for the endpoint. The tasks of a request and the buffers of its connection to the endpoint take some 50 KB.

Both count towards the buffers now. A head that is in memory already gets its room at once or is refused as not run; it doesn't wait for others to be closed, because a crowd of waiting heads would itself be the fault.

--- a/crates/router/src/filter/receive.rs
+++ b/crates/router/src/filter/receive.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use http::{Response, StatusCode, request};
+use http::{HeaderMap, Response, StatusCode, request};
 use policy::{
     Fingerprint, Time, Workspace,
     routes::{KeyOwner, Route},
@@ -23,7 +23,7 @@
     clock::Clock,
     dialect::{RequestMetadata, StatedParts},
     payload::{Payload, ReceiveError},
-    resources::Holder,
+    resources::{Exhausted, Holder, Permit, REQUEST_BYTES},
     state::Lifecycle,
 };
 
@@ -34,6 +34,12 @@
 /// have been read by then.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Memory of an entry in a map of headers, beside its text.
+const HEADER_BYTES: usize = 128;
+
+/// Copies of a head: the caller's and the endpoint's.
+const HEAD_COPIES: usize = 2;
+
 /// A request with its whole body.
 #[derive(Debug)]
 pub struct Received {
@@ -57,6 +63,8 @@
     pub parts: Arc<[Fingerprint]>,
     /// The caller's connection, for what is buffered for it.
     pub holder: Arc<Holder>,
+    /// Room for the request beside its body.
+    _permit: Permit,
     /// Set if a peer has passed the request on.
     pub forwarded: Option<Forwarded>,
 }
@@ -90,16 +98,18 @@
         let (mut head, body) = req.into_parts();
         let holder: Arc<Holder> =
             head.extensions.remove().ok_or_else(|| Refusal::outcome_unknown(Reason::Fault))?;
+        let mut permit = holder.permit();
         let read = async {
+            let exhausted = |Exhausted| Refusal::not_run(Reason::Overloaded, OVERLOAD_RETRY_AFTER);
+            permit.try_grow(head_bytes(&head.headers)).map_err(exhausted)?;
+            permit.grow(REQUEST_BYTES).await.map_err(exhausted)?;
             let received =
                 Payload::receive(body, table.limits.body_bytes, Some(holder.permit())).await;
             received.map_err(|e| match e {
                 ReceiveError::TooLarge => {
                     Refusal::client_error(Reason::TooLarge, StatusCode::PAYLOAD_TOO_LARGE)
                 }
-                ReceiveError::Exhausted => {
-                    Refusal::not_run(Reason::Overloaded, OVERLOAD_RETRY_AFTER)
-                }
+                ReceiveError::Exhausted => exhausted(Exhausted),
                 ReceiveError::Body(_) => {
                     Refusal::client_error(Reason::Malformed, StatusCode::BAD_REQUEST)
                 }
@@ -133,12 +143,19 @@
             fingerprint,
             parts,
             holder,
+            _permit: permit,
             forwarded,
         };
         self.next.handle(received).await
     }
 }
 
+/// Memory of a head and of the copy for its endpoint.
+fn head_bytes(headers: &HeaderMap) -> usize {
+    let text: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    HEAD_COPIES * (text + headers.len() * HEADER_BYTES)
+}
+
 fn fingerprint(head: &request::Parts, owner: &Option<KeyOwner>, body: &Payload) -> Fingerprint {
     let mut hash = Xxh3::new();
     hash.update(head.method.as_str().as_bytes());
