Bound connections and bodies of the project's own interface by the machine

What callers saw: on the project's own interface, connections without a request or with a part of one kept ordinary callers out until they timed out, and bodies that stopped short of their end took up more memory than a machine has.

Cause: a connection beyond the limit was refused, whatever the open ones did. All bodies together were bounded by 1 GiB, more than the machine of a site has, and a body took its whole announced length, or the limit, at its head, so that few clients who sent nothing took up all of it. Its buffer was filled with zeros and doubled as it grew.

Connections and bodies use the same bounds as those of the router now: the connection that has made no progress for longest is closed for others, and a request whose body was due is refused as not run with Retry-After. A body takes room as it arrives. At most 64 refusals are sent at the same time.

--- a/crates/daemon/src/filter/mod.rs
+++ b/crates/daemon/src/filter/mod.rs
@@ -9,7 +9,7 @@
 mod deadline;
 mod dispatch;
 pub mod parse;
-mod receive;
+pub mod receive;
 pub mod relay;
 pub mod scan;
 mod text;
@@ -128,4 +128,5 @@
     let status = e.status;
     [StatusCode::BadRequest, StatusCode::PayloadTooLarge, StatusCode::RequestTimeout]
         .contains(&status)
+        || e.code == receive::BUSY
 }
--- a/crates/daemon/src/filter/receive.rs
+++ b/crates/daemon/src/filter/receive.rs
@@ -6,12 +6,12 @@
 use futures_lite::{AsyncReadExt, FutureExt, future::yield_now};
 use http_types::{Body, StatusCode};
 use policy::{Fingerprint, Model, RunStatus, Tokens, Workspace, config::RouteRules};
+use router::resources::{Exhausted, Permit, REQUEST_BYTES};
 use smol::Timer;
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::{
     active::{ActiveConfig, Route},
-    budget::BodyPermit,
     error::CallError,
     filter::{
         Answer, Handler, ParsedRequest, RequestHeaders, RequestTarget,
@@ -28,9 +28,16 @@
 /// that takes longer than this is broken or hostile.
 pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Bytes read before the task yields its thread to others.
+/// Bytes read at once.
+const READ_BYTES: usize = 16 << 10;
+
+/// Bytes read before the task yields its thread to others, and by which the buffer of a long body
+/// grows.
 const READ_CHUNK_BYTES: usize = 256 << 10;
 
+/// Code of the error of a request for which there is no memory.
+pub(super) const BUSY: &str = "busy";
+
 /// Larger bodies are scanned on the blocking thread pool. At about a gigabyte per second, a body of
 /// this size delays the other requests of a thread by a tenth of a millisecond.
 const MAX_INLINE_SCAN_BYTES: usize = 64 << 10;
@@ -48,8 +55,8 @@
     pub headers: RequestHeaders,
     /// The body, unchanged.
     pub body: Bytes,
-    /// The body's share of the instance's memory budget for bodies.
-    pub body_permit: BodyPermit,
+    /// Room for the request and its body in the instance's memory.
+    pub permit: Permit,
     /// Hash of the prompt, or of path and body for a plain service.
     pub fingerprint: Fingerprint,
     /// The configuration in force when the request was identified.
@@ -115,13 +122,10 @@
         let ParsedRequest { target, headers, body, conn, record } = parsed;
         let max = self.shared.settings.max_body;
         check_size(&body, max)?;
-        let mut body_permit = self
-            .shared
-            .body_budget
-            .try_acquire(body.len().unwrap_or(max))
-            .ok_or_else(body_budget_exhausted)?;
-        let body = read_body(body, max).await?;
-        body_permit.shrink_to(body.len());
+        let mut permit = conn.holder().permit();
+        permit.grow(REQUEST_BYTES).await.map_err(|Exhausted| busy())?;
+        let body = read_body(body, max, &mut permit).await?;
+        conn.holder().begin_service();
         let (details, route, fingerprint) = match target {
             RequestTarget::Model(path) => {
                 let scan = scan_body(path, body.clone()).await?;
@@ -149,7 +153,7 @@
             workspace,
             headers,
             body,
-            body_permit,
+            permit,
             fingerprint,
             active,
             conn,
@@ -159,23 +163,24 @@
     }
 }
 
-fn body_budget_exhausted() -> CallError {
+/// The error of a request for which there is no memory.
+pub fn busy() -> CallError {
     CallError {
         status: StatusCode::ServiceUnavailable,
-        code: "busy",
+        code: BUSY,
         message: "too many large requests are coming in at once".to_owned(),
         ran: RunStatus::No,
         retry_after: Some(Duration::from_secs(2)),
     }
 }
 
-async fn read_body(body: Body, max: usize) -> Result<Bytes, CallError> {
+async fn read_body(body: Body, max: usize, permit: &mut Permit) -> Result<Bytes, CallError> {
     let timeout = async {
         Timer::after(BODY_TIMEOUT).await;
         let message = "the body didn't come in time";
         Err(CallError::caller(StatusCode::RequestTimeout, "body_timeout", message))
     };
-    let bytes = read_all(body, max).or(timeout).await?;
+    let bytes = read_all(body, max, permit).or(timeout).await?;
     if bytes.len() > max {
         return Err(too_large(max));
     }
@@ -194,20 +199,32 @@
     CallError::caller(StatusCode::PayloadTooLarge, "body_too_large", message)
 }
 
-/// Reads at most `max + 1` bytes, so that the caller can detect a body that is too large.
-async fn read_all(body: Body, max: usize) -> Result<Bytes, CallError> {
+/// Reads at most `max + 1` bytes, so that the caller can detect a body that is too large. The buffer
+/// grows with what arrives, not with what is announced.
+async fn read_all(mut body: Body, max: usize, permit: &mut Permit) -> Result<Bytes, CallError> {
     let malformed = |_| CallError::malformed("the body broke off or isn't framed as the head says");
     let expected = body.len();
-    let mut bytes = Vec::with_capacity(expected.unwrap_or(0).min(max));
-    let mut body = body.take(max as u64 + 1);
-    loop {
-        let before = bytes.len();
-        let mut step = (&mut body).take(READ_CHUNK_BYTES as u64);
-        step.read_to_end(&mut bytes).await.map_err(malformed)?;
-        if bytes.len() - before < READ_CHUNK_BYTES {
+    let held = permit.bytes();
+    let mut bytes = Vec::new();
+    let mut part = vec![0; expected.map_or(READ_BYTES, |len| len.clamp(1, READ_BYTES))];
+    let mut unyielded = 0;
+    while bytes.len() <= max {
+        let len = body.read(&mut part).await.map_err(malformed)?;
+        if len == 0 {
             break;
         }
-        yield_now().await;
+        if bytes.len() + len > bytes.capacity() {
+            let more = expected.map_or(READ_CHUNK_BYTES, |len| len.saturating_sub(bytes.len()));
+            let more = more.min(bytes.len().clamp(READ_BYTES, READ_CHUNK_BYTES)).max(len);
+            permit.grow_to(held + bytes.len() + more).await.map_err(|Exhausted| busy())?;
+            bytes.reserve_exact(more);
+        }
+        bytes.extend_from_slice(&part[..len]);
+        unyielded += len;
+        if unyielded >= READ_CHUNK_BYTES {
+            unyielded = 0;
+            yield_now().await;
+        }
     }
     if expected.is_some_and(|expected| bytes.len() < expected.min(max)) {
         return Err(CallError::malformed("the body is shorter than `content-length` says"));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod active;
 pub mod admin;
-pub mod budget;
 pub mod checkpoint;
 pub mod cli;
 pub mod controller;
--- a/crates/daemon/src/server/connection.rs
+++ b/crates/daemon/src/server/connection.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use ::router::resources::Holder;
 use async_h1::server::{ConnectionStatus, Server};
 use futures_lite::FutureExt;
 use policy::Time;
@@ -20,8 +21,9 @@
 use crate::{
     endpoint::lock,
     error::CallError,
+    filter::receive,
     record::CallRecord,
-    server::{ListenerContext, final_response, respond, router, stream::CallerStream},
+    server::{ListenerContext, final_response, refuse, respond, router, stream::CallerStream},
 };
 
 /// How long after a request's deadline its caller may still receive the rest of the response.
@@ -32,6 +34,7 @@
 #[derive(Debug)]
 pub struct Connection {
     socket: TcpStream,
+    holder: Arc<Holder>,
     state: Mutex<State>,
     /// Closing this channel ends [`Connection::run`], which closes the connection.
     cut_tx: Sender<()>,
@@ -52,11 +55,16 @@
 
 impl Connection {
     /// Wraps a socket that was accepted at `now`.
-    pub fn new(socket: TcpStream, now: Time) -> Arc<Connection> {
+    pub fn new(socket: TcpStream, holder: Arc<Holder>, now: Time) -> Arc<Connection> {
         let state =
             State { cut_at: Time::MAX, record: None, head_was_read: false, idle_since: now };
         let (cut_tx, cut_rx) = bounded(1);
-        Arc::new(Connection { socket, state: Mutex::new(state), cut_tx, cut_rx })
+        Arc::new(Connection { socket, holder, state: Mutex::new(state), cut_tx, cut_rx })
+    }
+
+    /// What the instance holds for the connection.
+    pub fn holder(&self) -> &Arc<Holder> {
+        &self.holder
     }
 
     /// Whether the peer is a process on this machine.
@@ -67,6 +75,7 @@
     /// Marks the connection as busy, so that a shutdown doesn't close it as idle.
     pub fn begin_request(&self, record: Arc<CallRecord>) {
         lock(&self.state).record = Some(record);
+        self.holder.await_caller();
     }
 
     /// Sets the time at which the connection is closed if the current request hasn't ended.
@@ -99,7 +108,7 @@
         // Disables Nagle's algorithm: tokens are small packets and mustn't wait until the previous
         // one is acknowledged.
         self.socket.set_nodelay(true).ok();
-        let stream = CallerStream::new(self.socket.clone());
+        let stream = CallerStream::new(self.socket.clone(), self.holder.clone());
         let handler = |req| {
             lock(&self.state).head_was_read = true;
             router::route(context, self.clone(), req)
@@ -110,12 +119,26 @@
             // Boxed once here; otherwise every wrapping future would contain its full size.
             let accept = AssertUnwindSafe(Box::pin(server.accept_one())).catch_unwind();
             let accept = async { Some(accept.await) };
+            let evicted = async {
+                self.holder.evicted().await;
+                None
+            };
             let cut = async {
                 // Nothing is ever sent; this completes when the channel is closed.
                 self.cut_rx.recv().await.ok();
                 None
             };
-            let outcome = accept.or(cut).await;
+            let outcome = accept.or(cut).or(evicted).await;
+            if outcome.is_none()
+                && let Some(record) = self.evicted_request()
+            {
+                let e = receive::busy();
+                record.update(|summary| {
+                    (summary.status, summary.outcome) = (e.status.into(), e.code);
+                });
+                let bytes = respond::raw_error(&e, Some(&record.request_id()));
+                return refuse(&context.shared, self.socket.clone(), bytes);
+            }
             let head_was_read = self.finish(context.shared.clock.now());
             let head_has_started = lock(stream.validator()).has_started();
             match outcome {
@@ -128,12 +151,19 @@
         }
     }
 
+    /// The request whose body is due, if the connection makes room for others.
+    fn evicted_request(&self) -> Option<Arc<CallRecord>> {
+        let is_due = self.holder.is_evicted() && self.holder.awaits_caller();
+        lock(&self.state).record.clone().filter(|_| is_due)
+    }
+
     /// Clears the state of the current request, if any. Returns whether its head was parsed.
     fn finish(&self, now: Time) -> bool {
         let mut state = lock(&self.state);
         state.cut_at = Time::MAX;
         state.idle_since = now;
         state.record = None;
+        self.holder.await_caller();
         std::mem::take(&mut state.head_was_read)
     }
 
--- a/crates/daemon/src/server/mod.rs
+++ b/crates/daemon/src/server/mod.rs
@@ -11,7 +11,10 @@
 
 use http_types::StatusCode;
 use policy::RunStatus;
-use smol::{Timer, net::TcpListener};
+use smol::{
+    Timer,
+    net::{TcpListener, TcpStream},
+};
 
 use crate::{error::CallError, filter::Chain, server::connection::Connection, shared::Shared};
 
@@ -30,6 +33,15 @@
 /// delay the loop would keep a thread busy until one is.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Largest head that the HTTP library reads.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+
+/// Connections beyond those of callers that operators may open.
+const OPERATORS_CONNECTIONS: usize = 64;
+
+/// Refusals that are sent at the same time; further connections are just closed.
+const MAX_REFUSALS: usize = 64;
+
 /// What the connections of a listener need to serve requests.
 pub struct ListenerContext {
     /// The state of the instance.
@@ -51,13 +63,14 @@
             Timer::after(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if context.shared.connections.len() >= context.shared.settings.max_connections {
+        let max = context.max_connections();
+        let Some(admitted) = context.shared.resources.admit(max).await else {
             let bytes = respond::raw_error(&too_many_connections_error(), None);
-            context.shared.spawn(async move { final_response::send(stream, &bytes).await });
+            refuse(&context.shared, stream, bytes);
             continue;
-        }
-        let conn = Connection::new(stream, context.shared.clock.now());
-        let registration = registry::register(&context.shared, conn.clone());
+        };
+        let conn = Connection::new(stream, admitted.holder().clone(), context.shared.clock.now());
+        let registration = registry::register(&context.shared, conn.clone(), admitted);
         let context = context.clone();
         context.shared.clone().spawn(async move {
             conn.run(&context).await;
@@ -66,6 +79,29 @@
     }
 }
 
+impl ListenerContext {
+    /// Open connections, of all listeners, at which this one accepts another.
+    fn max_connections(&self) -> usize {
+        let max = self.shared.resources.limits().connections(MAX_HEAD_BYTES);
+        match self.audience {
+            Audience::Callers | Audience::Both => max,
+            Audience::Operators => max + OPERATORS_CONNECTIONS,
+        }
+    }
+}
+
+/// Sends a refusal to a caller whose request isn't read to its end, unless many are being sent.
+fn refuse(shared: &Shared, stream: TcpStream, bytes: Vec<u8>) {
+    let telling = shared.refusals.clone();
+    if Arc::strong_count(&telling) > MAX_REFUSALS {
+        return;
+    }
+    shared.spawn(async move {
+        final_response::send(stream, &bytes).await;
+        drop(telling);
+    });
+}
+
 fn too_many_connections_error() -> CallError {
     CallError {
         status: StatusCode::ServiceUnavailable,
--- a/crates/daemon/src/server/registry.rs
+++ b/crates/daemon/src/server/registry.rs
@@ -41,6 +41,7 @@
 pub(super) struct Registration {
     shared: Arc<Shared>,
     key: u64,
+    _admitted: router::resources::Registration,
 }
 
 impl Registry {
@@ -69,12 +70,16 @@
 }
 
 /// Adds a connection to the registry until the returned value is dropped.
-pub(super) fn register(shared: &Arc<Shared>, conn: Arc<Connection>) -> Registration {
+pub(super) fn register(
+    shared: &Arc<Shared>,
+    conn: Arc<Connection>,
+    admitted: router::resources::Registration,
+) -> Registration {
     let registry = &shared.connections;
     let key = registry.next_key.fetch_add(1, Ordering::Relaxed);
     lock(&registry.connections_by_key).insert(key, conn);
     shared.metrics.connections.add(1, &[]);
-    Registration { shared: shared.clone(), key }
+    Registration { shared: shared.clone(), key, _admitted: admitted }
 }
 
 impl Drop for Registration {
--- a/crates/daemon/src/server/router.rs
+++ b/crates/daemon/src/server/router.rs
@@ -24,6 +24,9 @@
     if context.audience == Audience::Both && admin::is_privileged(&req) && !conn.is_loopback() {
         return Ok(respond::error(&forbidden_error()));
     }
+    if context.audience != Audience::Callers {
+        conn.holder().begin_service();
+    }
     if context.audience != Audience::Callers
         && let Some(resp) = Box::pin(admin::answer(&context.shared, &mut req)).await
     {
--- a/crates/daemon/src/server/stream.rs
+++ b/crates/daemon/src/server/stream.rs
@@ -8,6 +8,7 @@
 };
 
 use futures_lite::{AsyncRead, AsyncWrite};
+use router::resources::Holder;
 use smol::net::TcpStream;
 
 use crate::endpoint::lock;
@@ -109,13 +110,14 @@
 #[derive(Debug, Clone)]
 pub struct CallerStream {
     inner: TcpStream,
+    holder: Arc<Holder>,
     validator: Arc<Mutex<HeadValidator>>,
 }
 
 impl CallerStream {
     /// Wraps `inner` with a validator that is inactive until it is reset.
-    pub fn new(inner: TcpStream) -> Self {
-        CallerStream { inner, validator: Arc::default() }
+    pub fn new(inner: TcpStream, holder: Arc<Holder>) -> Self {
+        CallerStream { inner, holder, validator: Arc::default() }
     }
 
     /// The validator of this socket's request heads.
@@ -131,6 +133,7 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let len = ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        self.holder.record_received(len);
         match lock(&self.validator).check(&buf[..len]) {
             true => Poll::Ready(Ok(len)),
             false => Poll::Ready(Err(io::ErrorKind::InvalidData.into())),
@@ -144,7 +147,12 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let written = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.holder.record_sent(match &written {
+            Poll::Pending => None,
+            Poll::Ready(written) => Some(*written.as_ref().unwrap_or(&0)),
+        });
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -15,12 +15,12 @@
     ledger::Writer,
 };
 use protocols::{engine::wire::Owner, log::http::HttpLog};
+use router::resources::Resources;
 use smol::Executor;
 
 use crate::{
     active::{ActiveConfig, ActiveConfigBuilder, AnyDeployment},
     admin::fleet::StatusQueries,
-    budget::BodyBudget,
     clock::Clock,
     controller::{
         self,
@@ -28,6 +28,7 @@
     },
     endpoint::{Endpoint, LifecycleState, lock},
     ledger::Ledgers,
+    limits,
     metrics::Metrics,
     peer::{EndpointStateUpdate, Message, PeerMesh},
     record::CallRecord,
@@ -109,8 +110,10 @@
     open_requests: Arc<()>,
     /// Pending status queries to other instances.
     pub status_queries: StatusQueries,
-    /// Limits the memory taken by the bodies of requests in flight.
-    pub body_budget: BodyBudget,
+    /// Bounds what callers make the instance hold.
+    pub resources: Arc<Resources>,
+    /// Cloned for each refusal that is being sent on a connection which isn't read any more.
+    pub refusals: Arc<()>,
     /// Open connections of callers and operators.
     pub connections: Registry,
 }
@@ -123,6 +126,7 @@
         metrics: Metrics,
         executor: &Arc<Executor<'static>>,
     ) -> Self {
+        let resources = Resources::new(limits::of_machine(&settings));
         Shared {
             settings,
             owner,
@@ -139,7 +143,8 @@
             next_request: AtomicU64::new(1),
             open_requests: Arc::default(),
             status_queries: StatusQueries::default(),
-            body_budget: BodyBudget::default(),
+            resources,
+            refusals: Arc::default(),
             connections: Registry::default(),
         }
     }
--- a/crates/router/src/resources.rs
+++ b/crates/router/src/resources.rs
@@ -46,7 +46,7 @@
 
 /// Memory of a request in service beside its head and its bodies: its tasks, and the buffers of the
 /// connection to its endpoint.
-pub(crate) const REQUEST_BYTES: usize = 64 << 10;
+pub const REQUEST_BYTES: usize = 64 << 10;
 
 /// A connection that holds at most this much may use the share of the buffers that is kept for small
 /// requests.
@@ -430,6 +430,11 @@
 }
 
 impl Permit {
+    /// The bytes that it permits.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Adds `bytes`, for which other connections are closed if need be.
     ///
     /// # Errors
