Bound the answers of plain services that wait for their callers

What callers saw: on the project's own interface, clients that don't read long answers made a process use up its memory.

Cause: an answer of a plain service of up to 16 MiB is read whole and was copied once more for the connection, and nothing bounded all of them together.

An answer has its room before its body is read, and keeps it until its last byte is sent; it isn't copied any more. Its buffer has the stated size, where reading the end doubled it before. One over the limit isn't read.

--- a/crates/daemon/src/filter/dispatch/service.rs
+++ b/crates/daemon/src/filter/dispatch/service.rs
@@ -8,8 +8,9 @@
 };
 use protocols::{
     engine::wire::FENCING,
-    service::{Header, ServiceAnswer, ServiceCall, ServiceError, http::HttpService},
+    service::{AnswerRoom, Header, ServiceAnswer, ServiceCall, ServiceError, http::HttpService},
 };
+use router::resources::{Holder, Permit};
 
 use crate::{
     endpoint::LifecycleState,
@@ -125,8 +126,9 @@
         let sent_before = std::mem::replace(&mut self.sent, true);
         self.attempts += 1;
         let claim = self.admitted.claim.as_deref();
+        let room = HolderRoom(self.admitted.request.received.conn.holder());
         let may_send = || claim.is_none_or(RunClaim::try_begin_sending);
-        match HttpService::new(endpoint.config.address).call_if(call, may_send).await {
+        match HttpService::new(endpoint.config.address).call_if(call, may_send, &room).await {
             Ok(answer) => {
                 let leaving = answer.leaving;
                 self.shared
@@ -169,6 +171,19 @@
     }
 }
 
+/// Room in the buffers for the connection of a caller.
+struct HolderRoom<'a>(&'a Arc<Holder>);
+
+impl AnswerRoom for HolderRoom<'_> {
+    type Permit = Permit;
+
+    async fn acquire(&self, len: usize) -> Permit {
+        let mut permit = self.0.permit();
+        permit.wait_to_grow_to(len).await;
+        permit
+    }
+}
+
 /// Decides whether an answer goes to the caller or fails the attempt, so that another server is
 /// tried. Only idempotent calls are retried, because a busy server's refusal doesn't prove that the
 /// call didn't run. An error of the service itself, such as 500, goes to the caller.
--- a/crates/daemon/src/server/respond.rs
+++ b/crates/daemon/src/server/respond.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use http_types::{Body, Response, StatusCode};
+use protocols::body::BodyParts;
 
 use crate::{
     error::CallError,
@@ -34,7 +35,7 @@
 /// Builds a response with the given body. A `content_type` that isn't ASCII is left out.
 pub fn bytes(status: StatusCode, content_type: &str, content: Bytes) -> Response {
     let mut resp = Response::new(status);
-    resp.set_body(&content[..]);
+    resp.set_body(BodyParts::body(&[content]));
     if content_type.is_ascii() {
         resp.insert_header("content-type", content_type);
     }
--- a/crates/protocols/src/service/http.rs
+++ b/crates/protocols/src/service/http.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use futures_lite::{AsyncReadExt, FutureExt};
 use http_types::{Request, Response, Url};
 use smol::Timer;
@@ -17,7 +18,7 @@
         wire::{LEAVING, Load},
     },
     http::{HttpCall, HttpError},
-    service::{Header, Service, ServiceAnswer, ServiceCall, ServiceError},
+    service::{AnswerRoom, Header, Service, ServiceAnswer, ServiceCall, ServiceError, Unbounded},
 };
 
 /// Timeout of a load report; the same as for engines.
@@ -27,6 +28,9 @@
 /// only then is it known to be complete.
 const MAX_ANSWER_BYTES: u64 = 16 << 20;
 
+/// Free space in which the end of a body is read. Without it the buffer would be doubled for that.
+const END_READ_BYTES: usize = 64;
+
 /// Response headers that are passed on to callers in addition to the media type. Others concern
 /// only the connection.
 pub const FORWARDED_RESPONSE_HEADERS: [&str; 6] =
@@ -52,6 +56,7 @@
         &self,
         call: ServiceCall,
         may_send: impl Fn() -> bool + Send + Sync,
+        room: &impl AnswerRoom,
     ) -> Result<ServiceAnswer, ServiceError> {
         let sent = AtomicBool::new(false);
         let timeout = call.timeout;
@@ -63,7 +68,7 @@
                 false => ServiceError::NotSent,
             })
         };
-        self.exchange(call, &sent, may_send).or(limit).await
+        self.exchange(call, &sent, may_send, room).or(limit).await
     }
 
     async fn exchange(
@@ -71,6 +76,7 @@
         call: ServiceCall,
         sent: &AtomicBool,
         may_send: impl Fn() -> bool + Send + Sync,
+        room: &impl AnswerRoom,
     ) -> Result<ServiceAnswer, ServiceError> {
         let stream = connect(self.address).await.map_err(|_| ServiceError::NotSent)?;
         let req = request(self.address, call)?;
@@ -79,7 +85,7 @@
         }
         sent.store(true, Ordering::Relaxed);
         let resp = async_h1::connect(stream, req).await.map_err(|_| ServiceError::Broken)?;
-        read(resp).await
+        read(resp, room).await
     }
 }
 
@@ -96,7 +102,7 @@
     }
 
     async fn call(&self, call: ServiceCall) -> Result<ServiceAnswer, ServiceError> {
-        self.call_if(call, || true).await
+        self.call_if(call, || true, &Unbounded).await
     }
 }
 
@@ -112,7 +118,7 @@
     Ok(req)
 }
 
-async fn read(mut resp: Response) -> Result<ServiceAnswer, ServiceError> {
+async fn read(mut resp: Response, room: &impl AnswerRoom) -> Result<ServiceAnswer, ServiceError> {
     let status = u16::from(resp.status());
     // A response without a stated length ends with the connection, so a truncated one can't be
     // detected; the HTTP library reads it as empty. Neither may be passed on to a caller.
@@ -129,7 +135,14 @@
     let headers = headers.collect();
     let leaving = resp.header(LEAVING).is_some();
     let expected = resp.len();
-    let mut body = Vec::new();
+    if expected.is_some_and(|expected| expected as u64 > MAX_ANSWER_BYTES) {
+        return Err(ServiceError::BadAnswer);
+    }
+    let permit = match expected {
+        Some(len) => Some(room.acquire(len).await),
+        None => None,
+    };
+    let mut body = Vec::with_capacity(expected.map_or(0, |len| len + END_READ_BYTES));
     let mut limited = resp.take_body().take(MAX_ANSWER_BYTES + 1);
     limited.read_to_end(&mut body).await.map_err(|_| ServiceError::Broken)?;
     if body.len() as u64 > MAX_ANSWER_BYTES {
@@ -138,5 +151,22 @@
     if expected.is_some_and(|expected| expected != body.len()) {
         return Err(ServiceError::Broken);
     }
-    Ok(ServiceAnswer { status, content_type, headers, leaving, body: body.into() })
+    let permit = match permit {
+        Some(permit) => permit,
+        None => room.acquire(body.len()).await,
+    };
+    let body = Bytes::from_owner(RoomedBody { body, _permit: permit });
+    Ok(ServiceAnswer { status, content_type, headers, leaving, body })
+}
+
+/// A body that keeps its room as long as any part of it is in memory.
+struct RoomedBody<P> {
+    body: Vec<u8>,
+    _permit: P,
+}
+
+impl<P> AsRef<[u8]> for RoomedBody<P> {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
 }
--- a/crates/protocols/src/service/mod.rs
+++ b/crates/protocols/src/service/mod.rs
@@ -49,6 +49,25 @@
     pub body: Bytes,
 }
 
+/// Room for answers in the caller's memory.
+pub trait AnswerRoom: Sync {
+    /// Keeps the room until it is dropped.
+    type Permit: Send + Sync + 'static;
+
+    /// Waits for room for `len` bytes.
+    fn acquire(&self, len: usize) -> impl Future<Output = Self::Permit> + Send;
+}
+
+/// Room without bounds.
+#[derive(Debug, Clone, Copy)]
+pub struct Unbounded;
+
+impl AnswerRoom for Unbounded {
+    type Permit = ();
+
+    async fn acquire(&self, _: usize) {}
+}
+
 /// Why a call has no complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServiceError {
