Bound the queue of log lines by its bytes

What callers could do: ids of requests are logged as their callers sent them, up to the size of a head, and 4,096 lines wait while nobody reads the log: 64 MB.

The queue is bounded by 4 MiB now, three quarters of it for routine lines; what is left out is counted as before.

Read, not measured with a process.

--- a/crates/daemon/src/logging/queue.rs
+++ b/crates/daemon/src/logging/queue.rs
@@ -21,6 +21,11 @@
 /// important lines.
 const MAX_LINES_FOR_ROUTINE: usize = 3_072;
 
+/// Maximum size of all queued lines in bytes, and of those up to which routine lines are queued.
+/// Lines hold texts of callers, such as request ids.
+const MAX_BYTES: usize = 4 << 20;
+const MAX_BYTES_FOR_ROUTINE: usize = MAX_BYTES / 4 * 3;
+
 /// How long closing the writer waits until the queued lines are written.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -36,6 +41,7 @@
 #[derive(Debug, Default)]
 struct State {
     lines: VecDeque<Vec<u8>>,
+    queued_bytes: usize,
     dropped_routine: u64,
     dropped_important: u64,
     is_waiting: bool,
@@ -65,15 +71,18 @@
     /// Adds a line, or drops and counts it if the queue is too full for its priority.
     pub fn push(&self, line: Vec<u8>, priority: LinePriority) {
         let mut state = self.state();
-        let limit =
-            if priority == LinePriority::Routine { MAX_LINES_FOR_ROUTINE } else { MAX_LINES };
-        if state.lines.len() >= limit {
+        let (max_lines, max_bytes) = match priority {
+            LinePriority::Routine => (MAX_LINES_FOR_ROUTINE, MAX_BYTES_FOR_ROUTINE),
+            LinePriority::Important => (MAX_LINES, MAX_BYTES),
+        };
+        if state.lines.len() >= max_lines || state.queued_bytes + line.len() > max_bytes {
             match priority {
                 LinePriority::Routine => state.dropped_routine += 1,
                 LinePriority::Important => state.dropped_important += 1,
             }
             return;
         }
+        state.queued_bytes += line.len();
         state.lines.push_back(line);
         // A writer that isn't waiting checks the queue again by itself.
         if mem::take(&mut state.is_waiting) {
@@ -113,7 +122,9 @@
             state = self.0.changed.wait(state).unwrap_or_else(PoisonError::into_inner);
         }
         state.is_writing = true;
-        let mut bytes: Vec<u8> = state.lines.drain(..).flatten().collect();
+        state.queued_bytes = 0;
+        let lines: Vec<Vec<u8>> = state.lines.drain(..).collect();
+        let mut bytes = lines.concat();
         let routine = mem::take(&mut state.dropped_routine);
         let important = mem::take(&mut state.dropped_important);
         if routine + important > 0 {
--- a/crates/daemon/tests/log_queue.rs
+++ b/crates/daemon/tests/log_queue.rs
@@ -47,6 +47,33 @@
     }
 }
 
+/// Guards against lines with long texts of callers, such as request ids, which take up memory while
+/// nobody reads the log.
+#[test]
+fn long_lines_are_bounded_by_their_bytes() {
+    const LINE_BYTES: usize = 16 << 10;
+    const MAX_BYTES: usize = 4 << 20;
+    let (queue, output) = (LineQueue::default(), SharedBuffer::default());
+    let (unblock_tx, unblock_rx) = mpsc::channel();
+    let writer = queue.write_to(BlockedWriter { unblock_rx, output: output.clone() }).unwrap();
+    queue.push(b"first\n".to_vec(), LinePriority::Important);
+    // The writer takes the first line and blocks.
+    std::thread::sleep(Duration::from_millis(50));
+    for priority in [LinePriority::Routine, LinePriority::Important] {
+        for _ in 0..1_000 {
+            queue.push([&[b'x'; LINE_BYTES - 1][..], b"\n"].concat(), priority);
+        }
+    }
+    drop(unblock_tx);
+    writer.close();
+    let text = output.text();
+    assert!(text.len() < MAX_BYTES + LINE_BYTES, "{} bytes", text.len());
+    let kept = text.lines().filter(|line| line.starts_with('x')).count();
+    assert_eq!(kept, MAX_BYTES / LINE_BYTES);
+    let dropped = "routine=808 kept=936";
+    assert!(text.contains(dropped), "{:?}", text.lines().find(|line| line.contains("left_out")));
+}
+
 #[test]
 fn lines_keep_their_order() {
     let (queue, output) = (LineQueue::default(), SharedBuffer::default());
