Bound what is read ahead while an instance starts

What callers could do: in the first 0.9 s of an instance, 32 KB of each request's body are read while it waits. Bytes alone counted, so that 32,768 chunks of one byte were kept as entries of their own, and nothing bounded all requests together.

Found by reading. A short frame counts as 256 bytes now, and a request takes room for what it reads ahead from the buffers of all connections; without room its caller waits with its body.

The new case of read_ahead.rs kept 25,600 frames of one byte before where 100 are allowed. Not measured with a process.

--- a/crates/router/src/filter/read_ahead.rs
+++ b/crates/router/src/filter/read_ahead.rs
@@ -10,6 +10,9 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 
+/// What a frame counts for at least: its entry, and its part of the read buffer that it keeps alive.
+const MIN_FRAME_BYTES: usize = 256;
+
 /// A body whose first frames may have been read already. They are yielded first.
 #[derive(Debug)]
 pub struct ReadAhead<B: Body> {
@@ -24,8 +27,8 @@
         ReadAhead { frames: VecDeque::new(), rest: Some(body) }
     }
 
-    /// Reads until the body ends or `max_bytes` have been read; the last frame may exceed them.
-    /// Nothing is lost if the future is dropped.
+    /// Reads until the body ends or `max_bytes` have been read, where a short frame counts as
+    /// [`MIN_FRAME_BYTES`]; the last frame may exceed them. Nothing is lost if the future is dropped.
     pub(super) async fn read_ahead(&mut self, max_bytes: usize) {
         let mut bytes = 0;
         while bytes < max_bytes
@@ -36,7 +39,7 @@
                 self.rest = None;
             }
             if let Some(Ok(frame)) = &frame {
-                bytes += frame.data_ref().map_or(0, Bytes::len);
+                bytes += frame.data_ref().map_or(0, Bytes::len).max(MIN_FRAME_BYTES);
             }
             self.frames.extend(frame);
         }
@@ -115,6 +118,15 @@
             assert_eq!(body.frames.len(), 10);
         };
 
+        /// Guards against memory that each of many short frames takes up beside its bytes.
+        short_frames_count_for_more_than_their_bytes => || {
+            let frame = || Ok::<_, io::Error>(Frame::data(Bytes::from_static(b"x")));
+            let short = iter::repeat_with(frame).take(100_000);
+            let mut body = ReadAhead::new(StreamBody::new(stream::iter(short)));
+            smol::block_on(body.read_ahead(100 * MIN_FRAME_BYTES));
+            assert_eq!(body.frames.len(), 100);
+        };
+
         /// Guards against a body over the limit that is read because its stated length is lost.
         the_stated_length_is_kept => || {
             let content = Bytes::from(vec![7; 10 * FRAME_BYTES]);
--- a/crates/router/src/filter/start.rs
+++ b/crates/router/src/filter/start.rs
@@ -26,6 +26,7 @@
 use crate::{
     clock::Clock,
     request_body::RequestBody,
+    resources::Holder,
     state::{Configuration, Groups, Lifecycle},
 };
 
@@ -87,11 +88,17 @@
         let arrived = self.clock.now();
         let (head, body) = req.into_parts();
         let mut body = ReadAhead::new(body);
+        let holder = head.extensions.get::<Arc<Holder>>().cloned();
+        let mut permit = holder.map(|holder| holder.permit());
         let read = async {
-            body.read_ahead(MAX_READ_AHEAD_BYTES).await;
+            // Without room the caller waits with the rest of its body.
+            if permit.as_mut().is_some_and(|p| p.try_grow(MAX_READ_AHEAD_BYTES).is_ok()) {
+                body.read_ahead(MAX_READ_AHEAD_BYTES).await;
+            }
             future::pending().await
         };
         self.wait_for_first_state().or(read).await;
+        drop(permit);
         self.next.handle(Admitted { req: Request::from_parts(head, body), arrived }).await
     }
 }
