Count long heads where the limit of heads is large

A connection counts with 64 KB of its head at most. What a head exceeds that by takes room from the buffers while it arrives, three times, as its buffer is doubled and copied while it grows; without room its connection is closed.

--- a/crates/router/src/connection_use.rs
+++ b/crates/router/src/connection_use.rs
@@ -15,7 +15,14 @@
     io::{AsyncRead, AsyncWrite},
 };
 
-use crate::{lock, resources::Holder, signal::Signal};
+use crate::{
+    lock,
+    resources::{CONNECTION_HEAD_BYTES, Exhausted, Holder, Permit},
+    signal::Signal,
+};
+
+/// What a byte of a long head takes up: its buffer is doubled as it grows, and copied.
+const HEAD_GROWTH: usize = 3;
 
 /// The use of one connection.
 #[derive(Debug, Clone)]
@@ -35,6 +42,9 @@
     idle_from: Instant,
     /// When the first bytes of a head arrived whose request isn't in flight yet.
     head_from: Option<Instant>,
+    /// Bytes received since then, and room for those beyond what is the connection's own.
+    head_bytes: usize,
+    head_permit: Permit,
 }
 
 /// How long callers may keep a connection waiting.
@@ -58,8 +68,14 @@
 impl ConnectionUse {
     /// Starts with a new connection.
     pub(crate) fn new(holder: Arc<Holder>) -> ConnectionUse {
-        let state =
-            State { in_flight: 0, has_served: false, idle_from: Instant::now(), head_from: None };
+        let state = State {
+            in_flight: 0,
+            has_served: false,
+            idle_from: Instant::now(),
+            head_from: None,
+            head_bytes: 0,
+            head_permit: holder.permit(),
+        };
         ConnectionUse {
             state: Arc::new(Mutex::new(state)),
             ended: Arc::default(),
@@ -79,6 +95,8 @@
         state.in_flight += 1;
         state.has_served = true;
         state.head_from = None;
+        state.head_bytes = 0;
+        state.head_permit.shrink_to(0);
         drop(state);
         self.holder.await_caller();
         InUse(self.clone())
@@ -125,14 +143,24 @@
         });
     }
 
-    fn record_bytes(&self) {
+    /// Records received bytes. Fails where they are of a long head for which there is no room.
+    fn record_bytes(&self, len: usize) -> Result<(), Exhausted> {
         let mut state = lock(&self.state);
-        if state.in_flight == 0 && state.head_from.is_none() {
+        if state.in_flight > 0 {
+            return Ok(());
+        }
+        state.head_bytes += len;
+        let missing = state.head_bytes.saturating_sub(CONNECTION_HEAD_BYTES).min(len);
+        if missing > 0 {
+            state.head_permit.try_grow(HEAD_GROWTH * missing)?;
+        }
+        if state.head_from.is_none() {
             state.head_from = Some(Instant::now());
             drop(state);
             self.holder.await_caller();
             self.changed.raise();
         }
+        Ok(())
     }
 }
 
@@ -176,8 +204,10 @@
         if let Poll::Ready(Ok(len)) = read
             && len > 0
         {
-            self.connection_use.record_bytes();
             self.connection_use.holder.record_received(len);
+            if let Err(Exhausted) = self.connection_use.record_bytes(len) {
+                return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+            }
         }
         read
     }
--- a/crates/router/src/resources.rs
+++ b/crates/router/src/resources.rs
@@ -38,6 +38,10 @@
 /// Memory of a connection beside its head: its tasks and its buffers for reading and writing.
 const CONNECTION_BYTES: usize = 16 << 10;
 
+/// Part of a head that counts as the connection's own. What is longer needs room in the buffers, so
+/// that a large limit of heads doesn't leave a machine with few connections.
+pub(crate) const CONNECTION_HEAD_BYTES: usize = 64 << 10;
+
 /// Descriptors that aren't for callers: files, listeners, connections to peers and the log service.
 const RESERVED_FILES: usize = 256;
 
@@ -86,8 +90,8 @@
 
     /// Connections of callers that may be open at once where heads have at most this size.
     pub fn connections(&self, max_head_bytes: usize) -> usize {
-        let by_memory =
-            self.memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES.saturating_add(max_head_bytes);
+        let connection_bytes = CONNECTION_BYTES + max_head_bytes.min(CONNECTION_HEAD_BYTES);
+        let by_memory = self.memory / CONNECTIONS_DIVISOR / connection_bytes;
         let by_files = self.open_files.saturating_sub(RESERVED_FILES) / FILES_PER_CONNECTION;
         self.max_connections.min(by_memory).min(by_files).max(1)
     }
