Don't serve a request whose connection is being closed

Found by reading the change: where the last bytes of a body came while its connection was being closed for others, the request went on to an endpoint and was cut off there, although it could have been refused as not run.

Whether a connection is served or closed is decided under one lock now, and a request whose connection is being closed is refused with 503. The new case of resources.rs asks for the service of such a connection; no play has shown the race.

--- a/crates/daemon/src/filter/receive.rs
+++ b/crates/daemon/src/filter/receive.rs
@@ -125,7 +125,9 @@
         let mut permit = conn.holder().permit();
         permit.grow(REQUEST_BYTES).await.map_err(|Exhausted| busy())?;
         let body = read_body(body, max, &mut permit).await?;
-        conn.holder().begin_service();
+        if !conn.holder().begin_service() {
+            return Err(busy());
+        }
         let (details, route, fingerprint) = match target {
             RequestTarget::Model(path) => {
                 let scan = scan_body(path, body.clone()).await?;
--- a/crates/daemon/src/server/router.rs
+++ b/crates/daemon/src/server/router.rs
@@ -24,8 +24,8 @@
     if context.audience == Audience::Both && admin::is_privileged(&req) && !conn.is_loopback() {
         return Ok(respond::error(&forbidden_error()));
     }
-    if context.audience != Audience::Callers {
-        conn.holder().begin_service();
+    if context.audience != Audience::Callers && !conn.holder().begin_service() {
+        return Ok(respond::error(&filter::receive::busy()));
     }
     if context.audience != Audience::Callers
         && let Some(resp) = Box::pin(admin::answer(&context.shared, &mut req)).await
--- a/crates/router/src/filter/receive.rs
+++ b/crates/router/src/filter/receive.rs
@@ -30,8 +30,8 @@
 /// Timeout of requests whose caller states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// `Retry-After` of requests for which an instance has no memory: most answers that take up the rest
-/// have been read by then.
+/// `Retry-After` of requests for which an instance has no memory, as all of it is for requests in
+/// service.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Memory of an entry in a map of headers, beside its text.
@@ -128,7 +128,9 @@
             Err(Refusal::not_run(Reason::Overloaded, OVERLOAD_RETRY_AFTER))
         };
         let body = read.or(timed_out).or(cut_off).or(evicted).await?;
-        holder.begin_service();
+        if !holder.begin_service() {
+            return Err(Refusal::not_run(Reason::Overloaded, OVERLOAD_RETRY_AFTER));
+        }
         let fingerprint = fingerprint(&head, &owner, &body);
         let parts = part_fingerprints(&caller);
         let forwarded = head.extensions.get().cloned();
--- a/crates/router/src/peer_listener.rs
+++ b/crates/router/src/peer_listener.rs
@@ -45,8 +45,9 @@
             net::set_connection_options(&stream);
             match first_bytes(stream).await {
                 Ok(stream) if stream.first == HTTP2_PREFACE => {
-                    registration.holder().begin_service();
-                    snapshots.serve(stream).await;
+                    if registration.holder().begin_service() {
+                        snapshots.serve(stream).await;
+                    }
                 }
                 Ok(stream) => serve::serve_stream(stream, None, requests, registration).await,
                 Err(e) => log::debug!(cause:% = e; "peer_connection_ended"),
--- a/crates/router/src/resources.rs
+++ b/crates/router/src/resources.rs
@@ -261,8 +261,10 @@
             if freed >= needed {
                 break;
             }
+            if !holder.evict() {
+                continue;
+            }
             freed += worth;
-            holder.evict();
             match wanted {
                 Wanted::Connections(_) => self.totals.evicted_for_connections += 1,
                 Wanted::Bytes(_) => self.totals.evicted_for_memory += 1,
@@ -362,9 +364,14 @@
         use_.restart();
     }
 
-    /// Records that the caller has done its part, and that the instance serves its request.
-    pub fn begin_service(&self) {
-        lock(&self.use_).awaits_caller = false;
+    /// Records that the caller has done its part, and that the instance serves its request. Returns
+    /// false if the connection is being closed; the request must not be served then.
+    #[must_use]
+    pub fn begin_service(&self) -> bool {
+        let mut use_ = lock(&self.use_);
+        let is_served = !self.is_evicted();
+        use_.awaits_caller &= !is_served;
+        is_served
     }
 
     /// Records bytes that were received from the caller.
@@ -394,9 +401,15 @@
         self.evicted.wait().await;
     }
 
-    fn evict(&self) {
-        self.is_evicted.store(true, Ordering::Release);
-        self.evicted.set();
+    /// Has the connection closed, unless its request has come to be served meanwhile.
+    fn evict(&self) -> bool {
+        let use_ = lock(&self.use_);
+        let is_evicted = use_.waiting_since().is_some();
+        if is_evicted {
+            self.is_evicted.store(true, Ordering::Release);
+            self.evicted.set();
+        }
+        is_evicted
     }
 
     /// Permission to buffer nothing yet, which can grow.
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -213,8 +213,8 @@
                 false
             };
             let is_reusable = unread.discard().or(ended).await;
-            holder.begin_service();
-            if !is_reusable || is_outdated.load(Ordering::Relaxed) {
+            let is_kept = is_reusable && holder.begin_service();
+            if !is_kept || is_outdated.load(Ordering::Relaxed) {
                 resp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(resp.map(|body| TrackedBody::new(body, in_use)))
--- a/crates/router/tests/resources.rs
+++ b/crates/router/tests/resources.rs
@@ -34,7 +34,7 @@
 /// A connection whose request is being served.
 fn served(resources: &Arc<Resources>) -> Registration {
     let registration = open(resources);
-    registration.holder().begin_service();
+    assert!(registration.holder().begin_service());
     registration
 }
 
@@ -96,6 +96,16 @@
         assert_eq!(resources.usage().totals.refused_connections, 1);
     };
 
+    /// Guards against a request that is served although its connection is being closed.
+    a_request_of_an_evicted_connection_is_not_served => || {
+        let resources = resources();
+        let open = open(&resources);
+        assert!(block_on(resources.admit(1)).is_none(), "the connection isn't closed in time");
+        assert!(open.holder().is_evicted());
+        assert!(!open.holder().begin_service());
+        assert!(open.holder().awaits_caller());
+    };
+
     /// Guards against permits that are counted twice or not returned.
     permits_are_returned => || {
         let resources = resources();
