Forget what an engine's former figures predicted

What callers saw: after an absurd figure of an engine had been replaced, requests were refused as too_late for 10 s and more.

Cause: the engine's pass in progress is predicted when a first event arrives. With a step of 1e9 ms it ended weeks later, and nothing shortened it when the figures were replaced, so that every prompt seemed to wait for it. The learned slowdown was a ratio to the former figures as well.

Where the figures of a group change, the predicted end of the pass is dropped and the slowdown starts anew; the next events teach it.

--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -241,6 +241,9 @@
 
     /// Replaces the engine rules; a group without them is one of plain services.
     pub fn set_rules(&mut self, rules: Option<EngineRules>) {
+        if self.rules != rules {
+            self.servers.values_mut().for_each(Server::forget_rules);
+        }
         self.rules = rules;
     }
 
--- a/crates/policy/src/placement/prefill.rs
+++ b/crates/policy/src/placement/prefill.rs
@@ -71,6 +71,8 @@
 pub(super) struct PrefillQueue {
     /// Time up to which the engine is simulated; after now if a pass is in progress.
     simulated_until: f64,
+    /// The end of the pass in progress was predicted by other rules.
+    is_pass_outdated: bool,
     /// Waiting parts, and what the pass in progress will leave of its parts.
     waiting: Vec<Part>,
     /// What the pass in progress prefills.
@@ -95,7 +97,12 @@
 
 impl PrefillQueue {
     pub(super) fn new(now: f64) -> PrefillQueue {
-        PrefillQueue { simulated_until: now, waiting: Vec::new(), in_pass: Vec::new() }
+        PrefillQueue {
+            simulated_until: now,
+            is_pass_outdated: false,
+            waiting: Vec::new(),
+            in_pass: Vec::new(),
+        }
     }
 
     pub(super) fn add(&mut self, part: Part) {
@@ -124,6 +131,11 @@
         self.simulated_until = self.simulated_until.max(ends);
     }
 
+    /// Forgets the predicted end of the pass in progress, because the engine has other rules now.
+    pub(super) fn forget_pass_end(&mut self) {
+        self.is_pass_outdated = true;
+    }
+
     /// How many of the `running` requests are prefilled and decode.
     pub(super) fn decoding_count(&self, running: u32) -> u32 {
         let pending = self.waiting.iter().filter(|part| part.is_head).count();
@@ -160,6 +172,9 @@
         end: f64,
         mut on_completion: impl FnMut(PartCompletion),
     ) {
+        if std::mem::take(&mut self.is_pass_outdated) {
+            self.simulated_until = self.simulated_until.min(end);
+        }
         let mut decoding = self.decoding_count(speed.running);
         for _ in 0..MAX_SIMULATED_PASSES {
             if self.simulated_until >= end || end.is_infinite() && self.waiting.is_empty() {
--- a/crates/policy/src/placement/server.rs
+++ b/crates/policy/src/placement/server.rs
@@ -193,6 +193,12 @@
         self.stalled_ms = self.unanswered.stalled_ms(update_delay_ms, millis(now));
     }
 
+    /// Forgets what was predicted and learned by rules that have been replaced.
+    pub(super) fn forget_rules(&mut self) {
+        self.prefill_queue.forget_pass_end();
+        self.slowdown = 1.0;
+    }
+
     fn advance(&mut self, rules: &EngineRules, now: Time) {
         let (speed, unanswered) = (self.speed(rules), &mut self.unanswered);
         self.prefill_queue.simulate(speed, millis(now), |completion| {
