--- a/crates/daemon/tests/misbehaving_clients.rs
+++ b/crates/daemon/tests/misbehaving_clients.rs
@@ -157,15 +157,10 @@
     fn start(script: Script) -> Router {
         let endpoint = Endpoint::start("i-1", vec![script]);
         let store = Store::start();
-        let mut config = wire::config(1);
-        config["Limits"]["MaxBodyBytes"] = MAX_BODY.into();
-        config["Limits"]["MaxHeaderBytes"] = MAX_HEAD.into();
         // A crowd that stays is not cut off by the time limits of its requests.
-        for route in config["Routes"].as_array_mut().unwrap() {
-            route["TimeoutMs"] = 60_000.into();
-        }
-        store.put("keyed.op", "config", config.to_string().as_bytes());
-        wire::register_with(&store, &endpoint, json!({"Slots": 1_000}));
+        let config = wire::bounded_config(MAX_HEAD, MAX_BODY, 60_000);
+        wire::publish(&store, &config);
+        wire::register_large(&store, &endpoint);
         let [listen, ready, peers] = [(); 3].map(|()| common::unused_address());
         let mut settings = machine_settings();
         settings["instance"] = "entry-1".into();
@@ -195,12 +190,10 @@
         self.process.address
     }
 
-    /// Publishes another limit of callers' requests, and waits until it is in force.
-    fn set_limit(&mut self, name: &str, value: usize) {
-        self.config["Version"] = 2.into();
-        self.config["Limits"][name] = value.into();
-        self.config["Routes"][0]["PathPrefix"] = "/new/".into();
-        self.store.put("keyed.op", "config", self.config.to_string().as_bytes());
+    /// Publishes another limit of heads, and waits until it is in force.
+    fn set_max_head(&mut self, bytes: usize) {
+        self.config = wire::with_head_bytes(&self.config, bytes);
+        wire::publish(&self.store, &self.config);
         wait_until("the limit is in force", || {
             let probe = self.process.ordinary.replace("/r/x", "/new/x");
             !exchange(self.address(), &probe).starts_with("HTTP/1.1 404")
@@ -214,15 +207,6 @@
     }
 }
 
-/// Head of a request to the router, without the header that frames its body.
-fn router_head(path: &str, framing: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: desk.example\r\nTrefoilhall-Attempt-Id: r1\r\n\
-         Trefoilhall-Deadline-Ms: 60000\r\nApi-Key: {}\r\n{framing}\r\n",
-        wire::KEY
-    )
-}
-
 /// A process that serves the project's own interface, with a plain service.
 struct Own {
     process: Process,
@@ -324,7 +308,7 @@
         let _alone = alone();
         let mut router = Router::start(endpoint_script());
         let address = router.address();
-        let head = router_head(path, framing);
+        let head = wire::request_head(path, framing);
         let clients = crowd(count, || connect(address), send_all([head.as_bytes(), body]));
         router.process.bears(name, clients);
     }
@@ -350,7 +334,7 @@
         let mut router = Router::start(endpoint_script());
         let mut stream = connect(router.address());
         stream.set_read_timeout(Some(common::WAIT_TIMEOUT)).unwrap();
-        let head = router_head("/o/x", CHUNKED);
+        let head = wire::request_head("/o/x", CHUNKED);
         stream.set_write_timeout(None).unwrap();
         let mut body = chunks(MAX_BODY, 1);
         body.extend_from_slice(b"0\r\n\r\n");
@@ -398,7 +382,7 @@
         let _alone = alone();
         let mut router = Router::start(endpoint_script());
         let address = router.address();
-        let head = router_head("/r/x", CHUNKED).replace(wire::KEY, "k-unknown");
+        let head = wire::request_head("/r/x", CHUNKED).replace(wire::KEY, "k-unknown");
         let body = chunks(MAX_BODY, 64 << 10);
         let clients = crowd(CROWD, || connect(address), send_all([head.as_bytes(), &body]));
         router.process.bears("without a key", clients);
@@ -408,7 +392,7 @@
     #[test]
     fn heads_of_short_headers() {
         let framing = format!("Content-Length: {MAX_BODY}\r\n");
-        let head = head_of_short_headers(&router_head("/r/x", &framing));
+        let head = head_of_short_headers(&wire::request_head("/r/x", &framing));
         let _alone = alone();
         let mut router = Router::start(endpoint_script());
         let address = router.address();
@@ -422,7 +406,7 @@
         let _alone = alone();
         let mut router = Router::start(endpoint_script());
         let address = router.address();
-        let head = router_head("/o/held", &format!("Content-Length: {MAX_BODY}\r\n"));
+        let head = wire::request_head("/o/held", &format!("Content-Length: {MAX_BODY}\r\n"));
         let body = vec![b'x'; MAX_BODY];
         let clients = crowd(CROWD, || connect(address), send_all([head.as_bytes(), &body]));
         router.process.bears("requests in flight", clients);
@@ -432,7 +416,7 @@
         let _alone = alone();
         let mut router = Router::start(endpoint_script());
         let address = router.address();
-        let head = router_head(path, "Content-Length: 4\r\n");
+        let head = wire::request_head(path, "Content-Length: 4\r\n");
         let connect = || connect_with_small_window(address);
         let clients = crowd(count, connect, send_all([head.as_bytes(), b"body"]));
         router.process.bears(name, clients);
@@ -456,7 +440,7 @@
         let _alone = alone();
         let mut router = Router::start(endpoint_script());
         let address = router.address();
-        let head = router_head("/r/large", "Content-Length: 4\r\n");
+        let head = wire::request_head("/r/large", "Content-Length: 4\r\n");
         let connect = || connect_with_small_window(address);
         let clients = crowd(CROWD, connect, |stream| {
             send_all([head.as_bytes(), b"body"])(stream)?;
@@ -470,9 +454,9 @@
     fn long_heads_that_dont_end() {
         let _alone = alone();
         let mut router = Router::start(endpoint_script());
-        router.set_limit("MaxHeaderBytes", 4 << 20);
+        router.set_max_head(4 << 20);
         let address = router.address();
-        let head = format!("{}x-note: {}", router_head("/r/x", ""), "n".repeat(3 << 20));
+        let head = format!("{}x-note: {}", wire::request_head("/r/x", ""), "n".repeat(3 << 20));
         let head = head.replacen("\r\n\r\n", "\r\n", 1);
         let clients = crowd(CROWD, || connect(address), send_all([head.as_bytes()]));
         router.process.bears("long heads", clients);
@@ -484,7 +468,7 @@
         let _alone = alone();
         let mut router = Router::start(endpoint_script());
         let address = router.address();
-        let head = router_head("/r/x", CHUNKED);
+        let head = wire::request_head("/r/x", CHUNKED);
         let body = chunks(MAX_BODY - (64 << 10), 64 << 10);
         let clients = crowd(
             CROWD,
@@ -504,10 +488,10 @@
         let mut router = Router::start(endpoint_script());
         let address = router.address();
         let body = chunks(MAX_BODY - (64 << 10), 64 << 10);
-        let unfinished = router_head("/r/x", CHUNKED);
-        let held = router_head("/o/held", &format!("Content-Length: {MAX_BODY}\r\n"));
+        let unfinished = wire::request_head("/r/x", CHUNKED);
+        let held = wire::request_head("/o/held", &format!("Content-Length: {MAX_BODY}\r\n"));
         let [large, events] =
-            ["/r/large", "/s/events"].map(|path| router_head(path, "Content-Length: 4\r\n"));
+            ["/r/large", "/s/events"].map(|path| wire::request_head(path, "Content-Length: 4\r\n"));
         let whole = vec![b'x'; MAX_BODY];
         let requests: [[&[u8]; 2]; 4] = [
             [unfinished.as_bytes(), &body],
@@ -553,7 +537,7 @@
     /// Guards against the same where a request has begun.
     #[test]
     fn connections_with_an_unfinished_body() {
-        let head = router_head("/r/x", CHUNKED);
+        let head = wire::request_head("/r/x", CHUNKED);
         let _alone = alone();
         let mut router = Router::start(endpoint_script());
         let address = router.address();
@@ -565,7 +549,7 @@
     /// Guards against the same where a head has begun.
     #[test]
     fn connections_with_an_unfinished_head() {
-        let head = head_of_short_headers(&router_head("/r/x", CHUNKED));
+        let head = head_of_short_headers(&wire::request_head("/r/x", CHUNKED));
         let _alone = alone();
         let mut router = Router::start(endpoint_script());
         let address = router.address();
