Split the tests of crowds into files

The processes under test, what their clients do, and the cases of the router and of the project's own interface now have a file each. No case, crowd or bound is changed.

--- /dev/null
+++ b/crates/daemon/tests/misbehaving_clients/own_interface.rs
@@ -0,0 +1,137 @@
+//! Crowds against the project's own interface.
+
+use std::{
+    io,
+    net::{SocketAddr, TcpStream},
+    process::{Child, Command},
+};
+
+use crate::{
+    clients::*,
+    common::{self, Daemon, wait_until},
+    platform_standins::endpoint::Endpoint,
+    process::*,
+};
+
+/// A process that serves the project's own interface, with a plain service.
+struct Own {
+    process: Process,
+    _daemon: Daemon,
+    _service: Endpoint,
+}
+
+/// Head of a request to the own interface, without the header that frames its body.
+fn own_head(path: &str, framing: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {}\r\nx-deadline-ms: 60000\r\n\
+         {framing}\r\n",
+        common::KEY
+    )
+}
+
+impl Own {
+    fn start() -> Own {
+        let service = Endpoint::start("i-1", vec![endpoint_script()]);
+        let site = common::Site {
+            engines: Vec::new(),
+            services: vec![service.address],
+            policy: "trefoilhall",
+            more: "",
+        };
+        let mut settings = machine_settings().to_string();
+        settings.pop();
+        let more = settings.trim_start_matches('{').replace(r#","threads":1"#, "");
+        let mut daemon = Daemon::start_with("own", &site, &more);
+        let child = std::mem::replace(&mut daemon.child, placeholder());
+        let ordinary = common::post("/services/desk/x", "body");
+        let process = Process { child, address: daemon.address, ordinary };
+        wait_until("an ordinary request is answered", || process.is_answered());
+        Own { process, _daemon: daemon, _service: service }
+    }
+}
+
+/// A process that has ended, in place of one that is watched elsewhere.
+fn placeholder() -> Child {
+    Command::new("true").spawn().unwrap()
+}
+
+fn bears(
+    name: &str,
+    count: usize,
+    connect: impl Fn(SocketAddr) -> TcpStream + Sync,
+    send: impl Fn(&mut TcpStream) -> io::Result<()> + Sync,
+) {
+    let _alone = alone();
+    let mut own = Own::start();
+    let address = own.process.address;
+    let clients = crowd(count, || connect(address), send);
+    own.process.bears(name, clients);
+}
+
+/// Guards against memory for bodies that never end, sent in large chunks.
+#[test]
+fn own_unfinished_bodies_in_large_chunks() {
+    let head = own_head("/services/desk/x", CHUNKED);
+    let body = chunks(MAX_BODY - (64 << 10), 64 << 10);
+    bears("own, large chunks", CROWD, connect, send_all([head.as_bytes(), &body]));
+}
+
+/// Guards against the same in small chunks.
+#[test]
+fn own_unfinished_bodies_in_small_chunks() {
+    let head = own_head("/services/desk/x", CHUNKED);
+    let body = chunks(MAX_BODY / 4, 1);
+    bears("own, small chunks", CROWD, connect, send_all([head.as_bytes(), &body]));
+}
+
+/// Guards against memory for bodies with a length of which the last byte never comes.
+#[test]
+fn own_unfinished_bodies_with_a_length() {
+    let framing = format!("Content-Length: {MAX_BODY}\r\n");
+    let head = own_head("/services/desk/x", &framing);
+    let body = vec![b'x'; MAX_BODY - 1];
+    bears("own, with a length", CROWD, connect, send_all([head.as_bytes(), &body]));
+}
+
+/// Guards against room for bodies that is taken up by callers who announce them.
+#[test]
+fn own_announced_bodies_that_dont_come() {
+    let framing = format!("Content-Length: {MAX_BODY}\r\n");
+    let head = own_head("/services/desk/x", &framing);
+    bears("own, announced", CROWD, connect, send_all([head.as_bytes(), b"x"]));
+}
+
+/// Guards against bodies over the limit, announced or just sent.
+#[test]
+fn own_bodies_over_the_limit() {
+    let framing = format!("Content-Length: {}\r\n", 20 * MAX_BODY);
+    let announced = own_head("/services/desk/x", &framing);
+    let sent = own_head("/services/desk/x", CHUNKED);
+    let (plain, chunked) = (vec![b'x'; 20 * MAX_BODY], chunks(20 * MAX_BODY, 64 << 10));
+    let send = send_all([announced.as_bytes(), &plain]);
+    bears("own, announced over the limit", CROWD, connect, send);
+    let send = send_all([sent.as_bytes(), &chunked]);
+    bears("own, sent over the limit", CROWD, connect, send);
+}
+
+/// Guards against memory for answers that their callers don't read.
+#[test]
+fn own_long_answers_that_nobody_reads() {
+    let head = own_head("/services/desk/large", "Content-Length: 4\r\n");
+    let send = send_all([head.as_bytes(), b"body"]);
+    bears("own, long answers", CROWD, connect_with_small_window, send);
+}
+
+/// Guards against connections without a request that keep ordinary callers out.
+#[test]
+fn own_connections_without_a_request() {
+    bears("own, idle connections", 3 * MAX_CONNECTIONS, connect, |_| Ok(()));
+}
+
+/// Guards against connections with a part of a request that keep ordinary callers out.
+#[test]
+fn own_connections_with_an_unfinished_body() {
+    let head = own_head("/services/desk/x", CHUNKED);
+    let send = send_all([head.as_bytes(), b"1\r\nx\r\n"]);
+    bears("own, unfinished bodies", 3 * MAX_CONNECTIONS, connect, send);
+}
