Forget failures of endpoints that a cut path explains

What callers saw: after an instance's path to the endpoints works again, its requests all go to one endpoint, and a failed one isn't repeated elsewhere.

Cause: endpoints that refused two connections during the cut count as dead until a probe some seconds later. Where all did, all are used; where chance left one with a single failure, only that one is. The same failures were told to the other instances at the first connection after the cut.

When a probe finds the path open, failures that no connection elsewhere has confirmed are forgotten. A dead endpoint is found again after two connections.

The new case of unreached.rs fails without it (1 endpoint used of 12).

--- a/crates/policy/src/health/mod.rs
+++ b/crates/policy/src/health/mod.rs
@@ -132,6 +132,14 @@
         }
     }
 
+    /// Forgets failures of an endpoint, and restores it if it is ejected. One that is too slow is
+    /// ejected again at the next assessment.
+    pub fn forget_failures(&mut self, endpoint: &EndpointId) {
+        if let Some(record) = self.records.get_mut(endpoint) {
+            record.forget_failures();
+        }
+    }
+
     /// Records a first token that arrived after `taken` where `predicted` was expected.
     pub fn record_answer(&mut self, endpoint: &EndpointId, taken: Duration, predicted: Duration) {
         if let Some(record) = self.records.get_mut(endpoint) {
--- a/crates/policy/src/health/record.rs
+++ b/crates/policy/src/health/record.rs
@@ -49,6 +49,10 @@
         self.refused = 0;
     }
 
+    pub(super) fn forget_failures(&mut self) {
+        (self.failures, self.refused, self.ejections, self.ejected) = (0, 0, 0, None);
+    }
+
     pub(super) fn is_ejected(&self) -> bool {
         self.ejected.is_some()
     }
--- a/crates/policy/src/placement/failures.rs
+++ b/crates/policy/src/placement/failures.rs
@@ -30,6 +30,22 @@
         }
     }
 
+    /// Forgets failures that the path to the endpoints explains, because a path that was cut works
+    /// again.
+    ///
+    /// Guards against requests that all go to the few endpoints which happened to fail less often
+    /// during the cut, and against other instances that are told of its failures afterwards.
+    pub fn forget_unconfirmed_failures(&mut self) {
+        if !std::mem::take(&mut self.has_unconfirmed_failures) {
+            return;
+        }
+        for (endpoint, server) in &mut self.servers {
+            if std::mem::take(&mut server.unconfirmed_failure) {
+                self.health.forget_failures(endpoint);
+            }
+        }
+    }
+
     /// Has the other instances told of failures at endpoints other than `reached`.
     ///
     /// Guards against an instance that is cut off, fails everywhere, and has endpoints that serve
--- a/crates/policy/tests/unreached.rs
+++ b/crates/policy/tests/unreached.rs
@@ -80,6 +80,35 @@
     /// Guards against the same where the cut breaks what runs.
     broken_runs_of_cut_instances_eject_nothing => || ejects_nothing(FailCause::Broken);
 
+    /// Guards against requests that all go to one endpoint after a cut, because the others failed
+    /// more often while it lasted.
+    endpoints_are_used_again_after_a_cut => || {
+        let mut scheduler = scheduler(0);
+        let spared = arranging::id(0);
+        for round in 0..3 {
+            let mut tried = vec![(spared.clone(), policy::Incarnation(1))];
+            for _ in 1..ENDPOINTS {
+                let request = PlacementRequest { tried: tried.clone(), ..arranging::request(0) };
+                let placement = scheduler.place(&request, at(round)).unwrap();
+                tried.push((placement.endpoint, placement.incarnation));
+                scheduler.finish(placement.job, Some(FailCause::NotSent), at(round));
+            }
+        }
+        for _ in 0..ENDPOINTS {
+            let placement = scheduler.place(&arranging::request(0), at(200)).unwrap();
+            assert_eq!(placement.endpoint, spared);
+            scheduler.finish(placement.job, Some(FailCause::Deadline), at(200));
+        }
+        scheduler.forget_unconfirmed_failures();
+        assert_eq!(endpoints_used(&mut scheduler, at(400)), ENDPOINTS);
+        scheduler.record_connect_time(&spared, Duration::from_millis(2));
+        let mut other = self::scheduler(1);
+        for name in ["entry-1", "entry-2", "entry-3"] {
+            tell(&mut scheduler, name, &mut other, at(410));
+        }
+        assert_eq!(endpoints_used(&mut other, at(500)), ENDPOINTS);
+    };
+
     /// Guards against a dead endpoint that each instance has to find out about by itself.
     failures_beside_a_connection_elsewhere_are_told => || {
         let mut sound = scheduler(0);
--- a/crates/router/src/filter/forward.rs
+++ b/crates/router/src/filter/forward.rs
@@ -141,6 +141,7 @@
         let probe = async move {
             let is_reached = stays_open(address).await;
             if lock(&group.path).record_probe(is_reached, clock.now()) {
+                lock(&group.scheduler).forget_unconfirmed_failures();
                 log::info!(group = group.name.as_str(); "path_open");
             }
         };
