--- a/crates/daemon/tests/misbehaving_clients/clients.rs
+++ b/crates/daemon/tests/misbehaving_clients/clients.rs
@@ -99,3 +99,17 @@
     }
     Ok(())
 }
+
+/// Reads up to `len` bytes as fast as they come.
+pub fn read_some(stream: &mut TcpStream, len: usize) -> io::Result<()> {
+    stream.set_read_timeout(Some(SEND_TIMEOUT))?;
+    let mut buf = vec![0; 64 << 10];
+    let mut read = 0;
+    while read < len {
+        match stream.read(&mut buf)? {
+            0 => break,
+            n => read += n,
+        }
+    }
+    Ok(())
+}
--- a/crates/daemon/tests/misbehaving_clients/main.rs
+++ b/crates/daemon/tests/misbehaving_clients/main.rs
@@ -6,9 +6,11 @@
 
 #![allow(clippy::unwrap_used, unreachable_pub)]
 
+mod changes;
 mod clients;
 #[path = "../common/mod.rs"]
 mod common;
+mod names;
 mod own_interface;
 mod process;
 mod router;
--- a/crates/daemon/tests/misbehaving_clients/own_interface.rs
+++ b/crates/daemon/tests/misbehaving_clients/own_interface.rs
@@ -14,14 +14,14 @@
 };
 
 /// A process that serves the project's own interface, with a plain service.
-struct Own {
-    process: Process,
-    _daemon: Daemon,
+pub struct Own {
+    pub process: Process,
+    daemon: Daemon,
     _service: Endpoint,
 }
 
 /// Head of a request to the own interface, without the header that frames its body.
-fn own_head(path: &str, framing: &str) -> String {
+pub fn own_head(path: &str, framing: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {}\r\nx-deadline-ms: 60000\r\n\
          {framing}\r\n",
@@ -30,7 +30,7 @@
 }
 
 impl Own {
-    fn start() -> Own {
+    pub fn start() -> Own {
         let service = Endpoint::start("i-1", vec![endpoint_script()]);
         let site = common::Site {
             engines: Vec::new(),
@@ -46,7 +46,7 @@
         let ordinary = common::post("/services/desk/x", "body");
         let process = Process { child, address: daemon.address, ordinary };
         wait_until("an ordinary request is answered", || process.is_answered());
-        Own { process, _daemon: daemon, _service: service }
+        Own { process, daemon, _service: service }
     }
 }
 
@@ -135,3 +135,33 @@
     let send = send_all([head.as_bytes(), b"1\r\nx\r\n"]);
     bears("own, unfinished bodies", 3 * MAX_CONNECTIONS, connect, send);
 }
+
+/// Guards against memory for configurations that never end.
+#[test]
+fn own_configurations_that_never_end() {
+    let len = 8 << 20;
+    let head = own_head("/admin/publish", &format!("Content-Length: {len}\r\n"));
+    let body = vec![b'{'; len - 1];
+    bears("own, configurations", CROWD, connect, send_all([head.as_bytes(), &body]));
+}
+
+/// Guards against requests on the connections for other instances.
+#[test]
+fn own_connections_to_the_listener_for_peers() {
+    let _alone = alone();
+    let mut own = Own::start();
+    let peers = own.daemon.peer_address;
+    let mut clients = crowd(3 * MAX_CONNECTIONS, || connect(peers), |_| Ok(()));
+    let junk = vec![0xff; 1 << 20];
+    clients.extend(crowd(CROWD, || connect(peers), send_all([&junk])));
+    own.process.bears("own, peers", clients);
+}
+
+/// Guards against input that the kernel keeps behind requests in service.
+#[test]
+fn own_input_behind_a_request_in_service() {
+    let head = own_head("/services/desk/held", &format!("Content-Length: {MAX_BODY}\r\n"));
+    let mut body = vec![b'x'; MAX_BODY];
+    body.extend_from_slice(&head.repeat(8 * MAX_BODY / head.len()).into_bytes());
+    bears("own, input behind a request", CROWD, connect, send_all([head.as_bytes(), &body]));
+}
--- a/crates/daemon/tests/misbehaving_clients/process.rs
+++ b/crates/daemon/tests/misbehaving_clients/process.rs
@@ -1,6 +1,7 @@
 //! Processes under test, each on a machine of its own size.
 
 use std::{
+    collections::HashSet,
     fs,
     net::{SocketAddr, TcpStream},
     process::{Child, Command, Stdio},
@@ -70,6 +71,29 @@
         line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() >> 10
     }
 
+    /// Resident memory now, with the bytes that the kernel holds for the process's connections, in
+    /// megabytes.
+    pub fn held_mb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+        let resident = line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() << 10;
+        (resident + self.queued_bytes()) >> 20
+    }
+
+    /// Bytes that have been received and not read, or written and not acknowledged.
+    fn queued_bytes(&self) -> u64 {
+        let files = fs::read_dir(format!("/proc/{}/fd", self.id())).unwrap();
+        let links = files.flatten().filter_map(|file| fs::read_link(file.path()).ok());
+        let links: HashSet<String> = links.map(|link| link.display().to_string()).collect();
+        let table = fs::read_to_string(format!("/proc/{}/net/tcp", self.id())).unwrap();
+        let queues = table.lines().skip(1).filter_map(|line| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            links.contains(&format!("socket:[{}]", fields[9])).then_some(fields[4])?.split_once(':')
+        });
+        let size = |text| u64::from_str_radix(text, 16).unwrap();
+        queues.map(|(sent, received)| size(sent) + size(received)).sum()
+    }
+
     pub fn open_files(&self) -> usize {
         fs::read_dir(format!("/proc/{}/fd", self.id())).unwrap().count()
     }
@@ -78,6 +102,12 @@
         exchange(self.address, &self.ordinary).starts_with("HTTP/1.1 200")
     }
 
+    /// Sends a signal with the `kill` command, such as `-TERM`.
+    pub fn signal(&self, signal: &str) {
+        let id = self.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
     pub fn address_is_open(&self) -> bool {
         TcpStream::connect(self.address).is_ok()
     }
@@ -85,13 +115,18 @@
     pub fn assert_bounds(&mut self, crowd: &str) {
         assert_eq!(self.child.try_wait().unwrap(), None, "the process has ended: {crowd}");
         let (peak, files) = (self.peak_mb(), self.open_files());
-        eprintln!("{crowd}: {peak} MB, {files} open files");
+        let held = self.held_mb();
+        eprintln!(
+            "{crowd}: {peak} MB, with the kernel's buffers {held} MB now, {files} open files"
+        );
         assert!(peak <= MACHINE_MB, "{crowd}: {peak} MB of {MACHINE_MB}");
+        assert!(held <= MACHINE_MB, "{crowd}: {held} MB of {MACHINE_MB} with the kernel's buffers");
         assert!(files <= MACHINE_FILES, "{crowd}: {files} open files of {MACHINE_FILES}");
     }
 
     /// Checks the process beside a crowd that is still connected, and an ordinary caller's answer.
     pub fn bears(&mut self, crowd: &str, clients: Vec<TcpStream>) {
+        self.assert_bounds(crowd);
         thread::sleep(SETTLE_TIME);
         self.assert_bounds(crowd);
         let answer = exchange(self.address, &self.ordinary);
@@ -123,6 +158,8 @@
     pub ready: SocketAddr,
     /// For other instances.
     pub peers: SocketAddr,
+    /// For collectors of metrics.
+    pub metrics: SocketAddr,
     pub endpoint: Endpoint,
     pub store: Store,
     pub config: Value,
@@ -130,19 +167,25 @@
 }
 
 impl Router {
-    /// Starts it with one endpoint that follows this script.
+    /// Starts it with one endpoint that follows this script, and waits until it is ready.
     pub fn start(script: Script) -> Router {
+        let router = Router::start_unready(script);
+        router.publish();
+        router
+    }
+
+    /// Starts it without a configuration.
+    pub fn start_unready(script: Script) -> Router {
         let endpoint = Endpoint::start("i-1", vec![script]);
         let store = Store::start();
         // A crowd that stays is not cut off by the time limits of its requests.
         let config = wire::bounded_config(MAX_HEAD, MAX_BODY, 60_000);
-        wire::publish(&store, &config);
-        wire::register_large(&store, &endpoint);
-        let [listen, ready, peers] = [(); 3].map(|()| common::unused_address());
+        let [listen, ready, peers, metrics] = [(); 4].map(|()| common::unused_address());
         let mut settings = machine_settings();
         settings["instance"] = "entry-1".into();
         settings["data_centre"] = "a".into();
         settings["listen"] = listen.to_string().into();
+        settings["admin_listen"] = metrics.to_string().into();
         settings["peer_listen"] = peers.to_string().into();
         settings["routing"] = json!({
             "log_service": store.address.to_string(), "ready_listen": ready.to_string(),
@@ -158,15 +201,21 @@
             .unwrap();
         let ordinary = wire::request("/r/x", wire::KEY, 10_000, "Connection: close\r\n");
         let process = Process { child, address: listen, ordinary };
-        wait_until("the router is ready", || process.address_is_open());
-        wait_until("an ordinary request is answered", || process.is_answered());
-        Router { process, ready, peers, endpoint, store, config, _folder: folder }
+        wait_until("the router listens", || process.address_is_open());
+        Router { process, ready, peers, metrics, endpoint, store, config, _folder: folder }
     }
 
     pub fn address(&self) -> SocketAddr {
         self.process.address
     }
 
+    /// Publishes the configuration, and waits until it is in force.
+    pub fn publish(&self) {
+        wire::publish(&self.store, &self.config);
+        wire::register_large(&self.store, &self.endpoint);
+        wait_until("an ordinary request is answered", || self.process.is_answered());
+    }
+
     /// Publishes another limit of heads, and waits until it is in force.
     pub fn set_max_head(&mut self, bytes: usize) {
         self.config = wire::with_head_bytes(&self.config, bytes);
--- a/crates/daemon/tests/misbehaving_clients/router.rs
+++ b/crates/daemon/tests/misbehaving_clients/router.rs
@@ -260,3 +260,130 @@
     let clients = crowd(3 * MAX_CONNECTIONS, || connect(address), send);
     router.process.bears("unfinished heads", clients);
 }
+
+/// Guards against the kernel's buffers of connections whose requests are in service, which count as
+/// the process's memory. A long body lets their receive buffers grow.
+#[test]
+fn input_behind_a_request_in_service() {
+    let head = wire::request_head("/o/held", &format!("Content-Length: {MAX_BODY}\r\n"));
+    let mut body = vec![b'x'; MAX_BODY];
+    body.extend_from_slice(&head.repeat(8 * MAX_BODY / head.len()).into_bytes());
+    bears_bodies(
+        "input behind a request",
+        "/o/held",
+        &format!("Content-Length: {MAX_BODY}\r\n"),
+        &body,
+        CROWD,
+    );
+}
+
+/// Guards against answers to many requests that were sent at once, on connections that nobody reads.
+#[test]
+fn answers_to_many_requests_that_nobody_reads() {
+    let _alone = alone();
+    let mut router = Router::start(endpoint_script());
+    let address = router.address();
+    let request = wire::request_head("/r/large", "Content-Length: 4\r\n") + "body";
+    let requests = request.repeat(1_000);
+    let connect = || connect_with_small_window(address);
+    let clients = crowd(CROWD, connect, send_all([requests.as_bytes()]));
+    router.process.bears("many requests at once", clients);
+}
+
+/// Guards against bodies and answers that an instance holds for the callers of its peers.
+#[test]
+fn requests_that_peers_pass_on() {
+    let _alone = alone();
+    let mut router = Router::start(endpoint_script());
+    let peers = router.peers;
+    let forwarded = format!("Forwarded-Attempts: 1\r\nContent-Length: {MAX_BODY}\r\n");
+    let held = wire::request_head("/o/held", &forwarded);
+    let whole = vec![b'x'; MAX_BODY];
+    let large = wire::request_head("/r/large", "Forwarded-Attempts: 1\r\nContent-Length: 4\r\n");
+    let mut clients = crowd(CROWD, || connect(peers), send_all([held.as_bytes(), &whole]));
+    let connect = || connect_with_small_window(peers);
+    clients.extend(crowd(CROWD, connect, send_all([large.as_bytes(), b"body"])));
+    router.process.bears("requests of peers", clients);
+}
+
+/// Guards against pages for collectors and probes that nobody reads.
+#[test]
+fn pages_that_nobody_reads() {
+    let _alone = alone();
+    let mut router = Router::start(endpoint_script());
+    let mut clients = Vec::new();
+    for (address, path) in [(router.metrics, "/metrics"), (router.ready, "/readyz")] {
+        let requests = format!("GET {path} HTTP/1.1\r\nhost: h\r\n\r\n").repeat(5_000);
+        let connect = || connect_with_small_window(address);
+        clients.extend(crowd(CROWD, connect, send_all([requests.as_bytes()])));
+    }
+    router.process.bears("pages", clients);
+}
+
+/// Guards against memory for trailers and for extensions of chunks, which are no part of a body.
+#[test]
+fn bodies_with_long_framing() {
+    let long = "x".repeat(4 << 20);
+    let extension = format!("1;{long}\r\nx\r\n");
+    bears_bodies("extensions of chunks", "/r/x", CHUNKED, extension.as_bytes(), CROWD);
+    let trailers = format!("1\r\nx\r\n0\r\n{}", "a: b\r\n".repeat(1 << 20));
+    bears_bodies("trailers", "/r/x", CHUNKED, trailers.as_bytes(), CROWD);
+}
+
+/// Guards against small requests that are sent all at once, whose answers nobody reads: they wait in
+/// the kernel's buffers.
+#[test]
+fn small_requests_at_once_that_nobody_reads() {
+    let _alone = alone();
+    let mut router = Router::start(answer());
+    let address = router.address();
+    let request = wire::request_head("/r/x", "Content-Length: 4\r\n") + "body";
+    let requests = request.repeat(2 * MAX_BODY / request.len());
+    let connect = || connect_with_small_window(address);
+    let clients = crowd(CROWD, connect, send_all([requests.as_bytes()]));
+    router.process.bears("small requests at once", clients);
+}
+
+/// Guards against callers that stop reading once the kernel has enlarged its buffers for them.
+#[test]
+fn events_that_are_read_in_part() {
+    let _alone = alone();
+    let mut router = Router::start(endpoint_script());
+    let address = router.address();
+    let head = wire::request_head("/s/events", "Content-Length: 4\r\n");
+    let clients = crowd(
+        CROWD,
+        || connect(address),
+        |stream| {
+            send_all([head.as_bytes(), b"body"])(stream)?;
+            read_some(stream, 4 * MAX_BODY)
+        },
+    );
+    router.process.bears("events read in part", clients);
+}
+
+/// Guards against a large limit of heads that lets bodies take up more than their size.
+#[test]
+fn unfinished_bodies_where_heads_may_be_long() {
+    let _alone = alone();
+    let mut router = Router::start(endpoint_script());
+    router.set_max_head(4 << 20);
+    let address = router.address();
+    let head = wire::request_head("/r/x", CHUNKED);
+    let body = chunks(MAX_BODY - (64 << 10), 64 << 10);
+    let clients = crowd(CROWD, || connect(address), send_all([head.as_bytes(), &body]));
+    router.process.bears("bodies, heads may be long", clients);
+}
+
+/// Guards against a large limit of heads that lets answers which nobody reads go uncounted.
+#[test]
+fn long_answers_where_heads_may_be_long() {
+    let _alone = alone();
+    let mut router = Router::start(endpoint_script());
+    router.set_max_head(4 << 20);
+    let address = router.address();
+    let head = wire::request_head("/r/large", "Content-Length: 4\r\n");
+    let connect = || connect_with_small_window(address);
+    let clients = crowd(CROWD, connect, send_all([head.as_bytes(), b"body"]));
+    router.process.bears("answers, heads may be long", clients);
+}
