Read bodies in parts that don't enlarge hyper's buffer

What callers saw: with MaxHeaderBytes of 4 MiB, 120 unfinished bodies took up 69 MB of a machine of 64.

Cause: hyper enlarges its read buffer whenever a read fills it, up to the largest head that is allowed, and keeps it while it passes bodies on. Only heads counted towards the buffers.

A connection reads 16 KB at most at once, so that a buffer has 32 KB while no head needs more. With heads of up to 16 KB nothing changes.

Measured (x86-64, alone): unfinished_bodies_where_heads_may_be_long failed with 69 MB and holds.

--- a/crates/router/src/connection_use.rs
+++ b/crates/router/src/connection_use.rs
@@ -24,6 +24,10 @@
 /// What a byte of a long head takes up: its buffer is doubled as it grows, and copied.
 const HEAD_GROWTH: usize = 3;
 
+/// Bytes that are read at once. hyper enlarges its buffer where a read fills it, up to the largest
+/// head that is allowed, also for bodies.
+const MAX_READ_BYTES: usize = 16 << 10;
+
 /// The use of one connection.
 #[derive(Debug, Clone)]
 pub(crate) struct ConnectionUse {
@@ -200,7 +204,8 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let len = buf.len().min(MAX_READ_BYTES);
+        let read = Pin::new(&mut self.stream).poll_read(cx, &mut buf[..len]);
         if let Poll::Ready(Ok(len)) = read
             && len > 0
         {
