Ask a body for more only when its connection has written the rest

What callers saw: with MaxHeaderBytes of 4 MiB, 120 answers of 3 MB that nobody read took up 403 MB of a machine of 64.

Cause: hyper takes as much of a body over as the largest head has, and the body with its part of the buffers is dropped once all of it is taken over, though nothing of it is sent.

A body now waits while 64 KB of its connection are unwritten, so that what waits for a caller counts until it is sent.

--- a/crates/router/src/connection_use.rs
+++ b/crates/router/src/connection_use.rs
@@ -5,10 +5,11 @@
     io,
     pin::Pin,
     sync::{Arc, Mutex},
-    task::{Context, Poll},
+    task::{Context, Poll, Waker, ready},
     time::{Duration, Instant},
 };
 
+use bytes::Buf;
 use http_body::{Body, Frame, SizeHint};
 use smol::{
     Timer,
@@ -28,6 +29,10 @@
 /// head that is allowed, also for bodies.
 const MAX_READ_BYTES: usize = 16 << 10;
 
+/// Bytes of a response that wait to be written when its body isn't asked for more. What hyper has
+/// taken over doesn't count towards the buffers, and it takes as much as the largest head has.
+const MAX_UNWRITTEN_BYTES: usize = 64 << 10;
+
 /// The use of one connection.
 #[derive(Debug, Clone)]
 pub(crate) struct ConnectionUse {
@@ -49,6 +54,9 @@
     /// Bytes received since then, and room for those beyond what is the connection's own.
     head_bytes: usize,
     head_permit: Permit,
+    /// Bytes of bodies that hyper has taken over and not written, and who waits for it.
+    unwritten_bytes: usize,
+    waker: Option<Waker>,
 }
 
 /// How long callers may keep a connection waiting.
@@ -79,6 +87,8 @@
             head_from: None,
             head_bytes: 0,
             head_permit: holder.permit(),
+            unwritten_bytes: 0,
+            waker: None,
         };
         ConnectionUse {
             state: Arc::new(Mutex::new(state)),
@@ -141,10 +151,34 @@
     }
 
     fn record_written(&self, written: &Poll<io::Result<usize>>) {
-        self.holder.record_sent(match written {
+        let len = match written {
             Poll::Pending => None,
             Poll::Ready(written) => Some(*written.as_ref().unwrap_or(&0)),
-        });
+        };
+        self.holder.record_sent(len);
+        let mut state = lock(&self.state);
+        // Heads are written too, and count as if they were of a body.
+        state.unwritten_bytes = state.unwritten_bytes.saturating_sub(len.unwrap_or(0));
+        if state.unwritten_bytes < MAX_UNWRITTEN_BYTES
+            && let Some(waker) = state.waker.take()
+        {
+            drop(state);
+            waker.wake();
+        }
+    }
+
+    /// Waits until less of a body has to be written.
+    fn poll_write_room(&self, cx: &Context<'_>) -> Poll<()> {
+        let mut state = lock(&self.state);
+        if state.unwritten_bytes < MAX_UNWRITTEN_BYTES {
+            return Poll::Ready(());
+        }
+        state.waker = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
+    fn record_unwritten(&self, bytes: usize) {
+        lock(&self.state).unwritten_bytes += bytes;
     }
 
     /// Records received bytes. Fails where they are of a long head for which there is no room.
@@ -252,13 +286,13 @@
 #[derive(Debug)]
 pub(crate) struct TrackedBody<B> {
     body: B,
-    _in_use: InUse,
+    in_use: InUse,
 }
 
 impl<B> TrackedBody<B> {
     /// Attaches the guard of the body's request.
     pub(crate) fn new(body: B, in_use: InUse) -> TrackedBody<B> {
-        TrackedBody { body, _in_use: in_use }
+        TrackedBody { body, in_use }
     }
 }
 
@@ -270,7 +304,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        ready!(self.in_use.0.poll_write_room(cx));
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame {
+            self.in_use.0.record_unwritten(frame.data_ref().map_or(0, Buf::remaining));
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
