Evict connections that are being closed, too

By reading: a connection that a stop, an idle timeout or a new limit of heads closes is left to hyper until the rest of its response is written, and nothing looks for room there any more. A crowd that reads such rests slowly keeps its connections, and new callers are refused.

--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -276,7 +276,12 @@
         }
         Event::Unused | Event::Overdue(Overdue::Idle) => {
             serving.as_mut().graceful_shutdown();
-            serving.await
+            // The rest of a response may wait for a caller that reads slowly.
+            let evicted = async {
+                holder.evicted().await;
+                Ok(())
+            };
+            serving.or(evicted).await
         }
     };
     if let Err(e) = result {
