Bound the kernel's buffers of connections for probes and metrics

What callers saw: 240 clients that sent 5,000 requests each to the listeners for probes and metrics, and read nothing, took up 65 MB of a machine of 64.

Cause: the kernel took the requests over, 200 KB for each connection; bytes that were received and not read count as memory of the process.

These listeners get a receive buffer of 16 KB, which their requests don't fill.

--- a/crates/router/src/instance.rs
+++ b/crates/router/src/instance.rs
@@ -125,8 +125,8 @@
         let metrics = Metrics::new(&configuration, &groups, &lifecycle, &resources, clock);
         let metrics = Arc::new(metrics.map_err(StartError::Metrics)?);
         let callers = net::listen(settings.listen).map_err(bind_error(settings.listen))?;
-        let ready =
-            net::listen(settings.ready_listen).map_err(bind_error(settings.ready_listen))?;
+        let ready = net::listen_for_probes(settings.ready_listen)
+            .map_err(bind_error(settings.ready_listen))?;
         let socket =
             net::bind_udp(settings.link_listen).await.map_err(bind_error(settings.link_listen))?;
         let peers = net::listen(settings.link_listen).map_err(bind_error(settings.link_listen))?;
@@ -196,7 +196,7 @@
             lifecycle: lifecycle.clone(),
         };
         if let Some(address) = settings.metrics_listen {
-            let listener = net::listen(address).map_err(bind_error(address))?;
+            let listener = net::listen_for_probes(address).map_err(bind_error(address))?;
             let page = Arc::new(MetricsPage { metrics, lifecycle: lifecycle.clone() });
             spawn_listener("metrics", listener, page, &resources, &executor);
         }
--- a/crates/router/src/net.rs
+++ b/crates/router/src/net.rs
@@ -25,15 +25,35 @@
 /// Unanswered probes after which the connection is closed.
 const MAX_KEEP_ALIVE_PROBES: u32 = 3;
 
+/// Receive buffer of connections on which only short requests come.
+const PROBE_RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+
 /// Binds a TCP listener.
 ///
 /// # Errors
 ///
 /// Fails where the address can't be bound.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    bind(address, None)
+}
+
+/// Binds a TCP listener for probes and collectors of metrics, whose requests are short.
+///
+/// # Errors
+///
+/// As [`listen`].
+pub fn listen_for_probes(address: SocketAddr) -> io::Result<TcpListener> {
+    bind(address, Some(PROBE_RECEIVE_BUFFER_BYTES))
+}
+
+fn bind(address: SocketAddr, receive_buffer: Option<usize>) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     // Connections in TIME_WAIT must not keep a restarted process from binding.
     socket.set_reuse_address(true)?;
+    if let Some(bytes) = receive_buffer {
+        // Accepted connections inherit it.
+        socket.set_recv_buffer_size(bytes)?;
+    }
     socket.bind(&address.into())?;
     socket.listen(ACCEPT_BACKLOG)?;
     socket.set_nonblocking(true)?;
