Bound what the kernel holds for callers that stop reading

What callers saw: 120 callers that read 4 MB of a fast stream and then stopped took up 137 MB of a machine of 64 with the kernel's buffers.

Cause: the kernel enlarges its buffers as long as both sides are fast, those of the caller's connection and those of the endpoint's. Nothing counted them.

A caller's connection takes over 16 KB that can't be sent yet (TCP_NOTSENT_LOWAT, which doesn't bound what is in transit). A stream's connection to its endpoint keeps a receive buffer of 64 KB, the size that Linux begins with, and a stream whose queue is full needs room for it.

--- a/crates/router/src/filter/attempt.rs
+++ b/crates/router/src/filter/attempt.rs
@@ -15,7 +15,7 @@
     client::conn::http1,
 };
 use policy::FailCause;
-use smol::{Executor, Task, Timer, future::FutureExt};
+use smol::{Executor, Task, Timer, future::FutureExt, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
 use std::sync::Arc;
 
@@ -37,6 +37,10 @@
 /// buffers of a connection would otherwise grow to 400 KB each.
 const MAX_CONNECTION_BUFFER_BYTES: usize = 16 << 10;
 
+/// Receive buffer of a connection with a stream, whose kernel would otherwise enlarge it by megabytes
+/// for an endpoint that is faster than its caller.
+pub(super) const STREAM_RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
 /// The largest response body that is buffered as a whole.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -49,6 +53,7 @@
     /// from one whose endpoint has stopped.
     pub(super) ends_with_connection: bool,
     _connection: Task<()>,
+    socket: TcpStream,
 }
 
 /// Why an attempt has no response.
@@ -80,7 +85,7 @@
     let connect_time = started.elapsed();
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_CONNECTION_BUFFER_BYTES)
-        .handshake(FuturesIo::new(stream))
+        .handshake(FuturesIo::new(stream.clone()))
         .await
         .map_err(|_| AttemptError::NotSent { is_refused: false })?;
     let connection_task = executor.spawn(async move {
@@ -109,7 +114,13 @@
         || head.headers.contains_key(header::CONTENT_LENGTH)
         || body.is_end_stream();
     let ends_with_connection = !is_framed;
-    Ok(EndpointResponse { head, body, ends_with_connection, _connection: connection_task })
+    Ok(EndpointResponse {
+        head,
+        body,
+        ends_with_connection,
+        _connection: connection_task,
+        socket: stream,
+    })
 }
 
 /// Whether the body has no transfer coding but chunked. Others aren't decoded here, and some hide a
@@ -126,6 +137,11 @@
 }
 
 impl EndpointResponse {
+    /// Bounds what the kernel holds of a stream that isn't read, because its caller is slow.
+    pub(super) fn limit_receive_buffer(&self) {
+        net::limit_receive_buffer(&self.socket, STREAM_RECEIVE_BUFFER_BYTES);
+    }
+
     /// Reads the whole body of a response that isn't for a caller.
     pub(super) async fn collect(self, timeout: Duration) -> Result<Payload, FailCause> {
         let whole = async {
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -19,10 +19,12 @@
 use smol::{
     Timer,
     channel::{Sender, bounded},
+    lock::Mutex,
 };
 
 use super::{
     Refusal, ResponseBody,
+    attempt::STREAM_RECEIVE_BUFFER_BYTES,
     body::{EventBody, QueuedEvent, TruncatedResponse},
     call::{Call, OUTCOME_FINISHED, OtherAttempt},
     hedge::{self, Either, race},
@@ -130,7 +132,29 @@
     Fault,
 }
 
-type EventSender = Sender<Result<QueuedEvent, TruncatedResponse>>;
+/// The queue of events for a caller.
+struct EventSender {
+    queue: Sender<Result<QueuedEvent, TruncatedResponse>>,
+    /// Room for what the kernel receives while the queue is full and the stream isn't read.
+    unread: Mutex<Permit>,
+}
+
+impl EventSender {
+    /// Queues an event as soon as its caller has taken enough of those before. Fails if the caller
+    /// has left.
+    async fn send(&self, event: QueuedEvent) -> Result<(), StreamError> {
+        if self.queue.is_full() {
+            self.unread.lock().await.wait_to_grow_to(STREAM_RECEIVE_BUFFER_BYTES).await;
+        }
+        self.queue.send(Ok(event)).await.map_err(|_| StreamError::CallerLeft)
+    }
+
+    /// Ends the stream so that it doesn't look complete.
+    async fn truncate(&self) {
+        // A caller that has left needs no error.
+        self.queue.send(Err(TruncatedResponse)).await.ok();
+    }
+}
 
 /// Responds with an event stream.
 pub(super) async fn stream<D: Dialect>(call: Call<D>) -> Result<Response<ResponseBody>, Refusal> {
@@ -144,7 +168,8 @@
         Err(refusal) => return call.take_endpoint_failure().ok_or(refusal),
     };
     call.record_first_byte();
-    let (tx, rx) = bounded(MAX_QUEUED_EVENTS);
+    let (queue, rx) = bounded(MAX_QUEUED_EVENTS);
+    let tx = EventSender { queue, unread: Mutex::new(call.received.holder.permit()) };
     let executor = call.context.executor.clone();
     let resp =
         call.response_with_body(&stream.active.response.head, ResponseBody::whole(Bytes::new()));
@@ -170,6 +195,7 @@
             }
         };
     }
+    active.response.limit_receive_buffer();
     let mut events = EventReader::new(&call.received.holder);
     let timed_out = async {
         Timer::after(call.time_left()).await;
@@ -213,8 +239,7 @@
     };
     call.record_end(outcome, http::StatusCode::OK);
     if is_cut {
-        // A caller that has left needs no error.
-        tx.send(Err(TruncatedResponse)).await.ok();
+        tx.truncate().await;
     }
 }
 
@@ -350,7 +375,7 @@
         call.set_last_event_id(id);
     }
     let event = QueuedEvent { bytes: event.bytes, _permit: permit };
-    tx.send(Ok(event)).await.map_err(|_| StreamError::CallerLeft)
+    tx.send(event).await
 }
 
 /// Resumes the stream at another endpoint. Returns `None` if the route doesn't allow that or no
--- a/crates/router/src/net.rs
+++ b/crates/router/src/net.rs
@@ -25,6 +25,10 @@
 /// Unanswered probes after which the connection is closed.
 const MAX_KEEP_ALIVE_PROBES: u32 = 3;
 
+/// Bytes that the kernel takes over from this process and doesn't send yet, because the other side
+/// doesn't read. Without a limit it takes megabytes, which count as the process's memory.
+const MAX_UNSENT_BYTES: u32 = 16 << 10;
+
 /// Receive buffer of connections on which only short requests come.
 const PROBE_RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 
@@ -84,6 +88,21 @@
     Ok(stream)
 }
 
+/// Bounds what the kernel holds of a connection whose other side doesn't read. Its throughput doesn't
+/// suffer, as what is in transit isn't bounded.
+pub fn limit_unsent_bytes(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!(cause:% = e; "unsent_bytes_not_limited");
+    }
+}
+
+/// Bounds what the kernel holds of a connection that isn't read for a while.
+pub fn limit_receive_buffer(stream: &TcpStream, bytes: usize) {
+    if let Err(e) = SockRef::from(stream).set_recv_buffer_size(bytes) {
+        log::debug!(cause:% = e; "receive_buffer_not_limited");
+    }
+}
+
 /// Sets the options of a connection. Failures are logged, and the connection is used without them.
 pub fn set_connection_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -137,6 +137,7 @@
         let max = service.max_connections(resources);
         let (stream, registration) = admit(listener, resources, max).await;
         net::set_connection_options(&stream);
+        net::limit_unsent_bytes(&stream);
         let local_address = stream.local_addr().ok().map(LocalAddress);
         let served = serve_stream(stream, local_address, service.clone(), registration);
         executor.spawn(served).detach();
