Bound what the kernel holds for callers of the own interface

What callers saw: 120 callers that read the half of an answer of 3 MB and then stopped took up 160 MB of a machine of 64 with the kernel's buffers.

Cause: the kernel enlarges the send buffer while a caller reads fast, and an answer gives its room back once the kernel has taken it over.

The connections get the limit on unsent bytes that those of the router have.

--- a/crates/daemon/src/server/connection.rs
+++ b/crates/daemon/src/server/connection.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use ::router::resources::Holder;
+use ::router::{net::limit_unsent_bytes, resources::Holder};
 use async_h1::server::{ConnectionStatus, Server};
 use futures_lite::FutureExt;
 use policy::Time;
@@ -108,6 +108,7 @@
         // Disables Nagle's algorithm: tokens are small packets and mustn't wait until the previous
         // one is acknowledged.
         self.socket.set_nodelay(true).ok();
+        limit_unsent_bytes(&self.socket);
         let stream = CallerStream::new(self.socket.clone(), self.holder.clone());
         let handler = |req| {
             lock(&self.state).head_was_read = true;
--- a/crates/daemon/tests/misbehaving_clients/own_interface.rs
+++ b/crates/daemon/tests/misbehaving_clients/own_interface.rs
@@ -165,3 +165,23 @@
     body.extend_from_slice(&head.repeat(8 * MAX_BODY / head.len()).into_bytes());
     bears("own, input behind a request", CROWD, connect, send_all([head.as_bytes(), &body]));
 }
+
+/// Guards against callers that stop reading once the kernel has enlarged its buffers for them.
+#[test]
+fn own_long_answers_that_are_read_in_part() {
+    let head = own_head("/services/desk/large", "Content-Length: 4\r\n");
+    let send = |stream: &mut TcpStream| {
+        send_all([head.as_bytes(), b"body"])(stream)?;
+        read_some(stream, LARGE_ANSWER / 2)
+    };
+    bears("own, long answers read in part", CROWD, connect, send);
+}
+
+/// Guards against small requests that are sent all at once, whose answers nobody reads.
+#[test]
+fn own_small_requests_at_once_that_nobody_reads() {
+    let request = own_head("/services/desk/x", "Content-Length: 4\r\n") + "body";
+    let requests = request.repeat(MAX_BODY / request.len());
+    let send = send_all([requests.as_bytes()]);
+    bears("own, small requests at once", CROWD, connect_with_small_window, send);
+}
