Don't take a stream that waits for memory for a silent endpoint

What callers saw: a second endpoint gets the request, and the first one counts as failed and silent, because the instance had no memory for an event that had come.

Cause: the time that a stream waits for room in the buffers counted as silence of its endpoint, which other instances are told of.

While something received waits for room, the endpoint isn't silent.

--- a/crates/daemon/tests/misbehaving_clients/router.rs
+++ b/crates/daemon/tests/misbehaving_clients/router.rs
@@ -1,9 +1,14 @@
 //! Crowds against an instance that forwards requests by the sites' own routes.
 
+use std::thread;
+
 use crate::{
     clients::*,
-    common::{self, exchange},
-    platform_standins::{http, wire},
+    common::{self, exchange, wait_until},
+    platform_standins::{
+        endpoint::{ConnectionEnd, Endpoint, Script},
+        http, wire,
+    },
     process::*,
 };
 
@@ -387,3 +392,32 @@
     let clients = crowd(CROWD, connect, send_all([head.as_bytes(), b"body"]));
     router.process.bears("answers, heads may be long", clients);
 }
+
+/// Guards against an endpoint that looks silent, and is replaced, while its stream waits for memory.
+#[test]
+fn a_stream_that_waits_for_memory_stays_at_its_endpoint() {
+    let _alone = alone();
+    let event = "x".repeat(MAX_BODY - (24 << 10));
+    let stream = leaked(format!(
+        "HTTP/1.1 200 x\r\nSEAL\r\ncontent-type: text/event-stream\r\n\r\n\
+         id: 1\ndata: x\n\nid: 2\ndata: {event}\n\n"
+    ));
+    let stream = Box::new(Script::Raw(stream, ConnectionEnd::Close));
+    let script = Script::For("waits", stream, Box::new(endpoint_script()));
+    let mut router = Router::start(script.clone());
+    let other = Endpoint::start("i-2", vec![script]);
+    wire::register_large(&router.store, &other);
+    wait_until("the other endpoint is used", || {
+        router.process.is_answered() && !other.seen_at_path("/r/x").is_empty()
+    });
+    let address = router.address();
+    let held = wire::request_head("/o/held", &format!("Content-Length: {MAX_BODY}\r\n"));
+    let body = vec![b'x'; MAX_BODY];
+    let mut clients = crowd(CROWD, || connect(address), send_all([held.as_bytes(), &body]));
+    thread::sleep(SETTLE_TIME);
+    let head = wire::request_head("/s/waits", "Content-Length: 4\r\n");
+    clients.extend(crowd(1, || connect(address), send_all([head.as_bytes(), b"body"])));
+    router.process.bears("a stream that waits", clients);
+    let sent = [&router.endpoint, &other].map(|endpoint| endpoint.seen_at_path("/s/waits").len());
+    assert_eq!(sent.iter().sum::<usize>(), 1, "{sent:?} requests at the endpoints");
+}
--- a/crates/router/src/filter/relay.rs
+++ b/crates/router/src/filter/relay.rs
@@ -115,6 +115,11 @@
         Some(ReceivedEvent { event, permit })
     }
 
+    /// Whether there is no room for something that has been received.
+    fn waits_for_room(&self) -> bool {
+        !self.unparsed.is_empty()
+    }
+
     /// Whether a part of an event has been received.
     fn has_partial_event(&self) -> bool {
         self.parser.remaining() + self.unparsed.len() > 0
@@ -327,11 +332,15 @@
     silence_limit: Duration,
     tx: &EventSender,
 ) -> WaitOutcome<D> {
-    match race(next_event(&mut active, &mut events), Timer::after(silence_limit)).await {
-        Either::Left(next) => {
-            return WaitOutcome::Stream(Box::new(EventStream { active, events, next }));
+    loop {
+        match race(next_event(&mut active, &mut events), Timer::after(silence_limit)).await {
+            Either::Left(next) => {
+                return WaitOutcome::Stream(Box::new(EventStream { active, events, next }));
+            }
+            // The endpoint has sent something, and this instance hasn't the memory for it.
+            Either::Right(_) if events.waits_for_room() => {}
+            Either::Right(_) => break,
         }
-        Either::Right(_) => {}
     }
     let mut resumed = pin!(resume(call, OtherAttempt::InFlight));
     let next = loop {
