Receive answers without a length only as there is room for them

What callers saw: 120 callers of a plain service whose answers of 3 MB are sent in chunks, and who read nothing, took up 323 MB of a machine of 64.

Cause: such an answer was received as a whole, up to 16 MiB, before any room was asked for. Only answers with a Content-Length waited for it.

The buffer of such an answer grows in steps of 256 KB, each after there is room for it and for the copy that moving it takes. The attempt isn't held against the server.

--- a/crates/daemon/src/filter/dispatch/service.rs
+++ b/crates/daemon/src/filter/dispatch/service.rs
@@ -142,6 +142,8 @@
             Err(ServiceError::Broken) => Err(FailCause::Broken),
             Err(ServiceError::Silent) => Err(FailCause::Silent),
             Err(ServiceError::BadAnswer) => Err(FailCause::BadAnswer),
+            // It says nothing about the endpoint.
+            Err(ServiceError::NoRoom) => Err(FailCause::Deadline),
         }
     }
 
--- a/crates/daemon/tests/misbehaving_clients/own_interface.rs
+++ b/crates/daemon/tests/misbehaving_clients/own_interface.rs
@@ -9,7 +9,7 @@
 use crate::{
     clients::*,
     common::{self, Daemon, wait_until},
-    platform_standins::endpoint::Endpoint,
+    platform_standins::endpoint::{ConnectionEnd, Endpoint, Script},
     process::*,
 };
 
@@ -31,7 +31,11 @@
 
 impl Own {
     pub fn start() -> Own {
-        let service = Endpoint::start("i-1", vec![endpoint_script()]);
+        Own::start_with(endpoint_script())
+    }
+
+    fn start_with(script: Script) -> Own {
+        let service = Endpoint::start("i-1", vec![script]);
         let site = common::Site {
             engines: Vec::new(),
             services: vec![service.address],
@@ -185,3 +189,21 @@
     let send = send_all([requests.as_bytes()]);
     bears("own, small requests at once", CROWD, connect_with_small_window, send);
 }
+
+/// Guards against answers without a stated length that are received before there is room for them.
+#[test]
+fn own_long_answers_without_a_length() {
+    let _alone = alone();
+    let body = "x".repeat(LARGE_ANSWER);
+    let chunked = leaked(format!(
+        "HTTP/1.1 200 x\r\nSEAL\r\ntransfer-encoding: chunked\r\n\r\n{LARGE_ANSWER:x}\r\n{body}\r\n\
+         0\r\n\r\n"
+    ));
+    let script = Box::new(Script::Raw(chunked, ConnectionEnd::Close));
+    let mut own = Own::start_with(Script::For("chunked", script, Box::new(answer())));
+    let address = own.process.address;
+    let head = own_head("/services/desk/chunked", "Content-Length: 4\r\n");
+    let send = send_all([head.as_bytes(), b"body"]);
+    let clients = crowd(CROWD, || connect_with_small_window(address), send);
+    own.process.bears("own, answers without a length", clients);
+}
--- a/crates/protocols/src/service/http.rs
+++ b/crates/protocols/src/service/http.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_lite::{AsyncReadExt, FutureExt};
-use http_types::{Request, Response, Url};
+use http_types::{Body, Request, Response, Url};
 use smol::Timer;
 
 use crate::{
@@ -28,8 +28,18 @@
 /// only then is it known to be complete.
 const MAX_ANSWER_BYTES: u64 = 16 << 20;
 
-/// Free space in which the end of a body is read. Without it the buffer would be doubled for that.
-const END_READ_BYTES: usize = 64;
+/// Bytes of a body that are read at once.
+const READ_BYTES: usize = 16 << 10;
+
+/// Copies of a buffer that moves as it grows.
+const MOVED_COPIES: usize = 2;
+
+/// How long a body without a stated length waits for room to grow. Bodies that have come in part
+/// would otherwise wait for each other.
+const GROWTH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Bytes by which the buffer of a body without a stated length grows.
+const GROWTH_BYTES: usize = 256 << 10;
 
 /// Response headers that are passed on to callers in addition to the media type. Others concern
 /// only the connection.
@@ -58,23 +68,19 @@
         may_send: impl Fn() -> bool + Send + Sync,
         room: &impl AnswerRoom,
     ) -> Result<ServiceAnswer, ServiceError> {
-        let sent = AtomicBool::new(false);
+        let progress = Progress::default();
         let timeout = call.timeout;
         let limit = async {
             Timer::after(timeout).await;
-            // No data is sent before the connection is established.
-            Err(match sent.load(Ordering::Relaxed) {
-                true => ServiceError::Silent,
-                false => ServiceError::NotSent,
-            })
+            Err(progress.timeout_error())
         };
-        self.exchange(call, &sent, may_send, room).or(limit).await
+        self.exchange(call, &progress, may_send, room).or(limit).await
     }
 
     async fn exchange(
         &self,
         call: ServiceCall,
-        sent: &AtomicBool,
+        progress: &Progress,
         may_send: impl Fn() -> bool + Send + Sync,
         room: &impl AnswerRoom,
     ) -> Result<ServiceAnswer, ServiceError> {
@@ -83,9 +89,29 @@
         if !may_send() {
             return Err(ServiceError::NotSent);
         }
-        sent.store(true, Ordering::Relaxed);
+        progress.is_sent.store(true, Ordering::Relaxed);
         let resp = async_h1::connect(stream, req).await.map_err(|_| ServiceError::Broken)?;
-        read(resp, room).await
+        read(resp, room, progress).await
+    }
+}
+
+/// How far a call has come when its time ends.
+#[derive(Debug, Default)]
+struct Progress {
+    /// No data is sent before the connection is established.
+    is_sent: AtomicBool,
+}
+
+impl Progress {
+    fn timeout_error(&self) -> ServiceError {
+        match self.is_sent.load(Ordering::Relaxed) {
+            true => ServiceError::Silent,
+            false => ServiceError::NotSent,
+        }
+    }
+
+    async fn acquire<R: AnswerRoom>(&self, room: &R, len: usize) -> R::Permit {
+        room.acquire(len).await
     }
 }
 
@@ -118,7 +144,11 @@
     Ok(req)
 }
 
-async fn read(mut resp: Response, room: &impl AnswerRoom) -> Result<ServiceAnswer, ServiceError> {
+async fn read(
+    mut resp: Response,
+    room: &impl AnswerRoom,
+    progress: &Progress,
+) -> Result<ServiceAnswer, ServiceError> {
     let status = u16::from(resp.status());
     // A response without a stated length ends with the connection, so a truncated one can't be
     // detected; the HTTP library reads it as empty. Neither may be passed on to a caller.
@@ -138,35 +168,56 @@
     if expected.is_some_and(|expected| expected as u64 > MAX_ANSWER_BYTES) {
         return Err(ServiceError::BadAnswer);
     }
-    let permit = match expected {
-        Some(len) => Some(room.acquire(len).await),
-        None => None,
-    };
-    let mut body = Vec::with_capacity(expected.map_or(0, |len| len + END_READ_BYTES));
-    let mut limited = resp.take_body().take(MAX_ANSWER_BYTES + 1);
-    limited.read_to_end(&mut body).await.map_err(|_| ServiceError::Broken)?;
-    if body.len() as u64 > MAX_ANSWER_BYTES {
-        return Err(ServiceError::BadAnswer);
-    }
-    if expected.is_some_and(|expected| expected != body.len()) {
+    let body = read_body(resp.take_body(), expected, room, progress).await?;
+    if expected.is_some_and(|expected| expected != body.bytes.len()) {
         return Err(ServiceError::Broken);
     }
-    let permit = match permit {
-        Some(permit) => permit,
-        None => room.acquire(body.len()).await,
-    };
-    let body = Bytes::from_owner(RoomedBody { body, _permit: permit });
-    Ok(ServiceAnswer { status, content_type, headers, leaving, body })
+    Ok(ServiceAnswer { status, content_type, headers, leaving, body: Bytes::from_owner(body) })
+}
+
+/// Reads a body into a buffer that grows only after there is room for it.
+async fn read_body<R: AnswerRoom>(
+    mut body: Body,
+    expected: Option<usize>,
+    room: &R,
+    progress: &Progress,
+) -> Result<RoomedBody<R::Permit>, ServiceError> {
+    let (mut bytes, mut permits) = (Vec::new(), Vec::new());
+    if let Some(len) = expected {
+        // Answers that have come in part would wait for each other.
+        permits.push(progress.acquire(room, len).await);
+        bytes.reserve_exact(len);
+    }
+    let mut part = vec![0; READ_BYTES];
+    loop {
+        let len = body.read(&mut part).await.map_err(|_| ServiceError::Broken)?;
+        if len == 0 {
+            return Ok(RoomedBody { bytes, _permits: permits });
+        }
+        if (bytes.len() + len) as u64 > MAX_ANSWER_BYTES {
+            return Err(ServiceError::BadAnswer);
+        }
+        if bytes.len() + len > bytes.capacity() {
+            let timed_out = async {
+                Timer::after(GROWTH_TIMEOUT).await;
+                Err(ServiceError::NoRoom)
+            };
+            let grown = async { Ok(progress.acquire(room, MOVED_COPIES * GROWTH_BYTES).await) };
+            permits.push(grown.or(timed_out).await?);
+            bytes.reserve_exact(GROWTH_BYTES);
+        }
+        bytes.extend_from_slice(&part[..len]);
+    }
 }
 
 /// A body that keeps its room as long as any part of it is in memory.
 struct RoomedBody<P> {
-    body: Vec<u8>,
-    _permit: P,
+    bytes: Vec<u8>,
+    _permits: Vec<P>,
 }
 
 impl<P> AsRef<[u8]> for RoomedBody<P> {
     fn as_ref(&self) -> &[u8] {
-        &self.body
+        &self.bytes
     }
 }
--- a/crates/protocols/src/service/mod.rs
+++ b/crates/protocols/src/service/mod.rs
@@ -79,6 +79,8 @@
     Silent,
     /// The response is invalid or incomplete.
     BadAnswer,
+    /// The response has come, and there was no room for it.
+    NoRoom,
 }
 
 impl fmt::Display for ServiceError {
@@ -88,6 +90,7 @@
             ServiceError::Broken => "the connection to the server broke",
             ServiceError::Silent => "the server gave no answer in time",
             ServiceError::BadAnswer => "the server's answer can't be read",
+            ServiceError::NoRoom => "there is no room for the server's answer",
         })
     }
 }
