Don't take an answer that waits for memory for a silent server

What callers saw: none of it; the server counted as silent when the time of a call ended while its answer waited for room in the buffers.

The call ends without a failure of the server.

Measured: an_answer_with_a_length_that_waits gave Silent before, NoRoom now.

--- a/crates/protocols/src/service/http.rs
+++ b/crates/protocols/src/service/http.rs
@@ -100,10 +100,15 @@
 struct Progress {
     /// No data is sent before the connection is established.
     is_sent: AtomicBool,
+    /// The answer has come, and there is no room for it.
+    waits_for_room: AtomicBool,
 }
 
 impl Progress {
     fn timeout_error(&self) -> ServiceError {
+        if self.waits_for_room.load(Ordering::Relaxed) {
+            return ServiceError::NoRoom;
+        }
         match self.is_sent.load(Ordering::Relaxed) {
             true => ServiceError::Silent,
             false => ServiceError::NotSent,
@@ -111,7 +116,10 @@
     }
 
     async fn acquire<R: AnswerRoom>(&self, room: &R, len: usize) -> R::Permit {
-        room.acquire(len).await
+        self.waits_for_room.store(true, Ordering::Relaxed);
+        let permit = room.acquire(len).await;
+        self.waits_for_room.store(false, Ordering::Relaxed);
+        permit
     }
 }
 
--- a/crates/protocols/tests/service.rs
+++ b/crates/protocols/tests/service.rs
@@ -59,6 +59,10 @@
 }
 
 cases! {
+    /// Guards against a server that counts as silent while its answer waits for memory.
+    an_answer_with_a_length_that_waits: b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        => ServiceError::NoRoom;
+
     /// Guards against answers that have come in part and wait for each other.
     an_answer_without_a_length_that_waits:
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n" => ServiceError::NoRoom;
