--- a/crates/router/tests/net.rs
+++ b/crates/router/tests/net.rs
@@ -26,3 +26,17 @@
     let probes = socket.tcp_keepalive_retries().unwrap();
     assert!(interval * probes > SOUND_SILENCE);
 }
+
+/// Guards against probes whose unread requests the kernel keeps without a bound. Linux reports twice
+/// the size that was set.
+#[test]
+fn connections_of_probes_have_a_small_receive_buffer() {
+    smol::block_on(async {
+        let listener = net::listen_for_probes(([127, 0, 0, 1], 0).into()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let _client = net::connect(address, Duration::from_secs(1)).await.unwrap();
+        let (accepted, _) = listener.accept().await.unwrap();
+        let bytes = SockRef::from(&accepted).recv_buffer_size().unwrap();
+        assert!(bytes <= 2 * (16 << 10), "{bytes}");
+    });
+}
