--- a/crates/daemon/tests/misbehaving_clients/names.rs
+++ b/crates/daemon/tests/misbehaving_clients/names.rs
@@ -68,13 +68,10 @@
     bears_names(process, "parts", |n| {
         let parts: Vec<String> =
             (0..NAME_BYTES / 20).map(|i| format!("{n:08x}{i:08x}:1")).collect();
-        let more =
-            format!("Trefoilhall-Prompt-Prefix: {}\r\nContent-Length: 0\r\n", parts.join(","));
-        head.replace("Content-Length: 0\r\n", &more)
+        wire::request_head("/r/x", &format!("{}Content-Length: 0\r\n", wire::parts(&parts)))
     });
     bears_names(process, "models", |n| {
-        let more = format!("Trefoilhall-Model: {}\r\nContent-Length: 0\r\n", name(n));
-        head.replace("Content-Length: 0\r\n", &more)
+        wire::request_head("/r/x", &format!("{}Content-Length: 0\r\n", wire::model(&name(n))))
     });
 }
 
